--- /dev/null
+++ b/harness/child.ts
@@ -0,0 +1,48 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+
+const PROGRAM = 'dist/citronwheel.cjs'
+const running = new Set<ChildProcess>()
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+})
+
+/** One process of the program, started by a script or test; it ends when the script does. */
+export class Child {
+  /** Everything it wrote to standard error. */
+  errors = ''
+  private readonly process: ChildProcess
+  private readonly exit: Promise<number>
+
+  private constructor (args: readonly string[]) {
+    this.process = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    running.add(this.process)
+    this.process.stderr!.on('data', text => { this.errors += text })
+    this.exit = once(this.process, 'exit').then(([code, signal]) => {
+      running.delete(this.process)
+      return code ?? (signal === 'SIGKILL' ? 137 : 128)
+    })
+  }
+
+  /** Starts it and waits for the line in which it says where it listens. */
+  static async start<T> (args: readonly string[]): Promise<{ readonly child: Child, readonly ready: T }> {
+    const child = new Child(args)
+    const lines = createInterface({ input: child.process.stdout! })
+    const line = await Promise.race([
+      once(lines, 'line').then(([line]) => line as string),
+      child.exit.then(code => { throw new Error(`${args.join(' ')} ended with ${code}: ${child.errors}`) })
+    ])
+    return { child, ready: JSON.parse(line) }
+  }
+
+  signal (signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
+    this.process.kill(signal)
+  }
+
+  /** Resolves with the exit code; 137 after SIGKILL. */
+  async waitForExit (): Promise<number> {
+    return await this.exit
+  }
+}
--- /dev/null
+++ b/harness/fleet.ts
@@ -0,0 +1,126 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { request } from 'undici'
+import type { Configuration } from '../src/config/configuration.js'
+import type { Instance } from '../src/platform/instance.js'
+import type { RunRecord } from '../stand-ins/engine/run-record.js'
+import { Child } from './child.js'
+
+const HOST = '127.0.0.1'
+const OPERATOR_TOKEN = 'operator-of-the-trial'
+const POLL_PERIOD = 20
+const READY_TIMEOUT = 20_000
+
+/** A running process and the instance it is registered as. */
+interface Node { readonly child: Child, instance: Instance }
+
+interface ServerOptions { readonly pool: string, readonly kind: 'engine' | 'service', readonly options?: Readonly<Record<string, unknown>> }
+
+/** A whole fleet as separate processes on loopback: stand-in platform, backend servers and daemons. */
+export class Fleet {
+  readonly operatorToken = OPERATOR_TOKEN
+  readonly daemons: Node[] = []
+  readonly servers: Node[] = []
+  private platform!: { readonly child: Child, readonly url: string }
+  private readonly folder = mkdtempSync(join(tmpdir(), 'citronwheel-'))
+
+  /** Starts the platform only; daemons and servers are added to it. */
+  static async start ({ platform = {} }: { readonly platform?: Readonly<Record<string, unknown>> } = {}): Promise<Fleet> {
+    const fleet = new Fleet()
+    const { child, ready } = await Child.start<{ listening: number }>(['stand-in', 'platform', '--options', JSON.stringify(platform)])
+    fleet.platform = { child, url: `http://${HOST}:${ready.listening}` }
+    return fleet
+  }
+
+  get platformUrl (): string {
+    return this.platform.url
+  }
+
+  async addServer (name: string, failureDomain: string, { pool, kind, options = {} }: ServerOptions): Promise<Node> {
+    const { child, ready } = await Child.start<{ listening: number }>(['stand-in', kind, '--options', JSON.stringify(options)])
+    const node: Node = { child, instance: { name, pool, host: HOST, port: ready.listening, failureDomain, region: 'region-1', state: 'live' } }
+    this.servers.push(node)
+    await this.register(node.instance)
+    return node
+  }
+
+  async addDaemon (name: string, failureDomain: string, more: Readonly<Record<string, unknown>> = {}): Promise<Node> {
+    const file = join(this.folder, `${name}.yaml`)
+    writeFileSync(file, JSON.stringify({
+      instance: name,
+      failureDomain,
+      region: 'region-1',
+      listen: { host: HOST, port: 0, peerPort: 0 },
+      platform: this.platform.url,
+      peerKey: 'key-of-the-trial',
+      operatorToken: OPERATOR_TOKEN,
+      log: { level: 'info', format: 'text' },
+      ...more
+    }))
+    const { child, ready } = await Child.start<{ listening: number, peerPort: number }>(['serve', '--settings', file])
+    const node: Node = { child, instance: { name, pool: 'entry', host: HOST, port: ready.listening, peerPort: ready.peerPort, failureDomain, region: 'region-1', state: 'live' } }
+    this.daemons.push(node)
+    await this.register(node.instance)
+    return node
+  }
+
+  async register (instance: Instance): Promise<void> {
+    await this.control('PUT', `/control/instances/${instance.name}`, instance)
+  }
+
+  async unregister (name: string): Promise<void> {
+    await this.control('DELETE', `/control/instances/${name}`)
+  }
+
+  url (daemon: Node): string {
+    return `http://${daemon.instance.host}:${daemon.instance.port}`
+  }
+
+  /** Applies a configuration through the first daemon and waits until every daemon acts on it. */
+  async apply (configuration: Omit<Configuration, 'version'>, basedOn = 0): Promise<number> {
+    const answer = await this.operator('PUT', this.daemons[0]!, '/operator/configuration', { configuration, basedOn })
+    const version = answer.version as number
+    await this.waitUntil(async () => {
+      const known = await Promise.all(this.daemons.map(async daemon => (await this.operator('GET', daemon, '/operator/configuration')).version))
+      return known.every(other => other >= version)
+    })
+    return version
+  }
+
+  async operator (method: 'GET' | 'PUT' | 'POST', daemon: Node, path: string, body?: unknown): Promise<any> {
+    return await this.call(method, this.url(daemon) + path, body, { authorization: `Bearer ${OPERATOR_TOKEN}` })
+  }
+
+  async control (method: 'GET' | 'PUT' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<any> {
+    return await this.call(method, this.platform.url + path, body)
+  }
+
+  /** What the server itself logged as run. */
+  async readLog (server: Node): Promise<readonly RunRecord[]> {
+    return (await this.call('GET', `http://${HOST}:${server.instance.port}/control/log`)).runs
+  }
+
+  /** Polls an outside condition; the wait ends with the condition, and fails after 20 s. */
+  async waitUntil (condition: () => Promise<boolean>): Promise<void> {
+    const end = Date.now() + READY_TIMEOUT
+    while (!await condition()) {
+      if (Date.now() > end) throw new Error(`not reached in ${READY_TIMEOUT} ms: ${condition.toString()}`)
+      await new Promise(resolve => setTimeout(resolve, POLL_PERIOD))
+    }
+  }
+
+  async stop (): Promise<void> {
+    const children = [...this.daemons, ...this.servers].map(({ child }) => child).concat(this.platform.child)
+    for (const child of children) child.signal('SIGKILL')
+    await Promise.all(children.map(async child => await child.waitForExit()))
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  private async call (method: 'GET' | 'PUT' | 'POST' | 'DELETE', url: string, body?: unknown, headers: Record<string, string> = {}): Promise<any> {
+    const response = await request(url, { method, headers, body: body === undefined ? null : JSON.stringify(body) })
+    const text = await response.body.text()
+    if (response.statusCode >= 300) throw new Error(`${method} ${url}: ${response.statusCode} ${text}`)
+    return JSON.parse(text)
+  }
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,39 @@
+// Bundles the command line (and, with --binary, the single executable) and the scripts that drive it.
+import { build } from 'esbuild'
+import { execFileSync } from 'node:child_process'
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs'
+import { resolve } from 'node:path'
+
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
+const entries = { citronwheel: 'src/main.ts', demo: 'demo/main.ts', bench: 'bench/main.ts' }
+
+mkdirSync('dist', { recursive: true })
+await build({
+  entryPoints: entries,
+  outdir: 'dist',
+  outExtension: { '.js': '.cjs' },
+  bundle: true,
+  format: 'cjs',
+  platform: 'node',
+  target: 'node20',
+  sourcemap: 'inline',
+  sourcesContent: false,
+  logLevel: 'warning',
+  alias: { 'ts-results': resolve('node_modules/ts-results/esm/index.js') },
+  // An optional native speed-up of cbor-x, which works without it.
+  external: ['cbor-extract']
+})
+
+if (process.argv.includes('--binary')) buildBinary()
+
+function buildBinary () {
+  writeFileSync('dist/sea.json', JSON.stringify({
+    main: 'dist/citronwheel.cjs',
+    output: 'dist/sea.blob',
+    disableExperimentalSEAWarning: true
+  }))
+  execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'ignore' })
+  copyFileSync(process.execPath, 'dist/citronwheel')
+  chmodSync('dist/citronwheel', 0o755)
+  execFileSync('node_modules/.bin/postject', ['dist/citronwheel', 'NODE_SEA_BLOB', 'dist/sea.blob', '--sentinel-fuse', FUSE], { stdio: 'ignore' })
+}
--- /dev/null
+++ b/src/commands/create-daemon.ts
@@ -0,0 +1,19 @@
+import '../parts.js'
+import { Kernel } from '../kernel/kernel.js'
+import { Random } from '../kernel/random.js'
+import type { Settings } from '../kernel/settings.js'
+import { SystemClock } from '../kernel/system-clock.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { HttpObjectStore } from '../platform/http-object-store.js'
+
+/** A daemon with its settings, clock and connection to the platform, ready to start. */
+export function createDaemon (settings: Settings, log: LogSink): Kernel {
+  const kernel = new Kernel()
+  kernel.container.registerInstance(tokens.settings, settings)
+  kernel.container.registerInstance(tokens.clock, new SystemClock())
+  kernel.container.registerInstance(tokens.random, new Random(process.pid ^ Date.now()))
+  kernel.container.registerInstance(tokens.store, new HttpObjectStore(settings.platform))
+  kernel.container.registerInstance(tokens.log, log)
+  return kernel
+}
--- /dev/null
+++ b/src/config/configuration.ts
@@ -0,0 +1,13 @@
+import type { Caller } from './caller.js'
+import type { Limits } from './limits.js'
+import type { Model } from './model.js'
+import type { Service } from './service.js'
+
+/** What operators have set: the merge of their folder, checked and accepted as one version. */
+export interface Configuration {
+  readonly version: number
+  readonly services: Readonly<Record<string, Service>>
+  readonly models: Readonly<Record<string, Model>>
+  readonly callers: Readonly<Record<string, Caller>>
+  readonly limits: Limits
+}
--- /dev/null
+++ b/src/entry/entry-server.ts
@@ -0,0 +1,81 @@
+import { App, type Request, type Response } from '@tinyhttp/app'
+import type { Server } from 'node:http'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import { createAppServer } from '../http/create-app-server.js'
+import { listen } from '../http/listen.js'
+import { Extensions } from '../kernel/extensions.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { authenticate } from './authenticate.js'
+import type { Route } from './route.js'
+import { routePoint } from './route-point.js'
+import { sendProblem } from './send-problem.js'
+
+const HEADERS_TIMEOUT = 10_000
+
+/** The HTTP interface for callers and operators: the routes that the parts contribute, each behind its check. */
+@scoped(Lifecycle.ContainerScoped)
+export class EntryServer implements Part {
+  /** The port in use, once started. */
+  port = 0
+  private readonly server: Server
+  private readonly app = new App()
+
+  constructor (
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Extensions) private readonly added: Extensions
+  ) {
+    this.server = createAppServer(this.app, { headersTimeout: HEADERS_TIMEOUT })
+  }
+
+  async start (): Promise<void> {
+    for (const route of this.added.collect(routePoint)) this.addRoute(route)
+    this.app.noMatchHandler = (_req, res) => sendProblem(res, { status: 404, code: 'no-such-path', detail: 'there is nothing at this path' })
+    this.port = await listen(this.server, this.settings.listen.host, this.settings.listen.port)
+    this.log.write('info', 'entry', 'listens', { port: this.port })
+  }
+
+  /** Resolves once every open exchange has ended. */
+  async drain (): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve))
+    this.server.closeIdleConnections()
+    await closed
+  }
+
+  private addRoute (route: Route): void {
+    this.app[route.method](route.path, async (req: Request, res: Response) => {
+      const caller = this.admit(route, req, res)
+      if (caller === undefined) return
+      try {
+        await route.handle(req, res, caller)
+      } catch (error) {
+        this.log.write('error', 'entry', 'a route failed', { path: req.path, error: (error as Error).stack })
+        sendProblem(res, { status: 500, code: 'internal', detail: 'an error of ours; its cause is in the log' })
+      }
+    })
+  }
+
+  private admit (route: Route, req: Request, res: Response): string | undefined {
+    switch (route.access) {
+      case 'public': return ''
+      case 'operator': {
+        if (req.headers.authorization === `Bearer ${this.settings.operatorToken}`) return ''
+        break
+      }
+      case 'caller': {
+        const caller = authenticate(req, this.configuration.value)
+        if (caller !== undefined) return caller
+      }
+    }
+    sendProblem(res, { status: 401, code: 'wrong-token', detail: 'the bearer token is missing or not known' })
+    return undefined
+  }
+}
+
+partRegistry.register({ name: 'entry', part: EntryServer, needs: ['configuration', 'dispatcher', 'peer links', 'members'] })
--- /dev/null
+++ b/src/entry/online-routes.ts
@@ -0,0 +1,140 @@
+import type { Request, Response } from '@tinyhttp/app'
+import { randomUUID } from 'node:crypto'
+import { pipeline } from 'node:stream/promises'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Account } from '../admission/account.js'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import type { Service } from '../config/service.js'
+import { readBody } from '../http/read-body.js'
+import { sendJson } from '../http/send-json.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import { Dispatcher } from '../routing/dispatcher.js'
+import type { ServerAnswer } from '../routing/server-answer.js'
+import type { Route } from './route.js'
+import { routePoint } from './route-point.js'
+import { sendProblem } from './send-problem.js'
+import { sendRefusal } from './send-refusal.js'
+
+const PLAIN_LIMIT = 64
+
+interface Target { readonly name: string, readonly service: Service, readonly path: string }
+
+/** Online requests: the OpenAI shapes for models, and /services/NAME/… for plain services. */
+@scoped(Lifecycle.ContainerScoped)
+export class OnlineRoutes implements Part {
+  readonly extensions = ([
+    this.completionRoute('/v1/chat/completions'),
+    this.completionRoute('/v1/completions'),
+    { method: 'get', path: '/v1/models', access: 'caller', handle: (_req, res) => this.listModels(res) },
+    { method: 'all', path: '/services/:name/*', access: 'caller', handle: async (req, res, caller) => await this.callService(req, res, caller) }
+  ] satisfies Route[]).map(route => routePoint.of(route))
+
+  constructor (
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Dispatcher) private readonly dispatcher: Dispatcher,
+    @inject(Account) private readonly account: Account,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  private completionRoute (path: string): Route {
+    return { method: 'post', path, access: 'caller', handle: async (req, res, caller) => await this.complete(req, res, caller, path) }
+  }
+
+  private listModels (res: Response): void {
+    const data = Object.entries(this.configuration.value.services)
+      .filter(([, { kind }]) => kind === 'model')
+      .map(([id]) => ({ id, object: 'model', created: 0, owned_by: 'citronwheel' }))
+    sendJson(res, 200, { object: 'list', data })
+  }
+
+  private async complete (req: Request, res: Response, caller: string, path: string): Promise<void> {
+    const body = await this.readBody(req, res)
+    if (body === undefined) return
+    const model = readModel(body)
+    const service = this.configuration.value.services[model ?? '']
+    if (model === undefined || service?.kind !== 'model') {
+      return sendProblem(res, { status: 400, code: 'no-such-model', detail: `model: ${model === undefined ? 'must be named in a JSON body' : `there is no ${model}`}` })
+    }
+    await this.forward(req, res, caller, { name: model, service, path }, body)
+  }
+
+  private async callService (req: Request, res: Response, caller: string): Promise<void> {
+    const name = req.params.name!
+    const service = this.configuration.value.services[name]
+    if (service?.kind !== 'plain') return sendProblem(res, { status: 404, code: 'no-such-service', detail: `there is no plain service ${name}` })
+    const body = await this.readBody(req, res)
+    if (body === undefined) return
+    await this.forward(req, res, caller, { name, service, path: req.url.slice(`/services/${name}`.length) }, body)
+  }
+
+  private async readBody (req: Request, res: Response): Promise<Buffer | undefined> {
+    const limit = this.configuration.value.limits.bodyBytes
+    const body = await readBody(req, limit)
+    if (body.ok) return body.val
+    sendProblem(res, { status: 413, code: 'body-too-large', detail: `the body is over the limit of ${limit} bytes` })
+    return undefined
+  }
+
+  private async forward (req: Request, res: Response, caller: string, { name, service, path }: Target, body: Buffer): Promise<void> {
+    const id = String(req.headers['x-request-id'] ?? randomUUID())
+    const { limits, models } = this.configuration.value
+    const gone = new AbortController()
+    res.on('close', () => gone.abort())
+    this.account.count(caller, { type: 'asked' })
+    this.timeline.record({ part: 'entry', what: 'asked', request: id, detail: caller })
+    const answer = await this.dispatcher.send({
+      id,
+      caller,
+      service: name,
+      pool: service.pool,
+      work: 'online',
+      method: req.method!,
+      path,
+      headers: { 'content-type': String(req.headers['content-type'] ?? 'application/json') },
+      body: body.length === 0 ? undefined : body,
+      idempotent: service.idempotent && req.headers['idempotency-key'] === undefined,
+      deadline: this.clock.now() + limits.deadline,
+      limit: models[service.model ?? '']?.maxInFlight ?? PLAIN_LIMIT,
+      signal: gone.signal
+    })
+    if (answer.ok) return await this.relay(answer.val, res, id, caller)
+    this.account.count(caller, { type: 'refused', cause: answer.val.cause })
+    this.timeline.record({ part: 'entry', what: 'refused', request: id, detail: answer.val.cause })
+    sendRefusal(res, answer.val)
+  }
+
+  /** A body that is cut destroys the caller's connection, so that it never looks whole. */
+  private async relay (answer: ServerAnswer, res: Response, id: string, caller: string): Promise<void> {
+    const { 'content-type': type, 'content-length': length } = answer.headers
+    res.setHeader('x-request-id', id)
+    if (type !== undefined) res.setHeader('content-type', type)
+    if (length !== undefined) res.setHeader('content-length', length)
+    res.writeHead(answer.status)
+    try {
+      await pipeline(answer.body, res)
+      this.account.count(caller, { type: 'answered', tokens: 0 })
+      this.timeline.record({ part: 'entry', what: 'answered', request: id })
+    } catch {
+      res.destroy()
+      this.timeline.record({ part: 'entry', what: 'cut', request: id })
+    } finally {
+      answer.end()
+    }
+  }
+}
+
+function readModel (body: Buffer): string | undefined {
+  try {
+    const { model } = JSON.parse(body.toString())
+    return typeof model === 'string' ? model : undefined
+  } catch {
+    return undefined
+  }
+}
+
+partRegistry.register({ name: 'online routes', part: OnlineRoutes, needs: ['dispatcher'] })
--- /dev/null
+++ b/src/entry/send-refusal.ts
@@ -0,0 +1,28 @@
+import type { ServerResponse } from 'node:http'
+import type { Refusal } from '../admission/refusal.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import { sendProblem } from './send-problem.js'
+
+/** Answers a request that was given up, saying whether it can have run and when to come back. */
+export function sendRefusal (res: ServerResponse, refusal: Refusal): void {
+  sendProblem(res, {
+    status: readStatus(refusal.cause),
+    code: refusal.cause.replaceAll(' ', '-'),
+    detail: refusal.detail,
+    retryAfter: refusal.retryAfter,
+    more: { ran: refusal.ran }
+  })
+}
+
+function readStatus (cause: Refusal['cause']): number {
+  switch (cause) {
+    case 'overloaded': return 429
+    case 'quarantined': return 422
+    case 'server failed': return 502
+    case 'deadline': return 504
+    case 'no server':
+    case 'draining':
+    case 'platform': return 503
+    default: return failUnreachable(cause)
+  }
+}
--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,31 @@
+import { container as rootContainer, type DependencyContainer, type InjectionToken } from 'tsyringe'
+import { Extensions } from './extensions.js'
+import type { Part } from './part.js'
+import { partRegistry } from './part-registry.js'
+
+/**
+ * One daemon: its parts, resolved from a container of its own, and the order in which they start and end.
+ */
+export class Kernel {
+  readonly container: DependencyContainer = rootContainer.createChildContainer()
+  private readonly extensions = new Extensions()
+  private parts: Part[] = []
+
+  constructor () {
+    this.container.registerInstance(Extensions, this.extensions)
+  }
+
+  /** Creates every registered part, then starts each after those it needs. */
+  async start (): Promise<void> {
+    const definitions = partRegistry.order()
+    this.parts = definitions.map(({ part }) => this.container.resolve(part as InjectionToken<Part>))
+    for (const part of this.parts) this.extensions.add(part.extensions ?? [])
+    for (const part of this.parts) await part.start?.()
+  }
+
+  /** Ends gracefully: all parts drain together, then stop in reverse order. */
+  async shutDown (): Promise<void> {
+    await Promise.all(this.parts.map(part => part.drain?.()))
+    for (const part of [...this.parts].reverse()) await part.stop?.()
+  }
+}
--- /dev/null
+++ b/src/kernel/settings.ts
@@ -0,0 +1,23 @@
+/** The daemon's own settings, read once at start. Times are in ms, sizes in bytes. */
+export interface Settings {
+  /** Name of this instance, unique in the fleet. */
+  readonly instance: string
+  readonly failureDomain: string
+  readonly region: string
+  readonly listen: {
+    readonly host: string
+    /** Port for callers and operators; 0 lets the system choose. */
+    readonly port: number
+    /** Port for the other daemons; 0 lets the system choose. */
+    readonly peerPort: number
+  }
+  /** Base address of the platform's object API. */
+  readonly platform: string
+  /** Secret shared by the daemons, which proves a peer. */
+  readonly peerKey: string
+  /** Token that operators present. */
+  readonly operatorToken: string
+  /** Folder for bulk data on instances that have a disk. */
+  readonly dataFolder?: string
+  readonly log: { readonly level: 'error' | 'warn' | 'info' | 'debug', readonly format: 'text' | 'json' }
+}
--- /dev/null
+++ b/src/kernel/tokens.ts
@@ -0,0 +1,15 @@
+import type { InjectionToken } from 'tsyringe'
+import type { Clock } from './clock.js'
+import type { Random } from './random.js'
+import type { Settings } from './settings.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { LogSink } from '../observe/log-sink.js'
+
+/** Injection tokens of what isn't a class of its own: interfaces that a test replaces. */
+export const tokens = {
+  clock: Symbol('clock') as InjectionToken<Clock>,
+  random: Symbol('random') as InjectionToken<Random>,
+  settings: Symbol('settings') as InjectionToken<Settings>,
+  store: Symbol('store') as InjectionToken<ObjectStore>,
+  log: Symbol('log') as InjectionToken<LogSink>
+}
--- /dev/null
+++ b/src/observe/timeline.ts
@@ -0,0 +1,44 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import type { TimelineEvent } from './timeline-event.js'
+
+const KEPT_EVENTS = 20_000
+/** Two events of one process in the same millisecond are told apart by thousandths. */
+const TICK = 0.001
+
+/**
+ * The events of this daemon, the newest `KEPT_EVENTS` of them. Its times are hybrid logical: each frame from a
+ * peer carries the sender's time, and `observe` moves ours past it.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class Timeline {
+  private readonly kept: TimelineEvent[] = []
+  private last = 0
+
+  constructor (
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.settings) private readonly settings: Settings
+  ) {}
+
+  /** The time to stamp on what leaves this process. */
+  tick (): number {
+    this.last = Math.max(this.clock.date(), this.last + TICK)
+    return this.last
+  }
+
+  observe (time: number): void {
+    this.last = Math.max(this.last, time)
+  }
+
+  record (event: Omit<TimelineEvent, 'time' | 'instance'>): void {
+    this.kept.push({ time: this.tick(), instance: this.settings.instance, ...event })
+    if (this.kept.length > KEPT_EVENTS) this.kept.splice(0, KEPT_EVENTS / 10)
+  }
+
+  /** Kept events, oldest first, of one request or one job where given. */
+  find ({ request, job }: { readonly request?: string, readonly job?: string } = {}): readonly TimelineEvent[] {
+    return this.kept.filter(event => (request === undefined || event.request === request) && (job === undefined || event.job === job))
+  }
+}
--- /dev/null
+++ b/src/peers/member.ts
@@ -0,0 +1,7 @@
+import type { Instance } from '../platform/instance.js'
+
+/** A daemon as this one sees it. */
+export interface Member {
+  readonly instance: Instance
+  readonly state: 'alive' | 'suspect' | 'leaving'
+}
--- /dev/null
+++ b/src/platform/instance-list.ts
@@ -0,0 +1,44 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import type { Instance } from './instance.js'
+import type { ObjectStore } from './object-store.js'
+
+const POLL_PERIOD = 1_000
+
+/** The platform's instance list as last read. It lags, and is kept through an outage. */
+@scoped(Lifecycle.ContainerScoped)
+export class InstanceList implements Part {
+  all: readonly Instance[] = []
+  private cancel = (): void => {}
+  private readonly listeners = new Set<() => void>()
+
+  constructor (
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  async start (): Promise<void> {
+    await this.read()
+    this.cancel = this.clock.every(POLL_PERIOD, () => { void this.read() })
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  subscribe (listener: () => void): void {
+    this.listeners.add(listener)
+  }
+
+  private async read (): Promise<void> {
+    const instances = await this.store.listInstances()
+    if (instances.err) return
+    this.all = instances.val
+    for (const listener of this.listeners) listener()
+  }
+}
+
+partRegistry.register({ name: 'instance list', part: InstanceList })
--- /dev/null
+++ b/src/platform/watch-batch.ts
@@ -0,0 +1,8 @@
+import type { StoredObject } from './stored-object.js'
+
+/** What a watch saw: changed objects, names of deleted ones, and the revision to go on from. */
+export interface WatchBatch<T> {
+  readonly revision: number
+  readonly changed: readonly StoredObject<T>[]
+  readonly deleted: readonly string[]
+}
--- /dev/null
+++ b/src/routing/server-answer.ts
@@ -0,0 +1,10 @@
+import type { Readable } from 'node:stream'
+
+/** The answer of a backend server, its body still to be read. `end` must be called when it has been, or won't be. */
+export interface ServerAnswer {
+  readonly server: string
+  readonly status: number
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>
+  readonly body: Readable
+  end (): void
+}
