--- a/src/admission/account.ts
+++ b/src/admission/account.ts
@@ -1,24 +1,35 @@
 import { Lifecycle, scoped } from 'tsyringe'
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { AccountEntry } from './account-entry.js'
 
-interface Counts { asked: number, answered: number, refused: Record<string, number>, tokens: number, waited: number }
+interface Counts { asked: number, answered: number, refused: Record<string, number>, failed: Record<string, number>, tokens: number, waited: number }
 
-/** What each caller asked for, got and was refused at this daemon since it started. */
+/** What each caller asked for, got and was refused at this daemon since it started, by service and kind of work. */
 @scoped(Lifecycle.ContainerScoped)
 export class Account {
-  private readonly callers = new Map<string, Counts>()
+  private readonly rows = new Map<string, Counts>()
 
-  count (caller: string, what: { readonly type: 'asked' } | { readonly type: 'answered', readonly tokens: number } | { readonly type: 'refused', readonly cause: string } | { readonly type: 'waited', readonly time: number }): void {
-    const counts = this.callers.get(caller) ?? { asked: 0, answered: 0, refused: {}, tokens: 0, waited: 0 }
-    this.callers.set(caller, counts)
-    switch (what.type) {
+  count (caller: string, service: string, work: 'online' | 'batch', entry: AccountEntry): void {
+    const counts = this.readRow(`${caller}/${service}/${work}`)
+    switch (entry.type) {
       case 'asked': counts.asked++; break
-      case 'answered': counts.answered++; counts.tokens += what.tokens; break
-      case 'refused': counts.refused[what.cause] = (counts.refused[what.cause] ?? 0) + 1; break
-      case 'waited': counts.waited += what.time; break
+      case 'answered': counts.answered++; counts.tokens += entry.tokens; break
+      case 'refused': counts.refused[entry.cause] = (counts.refused[entry.cause] ?? 0) + 1; break
+      case 'failed': counts.failed[entry.cause] = (counts.failed[entry.cause] ?? 0) + 1; break
+      case 'waited': counts.waited += entry.time; break
+      default: failUnreachable(entry)
     }
   }
 
   read (): Readonly<Record<string, Readonly<Counts>>> {
-    return Object.fromEntries(this.callers)
+    return Object.fromEntries(this.rows)
+  }
+
+  private readRow (key: string): Counts {
+    const known = this.rows.get(key)
+    if (known !== undefined) return known
+    const counts = { asked: 0, answered: 0, refused: {}, failed: {}, tokens: 0, waited: 0 }
+    this.rows.set(key, counts)
+    return counts
   }
 }
--- a/src/batch/batch-worker.ts
+++ b/src/batch/batch-worker.ts
@@ -121,7 +121,8 @@
         limit: this.configuration.value.models[service.model ?? '']?.maxInFlight ?? 1
       })
       if (answer.ok) {
-        const result = await readResult(answer.val.status, answer.val.body).finally(() => answer.val.end())
+        const result = await readResult(answer.val.status, answer.val.body)
+        answer.val.end(result !== undefined)
         if (result !== undefined) return result
       }
       await this.pause(this.random.spread(RETRY_PAUSE))
--- /dev/null
+++ b/src/coordination/index.ts
@@ -0,0 +1,1 @@
+export { rankOwners } from './rank-owners.js'
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -3,6 +3,7 @@
 import { pipeline } from 'node:stream/promises'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { Account } from '../admission/account.js'
+import { Gate } from '../admission/gate.js'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import type { Service } from '../config/service.js'
 import { readBody } from '../http/read-body.js'
@@ -12,7 +13,6 @@
 import { partRegistry } from '../kernel/part-registry.js'
 import { tokens } from '../kernel/tokens.js'
 import { Timeline } from '../observe/timeline.js'
-import { Dispatcher } from '../routing/dispatcher.js'
 import type { ServerAnswer } from '../routing/server-answer.js'
 import type { Route } from './route.js'
 import { routePoint } from './route-point.js'
@@ -35,7 +35,7 @@
 
   constructor (
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
-    @inject(Dispatcher) private readonly dispatcher: Dispatcher,
+    @inject(Gate) private readonly gate: Gate,
     @inject(Account) private readonly account: Account,
     @inject(Timeline) private readonly timeline: Timeline,
     @inject(tokens.clock) private readonly clock: Clock
@@ -85,9 +85,9 @@
     const { limits, models } = this.configuration.value
     const gone = new AbortController()
     res.on('close', () => gone.abort())
-    this.account.count(caller, { type: 'asked' })
+    this.account.count(caller, name, 'online', { type: 'asked' })
     this.timeline.record({ part: 'entry', what: 'asked', request: id, detail: caller })
-    const answer = await this.dispatcher.send({
+    const answer = await this.gate.send({
       id,
       caller,
       service: name,
@@ -102,14 +102,14 @@
       limit: models[service.model ?? '']?.maxInFlight ?? PLAIN_LIMIT,
       signal: gone.signal
     })
-    if (answer.ok) return await this.relay(answer.val, res, id, caller)
-    this.account.count(caller, { type: 'refused', cause: answer.val.cause })
+    if (answer.ok) return await this.relay(answer.val, res, { id, caller, service: name })
+    this.account.count(caller, name, 'online', { type: 'refused', cause: answer.val.cause })
     this.timeline.record({ part: 'entry', what: 'refused', request: id, detail: answer.val.cause })
     sendRefusal(res, answer.val)
   }
 
   /** A body that is cut destroys the caller's connection, so that it never looks whole. */
-  private async relay (answer: ServerAnswer, res: Response, id: string, caller: string): Promise<void> {
+  private async relay (answer: ServerAnswer, res: Response, { id, caller, service }: { readonly id: string, readonly caller: string, readonly service: string }): Promise<void> {
     const { 'content-type': type, 'content-length': length } = answer.headers
     res.setHeader('x-request-id', id)
     if (type !== undefined) res.setHeader('content-type', type)
@@ -117,13 +117,13 @@
     res.writeHead(answer.status)
     try {
       await pipeline(answer.body, res)
-      this.account.count(caller, { type: 'answered', tokens: 0 })
+      answer.end(true)
+      this.account.count(caller, service, 'online', { type: 'answered', tokens: 0 })
       this.timeline.record({ part: 'entry', what: 'answered', request: id })
     } catch {
+      answer.end(false)
       res.destroy()
       this.timeline.record({ part: 'entry', what: 'cut', request: id })
-    } finally {
-      answer.end()
     }
   }
 }
--- a/src/entry/operator-routes.ts
+++ b/src/entry/operator-routes.ts
@@ -8,7 +8,6 @@
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
-import { Timeline } from '../observe/timeline.js'
 import { Members } from '../peers/members.js'
 import type { ObjectStore } from '../platform/object-store.js'
 import type { Route } from './route.js'
@@ -17,14 +16,13 @@
 
 const BODY_LIMIT = 4_000_000
 
-/** What operators ask of a daemon: apply a configuration, read it, the account, the members and the time line. */
+/** What operators ask of a daemon: apply a configuration, read it, the account and the members. */
 @scoped(Lifecycle.ContainerScoped)
 export class OperatorRoutes implements Part {
   readonly extensions = ([
     { method: 'get', path: '/operator/configuration', access: 'operator', handle: (_req, res) => sendJson(res, 200, this.configuration.value) },
     { method: 'put', path: '/operator/configuration', access: 'operator', handle: async (req, res) => await this.apply(req, res) },
-    { method: 'get', path: '/operator/account', access: 'operator', handle: (_req, res) => sendJson(res, 200, { instance: this.settings.instance, callers: this.account.read() }) },
-    { method: 'get', path: '/operator/timeline', access: 'operator', handle: (req, res) => sendJson(res, 200, { events: this.timeline.find(req.query as Record<string, string>) }) },
+    { method: 'get', path: '/operator/account', access: 'operator', handle: (_req, res) => sendJson(res, 200, { instance: this.settings.instance, rows: this.account.read() }) },
     { method: 'get', path: '/operator/status', access: 'operator', handle: (_req, res) => this.showStatus(res) },
     { method: 'get', path: '/healthz', access: 'public', handle: (_req, res) => sendJson(res, 200, { status: 'ok' }) },
     { method: 'get', path: '/readyz', access: 'public', handle: (_req, res) => this.showReady(res) }
@@ -33,7 +31,6 @@
   constructor (
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(Account) private readonly account: Account,
-    @inject(Timeline) private readonly timeline: Timeline,
     @inject(Members) private readonly members: Members,
     @inject(tokens.store) private readonly store: ObjectStore,
     @inject(tokens.settings) private readonly settings: Settings
--- /dev/null
+++ b/src/kernel/pause-watch.ts
@@ -0,0 +1,49 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from './clock.js'
+import type { Part } from './part.js'
+import { partRegistry } from './part-registry.js'
+import { tokens } from './tokens.js'
+
+const TICK_PERIOD = 100
+const PAUSE = 1_500
+
+/**
+ * Notices that the process stood still. A daemon that was frozen past its leases goes on, when it thaws, with
+ * what it believed before; its symptom is a second holder acting on what others took over meanwhile. Parts call
+ * `check` before they act on a belief that can lapse: a gap between ticks longer than any wait of a healthy loop
+ * tells them first, because `check` itself compares the clock and doesn't rely on a timer having run.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class PauseWatch implements Part {
+  private last: number
+  private cancel = (): void => {}
+  private readonly listeners = new Set<(gap: number) => void>()
+
+  constructor (@inject(tokens.clock) private readonly clock: Clock) {
+    this.last = clock.now()
+  }
+
+  async start (): Promise<void> {
+    this.last = this.clock.now()
+    this.cancel = this.clock.every(TICK_PERIOD, () => this.check())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  /** Tells the listeners, before it returns, if the process has stood still since the last check. */
+  check (): void {
+    const now = this.clock.now()
+    const gap = now - this.last
+    this.last = now
+    if (gap > PAUSE) for (const listener of this.listeners) listener(gap)
+  }
+
+  /** `listener` gets the length of each pause in ms. */
+  subscribe (listener: (gap: number) => void): void {
+    this.listeners.add(listener)
+  }
+}
+
+partRegistry.register({ name: 'pause watch', part: PauseWatch })
--- /dev/null
+++ b/src/observe/observe-routes.ts
@@ -0,0 +1,35 @@
+import type { Request, Response } from '@tinyhttp/app'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Route } from '../entry/route.js'
+import { routePoint } from '../entry/route-point.js'
+import { sendJson } from '../http/send-json.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { Metrics } from './metrics.js'
+import { Timeline } from './timeline.js'
+
+/** What a daemon shows of itself: its metrics and its part of the time line. */
+@scoped(Lifecycle.ContainerScoped)
+export class ObserveRoutes implements Part {
+  readonly extensions = ([
+    { method: 'get', path: '/metrics', access: 'public', handle: (_req, res) => this.showMetrics(res) },
+    { method: 'get', path: '/operator/timeline', access: 'operator', handle: (req, res) => this.showTimeline(req, res) }
+  ] satisfies Route[]).map(route => routePoint.of(route))
+
+  constructor (
+    @inject(Metrics) private readonly metrics: Metrics,
+    @inject(Timeline) private readonly timeline: Timeline
+  ) {}
+
+  private showMetrics (res: Response): void {
+    res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+    res.end(this.metrics.write())
+  }
+
+  private showTimeline (req: Request, res: Response): void {
+    const { request, job } = req.query as Record<string, string | undefined>
+    sendJson(res, 200, { events: this.timeline.find({ request, job }) })
+  }
+}
+
+partRegistry.register({ name: 'observe routes', part: ObserveRoutes })
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -2,12 +2,14 @@
 import { Err, Ok, type Result } from 'ts-results'
 import { request as sendRequest } from 'undici'
 import type { Refusal } from '../admission/refusal.js'
+import { Extensions } from '../kernel/extensions.js'
 import type { Clock } from '../kernel/clock.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Random } from '../kernel/random.js'
 import { tokens } from '../kernel/tokens.js'
 import { Timeline } from '../observe/timeline.js'
 import type { BackendServer } from './backend-server.js'
+import { exchangeObserverPoint } from './exchange-observer-point.js'
 import { chooseServer } from './choose-server.js'
 import type { ServerAnswer } from './server-answer.js'
 import type { ServerRequest } from './server-request.js'
@@ -23,6 +25,7 @@
     @inject(Servers) private readonly servers: Servers,
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(tokens.random) private readonly random: Random,
+    @inject(Extensions) private readonly added: Extensions,
     @inject(Timeline) private readonly timeline: Timeline
   ) {}
 
@@ -45,8 +48,22 @@
     return { cause: 'overloaded', ran: sent ? 'unknown' : 'not run', retryAfter: this.random.spread(RETRY_AFTER), detail: 'every server is at its limit' }
   }
 
+  /** Counts the exchange and tells the observers; the function it gives back ends it, once. */
+  private begin (server: BackendServer, request: ServerRequest): (outcome: 'answered' | 'failed' | 'abandoned') => void {
+    const observers = this.added.collect(exchangeObserverPoint)
+    const release = this.servers.begin(server.name)
+    let ended = false
+    for (const observer of observers) observer.onBegin(request, server.name)
+    return outcome => {
+      if (ended) return
+      ended = true
+      release()
+      for (const observer of observers) observer.onEnd(request, server.name, outcome)
+    }
+  }
+
   private async sendTo (server: BackendServer, request: ServerRequest): Promise<Result<ServerAnswer, string>> {
-    const end = this.servers.begin(server.name)
+    const end = this.begin(server, request)
     this.timeline.record({ part: 'routing', what: 'sent', request: request.id, server: server.name })
     try {
       const { statusCode, headers, body } = await sendRequest(server.url + request.path, {
@@ -57,9 +74,9 @@
         signal: request.signal,
         headersTimeout: Math.max(1, request.deadline - this.clock.now())
       })
-      return Ok({ server: server.name, status: statusCode, headers, body, end })
+      return Ok({ server: server.name, status: statusCode, headers, body, end: whole => end(whole ? 'answered' : 'abandoned') })
     } catch (error) {
-      end()
+      end('failed')
       return Err((error as Error).message)
     }
   }
--- a/src/routing/server-answer.ts
+++ b/src/routing/server-answer.ts
@@ -1,10 +1,13 @@
 import type { Readable } from 'node:stream'
 
-/** The answer of a backend server, its body still to be read. `end` must be called when it has been, or won't be. */
+/**
+ * The answer of a backend server, its body still to be read. `end` must be called
+ * once it has been read, or won't be; `whole` says which.
+ */
 export interface ServerAnswer {
   readonly server: string
   readonly status: number
   readonly headers: Readonly<Record<string, string | string[] | undefined>>
   readonly body: Readable
-  end (): void
+  end (whole: boolean): void
 }
--- /dev/null
+++ b/src/routing/server-views.ts
@@ -0,0 +1,21 @@
+import { Lifecycle, scoped } from 'tsyringe'
+import type { ServerView } from './server-view.js'
+
+/** The newest view of each backend server, from its owner. Ownership writes it, routing reads it. */
+@scoped(Lifecycle.ContainerScoped)
+export class ServerViews {
+  private readonly views = new Map<string, ServerView>()
+
+  get (server: string): ServerView | undefined {
+    return this.views.get(server)
+  }
+
+  /** Takes a view unless it comes from an earlier owner than the one known. */
+  update (view: ServerView): void {
+    if (view.fencing >= (this.views.get(view.server)?.fencing ?? 0)) this.views.set(view.server, view)
+  }
+
+  remove (server: string): void {
+    this.views.delete(server)
+  }
+}
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -35,15 +35,10 @@
     }))
   }
 
-  /** Counts a request in flight; the function it gives back ends it, once. */
+  /** Counts a request in flight; the function it gives back ends it and is called once. */
   begin (server: string): () => void {
     this.counts.set(server, (this.counts.get(server) ?? 0) + 1)
-    let ended = false
-    return () => {
-      if (ended) return
-      ended = true
-      this.counts.set(server, this.counts.get(server)! - 1)
-    }
+    return () => { this.counts.set(server, this.counts.get(server)! - 1) }
   }
 }
 
--- a/stand-ins/engine/engine.ts
+++ b/stand-ins/engine/engine.ts
@@ -5,6 +5,7 @@
 import { readBody } from '../../src/http/read-body.js'
 import { sendJson } from '../../src/http/send-json.js'
 import { answerWords } from './answer-words.js'
+import type { EngineFaults } from './engine-faults.js'
 import { Batcher } from './batcher.js'
 import type { EngineParameters } from './engine-parameters.js'
 import type { RunRecord } from './run-record.js'
@@ -12,6 +13,8 @@
 const BODY_LIMIT = 4_000_000
 const DEFAULT_TOKENS = 16
 
+const CRASH_CODE = 70
+
 const DEFAULTS: EngineParameters = {
   stepBase: 2,
   stepPerSequence: 0.2,
@@ -28,6 +31,7 @@
   private readonly parameters: EngineParameters
   private readonly batcher: Batcher
   private readonly server: Server
+  private faults: EngineFaults = {}
   private stepping = false
   private report = { running: 0, waiting: 0 }
   private readonly reporter: NodeJS.Timeout
@@ -40,6 +44,7 @@
     app.post('/v1/completions', async (req, res) => await this.complete(req, res, false))
     app.get('/health', (_req, res) => sendJson(res, 200, { status: 'ok' }))
     app.get('/load', (_req, res) => sendJson(res, 200, this.report))
+    app.post('/control/faults', async (req, res) => await this.setFaults(req, res))
     app.get('/control/log', (_req, res) => sendJson(res, 200, { runs: this.log }))
     this.server = createAppServer(app)
     this.reporter = setInterval(() => {
@@ -64,11 +69,13 @@
     const body = JSON.parse(text)
     const prompt = chat ? body.messages.map((message: any) => message.content).join('\n') : String(body.prompt)
     if (prompt.includes('[impossible]')) return sendJson(res, 422, { error: { message: 'this prompt can never be done', type: 'invalid_request_error' } })
+    if (this.faults.crashOn !== undefined && prompt.includes(this.faults.crashOn)) process.exit(CRASH_CODE)
     const record: RunRecord = { requestId: String(req.headers['x-request-id']), at: Date.now(), body: text, outcome: 'running' }
     this.log.push(record)
     const words = answerWords(prompt, body.max_tokens ?? DEFAULT_TOKENS)
     const writer = body.stream === true ? writeStream : writeWhole
-    const onToken = writer(res, { id: record.requestId, model: body.model, chat, words })
+    const write = writer(res, { id: record.requestId, model: body.model, chat, words })
+    const onToken = applyFaults(this.faults, res, write)
     const sequence = {
       id: record.requestId,
       promptTokens: Math.ceil(prompt.length / 4),
@@ -90,6 +97,11 @@
     if (!this.stepping) this.step()
   }
 
+  private async setFaults (req: Request, res: Response): Promise<void> {
+    this.faults = JSON.parse((await readBody(req, BODY_LIMIT)).unwrap().toString())
+    sendJson(res, 200, {})
+  }
+
   private step (): void {
     const duration = this.batcher.step()
     this.stepping = duration > 0
@@ -97,9 +109,21 @@
   }
 }
 
+type TokenWriter = (word: string, last: boolean) => void
+
+/** Cuts or silences the connection at a token, where that is asked for; the log still shows the run as it went. */
+function applyFaults ({ cutAfter = Infinity, silenceAfter = Infinity }: EngineFaults, res: Response, write: TokenWriter): TokenWriter {
+  let tokens = 0
+  return (word, last) => {
+    tokens++
+    if (tokens > cutAfter) res.socket?.destroy()
+    else if (tokens <= silenceAfter) write(word, last)
+  }
+}
+
 interface AnswerShape { readonly id: string, readonly model: string, readonly chat: boolean, readonly words: readonly string[] }
 
-function writeStream (res: Response, { id, model, chat }: AnswerShape): (word: string, last: boolean) => void {
+function writeStream (res: Response, { id, model, chat }: AnswerShape): TokenWriter {
   res.writeHead(200, { 'content-type': 'text/event-stream' })
   let first = true
   return (word, last) => {
@@ -113,7 +137,7 @@
   }
 }
 
-function writeWhole (res: Response, { id, model, chat, words }: AnswerShape): (word: string, last: boolean) => void {
+function writeWhole (res: Response, { id, model, chat, words }: AnswerShape): TokenWriter {
   return (_word, last) => {
     if (!last) return
     const text = words.join(' ')
--- /dev/null
+++ b/stand-ins/platform/memory-store.ts
@@ -0,0 +1,74 @@
+import { Err, Ok, type Result } from 'ts-results'
+import type { Instance } from '../../src/platform/instance.js'
+import type { ObjectStore } from '../../src/platform/object-store.js'
+import type { StoreError } from '../../src/platform/store-error.js'
+import type { StoredObject } from '../../src/platform/stored-object.js'
+import type { WatchBatch } from '../../src/platform/watch-batch.js'
+import { ObjectTable } from './object-table.js'
+
+/** One call as a fault sees it. */
+interface StoreCall { readonly call: 'get' | 'put' | 'delete' | 'list' | 'watch' | 'instances', readonly kind: string, readonly name: string }
+
+/** What a fault does to a call: nothing, fail it before it takes effect, or lose the reply after. */
+type FaultEffect = 'none' | { readonly fail: StoreError } | { readonly loseReply: StoreError }
+
+/**
+ * An object API in memory, for decision tests: the same table as the stand-in platform, without processes or time.
+ *
+ * @example
+ * const store = new MemoryStore()
+ * store.fault = ({ call }) => call === 'put' ? { fail: { type: 'unavailable', reason: 'outage' } } : 'none'
+ */
+export class MemoryStore implements ObjectStore {
+  readonly objects = new ObjectTable()
+  readonly calls: StoreCall[] = []
+  instances: readonly Instance[] = []
+  fault: (call: StoreCall) => FaultEffect = () => 'none'
+
+  async get<T> (kind: string, name: string): Promise<Result<StoredObject<T>, StoreError>> {
+    return await this.call({ call: 'get', kind, name }, () => {
+      const object = this.objects.read(kind, name)
+      return object === undefined ? Err({ type: 'missing' } as const) : Ok(copy(object) as StoredObject<T>)
+    })
+  }
+
+  async put<T> (kind: string, name: string, value: T, version: number): Promise<Result<StoredObject<T>, StoreError>> {
+    return await this.call({ call: 'put', kind, name }, () => {
+      const written = this.objects.write(kind, name, copy(value), version)
+      return typeof written === 'number' ? Err({ type: 'conflict', version: written } as const) : Ok(copy(written) as StoredObject<T>)
+    })
+  }
+
+  async delete (kind: string, name: string, version: number): Promise<Result<void, StoreError>> {
+    return await this.call({ call: 'delete', kind, name }, () => {
+      if (this.objects.remove(kind, name, version)) return Ok(undefined)
+      return Err({ type: 'conflict', version: this.objects.read(kind, name)?.version ?? 0 } as const)
+    })
+  }
+
+  async list<T> (kind: string, { prefix = '', after = '', limit = 500 } = {}): Promise<Result<readonly StoredObject<T>[], StoreError>> {
+    return await this.call({ call: 'list', kind, name: prefix }, () => Ok(copy(this.objects.list(kind, prefix, after, limit)) as StoredObject<T>[]))
+  }
+
+  /** Never waits: gives what has changed, which may be nothing. */
+  async watch<T> (kind: string, revision: number): Promise<Result<WatchBatch<T>, StoreError>> {
+    return await this.call({ call: 'watch', kind, name: '' }, () => Ok({ revision: this.objects.revision, ...copy(this.objects.changesSince(kind, revision)) } as WatchBatch<T>))
+  }
+
+  async listInstances (): Promise<Result<readonly Instance[], StoreError>> {
+    return await this.call({ call: 'instances', kind: '', name: '' }, () => Ok(this.instances))
+  }
+
+  private async call<T> (call: StoreCall, run: () => Result<T, StoreError>): Promise<Result<T, StoreError>> {
+    this.calls.push(call)
+    const effect = this.fault(call)
+    if (effect === 'none') return run()
+    if ('fail' in effect) return Err(effect.fail)
+    run()
+    return Err(effect.loseReply)
+  }
+}
+
+function copy<T> (value: T): T {
+  return structuredClone(value)
+}
