Command line base, time line, load generator and the trial with its checks

Change: status, timeline (text and one self-contained page), load; a wrong word suggests the right one; documented exit codes; npm run demo with all its checks. Seen: 15 tests pass. npm run demo fails one check of eight, as it should on the thin version: bookings sent twice under one key ran twice (60 of 60), because keyed requests are not built yet. The other seven hold, 3.8 s.

--- /dev/null
+++ b/demo/caller.ts
@@ -0,0 +1,64 @@
+import { request } from 'undici'
+
+const TRIES = 6
+const MS_PER_SECOND = 1_000
+
+/** The last answer to one request, and how many times it was sent. */
+interface FinalAnswer { readonly status: number, readonly text: string, readonly sends: number }
+
+/**
+ * A caller as the brief describes one: it asks the system for addresses, keeps the answer for a while, connects there
+ * itself, and sends again elsewhere when a connection is lost or it is told when to come back.
+ */
+export class Caller {
+  private addresses: readonly string[] = []
+  private keptUntil = 0
+  private turn = 0
+
+  constructor (private readonly known: readonly string[], readonly name: string) {}
+
+  async send (method: 'GET' | 'POST', path: string, body?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<FinalAnswer> {
+    let last: FinalAnswer = { status: 0, text: 'never sent', sends: 0 }
+    for (let sends = 1; sends <= TRIES; sends++) {
+      const url = await this.chooseAddress()
+      try {
+        const response = await request(url + path, {
+          method,
+          headers: { authorization: `Bearer ${this.name}-token`, 'content-type': 'application/json', ...headers },
+          body: body === undefined ? null : JSON.stringify(body)
+        })
+        last = { status: response.statusCode, text: await response.body.text(), sends }
+        if (response.statusCode < 500 && response.statusCode !== 429 && response.statusCode !== 409) return last
+        await this.pause(Number(response.headers['retry-after'] ?? 0) * MS_PER_SECOND)
+      } catch (error) {
+        last = { status: 0, text: String((error as Error).message), sends }
+        this.keptUntil = 0
+      }
+    }
+    return last
+  }
+
+  private async chooseAddress (): Promise<string> {
+    if (Date.now() > this.keptUntil) await this.askAddresses()
+    return this.addresses[this.turn++ % this.addresses.length]!
+  }
+
+  private async askAddresses (): Promise<void> {
+    for (const url of this.known) {
+      try {
+        const response = await request(`${url}/v1/addresses`, { headers: { authorization: `Bearer ${this.name}-token` } })
+        const { addresses, keep } = await response.body.json() as { addresses: { url: string }[], keep: number }
+        this.addresses = addresses.map(({ url }) => url)
+        this.keptUntil = Date.now() + keep
+        if (this.addresses.length > 0) return
+      } catch {
+        // An entry instance that is gone: the next one is asked.
+      }
+    }
+    throw new Error('no entry instance gave addresses')
+  }
+
+  private async pause (time: number): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, time))
+  }
+}
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,55 +1,83 @@
-import { request } from 'undici'
 import { Fleet } from '../harness/fleet.js'
-import { readFolder } from '../src/config/read-folder.js'
+import { mergeTimelines } from '../src/observe/merge-timelines.js'
+import { showTimeline } from '../src/observe/show-timeline.js'
+import { checkBatchWork, submitBatchWork } from './batch-work.js'
+import { Caller } from './caller.js'
+import { Checks } from './checks.js'
+import { runOnlineWork } from './online-work.js'
 
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c']
+const DAEMONS = 6
+const ENGINES = 6
+const ONLINE_REQUESTS = 240
+const FOLDER = 'demo/folder'
 
-async function main (): Promise<void> {
+async function startFleet (): Promise<Fleet> {
   const fleet = await Fleet.start()
+  await Promise.all([
+    ...Array.from({ length: ENGINES }, async (_, i) => await fleet.addServer(`engine-${i}`, DOMAINS[i % 3]!, { pool: 'charter-engines', kind: 'engine' })),
+    fleet.addServer('tide-0', DOMAINS[0]!, { pool: 'tide-tables', kind: 'service' }),
+    fleet.addServer('booking-0', DOMAINS[1]!, { pool: 'booking-desk', kind: 'service' }),
+    ...Array.from({ length: DAEMONS }, async (_, i) => await fleet.addDaemon(`entry-${i}`, DOMAINS[i % 3]!))
+  ])
+  await fleet.apply(FOLDER)
+  return fleet
+}
+
+/** Online and batch work at once; a daemon and an engine are killed while both run. */
+async function runWork (fleet: Fleet, checks: Checks): Promise<string> {
+  const known = fleet.daemons.map(daemon => fleet.url(daemon))
+  const callers = ['quay-desk', 'night-desk', 'school-kitchen'].map(name => new Caller(known, name))
+  const job = await submitBatchWork(fleet)
+  await runOnlineWork(callers, ONLINE_REQUESTS / 4, checks)
+  say('kills entry-2 and engine-1')
+  await fleet.kill('entry-2')
+  await fleet.kill('engine-1')
+  const { bookings } = await runOnlineWork(callers, ONLINE_REQUESTS, checks)
+  await checkBatchWork(job, fleet, callers[1]!, checks)
+  const runs = await fleet.readLog(fleet.servers.find(({ instance }) => instance.name === 'booking-0')!)
+  const twice = bookings.filter(({ slot }) => runs.filter(({ body }) => body === JSON.stringify({ slot })).length > 1)
+  checks.expect(twice.length === 0, `${bookings.length} bookings sent twice ran at most once each`, twice.map(({ slot, answers }) => `${slot}: ${answers.join(' | ')}`).slice(0, 2).join('; '))
+  const answered = bookings.filter(({ answers }) => answers.some(answer => answer.startsWith('200')))
+  const unheard = answered.filter(({ slot }) => !runs.some(({ body }) => body === JSON.stringify({ slot })))
+  checks.expect(unheard.length === 0 && answered.length > 0, 'each booking that was confirmed did run', `${answered.length} of ${bookings.length} confirmed`)
+  return job
+}
+
+async function showReports (fleet: Fleet, job: string): Promise<void> {
+  const live = fleet.daemons.filter(({ instance }) => instance.name !== 'entry-2')
+  const account = await fleet.operator('GET', live[0]!, '/operator/account')
+  console.log('\naccount by caller:')
+  console.log(JSON.stringify(account, null, 2))
+  const timelines = await Promise.all(live.map(async daemon => (await fleet.operator('GET', daemon, `/operator/timeline?job=${job}`)).events))
+  const events = mergeTimelines(timelines)
+  console.log(`\ntime line of ${job}, the first and the last of ${events.length} events:`)
+  console.log(showTimeline([...events.slice(0, 5), ...events.slice(-5)]))
+}
+
+function say (sentence: string): void {
+  console.log(`demo: ${sentence}`)
+}
+
+async function main (): Promise<number> {
+  const start = Date.now()
+  const checks = new Checks()
+  say(`starts a platform, ${ENGINES} engines, 2 services and ${DAEMONS} daemons`)
+  const fleet = await startFleet()
+  // Ctrl-C ends what was started, too.
+  process.once('SIGINT', () => { void fleet.stop().then(() => process.exit(130)) })
   try {
-    await Promise.all([
-      ...Array.from({ length: 6 }, async (_, i) => await fleet.addServer(`engine-${i}`, DOMAINS[i % 3]!, { pool: 'charter-engines', kind: 'engine' })),
-      fleet.addServer('tide-0', DOMAINS[0]!, { pool: 'tide-tables', kind: 'service' }),
-      fleet.addServer('booking-0', DOMAINS[1]!, { pool: 'booking-desk', kind: 'service' })
-    ])
-    await Promise.all(Array.from({ length: 6 }, async (_, i) => await fleet.addDaemon(`entry-${i}`, DOMAINS[i % 3]!)))
-    await fleet.apply(readFolder('demo/folder').unwrap())
-    const base = fleet.url(fleet.daemons[1]!)
-    const headers = { authorization: 'Bearer quay-desk-token', 'content-type': 'application/json' }
-    console.log('addresses', await (await request(`${base}/v1/addresses`)).body.text())
-    for (const stream of [false, true]) {
-      const body = JSON.stringify({ model: 'berth-assistant', stream, max_tokens: 4, messages: [{ role: 'user', content: 'When is high tide?' }] })
-      const answer = await request(`${base}/v1/chat/completions`, { method: 'POST', headers, body })
-      console.log(answer.statusCode, await answer.body.text())
-    }
-    const booking = await request(`${base}/services/bookings/slots`, { method: 'POST', headers, body: '{"slot":3}' })
-    console.log(booking.statusCode, await booking.body.text())
-    const lines = Array.from({ length: 450 }, (_, i) => JSON.stringify({
-      custom_id: `item-${i}`,
-      method: 'POST',
-      url: '/v1/chat/completions',
-      body: { model: 'berth-assistant', max_tokens: 8, messages: [{ role: 'user', content: i === 7 ? '[impossible]' : `Draft ${i}` }] }
-    }))
-    const form = new FormData()
-    form.set('purpose', 'batch')
-    form.set('file', new Blob([lines.join('\n')]), 'drafts.jsonl')
-    const auth = { authorization: headers.authorization }
-    const file: any = await (await fetch(`${base}/v1/files`, { method: 'POST', headers: auth, body: form })).json()
-    const submit = { method: 'POST' as const, headers, body: JSON.stringify({ input_file_id: file.id, endpoint: '/v1/chat/completions', completion_window: '24h' }) }
-    const job: any = await (await fetch(`${base}/v1/batches`, submit)).json()
-    console.log(job)
-    await fleet.waitUntil(async () => {
-      const status: any = await (await fetch(`${base}/v1/batches/${job.id}`, { headers: auth })).json()
-      return status.status === 'completed'
-    })
-    for (const which of ['output', 'errors']) {
-      const results = await (await fetch(`${base}/v1/files/${job.id}.${which}/content`, { headers: auth })).text()
-      console.log(which, results.trim().split('\n').length, results.slice(0, 200))
-    }
-    console.log(JSON.stringify(await fleet.operator('GET', fleet.daemons[1]!, '/operator/account')))
+    const job = await runWork(fleet, checks)
+    await showReports(fleet, job)
   } finally {
     await fleet.stop()
   }
+  console.log(`\n${checks.show()}`)
+  say(`${checks.allHold ? 'every check holds' : 'some checks FAILED'}, ${((Date.now() - start) / 1_000).toFixed(1)} s`)
+  return checks.allHold ? 0 : 1
 }
 
-void main()
+void main().then(code => process.exit(code), error => {
+  console.error(error)
+  process.exit(1)
+})
--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path'
 import { request } from 'undici'
 import type { Configuration } from '../src/config/configuration.js'
+import { readFolder } from '../src/config/read-folder.js'
 import type { Instance } from '../src/platform/instance.js'
 import type { RunRecord } from '../stand-ins/engine/run-record.js'
 import { Child } from './child.js'
@@ -65,6 +66,15 @@
     return node
   }
 
+  /** Kills a process outright and, as the platform would in time, takes it off the instance list. */
+  async kill (name: string): Promise<void> {
+    const node = [...this.daemons, ...this.servers].find(({ instance }) => instance.name === name)
+    if (node === undefined) throw new Error(`there is no ${name}`)
+    node.child.signal('SIGKILL')
+    await node.child.waitForExit()
+    await this.unregister(name)
+  }
+
   async register (instance: Instance): Promise<void> {
     await this.control('PUT', `/control/instances/${instance.name}`, instance)
   }
@@ -77,8 +87,9 @@
     return `http://${daemon.instance.host}:${daemon.instance.port}`
   }
 
-  /** Applies a configuration through the first daemon and waits until every daemon acts on it. */
-  async apply (configuration: Omit<Configuration, 'version'>, basedOn = 0): Promise<number> {
+  /** Applies a folder or a configuration through the first daemon and waits until every daemon acts on it. */
+  async apply (folder: string | Omit<Configuration, 'version'>, basedOn = 0): Promise<number> {
+    const configuration = typeof folder === 'string' ? readFolder(folder).unwrap() : folder
     const answer = await this.operator('PUT', this.daemons[0]!, '/operator/configuration', { configuration, basedOn })
     const version = answer.version as number
     await this.waitUntil(async () => {
--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,14 +1,20 @@
 import { Builtins, type CommandClass } from 'clipanion'
+import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
 import { StandInPlatformCommand } from './stand-in-platform.js'
 import { StandInServiceCommand } from './stand-in-service.js'
+import { StatusCommand } from './status.js'
+import { TimelineCommand } from './timeline.js'
 
 /** Every command of the program. */
 export const commands: readonly CommandClass[] = [
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   ServeCommand,
+  StatusCommand,
+  TimelineCommand,
+  LoadCommand,
   StandInPlatformCommand,
   StandInEngineCommand,
   StandInServiceCommand
--- /dev/null
+++ b/src/commands/entry-command.ts
@@ -0,0 +1,38 @@
+import { Command, Option } from 'clipanion'
+import type { Result } from 'ts-results'
+import { failUnreachable } from '../kernel/unreachable.js'
+import { EntryClient } from './entry-client.js'
+import type { EntryError } from './entry-error.js'
+import { exitCodes } from './exit-codes.js'
+
+/** What commands that ask a daemon share: where it is, who asks, and how answers and errors are shown. */
+export abstract class EntryCommand extends Command {
+  entry = Option.String('--entry', { env: 'CITRONWHEEL_ENTRY', required: true, description: 'address of a daemon, such as http://10.0.0.1:8080' })
+  token = Option.String('--token', { env: 'CITRONWHEEL_TOKEN', required: true, description: 'bearer token to ask with' })
+  json = Option.Boolean('--json', false, { description: 'print the answer as JSON' })
+
+  /** A client for the given daemon, or for another one of the fleet. */
+  protected client (url = this.entry): EntryClient {
+    return new EntryClient(url, this.token)
+  }
+
+  /** Prints a result, as JSON or by `write`, or its error; gives back the exit code. */
+  protected show<T> (result: Result<T, EntryError>, write: (value: T) => string): number {
+    if (result.err) return this.showError(result.val)
+    this.context.stdout.write((this.json ? JSON.stringify(result.val, null, 2) : write(result.val)) + '\n')
+    return exitCodes.ok
+  }
+
+  protected showError (error: EntryError): number {
+    if (this.json) this.context.stdout.write(JSON.stringify({ error }) + '\n')
+    switch (error.type) {
+      case 'unreachable':
+        this.context.stderr.write(`no daemon answered: ${error.detail}\n`)
+        return exitCodes.unreachable
+      case 'refused':
+        this.context.stderr.write(`refused (${error.status}): ${error.detail}${error.retryAfter === undefined ? '' : `; come back in ${error.retryAfter} s`}\n`)
+        return exitCodes.refused
+      default: return failUnreachable(error)
+    }
+  }
+}
--- /dev/null
+++ b/src/commands/load.ts
@@ -0,0 +1,56 @@
+import { Command, Option } from 'clipanion'
+import type { LoadSummary } from '../load/load-summary.js'
+import { planArrivals } from '../load/plan-arrivals.js'
+import { runLoad } from '../load/run-load.js'
+import { summarizeLoad } from '../load/summarize-load.js'
+import { EntryCommand } from './entry-command.js'
+import { exitCodes } from './exit-codes.js'
+
+const MS_PER_SECOND = 1_000
+
+/** Brings online load to a fleet and tells what came of it. */
+export class LoadCommand extends EntryCommand {
+  static override paths = [['load']]
+  static override usage = Command.Usage({
+    category: 'Trials',
+    description: 'bring online load and measure the answers',
+    details: 'Open loop from a seed, with bursts. The addresses come from /v1/addresses. Exit codes: 0 every request was answered or refused; 1 some were cut or lost; 2 wrong usage; 3 no daemon answered.',
+    examples: [['20 requests a second for 10 s, bursts of 100 a second', 'citronwheel load --model berth-assistant --rate 20 --burst 100 --seconds 10 --entry http://10.0.0.1:8080 --token TOKEN']]
+  })
+
+  model = Option.String('--model', { required: true, description: 'the service to ask' })
+  rate = Option.String('--rate', '10', { description: 'requests a second' })
+  burst = Option.String('--burst', '0', { description: 'requests a second during bursts (2 s of every 8); 0: no bursts' })
+  seconds = Option.String('--seconds', '10', { description: 'how long' })
+  tokens = Option.String('--tokens', '32', { description: 'most tokens of an answer' })
+  seed = Option.String('--seed', '1', { description: 'the same seed brings the same requests' })
+
+  async execute (): Promise<number> {
+    const known = await this.client().call<{ addresses: readonly { url: string }[] }>('GET', '/v1/addresses')
+    if (known.err) return this.showError(known.val)
+    const urls = known.val.addresses.map(({ url }) => url)
+    const rate = Number(this.rate)
+    const outcomes = await runLoad(planArrivals({
+      seed: Number(this.seed),
+      duration: Number(this.seconds) * MS_PER_SECOND,
+      rate,
+      burst: { every: 8_000, length: 2_000, rate: Math.max(rate, Number(this.burst)) },
+      model: this.model,
+      streamed: 0.8,
+      tokens: [1, Number(this.tokens)],
+      promptWords: [5, 60],
+      callers: [this.token]
+    }), { urls: () => urls, model: this.model })
+    const summary = summarizeLoad(outcomes)
+    this.context.stdout.write((this.json ? JSON.stringify(summary, null, 2) : writeSummary(summary)) + '\n')
+    return summary.cut + summary.lost > 0 ? exitCodes.refused : exitCodes.ok
+  }
+}
+
+function writeSummary ({ asked, answered, refused, cut, lost, firstToken, betweenTokens }: LoadSummary): string {
+  return [
+    `asked ${asked}, answered ${answered}, cut ${cut}, lost ${lost}, refused ${JSON.stringify(refused)}`,
+    ...Object.entries({ 'first token': firstToken, 'between tokens': betweenTokens })
+      .map(([name, { p50, p95, p99, p999 }]) => `${name} ms: p50 ${p50} p95 ${p95} p99 ${p99} p99.9 ${p999}`)
+  ].join('\n')
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,7 +1,4 @@
 import 'reflect-metadata'
-import { Cli } from 'clipanion'
-import { commands } from './commands/commands.js'
+import { runProgram } from './commands/run-program.js'
 
-const cli = new Cli({ binaryName: 'citronwheel', binaryLabel: 'citronwheel', binaryVersion: '0.1.0' })
-for (const command of commands) cli.register(command)
-void cli.runExit(process.argv.slice(2))
+void runProgram(process.argv.slice(2)).then(code => { process.exitCode = code })
--- /dev/null
+++ b/src/observe/show-timeline.ts
@@ -0,0 +1,22 @@
+import type { TimelineEvent } from './timeline-event.js'
+
+const TIME_WIDTH = 11
+
+/** A merged time line as text: ms since its first event, instance, part, what happened. */
+export function showTimeline (events: readonly TimelineEvent[]): string {
+  const start = events[0]?.time ?? 0
+  const width = Math.max(0, ...events.map(({ instance }) => instance.length))
+  return events.map(event => {
+    const time = `+${(event.time - start).toFixed(1)} ms`.padStart(TIME_WIDTH)
+    return [time, event.instance.padEnd(width), `${event.part}: ${event.what}`, showSubject(event)].filter(Boolean).join('  ')
+  }).join('\n')
+}
+
+function showSubject ({ request, job, server, detail }: TimelineEvent): string {
+  return [
+    request === undefined ? '' : `request=${request}`,
+    job === undefined ? '' : `job=${job}`,
+    server === undefined ? '' : `server=${server}`,
+    detail ?? ''
+  ].filter(Boolean).join(' ')
+}
--- a/test/whole/thin-path.test.ts
+++ b/test/whole/thin-path.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava'
 import { CallerClient } from '../../harness/caller-client.js'
 import { Fleet } from '../../harness/fleet.js'
-import { readFolder } from '../../src/config/read-folder.js'
 
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c']
 const ITEMS = 30
@@ -14,7 +13,7 @@
     ...DOMAINS.map(async domain => await fleet.addDaemon(`entry-${domain}`, domain)),
     fleet.addServer('booking-0', DOMAINS[0]!, { pool: 'booking-desk', kind: 'service' })
   ])
-  await fleet.apply(readFolder('demo/folder').unwrap())
+  await fleet.apply('demo/folder')
   const caller = new CallerClient(fleet.url(fleet.daemons[0]!), 'quay-desk-token')
   await fleet.waitUntil(async () => JSON.parse((await caller.call('GET', '/v1/addresses')).text).addresses.length === DOMAINS.length)
 
