Stand-in engine resumes, caches prefixes, takes orders and can be given faults

Cause: the thin stand-in gave its tokens at the start of a step, before the prefill it cost, knew no resume, no orders and no cache, and a malformed body made its handler throw; the parts that give way and order need all of these. Ruled out: one growing engine.ts.

--- /dev/null
+++ b/stand-ins/engine/cache-events.ts
@@ -0,0 +1,25 @@
+import type { Random } from '../../src/kernel/random.js'
+
+const KEPT_EVENTS = 10_000
+
+interface CacheEvent { readonly number: number, readonly at: number, readonly type: 'stored' | 'removed', readonly block: number }
+
+/** Cache events as the engine publishes them: `lag` ms late, and some never. */
+export class CacheEvents {
+  private readonly events: CacheEvent[] = []
+  private next = 1
+
+  constructor (private readonly lag: number, private readonly gaps: number, private readonly random: Random) {}
+
+  record (type: 'stored' | 'removed', block: number, at: number): void {
+    const number = this.next++
+    if (this.random.next() < this.gaps) return
+    this.events.push({ number, at, type, block })
+    if (this.events.length > KEPT_EVENTS) this.events.shift()
+  }
+
+  /** Those after number `after` that are old enough to be told; a jump in the numbers is a gap. */
+  list (after: number, now: number): readonly CacheEvent[] {
+    return this.events.filter(({ number, at }) => number > after && at + this.lag <= now)
+  }
+}
--- /dev/null
+++ b/stand-ins/engine/engine-model.ts
@@ -0,0 +1,108 @@
+import { Random } from '../../src/kernel/random.js'
+import { answerWords } from './answer-words.js'
+import { Batcher } from './batcher.js'
+import { CacheEvents } from './cache-events.js'
+import type { Completion } from './completion.js'
+import { defaultParameters } from './default-parameters.js'
+import { encodeKvHandle } from './encode-kv-handle.js'
+import type { EngineParameters } from './engine-parameters.js'
+import { hashBlocks } from './hash-blocks.js'
+import { ModelSlots } from './model-slots.js'
+import { PrefixCache } from './prefix-cache.js'
+import type { RunRecord } from './run-record.js'
+import type { Sequence } from './sequence.js'
+import { StepLoop } from './step-loop.js'
+import type { TokenWriter } from './token-writer.js'
+
+const CHARACTERS_PER_TOKEN = 4
+
+/** A run that can be cancelled; nothing happens once it has ended. */
+interface Run { readonly cancel: () => void }
+
+/** What a stand-in engine does, without HTTP: completions over continuous batching, load reports, orders, a log. */
+export class EngineModel {
+  readonly log: RunRecord[] = []
+  readonly parameters: EngineParameters
+  readonly random: Random
+  readonly slots: ModelSlots
+  readonly cacheEvents: CacheEvents
+  readonly loop: StepLoop
+  /** Running and waiting sequences as last reported; up to `loadLag` old. */
+  report = { running: 0, waiting: 0 }
+  private readonly batcher: Batcher
+  private readonly active = new Map<string, { readonly prompt: string, readonly sequence: Sequence }>()
+  private readonly reporter: NodeJS.Timeout
+
+  constructor (parameters: Partial<EngineParameters> = {}) {
+    this.parameters = { ...defaultParameters, ...parameters }
+    this.random = new Random(this.parameters.seed)
+    this.slots = new ModelSlots(this.parameters)
+    this.cacheEvents = new CacheEvents(this.parameters.cacheEventLag, this.parameters.cacheEventGaps, this.random)
+    this.batcher = new Batcher(this.parameters, new PrefixCache(({ type, block }) => this.cacheEvents.record(type, block, Date.now())))
+    this.loop = new StepLoop(this.batcher)
+    this.reporter = setInterval(() => {
+      this.report = { running: this.batcher.running.length, waiting: this.batcher.waiting.length }
+    }, this.parameters.loadLag)
+  }
+
+  close (): void {
+    clearInterval(this.reporter)
+  }
+
+  /** Words of the whole answer, those resumed from included. */
+  listWords ({ prompt, tokens }: Completion): readonly string[] {
+    return answerWords(prompt, tokens)
+  }
+
+  /** Starts a run and logs it. A resumed run that has nothing left to say gives its last word again. */
+  start (completion: Completion, requestId: string, body: string, write: TokenWriter): Run {
+    const record: RunRecord = { requestId, at: Date.now(), body, outcome: 'running', tokens: 0 }
+    this.log.push(record)
+    const sequence = this.createSequence(completion, requestId, (word, last) => {
+      record.firstTokenAt ??= Date.now()
+      record.tokens!++
+      if (last) this.end(record, 'finished')
+      write(word, last)
+    })
+    this.active.set(requestId, { prompt: completion.prompt, sequence })
+    this.batcher.add(sequence)
+    this.loop.wake()
+    return {
+      cancel: () => {
+        sequence.cancelled = true
+        if (record.outcome === 'running') this.end(record, 'cancelled')
+      }
+    }
+  }
+
+  /** Exports the KV cache of a running request; undefined where it isn't running. */
+  exportKv (requestId: string): { readonly handle: string, readonly tokens: number } | undefined {
+    const run = this.active.get(requestId)
+    if (run === undefined) return undefined
+    const tokens = run.sequence.done
+    return { handle: encodeKvHandle(run.prompt, tokens), tokens }
+  }
+
+  private createSequence ({ prompt, tokens, resumeFrom, kv }: Completion, id: string, onToken: TokenWriter): Sequence {
+    const words = answerWords(prompt, tokens)
+    const done = Math.min(resumeFrom.length, words.length - 1)
+    const contextTokens = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN) + done
+    return {
+      id,
+      contextTokens,
+      blocks: hashBlocks(prompt, this.parameters.blockTokens),
+      imported: kv === encodeKvHandle(prompt, resumeFrom.length),
+      words,
+      done,
+      prefillLeft: contextTokens,
+      cancelled: false,
+      onToken
+    }
+  }
+
+  private end (record: RunRecord, outcome: 'finished' | 'cancelled'): void {
+    record.outcome = outcome
+    record.endedAt = Date.now()
+    this.active.delete(record.requestId)
+  }
+}
--- a/stand-ins/engine/engine-parameters.ts
+++ b/stand-ins/engine/engine-parameters.ts
@@ -1,7 +1,9 @@
 /**
  * How the stand-in engine behaves. The defaults are chosen, not measured on an accelerator: a step that slows
- * linearly with the running batch and prefill that costs time in proportion to uncached prompt tokens are the
- * commonly described shape of continuous batching. What the tests compare are ratios within one run.
+ * linearly with the running batch, prefill that costs time in proportion to uncached prompt tokens and is chunked
+ * between decode steps, and a prefix cache of whole blocks in the memory that running sequences leave over, are the
+ * commonly described shape of continuous batching (Orca, vLLM, Sarathi-Serve). What tests compare are ratios within
+ * one run.
  */
 export interface EngineParameters {
   /** ms of one decode step with one running sequence. */
@@ -10,12 +12,31 @@
   readonly stepPerSequence: number
   /** ms to prefill one prompt token that isn't cached. */
   readonly prefillPerToken: number
+  /** ms to take in one token of imported KV cache. */
+  readonly importPerToken: number
+  /** Prompt tokens prefilled in one step at most. */
+  readonly prefillChunk: number
   /** Tokens of KV cache shared by running sequences and cached prefixes. */
   readonly memoryTokens: number
+  /** Tokens in one block of the prefix cache. */
+  readonly blockTokens: number
   /** Sequences that may run at once. */
   readonly maxRunning: number
   /** ms by which a load report lags. */
   readonly loadLag: number
+  /** ms by which cache events lag. */
+  readonly cacheEventLag: number
+  /** Share of cache events that are never told. */
+  readonly cacheEventGaps: number
   /** Whether orders with an old fencing number are refused. */
   readonly checksFencing: boolean
+  /** Models loaded at the start. */
+  readonly models: readonly string[]
+  readonly role: string
+  /** Bytes of weights that one load reads from the weight store. */
+  readonly weightBytes: number
+  /** Rate of the weight store. */
+  readonly weightBytesPerSecond: number
+  /** Seeds the random choices: gaps in cache events, answers that a fault hits. */
+  readonly seed: number
 }
--- a/stand-ins/engine/engine.ts
+++ b/stand-ins/engine/engine.ts
@@ -4,52 +4,43 @@
 import { listen } from '../../src/http/listen.js'
 import { readBody } from '../../src/http/read-body.js'
 import { sendJson } from '../../src/http/send-json.js'
-import { answerWords } from './answer-words.js'
+import { Connections } from './connections.js'
+import { EngineModel } from './engine-model.js'
 import type { EngineFaults } from './engine-faults.js'
-import { Batcher } from './batcher.js'
 import type { EngineParameters } from './engine-parameters.js'
-import type { RunRecord } from './run-record.js'
+import { readCompletion } from './read-completion.js'
+import { readOrder } from './read-order.js'
+import type { TokenWriter } from './token-writer.js'
+import { writeStream } from './write-stream.js'
+import { writeWhole } from './write-whole.js'
 
 const BODY_LIMIT = 4_000_000
-const DEFAULT_TOKENS = 16
-
 const CRASH_CODE = 70
+const IMPOSSIBLE = '[impossible]'
 
-const DEFAULTS: EngineParameters = {
-  stepBase: 2,
-  stepPerSequence: 0.2,
-  prefillPerToken: 0.02,
-  memoryTokens: 20_000,
-  maxRunning: 64,
-  loadLag: 500,
-  checksFencing: true
-}
-
-/** A stand-in model engine: OpenAI-shaped completions over continuous batching, a run log and load reports. */
+/** A stand-in model engine over HTTP: OpenAI-shaped completions, load reports, cache events, orders, faults. */
 export class Engine {
-  readonly log: RunRecord[] = []
-  private readonly parameters: EngineParameters
-  private readonly batcher: Batcher
+  private readonly model: EngineModel
   private readonly server: Server
+  private readonly connections: Connections
   private faults: EngineFaults = {}
-  private stepping = false
-  private report = { running: 0, waiting: 0 }
-  private readonly reporter: NodeJS.Timeout
 
   constructor (parameters: Partial<EngineParameters> = {}) {
-    this.parameters = { ...DEFAULTS, ...parameters }
-    this.batcher = new Batcher(this.parameters)
+    this.model = new EngineModel(parameters)
     const app = new App()
     app.post('/v1/chat/completions', async (req, res) => await this.complete(req, res, true))
     app.post('/v1/completions', async (req, res) => await this.complete(req, res, false))
     app.get('/health', (_req, res) => sendJson(res, 200, { status: 'ok' }))
-    app.get('/load', (_req, res) => sendJson(res, 200, this.report))
+    app.get('/load', (_req, res) => sendJson(res, 200, this.model.report))
+    app.get('/state', (_req, res) => sendJson(res, 200, this.model.slots.read(Date.now())))
+    app.get('/cache-events', (req, res) => sendJson(res, 200, { events: this.model.cacheEvents.list(Number(req.query.after ?? 0), Date.now()) }))
+    app.post('/orders', async (req, res) => await this.takeOrder(req, res))
+    app.post('/kv/export', async (req, res) => await this.exportKv(req, res))
     app.post('/control/faults', async (req, res) => await this.setFaults(req, res))
-    app.get('/control/log', (_req, res) => sendJson(res, 200, { runs: this.log }))
+    app.get('/control/log', (_req, res) => sendJson(res, 200, { runs: this.model.log }))
+    app.get('/control/orders', (_req, res) => sendJson(res, 200, { orders: this.model.slots.taken }))
     this.server = createAppServer(app)
-    this.reporter = setInterval(() => {
-      this.report = { running: this.batcher.running.length, waiting: this.batcher.waiting.length }
-    }, this.parameters.loadLag)
+    this.connections = new Connections(this.server)
   }
 
   async listen (port: number, host = '127.0.0.1'): Promise<number> {
@@ -57,94 +48,87 @@
   }
 
   close (): void {
-    clearInterval(this.reporter)
+    this.model.close()
     this.server.close()
     this.server.closeAllConnections()
   }
 
   private async complete (req: Request, res: Response, chat: boolean): Promise<void> {
-    const read = await readBody(req, BODY_LIMIT)
-    if (read.err) return sendJson(res, 413, { error: { message: 'too large' } })
-    const text = read.val.toString()
-    const body = JSON.parse(text)
-    const prompt = chat ? body.messages.map((message: any) => message.content).join('\n') : String(body.prompt)
-    if (prompt.includes('[impossible]')) return sendJson(res, 422, { error: { message: 'this prompt can never be done', type: 'invalid_request_error' } })
-    if (this.faults.crashOn !== undefined && prompt.includes(this.faults.crashOn)) process.exit(CRASH_CODE)
-    const record: RunRecord = { requestId: String(req.headers['x-request-id']), at: Date.now(), body: text, outcome: 'running' }
-    this.log.push(record)
-    const words = answerWords(prompt, body.max_tokens ?? DEFAULT_TOKENS)
-    const writer = body.stream === true ? writeStream : writeWhole
-    const write = writer(res, { id: record.requestId, model: body.model, chat, words })
-    const onToken = applyFaults(this.faults, res, write)
-    const sequence = {
-      id: record.requestId,
-      promptTokens: Math.ceil(prompt.length / 4),
-      words,
-      prefillLeft: Math.ceil(prompt.length / 4),
-      done: 0,
-      cancelled: false,
-      onToken: (word: string, last: boolean) => {
-        if (last) record.outcome = 'finished'
-        onToken(word, last)
-      }
+    const text = await readText(req, res)
+    if (text === undefined || this.connections.isSilent(req.socket)) return
+    const read = readCompletion(text, chat)
+    if (read.err) return sendInvalid(res, 400, read.val)
+    const completion = read.val
+    if (completion.prompt.includes(IMPOSSIBLE)) return sendInvalid(res, 422, 'this prompt can never be done')
+    const { crashOn, answerDelay = 0 } = this.faults
+    if (crashOn !== undefined && completion.prompt.includes(crashOn)) process.exit(CRASH_CODE)
+    if (answerDelay > 0) await new Promise(resolve => setTimeout(resolve, answerDelay))
+    const id = String(req.headers['x-request-id'])
+    const words = this.model.listWords(completion)
+    const shape = { id, model: completion.model, chat, words, resumed: completion.resumeFrom.length, promptTokens: Math.ceil(completion.prompt.length / 4) }
+    const write = (completion.stream ? writeStream : writeWhole)(res, shape)
+    const run = this.model.start(completion, id, text, this.applyFaults(res, write))
+    res.on('close', () => run.cancel())
+  }
+
+  /** Cuts or silences the connection at a token, where that is asked for; the log still shows the run as it went. */
+  private applyFaults (res: Response, write: TokenWriter): TokenWriter {
+    const { cutAfter = Infinity, silenceAfter = Infinity, share = 1 } = this.faults
+    const hit = share >= 1 || this.model.random.next() < share
+    let tokens = 0
+    return (word, last) => {
+      tokens++
+      if (hit && tokens > cutAfter) res.socket?.destroy()
+      else if ((!hit || tokens <= silenceAfter) && !this.connections.isSilent(res.socket)) write(word, last)
     }
-    res.on('close', () => {
-      if (record.outcome !== 'running') return
-      record.outcome = 'cancelled'
-      sequence.cancelled = true
-    })
-    this.batcher.add(sequence)
-    if (!this.stepping) this.step()
   }
 
-  private async setFaults (req: Request, res: Response): Promise<void> {
-    this.faults = JSON.parse((await readBody(req, BODY_LIMIT)).unwrap().toString())
+  private async takeOrder (req: Request, res: Response): Promise<void> {
+    const text = await readText(req, res)
+    if (text === undefined) return
+    const order = readOrder(text)
+    if (order.err) return sendInvalid(res, 400, order.val)
+    const taken = this.model.slots.apply(order.val, Date.now())
+    if (taken.err) return sendJson(res, 409, { error: { message: 'old fencing number' }, fencing: taken.val.fencing })
     sendJson(res, 200, {})
   }
 
-  private step (): void {
-    const duration = this.batcher.step()
-    this.stepping = duration > 0
-    if (this.stepping) setTimeout(() => this.step(), duration)
+  private async exportKv (req: Request, res: Response): Promise<void> {
+    const text = await readText(req, res)
+    if (text === undefined) return
+    const exported = this.model.exportKv(readRequestId(text))
+    if (exported === undefined) return sendInvalid(res, 404, 'request_id: no such request is running')
+    sendJson(res, 200, exported)
   }
-}
-
-type TokenWriter = (word: string, last: boolean) => void
 
-/** Cuts or silences the connection at a token, where that is asked for; the log still shows the run as it went. */
-function applyFaults ({ cutAfter = Infinity, silenceAfter = Infinity }: EngineFaults, res: Response, write: TokenWriter): TokenWriter {
-  let tokens = 0
-  return (word, last) => {
-    tokens++
-    if (tokens > cutAfter) res.socket?.destroy()
-    else if (tokens <= silenceAfter) write(word, last)
+  private async setFaults (req: Request, res: Response): Promise<void> {
+    const text = await readText(req, res)
+    if (text === undefined) return
+    this.faults = JSON.parse(text) as EngineFaults
+    if (this.faults.die === true) process.exit(CRASH_CODE)
+    this.connections.silence(this.faults.silenceOpen ?? 0, req.socket)
+    this.model.loop.factor = this.faults.stepFactor ?? 1
+    if (this.faults.frozen === true) this.model.loop.freeze()
+    else this.model.loop.thaw()
+    sendJson(res, 200, {})
   }
 }
 
-interface AnswerShape { readonly id: string, readonly model: string, readonly chat: boolean, readonly words: readonly string[] }
+async function readText (req: Request, res: Response): Promise<string | undefined> {
+  const read = await readBody(req, BODY_LIMIT)
+  if (read.ok) return read.val.toString()
+  sendInvalid(res, 413, 'the body is too large or was cut')
+  return undefined
+}
 
-function writeStream (res: Response, { id, model, chat }: AnswerShape): TokenWriter {
-  res.writeHead(200, { 'content-type': 'text/event-stream' })
-  let first = true
-  return (word, last) => {
-    const text = first ? word : ` ${word}`
-    first = false
-    const finish = last ? 'stop' : null
-    const choice = chat ? { index: 0, delta: { content: text }, finish_reason: finish } : { index: 0, text, finish_reason: finish }
-    const object = chat ? 'chat.completion.chunk' : 'text_completion'
-    res.write(`data: ${JSON.stringify({ id, object, model, created: 0, choices: [choice] })}\n\n`)
-    if (last) res.end('data: [DONE]\n\n')
+function readRequestId (text: string): string {
+  try {
+    return String(JSON.parse(text)?.request_id)
+  } catch {
+    return ''
   }
 }
 
-function writeWhole (res: Response, { id, model, chat, words }: AnswerShape): TokenWriter {
-  return (_word, last) => {
-    if (!last) return
-    const text = words.join(' ')
-    const choice = chat
-      ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
-      : { index: 0, text, finish_reason: 'stop' }
-    const usage = { prompt_tokens: 0, completion_tokens: words.length, total_tokens: words.length }
-    sendJson(res, 200, { id, object: chat ? 'chat.completion' : 'text_completion', created: 0, model, choices: [choice], usage })
-  }
+function sendInvalid (res: Response, status: number, message: string): void {
+  sendJson(res, status, { error: { message, type: 'invalid_request_error' } })
 }
--- /dev/null
+++ b/stand-ins/engine/order.ts
@@ -0,0 +1,5 @@
+/** An order to a stand-in engine, as POST /orders takes it. */
+export type Order =
+  | { readonly kind: 'load', readonly fencing: number, readonly model: string }
+  | { readonly kind: 'unload', readonly fencing: number, readonly model: string }
+  | { readonly kind: 'role', readonly fencing: number, readonly role: string }
--- a/stand-ins/engine/sequence.ts
+++ b/stand-ins/engine/sequence.ts
@@ -1,10 +1,18 @@
 /** One sequence in the engine's batch. */
 export interface Sequence {
   readonly id: string
-  readonly promptTokens: number
+  /** Tokens to have in KV cache before the first new token: the prompt's and those resumed from. */
+  readonly contextTokens: number
+  /** Chained hashes of the context's whole blocks, for the prefix cache; may be empty. */
+  readonly blocks: readonly number[]
+  /** Whether the context's KV cache is imported and not computed. */
+  readonly imported: boolean
+  /** Words of the whole answer; the first `done` are there already. */
   readonly words: readonly string[]
-  prefillLeft: number
   done: number
+  /** Context tokens still to prefill; set when it is admitted. */
+  prefillLeft: number
   cancelled: boolean
+  /** Called at the end of the step that gave the token. */
   onToken (word: string, last: boolean): void
 }
--- /dev/null
+++ b/stand-ins/engine/write-whole.ts
@@ -0,0 +1,18 @@
+import type { ServerResponse } from 'node:http'
+import { sendJson } from '../../src/http/send-json.js'
+import type { AnswerShape } from './answer-shape.js'
+import type { TokenWriter } from './token-writer.js'
+
+/** Answers with one body at the last token. A resumed answer holds the tokens after those it was resumed from. */
+export function writeWhole (res: ServerResponse, { id, model, chat, words, resumed, promptTokens }: AnswerShape): TokenWriter {
+  return (_word, last) => {
+    if (!last) return
+    const text = words.slice(resumed).join(' ')
+    const choice = chat
+      ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
+      : { index: 0, text, finish_reason: 'stop' }
+    const given = words.length - resumed
+    const usage = { prompt_tokens: promptTokens, completion_tokens: given, total_tokens: promptTokens + given }
+    sendJson(res, 200, { id, object: chat ? 'chat.completion' : 'text_completion', created: 0, model, choices: [choice], usage })
+  }
+}
