Bench of batch policies over separate processes, first form

Change: sites, load with resends, backlog, engine logs read for tokens, idle share and work thrown away.

--- /dev/null
+++ b/bench/policy-result.ts
@@ -0,0 +1,16 @@
+import type { LoadSummary } from '../src/load/load-summary.js'
+import type { EngineWork } from './engine-work.js'
+
+/** What one policy gave at one site. Rates in tokens a second. */
+export interface PolicyResult {
+  readonly site: string
+  readonly letter: string
+  readonly name: string
+  readonly load: LoadSummary
+  readonly work: EngineWork
+  readonly seconds: number
+  /** Mean share of the time in which an engine ran nothing. */
+  readonly idleShare: number
+  readonly batchRate: number
+  readonly itemRate: number
+}
--- /dev/null
+++ b/bench/read-engine-work.ts
@@ -0,0 +1,35 @@
+import type { Fleet } from '../harness/fleet.js'
+import type { RunRecord } from '../stand-ins/engine/run-record.js'
+import type { EngineWork } from './engine-work.js'
+
+const ONLINE_PREFIX = 'load-'
+
+/** Adds up the logs of all engines that answer; runs that began before `since` (wall-clock ms) are left out. */
+export async function readEngineWork (fleet: Fleet, since: number): Promise<EngineWork> {
+  const logs = await Promise.all(fleet.servers.map(async server => await fleet.readLog(server).catch(() => [])))
+  const runs = logs.flat().filter(({ at }) => at >= since)
+  const online = runs.filter(({ requestId }) => requestId.startsWith(ONLINE_PREFIX))
+  const batch = runs.filter(({ requestId }) => !requestId.startsWith(ONLINE_PREFIX))
+  return {
+    onlineRuns: online.length,
+    onlineTokens: addTokens(online),
+    batchRuns: batch.length,
+    batchTokens: addTokens(batch),
+    batchFinished: batch.filter(({ outcome }) => outcome === 'finished').length,
+    wastedTokens: addTokens(batch) - countUsedTokens(batch)
+  }
+}
+
+/** Tokens that reached a result: of finished runs, with what they resumed from, never more than an item's answer. */
+function countUsedTokens (batch: readonly RunRecord[]): number {
+  const longest = new Map<string, number>()
+  for (const { requestId, body, tokens = 0 } of batch) {
+    const reached = tokens + (JSON.parse(body).resume_from?.length ?? 0)
+    longest.set(requestId, Math.max(longest.get(requestId) ?? 0, reached))
+  }
+  return [...longest.values()].reduce((sum, tokens) => sum + tokens, 0)
+}
+
+function addTokens (runs: readonly RunRecord[]): number {
+  return runs.reduce((sum, { tokens = 0 }) => sum + tokens, 0)
+}
--- /dev/null
+++ b/bench/read-idle-share.ts
@@ -0,0 +1,17 @@
+import type { RunRecord } from '../stand-ins/engine/run-record.js'
+
+/** The share of `[since, until]` (wall-clock ms) in which an engine with this log ran nothing. */
+export function readIdleShare (runs: readonly RunRecord[], since: number, until: number): number {
+  const spans = runs
+    .map(({ at, endedAt = until }) => [Math.max(at, since), Math.min(endedAt, until)] as const)
+    .filter(([from, to]) => to > from)
+    .sort((a, b) => a[0] - b[0])
+  let busy = 0
+  let reached = since
+  for (const [from, to] of spans) {
+    if (to <= reached) continue
+    busy += to - Math.max(from, reached)
+    reached = to
+  }
+  return 1 - busy / (until - since)
+}
--- a/src/load/load-outcome.ts
+++ b/src/load/load-outcome.ts
@@ -2,6 +2,8 @@
 export interface LoadOutcome {
   readonly id: string
   readonly at: number
+  /** Times it was sent; a caller sends again, elsewhere, when its connection is lost or it is told when to come back. */
+  readonly sends?: number
   readonly outcome: 'answered' | 'refused' | 'cut' | 'lost'
   /** Cause of a refusal, or what went wrong. */
   readonly cause?: string
