Faults of the stand-in platform, set by POST /control/faults

Cause: every part has to be tried against a platform that is down, slow, old or loses replies; the stand-in did none of it. Ruled out: faults by wall time only (a run could not be repeated): which calls are hit follows from a seed. Conclusion: other parts can test against all of them now.

--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from '../src/config/configuration.js'
 import type { Instance } from '../src/platform/instance.js'
 import type { RunRecord } from '../stand-ins/engine/run-record.js'
+import type { PlatformFaults } from '../stand-ins/platform/platform-faults.js'
 import { Child } from './child.js'
 
 const HOST = '127.0.0.1'
@@ -96,6 +97,11 @@
     return await this.call(method, this.platform.url + path, body)
   }
 
+  /** Sets what goes wrong at the platform from here on; {} ends all faults. */
+  async setPlatformFaults (faults: PlatformFaults): Promise<void> {
+    await this.control('POST', '/control/faults', faults)
+  }
+
   /** What the server itself logged as run. */
   async readLog (server: Node): Promise<readonly RunRecord[]> {
     return (await this.call('GET', `http://${HOST}:${server.instance.port}/control/log`)).runs
--- /dev/null
+++ b/stand-ins/platform/history.ts
@@ -0,0 +1,19 @@
+/** A value that changes over time, and what it was at earlier moments. Times in ms, in any one clock. */
+export class History<T> {
+  private readonly past: Array<{ readonly at: number, readonly value: T }> = []
+
+  constructor (private readonly first: T) {}
+
+  get latest (): T {
+    return this.past.at(-1)?.value ?? this.first
+  }
+
+  put (value: T, at: number): void {
+    this.past.push({ at, value })
+  }
+
+  /** The value as it was at `time`. */
+  readAt (time: number): T {
+    return this.past.findLast(({ at }) => at <= time)?.value ?? this.first
+  }
+}
--- a/stand-ins/platform/memory-store.ts
+++ b/stand-ins/platform/memory-store.ts
@@ -9,8 +9,11 @@
 /** One call as a fault sees it. */
 interface StoreCall { readonly call: 'get' | 'put' | 'delete' | 'list' | 'watch' | 'instances', readonly kind: string, readonly name: string }
 
-/** What a fault does to a call: nothing, fail it before it takes effect, or lose the reply after. */
-type FaultEffect = 'none' | { readonly fail: StoreError } | { readonly loseReply: StoreError }
+/**
+ * What a fault does to a call: nothing, fail it before it takes effect, lose the reply after, answer an error now and
+ * run it at `landDelayed`, or (for a get, list or first watch) answer it from the state at the last `keepOld`.
+ */
+type FaultEffect = 'none' | 'old read' | { readonly fail: StoreError } | { readonly loseReply: StoreError } | { readonly landLater: StoreError }
 
 /**
  * An object API in memory, for decision tests: the same table as the stand-in platform, without processes or time.
@@ -20,14 +23,26 @@
  * store.fault = ({ call }) => call === 'put' ? { fail: { type: 'unavailable', reason: 'outage' } } : 'none'
  */
 export class MemoryStore implements ObjectStore {
-  readonly objects = new ObjectTable()
+  readonly objects = new ObjectTable(() => this.age)
   readonly calls: StoreCall[] = []
   instances: readonly Instance[] = []
   fault: (call: StoreCall) => FaultEffect = () => 'none'
+  private age = 1
+  private readonly delayed: Array<() => void> = []
+
+  /** Keeps the present state as what an old read gets from here on. */
+  keepOld (): void {
+    this.age++
+  }
+
+  /** Runs the writes that faults held back, in the order they were sent. */
+  landDelayed (): void {
+    for (const run of this.delayed.splice(0)) run()
+  }
 
   async get<T> (kind: string, name: string): Promise<Result<StoredObject<T>, StoreError>> {
-    return await this.call({ call: 'get', kind, name }, () => {
-      const object = this.objects.read(kind, name)
+    return await this.call({ call: 'get', kind, name }, old => {
+      const object = old ? this.objects.readAt(kind, name, this.age - 1) : this.objects.read(kind, name)
       return object === undefined ? Err({ type: 'missing' } as const) : Ok(copy(object) as StoredObject<T>)
     })
   }
@@ -47,24 +62,36 @@
   }
 
   async list<T> (kind: string, { prefix = '', after = '', limit = 500 } = {}): Promise<Result<readonly StoredObject<T>[], StoreError>> {
-    return await this.call({ call: 'list', kind, name: prefix }, () => Ok(copy(this.objects.list(kind, prefix, after, limit)) as StoredObject<T>[]))
+    return await this.call({ call: 'list', kind, name: prefix }, old => {
+      const objects = old ? this.objects.listAt(kind, prefix, after, limit, this.age - 1) : this.objects.list(kind, prefix, after, limit)
+      return Ok(copy(objects) as StoredObject<T>[])
+    })
   }
 
   /** Never waits: gives what has changed, which may be nothing. */
   async watch<T> (kind: string, revision: number): Promise<Result<WatchBatch<T>, StoreError>> {
-    return await this.call({ call: 'watch', kind, name: '' }, () => Ok({ revision: this.objects.revision, ...copy(this.objects.changesSince(kind, revision)) } as WatchBatch<T>))
+    return await this.call({ call: 'watch', kind, name: '' }, old => {
+      const seen = old && revision < 0
+        ? { revision: -1, changed: this.objects.listAt(kind, '', '', Infinity, this.age - 1), deleted: [] }
+        : { revision: this.objects.revision, ...this.objects.changesSince(kind, revision) }
+      return Ok(copy(seen) as WatchBatch<T>)
+    })
   }
 
   async listInstances (): Promise<Result<readonly Instance[], StoreError>> {
     return await this.call({ call: 'instances', kind: '', name: '' }, () => Ok(this.instances))
   }
 
-  private async call<T> (call: StoreCall, run: () => Result<T, StoreError>): Promise<Result<T, StoreError>> {
+  private async call<T> (call: StoreCall, run: (old: boolean) => Result<T, StoreError>): Promise<Result<T, StoreError>> {
     this.calls.push(call)
     const effect = this.fault(call)
-    if (effect === 'none') return run()
+    if (effect === 'none' || effect === 'old read') return run(effect === 'old read')
     if ('fail' in effect) return Err(effect.fail)
-    run()
+    if ('landLater' in effect) {
+      this.delayed.push(() => run(false))
+      return Err(effect.landLater)
+    }
+    run(false)
     return Err(effect.loseReply)
   }
 }
--- a/stand-ins/platform/object-table.ts
+++ b/stand-ins/platform/object-table.ts
@@ -1,31 +1,36 @@
 import type { StoredObject } from '../../src/platform/stored-object.js'
 
-interface Row { version: number, revision: number, value: unknown, writeId?: string }
+interface Change { readonly kind: string, readonly name: string, readonly revision: number, readonly at: number, readonly object?: Row }
 
-interface Change { readonly kind: string, readonly name: string, readonly revision: number, readonly object?: StoredObject }
+type Row = StoredObject & { readonly writeId?: string }
 
 /** The objects of the stand-in platform: conditional writes, listings and changes since a revision. */
 export class ObjectTable {
   private readonly kinds = new Map<string, Map<string, Row>>()
-  private readonly changes: Change[] = []
-  private readonly listeners = new Set<() => void>()
+  private readonly changes = new Map<string, Change[]>()
+  private readonly listeners = new Map<string, Set<() => void>>()
   revision = 0
 
-  read (kind: string, name: string): (StoredObject & { writeId?: string }) | undefined {
-    const row = this.kinds.get(kind)?.get(name)
-    return row && { kind, name, version: row.version, value: row.value, writeId: row.writeId }
+  /** `date` stamps each change, for reads of the state at an earlier time. */
+  constructor (private readonly date: () => number = () => 0) {}
+
+  read (kind: string, name: string): Row | undefined {
+    return this.kinds.get(kind)?.get(name)
+  }
+
+  /** The object as it was at `time`. */
+  readAt (kind: string, name: string, time: number): Row | undefined {
+    return this.changes.get(kind)?.findLast(change => change.name === name && change.at <= time)?.object
   }
 
   /** Writes when the present version is `version` (0: absent); gives back the present version otherwise. */
   write (kind: string, name: string, value: unknown, version: number, writeId?: string): StoredObject | number {
-    const rows = this.kinds.get(kind) ?? new Map<string, Row>()
-    this.kinds.set(kind, rows)
-    const present = rows.get(name)?.version ?? 0
+    const present = this.read(kind, name)?.version ?? 0
     if (present !== version) return present
-    this.revision++
-    rows.set(name, { version: this.revision, revision: this.revision, value, writeId })
-    const object = { kind, name, version: this.revision, value }
-    this.record({ kind, name, revision: this.revision, object })
+    const object = { kind, name, version: ++this.revision, value, writeId }
+    const rows = this.kinds.get(kind) ?? new Map<string, Row>()
+    this.kinds.set(kind, rows.set(name, object))
+    this.record({ kind, name, revision: this.revision, at: this.date(), object })
     return object
   }
 
@@ -33,40 +38,54 @@
     const rows = this.kinds.get(kind)
     if (rows?.get(name)?.version !== version) return false
     rows.delete(name)
-    this.revision++
-    this.record({ kind, name, revision: this.revision })
+    this.record({ kind, name, revision: ++this.revision, at: this.date() })
     return true
   }
 
   list (kind: string, prefix: string, after: string, limit: number): StoredObject[] {
-    return [...this.kinds.get(kind)?.entries() ?? []]
-      .filter(([name]) => name.startsWith(prefix) && name > after)
-      .sort(([a], [b]) => a < b ? -1 : 1)
-      .slice(0, limit)
-      .map(([name, row]) => ({ kind, name, version: row.version, value: row.value }))
+    return choose([...this.kinds.get(kind)?.values() ?? []], prefix, after, limit)
+  }
+
+  /** The list as it was at `time`. */
+  listAt (kind: string, prefix: string, after: string, limit: number, time: number): StoredObject[] {
+    const latest = indexLatest((this.changes.get(kind) ?? []).filter(({ at }) => at <= time))
+    return choose([...latest.values()].flatMap(({ object }) => object ?? []), prefix, after, limit)
   }
 
   /** The latest change of each object of `kind` after `revision`; everything there is when it is negative. */
   changesSince (kind: string, revision: number): { changed: StoredObject[], deleted: string[] } {
     if (revision < 0) return { changed: this.list(kind, '', '', Infinity), deleted: [] }
-    const latest = new Map<string, Change>()
-    for (const change of this.changes) {
-      if (change.kind === kind && change.revision > revision) latest.set(change.name, change)
-    }
-    const all = [...latest.values()]
+    const changes = this.changes.get(kind) ?? []
+    const all = [...indexLatest(changes.slice(changes.findLastIndex(change => change.revision <= revision) + 1)).values()]
     return {
-      changed: all.flatMap(({ object }) => object === undefined ? [] : [object]),
+      changed: all.flatMap(({ object }) => object ?? []),
       deleted: all.filter(({ object }) => object === undefined).map(({ name }) => name)
     }
   }
 
-  onChange (listener: () => void): () => void {
-    this.listeners.add(listener)
-    return () => this.listeners.delete(listener)
+  /** Calls `listener` after each change of `kind`. */
+  onChange (kind: string, listener: () => void): () => void {
+    const listeners = this.listeners.get(kind) ?? new Set()
+    this.listeners.set(kind, listeners.add(listener))
+    return () => listeners.delete(listener)
   }
 
   private record (change: Change): void {
-    this.changes.push(change)
-    for (const listener of this.listeners) listener()
+    const changes = this.changes.get(change.kind) ?? []
+    changes.push(change)
+    this.changes.set(change.kind, changes)
+    for (const listener of this.listeners.get(change.kind) ?? []) listener()
   }
 }
+
+function indexLatest (changes: readonly Change[]): Map<string, Change> {
+  return new Map(changes.map(change => [change.name, change]))
+}
+
+function choose (rows: readonly Row[], prefix: string, after: string, limit: number): StoredObject[] {
+  return rows
+    .filter(({ name }) => name.startsWith(prefix) && name > after)
+    .sort((a, b) => a.name < b.name ? -1 : 1)
+    .slice(0, limit)
+    .map(({ kind, name, version, value }) => ({ kind, name, version, value }))
+}
--- a/stand-ins/platform/platform.ts
+++ b/stand-ins/platform/platform.ts
@@ -5,39 +5,48 @@
 import { readBody } from '../../src/http/read-body.js'
 import { sendJson } from '../../src/http/send-json.js'
 import type { Instance } from '../../src/platform/instance.js'
+import { FaultPlan } from './fault-plan.js'
+import { History } from './history.js'
 import { ObjectTable } from './object-table.js'
+import type { PlatformFaults } from './platform-faults.js'
 
 const VALUE_LIMIT = 1_000_000
 const BODY_LIMIT = 2 * VALUE_LIMIT
+const MS_PER_SECOND = 1_000
 
 /** Options of the stand-in platform; rates in calls a second. */
-interface PlatformOptions { readonly writesPerSecond?: number, readonly readsPerSecond?: number }
+interface PlatformOptions { readonly writesPerSecond?: number, readonly readsPerSecond?: number, readonly faults?: PlatformFaults }
+
+type Call = 'reads' | 'writes'
+
+type Handle = (req: Request, res: Response) => Promise<void> | void
 
 /**
  * A stand-in for the platform: object API with conditional updates and watches, and the instance list.
- * It counts every call and refuses those above its rates.
+ * It counts every call, refuses those above its rates, and fails as POST /control/faults says.
  */
 export class Platform {
-  readonly objects = new ObjectTable()
-  readonly instances = new Map<string, Instance>()
-  readonly counts = { reads: 0, writes: 0, watches: 0, refused: 0 }
+  readonly objects = new ObjectTable(Date.now)
+  readonly instances = new History<ReadonlyMap<string, Instance>>(new Map())
+  readonly counts = { reads: 0, writes: 0, watches: 0, refused: 0, failed: 0 }
   private readonly server: Server
-  private readonly limits: Required<PlatformOptions>
+  private plan: FaultPlan
   private second = { at: 0, reads: 0, writes: 0 }
 
-  constructor ({ writesPerSecond = 400, readsPerSecond = 2_000 }: PlatformOptions = {}) {
-    this.limits = { writesPerSecond, readsPerSecond }
+  constructor (private readonly options: PlatformOptions = {}) {
+    this.plan = new FaultPlan(options.faults ?? {})
     const app = new App()
-    app.get('/objects/:kind/:name', (req, res) => this.admit('reads', res) && this.readObject(req, res))
-    app.put('/objects/:kind/:name', async (req, res) => this.admit('writes', res) && await this.writeObject(req, res))
-    app.delete('/objects/:kind/:name', (req, res) => this.admit('writes', res) && this.removeObject(req, res))
-    app.get('/objects/:kind', (req, res) => this.admit('reads', res) && this.listObjects(req, res))
-    app.get('/watch/:kind', (req, res) => this.admit('reads', res) && this.watchObjects(req, res))
-    app.get('/instances', (_req, res) => this.admit('reads', res) && sendJson(res, 200, { instances: [...this.instances.values()] }))
+    app.get('/objects/:kind/:name', this.guard('reads', (req, res) => this.readObject(req, res)))
+    app.put('/objects/:kind/:name', this.guard('writes', async (req, res) => await this.writeObject(req, res)))
+    app.delete('/objects/:kind/:name', this.guard('writes', (req, res) => this.removeObject(req, res)))
+    app.get('/objects/:kind', this.guard('reads', (req, res) => this.listObjects(req, res)))
+    app.get('/watch/:kind', this.guard('reads', (req, res) => this.watchObjects(req, res)))
+    app.get('/instances', this.guard('reads', (_req, res) => this.listInstances(res)))
     app.get('/control/counts', (_req, res) => sendJson(res, 200, this.counts))
+    app.post('/control/faults', async (req, res) => await this.setFaults(req, res))
     app.put('/control/instances/:name', async (req, res) => await this.putInstance(req, res))
     app.delete('/control/instances/:name', (req, res) => {
-      this.instances.delete(req.params.name!)
+      this.changeInstances(instances => instances.delete(req.params.name!))
       sendJson(res, 200, {})
     })
     this.server = createAppServer(app)
@@ -52,20 +61,42 @@
     this.server.closeAllConnections()
   }
 
-  /** Counts the call; answers 429 and gives back false when the second's rate is used up. */
-  private admit (call: 'reads' | 'writes', res: Response): boolean {
-    const at = Math.floor(Date.now() / 1_000)
+  /** Counts the call, then lets the outage, the rates and the slowness at it before `handle`. */
+  private guard (call: Call, handle: Handle): Handle {
+    return async (req, res) => {
+      this.counts[call]++
+      if (this.fail(res) || this.refuse(call, res)) return
+      const delay = this.plan.chooseDelay()
+      if (delay > 0) await new Promise(resolve => setTimeout(resolve, delay))
+      await handle(req, res)
+    }
+  }
+
+  /** Fails the call as the outage says; a silent one is left open. */
+  private fail (res: Response): boolean {
+    const { outage } = this.plan.faults
+    if (outage === undefined) return false
+    this.counts.failed++
+    if (outage === 'refused') sendJson(res, 503, { error: 'outage' })
+    if (outage === 'reset') res.socket?.destroy()
+    return true
+  }
+
+  /** Answers 429 when the second's rate is used up. */
+  private refuse (call: Call, res: Response): boolean {
+    const at = Math.floor(Date.now() / MS_PER_SECOND)
     if (this.second.at !== at) this.second = { at, reads: 0, writes: 0 }
-    this.counts[call]++
-    this.second[call]++
-    if (this.second[call] <= this.limits[call === 'reads' ? 'readsPerSecond' : 'writesPerSecond']) return true
+    const { writesPerSecond = 400, readsPerSecond = 2_000 } = { ...this.options, ...this.plan.faults }
+    if (++this.second[call] <= (call === 'reads' ? readsPerSecond : writesPerSecond)) return false
     this.counts.refused++
     sendJson(res, 429, { error: 'over the rate' }, { 'retry-after': '1' })
-    return false
+    return true
   }
 
   private readObject (req: Request, res: Response): void {
-    const object = this.objects.read(req.params.kind!, decodeURIComponent(req.params.name!))
+    const { kind, name } = readTarget(req)
+    const age = this.plan.chooseAge()
+    const object = age === 0 ? this.objects.read(kind, name) : this.objects.readAt(kind, name, Date.now() - age)
     if (object === undefined) sendJson(res, 404, { error: 'no such object' })
     else sendJson(res, 200, object)
   }
@@ -75,27 +106,48 @@
     if (body.err) return sendJson(res, 413, { error: 'too large' })
     const { value, version, writeId } = JSON.parse(body.val.toString())
     if (JSON.stringify(value).length > VALUE_LIMIT) return sendJson(res, 413, { error: `value over ${VALUE_LIMIT} bytes` })
-    const written = this.objects.write(req.params.kind!, decodeURIComponent(req.params.name!), value, version, writeId)
-    if (typeof written === 'number') sendJson(res, 409, { error: 'version differs', version: written })
-    else sendJson(res, 200, written)
+    const { kind, name } = readTarget(req)
+    this.takeEffect(res, () => {
+      const written = this.objects.write(kind, name, value, version, writeId)
+      return typeof written === 'number' ? { status: 409, body: { error: 'version differs', version: written } } : { status: 200, body: written }
+    })
   }
 
   private removeObject (req: Request, res: Response): void {
-    const name = decodeURIComponent(req.params.name!)
-    const removed = this.objects.remove(req.params.kind!, name, Number(req.query.version))
-    if (removed) sendJson(res, 200, {})
-    else sendJson(res, 409, { error: 'version differs', version: this.objects.read(req.params.kind!, name)?.version ?? 0 })
+    const { kind, name } = readTarget(req)
+    this.takeEffect(res, () => {
+      if (this.objects.remove(kind, name, Number(req.query.version))) return { status: 200, body: {} }
+      return { status: 409, body: { error: 'version differs', version: this.objects.read(kind, name)?.version ?? 0 } }
+    })
+  }
+
+  /** Runs a write now or later, and answers it unless its reply is to be lost. */
+  private takeEffect (res: Response, run: () => { readonly status: number, readonly body: unknown }): void {
+    const fate = this.plan.chooseWrite()
+    if (fate !== 'normal') this.counts.failed++
+    if (fate === 'delayed') setTimeout(run, this.plan.faults.delayedWrites!.delay)
+    const answer = fate === 'delayed' ? undefined : run()
+    if (fate === 'normal') sendJson(res, answer!.status, answer!.body)
+    else res.socket?.destroy()
   }
 
   private listObjects (req: Request, res: Response): void {
     const { prefix = '', after = '', limit = '500' } = req.query as Record<string, string>
-    sendJson(res, 200, { objects: this.objects.list(req.params.kind!, prefix, after, Number(limit)) })
+    const age = this.plan.chooseAge()
+    const { kind = '' } = req.params
+    const objects = age === 0
+      ? this.objects.list(kind, prefix, after, Number(limit))
+      : this.objects.listAt(kind, prefix, after, Number(limit), Date.now() - age)
+    sendJson(res, 200, { objects })
   }
 
   private watchObjects (req: Request, res: Response): void {
     this.counts.watches++
+    if (this.plan.faults.silentWatches === true) return
     const kind = req.params.kind!
     const since = Number(req.query.revision)
+    const age = since < 0 ? this.plan.chooseAge() : 0
+    if (age > 0) return sendJson(res, 200, { revision: -1, changed: this.objects.listAt(kind, '', '', Infinity, Date.now() - age), deleted: [] })
     const answer = (): boolean => {
       const { changed, deleted } = this.objects.changesSince(kind, since)
       if (since >= 0 && changed.length + deleted.length === 0) return false
@@ -107,7 +159,7 @@
       unlisten()
       clearTimeout(timer)
     }
-    const unlisten = this.objects.onChange(() => answer() && stop())
+    const unlisten = this.objects.onChange(kind, () => this.plan.faults.outage === undefined && answer() && stop())
     const timer = setTimeout(() => {
       stop()
       sendJson(res, 200, { revision: this.objects.revision, changed: [], deleted: [] })
@@ -115,9 +167,30 @@
     res.on('close', stop)
   }
 
+  private listInstances (res: Response): void {
+    const { instanceLag = 0 } = this.plan.faults
+    const instances = instanceLag === 0 ? this.instances.latest : this.instances.readAt(Date.now() - instanceLag)
+    sendJson(res, 200, { instances: [...instances.values()] })
+  }
+
+  private async setFaults (req: Request, res: Response): Promise<void> {
+    this.plan = new FaultPlan(JSON.parse((await readBody(req, BODY_LIMIT)).unwrap().toString()))
+    sendJson(res, 200, {})
+  }
+
   private async putInstance (req: Request, res: Response): Promise<void> {
     const body = (await readBody(req, BODY_LIMIT)).unwrap()
-    this.instances.set(req.params.name!, JSON.parse(body.toString()))
+    this.changeInstances(instances => instances.set(req.params.name!, JSON.parse(body.toString())))
     sendJson(res, 200, {})
   }
+
+  private changeInstances (change: (instances: Map<string, Instance>) => void): void {
+    const instances = new Map(this.instances.latest)
+    change(instances)
+    this.instances.put(instances, Date.now())
+  }
+}
+
+function readTarget (req: Request): { readonly kind: string, readonly name: string } {
+  return { kind: req.params.kind!, name: decodeURIComponent(req.params.name!) }
 }
--- /dev/null
+++ b/test/platform/faults.test.ts
@@ -0,0 +1,65 @@
+import test from 'ava'
+import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
+import { FaultPlan } from '../../stand-ins/platform/fault-plan.js'
+import { Platform } from '../../stand-ins/platform/platform.js'
+import type { PlatformFaults } from '../../stand-ins/platform/platform-faults.js'
+
+const unknown = { type: 'unknown', reason: 'no reply' } as const
+
+async function startPlatform (t: { teardown: (end: () => void) => void }): Promise<(method: string, path: string, body?: unknown) => Promise<{ status: number, body: any }>> {
+  const platform = new Platform()
+  const port = await platform.listen(0)
+  t.teardown(() => platform.close())
+  return async (method, path, body) => {
+    const answer = await fetch(`http://127.0.0.1:${port}${path}`, { method, body: body === undefined ? null : JSON.stringify(body), signal: AbortSignal.timeout(300) })
+    return { status: answer.status, body: await answer.json() }
+  }
+}
+
+test('the same seed hits the same calls', t => {
+  const faults: PlatformFaults = { lostReplies: 0.3, delayedWrites: { share: 0.3, delay: 1 }, seed: 5 }
+  const draw = (plan: FaultPlan): string => Array.from({ length: 50 }, () => plan.chooseWrite()).join()
+  t.is(draw(new FaultPlan(faults)), draw(new FaultPlan(faults)))
+  t.not(draw(new FaultPlan(faults)), draw(new FaultPlan({ ...faults, seed: 6 })))
+})
+
+test('outages, lost replies, delayed writes, old reads and the lagging list over HTTP', async t => {
+  const call = await startPlatform(t)
+  const write = async (name: string): Promise<unknown> => await call('PUT', `/objects/k/${name}`, { value: name, version: 0, writeId: 'w' })
+  const read = async (name: string): Promise<number> => (await call('GET', `/objects/k/${name}`)).status
+  const set = async (faults: PlatformFaults): Promise<unknown> => await call('POST', '/control/faults', faults)
+  await set({ outage: 'refused' })
+  t.is(await read('a'), 503)
+  for (const outage of ['reset', 'silent'] as const) {
+    await set({ outage })
+    await t.throwsAsync(read('a'), { any: true })
+  }
+  await set({ lostReplies: 1 })
+  await t.throwsAsync(write('a'), { any: true })
+  t.is(await read('a'), 200)
+  await set({ delayedWrites: { share: 1, delay: 50 } })
+  await t.throwsAsync(write('b'), { any: true })
+  t.is(await read('b'), 404)
+  await set({ oldReads: { share: 1, lag: 60_000 }, instanceLag: 60_000 })
+  await call('PUT', '/control/instances/i', { name: 'i' })
+  t.is(await read('a'), 404)
+  t.deepEqual((await call('GET', '/objects/k')).body.objects, [])
+  t.deepEqual((await call('GET', '/instances')).body.instances, [])
+  await set({})
+  while (await read('b') !== 200) await new Promise(resolve => setImmediate(resolve))
+  t.is((await call('GET', '/instances')).body.instances.length, 1)
+  await set({ writesPerSecond: 0 })
+  t.is((await call('DELETE', '/objects/k/a?version=1')).status, 429)
+})
+
+test('the store in memory lands delayed writes when told, and reads what was kept', async t => {
+  const store = new MemoryStore()
+  await store.put('k', 'a', 1, 0)
+  store.keepOld()
+  store.fault = ({ call }) => call === 'put' ? { landLater: unknown } : 'old read'
+  t.deepEqual((await store.put('k', 'a', 2, 1)).val, unknown)
+  store.landDelayed()
+  t.is((await store.get<number>('k', 'a')).unwrap().value, 1)
+  store.fault = () => 'none'
+  t.is((await store.get<number>('k', 'a')).unwrap().value, 2)
+})
