Configuration folder: one schema, merge with places, all findings together

Cause: readFolder merged without a check; a slip in a key was silently without effect, an unknown model showed at the first request. Ruled out: a JSON Schema validator (no place in the file, a further dependency); zod-like builders (no units or bounds that a page could list). Change: key schemas with type, unit, bounds, default and sentence; YAML nodes become entries that keep their place; merge key by key in the order of names, remembering what each key replaced; contradictions between files; the reference page held equal to the schemas by a test. A key added to a type doesn't compile until it has a schema.

--- /dev/null
+++ b/src/config/check-contradictions.ts
@@ -0,0 +1,46 @@
+import type { Configuration } from './configuration.js'
+import type { Entry } from './entry.js'
+import type { Finding } from './finding.js'
+
+/** What is wrong only when keys are seen together, whichever files they stand in. */
+export function checkContradictions (configuration: Omit<Configuration, 'version'>, root: Entry): readonly Finding[] {
+  const findings: Finding[] = []
+  const reject = (path: readonly string[], message: string): void => {
+    findings.push({ ...findPlace(root, path).place, message: `${path.join('.')}: ${message}` })
+  }
+  checkServices(configuration, reject)
+  checkTokens(configuration, reject)
+  const { queueWait, deadline } = configuration.limits
+  if (queueWait > deadline) reject(['limits', 'queueWait'], `${queueWait} ms is longer than the deadline of ${deadline} ms`)
+  return findings
+}
+
+type Reject = (path: readonly string[], message: string) => void
+
+function checkServices ({ services, models }: Omit<Configuration, 'version'>, reject: Reject): void {
+  for (const [name, { kind, model }] of Object.entries(services)) {
+    const path = ['services', name, 'model']
+    if (kind === 'plain' && model !== undefined) reject(path, 'a plain service has no model')
+    if (kind === 'model' && model === undefined) reject(path, 'a service of the kind model needs one')
+    if (kind === 'model' && model !== undefined && !Object.hasOwn(models, model)) reject(path, `there is no model ${model}`)
+  }
+}
+
+/** Two callers with one token would be one caller to the daemons: whoever came later in the map. */
+function checkTokens ({ callers }: Omit<Configuration, 'version'>, reject: Reject): void {
+  const owners = new Map<string, string>()
+  for (const [name, { tokens }] of Object.entries(callers)) {
+    tokens.forEach((token, i) => {
+      const owner = owners.get(token)
+      if (owner !== undefined) reject(['callers', name, 'tokens', String(i)], owner === name ? 'the same token twice' : `the same token as ${owner}`)
+      owners.set(token, name)
+    })
+  }
+}
+
+/** The entry at `path`, or the nearest one above it. */
+function findPlace (entry: Entry, [key, ...rest]: readonly string[]): Entry {
+  if (key === undefined || entry.type === 'scalar') return entry
+  const next = entry.type === 'map' ? entry.keys.get(key) : entry.items[Number(key)]
+  return next === undefined ? entry : findPlace(next, rest)
+}
--- /dev/null
+++ b/src/config/check-files.ts
@@ -0,0 +1,44 @@
+import { Err, Ok, type Result } from 'ts-results'
+import { checkContradictions } from './check-contradictions.js'
+import { checkEntry } from './check-entry.js'
+import type { Configuration } from './configuration.js'
+import { configurationSchema } from './configuration-schema.js'
+import type { Entry } from './entry.js'
+import type { Finding } from './finding.js'
+import { mergeEntries } from './merge-entries.js'
+import { parseFile } from './parse-file.js'
+
+/** A folder that holds together: its configuration, and the entries it was merged from, with their places. */
+interface CheckedFiles { readonly configuration: Omit<Configuration, 'version'>, readonly root: Entry }
+
+const EMPTY: Entry = { type: 'map', keys: new Map(), place: { file: '', line: 1, column: 1 }, replaced: [] }
+
+/**
+ * Merges files key by key in the order of their names and checks the whole. All findings of all files come
+ * together, in the order of their places. Contradictions are looked for once nothing else is wrong.
+ *
+ * @example
+ * checkFiles(new Map([['10-models.yaml', 'models: {}'], ['20-limits.yaml', 'limits: { deadline: 5 }']])).val
+ * // [{ file: '20-limits.yaml', line: 1, column: 11, message: 'limits.deadline: 5 is out of bounds: 100 to 3600000 (ms)' }]
+ */
+export function checkFiles (files: ReadonlyMap<string, string>, parse = parseFile): Result<CheckedFiles, readonly Finding[]> {
+  const findings: Finding[] = []
+  let root = EMPTY
+  for (const [file, text] of [...files].sort(([a], [b]) => a < b ? -1 : 1)) {
+    const parsed = parse(file, text)
+    if (parsed.err) findings.push(...parsed.val)
+    else root = parsed.val.type === 'map' ? mergeEntries(root, parsed.val) : reject(findings, parsed.val, root)
+  }
+  const configuration = checkEntry(root, configurationSchema, '', findings) as Omit<Configuration, 'version'>
+  if (findings.length === 0) findings.push(...checkContradictions(configuration, root))
+  return findings.length > 0 ? Err(orderFindings(findings)) : Ok({ configuration, root })
+}
+
+function reject (findings: Finding[], entry: Entry, root: Entry): Entry {
+  findings.push({ ...entry.place, message: 'a file must be a map of keys' })
+  return root
+}
+
+function orderFindings (findings: readonly Finding[]): readonly Finding[] {
+  return [...findings].sort((a, b) => a.file < b.file ? -1 : a.file > b.file ? 1 : a.line - b.line || a.column - b.column)
+}
--- /dev/null
+++ b/src/config/configuration-schema.ts
@@ -0,0 +1,51 @@
+import type { Caller } from './caller.js'
+import type { Configuration } from './configuration.js'
+import type { KeySchema } from './key-schema.js'
+import type { KeySchemas } from './key-schemas.js'
+import type { Limits } from './limits.js'
+import type { Model } from './model.js'
+import type { Service } from './service.js'
+
+const SECOND = 1_000
+const MINUTE = 60 * SECOND
+const HOUR = 60 * MINUTE
+const MAX_CALLERS = 20_000
+const MAX_SERVICES = 1_000
+const MAX_TOKENS = 16
+const TOKEN_HASH = /^[0-9a-f]{64}$/
+
+const model: KeySchemas<Model> = {
+  firstToken: { type: 'number', unit: 'ms', whole: false, min: 1, max: 10 * MINUTE, doc: 'Target for the time to first token, at the 95th percentile.' },
+  betweenTokens: { type: 'number', unit: 'ms', whole: false, min: 1, max: MINUTE, doc: 'Target for the time between tokens, at the 95th percentile.' },
+  maxInFlight: { type: 'number', unit: 'sequences', whole: true, min: 1, max: 10_000, doc: 'Sequences an engine may have in flight, online and batch together.' }
+}
+
+const service: KeySchemas<Service> = {
+  kind: { type: 'choice', of: ['model', 'plain'], doc: 'Whether engines serve it with a model, or plain HTTP services.' },
+  pool: { type: 'text', minLength: 1, doc: 'Pool of the instances that serve it, as the platform\'s instance list names it.' },
+  model: { type: 'text', optional: true, doc: 'Name of its model; only for the kind `model`, and needed there.' },
+  idempotent: { type: 'boolean', defaultBy: { key: 'kind', values: { model: true, plain: false } }, doc: 'Whether its calls may be repeated.' }
+}
+
+const caller: KeySchemas<Caller> = {
+  share: { type: 'number', unit: 'weight', whole: false, min: 0.001, max: 1_000_000, default: 1, doc: 'Weight of its share when all are busy.' },
+  tokens: { type: 'list', maxItems: MAX_TOKENS, of: { type: 'text', pattern: TOKEN_HASH, doc: 'SHA-256 in lower-case hex.' }, doc: 'SHA-256 of each of its bearer tokens, in lower-case hex.' }
+}
+
+const limits: KeySchemas<Limits> = {
+  bodyBytes: { type: 'number', unit: 'bytes', whole: true, min: 1_000, max: 100_000_000, default: 1_000_000, doc: 'Largest body of an online request.' },
+  fileBytes: { type: 'number', unit: 'bytes', whole: true, min: 1_000, max: 2_000_000_000, default: 200_000_000, doc: 'Largest file of batch items.' },
+  queueWait: { type: 'number', unit: 'ms', whole: false, min: 0, max: MINUTE, default: 500, doc: 'Longest wait for a place on a server before an online request is refused.' },
+  deadline: { type: 'number', unit: 'ms', whole: false, min: 100, max: HOUR, default: MINUTE, doc: 'Longest time an online request may take in all.' },
+  addressKeep: { type: 'number', unit: 'ms', whole: false, min: 100, max: 10 * MINUTE, default: 5 * SECOND, doc: 'How long a caller may keep an answer of /v1/addresses.' }
+}
+
+const configuration: KeySchemas<Omit<Configuration, 'version'>> = {
+  services: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: service, doc: 'One service.' }, doc: 'Services that callers name.' },
+  models: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: model, doc: 'One model.' }, doc: 'Models that engines serve.' },
+  callers: { type: 'map', maxKeys: MAX_CALLERS, of: { type: 'object', keys: caller, doc: 'One caller.' }, doc: 'Who may ask, and for how much of the fleet.' },
+  limits: { type: 'object', keys: limits, doc: 'Limits that hold for every caller.' }
+}
+
+/** Every key of the operators' folder. */
+export const configurationSchema: KeySchema = { type: 'object', keys: configuration, doc: 'The configuration.' }
--- /dev/null
+++ b/src/config/place.ts
@@ -0,0 +1,6 @@
+/** Where something stands in a file; lines and columns count from 1. */
+export interface Place {
+  readonly file: string
+  readonly line: number
+  readonly column: number
+}
--- /dev/null
+++ b/src/config/read-default.ts
@@ -0,0 +1,27 @@
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { KeySchema } from './key-schema.js'
+
+/** What a key holds when it is left out, given the keys before it; undefined where it must be set or stays absent. */
+export function readDefault (schema: KeySchema, beside: Readonly<Record<string, unknown>> = {}): unknown {
+  switch (schema.type) {
+    case 'text':
+    case 'number':
+    case 'choice': return schema.default
+    case 'boolean': return schema.default ?? schema.defaultBy?.values[String(beside[schema.defaultBy.key])]
+    case 'list': return undefined
+    case 'map': return {}
+    case 'object': return readDefaults(schema.keys)
+    default: return failUnreachable(schema)
+  }
+}
+
+/** An object has a default when each of its keys has one. */
+function readDefaults (keys: Readonly<Record<string, KeySchema>>): unknown {
+  const values: Record<string, unknown> = {}
+  for (const [key, schema] of Object.entries(keys)) {
+    const value = readDefault(schema, values)
+    if (value === undefined && schema.optional !== true) return undefined
+    values[key] = value
+  }
+  return values
+}
--- /dev/null
+++ b/src/config/settings-schema.ts
@@ -0,0 +1,33 @@
+import type { Settings } from '../kernel/settings.js'
+import type { KeySchema } from './key-schema.js'
+import type { KeySchemas } from './key-schemas.js'
+
+const MAX_PORT = 65_535
+const MIN_SECRET = 16
+const PLATFORM_URL = /^https?:\/\/[^/?#]+(\/[^?#]*)?$/
+
+const listen: KeySchemas<Settings['listen']> = {
+  host: { type: 'text', minLength: 1, doc: 'IP address to listen on.' },
+  port: { type: 'number', unit: 'port', whole: true, min: 0, max: MAX_PORT, doc: 'Port for callers and operators; 0 lets the system choose.' },
+  peerPort: { type: 'number', unit: 'port', whole: true, min: 0, max: MAX_PORT, doc: 'Port for the other daemons; 0 lets the system choose.' }
+}
+
+const log: KeySchemas<Settings['log']> = {
+  level: { type: 'choice', of: ['error', 'warn', 'info', 'debug'], default: 'info', doc: 'Least severe level that is written.' },
+  format: { type: 'choice', of: ['text', 'json'], default: 'text', doc: 'Form of a log line.' }
+}
+
+const settings: KeySchemas<Settings> = {
+  instance: { type: 'text', minLength: 1, maxLength: 100, doc: 'Name of this instance, unique in the fleet.' },
+  failureDomain: { type: 'text', minLength: 1, maxLength: 100, doc: 'Failure domain that the instance stands in.' },
+  region: { type: 'text', minLength: 1, maxLength: 100, doc: 'Region that the instance stands in.' },
+  listen: { type: 'object', keys: listen, doc: 'Where the daemon listens.' },
+  platform: { type: 'text', pattern: PLATFORM_URL, doc: 'Base address of the platform\'s object API.' },
+  peerKey: { type: 'text', minLength: MIN_SECRET, doc: 'Secret shared by the daemons, which proves a peer.' },
+  operatorToken: { type: 'text', minLength: MIN_SECRET, doc: 'Token that operators present.' },
+  dataFolder: { type: 'text', minLength: 1, optional: true, doc: 'Folder for bulk data on instances that have a disk.' },
+  log: { type: 'object', keys: log, doc: 'The log.' }
+}
+
+/** Every key of a daemon's own settings file. */
+export const settingsSchema: KeySchema = { type: 'object', keys: settings, doc: 'The settings of one daemon.' }
--- /dev/null
+++ b/test/config/check-files.test.ts
@@ -0,0 +1,72 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { readFileSync } from 'node:fs'
+import { checkFiles } from '../../src/config/check-files.js'
+import { configurationSchema } from '../../src/config/configuration-schema.js'
+import { emptyConfiguration } from '../../src/config/empty-configuration.js'
+import { listKeys } from '../../src/config/list-keys.js'
+import { settingsSchema } from '../../src/config/settings-schema.js'
+import { showFinding } from '../../src/config/show-finding.js'
+import { writeKeyTable } from '../../src/config/write-key-table.js'
+
+const HASH = 'a'.repeat(64)
+
+const check = (files: Record<string, string>): ReturnType<typeof checkFiles> => checkFiles(new Map(Object.entries(files)))
+
+function findings (files: Record<string, string>): readonly string[] {
+  const checked = check(files)
+  return checked.ok ? [] : checked.val.map(showFinding)
+}
+
+const cases: ReadonlyArray<readonly [string, Record<string, string>, readonly string[]]> = [
+  ['an empty folder', {}, []],
+  ['an empty file', { 'a.yaml': '# nothing\n' }, []],
+  ['an error of YAML', { 'a.yaml': 'limits:\n  deadline: [1\n' }, ['a.yaml:3:1: Flow sequence in block collection must be sufficiently indented and end with a ]']],
+  ['a slip in a key', { 'a.yaml': 'limits:\n  deadlin: 5000\n' }, ['a.yaml:2:3: limits: unknown key "deadlin"; did you mean deadline?']],
+  ['a key far from all', { 'a.yaml': 'zebra: 1\n' }, ['a.yaml:1:1: unknown key "zebra"; known are services, models, callers, limits']],
+  ['a wrong type', { 'a.yaml': 'limits: { deadline: soon }\n' }, ['a.yaml:1:11: limits.deadline: must be a number (ms)']],
+  ['a value out of bounds', { 'a.yaml': 'limits: { deadline: 5 }\n' }, ['a.yaml:1:11: limits.deadline: 5 is out of bounds: 100 to 3600000 (ms)']],
+  ['an alias', { 'a.yaml': 'limits: &l { deadline: 500 }\nmodels: *l\n' }, ['a.yaml:2:9: *l: aliases are not supported; write the value out']],
+  ['a key twice in one file', { 'a.yaml': 'limits: { deadline: 500, deadline: 600 }\n' }, ['a.yaml:1:26: Map keys must be unique']],
+  ['a list where a map belongs', { 'a.yaml': '- 1\n' }, ['a.yaml:1:1: a file must be a map of keys']],
+  ['an unknown model, two files', { 'a.yaml': 'models: { m: { firstToken: 1, betweenTokens: 1, maxInFlight: 1 } }\n', 'b.yaml': 'services:\n  s: { kind: model, pool: p, model: n }\n' }, ['b.yaml:2:30: services.s.model: there is no model n']],
+  ['a plain service with a model', { 'a.yaml': 'services: { s: { kind: plain, pool: p, model: n } }\n' }, ['a.yaml:1:40: services.s.model: a plain service has no model']],
+  ['one token for two callers', { 'a.yaml': `callers: { x: { tokens: [${HASH}] } }\n`, 'b.yaml': `callers: { y: { tokens: [${HASH}] } }\n` }, ['b.yaml:1:26: callers.y.tokens.0: the same token as x']],
+  ['a missing key', { 'a.yaml': 'services: { s: { kind: plain } }\n' }, ['a.yaml:1:13: services.s: needs the key pool']],
+  ['a wait past the deadline', { 'a.yaml': 'limits: { queueWait: 2000, deadline: 1000 }\n' }, ['a.yaml:1:11: limits.queueWait: 2000 ms is longer than the deadline of 1000 ms']]
+]
+
+for (const [name, files, expected] of cases) test(`${name}`, t => t.deepEqual(findings(files), expected))
+
+test('findings of all files come together, in the order of their places', t => {
+  t.deepEqual(findings({ 'b.yaml': 'zebra: 1\nlimits: { deadline: 5 }\n', 'a.yaml': 'models: [\n' }).map(line => line.slice(0, 10)), ['a.yaml:2:1', 'b.yaml:1:1', 'b.yaml:2:1'])
+})
+
+test('a later file wins key by key, and the merge tells which', t => {
+  const { configuration, root } = check({ '20.yaml': 'limits: { deadline: 900 }', '10.yaml': 'limits: { deadline: 800, queueWait: 100 }' }).unwrap()
+  t.like(configuration.limits, { deadline: 900, queueWait: 100, bodyBytes: emptyConfiguration.limits.bodyBytes })
+  t.deepEqual(listKeys(root).map(({ key, file, replaced }) => ({ key, file, replaced })), [
+    { key: 'limits.deadline', file: '20.yaml', replaced: ['10.yaml'] },
+    { key: 'limits.queueWait', file: '10.yaml', replaced: [] }
+  ])
+})
+
+test('a name of the prototype is a name like another', t => {
+  t.deepEqual(findings({ 'a.yaml': 'callers: { constructor: { tokens: [] } }\n' }), [])
+  t.regex(findings({ 'a.yaml': 'callers: { __proto__: { tokens: [] } }\n' })[0]!, /is not a name/)
+})
+
+test('no text makes the check throw, and each finding has a place in its file', t => {
+  const piece = fc.constantFrom('limits', 'callers', ':', ' ', '\n', '  ', '- ', '{', '}', '[', ']', '&a', '*a', '"', '!!x', '|', '5', 'null', 'deadline')
+  fc.assert(fc.property(fc.array(piece, { maxLength: 30 }), pieces => {
+    const text = pieces.join('')
+    const checked = check({ 'a.yaml': text })
+    return checked.ok || checked.val.every(({ line, column }) => line >= 1 && line <= text.split('\n').length && column >= 1)
+  }), { numRuns: 2_000, seed: 7 })
+  t.pass()
+})
+
+test('the reference page lists every key as the schemas have it', t => {
+  const page = readFileSync('docs/CONFIGURATION.md', 'utf8')
+  for (const schema of [configurationSchema, settingsSchema]) t.true(page.includes(writeKeyTable(schema)))
+})
