citronwheel check, and settings checked by serve

Cause: serve ran on whatever the YAML file held (a missing peerKey showed as an HMAC error at the first peer frame); a folder could not be checked before it was applied. Ruled out: a second edit distance beside that of the command line: suggestWord moved to src/kernel, both use it; its test in test/commands only has the new import path. Conclusion: neither a folder nor settings reach a daemon unchecked from the command line.

--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,4 +1,5 @@
 import { Builtins, type CommandClass } from 'clipanion'
+import { CheckCommand } from './check.js'
 import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
@@ -12,6 +13,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   ServeCommand,
+  CheckCommand,
   StatusCommand,
   TimelineCommand,
   LoadCommand,
--- a/src/commands/run-program.ts
+++ b/src/commands/run-program.ts
@@ -1,7 +1,7 @@
 import { Cli, type BaseContext } from 'clipanion'
 import { commands } from './commands.js'
 import { exitCodes } from './exit-codes.js'
-import { suggestWord } from './suggest-word.js'
+import { suggestWord } from '../kernel/suggest-word.js'
 
 const VERSION = '0.1.0'
 
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -1,10 +1,11 @@
 import { Command, Option } from 'clipanion'
-import { readFileSync } from 'node:fs'
-import { parse } from 'yaml'
+import { readSettings } from '../config/read-settings.js'
+import { showFinding } from '../config/show-finding.js'
 import { EntryServer } from '../entry/entry-server.js'
 import { createLog } from '../observe/create-log.js'
 import { PeerLinks } from '../peers/peer-links.js'
 import { createDaemon } from './create-daemon.js'
+import { exitCodes } from './exit-codes.js'
 import { waitForSignal } from './wait-for-signal.js'
 
 /** Runs a daemon until SIGTERM or SIGINT, then ends it gracefully. */
@@ -12,13 +13,19 @@
   static override paths = [['serve']]
   static override usage = Command.Usage({
     description: 'run a daemon',
+    details: 'Exit codes: 0 ended gracefully; 2 the settings are wrong, with all findings on standard error.',
     examples: [['Run with the settings of this instance', 'citronwheel serve --settings /etc/citronwheel.yaml']]
   })
 
   settings = Option.String('--settings', { required: true, description: 'the YAML file of this daemon\'s settings' })
 
   async execute (): Promise<number> {
-    const settings = parse(readFileSync(this.settings, 'utf8'))
+    const read = readSettings(this.settings)
+    if (read.err) {
+      this.context.stderr.write(read.val.map(finding => showFinding(finding) + '\n').join(''))
+      return exitCodes.usage
+    }
+    const settings = read.val
     const log = createLog({ ...settings.log, instance: settings.instance })
     const daemon = createDaemon(settings, log)
     await daemon.start()
--- a/src/config/check-entry.ts
+++ b/src/config/check-entry.ts
@@ -3,7 +3,7 @@
 import type { Finding } from './finding.js'
 import type { KeySchema } from './key-schema.js'
 import { readDefault } from './read-default.js'
-import { suggestKey } from './suggest-key.js'
+import { suggestWord } from '../kernel/suggest-word.js'
 
 const KEY = /^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/
 /** Longest part of a wrong value that a finding quotes; a secret in the wrong place isn't spread further than that. */
@@ -71,7 +71,7 @@
   if (entry.type !== 'map') return reject('must be a map of keys')
   for (const [key, value] of entry.keys) {
     if (Object.hasOwn(keys, key)) continue
-    const near = suggestKey(key, Object.keys(keys))
+    const near = suggestWord(key, Object.keys(keys))
     reject(`unknown key ${JSON.stringify(key.slice(0, QUOTED))}${near === undefined ? `; known are ${Object.keys(keys).join(', ')}` : `; did you mean ${near}?`}`, value)
   }
   const values: Record<string, unknown> = {}
--- a/test/commands/run-program.test.ts
+++ b/test/commands/run-program.test.ts
@@ -2,7 +2,7 @@
 import { PassThrough } from 'node:stream'
 import 'reflect-metadata'
 import { runProgram } from '../../src/commands/run-program.js'
-import { suggestWord } from '../../src/commands/suggest-word.js'
+import { suggestWord } from '../../src/kernel/suggest-word.js'
 
 async function run (words: readonly string[]): Promise<{ code: number, text: string }> {
   const out = new PassThrough()
