Streams: each caller gets its own whole answer, or is told

Cause: a stream that was cut or fell silent ended like a whole one or hung; a cut body destroyed the connection only. Ruled out: restarting the answer at another server (real engines sample: what was shown would be repeated or reworded); buffering whole streams (first token late); a fixed silence timeout (too long for fast models, too short for slow ones). Change: Exchange (patience at each read, abandonment destroys its connection), Delivery (all sends of a request), ModelStream (relays whole events, goes on with resume_from, ends with an error event otherwise), whole answers are read before they are shown. Idle connections to servers close after 500 ms. Models say in their configuration whether engines resume (models.NAME.resume, new field in src/config/model.ts). 'Sent' is marked when undici starts to write a request. Also: adaptive limit, retry budget, server health, trials of suspects. These have no tests of their own yet.

--- a/src/config/model.ts
+++ b/src/config/model.ts
@@ -6,4 +6,6 @@
   readonly betweenTokens: number
   /** Sequences an engine may have in flight, online and batch together. */
   readonly maxInFlight: number
+  /** Whether its engines go on with an answer from the tokens in `resume_from`; false where it is left out. */
+  readonly resume?: boolean
 }
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -118,8 +118,10 @@
     try {
       await pipeline(answer.body, res)
       answer.end(true)
-      this.account.count(caller, service, 'online', { type: 'answered', tokens: 0 })
-      this.timeline.record({ part: 'entry', what: 'answered', request: id })
+      const failure = answer.findFailure?.()
+      this.account.count(caller, service, 'online', failure === undefined ? { type: 'answered', tokens: answer.countTokens?.() ?? 0 } : { type: 'failed', cause: failure })
+      this.timeline.record({ part: 'entry', what: failure ?? 'answered', request: id })
+      if (failure !== undefined) res.req.socket.end()
     } catch {
       answer.end(false)
       res.destroy()
--- a/src/routing/choose-server.ts
+++ b/src/routing/choose-server.ts
@@ -1,18 +1,50 @@
+import { rankOwners } from '../coordination/rank-owners.js'
 import type { Random } from '../kernel/random.js'
 import type { BackendServer } from './backend-server.js'
 
-/**
- * Picks the less busy of two servers drawn at random, among those that aren't leaving, aren't excluded and are
- * below `limit` requests in flight. Two choices keep the longest queue short at a constant cost.
- */
-export function chooseServer (servers: readonly BackendServer[], { random, limit, excluded = [] }: {
+/** How far above the mean load the server of a prefix may be and still be taken. */
+const LOAD_BOUND = 1.25
+
+interface ChooseOptions {
   readonly random: Random
+  /** Requests in flight above which no server is chosen. */
   readonly limit: number
+  /** Servers that are out of the question. */
   readonly excluded?: readonly string[]
-}): BackendServer | undefined {
-  const open = servers.filter(server => !server.leaving && server.inFlight < limit && !excluded.includes(server.name))
-  if (open.length <= 1) return open[0]
-  const first = random.below(open.length)
-  const second = (first + 1 + random.below(open.length - 1)) % open.length
-  return open[first]!.inFlight <= open[second]!.inFlight ? open[first] : open[second]
+  /** Failure domains to leave alone while another one is open. */
+  readonly avoided?: readonly string[]
+  /** Requests with the same key go to the same server while its load allows. */
+  readonly key?: string
+}
+
+/**
+ * Picks a server that isn't leaving, isn't excluded and is below its limits. The server that rendezvous hashing
+ * gives for `key` is taken while its load is within a bound of the mean, because it holds the prefix in its cache;
+ * otherwise the less busy of two drawn at random, which keeps the longest queue short at a constant cost.
+ *
+ * Source: Mirrokni et al., "Consistent hashing with bounded loads", 2016; Mitzenmacher, "The power of two choices in
+ * randomized load balancing", 2001.
+ */
+export function chooseServer (servers: readonly BackendServer[], { random, limit, excluded = [], avoided = [], key }: ChooseOptions): BackendServer | undefined {
+  const open = servers.filter(server => hasPlace(server, limit) && !excluded.includes(server.name))
+  const elsewhere = open.filter(({ failureDomain }) => !avoided.includes(failureDomain))
+  const choice = elsewhere.length > 0 ? elsewhere : open
+  if (choice.length <= 1) return choice[0]
+  const holder = key === undefined ? undefined : findHolder(servers, choice, key)
+  if (holder !== undefined) return holder
+  const first = random.below(choice.length)
+  const second = (first + 1 + random.below(choice.length - 1)) % choice.length
+  return choice[first]!.load <= choice[second]!.load ? choice[first] : choice[second]
+}
+
+function hasPlace ({ leaving, inFlight, load, limit, totalLimit }: BackendServer, highest: number): boolean {
+  return !leaving && inFlight < Math.min(limit, highest) && load < totalLimit
+}
+
+/** The server that holds the prefix, ranked among all that stay, so that one at its limit doesn't move the others'. */
+function findHolder (servers: readonly BackendServer[], open: readonly BackendServer[], key: string): BackendServer | undefined {
+  const staying = servers.filter(({ leaving }) => !leaving)
+  const bound = LOAD_BOUND * staying.reduce((sum, { load }) => sum + load, 0) / staying.length + 1
+  const name = rankOwners(key, staying.map(({ name }) => name))[0]
+  return open.find(server => server.name === name && server.load <= bound)
 }
--- /dev/null
+++ b/src/routing/delivery.ts
@@ -0,0 +1,162 @@
+import { Err, Ok, type Result } from 'ts-results'
+import type { Refusal } from '../admission/refusal.js'
+import type { RetryBudget } from '../coordination/retry-budget.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Random } from '../kernel/random.js'
+import type { BackendServer } from './backend-server.js'
+import { chooseServer } from './choose-server.js'
+import { hashRequest } from './hash-request.js'
+import type { OpenExchange } from './open-exchange.js'
+import { planRetry } from './plan-retry.js'
+import type { Quarantine } from './quarantine.js'
+import type { SendFailure } from './send-failure.js'
+import type { Sender } from './sender.js'
+import type { ServerRequest } from './server-request.js'
+import type { Servers } from './servers.js'
+import type { Trial } from './trial.js'
+import type { Trials } from './trials.js'
+
+const RETRY_AFTER = 1_000
+const KEPT_OUT = 'the servers that ran this request ended; it is kept out for a while'
+
+/** What every delivery of one daemon shares. */
+interface DeliveryTools {
+  readonly servers: Servers
+  readonly sender: Sender
+  readonly quarantine: Quarantine
+  readonly trials: Trials
+  readonly clock: Clock
+  readonly random: Random
+  readonly budget: RetryBudget
+}
+
+interface DeliveryOptions {
+  /** What the servers' prefix caches are keyed by. */
+  readonly key?: string
+  /** Longest wait for the head of an answer of a request that may be sent again and has `left` ms. */
+  readonly getPatience: (left: number) => number
+  /** Longest wait of a retry for a place, ms. */
+  readonly placeWait: number
+}
+
+/** All the sends of one request: where to, after which failures again, and what to say when it is given up. */
+export class Delivery {
+  private readonly fingerprint: string
+  private readonly tried: BackendServer[] = []
+  private sent = false
+  private trial?: Trial
+
+  constructor (readonly request: ServerRequest, private readonly tools: DeliveryTools, private readonly options: DeliveryOptions) {
+    this.fingerprint = hashRequest(request)
+  }
+
+  /** Sends until an answer begins. Takes its place at a server before the first wait. */
+  async open (body: Buffer | null): Promise<Result<OpenExchange, Refusal>> {
+    for (;;) {
+      const place = this.tryPlace()
+      const server = place ?? await this.waitForPlace()
+      if ('cause' in server) return Err(server)
+      this.tried.push(server)
+      const opened = await this.tools.sender.send(server, this.request, { body, fingerprint: this.fingerprint, patience: this.getPatience() })
+      if (opened.ok) {
+        this.sent = true
+        return Ok(opened.val)
+      }
+      const refusal = this.plan(opened.val)
+      if (refusal !== undefined) return Err(refusal)
+    }
+  }
+
+  /** What follows a failure: a refusal, or undefined where the request may be sent again. */
+  plan (failure: SendFailure): Refusal | undefined {
+    const { clock, budget } = this.tools
+    this.sent ||= failure.sent
+    this.trial?.end()
+    this.trial = undefined
+    const plan = planRetry(
+      { idempotent: this.request.idempotent, attempts: this.tried.length, sent: this.sent, deadline: this.request.deadline },
+      failure,
+      { now: clock.now(), takeRetry: () => budget.take() }
+    )
+    return plan.type === 'send' ? undefined : this.refuse(plan.cause, plan.detail)
+  }
+
+  /** Ends it: a whole answer earns its share of a retry and clears a suspect. */
+  end (whole: boolean): void {
+    if (whole) {
+      this.tools.budget.record()
+      this.tools.quarantine.clear(this.fingerprint)
+    }
+    this.trial?.end()
+    this.trial = undefined
+  }
+
+  refuse (cause: Refusal['cause'], detail: string): Refusal {
+    return { cause, ran: this.sent ? 'unknown' : 'not run', retryAfter: this.tools.random.spread(RETRY_AFTER), detail }
+  }
+
+  /** A server now, a refusal that no wait would change, or undefined. */
+  private tryPlace (): BackendServer | Refusal | undefined {
+    const standing = this.tools.quarantine.check(this.fingerprint)
+    if (standing === 'quarantined') return this.refuse('quarantined', KEPT_OUT)
+    if (standing === 'suspect') return undefined
+    const open = this.listOpen()
+    if (open.length === 0) return this.refuse('no server', 'no server of the pool is open')
+    const server = this.choose(open)
+    if (server === undefined && this.tried.length === 0) return this.refuse('overloaded', 'every server is at its limit')
+    return server
+  }
+
+  private listOpen (): readonly BackendServer[] {
+    return this.tools.servers.inPool(this.request.pool).filter(({ leaving, limit }) => !leaving && limit > 0)
+  }
+
+  /** A server that failed this request before gets it again only where no other one is left. */
+  private choose (open: readonly BackendServer[]): BackendServer | undefined {
+    const { quarantine, random } = this.tools
+    const tried = this.tried.map(({ name }) => name)
+    const untried = open.filter(({ name }) => !tried.includes(name))
+    const same = quarantine.findServer(this.fingerprint)
+    const together = open.filter(({ name }) => name === same)
+    return chooseServer(together.length > 0 ? together : untried.length > 0 ? untried : open, {
+      random,
+      limit: this.request.limit,
+      avoided: this.tried.map(({ failureDomain }) => failureDomain),
+      key: this.options.key ?? this.fingerprint
+    })
+  }
+
+  private async waitForPlace (): Promise<BackendServer | Refusal> {
+    const { quarantine, clock, servers } = this.tools
+    const end = Math.min(this.request.deadline, clock.now() + this.options.placeWait)
+    for (;;) {
+      const suspect = quarantine.check(this.fingerprint) === 'suspect'
+      const place = suspect ? await this.waitForTrial() : this.tryPlace()
+      if (place !== undefined) return place
+      if (suspect) continue
+      if (clock.now() >= end || this.request.signal?.aborted === true) return this.refuse('overloaded', 'every other server is at its limit')
+      await servers.waitForRelease(end - clock.now())
+    }
+  }
+
+  /** Undefined where the request was cleared while it waited. */
+  private async waitForTrial (): Promise<BackendServer | Refusal | undefined> {
+    const open = this.listOpen()
+    if (open.length === 0) return this.refuse('no server', 'no server of the pool is open')
+    const outcome = await this.tools.trials.wait(this.fingerprint, open.map(({ name }) => name), this.request)
+    switch (outcome) {
+      case 'cleared': return undefined
+      case 'quarantined': return this.refuse('quarantined', KEPT_OUT)
+      case 'deadline': return this.refuse('deadline', 'its deadline passed before it could be tried alone')
+      default:
+        this.trial = outcome
+        return open.find(({ name }) => name === outcome.server)
+    }
+  }
+
+  /** How long to wait for a server that says nothing, ms. */
+  getPatience (): number {
+    const left = Math.max(1, this.request.deadline - this.tools.clock.now())
+    return this.request.idempotent ? Math.min(left, this.options.getPatience(left)) : left
+  }
+}
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -1,85 +1,128 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { Err, Ok, type Result } from 'ts-results'
-import { request as sendRequest } from 'undici'
 import type { Refusal } from '../admission/refusal.js'
-import { Extensions } from '../kernel/extensions.js'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import type { Model } from '../config/model.js'
+import { RetryBudget } from '../coordination/retry-budget.js'
 import type { Clock } from '../kernel/clock.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Random } from '../kernel/random.js'
 import { tokens } from '../kernel/tokens.js'
-import { Timeline } from '../observe/timeline.js'
-import type { BackendServer } from './backend-server.js'
-import { exchangeObserverPoint } from './exchange-observer-point.js'
 import { chooseServer } from './choose-server.js'
+import { Delivery } from './delivery.js'
+import type { ModelRequest } from './model-request.js'
+import { ModelStream } from './model-stream.js'
+import { ModelTimes } from './model-times.js'
+import type { OpenExchange } from './open-exchange.js'
+import { Quarantine } from './quarantine.js'
+import { readModelRequest } from './read-model-request.js'
+import { Sender } from './sender.js'
 import type { ServerAnswer } from './server-answer.js'
 import type { ServerRequest } from './server-request.js'
 import { Servers } from './servers.js'
+import { Trials } from './trials.js'
+import { readWholeAnswer } from './whole-answer.js'
 
-const MAX_SENDS = 2
-const RETRY_AFTER = 1_000
+/** What each pool's requests share: the budget of their retries and what is known of their times. */
+interface PoolState { readonly budget: RetryBudget, readonly times: ModelTimes }
 
 /** Sends requests to backend servers: chooses one, and tries another where that is safe. */
 @scoped(Lifecycle.ContainerScoped)
 export class Dispatcher {
+  private readonly pools = new Map<string, PoolState>()
+
   constructor (
     @inject(Servers) private readonly servers: Servers,
+    @inject(Sender) private readonly sender: Sender,
+    @inject(Quarantine) private readonly quarantine: Quarantine,
+    @inject(Trials) private readonly trials: Trials,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(tokens.clock) private readonly clock: Clock,
-    @inject(tokens.random) private readonly random: Random,
-    @inject(Extensions) private readonly added: Extensions,
-    @inject(Timeline) private readonly timeline: Timeline
+    @inject(tokens.random) private readonly random: Random
   ) {}
 
-  /** Resolves when the answer's head has come. The body of the answer is the caller's to read and end. */
-  async send (request: ServerRequest): Promise<Result<ServerAnswer, Refusal>> {
-    const tried: string[] = []
-    while (tried.length < MAX_SENDS) {
-      const server = chooseServer(this.servers.inPool(request.pool), { random: this.random, limit: request.limit, excluded: tried })
-      if (server === undefined) return Err(this.refuse(tried.length > 0))
-      tried.push(server.name)
-      const answer = await this.sendTo(server, request)
-      if (answer.ok) return answer
-      this.timeline.record({ part: 'routing', what: 'send failed', request: request.id, server: server.name, detail: answer.val })
-      if (!request.idempotent || request.signal?.aborted === true) break
-    }
-    return Err({ cause: 'server failed', ran: 'unknown', retryAfter: this.random.spread(RETRY_AFTER), detail: 'no server gave a whole answer' })
+  /** Whether a server has a place for the request now. */
+  hasPlace ({ pool, limit }: ServerRequest): boolean {
+    return chooseServer(this.servers.inPool(pool), { random: this.random, limit }) !== undefined
   }
 
-  private refuse (sent: boolean): Refusal {
-    return { cause: 'overloaded', ran: sent ? 'unknown' : 'not run', retryAfter: this.random.spread(RETRY_AFTER), detail: 'every server is at its limit' }
+  /**
+   * Resolves when the answer is whole or, for a stream or a long one, has begun. The body is the caller's to read
+   * and end. A refusal as overloaded and not run means that there was no place, at once.
+   */
+  async send (request: ServerRequest): Promise<Result<ServerAnswer, Refusal>> {
+    const { budget, times } = this.readPool(request.pool)
+    const asked = readModelRequest(request)
+    const model = this.findModel(request.service)
+    const { servers, sender, quarantine, trials, clock, random } = this
+    const delivery = new Delivery(request, { servers, sender, quarantine, trials, clock, random, budget }, {
+      key: asked === undefined ? undefined : `${request.service}\0${asked.prefix}`,
+      getPatience: left => asked?.stream === true && model !== undefined ? times.getFirstPatience(model) : left / 2,
+      placeWait: this.configuration.value.limits.queueWait
+    })
+    const opened = await delivery.open(request.body ?? null)
+    if (opened.err) return opened
+    if (asked !== undefined && model !== undefined && opened.val.exchange.isStream()) return Ok(this.answerStream(opened.val, delivery, asked, model, times))
+    return await this.answerWhole(opened.val, delivery, model)
   }
 
-  /** Counts the exchange and tells the observers; the function it gives back ends it, once. */
-  private begin (server: BackendServer, request: ServerRequest): (outcome: 'answered' | 'failed' | 'abandoned') => void {
-    const observers = this.added.collect(exchangeObserverPoint)
-    const release = this.servers.begin(server.name)
-    let ended = false
-    for (const observer of observers) observer.onBegin(request, server.name)
-    return outcome => {
-      if (ended) return
-      ended = true
-      release()
-      for (const observer of observers) observer.onEnd(request, server.name, outcome)
+  private answerStream (first: OpenExchange, delivery: Delivery, asked: ModelRequest, model: Model, times: ModelTimes): ServerAnswer {
+    const stream = new ModelStream(first, {
+      delivery,
+      model: asked,
+      canResume: model.resume === true,
+      getPatience: tokens => tokens === 0 ? times.getFirstPatience(model) : times.getBetweenPatience(model),
+      onTokens: ({ server }, tokens, isFirst, wait) => {
+        if (isFirst) times.recordFirst(wait)
+        else times.recordBetween(wait / tokens)
+        if (isFirst) this.servers.record(server.name, wait / model.firstToken, delivery.request.limit)
+      },
+      now: () => this.clock.now()
+    })
+    const { status, headers } = first.exchange
+    return {
+      server: first.server.name,
+      status,
+      headers,
+      body: stream.body,
+      end: whole => stream.end(whole),
+      countTokens: () => stream.countTokens(),
+      findFailure: () => stream.failure?.cause
     }
   }
 
-  private async sendTo (server: BackendServer, request: ServerRequest): Promise<Result<ServerAnswer, string>> {
-    const end = this.begin(server, request)
-    this.timeline.record({ part: 'routing', what: 'sent', request: request.id, server: server.name })
-    try {
-      const { statusCode, headers, body } = await sendRequest(server.url + request.path, {
-        method: request.method as 'POST',
-        dispatcher: this.servers.agents[request.work],
-        headers: { ...request.headers, 'x-request-id': request.id },
-        body: request.body ?? null,
-        signal: request.signal,
-        headersTimeout: Math.max(1, request.deadline - this.clock.now())
-      })
-      return Ok({ server: server.name, status: statusCode, headers, body, end: whole => end(whole ? 'answered' : 'abandoned') })
-    } catch (error) {
-      end('failed')
-      return Err((error as Error).message)
+  private async answerWhole (first: OpenExchange, delivery: Delivery, model: Model | undefined): Promise<Result<ServerAnswer, Refusal>> {
+    for (let open = first; ;) {
+      const read = await readWholeAnswer(open, () => delivery.getPatience())
+      if (read.ok) {
+        const { body, tokens } = read.val
+        const { server, exchange: { status, headers } } = open
+        if (model !== undefined && tokens > 0) this.servers.record(server.name, (this.clock.now() - open.sentAt) / (model.firstToken + tokens * model.betweenTokens), delivery.request.limit)
+        const end = (whole: boolean): void => {
+          open.end(whole ? 'answered' : 'abandoned')
+          delivery.end(whole && status < 500)
+        }
+        return Ok({ server: server.name, status, headers, body, end, countTokens: () => tokens })
+      }
+      await open.fail(read.val)
+      const refusal = delivery.plan(read.val)
+      if (refusal !== undefined) return Err(refusal)
+      const next = await delivery.open(delivery.request.body ?? null)
+      if (next.err) return next
+      open = next.val
     }
   }
+
+  private findModel (service: string): Model | undefined {
+    const { services, models } = this.configuration.value
+    return models[services[service]?.model ?? '']
+  }
+
+  private readPool (pool: string): PoolState {
+    const known = this.pools.get(pool) ?? { budget: new RetryBudget(), times: new ModelTimes() }
+    this.pools.set(pool, known)
+    return known
+  }
 }
 
-partRegistry.register({ name: 'dispatcher', part: Dispatcher, needs: ['servers'] })
+partRegistry.register({ name: 'dispatcher', part: Dispatcher, needs: ['servers', 'quarantine', 'trials'] })
--- /dev/null
+++ b/src/routing/exchange.ts
@@ -0,0 +1,80 @@
+import { Err, Ok, type Result } from 'ts-results'
+import { request as sendRequest, type Dispatcher } from 'undici'
+import type { Clock } from '../kernel/clock.js'
+import type { SendFailure } from './send-failure.js'
+
+interface ExchangeOptions {
+  readonly clock: Clock
+  readonly agent: Dispatcher
+  readonly url: string
+  readonly method: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer | null
+  readonly signal?: AbortSignal
+}
+
+/**
+ * One exchange with a backend server. Whoever abandons it, at whatever point, takes its connection with it: a
+ * connection whose answer is still under way never goes back to the pool, so that a late answer can't reach another
+ * request.
+ */
+export class Exchange {
+  status = 0
+  headers: Readonly<Record<string, string | string[] | undefined>> = {}
+  private readonly mark = { sent: false }
+  private readonly abort = new AbortController()
+  private body?: AsyncIterator<Buffer>
+  private why: SendFailure['why'] = 'cut'
+
+  constructor (private readonly options: ExchangeOptions) {
+    const { signal } = options
+    if (signal === undefined) return
+    const onAbort = (): void => this.abandon('abandoned')
+    if (signal.aborted) onAbort()
+    else signal.addEventListener('abort', onAbort, { once: true, signal: this.abort.signal })
+  }
+
+  /** Sends the request and waits up to `patience` ms for the head of the answer. */
+  async open (patience: number): Promise<Result<void, SendFailure>> {
+    const { agent, url, method, headers, body } = this.options
+    return await this.watch(patience, async () => {
+      const answer = await sendRequest(url, {
+        method: method as 'POST', dispatcher: agent, headers, body, signal: this.abort.signal, opaque: this.mark, headersTimeout: 0, bodyTimeout: 0
+      })
+      this.status = answer.statusCode
+      this.headers = answer.headers
+      this.body = answer.body[Symbol.asyncIterator]()
+    })
+  }
+
+  /** The next bytes of the body, waiting up to `patience` ms for them; undefined at its end. */
+  async read (patience: number): Promise<Result<Buffer | undefined, SendFailure>> {
+    return await this.watch(patience, async () => {
+      const next = await this.body!.next()
+      return next.done === true ? undefined : next.value
+    })
+  }
+
+  /** Whether the answer is a stream of server-sent events. */
+  isStream (): boolean {
+    return this.status < 300 && String(this.headers['content-type']).startsWith('text/event-stream')
+  }
+
+  /** Gives the exchange up. To do so after its end changes nothing. */
+  abandon (why: 'silent' | 'abandoned'): void {
+    this.why = why
+    this.abort.abort()
+  }
+
+  private async watch<T> (patience: number, wait: () => Promise<T>): Promise<Result<T, SendFailure>> {
+    const cancel = this.options.clock.after(patience, () => this.abandon('silent'))
+    try {
+      return Ok(await wait())
+    } catch (error) {
+      const { sent } = this.mark
+      return Err({ sent, why: !sent && this.why === 'cut' ? 'unreachable' : this.why, detail: (error as Error).message })
+    } finally {
+      cancel()
+    }
+  }
+}
--- /dev/null
+++ b/src/routing/model-stream.ts
@@ -0,0 +1,120 @@
+import { Readable } from 'node:stream'
+import { Err, type Result } from 'ts-results'
+import type { Refusal } from '../admission/refusal.js'
+import type { Delivery } from './delivery.js'
+import type { ModelRequest } from './model-request.js'
+import type { OpenExchange } from './open-exchange.js'
+import type { SendFailure } from './send-failure.js'
+import { SseReader } from './sse-reader.js'
+import { showStreamError } from './show-stream-error.js'
+import { stepProgress } from './step-progress.js'
+import type { StreamProgress } from './stream-progress.js'
+
+const DONE = 'data: [DONE]\n\n'
+/** How long the end of the body may take after `[DONE]` for its connection to be kept, ms. */
+const END_PATIENCE = 100
+
+interface ModelStreamOptions {
+  readonly delivery: Delivery
+  readonly model: ModelRequest
+  /** Whether the servers go on from tokens given. */
+  readonly canResume: boolean
+  /** Longest silence before the first token and between tokens, ms. */
+  readonly getPatience: (tokens: number) => number
+  /** Hears, once a read, how many tokens came and how long the wait for them was. */
+  readonly onTokens: (exchange: OpenExchange, tokens: number, first: boolean, wait: number) => void
+  readonly now: () => number
+}
+
+/**
+ * A streamed answer as its caller sees it. A stream whose connection breaks or falls silent looks, to a reader that
+ * only waits for its end, either whole or endless. Here it goes on from the same token at another server, so that
+ * nothing is repeated or reworded; where that can't be, it ends with an `error` event and without `[DONE]`.
+ */
+export class ModelStream {
+  readonly body: Readable
+  /** Why it ended before it was whole. */
+  failure?: Refusal
+  private progress: StreamProgress = { tokens: [], finished: false, done: false, resumable: true }
+
+  constructor (private current: OpenExchange, private readonly options: ModelStreamOptions) {
+    this.body = Readable.from(this.relay(), { objectMode: false })
+  }
+
+  countTokens (): number {
+    return Math.max(this.progress.usage ?? 0, this.progress.tokens.length)
+  }
+
+  end (whole: boolean): void {
+    const answered = whole && this.failure === undefined
+    this.current.end(answered ? 'answered' : 'abandoned')
+    this.options.delivery.end(answered)
+  }
+
+  private async * relay (): AsyncGenerator<string> {
+    for (;;) {
+      const failure = yield * this.relayExchange()
+      if (failure === undefined) return
+      await this.current.fail(failure)
+      const next = await this.resume(failure)
+      if (next.err) {
+        this.failure = next.val
+        yield showStreamError(next.val)
+        return
+      }
+      this.current = next.val
+    }
+  }
+
+  /** Relays one server's part of the answer; gives back the failure that ended it, if any. */
+  private async * relayExchange (): AsyncGenerator<string, SendFailure | undefined> {
+    const reader = new SseReader()
+    let before = 0
+    while (!this.progress.done) {
+      const asked = this.options.now()
+      const bytes = await this.current.exchange.read(this.options.getPatience(before))
+      const cut = bytes.err ? bytes.val : bytes.val === undefined ? { why: 'cut', sent: true, detail: 'it ended before it was whole' } as const : undefined
+      if (cut !== undefined) return yield * this.finish(cut)
+      const known = this.progress.tokens.length
+      const relayed = this.take(reader, bytes.unwrap()!)
+      const given = this.progress.tokens.length - known
+      if (given > 0) this.options.onTokens(this.current, given, before === 0, this.options.now() - (before === 0 ? this.current.sentAt : asked))
+      before += given
+      if (relayed !== '') yield relayed
+    }
+    await this.current.exchange.read(END_PATIENCE)
+    return undefined
+  }
+
+  /** An answer that has named its end lacks nothing but the mark; any other that stops is cut. */
+  private async * finish (failure: SendFailure): AsyncGenerator<string, SendFailure | undefined> {
+    if (!this.progress.finished || failure.why === 'abandoned') return failure
+    this.progress = { ...this.progress, done: true }
+    await this.current.fail(failure)
+    yield DONE
+    return undefined
+  }
+
+  private take (reader: SseReader, bytes: Buffer): string {
+    let relayed = ''
+    for (const event of reader.push(bytes)) {
+      const { progress, relay = '' } = stepProgress(this.progress, event)
+      this.progress = progress
+      relayed += relay
+    }
+    return relayed
+  }
+
+  private async resume (failure: SendFailure): Promise<Result<OpenExchange, Refusal>> {
+    const { delivery, model, canResume } = this.options
+    const { tokens, resumable } = this.progress
+    const started = tokens.length > 0
+    if (started && !(canResume && resumable)) return Err(delivery.refuse('server failed', `the answer was cut (${failure.why}) and its servers can't resume it`))
+    const refusal = delivery.plan(failure)
+    if (refusal !== undefined) return Err(refusal)
+    const next = await delivery.open(started ? model.resume(tokens) : delivery.request.body ?? null)
+    if (next.err || next.val.exchange.isStream()) return next
+    next.val.end('abandoned')
+    return Err(delivery.refuse('server failed', `the next server answered ${next.val.exchange.status}`))
+  }
+}
--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -61,6 +61,12 @@
     return () => { this.apply({ type: 'ended', exchange }) }
   }
 
+  /** A server where the same request is in flight from this daemon, so that its copies don't spread over more. */
+  findServer (fingerprint: string): string | undefined {
+    for (const exchange of this.state.inFlight.values()) if (exchange.fingerprint === fingerprint) return exchange.server
+    return undefined
+  }
+
   /** Holds the end of the server's process against all that was in flight there, and tells the other daemons. */
   onServerLost (server: string): void {
     const accused = this.apply({ type: 'lost', server })
--- /dev/null
+++ b/src/routing/sender.ts
@@ -0,0 +1,100 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Err, Ok, type Result } from 'ts-results'
+import { Extensions } from '../kernel/extensions.js'
+import type { Clock } from '../kernel/clock.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import type { BackendServer } from './backend-server.js'
+import { Exchange } from './exchange.js'
+import { exchangeObserverPoint } from './exchange-observer-point.js'
+import { isGone } from './is-gone.js'
+import type { OpenExchange } from './open-exchange.js'
+import { Quarantine } from './quarantine.js'
+import type { SendFailure } from './send-failure.js'
+import type { ServerRequest } from './server-request.js'
+import { Servers } from './servers.js'
+
+/** Statuses by which a server says that it can't serve now; a 500 may be the request's own doing. */
+const UNWELL = [502, 503, 504]
+
+interface SendOptions {
+  readonly body: Buffer | null
+  readonly fingerprint: string
+  /** Longest wait for the head of the answer, ms. */
+  readonly patience: number
+}
+
+/** Carries one request to one server, and tells all that count or judge exchanges of its begin and end. */
+@scoped(Lifecycle.ContainerScoped)
+export class Sender {
+  private readonly probes = new Map<string, Promise<void>>()
+
+  constructor (
+    @inject(Servers) private readonly servers: Servers,
+    @inject(Quarantine) private readonly quarantine: Quarantine,
+    @inject(Extensions) private readonly added: Extensions,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  /** Counts the exchange before the first wait, so that a choice made right before still holds. */
+  async send (server: BackendServer, request: ServerRequest, { body, fingerprint, patience }: SendOptions): Promise<Result<OpenExchange, SendFailure>> {
+    const exchange = new Exchange({
+      clock: this.clock,
+      agent: this.servers.agents[request.work],
+      url: server.url + request.path,
+      method: request.method,
+      headers: { ...request.headers, 'x-request-id': request.id },
+      body,
+      signal: request.signal
+    })
+    const open = this.begin(server, request, exchange, fingerprint)
+    this.timeline.record({ part: 'routing', what: 'sent', request: request.id, server: server.name })
+    const opened = await exchange.open(patience)
+    if (opened.ok) return Ok(open)
+    await open.fail(opened.val)
+    return Err(opened.val)
+  }
+
+  private begin (server: BackendServer, request: ServerRequest, exchange: Exchange, fingerprint: string): OpenExchange {
+    const observers = this.added.collect(exchangeObserverPoint)
+    const release = this.servers.begin(server.name)
+    const forget = this.quarantine.begin(fingerprint, server.name)
+    for (const observer of observers) observer.onBegin(request, server.name)
+    let ended = false
+    const end = (outcome: 'answered' | 'failed' | 'abandoned'): void => {
+      if (ended) return
+      ended = true
+      if (outcome === 'answered') this.servers.observe(server.name, UNWELL.includes(exchange.status) ? 'failed' : 'answered')
+      else exchange.abandon('abandoned')
+      forget()
+      release()
+      for (const observer of observers) observer.onEnd(request, server.name, outcome)
+    }
+    const fail = async (failure: SendFailure): Promise<void> => {
+      if (ended) return
+      this.timeline.record({ part: 'routing', what: 'send failed', request: request.id, server: server.name, detail: `${failure.why}: ${failure.detail}` })
+      if (failure.why === 'abandoned') return end('abandoned')
+      this.servers.observe(server.name, failure.why === 'unreachable' ? 'unreachable' : 'failed')
+      if (failure.why === 'cut') await this.probe(server)
+      end('failed')
+    }
+    return { server, exchange, sentAt: this.clock.now(), end, fail }
+  }
+
+  /**
+   * A cut connection alone doesn't tell a lost server from a lost connection. All exchanges that were cut at the
+   * same time wait for the same probe, so that each is still counted as in flight when the server is judged.
+   */
+  private async probe (server: BackendServer): Promise<void> {
+    const running = this.probes.get(server.url) ?? this.judge(server).finally(() => this.probes.delete(server.url))
+    this.probes.set(server.url, running)
+    await running
+  }
+
+  private async judge (server: BackendServer): Promise<void> {
+    if (!await isGone(server.url)) return
+    this.servers.observe(server.name, 'unreachable')
+    this.quarantine.onServerLost(server.name)
+  }
+}
--- a/src/routing/server-answer.ts
+++ b/src/routing/server-answer.ts
@@ -10,4 +10,11 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>
   readonly body: Readable
   end (whole: boolean): void
+  /** Completion tokens relayed so far, for an answer of a model. */
+  readonly countTokens?: () => number
+  /**
+   * Why the body ended before the answer was whole, once it has been read. The caller was told by the body's last
+   * event; its connection is to be closed.
+   */
+  readonly findFailure?: () => string | undefined
 }
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -1,45 +1,117 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { Agent } from 'undici'
+import { AdaptiveLimit } from '../coordination/adaptive-limit.js'
+import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
 import { InstanceList } from '../platform/instance-list.js'
 import type { BackendServer } from './backend-server.js'
+import { markSent } from './mark-sent.js'
+import type { ServerHealth } from './server-health.js'
+import { ServerViews } from './server-views.js'
+import { stepServerHealth } from './step-server-health.js'
+
+/** How long an idle connection is kept for reuse, ms. */
+const KEEP_ALIVE = 500
 
 /**
  * The backend servers, what this daemon has in flight on each, and its connections to them. Online and batch have
  * connections of their own, so that neither waits behind the other.
+ *
+ * An idle connection may have gone silent: something between the two ends forgot it, and what is sent on it is lost
+ * without a word. Its symptom is a request that waits out its whole patience while new connections work. Idle
+ * connections are therefore closed after half a second, whatever longer time a server offers; connections in use
+ * show their silence by themselves.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class Servers implements Part {
-  readonly agents = {
-    online: new Agent({ connections: 256, keepAliveTimeout: 3_000, pipelining: 1 }),
-    batch: new Agent({ connections: 64, keepAliveTimeout: 3_000, pipelining: 1 })
-  }
-
+  private readonly pools = { online: createAgent(256), batch: createAgent(64) }
+  readonly agents = { online: this.pools.online.compose(markSent), batch: this.pools.batch.compose(markSent) }
   private readonly counts = new Map<string, number>()
+  private readonly health = new Map<string, ServerHealth>()
+  private readonly limits = new Map<string, AdaptiveLimit>()
+  private readonly listeners = new Set<() => void>()
 
-  constructor (@inject(InstanceList) private readonly list: InstanceList) {}
+  constructor (
+    @inject(InstanceList) private readonly list: InstanceList,
+    @inject(ServerViews) private readonly views: ServerViews,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
 
   async stop (): Promise<void> {
-    await Promise.all([this.agents.online.destroy(), this.agents.batch.destroy()])
+    await Promise.all([this.pools.online.destroy(), this.pools.batch.destroy()])
   }
 
   inPool (pool: string): readonly BackendServer[] {
-    return this.list.all.filter(instance => instance.pool === pool).map(({ name, host, port, failureDomain, state }) => ({
-      name,
-      pool,
-      failureDomain,
-      url: `http://${host}:${port}`,
-      leaving: state === 'leaving',
-      inFlight: this.counts.get(name) ?? 0
-    }))
+    return this.list.all.filter(instance => instance.pool === pool).map(({ name, host, port, failureDomain, state }) => {
+      const view = this.views.get(name)
+      const inFlight = this.counts.get(name) ?? 0
+      return {
+        name,
+        pool,
+        failureDomain,
+        url: `http://${host}:${port}`,
+        leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
+        inFlight,
+        load: Math.max(inFlight, view?.online ?? 0),
+        limit: this.readLimit(name),
+        totalLimit: view?.limit ?? Infinity
+      }
+    })
   }
 
   /** Counts a request in flight; the function it gives back ends it and is called once. */
   begin (server: string): () => void {
     this.counts.set(server, (this.counts.get(server) ?? 0) + 1)
-    return () => { this.counts.set(server, this.counts.get(server)! - 1) }
+    return () => {
+      this.counts.set(server, this.counts.get(server)! - 1)
+      for (const listener of [...this.listeners]) listener()
+    }
+  }
+
+  /** Notes how an exchange with the server went. */
+  observe (server: string, event: 'answered' | 'failed' | 'unreachable'): void {
+    const next = stepServerHealth(this.health.get(server), event, this.clock.now())
+    if (next === undefined) this.health.delete(server)
+    else this.health.set(server, next)
+  }
+
+  /** Notes how long the server took in relation to its target, for its limit, which starts at `highest`. */
+  record (server: string, ratio: number, highest: number): void {
+    const limit = this.limits.get(server) ?? new AdaptiveLimit({ highest })
+    this.limits.set(server, limit)
+    limit.record({ ratio, inFlight: this.counts.get(server) ?? 0, now: this.clock.now() })
   }
+
+  /** Calls `listener` whenever a request ends, so that there may be a place; the function it gives back stops that. */
+  subscribe (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => this.listeners.delete(listener)
+  }
+
+  /** Resolves at the next end of a request, or after `timeout` ms. */
+  async waitForRelease (timeout: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        stop()
+        cancel()
+        resolve()
+      }
+      const stop = this.subscribe(end)
+      const cancel = this.clock.after(timeout, end)
+    })
+  }
+
+  private readLimit (server: string): number {
+    const health = this.health.get(server)
+    if (health !== undefined && health.ejections > 0) return this.clock.now() < health.ejectedUntil ? 0 : 1
+    return this.limits.get(server)?.value ?? Infinity
+  }
+}
+
+function createAgent (connections: number): Agent {
+  return new Agent({ connections, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining: 1 })
 }
 
 partRegistry.register({ name: 'servers', part: Servers, needs: ['instance list'] })
--- /dev/null
+++ b/src/routing/step-progress.ts
@@ -0,0 +1,48 @@
+import type { SseEvent } from './sse-event.js'
+import type { StreamProgress } from './stream-progress.js'
+
+const DONE = '[DONE]'
+
+interface Choice { readonly index?: number, readonly text?: string, readonly finish_reason?: string | null, readonly delta?: Readonly<Record<string, unknown>> }
+interface Chunk { id?: string, readonly choices?: readonly Choice[], readonly usage?: { readonly completion_tokens?: number } | null }
+
+interface Step { readonly progress: StreamProgress, readonly relay?: string }
+
+/**
+ * Takes one event of a streamed answer. `relay` is what the caller is to see of it, under the id of the first chunk
+ * though a later server may have given another; it is absent for what the caller has already seen.
+ */
+export function stepProgress (progress: StreamProgress, { data, raw }: SseEvent): Step {
+  if (data === '') return { progress, relay: raw }
+  if (data === DONE) return { progress: { ...progress, done: true }, relay: raw }
+  const chunk = readChunk(data)
+  if (chunk === undefined) return { progress: { ...progress, resumable: false }, relay: raw }
+  const choice = chunk.choices?.[0]
+  const text = choice?.text ?? choice?.delta?.content
+  const repeated = progress.id !== undefined && choice !== undefined && (text === undefined || text === '') && choice.finish_reason == null && isPlain(choice)
+  const next: StreamProgress = {
+    tokens: typeof text === 'string' && text !== '' ? [...progress.tokens, text] : progress.tokens,
+    id: progress.id ?? chunk.id,
+    finished: progress.finished || choice?.finish_reason != null,
+    done: progress.done,
+    resumable: progress.resumable && (chunk.choices?.every(({ index = 0 }) => index === 0) ?? true) && (choice === undefined || isPlain(choice)),
+    usage: chunk.usage?.completion_tokens ?? progress.usage
+  }
+  if (repeated) return { progress: next }
+  const renamed = progress.id !== undefined && chunk.id !== undefined && chunk.id !== progress.id
+  return { progress: next, relay: renamed ? `data: ${JSON.stringify({ ...chunk, id: progress.id })}\n\n` : raw }
+}
+
+/** Whether the chunk carries nothing but text: tool calls and the like can't be continued from tokens. */
+function isPlain ({ delta = {} }: Choice): boolean {
+  return Object.entries(delta).every(([name, value]) => name === 'content' || name === 'role' || value === null)
+}
+
+function readChunk (data: string): Chunk | undefined {
+  try {
+    const value = JSON.parse(data)
+    return typeof value === 'object' && value !== null ? value : undefined
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/routing/step-server-health.ts
@@ -0,0 +1,29 @@
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { ServerHealth } from './server-health.js'
+
+const FAILURES = 3
+const FIRST_EJECTION = 500
+const LONGEST_EJECTION = 30_000
+
+type HealthEvent = 'answered' | 'failed' | 'unreachable'
+
+/**
+ * Ejects a server after three failures in a row, or at once when nothing listens there, for a time that doubles with
+ * each ejection. When it has run out the server gets one request at a time, as a probe, until it answers.
+ */
+export function stepServerHealth (health: ServerHealth | undefined, event: HealthEvent, now: number): ServerHealth | undefined {
+  const { failures, ejections, ejectedUntil } = health ?? { failures: 0, ejections: 0, ejectedUntil: 0 }
+  switch (event) {
+    case 'answered': return undefined
+    case 'unreachable': return now < ejectedUntil ? health : eject(failures + 1, ejections, now)
+    case 'failed':
+      if (now < ejectedUntil) return health
+      if (ejections > 0 || failures + 1 >= FAILURES) return eject(failures + 1, ejections, now)
+      return { failures: failures + 1, ejections, ejectedUntil }
+    default: return failUnreachable(event)
+  }
+}
+
+function eject (failures: number, ejections: number, now: number): ServerHealth {
+  return { failures, ejections: ejections + 1, ejectedUntil: now + Math.min(LONGEST_EJECTION, FIRST_EJECTION * 2 ** ejections) }
+}
--- /dev/null
+++ b/src/routing/step-trials.ts
@@ -0,0 +1,50 @@
+import { rankOwners } from '../coordination/rank-owners.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { TrialsEvent } from './trials-event.js'
+import type { TrialsState } from './trials-state.js'
+
+/** How long an ask holds, ms; askers repeat theirs several times in that time. */
+const ASK_HOLDS = 1_500
+
+interface Grant { readonly id: string, readonly server: string }
+
+/**
+ * Gives out trials: at most one suspect at a server at a time, and at most one request with the same fingerprint in
+ * the whole fleet, so that a second loss has one suspect only. Asks that are no longer repeated lapse, so that a
+ * daemon that is gone holds nobody up.
+ */
+export function stepTrials (state: TrialsState, event: TrialsEvent, now: number): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
+  const running = new Map([...state.running].filter(([, { until }]) => until > now))
+  const waiting = state.waiting.filter(({ until }) => until > now)
+  switch (event.type) {
+    case 'done':
+      running.delete(event.id)
+      return grant({ running, waiting: waiting.filter(({ id }) => id !== event.id) }, now)
+    case 'ask': {
+      const { id, fingerprint, servers } = event
+      const granted = running.get(id)
+      if (granted !== undefined) {
+        running.set(id, { ...granted, until: now + ASK_HOLDS })
+        return { state: { running, waiting }, grants: [{ id, server: granted.server }] }
+      }
+      const ask = { id, fingerprint, servers, until: now + ASK_HOLDS }
+      const known = waiting.some(other => other.id === id)
+      return grant({ running, waiting: known ? waiting.map(other => other.id === id ? ask : other) : [...waiting, ask] }, now)
+    }
+    default: return failUnreachable(event)
+  }
+}
+
+function grant (state: TrialsState, now: number): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
+  const running = new Map(state.running)
+  const grants: Grant[] = []
+  for (const { id, fingerprint, servers } of state.waiting) {
+    const taken = [...running.values()]
+    if (taken.some(other => other.fingerprint === fingerprint)) continue
+    const server = rankOwners(fingerprint, servers).find(name => !taken.some(other => other.server === name))
+    if (server === undefined) continue
+    running.set(id, { fingerprint, server, until: now + ASK_HOLDS })
+    grants.push({ id, server })
+  }
+  return { state: { running, waiting: state.waiting.filter(({ id }) => !running.has(id)) }, grants }
+}
--- /dev/null
+++ b/src/routing/stream-progress.ts
@@ -0,0 +1,15 @@
+/** How far a model's streamed answer has come, as it was relayed to the caller. */
+export interface StreamProgress {
+  /** Pieces of text given so far, one a chunk, in order. */
+  readonly tokens: readonly string[]
+  /** Id of the answer: that of its first chunk. */
+  readonly id?: string
+  /** A chunk has named why the answer ended. */
+  readonly finished: boolean
+  /** `[DONE]` has come. */
+  readonly done: boolean
+  /** Whether the tokens are all there is to continue from: one choice and plain text. */
+  readonly resumable: boolean
+  /** Completion tokens by the server's own count, where it gave one. */
+  readonly usage?: number
+}
--- /dev/null
+++ b/src/routing/whole-answer.ts
@@ -0,0 +1,76 @@
+import { Readable } from 'node:stream'
+import { Err, Ok, type Result } from 'ts-results'
+import type { OpenExchange } from './open-exchange.js'
+import type { SendFailure } from './send-failure.js'
+
+/** Bytes of an answer that are held until it is whole. */
+const HELD_BYTES = 4_000_000
+
+interface WholeAnswer {
+  readonly body: Readable
+  /** Completion tokens by the server's count; 0 where it gives none. */
+  readonly tokens: number
+}
+
+/**
+ * Reads an answer to its end before any of it is shown, so that one that is cut can still be asked for again, or be
+ * refused with a status of its own. A stream, or a longer answer than is held, is passed on as it comes; if it is cut
+ * then, its body fails. `getPatience` gives the longest silence in the middle of a body, ms.
+ */
+export async function readWholeAnswer (open: OpenExchange, getPatience: () => number): Promise<Result<WholeAnswer, SendFailure>> {
+  const parts: Buffer[] = []
+  let size = 0
+  while (size <= HELD_BYTES && !open.exchange.isStream()) {
+    const bytes = await open.exchange.read(getPatience())
+    if (bytes.err) return bytes
+    if (bytes.val === undefined) {
+      const body = Buffer.concat(parts)
+      if (isCut(open, body)) return Err({ why: 'cut', sent: true, detail: 'the body is shorter than its server said' })
+      return Ok({ body: Readable.from([body], { objectMode: false }), tokens: readTokens(body) })
+    }
+    parts.push(bytes.val)
+    size += bytes.val.length
+  }
+  return Ok({ body: Readable.from(readRest(open, parts, getPatience), { objectMode: false }), tokens: 0 })
+}
+
+/**
+ * A body without a length of its own and without chunks ends where its connection does: one that is cut looks whole.
+ * For JSON the text itself tells.
+ */
+function isCut ({ exchange: { headers } }: OpenExchange, body: Buffer): boolean {
+  const { 'content-length': length, 'transfer-encoding': encoding, 'content-type': type } = headers
+  if (length !== undefined) return body.length !== Number(length)
+  return encoding === undefined && String(type).includes('json') && !isJson(body)
+}
+
+function isJson (body: Buffer): boolean {
+  try {
+    JSON.parse(body.toString())
+    return true
+  } catch {
+    return false
+  }
+}
+
+async function * readRest (open: OpenExchange, parts: readonly Buffer[], getPatience: () => number): AsyncGenerator<Buffer> {
+  yield * parts
+  for (;;) {
+    const bytes = await open.exchange.read(getPatience())
+    if (bytes.err) {
+      await open.fail(bytes.val)
+      throw new Error(bytes.val.detail)
+    }
+    if (bytes.val === undefined) return
+    yield bytes.val
+  }
+}
+
+function readTokens (body: Buffer): number {
+  try {
+    const tokens = JSON.parse(body.toString()).usage?.completion_tokens
+    return typeof tokens === 'number' ? tokens : 0
+  } catch {
+    return 0
+  }
+}
