--- a/src/config/configuration-schema.ts
+++ b/src/config/configuration-schema.ts
@@ -17,7 +17,8 @@
 const model: KeySchemas<Model> = {
   firstToken: { type: 'number', unit: 'ms', whole: false, min: 1, max: 10 * MINUTE, doc: 'Target for the time to first token, at the 95th percentile.' },
   betweenTokens: { type: 'number', unit: 'ms', whole: false, min: 1, max: MINUTE, doc: 'Target for the time between tokens, at the 95th percentile.' },
-  maxInFlight: { type: 'number', unit: 'sequences', whole: true, min: 1, max: 10_000, doc: 'Sequences an engine may have in flight, online and batch together.' }
+  maxInFlight: { type: 'number', unit: 'sequences', whole: true, min: 1, max: 10_000, doc: 'Sequences an engine may have in flight, online and batch together.' },
+  resume: { type: 'boolean', default: false, doc: 'Whether its engines go on with an answer from the tokens in `resume_from`.' }
 }
 
 const service: KeySchemas<Service> = {
