Fault suite of the bench, report page with plots, bounds

Change: five faults under steady load with callers that send again; one self-contained page; bench/bounds.yaml. Seen: types and lint clean; suites not run to the end yet, no figure.

--- /dev/null
+++ b/bench/apply-fault.ts
@@ -0,0 +1,37 @@
+import type { Fleet } from '../harness/fleet.js'
+import { failUnreachable } from '../src/kernel/unreachable.js'
+import type { Fault } from './fault.js'
+
+/** ms by which the platform's instance list lags behind a death. */
+const LIST_LAG = 3_000
+
+/** Brings a fault about. The function it gives back ends it, where that can be. */
+export async function applyFault (fleet: Fleet, fault: Fault): Promise<() => Promise<void>> {
+  const nothing = async (): Promise<void> => {}
+  const kill = (name: string): void => {
+    [...fleet.daemons, ...fleet.servers].find(({ instance }) => instance.name === name)!.child.signal('SIGKILL')
+    setTimeout(() => { void fleet.unregister(name).catch(() => {}) }, LIST_LAG)
+  }
+  switch (fault.type) {
+    case 'engine killed':
+      kill('engine-0')
+      return nothing
+    case 'half the engines killed':
+      for (const { instance } of fleet.servers.slice(0, fleet.servers.length / 2)) kill(instance.name)
+      return nothing
+    case 'daemon killed':
+      kill('entry-0')
+      return nothing
+    case 'engine frozen': {
+      const { child } = fleet.servers[0]!
+      child.signal('SIGSTOP')
+      return async () => child.signal('SIGCONT')
+    }
+    case 'platform out': {
+      await fleet.setPlatformFaults({ outage: 'silent' })
+      setTimeout(() => { void fleet.setPlatformFaults({}).catch(() => {}) }, fault.lasting)
+      return nothing
+    }
+    default: return failUnreachable(fault)
+  }
+}
--- /dev/null
+++ b/bench/fault-suite.ts
@@ -0,0 +1,23 @@
+import type { Fault } from './fault.js'
+import type { FaultResult } from './fault-result.js'
+import { runFault } from './run-fault.js'
+import type { Site } from './site.js'
+
+const FAULTS: readonly Fault[] = [
+  { type: 'engine killed' },
+  { type: 'engine frozen' },
+  { type: 'daemon killed' },
+  { type: 'half the engines killed' },
+  { type: 'platform out', lasting: 60_000 }
+]
+
+/** Every fault, each on a fleet of its own. */
+export async function runFaultSuite (site: Site, say: (sentence: string) => void): Promise<readonly FaultResult[]> {
+  const results: FaultResult[] = []
+  for (const fault of FAULTS) {
+    const result = await runFault(site, fault)
+    results.push(result)
+    say(`${site.name}, ${fault.type}: ${JSON.stringify(result)}`)
+  }
+  return results
+}
--- /dev/null
+++ b/bench/fault.ts
@@ -0,0 +1,7 @@
+/** What the fault suite does to a running fleet. */
+export type Fault =
+  | { readonly type: 'engine killed' }
+  | { readonly type: 'engine frozen' }
+  | { readonly type: 'daemon killed' }
+  | { readonly type: 'platform out', readonly lasting: number }
+  | { readonly type: 'half the engines killed' }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,21 +1,40 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { parseArgs } from 'node:util'
+import { buildReportPage } from './build-report-page.js'
+import { checkBounds } from './check-bounds.js'
+import { runFaultSuite } from './fault-suite.js'
+import type { FaultResult } from './fault-result.js'
 import { runPolicySuite } from './policy-suite.js'
+import type { PolicyReport } from './policy-report.js'
 import { sites } from './sites.js'
 
 const OUT = 'bench/out'
+const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--site NAME] [--check]
+  without --suite: policies and faults; --check exits 1 when a bound of bench/bounds.yaml is broken`
 
 function say (sentence: string): void {
   console.log(`bench: ${sentence}`)
 }
 
 async function main (): Promise<number> {
-  const { values } = parseArgs({ options: { site: { type: 'string' } } })
+  const { values } = parseArgs({
+    options: { suite: { type: 'string', multiple: true, default: ['policies', 'faults'] }, site: { type: 'string' }, check: { type: 'boolean', default: false }, help: { type: 'boolean', default: false } }
+  })
+  if (values.help) {
+    console.log(USAGE)
+    return 0
+  }
+  const chosen = sites.filter(({ name }) => values.site === undefined || values.site === name)
+  const policies: PolicyReport[] = []
+  const faults: FaultResult[] = []
+  if (values.suite.includes('policies')) for (const site of chosen) policies.push(await runPolicySuite(site, say))
+  if (values.suite.includes('faults')) faults.push(...await runFaultSuite(chosen[0]!, say))
   mkdirSync(OUT, { recursive: true })
-  const policyReports = []
-  for (const site of sites.filter(({ name }) => values.site === undefined || values.site === name)) policyReports.push(await runPolicySuite(site, say))
-  writeFileSync(`${OUT}/policies.json`, JSON.stringify(policyReports, null, 2))
-  return 0
+  writeFileSync(`${OUT}/report.json`, JSON.stringify({ policies, faults }, null, 2))
+  writeFileSync(`${OUT}/report.html`, buildReportPage(policies, faults))
+  const broken = checkBounds(policies, faults)
+  for (const line of broken) say(`bound broken: ${line}`)
+  return values.check && broken.length > 0 ? 1 : 0
 }
 
 void main().then(code => process.exit(code), error => {
