Slopes of the bench: daemons, servers, requests, jobs, items, callers

Cause: docs/CAPACITY.md must rest on measured slopes. Change: one suite that moves one size at a time and reads processor time, memory, peer bytes by type of message and platform calls; the daemon shows bytes to peers and its own processor time and memory under /metrics. Seen: types and lint clean; not run yet, no figure.

--- a/bench/bench-fleet.ts
+++ b/bench/bench-fleet.ts
@@ -6,12 +6,12 @@
 const FOLDER = 'bench/folder'
 
 /** Starts the processes of a site and applies the bench's configuration; `settings` go to each daemon. */
-export async function startBenchFleet ({ engines, daemons }: Pick<Site, 'engines' | 'daemons'>, settings: Readonly<Record<string, unknown>> = {}): Promise<Fleet> {
+export async function startBenchFleet ({ engines, daemons }: Pick<Site, 'engines' | 'daemons'>, { folder = FOLDER, ...settings }: Readonly<Record<string, unknown>> & { readonly folder?: string } = {}): Promise<Fleet> {
   const fleet = await Fleet.start()
   await Promise.all([
     ...Array.from({ length: engines }, async (_, i) => await fleet.addServer(`engine-${i}`, DOMAINS[i % DOMAINS.length]!, { pool: 'charter-engines', kind: 'engine', options: engineOptions })),
     ...Array.from({ length: daemons }, async (_, i) => await fleet.addDaemon(`entry-${i}`, DOMAINS[i % DOMAINS.length]!, { log: { level: 'error', format: 'text' }, ...settings }))
   ])
-  await fleet.apply(FOLDER)
+  await fleet.apply(folder)
   return fleet
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,10 +6,11 @@
 import type { FaultResult } from './fault-result.js'
 import { runPolicySuite } from './policy-suite.js'
 import type { PolicyReport } from './policy-report.js'
+import { runSlopeSuite } from './slope-suite.js'
 import { sites } from './sites.js'
 
 const OUT = 'bench/out'
-const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--site NAME] [--check]
+const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--line NAME]… [--site NAME] [--check]
   without --suite: policies and faults; --check exits 1 when a bound of bench/bounds.yaml is broken`
 
 function say (sentence: string): void {
@@ -18,7 +19,7 @@
 
 async function main (): Promise<number> {
   const { values } = parseArgs({
-    options: { suite: { type: 'string', multiple: true, default: ['policies', 'faults'] }, site: { type: 'string' }, check: { type: 'boolean', default: false }, help: { type: 'boolean', default: false } }
+    options: { suite: { type: 'string', multiple: true, default: ['policies', 'faults'] }, site: { type: 'string' }, line: { type: 'string', multiple: true }, check: { type: 'boolean', default: false }, help: { type: 'boolean', default: false } }
   })
   if (values.help) {
     console.log(USAGE)
@@ -30,6 +31,7 @@
   if (values.suite.includes('policies')) for (const site of chosen) policies.push(await runPolicySuite(site, say))
   if (values.suite.includes('faults')) faults.push(...await runFaultSuite(chosen[0]!, say))
   mkdirSync(OUT, { recursive: true })
+  if (values.suite.includes('slopes')) writeFileSync(`${OUT}/slopes.json`, JSON.stringify(await runSlopeSuite(say, values.line), null, 2))
   writeFileSync(`${OUT}/report.json`, JSON.stringify({ policies, faults }, null, 2))
   writeFileSync(`${OUT}/report.html`, buildReportPage(policies, faults))
   const broken = checkBounds(policies, faults)
--- a/bench/submit-backlog.ts
+++ b/bench/submit-backlog.ts
@@ -3,12 +3,12 @@
 
 const ITEMS_A_JOB = 2_000
 
-/** Submits `jobs` batch jobs of 2,000 items each, so that there is a backlog throughout a run. Gives back their ids. */
-export async function submitBacklog (fleet: Fleet, { jobs, itemTokens, seed }: { readonly jobs: number, readonly itemTokens: number, readonly seed: number }): Promise<readonly string[]> {
+/** Submits `jobs` batch jobs of `itemsPerJob` items each, so that there is a backlog throughout a run. Gives back their ids. */
+export async function submitBacklog (fleet: Fleet, { jobs, itemTokens, seed, itemsPerJob = ITEMS_A_JOB }: { readonly jobs: number, readonly itemTokens: number, readonly seed: number, readonly itemsPerJob?: number }): Promise<readonly string[]> {
   const client = new CallerClient(fleet.url(fleet.daemons[0]!), 'night-desk-token')
   const ids: string[] = []
   for (let job = 0; job < jobs; job++) {
-    const file = await client.upload(Array.from({ length: ITEMS_A_JOB }, (_, n) => ({
+    const file = await client.upload(Array.from({ length: itemsPerJob }, (_, n) => ({
       custom_id: `item-${n}`,
       method: 'POST',
       url: '/v1/chat/completions',
--- a/src/observe/observe-routes.ts
+++ b/src/observe/observe-routes.ts
@@ -8,6 +8,8 @@
 import { Metrics } from './metrics.js'
 import { Timeline } from './timeline.js'
 
+const MICROS_PER_SECOND = 1_000_000
+
 /** What a daemon shows of itself: its metrics and its part of the time line. */
 @scoped(Lifecycle.ContainerScoped)
 export class ObserveRoutes implements Part {
@@ -19,7 +21,11 @@
   constructor (
     @inject(Metrics) private readonly metrics: Metrics,
     @inject(Timeline) private readonly timeline: Timeline
-  ) {}
+  ) {
+    metrics.gauge('process_cpu_seconds_total', () => readCpuSeconds())
+    metrics.gauge('process_resident_bytes', () => process.memoryUsage.rss())
+    metrics.gauge('process_heap_bytes', () => process.memoryUsage().heapUsed)
+  }
 
   private showMetrics (res: Response): void {
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
@@ -32,4 +38,9 @@
   }
 }
 
+function readCpuSeconds (): number {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / MICROS_PER_SECOND
+}
+
 partRegistry.register({ name: 'observe routes', part: ObserveRoutes })
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -13,6 +13,8 @@
   onMessage (message: PeerMessage, time: number, from: string): void
   onClose (link: Link, reason: string): void
   onDrop (count: number): void
+  /** `type` is that of the message, or `link` for what the link itself says. */
+  onBytes (direction: 'sent' | 'received', type: string, count: number): void
   /** The time to stamp on a frame. */
   tick (): number
   now (): number
@@ -69,11 +71,14 @@
 
   private write (value: Readonly<Record<string, unknown>>): void {
     const ping = this.watch.onSend(this.listener.now()) ? { ping: true } : {}
-    this.socket.write(this.session.seal({ t: this.listener.tick(), ...ping, ...value }))
+    const frame = this.session.seal({ t: this.listener.tick(), ...ping, ...value })
+    this.listener.onBytes('sent', (value.m as PeerMessage | undefined)?.type ?? 'link', frame.length)
+    this.socket.write(frame)
   }
 
   private receive (bytes: Buffer): void {
     this.watch.onReceive(this.listener.now())
+    this.listener.onBytes('received', 'all', bytes.length)
     const events = this.session.receive(bytes)
     if (events.err) return this.close(events.val)
     for (const event of events.val) {
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -112,6 +112,7 @@
     },
     onClose: (link: Link, reason: string): void => this.remove(link, reason),
     onDrop: (count: number): void => this.metrics.count('peer_messages_dropped_total', {}, count),
+    onBytes: (direction: string, type: string, count: number): void => this.metrics.count('peer_bytes_total', { direction, type }, count),
     tick: (): number => this.timeline.tick(),
     now: (): number => this.clock.now()
   }
