--- a/bench/bench-fleet.ts
+++ b/bench/bench-fleet.ts
@@ -5,13 +5,33 @@
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c']
 const FOLDER = 'bench/folder'
 
+const POOL = 'charter-engines'
+
+/** What varies between bench fleets; all other keys are settings of each daemon. */
+interface BenchFleetOptions {
+  readonly folder?: string
+  readonly enginesAProcess?: number
+  readonly [setting: string]: unknown
+}
+
 /** Starts the processes of a site and applies the bench's configuration; `settings` go to each daemon. */
-export async function startBenchFleet ({ engines, daemons }: Pick<Site, 'engines' | 'daemons'>, { folder = FOLDER, ...settings }: Readonly<Record<string, unknown>> & { readonly folder?: string } = {}): Promise<Fleet> {
+export async function startBenchFleet ({ engines, daemons }: Pick<Site, 'engines' | 'daemons'>, { folder = FOLDER, enginesAProcess = 1, ...settings }: BenchFleetOptions = {}): Promise<Fleet> {
   const fleet = await Fleet.start()
   await Promise.all([
-    ...Array.from({ length: engines }, async (_, i) => await fleet.addServer(`engine-${i}`, DOMAINS[i % DOMAINS.length]!, { pool: 'charter-engines', kind: 'engine', options: engineOptions })),
+    ...(enginesAProcess === 1 ? addEngines(fleet, engines) : addSharedEngines(fleet, engines, enginesAProcess)),
     ...Array.from({ length: daemons }, async (_, i) => await fleet.addDaemon(`entry-${i}`, DOMAINS[i % DOMAINS.length]!, { log: { level: 'error', format: 'text' }, ...settings }))
   ])
   await fleet.apply(folder)
   return fleet
 }
+
+function addEngines (fleet: Fleet, count: number): readonly Promise<unknown>[] {
+  return Array.from({ length: count }, async (_, i) => await fleet.addServer(`engine-${i}`, DOMAINS[i % DOMAINS.length]!, { pool: POOL, kind: 'engine', options: engineOptions }))
+}
+
+function addSharedEngines (fleet: Fleet, count: number, each: number): readonly Promise<unknown>[] {
+  return Array.from({ length: Math.ceil(count / each) }, async (_, process) => {
+    const names = Array.from({ length: Math.min(each, count - process * each) }, (_, i) => `engine-${process * each + i}`)
+    await fleet.addEngines(names, DOMAINS[process % DOMAINS.length]!, { pool: POOL, options: engineOptions })
+  })
+}
--- a/bench/run-slope-step.ts
+++ b/bench/run-slope-step.ts
@@ -14,12 +14,13 @@
 const MS_PER_SECOND = 1_000
 const BYTES_PER_MB = 1_000_000
 const ITEM_TOKENS = 4
+const ENGINES_A_PROCESS = 10
 
 type Usage = Awaited<ReturnType<typeof readUsage>>
 
 /** Builds a fleet of the step's size, lets it settle, and reads what ten seconds cost. */
 export async function runSlopeStep (step: SlopeStep): Promise<SlopeResult> {
-  const fleet = await startBenchFleet({ engines: step.servers, daemons: step.daemons }, { folder: writeCallers(step.callers) })
+  const fleet = await startBenchFleet({ engines: step.servers, daemons: step.daemons }, { folder: writeCallers(step.callers), enginesAProcess: ENGINES_A_PROCESS })
   try {
     await new Promise(resolve => setTimeout(resolve, SETTLE))
     const urls = fleet.daemons.map(daemon => fleet.url(daemon))
--- a/harness/child.ts
+++ b/harness/child.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { createInterface } from 'node:readline'
 
-const PROGRAM = 'dist/citronwheel.cjs'
+const BUNDLE: readonly string[] = [process.execPath, 'dist/citronwheel.cjs']
 const running = new Set<ChildProcess>()
 
 process.once('exit', () => {
@@ -16,8 +16,8 @@
   private readonly process: ChildProcess
   private readonly exit: Promise<number>
 
-  private constructor (args: readonly string[]) {
-    this.process = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  private constructor ([program, ...words]: readonly string[]) {
+    this.process = spawn(program!, words, { stdio: ['ignore', 'pipe', 'pipe'] })
     running.add(this.process)
     this.process.stderr!.on('data', text => { this.errors += text })
     this.exit = once(this.process, 'exit').then(([code, signal]) => {
@@ -27,8 +27,8 @@
   }
 
   /** Starts it and waits for the line in which it says where it listens. */
-  static async start<T> (args: readonly string[]): Promise<{ readonly child: Child, readonly ready: T }> {
-    const child = new Child(args)
+  static async start<T> (args: readonly string[], { program = BUNDLE }: { readonly program?: readonly string[] } = {}): Promise<{ readonly child: Child, readonly ready: T }> {
+    const child = new Child([...program, ...args])
     const lines = createInterface({ input: child.process.stdout! })
     const line = await Promise.race([
       once(lines, 'line').then(([line]) => line as string),
--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -47,6 +47,16 @@
     return node
   }
 
+  /** Adds several engines that share one process, where their number matters and their speed doesn't. */
+  async addEngines (names: readonly string[], failureDomain: string, { pool, options = {} }: Omit<ServerOptions, 'kind'>): Promise<void> {
+    const { child, ready } = await Child.start<{ ports: readonly number[] }>(['stand-in', 'engine', '--count', String(names.length), '--options', JSON.stringify(options)])
+    for (const [i, name] of names.entries()) {
+      const node: Node = { child, instance: { name, pool, host: HOST, port: ready.ports[i]!, failureDomain, region: 'region-1', state: 'live' } }
+      this.servers.push(node)
+      await this.register(node.instance)
+    }
+  }
+
   async addDaemon (name: string, failureDomain: string, more: Readonly<Record<string, unknown>> = {}): Promise<Node> {
     const file = join(this.folder, `${name}.yaml`)
     writeFileSync(file, JSON.stringify({
--- a/src/commands/stand-in-engine.ts
+++ b/src/commands/stand-in-engine.ts
@@ -14,12 +14,14 @@
   port = Option.String('--port', '0', { description: 'port to listen on; 0 lets the system choose' })
   options = Option.String('--options', '{}', { description: 'its parameters, as JSON' })
 
+  count = Option.String('--count', '1', { description: 'engines to run in this process, each on a port of its own' })
+
   async execute (): Promise<number> {
-    const standIn = new Engine(JSON.parse(this.options))
-    const port = await standIn.listen(Number(this.port))
-    this.context.stdout.write(JSON.stringify({ listening: port }) + '\n')
+    const engines = Array.from({ length: Number(this.count) }, () => new Engine(JSON.parse(this.options)))
+    const ports = await Promise.all(engines.map(async (engine, i) => await engine.listen(i === 0 ? Number(this.port) : 0)))
+    this.context.stdout.write(JSON.stringify({ listening: ports[0], ports }) + '\n')
     await waitForSignal()
-    standIn.close()
+    for (const engine of engines) engine.close()
     process.exit(0)
   }
 }
