Gate: fair, short, deadline-aware wait at the daemon

Cause: requests above the servers' limits were refused or queued in engines, which know neither callers nor deadlines. Ruled out: deficit round robin (needs costs before they are known), a rate from let-ins (stale once nobody waits). Change: start-time fair queuing with costs corrected at the end; PoolQueue refuses at once what can't be let in in time, by Little's law; copies of one request go to the server that runs it while it has a place. Conclusion: the gate is in the path; its measures are still to be taken.

--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -1,16 +1,130 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
-import type { Result } from 'ts-results'
+import { Err, Ok, type Result } from 'ts-results'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Random } from '../kernel/random.js'
+import { tokens } from '../kernel/tokens.js'
+import { Metrics } from '../observe/metrics.js'
 import { Dispatcher } from '../routing/dispatcher.js'
 import type { ServerAnswer } from '../routing/server-answer.js'
 import type { ServerRequest } from '../routing/server-request.js'
+import { Servers } from '../routing/servers.js'
+import { Account } from './account.js'
+import { PoolQueue, type Waiting } from './pool-queue.js'
 import type { Refusal } from './refusal.js'
 
-/** Lets online requests in, each caller within its share, and sends them on; the rest get their refusal at once. */
+const LEAST_RETRY_AFTER = 1_000
+const DEFAULT_SHARE = 1
+/** How often places that nothing told us of are looked for while requests wait, ms. */
+const LOOK_PERIOD = 20
+
+type Answer = Result<ServerAnswer, Refusal>
+
+/**
+ * Lets online requests in, each caller within its share, and sends them on. While servers have places nobody waits;
+ * otherwise requests wait here, briefly and in a fair order, rather than in an engine's queue, which knows neither
+ * callers nor deadlines and can't be left once entered. The rest get their refusal at once.
+ */
 @scoped(Lifecycle.ContainerScoped)
-export class Gate {
-  constructor (@inject(Dispatcher) private readonly dispatcher: Dispatcher) {}
+export class Gate implements Part {
+  private readonly queues = new Map<string, PoolQueue>()
+  private readonly requests = new WeakMap<Waiting, ServerRequest>()
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(Dispatcher) private readonly dispatcher: Dispatcher,
+    @inject(Servers) servers: Servers,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Account) private readonly account: Account,
+    @inject(Metrics) private readonly metrics: Metrics,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.random) private readonly random: Random
+  ) {
+    servers.subscribe(() => this.letIn())
+  }
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(LOOK_PERIOD, () => this.letIn())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  async send (request: ServerRequest): Promise<Answer> {
+    const queue = this.readQueue(request.pool)
+    const share = this.configuration.value.callers[request.caller]?.share ?? DEFAULT_SHARE
+    if (queue.size > 0 || !this.dispatcher.hasPlace(request)) {
+      if (!this.dispatcher.isOpen(request.pool)) return await this.dispatcher.send(request)
+      return await this.wait(queue, share, request)
+    }
+    return await this.run(queue, share, request, queue.admit(request.caller, share))
+  }
 
-  async send (request: ServerRequest): Promise<Result<ServerAnswer, Refusal>> {
-    return await this.dispatcher.send(request)
+  private async wait (queue: PoolQueue, share: number, request: ServerRequest): Promise<Answer> {
+    const asked = this.clock.now()
+    const { caller, service, deadline, signal } = request
+    return await new Promise<Answer>(resolve => {
+      const stops: (() => void)[] = []
+      const settle = (answer: Answer | Promise<Answer>): void => {
+        for (const stop of stops) stop()
+        const time = this.clock.now() - asked
+        this.account.count(caller, service, 'online', { type: 'waited', time })
+        this.metrics.observe('gate_wait_ms', time)
+        resolve(answer)
+      }
+      const refuse = (cause: Refusal['cause'], retryAfter: number): void => settle(Err(this.refuse(cause, retryAfter)))
+      const start = (cost: number): void => settle(this.run(queue, share, request, cost))
+      const waiting: Waiting = { caller, share, deadline, start, refuse }
+      this.requests.set(waiting, request)
+      const leave = queue.add(waiting, asked)
+      const limit = Math.min(this.configuration.value.limits.queueWait, deadline - asked)
+      stops.push(this.clock.after(limit, () => {
+        leave()
+        refuse('overloaded', queue.estimateWait(queue.size + 1))
+      }))
+      signal?.addEventListener('abort', leave, { once: true })
+    })
+  }
+
+  /** Sends it and, at its end, settles what its place has cost. */
+  private async run (queue: PoolQueue, share: number, request: ServerRequest, cost: number): Promise<Answer> {
+    const begin = this.clock.now()
+    let settled = false
+    const settle = (): void => {
+      if (settled) return
+      settled = true
+      queue.settle(request.caller, share, { cost, time: this.clock.now() - begin })
+    }
+    const answer = await this.dispatcher.send(request)
+    if (answer.err) {
+      settle()
+      return answer
+    }
+    const end = (whole: boolean): void => {
+      settle()
+      answer.val.end(whole)
+    }
+    return Ok({ ...answer.val, end })
+  }
+
+  private letIn (): void {
+    for (const queue of this.queues.values()) {
+      for (let next = queue.peek(); next !== undefined && this.dispatcher.hasPlace(this.requests.get(next)!); next = queue.peek()) queue.take()
+    }
+  }
+
+  private refuse (cause: Refusal['cause'], retryAfter: number): Refusal {
+    return { cause, ran: 'not run', retryAfter: this.random.spread(Math.max(LEAST_RETRY_AFTER, retryAfter)), detail: 'every server is busy and the request would not be let in soon enough' }
+  }
+
+  private readQueue (pool: string): PoolQueue {
+    const known = this.queues.get(pool) ?? new PoolQueue({ longestWait: () => this.configuration.value.limits.queueWait })
+    this.queues.set(pool, known)
+    return known
   }
 }
+
+partRegistry.register({ name: 'gate', part: Gate, needs: ['dispatcher', 'configuration'] })
--- a/src/routing/delivery.ts
+++ b/src/routing/delivery.ts
@@ -117,13 +117,13 @@
     const tried = this.tried.map(({ name }) => name)
     const untried = open.filter(({ name }) => !tried.includes(name))
     const same = quarantine.findServer(this.fingerprint)
-    const together = open.filter(({ name }) => name === same)
-    return chooseServer(together.length > 0 ? together : untried.length > 0 ? untried : open, {
+    const options = {
       random,
       limit: this.request.limit,
       avoided: this.tried.map(({ failureDomain }) => failureDomain),
       key: this.options.key ?? this.fingerprint
-    })
+    }
+    return chooseServer(open.filter(({ name }) => name === same), options) ?? chooseServer(untried.length > 0 ? untried : open, options)
   }
 
   private async waitForPlace (): Promise<BackendServer | Refusal> {
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -46,6 +46,11 @@
     return chooseServer(this.servers.inPool(pool), { random: this.random, limit }) !== undefined
   }
 
+  /** Whether any server of the pool would take requests once it has a place. */
+  isOpen (pool: string): boolean {
+    return this.servers.inPool(pool).some(({ leaving, limit }) => !leaving && limit > 0)
+  }
+
   /**
    * Resolves when the answer is whole or, for a stream or a long one, has begun. The body is the caller's to read
    * and end. A refusal as overloaded and not run means that there was no place, at once.
