Versioned configuration as a part for embedding

Cause: 380 daemons can't each hold a watch, and an accepted configuration must reach all and never revert; the reply to a swap may be lost, and the swap may land later. Ruled out: pushing the whole configuration from the watchers to all (62 members times about 22 KB a change for each watcher, worked out, not measured); taking the highest version by the store's number alone to tell an own lost swap from another's (it can't: a swap followed by another looks like a refusal).

--- /dev/null
+++ b/src/coordination/step-version.ts
@@ -0,0 +1,139 @@
+import type { VersionEffect } from './version-effect.js'
+import type { VersionEvent } from './version-event.js'
+import type { VersionHead } from './version-head.js'
+import type { VersionMessage } from './version-message.js'
+import type { VersionState } from './version-state.js'
+
+/** How parts are told apart and measured, and the waits of the exchange. Times in ms, sizes in bytes. */
+interface VersionOptions<Part> {
+  /** Content hash of a part. A part whose hash isn't the one asked for is dropped. */
+  readonly hash: (part: Part) => string
+  readonly size: (part: Part) => number
+  /** After this long without an answer, the same is asked of somebody else. */
+  readonly askTimeout?: number
+  /** Most bytes of parts in one message; at least one part is sent. */
+  readonly messageBytes?: number
+  /** A holder that reads a head in the store fetches up to this many missing parts there, more from its peers. */
+  readonly storeParts?: number
+}
+
+type Step<Part> = { readonly state: VersionState<Part>, readonly effects: ReadonlyArray<VersionEffect<Part>> }
+
+type Options<Part> = Required<VersionOptions<Part>>
+
+const ASK_TIMEOUT = 400
+const MESSAGE_BYTES = 400_000
+const STORE_PARTS = 8
+const ASKED_PARTS = 200
+
+/**
+ * Spreads a versioned configuration: a head, swapped by conditional update in a store, and content-addressed parts.
+ * Guarantees that the version acted on never goes down, whatever order, repetition or age of messages and reads, and
+ * that a version is acted on only when all its parts are there with their right hashes. While ticks go on and some
+ * holder that knows the highest version can be reached, each other holder reaches it; a lost message costs a tick.
+ *
+ * Errors: none; what can't be used is dropped, and asked for again at a later tick. `now` is monotonic ms.
+ *
+ * Source: rumour mongering with anti-entropy, Demers et al., "Epidemic algorithms for replicated database
+ * maintenance", 1987.
+ *
+ * @example
+ * let state = createVersionState<string>()
+ * const step = stepVersion(state, { type: 'read head', head: { version: 7, parts: ['h1'], body: {} } }, now, { hash, size })
+ * state = step.state // and carry out step.effects: here { type: 'read parts', hashes: ['h1'] }
+ */
+export function stepVersion<Part> (state: VersionState<Part>, event: VersionEvent<Part>, now: number, options: VersionOptions<Part>): Step<Part> {
+  const all = { askTimeout: ASK_TIMEOUT, messageBytes: MESSAGE_BYTES, storeParts: STORE_PARTS, ...options }
+  switch (event.type) {
+    case 'message': return handleMessage(state, event.from, event.message, now, all)
+    case 'read head': return takeHead(state, event.head, undefined, now, all)
+    case 'read parts': return takeParts(state, event.parts, undefined, now, all)
+    case 'tick': return runTick({ ...state, peers: event.peers }, now, all)
+  }
+}
+
+function handleMessage<Part> (state: VersionState<Part>, from: string, message: VersionMessage<Part>, now: number, options: Options<Part>): Step<Part> {
+  const send = (answer: VersionMessage<Part>): Step<Part> => ({ state, effects: [{ type: 'send', to: from, message: answer }] })
+  switch (message.type) {
+    case 'digest': return takeDigest(state, from, message.version, now, options)
+    case 'ask head': return state.head === undefined ? keep(state) : send({ type: 'head', head: state.head })
+    case 'head': return takeHead(state, message.head, from, now, options)
+    case 'ask parts': return send({ type: 'parts', parts: choose(state, message.hashes, options) })
+    case 'parts': return takeParts(state, message.parts, from, now, options)
+  }
+}
+
+function keep<Part> (state: VersionState<Part>): Step<Part> {
+  return { state, effects: [] }
+}
+
+/** A peer that is behind gets our version in return, so that a paused holder catches up at its first word. */
+function takeDigest<Part> (state: VersionState<Part>, from: string, version: number, now: number, { askTimeout }: Options<Part>): Step<Part> {
+  const own = state.head?.version ?? 0
+  if (version < own) return { state, effects: [{ type: 'send', to: from, message: { type: 'digest', version: own } }] }
+  if (version <= (state.target?.version ?? own)) return keep(state)
+  if (version <= state.asked.version && now - state.asked.at < askTimeout) return keep(state)
+  return { state: { ...state, asked: { version, at: now } }, effects: [{ type: 'send', to: from, message: { type: 'ask head' } }] }
+}
+
+/** An old read of the store or a late message has a lower version than one known, and ends here. */
+function takeHead<Part> (state: VersionState<Part>, head: VersionHead, from: string | undefined, now: number, options: Options<Part>): Step<Part> {
+  if (head.version <= (state.target?.version ?? state.head?.version ?? 0)) return keep(state)
+  const next: VersionState<Part> = { ...state, target: head, fetched: { at: now, tries: 0 } }
+  const missing = listMissing(next)
+  if (missing.length === 0) return act(next)
+  const peer = from ?? (missing.length > options.storeParts ? state.peers[0] : undefined)
+  return { state: next, effects: [fetchParts(missing, peer)] }
+}
+
+function takeParts<Part> (state: VersionState<Part>, parts: readonly Part[], from: string | undefined, now: number, { hash }: Options<Part>): Step<Part> {
+  const missing = new Set(listMissing(state))
+  const wanted = parts.map(part => [hash(part), part] as const).filter(([key]) => missing.has(key))
+  if (wanted.length === 0) return keep(state)
+  const next: VersionState<Part> = { ...state, parts: new Map([...state.parts, ...wanted]), fetched: { at: now, tries: 0 } }
+  const left = listMissing(next)
+  return left.length === 0 ? act(next) : { state: next, effects: [fetchParts(left, from)] }
+}
+
+/** Tells the drawn peers our version; what was asked for and didn't come is asked of a peer and the store by turns. */
+function runTick<Part> (state: VersionState<Part>, now: number, { askTimeout }: Options<Part>): Step<Part> {
+  const version = state.head?.version ?? 0
+  const digests = state.peers.map(to => ({ type: 'send' as const, to, message: { type: 'digest' as const, version } }))
+  const missing = listMissing(state)
+  if (missing.length === 0 || now - state.fetched.at < askTimeout) return { state, effects: digests }
+  const tries = state.fetched.tries + 1
+  const fetch = fetchParts<Part>(missing, tries % 2 === 1 ? state.peers[0] : undefined)
+  return { state: { ...state, fetched: { at: now, tries } }, effects: [...digests, fetch] }
+}
+
+function act<Part> (state: VersionState<Part>): Step<Part> {
+  const head = state.target!
+  const parts = head.parts.map(hash => state.parts.get(hash)!)
+  return {
+    state: { ...state, head, target: undefined, parts: new Map(head.parts.map((hash, i) => [hash, parts[i]!])) },
+    effects: [{ type: 'act', head, parts }, { type: 'spread', message: { type: 'digest', version: head.version } }]
+  }
+}
+
+function listMissing<Part> ({ target, parts }: VersionState<Part>): readonly string[] {
+  return target === undefined ? [] : target.parts.filter(hash => !parts.has(hash))
+}
+
+function fetchParts<Part> (missing: readonly string[], peer: string | undefined): VersionEffect<Part> {
+  const hashes = missing.slice(0, ASKED_PARTS)
+  return peer === undefined ? { type: 'read parts', hashes } : { type: 'send', to: peer, message: { type: 'ask parts', hashes } }
+}
+
+/** The parts asked for that we have, as many as fit in one message; the asker asks again for the rest. */
+function choose<Part> (state: VersionState<Part>, hashes: readonly string[], { size, messageBytes }: Options<Part>): readonly Part[] {
+  const chosen: Part[] = []
+  let bytes = 0
+  for (const hash of hashes) {
+    const part = state.parts.get(hash)
+    if (part === undefined) continue
+    bytes += size(part)
+    if (bytes > messageBytes && chosen.length > 0) break
+    chosen.push(part)
+  }
+  return chosen
+}
--- /dev/null
+++ b/src/coordination/version-effect.ts
@@ -0,0 +1,12 @@
+import type { VersionHead } from './version-head.js'
+import type { VersionMessage } from './version-message.js'
+
+/**
+ * What a holder must do next: send a message, tell a few random holders (`spread`), read parts from the store, or
+ * act on a version that is now whole.
+ */
+export type VersionEffect<Part> =
+  | { readonly type: 'send', readonly to: string, readonly message: VersionMessage<Part> }
+  | { readonly type: 'spread', readonly message: VersionMessage<Part> }
+  | { readonly type: 'read parts', readonly hashes: readonly string[] }
+  | { readonly type: 'act', readonly head: VersionHead, readonly parts: readonly Part[] }
--- /dev/null
+++ b/src/coordination/version-outcome.ts
@@ -0,0 +1,12 @@
+/**
+ * What became of a swap.
+ * - `accepted`: it took effect, and had this version.
+ * - `refused`: another version had been accepted first; ours has not taken effect and never will.
+ * - `not sent`: nothing was written, and never will be; it may be tried again after `retryAfter` ms.
+ * - `unknown`: it may have taken effect, or may still do so as long as the version is `basedOn`.
+ */
+export type VersionOutcome<T> =
+  | { readonly type: 'accepted', readonly version: number }
+  | { readonly type: 'refused', readonly version: number, readonly value?: T }
+  | { readonly type: 'not sent', readonly reason: string, readonly retryAfter: number }
+  | { readonly type: 'unknown', readonly reason: string }
--- /dev/null
+++ b/src/coordination/version-state.ts
@@ -0,0 +1,15 @@
+import type { VersionHead } from './version-head.js'
+
+/** One holder's knowledge of a versioned configuration. `head` is acted on; `target` is a higher one being fetched. */
+export interface VersionState<Part> {
+  readonly head?: VersionHead
+  readonly target?: VersionHead
+  /** Parts of `head` and those fetched for `target`, by hash. */
+  readonly parts: ReadonlyMap<string, Part>
+  /** Other holders drawn at the last tick. */
+  readonly peers: readonly string[]
+  /** Highest version asked for and when (ms), so that many digests cause one question. */
+  readonly asked: { readonly version: number, readonly at: number }
+  /** When parts were last asked for (ms), and how often since the last ones came. */
+  readonly fetched: { readonly at: number, readonly tries: number }
+}
