--- /dev/null
+++ b/src/batch/caller-index.ts
@@ -0,0 +1,40 @@
+import { Err, Ok, type Result } from 'ts-results'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { tokens } from '../kernel/tokens.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { StoreError } from '../platform/store-error.js'
+import { createObject } from './create-object.js'
+
+const LAST_TIME = 9_999_999_999_999
+
+/** What the index needs of a file or job. */
+interface Owned { readonly id: string, readonly caller: string, readonly created: number }
+
+/**
+ * The files and jobs of each caller, newest first. One small object each, under a name that sorts them, so that a
+ * page is one read however many there are, and two daemons that add at once never conflict.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class CallerIndex {
+  constructor (@inject(tokens.store) private readonly store: ObjectStore) {}
+
+  async add (type: 'file' | 'job', owned: Owned): Promise<Result<void, StoreError>> {
+    return (await createObject(this.store, `caller-${type}`, nameEntry(owned), { id: owned.id })).map(() => undefined)
+  }
+
+  async remove (type: 'file' | 'job', owned: Owned): Promise<Result<void, StoreError>> {
+    const read = await this.store.get(`caller-${type}`, nameEntry(owned))
+    if (read.err) return read.val.type === 'missing' ? Ok(undefined) : Err(read.val)
+    return await this.store.delete(`caller-${type}`, nameEntry(owned), read.val.version)
+  }
+
+  /** Ids of the caller's newest, after `after` where given; one more than `limit` when there are more. */
+  async list (type: 'file' | 'job', caller: string, { after, limit }: { readonly after?: Owned, readonly limit: number }): Promise<Result<readonly string[], StoreError>> {
+    const found = await this.store.list<{ id: string }>(`caller-${type}`, { prefix: `${caller}~`, after: after && nameEntry(after), limit: limit + 1 })
+    return found.map(entries => entries.map(({ value }) => value.id))
+  }
+}
+
+function nameEntry ({ id, caller, created }: Owned): string {
+  return `${caller}~${String(LAST_TIME - created).padStart(13, '0')}~${id}`
+}
--- /dev/null
+++ b/src/batch/chunk-record.ts
@@ -0,0 +1,110 @@
+import { Err, Ok, type Result } from 'ts-results'
+import { GroupCommit } from '../coordination/group-commit.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Incarnation } from '../kernel/incarnation.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { StoreError } from '../platform/store-error.js'
+import type { StoredObject } from '../platform/stored-object.js'
+import type { Chunk } from './chunk.js'
+import type { ChunkEntry } from './chunk-entry.js'
+import { isHolder } from './is-holder.js'
+import { recordEntries } from './record-entries.js'
+import { spillResults } from './spill-results.js'
+
+const MAX_BATCH_ENTRIES = 64
+const MAX_BATCH_BYTES = 500_000
+const MAX_WAIT = 5_000
+const MAX_CONFLICTS = 3
+const ENTRY_BYTES = 100
+
+interface ChunkRecordOptions {
+  readonly store: ObjectStore
+  readonly clock: Clock
+  readonly by: Incarnation
+  readonly items: number
+  /** The chunk as it was claimed. */
+  readonly object: StoredObject<Chunk>
+  /** Called, possibly more than once, when the chunk turns out to be closed or another's. */
+  readonly onChange: () => void
+}
+
+/**
+ * What the holder of a chunk records in it, many entries in one conditional update. After a conflict it takes the
+ * chunk as it now is and adds what is still open there: first recorded wins, also for a holder that lost its claim.
+ */
+export class ChunkRecord {
+  private object: StoredObject<Chunk>
+  private readonly commit: GroupCommit<ChunkEntry, StoreError>
+
+  constructor (private readonly options: ChunkRecordOptions) {
+    this.object = options.object
+    this.commit = new GroupCommit<ChunkEntry, StoreError>({
+      clock: options.clock,
+      write: async entries => await this.write(entries),
+      isFinal: ({ type }) => type === 'missing' || type === 'invalid',
+      measure: entry => entry.type === 'result' ? JSON.stringify(entry.result).length + ENTRY_BYTES : ENTRY_BYTES,
+      maxEntries: MAX_BATCH_ENTRIES,
+      maxSize: MAX_BATCH_BYTES,
+      maxWait: MAX_WAIT
+    })
+  }
+
+  get chunk (): Chunk {
+    return this.object.value
+  }
+
+  get held (): boolean {
+    return isHolder(this.chunk, this.options.by)
+  }
+
+  /** Entries that aren't known to be durable, and their bytes. */
+  get waiting (): { readonly entries: readonly ChunkEntry[], readonly size: number } {
+    return this.commit.waiting
+  }
+
+  /** Resolves once the entry is in the chunk, or is of no use there any more. */
+  async add (entry: ChunkEntry, { urgent = false } = {}): Promise<Result<void, StoreError>> {
+    const added = this.commit.add(entry)
+    if (urgent) this.commit.flush()
+    return await added
+  }
+
+  flush (): void {
+    this.commit.flush()
+  }
+
+  /** Reads the chunk again; after a pause it may be another's. */
+  async refresh (): Promise<Result<void, StoreError>> {
+    const read = await this.options.store.get<Chunk>('chunk', this.object.name)
+    if (read.err) return read
+    this.take(read.val)
+    return Ok(undefined)
+  }
+
+  private async write (entries: readonly ChunkEntry[]): Promise<Result<void, StoreError>> {
+    for (let tries = 0; tries < MAX_CONFLICTS; tries++) {
+      const next = recordEntries(this.chunk, entries, this.options)
+      if (next === this.chunk) return Ok(undefined)
+      const written = await this.put(next)
+      if (written.ok) this.take(written.val)
+      if (written.ok) return Ok(undefined)
+      if (written.val.type !== 'conflict') return written
+      const read = await this.refresh()
+      if (read.err) return read
+    }
+    return Err({ type: 'unavailable', reason: 'others kept changing the chunk' })
+  }
+
+  private async put (next: Chunk): Promise<Result<StoredObject<Chunk>, StoreError>> {
+    const { store } = this.options
+    const small = await spillResults(store, this.object.name, next)
+    return small.ok ? await store.put('chunk', this.object.name, small.val, this.object.version) : small
+  }
+
+  /** An old read never takes the place of what is known. */
+  private take (object: StoredObject<Chunk>): void {
+    if (object.version <= this.object.version) return
+    this.object = object
+    if (!this.held) this.options.onChange()
+  }
+}
--- /dev/null
+++ b/src/batch/count-chunk.ts
@@ -0,0 +1,24 @@
+import type { Account } from '../admission/account.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { Chunk } from './chunk.js'
+import type { ItemResult } from './item-result.js'
+import { readResults } from './read-results.js'
+
+interface CountedChunk { readonly caller: string, readonly service: string, readonly chunk: Chunk }
+
+/**
+ * Counts every recorded result of a closed chunk for the account. Called by the one that closed it, whose name the
+ * chunk keeps, so that each result is counted once however many daemons had a hand in it.
+ */
+export async function countChunk (store: ObjectStore, account: Account, { caller, service, chunk }: CountedChunk): Promise<void> {
+  const results = (await readResults(store, chunk)).unwrapOr(chunk.results)
+  for (const result of Object.values(results)) {
+    if (result.type === 'failed') account.count(caller, service, 'batch', { type: 'failed', cause: result.cause })
+    else account.count(caller, service, 'batch', { type: 'answered', tokens: countTokens(result) })
+  }
+}
+
+function countTokens (result: ItemResult): number {
+  const usage = result.type === 'completed' ? (result.body as { usage?: { completion_tokens?: unknown } } | null)?.usage : undefined
+  return typeof usage?.completion_tokens === 'number' ? usage.completion_tokens : 0
+}
--- /dev/null
+++ b/src/batch/create-object.ts
@@ -0,0 +1,18 @@
+import { Ok, type Result } from 'ts-results'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { StoreError } from '../platform/store-error.js'
+
+const MAX_TRIES = 3
+
+/**
+ * Creates an object, or gives back the one that is there already. A write whose fate isn't known is tried again:
+ * had it taken effect, the second try meets what the first one wrote.
+ */
+export async function createObject<T> (store: ObjectStore, kind: string, name: string, value: T): Promise<Result<T, StoreError>> {
+  for (let tries = 1; ; tries++) {
+    const written = await store.put(kind, name, value, 0, 'caller')
+    if (written.ok) return Ok(value)
+    if (written.val.type === 'conflict') return (await store.get<T>(kind, name, 'caller')).map(object => object.value)
+    if (tries === MAX_TRIES || (written.val.type !== 'unavailable' && written.val.type !== 'unknown')) return written
+  }
+}
--- /dev/null
+++ b/src/batch/held-chunk.ts
@@ -0,0 +1,192 @@
+import type { Clock } from '../kernel/clock.js'
+import type { Incarnation } from '../kernel/incarnation.js'
+import type { BatchWork } from '../ownership/batch-work.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { StoredObject } from '../platform/stored-object.js'
+import type { Chunk } from './chunk.js'
+import { ChunkRecord } from './chunk-record.js'
+import type { Item } from './item.js'
+import { ItemQueue } from './item-queue.js'
+import type { ItemResult } from './item-result.js'
+import type { Job } from './job.js'
+import { limitResult } from './limit-result.js'
+import { listRecorded } from './list-recorded.js'
+import { planRetry } from './plan-retry.js'
+
+const CHECK_PAUSE = 500
+
+interface HeldChunkOptions {
+  readonly job: Job
+  readonly n: number
+  readonly service: string
+  readonly items: readonly Item[]
+  readonly object: StoredObject<Chunk>
+  readonly by: Incarnation
+  readonly store: ObjectStore
+  readonly clock: Clock
+  /** Called when items have become ready after there were none. */
+  readonly onReady: () => void
+  /** Called once, when nothing of the chunk is left to run or to record here. */
+  readonly onEnd: (chunk: Chunk) => void
+}
+
+type Pending = NonNullable<ReturnType<ItemQueue['take']>>
+
+/** A chunk that this daemon holds: its items on their way from waiting over running to recorded. */
+export class HeldChunk {
+  readonly name: string
+  private readonly queue = new ItemQueue()
+  private readonly running = new Map<number, AbortController>()
+  private readonly record: ChunkRecord
+  private readonly open: Set<number>
+  private readonly closing: Array<() => void> = []
+  private state: 'running' | 'releasing' | 'ended' = 'running'
+  private paused = false
+
+  constructor (readonly options: HeldChunkOptions) {
+    const { store, clock, by, items, object } = options
+    this.name = object.name
+    this.record = new ChunkRecord({ store, clock, by, items: items.length, object, onChange: () => this.end() })
+    const recorded = listRecorded(object.value)
+    this.open = new Set(items.keys())
+    for (const item of recorded) this.open.delete(item)
+    for (const item of this.open) this.queue.add(item, { idempotent: items[item]!.idempotent !== false })
+  }
+
+  get ready (): number {
+    return this.state === 'running' && !this.paused ? this.queue.size.ready + this.queue.size.unmarked : 0
+  }
+
+  get waitingBytes (): number {
+    return this.record.waiting.size
+  }
+
+  get unsaved (): readonly { readonly item: number, readonly result: ItemResult }[] {
+    return this.record.waiting.entries.flatMap(entry => entry.type === 'result' ? [entry] : [])
+  }
+
+  /** Has non-idempotent items marked as started until `slots` items are ready. */
+  prepare (slots: number): void {
+    if (this.state !== 'running') return
+    for (const pending of this.queue.takeUnmarked(slots - this.queue.size.ready)) void this.mark(pending)
+  }
+
+  take (): BatchWork | undefined {
+    const pending = this.state === 'running' && !this.paused ? this.queue.take() : undefined
+    if (pending === undefined) return undefined
+    const { job, items, service } = this.options
+    const stop = new AbortController()
+    const item = items[pending.item]!
+    this.running.set(pending.item, stop)
+    return {
+      id: `${job.id}.${item.id}`,
+      job: job.id,
+      caller: job.caller,
+      service,
+      item,
+      resumeFrom: pending.tokens,
+      avoid: pending.avoid,
+      idempotent: item.idempotent !== false,
+      signal: stop.signal,
+      finish: result => this.finish(pending.item, result),
+      giveBack: (why, back) => this.takeBack(pending, why, back)
+    }
+  }
+
+  /** Starts nothing until the chunk was read again and is still held; after a pause it may be another's. */
+  async check (): Promise<void> {
+    this.paused = true
+    while (this.state === 'running' && (await this.record.refresh()).err) await this.wait(CHECK_PAUSE)
+    this.paused = false
+    if (this.ready > 0) this.options.onReady()
+  }
+
+  /** Starts nothing more and lets go once what runs has ended. Aborts it first where `abort` says so. */
+  async release ({ abort = false } = {}): Promise<void> {
+    if (this.state === 'ended') return
+    this.state = 'releasing'
+    const released = new Promise<void>(resolve => this.closing.push(resolve))
+    this.queue.drop()
+    if (abort) this.abort()
+    this.step()
+    await released
+  }
+
+  private async mark (pending: Pending): Promise<void> {
+    const { item } = pending
+    await this.record.add({ type: 'started', item }, { urgent: true })
+    if (!this.record.chunk.started.includes(item) || !this.record.held) return
+    this.queue.put(pending)
+    this.options.onReady()
+  }
+
+  private finish (item: number, result: ItemResult): void {
+    if (!this.running.delete(item)) return
+    if (this.state !== 'ended') void this.keep(item, limitResult(result))
+  }
+
+  private async keep (item: number, result: ItemResult): Promise<void> {
+    this.open.delete(item)
+    const kept = this.record.add({ type: 'result', item, result })
+    this.step()
+    await kept
+    this.step()
+  }
+
+  private takeBack (pending: Pending, why: Parameters<BatchWork['giveBack']>[0], { ran, tokens, server }: Parameters<BatchWork['giveBack']>[1]): void {
+    if (!this.running.has(pending.item)) return
+    const idempotent = this.options.items[pending.item]!.idempotent !== false
+    const plan = planRetry({ why, ran, idempotent, attempts: pending.attempts, server })
+    if (plan.type === 'finish') return this.finish(pending.item, plan.result)
+    this.running.delete(pending.item)
+    if (this.state !== 'running') return this.takeBackLate(pending)
+    const avoid = why === 'server failed' ? [...pending.avoid, server] : pending.avoid
+    this.putBack({ ...pending, attempts: plan.attempts, avoid, tokens: tokens ?? pending.tokens }, plan.pause)
+  }
+
+  /** Given back while letting go: a started mark is taken away, because the item is known not to have run. */
+  private takeBackLate ({ item }: Pending): void {
+    if (this.state === 'releasing' && this.options.items[item]!.idempotent === false) void this.record.add({ type: 'not started', item })
+    this.step()
+  }
+
+  private putBack (pending: Pending, pause: number): void {
+    const makeReady = this.queue.delay(pending, { front: pause === 0 })
+    this.options.clock.after(pause, () => {
+      if (this.state !== 'running') return
+      makeReady()
+      this.options.onReady()
+    })
+  }
+
+  /** Records without waiting for more once nothing is left to run, and lets go where that is asked for. */
+  private step (): void {
+    if (this.state === 'ended' || this.running.size > 0) return
+    if (this.open.size === 0) this.record.flush()
+    if (this.state === 'releasing' && this.open.size > 0) void this.letGo()
+  }
+
+  private async letGo (): Promise<void> {
+    this.open.clear()
+    for (const item of this.queue.listMarked()) void this.record.add({ type: 'not started', item })
+    await this.record.add({ type: 'released' }, { urgent: true })
+    this.end()
+  }
+
+  private abort (): void {
+    for (const stop of this.running.values()) stop.abort()
+  }
+
+  private end (): void {
+    if (this.state === 'ended') return
+    this.state = 'ended'
+    this.queue.drop()
+    this.abort()
+    this.options.onEnd(this.record.chunk)
+    for (const resolve of this.closing) resolve()
+  }
+
+  private async wait (time: number): Promise<void> {
+    await new Promise<void>(resolve => this.options.clock.after(time, resolve))
+  }
+}
--- a/src/batch/item.ts
+++ b/src/batch/item.ts
@@ -4,4 +4,6 @@
   readonly id: string
   readonly url: string
   readonly body: Readonly<Record<string, unknown>>
+  /** Whether it may be sent again when it isn't known whether it ran; items of kept files always say. */
+  readonly idempotent?: boolean
 }
--- /dev/null
+++ b/src/batch/job-care.ts
@@ -0,0 +1,108 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import { Members } from '../peers/members.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import { peerHandlerPoint } from '../peers/peer-handler-point.js'
+import type { PeerMessage } from '../peers/peer-message.js'
+import { ChunkSource } from './chunk-source.js'
+import { HoldingRecord } from './holding-record.js'
+import type { Job } from './job.js'
+import { JobSettler } from './job-settler.js'
+import { JobStore } from './job-store.js'
+import { JobWatch } from './job-watch.js'
+import { Recovery } from './recovery.js'
+
+const PERIOD = 2_000
+const SETTLE_PERIOD = 1_000
+const CANCELLED = 'batch cancelled'
+const SUBMITTED = 'batch submitted'
+
+/** Speeds up by peer messages what the platform's objects make safe, and looks after what dead daemons left. */
+@scoped(Lifecycle.ContainerScoped)
+export class JobCare implements Part {
+  readonly extensions = [
+    peerHandlerPoint.of({ type: CANCELLED, handle: (message: PeerMessage) => { void this.handleCancelled(message) } }),
+    peerHandlerPoint.of({ type: SUBMITTED, handle: (message: PeerMessage) => this.handleSubmitted(message) })
+  ]
+
+  private readonly settling = new Set<string>()
+  private known: readonly string[] = []
+  private cancelTimer = (): void => {}
+
+  constructor (
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: PeerLinks,
+    @inject(HoldingRecord) private readonly holding: HoldingRecord,
+    @inject(JobWatch) private readonly watch: JobWatch,
+    @inject(JobStore) private readonly jobs: JobStore,
+    @inject(JobSettler) private readonly settler: JobSettler,
+    @inject(Recovery) private readonly recovery: Recovery,
+    @inject(ChunkSource) private readonly source: ChunkSource
+  ) {
+    watch.subscribe(job => { void this.settle(job) })
+  }
+
+  async start (): Promise<void> {
+    this.cancelTimer = this.clock.every(PERIOD, () => { void this.recoverDead() })
+  }
+
+  async stop (): Promise<void> {
+    this.cancelTimer()
+  }
+
+  /** Tells every daemon to look at the job now, and brings it to its end. */
+  announceCancel (job: string): void {
+    this.tellAll({ type: CANCELLED, job })
+    void this.watch.check(job)
+  }
+
+  /** Tells every daemon that there is work for these services. */
+  announceSubmit (services: readonly string[]): void {
+    this.tellAll({ type: SUBMITTED, services })
+    this.source.lookAgain(services)
+  }
+
+  private tellAll (message: PeerMessage): void {
+    for (const { instance } of this.members.all()) {
+      if (instance.name !== this.holding.by.instance) this.links.send(instance.name, message)
+    }
+  }
+
+  private async handleCancelled ({ job }: PeerMessage): Promise<void> {
+    if (typeof job === 'string' && this.watch.watches(job)) await this.watch.check(job)
+  }
+
+  private handleSubmitted ({ services }: PeerMessage): void {
+    if (Array.isArray(services)) this.source.lookAgain(services.filter(service => typeof service === 'string'))
+  }
+
+  /** Goes on until the job has ended. Others that do the same get in nobody's way, but the first in rank is enough. */
+  private async settle (id: string): Promise<void> {
+    if (this.settling.has(id)) return
+    this.settling.add(id)
+    for (let job: Job | undefined; ;) {
+      job = (await this.jobs.read(id, 'background')).unwrapOr(job)
+      if (job !== undefined && (job.status !== 'cancelling' || await this.settler.settle(job))) break
+      if (job === undefined) break
+      await new Promise<void>(resolve => this.clock.after(SETTLE_PERIOD, resolve))
+    }
+    this.settling.delete(id)
+  }
+
+  private async recoverDead (): Promise<void> {
+    const alive = this.members.all().map(({ instance }) => instance.name)
+    const gone = this.known.filter(name => !alive.includes(name))
+    this.known = [...new Set([...this.known, ...alive])]
+    for (const name of gone) {
+      if (rankOwners(`holding/${name}`, this.members.owners())[0] !== this.holding.by.instance) continue
+      if (await this.recovery.recover(name)) this.known = this.known.filter(other => other !== name)
+    }
+  }
+}
+
+partRegistry.register({ name: 'job care', part: JobCare, needs: ['job watch', 'chunk source', 'members', 'peer links'] })
--- /dev/null
+++ b/src/batch/job-counter.ts
@@ -0,0 +1,67 @@
+import { Ok, type Result } from 'ts-results'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { GroupCommit } from '../coordination/group-commit.js'
+import type { Clock } from '../kernel/clock.js'
+import { tokens } from '../kernel/tokens.js'
+import type { StoreError } from '../platform/store-error.js'
+import type { Counts } from './counts.js'
+import { finishChunks } from './finish-chunks.js'
+import type { Job } from './job.js'
+import { JobStore } from './job-store.js'
+import { listChunks } from './list-chunks.js'
+import { WorkIndex } from './work-index.js'
+
+const MAX_WAIT = 500
+
+interface Finished { readonly n: number, readonly counts: Counts }
+
+/**
+ * Tells jobs of their closed chunks, all that close within half a second in one write. A job keeps counts by chunk,
+ * so telling it twice, as after a lost reply or by two daemons, changes nothing.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class JobCounter {
+  private readonly commits = new Map<string, GroupCommit<Finished, StoreError>>()
+
+  constructor (
+    @inject(JobStore) private readonly jobs: JobStore,
+    @inject(WorkIndex) private readonly work: WorkIndex,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  /** Resolves once the job has the counts, or is there no more. */
+  async add (job: string, n: number, { completed, failed, cancelled }: Counts): Promise<void> {
+    const commit = this.commits.get(job) ?? this.createCommit(job)
+    await commit.add({ n, counts: { completed, failed, cancelled } })
+    if (commit.waiting.entries.length === 0) this.commits.delete(job)
+  }
+
+  private createCommit (job: string): GroupCommit<Finished, StoreError> {
+    const commit = new GroupCommit<Finished, StoreError>({
+      clock: this.clock,
+      maxWait: MAX_WAIT,
+      isFinal: ({ type }) => type === 'missing' || type === 'invalid',
+      write: async finished => await this.write(job, finished)
+    })
+    this.commits.set(job, commit)
+    return commit
+  }
+
+  private async write (id: string, finished: readonly Finished[]): Promise<Result<void, StoreError>> {
+    const closed = new Map(finished.map(({ n, counts }) => [n, counts]))
+    const written = await this.jobs.update(id, job => finishChunks(job, closed, this.clock.date()))
+    if (written.err) return written
+    return await this.removeWork(written.val)
+  }
+
+  /** Takes the job out of the work of each service that has none left in it. */
+  private async removeWork (job: Job): Promise<Result<void, StoreError>> {
+    const chunks = listChunks(job.services)
+    for (const { service } of job.services) {
+      if (chunks.some(chunk => chunk.service === service && job.finished[chunk.n] === undefined)) continue
+      const removed = await this.work.remove({ job: job.id, service, due: job.due })
+      if (removed.err && removed.val.type !== 'conflict') return removed
+    }
+    return Ok(undefined)
+  }
+}
--- /dev/null
+++ b/src/batch/job-routes.ts
@@ -0,0 +1,97 @@
+import type { Request, Response } from '@tinyhttp/app'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Account } from '../admission/account.js'
+import type { Route } from '../entry/route.js'
+import { routePoint } from '../entry/route-point.js'
+import { sendProblem } from '../entry/send-problem.js'
+import { readBody } from '../http/read-body.js'
+import { sendJson } from '../http/send-json.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import { cancelJob } from './cancel-job.js'
+import { FileStore } from './file-store.js'
+import type { Job } from './job.js'
+import { JobCare } from './job-care.js'
+import { JobStore } from './job-store.js'
+import { readJobRequest } from './read-job-request.js'
+import { readPage } from './read-page.js'
+import { sendStoreProblem } from './send-store-problem.js'
+import { showJob } from './show-job.js'
+import { showList } from './show-list.js'
+
+const BODY_LIMIT = 100_000
+
+/** Batch jobs in the OpenAI shapes. */
+@scoped(Lifecycle.ContainerScoped)
+export class JobRoutes implements Part {
+  readonly extensions = ([
+    { method: 'post', path: '/v1/batches', access: 'caller', handle: async (req, res, caller) => await this.submit(req, res, caller) },
+    { method: 'get', path: '/v1/batches', access: 'caller', handle: async (req, res, caller) => await this.list(req, res, caller) },
+    { method: 'get', path: '/v1/batches/:id', access: 'caller', handle: async (req, res, caller) => await this.show(req, res, caller) },
+    { method: 'post', path: '/v1/batches/:id/cancel', access: 'caller', handle: async (req, res, caller) => await this.cancel(req, res, caller) }
+  ] satisfies Route[]).map(route => routePoint.of(route))
+
+  constructor (
+    @inject(FileStore) private readonly files: FileStore,
+    @inject(JobStore) private readonly jobs: JobStore,
+    @inject(JobCare) private readonly care: JobCare,
+    @inject(Account) private readonly account: Account,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  private async submit (req: Request, res: Response, caller: string): Promise<void> {
+    const asked = readJobRequest((await readBody(req, BODY_LIMIT)).unwrapOr(Buffer.alloc(0)))
+    if (asked.err) return sendProblem(res, { status: 400, code: 'bad-batch', detail: asked.val.join('; '), more: { findings: asked.val } })
+    const file = await this.files.read(asked.val.file)
+    if (file.err) return sendStoreProblem(res, file.val)
+    if (file.val.caller !== caller) return sendStoreProblem(res, { type: 'missing' })
+    const key = String(req.headers['idempotency-key'] ?? JSON.stringify([asked.val.file, asked.val.endpoint, asked.val.metadata]))
+    const kept = await this.jobs.create(file.val, { ...asked.val, key })
+    if (kept.err) return sendStoreProblem(res, kept.val)
+    const { job, created } = kept.val
+    if (created) this.accept(job)
+    sendJson(res, 200, showJob(job, this.clock.date()))
+  }
+
+  private accept (job: Job): void {
+    for (const { service, sizes } of job.services) {
+      const items = sizes.reduce((sum, size) => sum + size, 0)
+      for (let i = 0; i < items; i++) this.account.count(job.caller, service, 'batch', { type: 'asked' })
+    }
+    this.timeline.record({ part: 'batch', what: 'accepted', job: job.id, detail: job.caller })
+    this.care.announceSubmit(job.services.map(({ service }) => service))
+  }
+
+  private async list (req: Request, res: Response, caller: string): Promise<void> {
+    const { after, limit } = readPage(req.query)
+    const from = after === undefined ? undefined : await this.jobs.read(after)
+    if (from?.err) return sendStoreProblem(res, from.val)
+    const page = await this.jobs.list(caller, { after: from?.val as Job | undefined, limit })
+    if (page.err) return sendStoreProblem(res, page.val)
+    sendJson(res, 200, showList(page.val.jobs.map(job => showJob(job, this.clock.date())), page.val.more))
+  }
+
+  private async show (req: Request, res: Response, caller: string): Promise<void> {
+    const job = await this.jobs.read(req.params.id!)
+    if (job.err) return sendStoreProblem(res, job.val)
+    if (job.val.caller !== caller) return sendStoreProblem(res, { type: 'missing' })
+    sendJson(res, 200, showJob(job.val, this.clock.date()))
+  }
+
+  /** Acknowledged once it is durable; in an outage of the platform it is refused, and may be sent again. */
+  private async cancel (req: Request, res: Response, caller: string): Promise<void> {
+    const date = this.clock.date()
+    const job = await this.jobs.update(req.params.id!, job => job.caller === caller ? cancelJob(job, date) : job, 'caller')
+    if (job.err) return sendStoreProblem(res, job.val)
+    if (job.val.caller !== caller) return sendStoreProblem(res, { type: 'missing' })
+    if (job.val.status === 'cancelling') this.care.announceCancel(job.val.id)
+    this.timeline.record({ part: 'batch', what: 'cancelled', job: job.val.id, detail: caller })
+    sendJson(res, 200, showJob(job.val, date))
+  }
+}
+
+partRegistry.register({ name: 'job routes', part: JobRoutes, needs: ['job care'] })
--- /dev/null
+++ b/src/batch/job-settler.ts
@@ -0,0 +1,62 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import { tokens } from '../kernel/tokens.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { Chunk } from './chunk.js'
+import { closeChunk } from './close-chunk.js'
+import type { Counts } from './counts.js'
+import { finishChunks } from './finish-chunks.js'
+import { HoldingRecord } from './holding-record.js'
+import type { Job } from './job.js'
+import { JobStore } from './job-store.js'
+import { listChunks } from './list-chunks.js'
+import { WorkIndex } from './work-index.js'
+
+/** Time in ms for which the holders of a cancelled job's chunks may still record what had run. */
+const HOLDER_GRACE = 10_000
+
+/**
+ * Brings a cancelled job to its end: closes each chunk that isn't finished, so that its counts are final and no
+ * holder that was paused or cut off can record in it, and gives the job the counts. Chunks that nobody had claimed
+ * are created closed, because a claim that is on its way must fail. Any daemon may do it, also several at once.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class JobSettler {
+  constructor (
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(JobStore) private readonly jobs: JobStore,
+    @inject(WorkIndex) private readonly work: WorkIndex,
+    @inject(HoldingRecord) private readonly holding: HoldingRecord
+  ) {}
+
+  /** One pass; says whether the job has come to its end. */
+  async settle (job: Job): Promise<boolean> {
+    const closed = new Map<number, Counts>()
+    for (const { n, items } of listChunks(job.services)) {
+      if (job.finished[n] !== undefined) continue
+      const counts = await this.close(job, n, items)
+      if (counts !== undefined) closed.set(n, counts)
+    }
+    const told = await this.jobs.update(job.id, job => finishChunks(job, closed, this.clock.date()))
+    if (told.err || told.val.ended === undefined) return false
+    for (const { service } of job.services) {
+      const removed = await this.work.remove({ job: job.id, service, due: job.due })
+      if (removed.err) return false
+    }
+    return true
+  }
+
+  /** The final counts of the chunk, or nothing where it has to be tried again. */
+  private async close (job: Job, n: number, items: number): Promise<Counts | undefined> {
+    const name = `${job.id}.${n}`
+    const read = await this.store.get<Chunk>('chunk', name)
+    if (read.err && read.val.type !== 'missing') return undefined
+    const chunk: Chunk = read.ok ? read.val.value : { results: {}, parts: [], started: [] }
+    if (chunk.closed === undefined && chunk.holder !== undefined && this.clock.date() - (job.cancelled ?? 0) < HOLDER_GRACE) return undefined
+    const next = closeChunk(chunk, { items, by: this.holding.by })
+    if (next !== chunk && (await this.store.put('chunk', name, next, read.ok ? read.val.version : 0)).err) return undefined
+    const { completed, failed, cancelled } = next.closed!
+    return { completed, failed, cancelled }
+  }
+}
--- a/src/batch/job-store.ts
+++ b/src/batch/job-store.ts
@@ -1,104 +1,78 @@
-import { createHash } from 'node:crypto'
-import { Err, Ok, type Result } from 'ts-results'
+import { randomUUID } from 'node:crypto'
+import { Ok, type Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
+import type { CallPriority } from '../platform/call-priority.js'
 import type { ObjectStore } from '../platform/object-store.js'
 import type { StoreError } from '../platform/store-error.js'
-import type { StoredObject } from '../platform/stored-object.js'
 import type { BatchFile } from './batch-file.js'
-import type { Chunk } from './chunk.js'
-import type { Item } from './item.js'
+import { CallerIndex } from './caller-index.js'
+import { createObject } from './create-object.js'
+import { hashId } from './hash-id.js'
 import type { Job } from './job.js'
-import { splitItems } from './split-items.js'
+import { updateObject } from './update-object.js'
+import { WorkIndex } from './work-index.js'
 
-const MAX_TRIES = 20
+interface JobOptions {
+  /** What the caller names the job by; the same key is the same job. */
+  readonly key: string
+  readonly endpoint: string
+  /** Time from acceptance until it is due, in ms. */
+  readonly window: number
+  readonly metadata?: Readonly<Record<string, string>>
+}
 
-/** Files, jobs and chunks in the platform's objects. Every change is a conditional update. */
+/** Jobs in the platform's objects. */
 @scoped(Lifecycle.ContainerScoped)
 export class JobStore {
   constructor (
     @inject(tokens.store) private readonly store: ObjectStore,
-    @inject(tokens.clock) private readonly clock: Clock
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(WorkIndex) private readonly work: WorkIndex,
+    @inject(CallerIndex) private readonly index: CallerIndex
   ) {}
 
-  /** Keeps a file under an id that follows from its caller and content, so that the same upload is the same file. */
-  async createFile (caller: string, name: string, content: string, items: readonly Item[]): Promise<Result<BatchFile, StoreError>> {
-    const id = `file-${hash(caller, content)}`
-    const chunks = splitItems(items)
-    for (const [n, chunk] of chunks.entries()) {
-      const written = await this.create('items', `${id}.${n}`, chunk)
-      if (written.err) return written
-    }
-    const file = { id, caller, name, bytes: Buffer.byteLength(content), items: items.length, chunks: chunks.length, created: this.clock.date() }
-    return await this.create('file', id, file)
-  }
-
-  async readFile (id: string): Promise<Result<BatchFile, StoreError>> {
-    return (await this.store.get<BatchFile>('file', id, 'caller')).map(({ value }) => value)
-  }
-
-  async readItems (file: string, chunk: number): Promise<Result<readonly Item[], StoreError>> {
-    return (await this.store.get<readonly Item[]>('items', `${file}.${chunk}`)).map(({ value }) => value)
-  }
-
-  /** Creates a job under an id that follows from caller and key, so that a job sent again is the same job. */
-  async createJob (file: BatchFile, options: { readonly key: string, readonly endpoint: string, readonly window: number, readonly metadata?: Readonly<Record<string, string>> }): Promise<Result<Job, StoreError>> {
+  /**
+   * Creates a job under an id that follows from caller and key, so that a job sent again is the same job, through
+   * whichever daemon. It is acknowledged only once those who look for work can find it; if this daemon dies before
+   * that, the same job sent again goes on from where it got to. `created` is true for one of them all.
+   */
+  async create (file: BatchFile, { key, endpoint, window, metadata }: JobOptions): Promise<Result<{ readonly job: Job, readonly created: boolean }, StoreError>> {
     const created = this.clock.date()
-    return await this.create<Job>('job', `batch-${hash(file.caller, options.key)}`, {
-      id: `batch-${hash(file.caller, options.key)}`,
-      caller: file.caller,
-      file: file.id,
-      endpoint: options.endpoint,
-      created,
-      due: created + options.window,
-      chunks: file.chunks,
-      items: file.items,
-      status: 'in_progress',
-      finished: {},
-      metadata: options.metadata
+    const acceptance = randomUUID()
+    const id = `batch-${hashId(file.caller, key)}`
+    const kept = await createObject<Job>(this.store, 'job', id, {
+      id, caller: file.caller, file: file.id, endpoint, created, due: created + window, items: file.items, services: file.services, status: 'in_progress', finished: {}, acceptance, metadata
     })
-  }
-
-  async readJob (id: string): Promise<Result<StoredObject<Job>, StoreError>> {
-    return await this.store.get<Job>('job', id, 'caller')
-  }
-
-  async listJobs (): Promise<Result<readonly Job[], StoreError>> {
-    return (await this.store.list<Job>('job')).map(jobs => jobs.map(({ value }) => value))
-  }
-
-  /** Applies `change` to a job until its conditional update wins; `change` gives undefined to leave it alone. */
-  async updateJob (id: string, change: (job: Job) => Job | undefined): Promise<Result<Job, StoreError>> {
-    for (let tries = 0; tries < MAX_TRIES; tries++) {
-      const read = await this.readJob(id)
-      if (read.err) return read
-      const next = change(read.val.value)
-      if (next === undefined) return Ok(read.val.value)
-      const written = await this.store.put('job', id, next, read.val.version)
-      if (written.ok) return Ok(next)
-      if (written.val.type !== 'conflict') return written
+    if (kept.err) return kept
+    const job = kept.val
+    if (job.status === 'in_progress' && job.ended === undefined) {
+      const added = await this.work.add(job)
+      if (added.err) return added
     }
-    return Err({ type: 'unavailable', reason: 'others kept changing the job' })
+    return (await this.index.add('job', job)).map(() => ({ job, created: job.acceptance === acceptance }))
   }
 
-  async readChunk (job: string, n: number): Promise<Result<StoredObject<Chunk>, StoreError>> {
-    return await this.store.get<Chunk>('chunk', `${job}.${n}`)
+  async read (id: string, priority: CallPriority = 'caller'): Promise<Result<Job, StoreError>> {
+    return (await this.store.get<Job>('job', id, priority)).map(({ value }) => value)
   }
 
-  async writeChunk (job: string, n: number, chunk: Chunk, version: number): Promise<Result<StoredObject<Chunk>, StoreError>> {
-    return await this.store.put('chunk', `${job}.${n}`, chunk, version)
+  /** Applies `change`, which may be called more than once, and gives back the job as it then is. */
+  async update (id: string, change: (job: Job) => Job, priority: CallPriority = 'background'): Promise<Result<Job, StoreError>> {
+    return await updateObject<Job>(this.store, 'job', id, { change, priority })
   }
 
-  /** Creates an object, or gives back the one that is there already. */
-  private async create<T> (kind: string, name: string, value: T): Promise<Result<T, StoreError>> {
-    const written = await this.store.put(kind, name, value, 0, 'caller')
-    if (written.ok) return Ok(value)
-    if (written.val.type !== 'conflict') return written
-    return (await this.store.get<T>(kind, name, 'caller')).map(object => object.value)
+  /** A page of the caller's jobs, newest first, and whether there are more. */
+  async list (caller: string, { after, limit }: { readonly after?: Job, readonly limit: number }): Promise<Result<{ readonly jobs: readonly Job[], readonly more: boolean }, StoreError>> {
+    const ids = await this.index.list('job', caller, { after, limit })
+    if (ids.err) return ids
+    const jobs: Job[] = []
+    for (const id of ids.val.slice(0, limit)) {
+      const job = await this.read(id)
+      if (job.ok) jobs.push(job.val)
+      else if (job.val.type !== 'missing') return job
+    }
+    return Ok({ jobs, more: ids.val.length > limit })
   }
 }
-
-function hash (...parts: readonly string[]): string {
-  return createHash('sha256').update(JSON.stringify(parts)).digest('hex').slice(0, 32)
-}
--- /dev/null
+++ b/src/batch/job-watch.ts
@@ -0,0 +1,82 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
+import { tokens } from '../kernel/tokens.js'
+import type { Job } from './job.js'
+import type { JobCheck } from './job-check.js'
+import { JobStore } from './job-store.js'
+import { mayStart } from './may-start.js'
+
+const CHECK_PERIOD = 2_000
+
+/** Looks at the jobs that this daemon holds chunks of, and tells when one has been cancelled. */
+@scoped(Lifecycle.ContainerScoped)
+export class JobWatch implements Part {
+  private readonly checks = new Map<string, JobCheck>()
+  private readonly listeners = new Set<(job: string) => void>()
+  private cancelTimer = (): void => {}
+
+  constructor (
+    @inject(JobStore) private readonly jobs: JobStore,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(PauseWatch) private readonly pauses: PauseWatch
+  ) {
+    pauses.subscribe(() => {
+      for (const job of this.checks.keys()) this.checks.set(job, { unreachable: false })
+    })
+  }
+
+  async start (): Promise<void> {
+    this.cancelTimer = this.clock.every(CHECK_PERIOD, () => this.checkAll())
+  }
+
+  async stop (): Promise<void> {
+    this.cancelTimer()
+  }
+
+  /** `listener` hears of each job that goes on no longer. */
+  subscribe (listener: (job: string) => void): void {
+    this.listeners.add(listener)
+  }
+
+  remove (job: string): void {
+    this.checks.delete(job)
+  }
+
+  watches (job: string): boolean {
+    return this.checks.has(job)
+  }
+
+  /** Whether items of the job may start now. */
+  mayStart (job: string): boolean {
+    this.pauses.check()
+    const check = this.checks.get(job)
+    return check !== undefined && mayStart(check, this.clock.now())
+  }
+
+  /** Looks at the job now, and from here on until it is removed; gives it back if it goes on. */
+  async check (job: string): Promise<Job | undefined> {
+    const seen = this.clock.now()
+    const read = await this.jobs.read(job, 'background')
+    if (read.err && read.val.type !== 'missing') {
+      this.checks.set(job, { ...this.checks.get(job), unreachable: true })
+      return undefined
+    }
+    if (read.ok && read.val.status === 'in_progress') {
+      this.checks.set(job, { seen, unreachable: false })
+      return read.val
+    }
+    this.checks.delete(job)
+    for (const listener of this.listeners) listener(job)
+    return undefined
+  }
+
+  private checkAll (): void {
+    this.pauses.check()
+    for (const job of this.checks.keys()) void this.check(job)
+  }
+}
+
+partRegistry.register({ name: 'job watch', part: JobWatch, needs: ['pause watch'] })
--- a/src/batch/read-items.ts
+++ b/src/batch/read-items.ts
@@ -2,41 +2,70 @@
 import type { Item } from './item.js'
 
 const MAX_FINDINGS = 100
+const MAX_ITEMS = 100_000
+const MAX_LINE_BYTES = 200_000
+const MAX_ID_LENGTH = 256
 
 /** One thing wrong in a batch file. */
 interface LineFinding { readonly line: number, readonly message: string }
 
-/** Reads a batch file, one JSON object a line; all findings come together, each with its line. */
-export function readItems (text: string): Result<readonly Item[], readonly LineFinding[]> {
+/**
+ * Reads a batch file, one JSON object a line. All findings come together, the first 100 of them, each with its
+ * line. `check` says what else is wrong with an item, if anything.
+ */
+export function readItems (text: string, check: (item: Item) => string | undefined = () => undefined): Result<readonly Item[], readonly LineFinding[]> {
   const items: Item[] = []
   const findings: LineFinding[] = []
   const seen = new Map<string, number>()
-  text.split('\n').forEach((line, index) => {
-    if (line.trim() === '' || findings.length >= MAX_FINDINGS) return
-    const item = readItem(line)
-    const message = typeof item === 'string' ? item : seen.has(item.id) ? `custom_id: ${item.id} stands on line ${seen.get(item.id)} already` : undefined
-    if (message !== undefined || typeof item === 'string') {
-      findings.push({ line: index + 1, message: message! })
-      return
-    }
-    seen.set(item.id, index + 1)
-    items.push(item)
-  })
+  let line = 0
+  for (const part of listLines(text)) {
+    line++
+    if (part.trim() === '') continue
+    const item = readItem(part)
+    const message = typeof item === 'string' ? item : findDuplicate(seen, item.id, line) ?? check(item)
+    if (message !== undefined) findings.push({ line, message })
+    else items.push(item as Item)
+    if (items.length > MAX_ITEMS) findings.push({ line, message: `the file holds more than ${MAX_ITEMS} items` })
+    if (findings.length >= MAX_FINDINGS || items.length > MAX_ITEMS) break
+  }
   if (items.length + findings.length === 0) findings.push({ line: 1, message: 'the file holds no item' })
   return findings.length > 0 ? Err(findings) : Ok(items)
 }
 
+function * listLines (text: string): Generator<string> {
+  for (let start = 0; start <= text.length;) {
+    const found = text.indexOf('\n', start)
+    const end = found < 0 ? text.length : found
+    yield text.slice(start, end)
+    start = end + 1
+  }
+}
+
+function findDuplicate (seen: Map<string, number>, id: string, line: number): string | undefined {
+  const earlier = seen.get(id)
+  if (earlier !== undefined) return `custom_id: ${id} stands on line ${earlier} already`
+  seen.set(id, line)
+  return undefined
+}
+
 function readItem (line: string): Item | string {
+  if (Buffer.byteLength(line) > MAX_LINE_BYTES) return `over the limit of ${MAX_LINE_BYTES} bytes an item`
   let value: any
   try {
     value = JSON.parse(line)
   } catch {
     return 'not a JSON object'
   }
-  if (typeof value !== 'object' || value === null || Array.isArray(value)) return 'not a JSON object'
+  if (!isObject(value)) return 'not a JSON object'
   if (typeof value.custom_id !== 'string' || value.custom_id === '') return 'custom_id: must be a string that is not empty'
+  if (value.custom_id.length > MAX_ID_LENGTH) return `custom_id: over ${MAX_ID_LENGTH} characters`
   if (value.method !== 'POST') return 'method: must be POST'
   if (typeof value.url !== 'string') return 'url: must be a string'
-  if (typeof value.body !== 'object' || value.body === null || Array.isArray(value.body)) return 'body: must be an object'
-  return { id: value.custom_id, url: value.url, body: value.body }
+  if (!isObject(value.body)) return 'body: must be an object'
+  if (value.idempotent !== undefined && typeof value.idempotent !== 'boolean') return 'idempotent: must be true or false'
+  return { id: value.custom_id, url: value.url, body: value.body, ...value.idempotent === undefined ? {} : { idempotent: value.idempotent } }
+}
+
+function isObject (value: unknown): value is Record<string, any> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
 }
--- /dev/null
+++ b/src/batch/read-results.ts
@@ -0,0 +1,16 @@
+import { Ok, type Result } from 'ts-results'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { StoreError } from '../platform/store-error.js'
+import type { Chunk } from './chunk.js'
+import type { ItemResult } from './item-result.js'
+
+/** All recorded results of a chunk by the item's place, those in parts among them. */
+export async function readResults (store: ObjectStore, chunk: Chunk): Promise<Result<Readonly<Record<string, ItemResult>>, StoreError>> {
+  let all: Readonly<Record<string, ItemResult>> = {}
+  for (const { name } of chunk.parts) {
+    const part = await store.get<Readonly<Record<string, ItemResult>>>('part', name, 'caller')
+    if (part.err) return part
+    all = { ...all, ...part.val.value }
+  }
+  return Ok({ ...all, ...chunk.results })
+}
--- /dev/null
+++ b/src/batch/read-upload.ts
@@ -0,0 +1,24 @@
+import { Ok, type Result } from 'ts-results'
+import type { Service } from '../config/service.js'
+import { findService } from './find-service.js'
+import type { Item } from './item.js'
+import { readItems } from './read-items.js'
+
+/** Reads a batch file and sorts its items by the service they are for; each says whether it may be repeated. */
+export function readUpload (text: string, services: Readonly<Record<string, Service>>): Result<ReadonlyMap<string, readonly Item[]>, readonly { readonly line: number, readonly message: string }[]> {
+  const read = readItems(text, item => {
+    const found = findService(item, services)
+    return typeof found === 'string' ? found : undefined
+  })
+  if (read.err) return read
+  const sorted = new Map<string, Item[]>()
+  for (const item of read.val) {
+    const target = findService(item, services)
+    if (typeof target === 'string') continue
+    const idempotent = target.service.idempotent && item.idempotent !== false
+    const items = sorted.get(target.name) ?? []
+    sorted.set(target.name, items)
+    items.push({ ...item, idempotent })
+  }
+  return Ok(sorted)
+}
--- /dev/null
+++ b/src/batch/recent-use.ts
@@ -0,0 +1,20 @@
+const HALF_LIFE = 600_000
+
+/** How much callers and jobs got of late: counts that halve every ten minutes. */
+export class RecentUse {
+  private readonly counts = new Map<string, { readonly value: number, readonly at: number }>()
+
+  add (name: string, amount: number, now: number): void {
+    this.counts.set(name, { value: this.get(name, now) + amount, at: now })
+  }
+
+  get (name: string, now: number): number {
+    const count = this.counts.get(name)
+    return count === undefined ? 0 : count.value * 0.5 ** ((now - count.at) / HALF_LIFE)
+  }
+
+  /** Forgets what has decayed to nothing. */
+  drop (now: number): void {
+    for (const name of this.counts.keys()) if (this.get(name, now) < 1) this.counts.delete(name)
+  }
+}
--- /dev/null
+++ b/src/batch/record-entries.ts
@@ -0,0 +1,29 @@
+import type { Incarnation } from '../kernel/incarnation.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { Chunk } from './chunk.js'
+import type { ChunkEntry } from './chunk-entry.js'
+import { closeChunk } from './close-chunk.js'
+import { isHolder } from './is-holder.js'
+import { listRecorded } from './list-recorded.js'
+
+/**
+ * The chunk with `entries` recorded by `by`. The first recorded result of an item stands. Without the first-wins
+ * rule a holder that was paused past its claim overwrites what its successor recorded, and its caller reads two
+ * different results; with it, late results fill only what is still open. Marks count only from the holder itself.
+ */
+export function recordEntries (chunk: Chunk, entries: readonly ChunkEntry[], { items, by }: { readonly items: number, readonly by: Incarnation }): Chunk {
+  if (chunk.closed !== undefined) return chunk
+  const next = entries.reduce((present, entry) => recordEntry(present, entry, by), chunk)
+  return listRecorded(next).size === items ? closeChunk(next, { items, by }) : next
+}
+
+function recordEntry (chunk: Chunk, entry: ChunkEntry, by: Incarnation): Chunk {
+  const mine = isHolder(chunk, by)
+  switch (entry.type) {
+    case 'result': return listRecorded(chunk).has(entry.item) ? chunk : { ...chunk, results: { ...chunk.results, [entry.item]: entry.result } }
+    case 'started': return mine && !chunk.started.includes(entry.item) ? { ...chunk, started: [...chunk.started, entry.item] } : chunk
+    case 'not started': return mine ? { ...chunk, started: chunk.started.filter(item => item !== entry.item) } : chunk
+    case 'released': return mine ? { ...chunk, holder: undefined } : chunk
+    default: return failUnreachable(entry)
+  }
+}
--- /dev/null
+++ b/src/batch/recovery.ts
@@ -0,0 +1,38 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { Chunk } from './chunk.js'
+import type { Holding } from './holding.js'
+import { isHolder } from './is-holder.js'
+
+/** Frees what a dead daemon held: one read tells what that is. */
+@scoped(Lifecycle.ContainerScoped)
+export class Recovery {
+  constructor (
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(Timeline) private readonly timeline: Timeline
+  ) {}
+
+  /**
+   * Takes the claims of a daemon away; says whether that is done. Should the daemon live after all, its next write
+   * to each chunk meets a changed version, so what is lost is the work it had in flight and no result.
+   */
+  async recover (instance: string): Promise<boolean> {
+    const read = await this.store.get<Holding>('holding', instance)
+    if (read.err) return read.val.type === 'missing'
+    const { started, chunks } = read.val.value
+    for (const name of chunks) if (!await this.free(name, instance, started)) return false
+    const deleted = await this.store.delete('holding', instance, read.val.version)
+    this.timeline.record({ part: 'batch', what: 'recovered', detail: `${chunks.length} chunks of ${instance}` })
+    return deleted.ok || deleted.val.type === 'conflict' || deleted.val.type === 'missing'
+  }
+
+  private async free (name: string, instance: string, started: number): Promise<boolean> {
+    const read = await this.store.get<Chunk>('chunk', name)
+    if (read.err) return read.val.type === 'missing'
+    if (!isHolder(read.val.value, { instance, started })) return true
+    const { holder, ...free } = read.val.value
+    return (await this.store.put('chunk', name, free, read.val.version)).ok
+  }
+}
--- /dev/null
+++ b/src/batch/result-reader.ts
@@ -0,0 +1,58 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import { tokens } from '../kernel/tokens.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { Chunk } from './chunk.js'
+import { FileStore } from './file-store.js'
+import type { ItemResult } from './item-result.js'
+import type { Job } from './job.js'
+import { listChunks } from './list-chunks.js'
+import { readResults } from './read-results.js'
+import { showResult } from './show-result.js'
+
+const MAX_TRIES = 3
+const RETRY_PAUSE = 500
+
+const cancelledItem: ItemResult = { type: 'failed', cause: 'cancelled', detail: 'the job was cancelled before it was run' }
+
+/**
+ * The recorded results of a job as lines, a chunk at a time, in the order of the chunks and of the items in them.
+ * A result never changes once recorded, so what one read gave every later one gives, to the byte. Throws where the
+ * platform doesn't answer: the reader must not take a part for the whole.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class ResultReader {
+  constructor (
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(FileStore) private readonly files: FileStore,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  /** `output` gives what completed, `errors` what failed or was cancelled. */
+  async * read (job: Job, which: 'output' | 'errors'): AsyncGenerator<string> {
+    for (const { n } of listChunks(job.services)) yield await this.retry(async () => await this.readChunk(job, n, which))
+  }
+
+  private async readChunk (job: Job, n: number, which: 'output' | 'errors'): Promise<string | undefined> {
+    const chunk = await this.store.get<Chunk>('chunk', `${job.id}.${n}`, 'caller')
+    if (chunk.err) return chunk.val.type === 'missing' ? '' : undefined
+    const results = await readResults(this.store, chunk.val.value)
+    const items = await this.files.readItems(job.file, n)
+    if (results.err || items.err) return undefined
+    const absent = chunk.val.value.closed === undefined ? undefined : cancelledItem
+    return items.val.flatMap(({ id }, item) => {
+      const result = results.val[item] ?? absent
+      if (result === undefined || (result.type === 'completed') !== (which === 'output')) return []
+      return [JSON.stringify(showResult(job.id, id, result)) + '\n']
+    }).join('')
+  }
+
+  private async retry (read: () => Promise<string | undefined>): Promise<string> {
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+      const lines = await read()
+      if (lines !== undefined) return lines
+      await new Promise<void>(resolve => this.clock.after(RETRY_PAUSE, resolve))
+    }
+    throw new Error('the platform did not answer')
+  }
+}
--- /dev/null
+++ b/src/batch/show-job.ts
@@ -0,0 +1,40 @@
+import { addCounts } from './add-counts.js'
+import { estimateRest } from './estimate-rest.js'
+import type { Job } from './job.js'
+
+const MS_PER_SECOND = 1_000
+
+/**
+ * A job in the OpenAI shape. Beside it: `request_counts.cancelled`, and while it runs `estimated_completion_at` and
+ * `late`, which says that it won't make its due time at the pace it has had. A late job isn't ended; it goes on.
+ */
+export function showJob (job: Job, date: number): unknown {
+  const counts = addCounts(Object.values(job.finished))
+  const rest = estimateRest(job, date)
+  const running = job.status === 'in_progress'
+  return {
+    id: job.id,
+    object: 'batch',
+    endpoint: job.endpoint,
+    errors: null,
+    input_file_id: job.file,
+    completion_window: `${Math.round((job.due - job.created) / 60_000)}m`.replace(/^(\d+)m$/, (_, minutes) => minutes % 60 === 0 ? `${minutes / 60}h` : `${minutes}m`),
+    status: job.status,
+    output_file_id: job.ended === undefined ? null : `${job.id}.output`,
+    error_file_id: job.ended === undefined ? null : `${job.id}.errors`,
+    created_at: toSeconds(job.created),
+    in_progress_at: toSeconds(job.created),
+    expires_at: toSeconds(job.due),
+    cancelling_at: toSeconds(job.cancelled),
+    completed_at: job.status === 'completed' ? toSeconds(job.ended) : null,
+    cancelled_at: job.status === 'cancelled' ? toSeconds(job.ended) : null,
+    request_counts: { total: job.items, ...counts },
+    estimated_completion_at: running && rest > 0 ? toSeconds(date + rest) : null,
+    late: running && Math.max(date, date + rest) > job.due,
+    metadata: job.metadata ?? null
+  }
+}
+
+function toSeconds (time: number | undefined): number | null {
+  return time === undefined ? null : Math.floor(time / MS_PER_SECOND)
+}
--- a/src/batch/split-items.ts
+++ b/src/batch/split-items.ts
@@ -5,7 +5,7 @@
   const chunks: Item[][] = []
   let bytes = Infinity
   for (const item of items) {
-    const size = JSON.stringify(item).length
+    const size = Buffer.byteLength(JSON.stringify(item))
     if (bytes + size > maxBytes || chunks.at(-1)!.length >= maxItems) {
       chunks.push([])
       bytes = 0
--- /dev/null
+++ b/src/batch/update-object.ts
@@ -0,0 +1,26 @@
+import { Err, Ok, type Result } from 'ts-results'
+import type { CallPriority } from '../platform/call-priority.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { StoreError } from '../platform/store-error.js'
+
+const MAX_TRIES = 20
+
+interface UpdateOptions<T> {
+  /** Gives the same value back to leave the object alone; it is called again after a conflict. */
+  readonly change: (value: T) => T
+  readonly priority?: CallPriority
+}
+
+/** Applies a change to an object until its conditional update wins, and gives back the object's value. */
+export async function updateObject<T> (store: ObjectStore, kind: string, name: string, { change, priority = 'background' }: UpdateOptions<T>): Promise<Result<T, StoreError>> {
+  for (let tries = 0; tries < MAX_TRIES; tries++) {
+    const read = await store.get<T>(kind, name, priority)
+    if (read.err) return read
+    const next = change(read.val.value)
+    if (next === read.val.value) return Ok(next)
+    const written = await store.put(kind, name, next, read.val.version, priority)
+    if (written.ok) return Ok(next)
+    if (written.val.type !== 'conflict') return written
+  }
+  return Err({ type: 'unavailable', reason: 'others kept changing the object' })
+}
--- /dev/null
+++ b/src/batch/work-index.ts
@@ -0,0 +1,46 @@
+import { Err, Ok, type Result } from 'ts-results'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { tokens } from '../kernel/tokens.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { StoreError } from '../platform/store-error.js'
+import { createObject } from './create-object.js'
+import type { Job } from './job.js'
+import type { WorkEntry } from './work-entry.js'
+
+const PAGE = 500
+const TIME_DIGITS = 13
+
+/**
+ * The open jobs of each service, in the order of their due times. One small object a job and service, under a name
+ * that sorts them: the most pressing 500 are one read, and adding one conflicts with nobody.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class WorkIndex {
+  constructor (@inject(tokens.store) private readonly store: ObjectStore) {}
+
+  async add (job: Job): Promise<Result<void, StoreError>> {
+    for (const { service, sizes } of job.services) {
+      const items = sizes.reduce((sum, size) => sum + size, 0)
+      const entry: WorkEntry = { job: job.id, service, caller: job.caller, created: job.created, due: job.due, items }
+      const added = await createObject(this.store, 'work', nameEntry(entry), entry)
+      if (added.err) return added
+    }
+    return Ok(undefined)
+  }
+
+  async list (service: string): Promise<Result<readonly WorkEntry[], StoreError>> {
+    const found = await this.store.list<WorkEntry>('work', { prefix: `${service}~`, limit: PAGE })
+    return found.map(entries => entries.map(({ value }) => value))
+  }
+
+  /** Takes out a job that has no more work for the service. */
+  async remove (entry: Pick<WorkEntry, 'job' | 'service' | 'due'>): Promise<Result<void, StoreError>> {
+    const read = await this.store.get('work', nameEntry(entry))
+    if (read.err) return read.val.type === 'missing' ? Ok(undefined) : Err(read.val)
+    return await this.store.delete('work', nameEntry(entry), read.val.version)
+  }
+}
+
+function nameEntry ({ service, due, job }: Pick<WorkEntry, 'job' | 'service' | 'due'>): string {
+  return `${service}~${String(due).padStart(TIME_DIGITS, '0')}~${job}`
+}
--- a/src/ownership/batch-work.ts
+++ b/src/ownership/batch-work.ts
@@ -13,6 +13,8 @@
   readonly item: Item
   /** Answer tokens that an earlier run had given before it gave way, so that the engine can resume there. */
   readonly resumeFrom?: readonly string[]
+  /** Servers that failed the item before; another one is better where there is one. */
+  readonly avoid?: readonly string[]
   /** Whether the item may be sent again when it isn't known whether it ran. */
   readonly idempotent: boolean
   /** Aborted when the item's job has been cancelled or its claim lost: stop the run, then give back. */
