--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -1,2 +1,5 @@
 export { rankOwners } from './rank-owners.js'
 export { GroupCommit } from './group-commit.js'
+export { Lease } from './lease.js'
+export type { LeaseError } from './lease-error.js'
+export type { LeaseOptions } from './lease-options.js'
