--- /dev/null
+++ b/test/batch/helpers/trial-clock.ts
@@ -0,0 +1,53 @@
+import type { Clock } from '../../../src/kernel/clock.js'
+
+/** The clock of one daemon in a trial: while it is frozen nothing of the daemon runs; what fell due runs at the thaw. */
+export class TrialClock implements Clock {
+  private thaw?: () => void
+  private thawed: Promise<void> = Promise.resolve()
+
+  constructor (private readonly shared: Clock) {}
+
+  get frozen (): boolean {
+    return this.thaw !== undefined
+  }
+
+  now (): number {
+    return this.shared.now()
+  }
+
+  date (): number {
+    return this.shared.date()
+  }
+
+  after (delay: number, task: () => void): () => void {
+    let cancelled = false
+    const cancel = this.shared.after(delay, () => { void this.runThawed(() => cancelled || task()) })
+    return () => {
+      cancelled = true
+      cancel()
+    }
+  }
+
+  every (period: number, task: () => void): () => void {
+    return this.shared.every(period, () => { if (!this.frozen) task() })
+  }
+
+  freeze (): void {
+    if (!this.frozen) this.thawed = new Promise(resolve => { this.thaw = resolve })
+  }
+
+  resume (): void {
+    this.thaw?.()
+    this.thaw = undefined
+  }
+
+  /** Resolves at once, or at the thaw. */
+  async waitThawed (): Promise<void> {
+    while (this.frozen) await this.thawed
+  }
+
+  private async runThawed (task: () => void): Promise<void> {
+    await this.waitThawed()
+    task()
+  }
+}
