Batch admission that gives way in one hop, and claims on servers by version

Cause: engines know no priorities and report load late, so batch work that is forwarded, split or governed by reports harms the online tail or leaves idle seconds empty; and two daemons may both believe that they own a server.

--- /dev/null
+++ b/bench/policy/policy-simulation.ts
@@ -0,0 +1,204 @@
+import { stepBatchAdmission } from '../../src/ownership/batch-admission.js'
+import type { BatchAdmissionEvent } from '../../src/ownership/batch-admission-event.js'
+import type { BatchAdmissionOptions } from '../../src/ownership/batch-admission-options.js'
+import type { BatchAdmissionState } from '../../src/ownership/batch-admission-state.js'
+import { createBatchAdmission } from '../../src/ownership/create-batch-admission.js'
+import { Random } from '../../src/kernel/random.js'
+import { Batcher } from '../../stand-ins/engine/batcher.js'
+import type { EngineParameters } from '../../stand-ins/engine/engine-parameters.js'
+import type { Sequence } from '../../stand-ins/engine/sequence.js'
+import type { PolicyRun } from './policy-run.js'
+import { Schedule } from './schedule.js'
+import type { createWorkload } from './workload.js'
+
+const HOP = 0.5
+const COALESCE_BEGIN = 3
+const COALESCE_END = 20
+const TICK = 50
+const REPORT_PERIOD = 500
+const BATCH_PROMPT = { from: 100, spread: 400 }
+const BATCH_ANSWER = { from: 50, spread: 200 }
+
+interface BatchItem { readonly id: string, readonly promptTokens: number, readonly words: readonly string[], readonly blocks: readonly number[], readonly done: number }
+
+interface SimulationOptions {
+  readonly admission: BatchAdmissionOptions
+  readonly engine: EngineParameters
+  readonly workload: ReturnType<typeof createWorkload>
+  readonly length: number
+  readonly seed: number
+}
+
+/** One server, its owner and endless batch work, on virtual time. */
+export class PolicySimulation {
+  readonly run: PolicyRun = { firstToken: [], betweenTokens: [], batchTokens: 0, idle: 0, preemptions: 0 }
+  private readonly schedule = new Schedule()
+  private readonly batcher: Batcher
+  private readonly random: Random
+  private stepping = false
+  private state: BatchAdmissionState
+  private online = 0
+  private told = 0
+  private idleSince = 0
+  private items = 0
+  private readonly backlog: BatchItem[] = []
+  private readonly streams = new Map<string, { readonly item: BatchItem, readonly sequence: Sequence }>()
+  private readonly gaps: number[] = []
+  private report = 0
+
+  constructor (private readonly options: SimulationOptions) {
+    this.batcher = new Batcher(options.engine)
+    this.random = new Random(options.seed)
+    this.state = createBatchAdmission(options.admission)
+  }
+
+  play (): PolicyRun {
+    for (const request of this.options.workload) this.schedule.after(request.at, () => this.arrive(request.promptTokens, request.answerTokens))
+    this.repeat(TICK, () => this.tick())
+    this.repeat(REPORT_PERIOD, () => {
+      this.tell({ type: 'reported', sequences: this.report })
+      this.report = this.batcher.running.length + this.batcher.waiting.length
+    })
+    this.schedule.run(this.options.length)
+    if (this.online === 0) this.run.idle += this.schedule.now - this.idleSince
+    for (const { item, sequence } of this.streams.values()) this.run.batchTokens += sequence.done - item.done
+    return this.run
+  }
+
+  private repeat (period: number, task: () => void): void {
+    this.schedule.after(period, () => {
+      task()
+      this.repeat(period, task)
+    })
+  }
+
+  private tick (): void {
+    if (this.gaps.length > 0) {
+      this.tell({ type: 'observed', gap: this.gaps.reduce((sum, gap) => sum + gap, 0) / this.gaps.length })
+      this.gaps.length = 0
+    }
+    this.tell({ type: 'tick' })
+  }
+
+  private arrive (promptTokens: number, answerTokens: number): void {
+    const asked = this.schedule.now
+    if (this.online++ === 0) this.run.idle += asked - this.idleSince
+    this.schedule.after(COALESCE_BEGIN + HOP, () => this.tellOnline())
+    let last = asked
+    const sequence = createSequence({ contextTokens: promptTokens, words: new Array(answerTokens).fill('w'), blocks: [] }, (first, end) => {
+      const now = this.schedule.now
+      if (first) this.run.firstToken.push(now + HOP - asked)
+      else this.run.betweenTokens.push(now - last)
+      last = now
+      if (end) this.schedule.after(HOP, () => this.leave())
+    })
+    this.schedule.after(HOP, () => this.add(sequence))
+  }
+
+  private leave (): void {
+    if (--this.online === 0) this.idleSince = this.schedule.now
+    this.schedule.after(COALESCE_END + HOP, () => this.tellOnline())
+  }
+
+  private tellOnline (): void {
+    if (this.told === this.online) return
+    this.told = this.online
+    this.tell({ type: 'online', count: this.online })
+  }
+
+  private add (sequence: Sequence): void {
+    this.batcher.add(sequence)
+    if (!this.stepping) this.step()
+  }
+
+  private step (): void {
+    const duration = this.batcher.beginStep()
+    this.stepping = duration > 0
+    if (!this.stepping) return
+    this.schedule.after(duration, () => {
+      this.batcher.endStep()
+      this.step()
+    })
+  }
+
+  private tell (event: BatchAdmissionEvent): void {
+    const { state, effects } = stepBatchAdmission(this.state, event, this.schedule.now, this.options.admission)
+    this.state = state
+    for (const effect of effects) {
+      if (effect.type === 'preempt') this.preempt(effect.id)
+      else this.startSome(effect.count, effect.prefill)
+    }
+  }
+
+  private preempt (id: string): void {
+    const stream = this.streams.get(id)
+    if (stream === undefined) return
+    const { item, sequence } = stream
+    this.streams.delete(id)
+    this.run.preemptions++
+    this.run.batchTokens += sequence.done - item.done
+    this.backlog.push({ ...item, done: sequence.done })
+    this.schedule.after(HOP, () => { sequence.cancelled = true })
+  }
+
+  /** An item preempted here is still in the engine's cache, but for its last block. */
+  private startSome (count: number, prefill: number): void {
+    for (let i = 0, used = 0; i < count && used < prefill; i++) {
+      const next = this.backlog.pop() ?? this.createItem()
+      const cost = next.done > 0 ? this.options.engine.blockTokens : next.promptTokens
+      if (i > 0 && used + cost > prefill) {
+        this.backlog.push(next)
+        return
+      }
+      used += cost
+      this.start(next, cost)
+    }
+  }
+
+  private start (item: BatchItem, prefill: number): void {
+    let last = 0
+    const sequence = createSequence({ contextTokens: item.promptTokens + item.done, words: item.words, blocks: item.blocks, done: item.done }, (first, end) => {
+      if (this.streams.get(item.id)?.sequence !== sequence) return
+      if (!first) this.gaps.push(this.schedule.now - last)
+      last = this.schedule.now
+      if (first) this.schedule.after(HOP, () => this.tell({ type: 'prefilled', id: item.id }))
+      if (end) this.finish(item)
+    })
+    this.streams.set(item.id, { item, sequence })
+    this.schedule.after(HOP, () => this.add(sequence))
+    this.tell({ type: 'started', id: item.id, prefill })
+  }
+
+  private finish (item: BatchItem): void {
+    this.run.batchTokens += item.words.length - item.done
+    this.streams.delete(item.id)
+    this.schedule.after(HOP, () => this.tell({ type: 'ended', id: item.id }))
+  }
+
+  private createItem (): BatchItem {
+    const number = ++this.items
+    const promptTokens = BATCH_PROMPT.from + this.random.below(BATCH_PROMPT.spread)
+    const words = new Array<string>(BATCH_ANSWER.from + this.random.below(BATCH_ANSWER.spread)).fill('w')
+    const blocks = Array.from({ length: Math.floor((promptTokens + words.length) / this.options.engine.blockTokens) }, (_, i) => number * 1_000 + i)
+    return { id: String(number), promptTokens, words, blocks, done: 0 }
+  }
+}
+
+function createSequence ({ contextTokens, words, blocks, done = 0 }: Pick<Sequence, 'contextTokens' | 'words' | 'blocks'> & { readonly done?: number }, onToken: (first: boolean, last: boolean) => void): Sequence {
+  let first = true
+  return {
+    id: '',
+    contextTokens,
+    words,
+    blocks,
+    resumed: done,
+    done,
+    imported: false,
+    prefillLeft: contextTokens,
+    cancelled: false,
+    onToken: (_word, last) => {
+      onToken(first, last)
+      first = false
+    }
+  }
+}
--- /dev/null
+++ b/bench/policy/workload.ts
@@ -0,0 +1,26 @@
+import type { Random } from '../../src/kernel/random.js'
+
+/** One online request of a trace. */
+interface OnlineRequest { readonly at: number, readonly promptTokens: number, readonly answerTokens: number }
+
+/** How online requests come: bursts of Poisson arrivals with quiet between them, all means. Times in ms. */
+interface WorkloadOptions { readonly burst: number, readonly quiet: number, readonly between: number, readonly length: number }
+
+/** The online requests of one server. Sizes are uniform: 100 to 700 prompt tokens, 20 to 160 answer tokens. */
+export function createWorkload (random: Random, { burst, quiet, between, length }: WorkloadOptions): readonly OnlineRequest[] {
+  const requests: OnlineRequest[] = []
+  let now = 0
+  while (now < length) {
+    now += draw(random, quiet)
+    const end = now + draw(random, burst)
+    for (now += draw(random, between); now < end; now += draw(random, between)) {
+      requests.push({ at: now, promptTokens: 100 + random.below(600), answerTokens: 20 + random.below(140) })
+    }
+  }
+  return requests.filter(({ at }) => at < length)
+}
+
+/** Exponentially distributed. */
+function draw (random: Random, mean: number): number {
+  return -mean * Math.log(1 - random.next())
+}
--- /dev/null
+++ b/src/ownership/batch-admission-state.ts
@@ -0,0 +1,18 @@
+import type { BatchStream } from './batch-stream.js'
+
+/** What batch admission on one server remembers. Times are monotonic ms. */
+export interface BatchAdmissionState {
+  /** Online requests in flight, as the daemons tell. */
+  readonly online: number
+  /** Sequences running or waiting, as the server last reported; late. */
+  readonly reported: number
+  /** Streams in the order in which they were started. */
+  readonly streams: readonly BatchStream[]
+  /** Adaptive limit of batch streams while nothing else runs. */
+  readonly limit: number
+  readonly limitChangedAt: number
+  /** Highest number of online requests of late; it decays. */
+  readonly peak: number
+  readonly peakAt: number
+  readonly lastStart: number
+}
--- /dev/null
+++ b/src/ownership/batch-admission.ts
@@ -0,0 +1,88 @@
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { BatchAdmissionEffect } from './batch-admission-effect.js'
+import type { BatchAdmissionEvent } from './batch-admission-event.js'
+import type { BatchAdmissionOptions } from './batch-admission-options.js'
+import type { BatchAdmissionState } from './batch-admission-state.js'
+import { planPreempting } from './plan-preempting.js'
+
+interface Step { readonly state: BatchAdmissionState, readonly effects: readonly BatchAdmissionEffect[] }
+
+/** Longest idle stretch over which the peak of online requests halves, ms. */
+const PEAK_HALF_LIFE = 60_000
+const LIMIT_PERIOD = 250
+/**
+ * Share of the target that the batch streams' own time between tokens may reach. It bounds the step during which the
+ * first online request of a burst waits.
+ */
+const TARGET_SHARE = 1
+const DECREASE = 0.9
+
+/**
+ * The next state of batch admission on one server and what its owner is to do. It has no clock and no source of
+ * items: feed it every change and a tick now and then, and carry the effects out in the same turn. `started` has no effects,
+ * so that the items of one `start` can be told one by one.
+ *
+ * @example
+ * let { state, effects } = stepBatchAdmission(createBatchAdmission(options), { type: 'online', count: 1 }, now, options)
+ */
+export function stepBatchAdmission (state: BatchAdmissionState, event: BatchAdmissionEvent, now: number, options: BatchAdmissionOptions): Step {
+  const next = applyEvent(state, event, now, options)
+  if (event.type === 'started') return { state: next, effects: [] }
+  const effects = plan(next, event, now, options)
+  const preempted = new Set(effects.flatMap(effect => effect.type === 'preempt' ? [effect.id] : []))
+  const starts = effects.some(({ type }) => type === 'start')
+  return {
+    state: { ...next, streams: preempted.size === 0 ? next.streams : next.streams.filter(({ id }) => !preempted.has(id)), lastStart: starts ? now : next.lastStart },
+    effects
+  }
+}
+
+function applyEvent (state: BatchAdmissionState, event: BatchAdmissionEvent, now: number, options: BatchAdmissionOptions): BatchAdmissionState {
+  switch (event.type) {
+    case 'online': return { ...state, online: event.count, ...raisePeak(state, event.count, now) }
+    case 'reported': return { ...state, reported: event.sequences }
+    case 'started': return { ...state, streams: [...state.streams, { id: event.id, prefill: event.prefill, prefilled: false }] }
+    case 'prefilled': return { ...state, streams: state.streams.map(stream => stream.id === event.id ? { ...stream, prefilled: true } : stream) }
+    case 'ended': return { ...state, streams: state.streams.filter(({ id }) => id !== event.id) }
+    case 'observed': return adaptLimit(state, event.gap, now, options)
+    case 'tick': return state
+    default: return failUnreachable(event)
+  }
+}
+
+function raisePeak ({ peak, peakAt }: BatchAdmissionState, online: number, now: number): { peak: number, peakAt: number } {
+  const decayed = peak * 0.5 ** ((now - peakAt) / PEAK_HALF_LIFE)
+  return { peak: Math.max(online, decayed), peakAt: now }
+}
+
+/** Additive increase, multiplicative decrease (Chiu and Jain, 1989) of the streams on an idle server. */
+function adaptLimit (state: BatchAdmissionState, gap: number, now: number, { betweenTokens, maxInFlight }: BatchAdmissionOptions): BatchAdmissionState {
+  if (now < state.limitChangedAt + LIMIT_PERIOD) return state
+  if (gap > betweenTokens * TARGET_SHARE) return { ...state, limit: Math.max(1, state.limit * DECREASE), limitChangedAt: now }
+  const full = state.streams.length + 1 >= state.limit
+  return full ? { ...state, limit: Math.min(maxInFlight, state.limit + 1), limitChangedAt: now } : state
+}
+
+function plan (state: BatchAdmissionState, event: BatchAdmissionEvent, now: number, { policy, maxInFlight }: BatchAdmissionOptions): readonly BatchAdmissionEffect[] {
+  switch (policy.type) {
+    case 'none': return []
+    case 'forwarding': return startUpTo(state, maxInFlight)
+    case 'split': return startUpTo(state, policy.streams)
+    case 'load reports': return event.type === 'reported' ? planByReport(state, maxInFlight) : []
+    case 'preempting': return planPreempting(state, now, maxInFlight)
+    default: return failUnreachable(policy)
+  }
+}
+
+function startUpTo ({ streams }: BatchAdmissionState, allowed: number): readonly BatchAdmissionEffect[] {
+  return streams.length < allowed ? [{ type: 'start', count: allowed - streams.length, prefill: Infinity }] : []
+}
+
+/** Leaves twice the online load that the report shows free, and gives the rest to batch. */
+function planByReport (state: BatchAdmissionState, maxInFlight: number): readonly BatchAdmissionEffect[] {
+  const online = Math.max(0, state.reported - state.streams.length)
+  const allowed = Math.max(0, maxInFlight - 2 * online)
+  const excess = state.streams.slice(allowed)
+  if (online > 0 && excess.length > 0) return excess.map(({ id }) => ({ type: 'preempt', id }))
+  return startUpTo(state, allowed)
+}
--- /dev/null
+++ b/src/ownership/batch-policy.ts
@@ -0,0 +1,15 @@
+/**
+ * How batch work shares a server with online requests. All but `preempting` are baselines that the bench compares
+ * with, and a way back for operators.
+ */
+export type BatchPolicy =
+  /** No batch work. */
+  | { readonly type: 'none' }
+  /** As much as connections allow, whatever else runs there. */
+  | { readonly type: 'forwarding' }
+  /** A fixed number of streams, whatever else runs there. */
+  | { readonly type: 'split', readonly streams: number }
+  /** What the server's lagged load reports leave over; gives way when a report says so. */
+  | { readonly type: 'load reports' }
+  /** Gives way to each online request as it begins, and fills what is idle. */
+  | { readonly type: 'preempting' }
--- /dev/null
+++ b/src/ownership/plan-preempting.ts
@@ -0,0 +1,37 @@
+import type { BatchAdmissionEffect } from './batch-admission-effect.js'
+import type { BatchAdmissionState } from './batch-admission-state.js'
+
+/** Prompt tokens of batch that may wait or prefill in the engine at once while nothing online runs there. */
+const PREFILL_IDLE = 256
+/** The same for one start beside online requests; an item that the engine has cached stays within it. */
+const PREFILL_BESIDE_ONLINE = 64
+/** Slots left free for the first online requests of a burst. */
+const HEADROOM = 4
+/** Share of the online peak up to which batch may fill beside online requests. */
+const PEAK_SHARE = 0.7
+/** ms between two starts beside online requests: the prefill of each delays their tokens. */
+const START_PAUSE = 500
+
+/**
+ * Gives way to online requests and fills what is idle.
+ *
+ * With nothing online, batch has all but a headroom. Starts are paced by first tokens: the engine admits requests as
+ * they come, so whatever batch prompts wait in it go before the first online request of a burst; the symptom would be
+ * a first token late by all of them. At most `PREFILL_IDLE` tokens can.
+ *
+ * With online requests in flight, the server is kept no busier than a share of what online alone brings it to at its
+ * peaks: the steps of the tail are those it has without batch. The latest streams give way first, having the fewest
+ * tokens to bring back.
+ */
+export function planPreempting (state: BatchAdmissionState, now: number, maxInFlight: number): readonly BatchAdmissionEffect[] {
+  const { streams, online, limit, peak } = state
+  const idle = online === 0
+  const allowed = Math.floor(idle ? Math.min(limit, maxInFlight - HEADROOM) : Math.max(0, peak * PEAK_SHARE - online))
+  if (!idle && streams.length > allowed) return streams.slice(allowed).map(({ id }) => ({ type: 'preempt', id }))
+  const count = allowed - streams.length
+  if (count <= 0) return []
+  const starting = streams.reduce((sum, { prefilled, prefill }) => sum + (prefilled ? 0 : prefill), 0)
+  if (idle) return starting < PREFILL_IDLE ? [{ type: 'start', count, prefill: PREFILL_IDLE - starting }] : []
+  const paused = starting > 0 || now < state.lastStart + START_PAUSE
+  return paused ? [] : [{ type: 'start', count: 1, prefill: PREFILL_BESIDE_ONLINE }]
+}
--- /dev/null
+++ b/src/ownership/server-owners.ts
@@ -0,0 +1,139 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { ClaimEvent } from '../coordination/claim-event.js'
+import type { ClaimOptions } from '../coordination/claim-options.js'
+import type { ClaimState } from '../coordination/claim-state.js'
+import { isClaimProven } from '../coordination/is-claim-proven.js'
+import { isClaimSettled } from '../coordination/is-claim-settled.js'
+import { stepClaim } from '../coordination/step-claim.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import { Members } from '../peers/members.js'
+import { InstanceList } from '../platform/instance-list.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import { OwnerTable } from './owner-table.js'
+
+const REFRESH_PERIOD = 200
+const ENTRY_POOL = 'entry'
+const CLAIM_KIND = 'owner'
+
+/** What the platform keeps of a claim, in the object `owner/SERVER`. */
+interface ClaimObject { readonly holder: string }
+
+/**
+ * Who owns each backend server, and this daemon's claims on those it owns. Health, load and batch admission follow
+ * the ranking at once, because two who do them waste a little work and harm nothing; orders need the claim.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class ServerOwners implements Part {
+  private readonly table = new OwnerTable()
+  private readonly claims = new Map<string, ClaimState>()
+  private readonly listeners = new Set<() => void>()
+  private readonly options: ClaimOptions
+  private owned: readonly string[] = []
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(Members) private readonly members: Members,
+    @inject(InstanceList) private readonly list: InstanceList,
+    @inject(PauseWatch) private readonly pauses: PauseWatch,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.options = { self: `${settings.instance}/${clock.date()}` }
+  }
+
+  async start (): Promise<void> {
+    this.pauses.subscribe(() => this.tellAll({ type: 'paused' }))
+    this.refresh()
+    this.cancel = this.clock.every(REFRESH_PERIOD, () => this.refresh())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  /** The daemon that should own the server, as this one sees it. */
+  findOwner (server: string): string | undefined {
+    return this.table.find(server)
+  }
+
+  /** Servers that this daemon should own. */
+  listOwned (): readonly string[] {
+    return this.owned
+  }
+
+  /** Fencing number of this daemon's claim on the server; 0 while it has none. */
+  getFencing (server: string): number {
+    const state = this.claims.get(server)
+    return state?.type === 'held' ? state.version : 0
+  }
+
+  /** Asks for a fresh proof of the claim; `getAuthority` tells later whether it came. */
+  confirm (server: string): void {
+    this.tell(server, { type: 'confirm' })
+  }
+
+  /**
+   * The fencing number with which an order may be sent in this very turn, or undefined. It compares the clock
+   * itself, so that a daemon that was frozen past its proof sends nothing even before any timer has run.
+   */
+  getAuthority (server: string, checksFencing: boolean): number | undefined {
+    this.pauses.check()
+    const state = this.claims.get(server)
+    const now = this.clock.now()
+    if (state?.type !== 'held' || !isClaimProven(state, now, this.options)) return undefined
+    return checksFencing || isClaimSettled(state, now, this.options) ? state.version : undefined
+  }
+
+  /** `listener` runs when the servers that this daemon should own have changed. */
+  subscribe (listener: () => void): void {
+    this.listeners.add(listener)
+  }
+
+  private refresh (): void {
+    const daemons = this.members.all().filter(({ state }) => state !== 'leaving').map(({ instance }) => instance)
+    this.table.update(this.list.all.filter(({ pool }) => pool !== ENTRY_POOL), daemons)
+    const before = this.owned
+    this.owned = this.table.list(this.settings.instance)
+    for (const server of before) if (!this.owned.includes(server)) this.tell(server, { type: 'release' })
+    for (const server of this.owned) this.tell(server, { type: 'want' })
+    this.tellAll({ type: 'tick' })
+    if (before.join() !== this.owned.join()) for (const listener of this.listeners) listener()
+  }
+
+  private tellAll (event: ClaimEvent): void {
+    for (const server of this.claims.keys()) this.tell(server, event)
+  }
+
+  private tell (server: string, event: ClaimEvent): void {
+    const before = this.claims.get(server) ?? { type: 'idle', attempt: 0 }
+    const { state, effects } = stepClaim(before, event, this.clock.now(), this.options)
+    this.claims.set(server, state)
+    if (state.type === 'held' && before.type !== 'held') this.timeline.record({ part: 'ownership', what: 'claimed', server, detail: `fencing ${state.version}` })
+    for (const effect of effects) {
+      void (effect.type === 'read' ? this.read(server, effect.attempt) : this.write(server, effect.attempt, effect.version))
+    }
+  }
+
+  private async read (server: string, attempt: number): Promise<void> {
+    const object = await this.store.get<ClaimObject>(CLAIM_KIND, server, 'background')
+    if (object.ok) this.tell(server, { type: 'read', attempt, holder: object.val.value.holder, version: object.val.version })
+    else if (object.val.type === 'missing') this.tell(server, { type: 'read', attempt, version: 0 })
+    else this.tell(server, { type: 'failed', attempt })
+  }
+
+  private async write (server: string, attempt: number, version: number): Promise<void> {
+    const value: ClaimObject = { holder: this.options.self }
+    const written = await this.store.put(CLAIM_KIND, server, value, version, 'background')
+    this.tell(server, written.ok ? { type: 'written', attempt, version: written.val.version } : { type: 'failed', attempt })
+  }
+}
+
+partRegistry.register({ name: 'server owners', part: ServerOwners, needs: ['members', 'instance list', 'pause watch'] })
--- a/stand-ins/engine/batcher.ts
+++ b/stand-ins/engine/batcher.ts
@@ -77,14 +77,15 @@
     sequence.onToken(word, last)
   }
 
-  /** What a sequence leaves of its prompt stays cached as long as there is room. */
+  /** What a sequence leaves of its prompt and answer stays cached as long as there is room. */
   private release (sequence: Sequence): void {
     const { memoryTokens, blockTokens } = this.parameters
-    const computed = Math.floor((sequence.contextTokens - sequence.prefillLeft) / blockTokens)
+    const tokens = sequence.contextTokens - sequence.prefillLeft + sequence.done - sequence.resumed
+    const computed = Math.floor(tokens / blockTokens)
     this.cache.put(sequence.blocks.slice(0, computed), Math.floor((memoryTokens - this.usedTokens) / blockTokens))
   }
 }
 
-function countTokens ({ contextTokens, words, done }: Sequence): number {
-  return contextTokens + words.length - done
+function countTokens ({ contextTokens, words, resumed }: Sequence): number {
+  return contextTokens + words.length - resumed
 }
--- a/stand-ins/engine/engine-model.ts
+++ b/stand-ins/engine/engine-model.ts
@@ -86,13 +86,15 @@
   private createSequence ({ prompt, tokens, resumeFrom, kv }: Completion, id: string, onToken: TokenWriter): Sequence {
     const words = answerWords(prompt, tokens)
     const done = Math.min(resumeFrom.length, words.length - 1)
-    const contextTokens = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN) + done
+    const promptTokens = splitPrompt(prompt)
+    const contextTokens = promptTokens.length + done
     return {
       id,
       contextTokens,
-      blocks: hashBlocks(prompt, this.parameters.blockTokens),
+      blocks: hashBlocks([...promptTokens, ...words], this.parameters.blockTokens),
       imported: kv === encodeKvHandle(prompt, resumeFrom.length),
       words,
+      resumed: done,
       done,
       prefillLeft: contextTokens,
       cancelled: false,
@@ -106,3 +108,9 @@
     this.active.delete(record.requestId)
   }
 }
+
+function splitPrompt (prompt: string): readonly string[] {
+  return Array.from({ length: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN) }, (_, i) => {
+    return prompt.slice(i * CHARACTERS_PER_TOKEN, (i + 1) * CHARACTERS_PER_TOKEN)
+  })
+}
--- a/stand-ins/engine/sequence.ts
+++ b/stand-ins/engine/sequence.ts
@@ -3,12 +3,14 @@
   readonly id: string
   /** Tokens to have in KV cache before the first new token: the prompt's and those resumed from. */
   readonly contextTokens: number
-  /** Chained hashes of the context's whole blocks, for the prefix cache; may be empty. */
+  /** Chained hashes of the whole blocks of prompt and answer, for the prefix cache; may be empty. */
   readonly blocks: readonly number[]
   /** Whether the context's KV cache is imported and not computed. */
   readonly imported: boolean
-  /** Words of the whole answer; the first `done` are there already. */
+  /** Words of the whole answer, of which the first `done` are there already. */
   readonly words: readonly string[]
+  /** How many of them an earlier run gave. */
+  readonly resumed: number
   done: number
   /** Context tokens still to prefill; set when it is admitted. */
   prefillLeft: number
--- /dev/null
+++ b/test/ownership/batch-admission.test.ts
@@ -0,0 +1,80 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { Random } from '../../src/kernel/random.js'
+import { stepBatchAdmission } from '../../src/ownership/batch-admission.js'
+import type { BatchAdmissionEvent } from '../../src/ownership/batch-admission-event.js'
+import type { BatchPolicy } from '../../src/ownership/batch-policy.js'
+import { createBatchAdmission } from '../../src/ownership/create-batch-admission.js'
+import { PolicySimulation } from '../../bench/policy/policy-simulation.js'
+import { createWorkload } from '../../bench/policy/workload.js'
+import { defaultParameters } from '../../stand-ins/engine/default-parameters.js'
+
+const OPTIONS = { policy: { type: 'preempting' }, maxInFlight: 32, betweenTokens: 46 } as const
+const LENGTH = 1_200_000
+
+/** Plays events and carries out the effects; gives back the state after each event. */
+function play (events: ReadonlyArray<{ readonly event: BatchAdmissionEvent, readonly time: number }>): Array<ReturnType<typeof createBatchAdmission>> {
+  let state = createBatchAdmission(OPTIONS)
+  let now = 0
+  let next = 0
+  return events.map(({ event, time }) => {
+    now += time
+    const step = stepBatchAdmission(state, event, now, OPTIONS)
+    state = step.state
+    for (const effect of step.effects) {
+      if (effect.type === 'preempt') continue
+      for (let i = 0; i < effect.count; i++) state = stepBatchAdmission(state, { type: 'started', id: String(next++), prefill: 10 }, now, OPTIONS).state
+    }
+    return state
+  })
+}
+
+const event: fc.Arbitrary<BatchAdmissionEvent> = fc.oneof(
+  fc.nat(20).map(count => ({ type: 'online' as const, count })),
+  fc.nat(200).map(id => ({ type: 'prefilled' as const, id: String(id) })),
+  fc.nat(200).map(id => ({ type: 'ended' as const, id: String(id) })),
+  fc.nat(100).map(gap => ({ type: 'observed' as const, gap })),
+  fc.constant({ type: 'tick' as const })
+)
+
+test('batch streams stay within the slots, and beside online requests below the peak of these', t => {
+  fc.assert(fc.property(fc.array(fc.record({ event, time: fc.nat(500) }), { maxLength: 200, size: 'max' }), events => {
+    return play(events).every(({ streams, online, peak }) => {
+      return streams.length <= OPTIONS.maxInFlight && (online === 0 || streams.length === 0 || streams.length + online <= peak)
+    })
+  }), { seed: 5, numRuns: 300 })
+  t.pass()
+})
+
+test('an online request on an idle server makes batch give way in the same step, the latest first', t => {
+  const ticks = Array.from({ length: 40 }, (_, i) => [{ event: { type: 'tick' as const }, time: 10 }, { event: { type: 'prefilled' as const, id: String(i) }, time: 1 }]).flat()
+  const states = play([...ticks, { event: { type: 'online', count: 10 }, time: 1 }, { event: { type: 'online', count: 3 }, time: 1 }, { event: { type: 'online', count: 10 }, time: 1 }])
+  t.true(states.at(-4)!.streams.length >= 16)
+  t.is(states.at(-3)!.streams.length, 0)
+  t.is(states.at(-1)!.streams.length, 0)
+})
+
+// Online requests come in bursts to a server that is full of batch streams. Their first tokens wait for the step that
+// is running and, until batch has given way, share steps with it; what callers see is the tail of the time to first
+// token. A load report comes up to a second late, and a second is as long as a burst.
+const bounds: Array<{ policy: BatchPolicy, holds: boolean }> = [{ policy: { type: 'preempting' }, holds: true }, { policy: { type: 'load reports' }, holds: false }]
+for (const { policy, holds } of bounds) {
+  test(`the tail of online requests ${holds ? 'stays' : 'does not stay'} within its bounds with ${policy.type}, over twenty minutes of bursts`, t => {
+    const simulate = (policy: BatchPolicy): ReturnType<PolicySimulation['play']> => new PolicySimulation({
+      admission: { policy, maxInFlight: 64, betweenTokens: 46 },
+      engine: { ...defaultParameters, stepBase: 12, stepPerSequence: 0.25, prefillPerToken: 0.05, memoryTokens: 120_000 },
+      workload: createWorkload(new Random(1), { burst: 4_000, quiet: 6_000, between: 250, length: LENGTH }),
+      length: LENGTH,
+      seed: 1
+    }).play()
+    const [alone, shared] = [simulate({ type: 'none' }), simulate(policy)]
+    const ratio = (pick: 'firstToken' | 'betweenTokens', quantile: number): number => find(shared[pick], quantile) / find(alone[pick], quantile)
+    t.log(ratio('firstToken', 0.99), ratio('firstToken', 0.999), ratio('betweenTokens', 0.99), ratio('betweenTokens', 0.999))
+    t.is(ratio('firstToken', 0.99) <= 1.05 && ratio('firstToken', 0.999) <= 1.1 && ratio('betweenTokens', 0.99) <= 1.05 && ratio('betweenTokens', 0.999) <= 1.1, holds)
+    t.true(shared.batchTokens > 0)
+  })
+}
+
+function find (values: readonly number[], quantile: number): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(quantile * values.length)]!
+}
