--- /dev/null
+++ b/test/batch/helpers/trial-store.ts
@@ -0,0 +1,53 @@
+import type { Result } from 'ts-results'
+import { MemoryStore } from '../../../stand-ins/platform/memory-store.js'
+import type { ObjectStore } from '../../../src/platform/object-store.js'
+import type { StoreError } from '../../../src/platform/store-error.js'
+import type { StoredObject } from '../../../src/platform/stored-object.js'
+import type { WatchBatch } from '../../../src/platform/watch-batch.js'
+import type { TrialClock } from './trial-clock.js'
+
+/** One daemon's way to the shared store: nothing goes out or comes in while it is frozen; some reads are old. */
+export class TrialStore implements ObjectStore {
+  private readonly earlier = new Map<string, StoredObject<any>>()
+  private reads = 0
+  /** Every how many reads one gives the version before; 0 for never. */
+  oldReads = 0
+
+  constructor (private readonly shared: MemoryStore, private readonly clock: TrialClock) {}
+
+  async get<T> (kind: string, name: string): Promise<Result<StoredObject<T>, StoreError>> {
+    const key = `${kind}/${name}`
+    const earlier = this.earlier.get(key)
+    const read = await this.pass(async () => await this.shared.get<T>(kind, name))
+    if (read.ok) this.earlier.set(key, read.val)
+    const old = this.oldReads > 0 && ++this.reads % this.oldReads === 0
+    return old && read.ok && earlier !== undefined ? read.map(() => earlier) : read
+  }
+
+  async put<T> (kind: string, name: string, value: T, version: number): Promise<Result<StoredObject<T>, StoreError>> {
+    return await this.pass(async () => await this.shared.put(kind, name, value, version))
+  }
+
+  async delete (kind: string, name: string, version: number): Promise<Result<void, StoreError>> {
+    return await this.pass(async () => await this.shared.delete(kind, name, version))
+  }
+
+  async list<T> (kind: string, options = {}): Promise<Result<readonly StoredObject<T>[], StoreError>> {
+    return await this.pass(async () => await this.shared.list<T>(kind, options))
+  }
+
+  async watch<T> (kind: string, revision: number): Promise<Result<WatchBatch<T>, StoreError>> {
+    return await this.shared.watch<T>(kind, revision)
+  }
+
+  async listInstances (): ReturnType<ObjectStore['listInstances']> {
+    return await this.shared.listInstances()
+  }
+
+  private async pass<T> (call: () => Promise<T>): Promise<T> {
+    await this.clock.waitThawed()
+    const answer = await call()
+    await this.clock.waitThawed()
+    return answer
+  }
+}
