Membership by random probes in place of the platform's list

Cause: the list lags; a daemon that had died was named to callers and owned things until the list noticed, and one that was paused acted on what it believed before. Ruled out: every daemon pings every other one (380 x 380 messages a period); heartbeats as objects at the platform (380 writes a second of several hundred). Seen failing first, each with its safeguard switched off: no revival of listed dead members (halves stay apart), no refutation (2 tests), pause ignored (1), older news taken (5).

--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -97,9 +97,18 @@
       const known = await Promise.all(this.daemons.map(async daemon => (await this.operator('GET', daemon, '/operator/configuration')).version))
       return known.every(other => other >= version)
     })
+    await this.waitForServers()
     return version
   }
 
+  /** Waits until every daemon has read of every registered server; the platform's list lags. */
+  async waitForServers (): Promise<void> {
+    await this.waitUntil(async () => {
+      const known = await Promise.all(this.daemons.map(async daemon => (await this.operator('GET', daemon, '/operator/status')).servers as string[]))
+      return this.servers.every(({ instance }) => known.every(names => names.includes(instance.name)))
+    })
+  }
+
   async operator (method: 'GET' | 'PUT' | 'POST', daemon: Node, path: string, body?: unknown): Promise<any> {
     return await this.call(method, this.url(daemon) + path, body, { authorization: `Bearer ${OPERATOR_TOKEN}` })
   }
--- a/src/config/settings-schema.ts
+++ b/src/config/settings-schema.ts
@@ -22,6 +22,7 @@
   failureDomain: { type: 'text', minLength: 1, maxLength: 100, doc: 'Failure domain that the instance stands in.' },
   region: { type: 'text', minLength: 1, maxLength: 100, doc: 'Region that the instance stands in.' },
   listen: { type: 'object', keys: listen, doc: 'Where the daemon listens.' },
+  address: { type: 'text', minLength: 1, optional: true, doc: 'Address at which callers and other daemons reach this instance; `listen.host` where it is left out.' },
   platform: { type: 'text', pattern: PLATFORM_URL, doc: 'Base address of the platform\'s object API.' },
   peerKey: { type: 'text', minLength: MIN_SECRET, doc: 'Secret shared by the daemons, which proves a peer.' },
   operatorToken: { type: 'text', minLength: MIN_SECRET, doc: 'Token that operators present.' },
--- /dev/null
+++ b/src/coordination/membership-context.ts
@@ -0,0 +1,9 @@
+import type { Random } from '../kernel/random.js'
+import type { MembershipOptions } from './membership-options.js'
+
+/** What a step is taken with; `now` in monotonic ms. */
+export interface MembershipContext {
+  readonly now: number
+  readonly random: Random
+  readonly options: Required<MembershipOptions>
+}
--- /dev/null
+++ b/src/coordination/membership.ts
@@ -0,0 +1,133 @@
+import type { Random } from '../kernel/random.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import { membershipMessages } from './build-membership-message.js'
+import type { MemberRecord } from './member-record.js'
+import type { MembershipEffect } from './membership-effect.js'
+import type { MembershipEvent } from './membership-event.js'
+import type { MembershipMessage } from './membership-message.js'
+import type { MembershipOptions } from './membership-options.js'
+import type { MembershipState } from './membership-state.js'
+import type { MembershipContext as Context } from './membership-context.js'
+import { membershipDefaults } from './membership-defaults.js'
+import { membershipMoves } from './membership-moves.js'
+import type { MembershipStep as Step } from './membership-step.js'
+import { mergeRecords } from './merge-records.js'
+import { tickMembership } from './tick-membership.js'
+
+const { none, sendTo, listOthers, chooseSome, setRecord } = membershipMoves
+
+const JOIN_FANOUT = 3
+
+/**
+ * Membership by random probes (SWIM): what a member sends and does doesn't grow with their number. Given the state,
+ * an event, monotonic `now` in ms and a source of randomness, gives the next state and the messages to send; any of
+ * those may be lost. It does no I/O and throws nothing.
+ *
+ * A live member that can be reached is never dead for long: it hears of the suspicion from the first who probes it
+ * and refutes it by a new incarnation. A dead one is dropped by all, and comes back only in a new incarnation.
+ *
+ * Source: Das, Gupta and Motivala, "SWIM", 2002; the delay of one's own loop after Dadgar et al., "Lifeguard", 2017.
+ *
+ * @example
+ * let state = createMembership({ name: 'entry-0', incarnation: Date.now(), data: { host: '10.0.0.1' }, now: clock.now() })
+ * const next = stepMembership(state, { type: 'tick' }, { now: clock.now(), random })
+ * state = next.state
+ * for (const { to, message } of next.effects) links.send(to, message)
+ */
+export function stepMembership (state: MembershipState, event: MembershipEvent, { now, random, options = {} }: {
+  readonly now: number
+  readonly random: Random
+  readonly options?: MembershipOptions
+}): Step {
+  const context = { now, random, options: { ...membershipDefaults, ...options } }
+  switch (event.type) {
+    case 'tick': return tickMembership(state, context)
+    case 'message': return receive(state, event.from, event.message, context)
+    case 'listed': return takeList(state, event.members, context)
+    case 'paused': return restart(state, event.incarnation, context)
+    case 'updated': return updateSelf(state, { data: event.data }, context)
+    case 'leave': return updateSelf(state, { leaving: true }, context)
+    case 'end': return updateSelf(state, { status: 'dead' }, context)
+    default: return failUnreachable(event)
+  }
+}
+
+function sendState (state: MembershipState, to: string, want: boolean): MembershipEffect {
+  const u = [...state.members.values()].filter(({ incarnation }) => incarnation > 0).map(membershipMessages.copyRecord)
+  return { to, message: { type: 'state', want, u } }
+}
+
+function updateSelf (state: MembershipState, change: Partial<MemberRecord>, context: Context): Step {
+  const self = state.members.get(state.self)!
+  const next = setRecord(state, { ...self, ...change, incarnation: self.incarnation + 1, since: context.now })
+  return tellAll(next, context)
+}
+
+/**
+ * Tells every other member at once: news of oneself are rare, and at 380 members they are 380 small messages. The
+ * answers carry the new `sequence`, so that the caller can wait until all know.
+ */
+function tellAll (state: MembershipState, context: Context): Step {
+  const self = state.members.get(state.self)!
+  const n = state.sequence + 1
+  const message: MembershipMessage = { type: 'ping', n, i: self.incarnation, h: membershipMessages.hashMembers(state.members), u: [membershipMessages.copyRecord(self)] }
+  return { state: { ...state, sequence: n }, effects: listOthers(state, ['alive', 'suspect']).map(to => ({ to, message })) }
+}
+
+function takeList (state: MembershipState, listed: Extract<MembershipEvent, { type: 'listed' }>['members'], context: Context): Step {
+  const others = listed.filter(({ name }) => name !== state.self)
+  const fresh = others.filter(({ name }) => !state.members.has(name))
+  const members = new Map(state.members)
+  for (const { name, data } of fresh) members.set(name, { name, incarnation: 0, status: 'alive', leaving: false, data, since: context.now })
+  const next = { ...state, members, listed: new Set(others.map(({ name }) => name)) }
+  if (fresh.length === 0) return none(next)
+  const asked = chooseSome(fresh.map(({ name }) => name), JOIN_FANOUT, context.random)
+  return { state: { ...next, settled: state.settled && state.members.size > 1 }, effects: asked.map(to => sendState(next, to, true)) }
+}
+
+/** What it believed of the others may have lapsed: they are known by name only, until they are heard again. */
+function restart (state: MembershipState, incarnation: number, context: Context): Step {
+  const { now, random } = context
+  const members = new Map([...state.members].map(([name, record]) => {
+    if (name === state.self) return [name, { ...record, incarnation, since: now }]
+    return [name, record.status === 'dead' ? record : { ...record, incarnation: 0, status: 'alive' as const, since: now }]
+  }))
+  const reset = { ...state, members, rumors: new Map([[state.self, 0]]), probes: [], relays: [], round: [], tickedAt: now }
+  const next = { ...reset, settled: listOthers(reset, ['alive']).length === 0 }
+  return { state: next, effects: chooseSome(listOthers(next, ['alive']), JOIN_FANOUT, random).map(to => sendState(next, to, true)) }
+}
+
+function receive (state: MembershipState, from: string, message: MembershipMessage, context: Context): Step {
+  const merged = mergeRecords(state, message.u, context.now)
+  switch (message.type) {
+    case 'state': {
+      const next = { ...merged, settled: true }
+      return { state: next, effects: message.want ? [sendState(next, from, false)] : [] }
+    }
+    case 'who': return sendTo(setRecord(merged, merged.members.get(merged.self)!), from, 'ack', 0, context)
+    case 'ping': return addSync(sendTo(merged, from, 'ack', message.n, context), from, message, context)
+    case 'ask': return relayProbe(merged, from, message, context)
+    case 'ack': return addSync(takeAnswer(merged, message.n, context), from, message, context)
+    default: return failUnreachable(message)
+  }
+}
+
+/** Asks one whose incarnation it doesn't know, and sends its whole view, now and then, to one that sees another one. */
+function addSync (step: Step, from: string, { i, h }: { readonly i: number, readonly h: number }, { now, options }: Context): Step {
+  const unknown = (step.state.members.get(from)?.incarnation ?? 0) < i
+  if (unknown) return { state: step.state, effects: [...step.effects, { to: from, message: { type: 'who', u: [] } }] }
+  if (h === membershipMessages.hashMembers(step.state.members) || now - step.state.syncedAt < options.syncEvery) return step
+  return { state: { ...step.state, syncedAt: now }, effects: [...step.effects, sendState(step.state, from, true)] }
+}
+
+function relayProbe (state: MembershipState, from: string, { of, n: toN }: { readonly of: string, readonly n: number }, context: Context): Step {
+  const n = state.sequence + 1
+  const relays = [...state.relays, { n, to: from, toN, at: context.now }]
+  return sendTo({ ...state, sequence: n, relays }, of, 'ping', n, context)
+}
+
+function takeAnswer (state: MembershipState, n: number, context: Context): Step {
+  const relay = state.relays.find(relay => relay.n === n)
+  const next = { ...state, probes: state.probes.filter(probe => probe.n !== n), relays: state.relays.filter(relay => relay.n !== n) }
+  return relay === undefined ? none(next) : sendTo(next, relay.to, 'ack', relay.toN, context)
+}
--- /dev/null
+++ b/src/coordination/merge-records.ts
@@ -0,0 +1,32 @@
+import { isNewerRecord } from './is-newer-record.js'
+import type { MemberRecord } from './member-record.js'
+import type { MembershipMessage } from './membership-message.js'
+import type { MembershipState } from './membership-state.js'
+
+/**
+ * Takes in records from another member. What is newer is kept and passed on; what says that this member is suspect or
+ * dead is refuted by a higher incarnation of its own.
+ */
+export function mergeRecords (state: MembershipState, sent: MembershipMessage['u'], now: number): MembershipState {
+  let members: Map<string, MemberRecord> | undefined
+  let rumors: Map<string, number> | undefined
+  for (const [name, incarnation, status, leaving, data] of sent) {
+    const known = (members ?? state.members).get(name)
+    const next = name === state.self
+      ? refute(known!, incarnation, status)
+      : readRecord(known, { name, incarnation, status, leaving, data: data ?? known?.data ?? {}, since: now })
+    if (next === undefined) continue
+    members = (members ?? new Map(state.members)).set(name, { ...next, since: now })
+    rumors = (rumors ?? new Map(state.rumors)).set(name, 0)
+  }
+  return members === undefined ? state : { ...state, members, rumors: rumors! }
+}
+
+function readRecord (known: MemberRecord | undefined, next: MemberRecord): MemberRecord | undefined {
+  return isNewerRecord(next, known) ? next : undefined
+}
+
+function refute (self: MemberRecord, incarnation: number, status: MemberRecord['status']): MemberRecord | undefined {
+  if (status === 'alive' ? incarnation <= self.incarnation : incarnation < self.incarnation) return undefined
+  return { ...self, incarnation: incarnation + 1 }
+}
--- /dev/null
+++ b/src/coordination/tick-membership.ts
@@ -0,0 +1,100 @@
+import { membershipMessages } from './build-membership-message.js'
+import type { MembershipContext as Context } from './membership-context.js'
+import { membershipMoves } from './membership-moves.js'
+import type { MembershipState } from './membership-state.js'
+import type { MembershipStep as Step } from './membership-step.js'
+
+/** One tick in this many also pings a dead member that the list still knows: a healed cut is noticed by it. */
+const REVIVE_ONE_IN = 25
+
+const { none, sendTo, listOthers, chooseSome, setRecord } = membershipMoves
+
+/** One delay of our own loop must not look like the silence of others: what they sent still waits in our sockets. */
+function forgiveDelay (state: MembershipState, { now, options }: Context): MembershipState {
+  const gap = now - state.tickedAt
+  if (gap <= options.lateAfter) return { ...state, tickedAt: now }
+  const members = new Map([...state.members].map(([name, record]) => [name, { ...record, since: record.since + gap }]))
+  return { ...state, members, tickedAt: now, probes: state.probes.map(probe => ({ ...probe, at: probe.at + gap })) }
+}
+
+/**
+ * What a member does as time passes: judges what has gone unanswered, asks others to probe for it, probes the next
+ * one, and tries now and then whether one that it holds for dead is back.
+ */
+export function tickMembership (state: MembershipState, context: Context): Step {
+  let step: Step = none(judgeMembers(forgiveDelay(state, context), context))
+  const add = (run: (state: MembershipState, context: Context) => Step): void => {
+    const next = run(step.state, context)
+    step = { state: next.state, effects: [...step.effects, ...next.effects] }
+  }
+  add(askHelpers)
+  add(endProbes)
+  add(beginProbe)
+  add(reviveListed)
+  return step
+}
+
+/** Suspects that didn't refute in time are dead; the dead are forgotten in the end. */
+function judgeMembers (state: MembershipState, { now, options }: Context): MembershipState {
+  const deadAfter = options.deadAfter * Math.max(1, Math.log10(state.members.size))
+  let next = state
+  for (const record of state.members.values()) {
+    if (record.name === state.self) continue
+    if (record.status === 'suspect' && now - record.since >= deadAfter) next = setRecord(next, { ...record, status: 'dead', since: now })
+    if (record.status === 'dead' && now - record.since >= options.forgetAfter) next = forget(next, record.name)
+  }
+  const unheard = [...next.members.values()].some(({ incarnation, status }) => incarnation === 0 && status !== 'dead')
+  return next.settled || unheard ? next : { ...next, settled: true }
+}
+
+function forget (state: MembershipState, name: string): MembershipState {
+  const members = new Map(state.members)
+  const rumors = new Map(state.rumors)
+  members.delete(name)
+  rumors.delete(name)
+  return { ...state, members, rumors }
+}
+
+function askHelpers (state: MembershipState, { now, random, options }: Context): Step {
+  const late = state.probes.filter(({ asked, at }) => !asked && now - at >= options.answerWithin)
+  if (late.length === 0) return none(state)
+  const { incarnation: i } = state.members.get(state.self)!
+  const h = membershipMessages.hashMembers(state.members)
+  const effects = late.flatMap(({ n, target }) => {
+    const helpers = listOthers(state, ['alive']).filter(name => name !== target)
+    return chooseSome(helpers, options.helpers, random).map(to => ({ to, message: { type: 'ask' as const, n, i, h, of: target, u: [] } }))
+  })
+  return { state: { ...state, probes: state.probes.map(probe => late.includes(probe) ? { ...probe, asked: true } : probe) }, effects }
+}
+
+function endProbes (state: MembershipState, { now, options }: Context): Step {
+  const failed = state.probes.filter(({ at }) => now - at >= options.suspectAfter)
+  const probes = state.probes.filter(probe => !failed.includes(probe))
+  const relays = state.relays.filter(({ at }) => now - at < options.suspectAfter)
+  let next: MembershipState = { ...state, probes, relays }
+  for (const { target } of failed) {
+    const record = next.members.get(target)
+    if (record?.status === 'alive') next = setRecord(next, { ...record, status: 'suspect', since: now })
+  }
+  return none(next)
+}
+
+/** Probes all in turn, in a new random order each round: each is probed in every round, whatever its luck. */
+function beginProbe (state: MembershipState, context: Context): Step {
+  const { now, random, options } = context
+  if (now - state.probedAt < options.probeEvery) return none(state)
+  const left = state.round.filter(name => ['alive', 'suspect'].includes(state.members.get(name)?.status ?? 'dead'))
+  const round = left.length > 0 ? left : chooseSome(listOthers(state, ['alive', 'suspect']), Infinity, random)
+  const target = round[0]
+  if (target === undefined) return none({ ...state, probedAt: now })
+  const n = state.sequence + 1
+  const probes = [...state.probes, { n, target, at: now, asked: false }]
+  return sendTo({ ...state, round: round.slice(1), sequence: n, probes, probedAt: now }, target, 'ping', n, context)
+}
+
+function reviveListed (state: MembershipState, context: Context): Step {
+  if (context.random.below(REVIVE_ONE_IN) > 0) return none(state)
+  const dead = listOthers(state, ['dead']).filter(name => state.listed.has(name))
+  const [target] = chooseSome(dead, 1, context.random)
+  return target === undefined ? none(state) : sendTo(state, target, 'ping', 0, context)
+}
--- a/src/entry/addresses.ts
+++ b/src/entry/addresses.ts
@@ -14,7 +14,7 @@
     path: '/v1/addresses',
     access: 'public',
     handle: (_req, res) => {
-      const addresses = this.members.all().filter(({ state }) => state === 'alive')
+      const addresses = this.members.all().filter(({ state, ready }) => state === 'alive' && ready)
         .map(({ instance }) => ({ url: `http://${instance.host}:${instance.port}`, failureDomain: instance.failureDomain }))
       sendJson(res, 200, { addresses, keep: this.configuration.value.limits.addressKeep })
     }
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -10,6 +10,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
+import { Members } from '../peers/members.js'
 import { authenticate } from './authenticate.js'
 import type { Route } from './route.js'
 import { routePoint } from './route-point.js'
@@ -29,6 +30,7 @@
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Members) private readonly members: Members,
     @inject(Extensions) private readonly added: Extensions
   ) {
     this.server = createAppServer(this.app, { headersTimeout: HEADERS_TIMEOUT })
@@ -39,6 +41,8 @@
     this.app.noMatchHandler = (_req, res) => sendProblem(res, { status: 404, code: 'no-such-path', detail: 'there is nothing at this path' })
     this.port = await listen(this.server, this.settings.listen.host, this.settings.listen.port)
     this.log.write('info', 'entry', 'listens', { port: this.port })
+    this.members.update({ port: this.port })
+    void this.configuration.waitForFirst().then(() => this.members.update({ ready: true }))
   }
 
   /** Resolves once every open exchange has ended. */
--- a/src/entry/operator-routes.ts
+++ b/src/entry/operator-routes.ts
@@ -9,6 +9,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { Members } from '../peers/members.js'
+import { InstanceList } from '../platform/instance-list.js'
 import type { ObjectStore } from '../platform/object-store.js'
 import type { Route } from './route.js'
 import { routePoint } from './route-point.js'
@@ -32,6 +33,7 @@
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(Account) private readonly account: Account,
     @inject(Members) private readonly members: Members,
+    @inject(InstanceList) private readonly list: InstanceList,
     @inject(tokens.store) private readonly store: ObjectStore,
     @inject(tokens.settings) private readonly settings: Settings
   ) {}
@@ -42,7 +44,8 @@
   }
 
   private showStatus (res: Response): void {
-    sendJson(res, 200, { instance: this.settings.instance, configuration: this.configuration.value.version, members: this.members.all() })
+    const servers = this.list.all.filter(({ peerPort }) => peerPort === undefined).map(({ name }) => name)
+    sendJson(res, 200, { instance: this.settings.instance, configuration: this.configuration.value.version, members: this.members.all(), servers })
   }
 
   private async apply (req: Request, res: Response): Promise<void> {
--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -11,6 +11,8 @@
     /** Port for the other daemons; 0 lets the system choose. */
     readonly peerPort: number
   }
+  /** Address at which callers and other daemons reach this instance; `listen.host` where it is left out. */
+  readonly address?: string
   /** Base address of the platform's object API. */
   readonly platform: string
   /** Secret shared by the daemons, which proves a peer. */
--- a/src/peers/member.ts
+++ b/src/peers/member.ts
@@ -4,4 +4,6 @@
 export interface Member {
   readonly instance: Instance
   readonly state: 'alive' | 'suspect' | 'leaving'
+  /** Whether it takes callers: it knows a configuration. */
+  readonly ready: boolean
 }
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -1,26 +1,185 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import { createMembership } from '../coordination/create-membership.js'
+import type { MemberRecord } from '../coordination/member-record.js'
+import { stepMembership } from '../coordination/membership.js'
+import type { MembershipEvent } from '../coordination/membership-event.js'
+import type { MembershipMessage } from '../coordination/membership-message.js'
+import type { MembershipState } from '../coordination/membership-state.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
+import type { Random } from '../kernel/random.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
 import { InstanceList } from '../platform/instance-list.js'
 import type { Member } from './member.js'
+import { PeerAddresses } from './peer-addresses.js'
+import { peerHandlerPoint } from './peer-handler-point.js'
+import { PeerLinks } from './peer-links.js'
+import { readInstance } from './read-instance.js'
 
 const ENTRY_POOL = 'entry'
+const TICK_PERIOD = 100
+const LEAVE_REPEAT = 500
+const LEAVE_BOUND = 5_000
 
-/** The daemons of the fleet as this one sees them. */
+/** The daemons of the fleet as this one sees them, by probes among themselves; the platform's list only seeds it. */
 @scoped(Lifecycle.ContainerScoped)
-export class Members {
-  constructor (@inject(InstanceList) private readonly list: InstanceList) {}
+export class Members implements Part {
+  readonly extensions = [peerHandlerPoint.of({
+    type: 'membership',
+    handle: ({ m }, from) => {
+      const message = m as MembershipMessage
+      this.step({ type: 'message', from, message })
+      if (message.type === 'ack' && message.n >= this.leaveSequence) this.unaware.delete(from)
+    }
+  })]
+
+  private state: MembershipState
+  private readonly listeners = new Set<() => void>()
+  private port = 0
+  private ready = false
+  private cancel = (): void => {}
+  private leaveSequence = Infinity
+  /** Members that may not know yet that this one leaves. */
+  private unaware = new Set<string>()
+
+  constructor (
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.random) private readonly random: Random,
+    @inject(InstanceList) private readonly list: InstanceList,
+    @inject(PeerLinks) private readonly links: PeerLinks,
+    @inject(PeerAddresses) private readonly addresses: PeerAddresses,
+    @inject(PauseWatch) private readonly pauses: PauseWatch,
+    @inject(Timeline) private readonly timeline: Timeline
+  ) {
+    this.state = createMembership({ name: settings.instance, incarnation: clock.date(), data: {}, now: clock.now() })
+  }
+
+  async start (): Promise<void> {
+    this.state = createMembership({ name: this.settings.instance, incarnation: this.clock.date(), data: this.describeSelf(), now: this.clock.now() })
+    this.pauses.subscribe(() => this.step({ type: 'paused', incarnation: Math.max(this.clock.date(), this.record.incarnation + 1) }))
+    this.list.subscribe(() => this.takeList())
+    this.takeList()
+    this.cancel = this.clock.every(TICK_PERIOD, () => {
+      this.pauses.check()
+      this.step({ type: 'tick' })
+    })
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+    this.step({ type: 'end' })
+  }
+
+  /** This daemon. */
+  get self (): Member {
+    return readMember(this.record)
+  }
 
   /** All daemons that aren't known to be dead, this one among them. */
   all (): readonly Member[] {
-    return this.list.all
-      .filter(({ pool }) => pool === ENTRY_POOL)
-      .map(instance => ({ instance, state: instance.state === 'live' ? 'alive' : 'leaving' }))
+    return [...this.state.members.values()].filter(({ status }) => status !== 'dead').map(readMember)
+  }
+
+  /**
+   * Names of the daemons that may own things, in `region` where it is given: alive or suspect, not leaving. Empty
+   * after a pause until another one has been heard: what was believed before it may have lapsed.
+   */
+  owners (region?: string): readonly string[] {
+    this.pauses.check()
+    if (!this.state.settled) return []
+    return this.all()
+      .filter(({ state, instance }) => state !== 'leaving' && (region === undefined || instance.region === region))
+      .map(({ instance }) => instance.name)
+  }
+
+  /** `listener` is called after each change; the function it gives back ends that. */
+  subscribe (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => this.listeners.delete(listener)
+  }
+
+  /** Tells the others at which port this daemon listens, and whether it is ready for callers. */
+  update ({ port = this.port, ready = this.ready }: { readonly port?: number, readonly ready?: boolean }): void {
+    this.port = port
+    this.ready = ready
+    this.step({ type: 'updated', data: this.describeSelf() })
   }
 
-  /** Names of the daemons that may own things: alive or suspect, not leaving. */
-  owners (): readonly string[] {
-    return this.all().filter(({ state }) => state !== 'leaving').map(({ instance }) => instance.name)
+  /**
+   * Tells the others that this daemon leaves. Resolves once all that are alive have confirmed it, or after 5 s:
+   * whoever can't be reached in that time holds this daemon for a suspect, and no longer names it to callers either.
+   */
+  async leave (): Promise<void> {
+    this.leaveSequence = this.state.sequence + 1
+    this.unaware = new Set(this.all().filter(({ state }) => state === 'alive').map(({ instance }) => instance.name))
+    this.unaware.delete(this.settings.instance)
+    const end = this.clock.now() + LEAVE_BOUND
+    do {
+      this.step({ type: 'leave' })
+      await this.waitForAware(LEAVE_REPEAT)
+    } while (this.listUnaware().length > 0 && this.clock.now() < end)
   }
+
+  private async waitForAware (time: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        stopPoll()
+        stopWait()
+        resolve()
+      }
+      const stopPoll = this.clock.every(TICK_PERIOD / 5, () => this.listUnaware().length === 0 && end())
+      const stopWait = this.clock.after(time, end)
+    })
+  }
+
+  private listUnaware (): readonly string[] {
+    return [...this.unaware].filter(name => this.state.members.get(name)?.status === 'alive')
+  }
+
+  private get record (): MemberRecord {
+    return this.state.members.get(this.settings.instance)!
+  }
+
+  private describeSelf (): MemberRecord['data'] {
+    const { address, listen, failureDomain, region } = this.settings
+    return { host: address ?? listen.host, port: this.port, peerPort: this.links.port, ready: Number(this.ready), failureDomain, region }
+  }
+
+  private takeList (): void {
+    const entries = this.list.all.filter(({ pool, state, peerPort }) => pool === ENTRY_POOL && state === 'live' && peerPort !== undefined)
+    const members = entries.map(({ name, host, port, peerPort, failureDomain, region }) => ({ name, data: { host, port, peerPort: peerPort!, ready: 1, failureDomain, region } }))
+    this.step({ type: 'listed', members })
+  }
+
+  private step (event: MembershipEvent): void {
+    const before = this.state
+    const { state, effects } = stepMembership(before, event, { now: this.clock.now(), random: this.random })
+    this.state = state
+    if (state.members !== before.members) this.onChange(before)
+    for (const { to, message } of effects) this.links.send(to, { type: 'membership', m: message })
+    if (state.members !== before.members || state.settled !== before.settled) for (const listener of this.listeners) listener()
+  }
+
+  /** Keeps the addresses in step, and records on the time line who became what. */
+  private onChange (before: MembershipState): void {
+    for (const record of this.state.members.values()) {
+      const known = before.members.get(record.name)
+      if (known === record || record.name === this.settings.instance) continue
+      if (record.status === 'dead') this.addresses.remove(record.name)
+      else if (record.incarnation > 0) this.addresses.update(record.name, { host: String(record.data.host), port: Number(record.data.peerPort) })
+      if (known?.status !== record.status) this.timeline.record({ part: 'peers', what: record.status, detail: record.name })
+    }
+  }
+}
+
+function readMember (record: MemberRecord): Member {
+  const state = record.leaving ? 'leaving' : record.status === 'suspect' ? 'suspect' : 'alive'
+  return { instance: readInstance(record), state, ready: record.data.ready === 1 }
 }
 
-partRegistry.register({ name: 'members', part: Members, needs: ['instance list'] })
+partRegistry.register({ name: 'members', part: Members, needs: ['instance list', 'peer links', 'pause watch'] })
