--- /dev/null
+++ b/test/batch/helpers/trial-daemon.ts
@@ -0,0 +1,116 @@
+import 'reflect-metadata'
+import { Account } from '../../../src/admission/account.js'
+import { CallerIndex } from '../../../src/batch/caller-index.js'
+import { ChunkClaims } from '../../../src/batch/chunk-claims.js'
+import { ChunkSource } from '../../../src/batch/chunk-source.js'
+import { FileStore } from '../../../src/batch/file-store.js'
+import { HoldingRecord } from '../../../src/batch/holding-record.js'
+import type { ItemResult } from '../../../src/batch/item-result.js'
+import { JobCounter } from '../../../src/batch/job-counter.js'
+import { JobSettler } from '../../../src/batch/job-settler.js'
+import { JobStore } from '../../../src/batch/job-store.js'
+import { JobWatch } from '../../../src/batch/job-watch.js'
+import { Recovery } from '../../../src/batch/recovery.js'
+import { ResultReader } from '../../../src/batch/result-reader.js'
+import { WorkIndex } from '../../../src/batch/work-index.js'
+import { ConfigurationHolder } from '../../../src/config/configuration-holder.js'
+import { PauseWatch } from '../../../src/kernel/pause-watch.js'
+import { Timeline } from '../../../src/observe/timeline.js'
+import type { BatchWork } from '../../../src/ownership/batch-work.js'
+import type { MemoryStore } from '../../../stand-ins/platform/memory-store.js'
+import type { VirtualClock } from '../../helpers/virtual-clock.js'
+import { TrialClock } from './trial-clock.js'
+import { TrialStore } from './trial-store.js'
+
+const SERVICE = 'drafts'
+const RUN_TIME = 700
+const SLOTS = 4
+
+/** One run of an item, as a backend server would log it. */
+interface Run { readonly item: string, readonly daemon: string, readonly at: number }
+
+interface TrialOptions {
+  readonly store: MemoryStore
+  readonly clock: VirtualClock
+  readonly runs: Run[]
+  /** What becomes of an item; by default it completes with a body that names its run. */
+  readonly answer?: (work: BatchWork, run: number) => ItemResult | Parameters<BatchWork['giveBack']>
+}
+
+/** The batch part of one daemon over a shared store, with a runner of items in the place of the servers. */
+export class TrialDaemon {
+  readonly clock: TrialClock
+  readonly store: TrialStore
+  readonly account = new Account()
+  readonly files: FileStore
+  readonly jobs: JobStore
+  readonly source: ChunkSource
+  readonly watch: JobWatch
+  readonly settler: JobSettler
+  readonly results: ResultReader
+  readonly recovery: Recovery
+  private readonly pauses: PauseWatch
+  private readonly holding: HoldingRecord
+  private running = 0
+
+  constructor (readonly name: string, private readonly options: TrialOptions) {
+    this.clock = new TrialClock(options.clock)
+    this.store = new TrialStore(options.store, this.clock)
+    const settings = { instance: name } as ConstructorParameters<typeof HoldingRecord>[2]
+    const timeline = new Timeline(this.clock, settings)
+    const index = new CallerIndex(this.store)
+    const work = new WorkIndex(this.store)
+    this.pauses = new PauseWatch(this.clock)
+    this.holding = new HoldingRecord(this.store, this.clock, settings)
+    this.files = new FileStore(this.store, this.clock, index)
+    this.jobs = new JobStore(this.store, this.clock, work, index)
+    this.watch = new JobWatch(this.jobs, this.clock, this.pauses)
+    const counter = new JobCounter(this.jobs, work, this.clock)
+    const claims = new ChunkClaims(this.store, this.clock, this.files, this.holding, counter, this.account, timeline)
+    this.source = new ChunkSource(work, claims, this.watch, this.holding, new ConfigurationHolder(), this.pauses, this.clock)
+    this.settler = new JobSettler(this.store, this.clock, this.jobs, work, this.holding)
+    this.results = new ResultReader(this.store, this.files, this.clock)
+    this.recovery = new Recovery(this.store, timeline)
+  }
+
+  async start (): Promise<this> {
+    for (const part of [this.pauses, this.holding, this.watch, this.source]) await part.start()
+    this.source.subscribe(() => this.fill())
+    this.clock.every(200, () => {
+      this.source.want(SERVICE, SLOTS)
+      this.fill()
+    })
+    return this
+  }
+
+  private fill (): void {
+    while (this.running < SLOTS && !this.clock.frozen) {
+      const work = this.source.take(SERVICE)
+      if (work === undefined) return
+      this.run(work)
+    }
+  }
+
+  private run (work: BatchWork): void {
+    const { runs, answer = complete } = this.options
+    runs.push({ item: work.item.id, daemon: this.name, at: this.clock.now() })
+    const run = runs.length
+    this.running++
+    const end = this.clock.after(RUN_TIME, () => {
+      const outcome = answer(work, run)
+      this.running--
+      if ('type' in outcome) work.finish(outcome)
+      else work.giveBack(...outcome)
+      this.fill()
+    })
+    work.signal.addEventListener('abort', () => {
+      end()
+      this.running--
+      work.giveBack('aborted', { ran: true, server: 'engine' })
+    }, { once: true })
+  }
+}
+
+function complete (work: BatchWork, run: number): ItemResult {
+  return { type: 'completed', status: 200, body: { run, text: `answer to ${work.item.id}`, usage: { completion_tokens: 1 } } }
+}
