Shares: a bounded burst, and the gate measured on a model of servers

Cause: with plain start-time fair queuing a caller below its share waited for its own clumps at the rate of its share.

--- a/src/admission/step-fair-queue.ts
+++ b/src/admission/step-fair-queue.ts
@@ -4,11 +4,13 @@
 
 /** Callers above which those who are owed nothing are forgotten. */
 const KEPT_CALLERS = 1_000
+/** Requests that a caller who was idle may have ahead of its share. */
+const BURST = 10
 
 /**
  * Start-time fair queuing. Each request starts, in virtual time, where its caller's share is used up to, or now if
  * that is earlier, and the earliest start goes first: while several callers wait, each gets places in proportion to
- * its share, and one that has been idle goes ahead of one that hasn't, but earns no credit for it. Nobody waits
+ * its share, and one that has been idle goes ahead of one that hasn't, by no more than a short burst. Nobody waits
  * while there is a place, so that an idle share is lent out; it isn't paid back.
  *
  * Source: Goyal, Vin and Cheng, "Start-time fair queueing", 1996. Costs are corrected when the place is given back,
@@ -17,12 +19,12 @@
 export function stepFairQueue (state: FairQueueState, event: FairQueueEvent): FairQueueState {
   switch (event.type) {
     case 'admitted': {
-      const start = findStart(state, event.caller)
+      const start = findStart(state, event)
       return forget(use({ ...state, virtual: Math.max(state.virtual, start) }, event.caller, start + event.cost / event.share))
     }
     case 'queued': {
       const { id, caller, share, cost } = event
-      const start = findStart(state, caller)
+      const start = findStart(state, event)
       const at = state.waiting.findIndex(other => other.start > start)
       const waiting = [...state.waiting]
       waiting.splice(at < 0 ? waiting.length : at, 0, { id, caller, start })
@@ -38,8 +40,9 @@
   }
 }
 
-function findStart ({ virtual, used }: FairQueueState, caller: string): number {
-  return Math.max(virtual, used.get(caller) ?? 0)
+/** Arrivals come in clumps: without the burst, a caller well below its share would wait for its own second request. */
+function findStart ({ virtual, used }: FairQueueState, { caller, share, cost }: { readonly caller: string, readonly share: number, readonly cost: number }): number {
+  return Math.max(virtual - BURST * cost / share, used.get(caller) ?? 0)
 }
 
 function use (state: FairQueueState, caller: string, until: number): FairQueueState {
--- /dev/null
+++ b/test/helpers/simulate-gate.ts
@@ -0,0 +1,69 @@
+import { PoolQueue } from '../../src/admission/pool-queue.js'
+import { Random } from '../../src/kernel/random.js'
+
+interface SimulatedCaller { readonly name: string, readonly share: number, /** Requests a second. */ readonly rate: number }
+
+interface SimulationOptions {
+  readonly callers: readonly SimulatedCaller[]
+  /** Places of all servers together. */
+  readonly places: number
+  /** Mean time of a place, ms; times are between half and one and a half of it. */
+  readonly hold: number
+  readonly duration: number
+  readonly longestWait?: number
+  readonly seed?: number
+}
+
+/** What one caller got; `waits` of the requests let in, ms, in order. */
+export interface Got { asked: number, answered: number, refused: number, held: number, waits: number[], refusedAfter: number[] }
+
+/** Runs a `PoolQueue` before a model of servers on virtual time: Poisson arrivals, `places` requests at once. */
+export function simulateGate ({ callers, places, hold, duration, longestWait = 500, seed = 1 }: SimulationOptions): Readonly<Record<string, Got>> {
+  const random = new Random(seed)
+  const queue = new PoolQueue({ longestWait: () => longestWait })
+  const got: Record<string, Got> = Object.fromEntries(callers.map(({ name }) => [name, { asked: 0, answered: 0, refused: 0, held: 0, waits: [], refusedAfter: [] }]))
+  const events: { readonly at: number, readonly run: () => void }[] = []
+  let now = 0
+  let busy = 0
+  const plan = (at: number, run: () => void): void => {
+    const index = events.findIndex(event => event.at > at)
+    events.splice(index < 0 ? events.length : index, 0, { at, run })
+  }
+  const start = ({ name, share }: SimulatedCaller, asked: number, cost: number): void => {
+    const time = hold * (0.5 + random.next())
+    busy++
+    got[name]!.waits.push(now - asked)
+    plan(now + time, () => {
+      busy--
+      got[name]!.answered++
+      got[name]!.held += time
+      queue.settle(name, share, { cost, time })
+      if (queue.peek() !== undefined) queue.take()
+    })
+  }
+  const arrive = (caller: SimulatedCaller): void => {
+    const { name, share, rate } = caller
+    plan(now - Math.log(1 - random.next()) * 1_000 / rate, () => arrive(caller))
+    got[name]!.asked++
+    if (queue.size === 0 && busy < places) return start(caller, now, queue.admit(name, share))
+    const asked = now
+    let settled = false
+    const refuse = (): void => {
+      settled = true
+      got[name]!.refused++
+      got[name]!.refusedAfter.push(now - asked)
+    }
+    const leave = queue.add({ caller: name, share, deadline: now + 10_000, refuse, start: cost => { settled = true; start(caller, asked, cost) } }, now)
+    plan(now + longestWait, () => {
+      if (settled) return
+      leave()
+      refuse()
+    })
+  }
+  for (const caller of callers) plan(0, () => arrive(caller))
+  for (let next = events.shift(); next !== undefined && next.at < duration; next = events.shift()) {
+    now = next.at
+    next.run()
+  }
+  return got
+}
