--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -6,6 +6,7 @@
 import { readFolder } from '../src/config/read-folder.js'
 import type { Instance } from '../src/platform/instance.js'
 import type { RunRecord } from '../stand-ins/engine/run-record.js'
+import type { PlatformFaults } from '../stand-ins/platform/platform-faults.js'
 import { Child } from './child.js'
 
 const HOST = '127.0.0.1'
@@ -46,6 +47,16 @@
     return node
   }
 
+  /** Adds several engines that share one process, where their number matters and their speed doesn't. */
+  async addEngines (names: readonly string[], failureDomain: string, { pool, options = {} }: Omit<ServerOptions, 'kind'>): Promise<void> {
+    const { child, ready } = await Child.start<{ ports: readonly number[] }>(['stand-in', 'engine', '--count', String(names.length), '--options', JSON.stringify(options)])
+    for (const [i, name] of names.entries()) {
+      const node: Node = { child, instance: { name, pool, host: HOST, port: ready.ports[i]!, failureDomain, region: 'region-1', state: 'live' } }
+      this.servers.push(node)
+      await this.register(node.instance)
+    }
+  }
+
   async addDaemon (name: string, failureDomain: string, more: Readonly<Record<string, unknown>> = {}): Promise<Node> {
     const file = join(this.folder, `${name}.yaml`)
     writeFileSync(file, JSON.stringify({
@@ -107,6 +118,11 @@
     return await this.call(method, this.platform.url + path, body)
   }
 
+  /** Sets what goes wrong at the platform from here on; {} ends all faults. */
+  async setPlatformFaults (faults: PlatformFaults): Promise<void> {
+    await this.control('POST', '/control/faults', faults)
+  }
+
   /** What the server itself logged as run. */
   async readLog (server: Node): Promise<readonly RunRecord[]> {
     return (await this.call('GET', `http://${HOST}:${server.instance.port}/control/log`)).runs
