--- a/bench/policy-model.ts
+++ b/bench/policy-model.ts
@@ -11,7 +11,7 @@
 const MAX_IN_FLIGHT = 64
 const BETWEEN_TOKENS = 46
 const ENGINE: EngineParameters = { ...defaultParameters, stepBase: 12, stepPerSequence: 0.25, prefillPerToken: 0.05, memoryTokens: 120_000 }
-const POLICIES: readonly BatchPolicy[] = [{ type: 'none' }, { type: 'forwarding' }, { type: 'split', streams: 16 }, { type: 'load reports' }, { type: 'preempting' }]
+const POLICIES: readonly BatchPolicy[] = [{ type: 'none' }, { type: 'forward' }, { type: 'static', streams: 16 }, { type: 'load reports' }, { type: 'preempting' }]
 const WORKLOADS = {
   bursts: { burst: 4_000, quiet: 6_000, between: 250 },
   'short bursts': { burst: 1_500, quiet: 1_500, between: 120 },
@@ -43,7 +43,7 @@
   return values.map((value, i) => `${value.toFixed(1)} (${(value / base[i]!).toFixed(3)})`).join(', ')
 }
 
-const alone = merge(SEEDS.map(seed => simulate({ type: 'forwarding' }, 'nothing', seed))).batchTokens / (LENGTH * SEEDS.length)
+const alone = merge(SEEDS.map(seed => simulate({ type: 'forward' }, 'nothing', seed))).batchTokens / (LENGTH * SEEDS.length)
 console.log(`batch alone: ${(alone * 1_000).toFixed(0)} tokens/s; quantiles p50, p95, p99, p99.9 in ms, in brackets over those without batch`)
 for (const workload of Object.keys(WORKLOADS) as Array<keyof typeof WORKLOADS>) {
   const runs = POLICIES.map(policy => merge(SEEDS.map(seed => simulate(policy, workload, seed))))
--- a/src/config/settings-schema.ts
+++ b/src/config/settings-schema.ts
@@ -17,6 +17,11 @@
   format: { type: 'choice', of: ['text', 'json'], default: 'text', doc: 'Form of a log line.' }
 }
 
+const batchPolicy: KeySchemas<NonNullable<Settings['batchPolicy']>> = {
+  type: { type: 'choice', of: ['none', 'forward', 'static', 'load reports', 'preempting'], default: 'preempting', doc: 'How batch work gives way; all but `preempting` are for comparison.' },
+  streams: { type: 'number', unit: 'streams', whole: true, min: 0, max: 10_000, optional: true, doc: 'Batch streams a server, for the type `static`.' }
+}
+
 const settings: KeySchemas<Settings> = {
   instance: { type: 'text', minLength: 1, maxLength: 100, doc: 'Name of this instance, unique in the fleet.' },
   failureDomain: { type: 'text', minLength: 1, maxLength: 100, doc: 'Failure domain that the instance stands in.' },
@@ -26,6 +31,7 @@
   peerKey: { type: 'text', minLength: MIN_SECRET, doc: 'Secret shared by the daemons, which proves a peer.' },
   operatorToken: { type: 'text', minLength: MIN_SECRET, doc: 'Token that operators present.' },
   dataFolder: { type: 'text', minLength: 1, optional: true, doc: 'Folder for bulk data on instances that have a disk.' },
+  batchPolicy: { type: 'object', optional: true, keys: batchPolicy, doc: 'How batch work shares servers with online requests.' },
   log: { type: 'object', keys: log, doc: 'The log.' }
 }
 
--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -19,5 +19,11 @@
   readonly operatorToken: string
   /** Folder for bulk data on instances that have a disk. */
   readonly dataFolder?: string
+  /** How batch work shares servers with online requests; `preempting` where it is left out. */
+  readonly batchPolicy?: {
+    readonly type: 'none' | 'forward' | 'static' | 'load reports' | 'preempting'
+    /** Batch streams a server for the type `static`. */
+    readonly streams?: number
+  }
   readonly log: { readonly level: 'error' | 'warn' | 'info' | 'debug', readonly format: 'text' | 'json' }
 }
--- a/src/ownership/batch-admission.ts
+++ b/src/ownership/batch-admission.ts
@@ -66,8 +66,8 @@
 function plan (state: BatchAdmissionState, event: BatchAdmissionEvent, now: number, { policy, maxInFlight }: BatchAdmissionOptions): readonly BatchAdmissionEffect[] {
   switch (policy.type) {
     case 'none': return []
-    case 'forwarding': return startUpTo(state, maxInFlight)
-    case 'split': return startUpTo(state, policy.streams)
+    case 'forward': return startUpTo(state, maxInFlight)
+    case 'static': return startUpTo(state, policy.streams ?? Math.floor(maxInFlight / 2))
     case 'load reports': return event.type === 'reported' ? planByReport(state, maxInFlight) : []
     case 'preempting': return planPreempting(state, now, maxInFlight)
     default: return failUnreachable(policy)
--- /dev/null
+++ b/src/ownership/batch-outcome.ts
@@ -0,0 +1,7 @@
+import type { ItemResult } from '../batch/item-result.js'
+
+/** How one run of a batch item ended. */
+export type BatchOutcome =
+  | { readonly type: 'finished', readonly result: ItemResult }
+  /** No whole answer; `tokens` are all that there are, those of earlier runs with them. */
+  | { readonly type: 'stopped', readonly ran: boolean, readonly tokens: readonly string[] }
--- a/src/ownership/batch-policy.ts
+++ b/src/ownership/batch-policy.ts
@@ -6,9 +6,9 @@
   /** No batch work. */
   | { readonly type: 'none' }
   /** As much as connections allow, whatever else runs there. */
-  | { readonly type: 'forwarding' }
-  /** A fixed number of streams, whatever else runs there. */
-  | { readonly type: 'split', readonly streams: number }
+  | { readonly type: 'forward' }
+  /** A fixed number of streams, half of what the server may have when left out, whatever else runs there. */
+  | { readonly type: 'static', readonly streams?: number }
   /** What the server's lagged load reports leave over; gives way when a report says so. */
   | { readonly type: 'load reports' }
   /** Gives way to each online request as it begins, and fills what is idle. */
--- /dev/null
+++ b/src/ownership/batch-run.ts
@@ -0,0 +1,145 @@
+import type { BackendServer } from '../routing/backend-server.js'
+import { hashRequest } from '../routing/hash-request.js'
+import type { OpenExchange } from '../routing/open-exchange.js'
+import type { SendFailure } from '../routing/send-failure.js'
+import type { Sender } from '../routing/sender.js'
+import type { ServerRequest } from '../routing/server-request.js'
+import { SseReader } from '../routing/sse-reader.js'
+import type { BatchAnswer } from './batch-answer.js'
+import type { BatchOutcome } from './batch-outcome.js'
+import type { BatchWork } from './batch-work.js'
+import { isStreamable } from './is-streamable.js'
+import { showBatchAnswer } from './show-batch-answer.js'
+import { stepBatchAnswer } from './step-batch-answer.js'
+
+/** Longest silence before the answer begins and in its middle, ms: a silent connection then holds no slot for good. */
+const FIRST_PATIENCE = 30_000
+const BETWEEN_PATIENCE = 5_000
+const DEADLINE = 600_000
+/** Statuses by which a server says that it can't serve now; the others say that the item can't be done. */
+const UNWELL = [408, 429]
+
+interface BatchRunOptions {
+  readonly work: BatchWork
+  readonly server: BackendServer
+  readonly path: string
+  readonly sender: Sender
+  readonly now: () => number
+  /** Whether the engine goes on from tokens given. */
+  readonly canResume: boolean
+  /** Hears of each read that gave tokens; `gap` is the wait for them in ms, undefined for the first. */
+  readonly onTokens: (gap: number | undefined) => void
+}
+
+/** One run of a batch item on one server, over a connection for batch work only. */
+export class BatchRun {
+  private readonly abort = new AbortController()
+  private readonly streamed: boolean
+  private answer: BatchAnswer
+
+  constructor (private readonly options: BatchRunOptions) {
+    const { work, canResume } = options
+    this.streamed = isStreamable(work.item.body)
+    const kept = this.streamed && canResume ? work.resumeFrom ?? [] : []
+    this.answer = { tokens: kept, resumed: kept.length, done: false }
+  }
+
+  /** Closes the stream; `run` then resolves with what there is. */
+  stop (): void {
+    this.abort.abort()
+  }
+
+  async run (): Promise<BatchOutcome> {
+    const request = this.buildRequest()
+    const { sender, server } = this.options
+    const opened = await sender.send(server, request, { body: request.body!, fingerprint: this.hash(), patience: FIRST_PATIENCE })
+    if (opened.err) return this.showStopped(opened.val.sent)
+    const { exchange } = opened.val
+    const failure = exchange.isStream() ? await this.readStream(opened.val) : undefined
+    if (failure !== undefined) return await this.fail(opened.val, failure)
+    if (!this.answer.done) return await this.readWhole(opened.val)
+    opened.val.end('answered')
+    return { type: 'finished', result: { type: 'completed', status: exchange.status, body: showBatchAnswer(this.answer, this.options.path.includes('chat')) } }
+  }
+
+  private buildRequest (): ServerRequest {
+    const { work, path, now } = this.options
+    const resume = this.answer.resumed > 0 ? { resume_from: this.answer.tokens } : {}
+    const stream = this.streamed ? { stream: true, stream_options: { include_usage: true } } : { stream: false }
+    return {
+      id: work.id,
+      caller: work.caller,
+      service: work.service,
+      pool: this.options.server.pool,
+      work: 'batch',
+      method: 'POST',
+      path,
+      headers: { 'content-type': 'application/json' },
+      body: Buffer.from(JSON.stringify({ ...work.item.body, ...stream, ...resume })),
+      idempotent: work.idempotent,
+      deadline: now() + DEADLINE,
+      limit: Infinity,
+      signal: AbortSignal.any([work.signal, this.abort.signal])
+    }
+  }
+
+  /** The fingerprint of the item itself, the same however it is run. */
+  private hash (): string {
+    const { work: { caller, service, item }, path } = this.options
+    return hashRequest({ caller, service, path, body: Buffer.from(JSON.stringify({ ...item.body, stream: false })) })
+  }
+
+  /** Reads to `[DONE]`; gives back what failed before it. */
+  private async readStream (open: OpenExchange): Promise<SendFailure | undefined> {
+    const reader = new SseReader()
+    for (let last: number | undefined; !this.answer.done;) {
+      const bytes = await open.exchange.read(last === undefined ? FIRST_PATIENCE : BETWEEN_PATIENCE)
+      if (bytes.err) return bytes.val
+      if (bytes.val === undefined) return { why: 'cut', sent: true, detail: 'it ended before it was whole' }
+      const known = this.answer.tokens.length
+      for (const { data } of reader.push(bytes.val)) {
+        const next = stepBatchAnswer(this.answer, data)
+        if (next === undefined) return { why: 'cut', sent: true, detail: 'an event that is no chunk' }
+        this.answer = next
+      }
+      const now = this.options.now()
+      if (this.answer.tokens.length === known) continue
+      this.options.onTokens(last === undefined ? undefined : now - last)
+      last = now
+    }
+    return undefined
+  }
+
+  private async readWhole (open: OpenExchange): Promise<BatchOutcome> {
+    const parts: Buffer[] = []
+    for (;;) {
+      const bytes = await open.exchange.read(FIRST_PATIENCE)
+      if (bytes.err) return await this.fail(open, bytes.val)
+      if (bytes.val === undefined) break
+      parts.push(bytes.val)
+    }
+    const { status } = open.exchange
+    const body = parse(Buffer.concat(parts).toString())
+    if (body === undefined || status >= 500 || UNWELL.includes(status)) return await this.fail(open, { why: 'cut', sent: true, detail: `status ${status}` })
+    open.end('answered')
+    if (status < 300) return { type: 'finished', result: { type: 'completed', status, body } }
+    return { type: 'finished', result: { type: 'failed', cause: `status-${status}`, detail: String(body.error?.message ?? body.detail) } }
+  }
+
+  private async fail (open: OpenExchange, failure: SendFailure): Promise<BatchOutcome> {
+    await open.fail(failure)
+    return this.showStopped(true)
+  }
+
+  private showStopped (ran: boolean): BatchOutcome {
+    return { type: 'stopped', ran, tokens: this.options.canResume ? this.answer.tokens : [] }
+  }
+}
+
+function parse (text: string): any {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/ownership/batch-runner.ts
@@ -0,0 +1,188 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import { Extensions } from '../kernel/extensions.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Metrics } from '../observe/metrics.js'
+import { Timeline } from '../observe/timeline.js'
+import { Sender } from '../routing/sender.js'
+import { Servers } from '../routing/servers.js'
+import type { BatchOutcome } from './batch-outcome.js'
+import type { BatchPolicy } from './batch-policy.js'
+import { BatchRun } from './batch-run.js'
+import { batchSourcePoint } from './batch-source-point.js'
+import type { BatchWork } from './batch-work.js'
+import { estimatePrefill } from './estimate-prefill.js'
+import { OnlineLoad } from './online-load.js'
+import { readBatchPolicy } from './read-batch-policy.js'
+import { RecentRuns } from './recent-runs.js'
+import { ServedModels } from './served-models.js'
+import { ServerBatch } from './server-batch.js'
+import { ServerOwners } from './server-owners.js'
+import { ServerWatch } from './server-watch.js'
+import { WorkQueue } from './work-queue.js'
+
+const TICK_PERIOD = 50
+const WANT_PERIOD = 500
+
+/**
+ * Runs batch items on the servers that this daemon owns: takes them from the batch source as admission allows, and
+ * gives them back with their tokens when online requests need the server.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class BatchRunner implements Part {
+  private readonly batches = new Map<string, ServerBatch>()
+  private readonly recent = new RecentRuns()
+  private readonly running = new Set<Promise<void>>()
+  private readonly policy: BatchPolicy
+  private draining = false
+  private cancels: ReadonlyArray<() => void> = []
+
+  constructor (
+    @inject(ServerOwners) private readonly owners: ServerOwners,
+    @inject(ServerWatch) private readonly watch: ServerWatch,
+    @inject(OnlineLoad) private readonly online: OnlineLoad,
+    @inject(Servers) private readonly servers: Servers,
+    @inject(Sender) private readonly sender: Sender,
+    @inject(ServedModels) private readonly models: ServedModels,
+    @inject(WorkQueue) private readonly queue: WorkQueue,
+    @inject(Extensions) private readonly added: Extensions,
+    @inject(Metrics) private readonly metrics: Metrics,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.policy = readBatchPolicy(settings)
+  }
+
+  async start (): Promise<void> {
+    this.owners.subscribe(() => this.update())
+    this.online.subscribe(server => this.batches.get(server)?.tell({ type: 'online', count: this.online.count(server) }))
+    this.watch.subscribe(server => this.batches.get(server)?.tell({ type: 'reported', sequences: this.watch.getReported(server) }))
+    for (const source of this.added.collect(batchSourcePoint)) source.subscribe(() => this.tick())
+    this.metrics.gauge('batch_streams', () => [...this.batches.values()].reduce((sum, batch) => sum + batch.count, 0))
+    this.cancels = [this.clock.every(TICK_PERIOD, () => this.tick()), this.clock.every(WANT_PERIOD, () => this.want())]
+  }
+
+  /** Gives everything back at once: another daemon goes on from the tokens there are. */
+  async drain (): Promise<void> {
+    this.draining = true
+    for (const batch of this.batches.values()) batch.stopAll()
+    await Promise.all([...this.running, this.queue.drain()])
+  }
+
+  async stop (): Promise<void> {
+    for (const cancel of this.cancels) cancel()
+  }
+
+  /** Batch runs under way at the server. */
+  count (server: string): number {
+    return this.batches.get(server)?.count ?? 0
+  }
+
+  private update (): void {
+    const owned = this.owners.listOwned()
+    for (const [server, batch] of this.batches) {
+      if (owned.includes(server)) continue
+      this.batches.delete(server)
+      batch.stopAll()
+    }
+    this.queue.keepOnly(owned)
+  }
+
+  private tick (): void {
+    if (this.draining) return
+    for (const server of this.owners.listOwned()) this.open(server)?.tick()
+  }
+
+  /** Says what could run here, so that enough is claimed ahead. */
+  private want (): void {
+    if (this.draining) return
+    this.update()
+    const slots = new Map<string, number>()
+    for (const [server, batch] of this.batches) {
+      for (const { service } of this.models.list(server)) slots.set(service, (slots.get(service) ?? 0) + batch.slots)
+    }
+    for (const source of this.added.collect(batchSourcePoint)) for (const [service, count] of slots) source.want(service, count)
+  }
+
+  private open (server: string): ServerBatch | undefined {
+    const maxInFlight = this.models.findLimit(server)
+    if (maxInFlight === undefined) return this.batches.get(server)
+    const betweenTokens = Math.min(...this.models.list(server).map(({ model }) => model.betweenTokens))
+    const admission = { policy: this.policy, maxInFlight, betweenTokens }
+    const known = this.batches.get(server)
+    if (known !== undefined) known.admission = admission
+    const batch = known ?? new ServerBatch({ admission, clock: this.clock, start: (prefill, first) => this.startOn(server, prefill, first) })
+    if (known === undefined) {
+      this.batches.set(server, batch)
+      batch.tell({ type: 'online', count: this.online.count(server) })
+    }
+    return batch
+  }
+
+  private startOn (server: string, prefill: number, first: boolean): ReturnType<ConstructorParameters<typeof ServerBatch>[0]['start']> {
+    if (this.draining || this.watch.getState(server) !== 'open') return undefined
+    const work = this.queue.take(server)
+    if (work === undefined) return undefined
+    const cost = estimatePrefill(work, this.recent.isCached(work.id, server, this.clock.now()))
+    if (cost > prefill && !first) {
+      this.queue.hold(server, work)
+      return undefined
+    }
+    return this.begin(server, work, cost)
+  }
+
+  private begin (server: string, work: BatchWork, prefill: number): { readonly id: string, readonly prefill: number, readonly stop: () => void } | undefined {
+    const target = this.servers.find(server)
+    const model = this.models.list(server).find(({ service }) => service === work.service)?.model
+    if (target === undefined || model === undefined) {
+      this.queue.hold(server, work)
+      return undefined
+    }
+    const batch = this.batches.get(server)!
+    const run = new BatchRun({
+      work,
+      server: target,
+      path: work.item.url,
+      sender: this.sender,
+      now: () => this.clock.now(),
+      canResume: model.resume === true,
+      onTokens: gap => gap === undefined ? batch.tell({ type: 'prefilled', id: work.id }) : batch.observe(gap)
+    })
+    let gaveWay = false
+    this.track(run.run().then(outcome => {
+      // Ended first: an item given back may be started here again at once, under the same id.
+      batch.end(work.id)
+      this.settle(work, server, outcome, gaveWay)
+    }))
+    return {
+      id: work.id,
+      prefill,
+      stop: () => {
+        gaveWay = true
+        run.stop()
+      }
+    }
+  }
+
+  private settle (work: BatchWork, server: string, outcome: BatchOutcome, gaveWay: boolean): void {
+    if (outcome.type === 'finished') return work.finish(outcome.result)
+    const why = work.signal.aborted ? 'aborted' : gaveWay ? 'gave way' : 'server failed'
+    if (why === 'gave way') {
+      this.recent.record(work.id, server, this.clock.now())
+      this.metrics.count('batch_preemptions_total')
+    }
+    this.timeline.record({ part: 'ownership', what: `batch item ${why}`, request: work.id, job: work.job, server })
+    work.giveBack(why, { ran: outcome.ran, tokens: outcome.tokens.length > 0 ? outcome.tokens : undefined, server })
+  }
+
+  private track (run: Promise<void>): void {
+    this.running.add(run)
+    void run.finally(() => this.running.delete(run))
+  }
+}
+
+partRegistry.register({ name: 'batch runner', part: BatchRunner, needs: ['server owners', 'server watch', 'online load', 'servers', 'quarantine', 'dispatcher', 'configuration'] })
--- /dev/null
+++ b/src/ownership/dispatched-batch.ts
@@ -0,0 +1,62 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { ItemResult } from '../batch/item-result.js'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import type { Clock } from '../kernel/clock.js'
+import { tokens } from '../kernel/tokens.js'
+import { Dispatcher } from '../routing/dispatcher.js'
+import type { BatchWork } from './batch-work.js'
+
+const ITEM_TIMEOUT = 60_000
+
+/** Runs batch items that must not be closed half way: to their end, by the dispatcher, which knows how to run suspects alone. */
+@scoped(Lifecycle.ContainerScoped)
+export class DispatchedBatch {
+  constructor (
+    @inject(Dispatcher) private readonly dispatcher: Dispatcher,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  async run (work: BatchWork): Promise<void> {
+    const { services, models } = this.configuration.value
+    const service = services[work.service]
+    if (service === undefined) return work.finish({ type: 'failed', cause: 'no-such-service', detail: `there is no ${work.service}` })
+    const answer = await this.dispatcher.send({
+      id: work.id,
+      caller: work.caller,
+      service: work.service,
+      pool: service.pool,
+      work: 'batch',
+      method: 'POST',
+      path: work.item.url,
+      headers: { 'content-type': 'application/json' },
+      body: Buffer.from(JSON.stringify({ ...work.item.body, stream: false })),
+      idempotent: work.idempotent,
+      deadline: this.clock.now() + ITEM_TIMEOUT,
+      limit: models[service.model ?? '']?.maxInFlight ?? Infinity,
+      signal: work.signal
+    })
+    if (answer.err) {
+      const { cause, ran, detail, retryAfter } = answer.val
+      if (cause === 'quarantined') return work.finish({ type: 'failed', cause, detail })
+      await new Promise<void>(resolve => this.clock.after(retryAfter, resolve))
+      return work.giveBack(work.signal.aborted ? 'aborted' : ran === 'not run' ? 'gave way' : 'server failed', { ran: ran !== 'not run', server: '' })
+    }
+    const result = await readResult(answer.val.status, answer.val.body)
+    answer.val.end(result !== undefined)
+    if (result !== undefined) work.finish(result)
+    else work.giveBack(work.signal.aborted ? 'aborted' : 'server failed', { ran: true, server: answer.val.server })
+  }
+}
+
+async function readResult (status: number, body: AsyncIterable<Buffer>): Promise<ItemResult | undefined> {
+  try {
+    const parts: Buffer[] = []
+    for await (const part of body) parts.push(part)
+    const value = JSON.parse(Buffer.concat(parts).toString())
+    if (status < 300) return { type: 'completed', status, body: value }
+    return status < 500 ? { type: 'failed', cause: `status-${status}`, detail: String(value.error?.message ?? value.detail) } : undefined
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/ownership/online-load.ts
@@ -0,0 +1,131 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Members } from '../peers/members.js'
+import { peerHandlerPoint } from '../peers/peer-handler-point.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import type { PeerMessage } from '../peers/peer-message.js'
+import { exchangeObserverPoint } from '../routing/exchange-observer-point.js'
+import type { ServerRequest } from '../routing/server-request.js'
+import { countOnline } from './count-online.js'
+import type { OnlineCountsEvent } from './online-counts-event.js'
+import type { OnlineCountsState } from './online-counts-state.js'
+import { ServerOwners } from './server-owners.js'
+import { stepOnlineCounts } from './step-online-counts.js'
+
+/** How long news waits for more, ms: an online request that begins is urgent, one that ends isn't. */
+const BEGIN_DELAY = 3
+const END_DELAY = 20
+const REPEAT_PERIOD = 1_000
+const MESSAGE_TYPE = 'online'
+
+/**
+ * Online requests in flight at backend servers. Each daemon tells a server's owner of its own, as they begin and end,
+ * and the owner adds up what all tell: that is how batch work learns of an online request in one hop, where the
+ * server's own report would come too late.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class OnlineLoad implements Part {
+  readonly extensions = [
+    exchangeObserverPoint.of({
+      onBegin: (request, server) => this.change(request, server, 1, BEGIN_DELAY),
+      onEnd: (request, server) => this.change(request, server, -1, END_DELAY)
+    }),
+    peerHandlerPoint.of({ type: MESSAGE_TYPE, handle: (message, from) => this.hear(message, from) })
+  ]
+
+  /** This daemon's own. */
+  private readonly own = new Map<string, number>()
+  private state: OnlineCountsState = { servers: new Map(), newest: new Map() }
+  private readonly due = new Map<string, { readonly at: number, readonly cancel: () => void }>()
+  private readonly listeners = new Set<(server: string) => void>()
+  private told = new Set<string>()
+  private number: number
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(ServerOwners) private readonly owners: ServerOwners,
+    @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: PeerLinks,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.number = clock.date()
+  }
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(REPEAT_PERIOD, () => this.repeat())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+    for (const { cancel } of this.due.values()) cancel()
+  }
+
+  /** Online requests in flight at the server, as its owner knows them. */
+  count (server: string): number {
+    return countOnline(this.state, server)
+  }
+
+  /** `listener` hears of each server whose count has changed. */
+  subscribe (listener: (server: string) => void): void {
+    this.listeners.add(listener)
+  }
+
+  private change ({ work }: ServerRequest, server: string, by: number, delay: number): void {
+    if (work !== 'online') return
+    const count = (this.own.get(server) ?? 0) + by
+    if (count > 0) this.own.set(server, count)
+    else this.own.delete(server)
+    const owner = this.owners.findOwner(server)
+    if (owner === this.settings.instance) this.tell(owner)
+    else if (owner !== undefined) this.plan(owner, delay)
+  }
+
+  private plan (owner: string, delay: number): void {
+    const at = this.clock.now() + delay
+    const planned = this.due.get(owner)
+    if (planned !== undefined && planned.at <= at) return
+    planned?.cancel()
+    this.due.set(owner, { at, cancel: this.clock.after(delay, () => this.tell(owner)) })
+  }
+
+  private tell (owner: string): void {
+    this.due.get(owner)?.cancel()
+    this.due.delete(owner)
+    const counts = [...this.own].filter(([server]) => this.owners.findOwner(server) === owner)
+    const number = ++this.number
+    if (owner === this.settings.instance) this.apply({ type: 'told', reporter: owner, number, counts: new Map(counts) })
+    else this.links.send(owner, { type: MESSAGE_TYPE, number, counts: Object.fromEntries(counts) }, MESSAGE_TYPE)
+    if (counts.length > 0) this.told.add(owner)
+    else this.told.delete(owner)
+  }
+
+  /** Tells everyone again who was told of something, so that a lost frame or a new owner heals. */
+  private repeat (): void {
+    const owners = [...this.own.keys()].map(server => this.owners.findOwner(server))
+    for (const owner of new Set([...this.told, ...owners])) if (owner !== undefined) this.tell(owner)
+    const alive = new Set(this.members.all().map(({ instance }) => instance.name))
+    for (const reporter of this.state.newest.keys()) if (!alive.has(reporter)) this.apply({ type: 'lost', reporter })
+    this.apply({ type: 'tick' })
+  }
+
+  private hear ({ number, counts }: PeerMessage, from: string): void {
+    if (typeof number !== 'number' || typeof counts !== 'object' || counts === null) return
+    const valid = Object.entries(counts).filter(([, count]) => Number.isSafeInteger(count))
+    this.apply({ type: 'told', reporter: from, number, counts: new Map(valid) })
+  }
+
+  private apply (event: OnlineCountsEvent): void {
+    const before = this.state
+    this.state = stepOnlineCounts(before, event, this.clock.now())
+    for (const server of new Set([...before.servers.keys(), ...this.state.servers.keys()])) {
+      if (countOnline(before, server) !== countOnline(this.state, server)) for (const listener of this.listeners) listener(server)
+    }
+  }
+}
+
+partRegistry.register({ name: 'online load', part: OnlineLoad, needs: ['server owners', 'peer links', 'members'] })
--- /dev/null
+++ b/src/ownership/read-batch-policy.ts
@@ -0,0 +1,8 @@
+import type { Settings } from '../kernel/settings.js'
+import type { BatchPolicy } from './batch-policy.js'
+
+/** The policy that the daemon's settings name; `preempting` where they name none. */
+export function readBatchPolicy ({ batchPolicy }: Pick<Settings, 'batchPolicy'>): BatchPolicy {
+  const { type = 'preempting', streams } = batchPolicy ?? {}
+  return type === 'static' ? { type, streams } : { type }
+}
--- /dev/null
+++ b/src/ownership/served-models.ts
@@ -0,0 +1,31 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import type { Model } from '../config/model.js'
+import { Servers } from '../routing/servers.js'
+
+/** A model service that a server's pool serves. */
+interface Served { readonly service: string, readonly model: Model }
+
+/** Which model services each backend server is for, by the configuration and the server's pool. */
+@scoped(Lifecycle.ContainerScoped)
+export class ServedModels {
+  constructor (
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Servers) private readonly servers: Servers
+  ) {}
+
+  list (server: string): readonly Served[] {
+    const { services, models } = this.configuration.value
+    const pool = this.servers.findPool(server)
+    return Object.entries(services).flatMap(([service, { kind, pool: served, model }]) => {
+      const found = models[model ?? '']
+      return kind === 'model' && served === pool && found !== undefined ? [{ service, model: found }] : []
+    })
+  }
+
+  /** Sequences that may be in flight at the server, where a model's configuration says. */
+  findLimit (server: string): number | undefined {
+    const served = this.list(server)
+    return served.length === 0 ? undefined : Math.min(...served.map(({ model }) => model.maxInFlight))
+  }
+}
--- /dev/null
+++ b/src/ownership/server-batch.ts
@@ -0,0 +1,74 @@
+import type { Clock } from '../kernel/clock.js'
+import { stepBatchAdmission } from './batch-admission.js'
+import type { BatchAdmissionEvent } from './batch-admission-event.js'
+import type { BatchAdmissionOptions } from './batch-admission-options.js'
+import type { BatchAdmissionState } from './batch-admission-state.js'
+import { createBatchAdmission } from './create-batch-admission.js'
+
+interface ServerBatchOptions {
+  readonly admission: BatchAdmissionOptions
+  readonly clock: Clock
+  /** Starts one item if there is one whose prefill is within `prefill` tokens, or any where `first`. */
+  readonly start: (prefill: number, first: boolean) => { readonly id: string, readonly prefill: number, readonly stop: () => void } | undefined
+}
+
+/** Batch work on one server that this daemon owns: the admission decisions and the runs that they start and stop. */
+export class ServerBatch {
+  admission: BatchAdmissionOptions
+  private state: BatchAdmissionState
+  private readonly stops = new Map<string, () => void>()
+  private readonly gaps: number[] = []
+
+  constructor (private readonly options: ServerBatchOptions) {
+    this.admission = options.admission
+    this.state = createBatchAdmission(options.admission)
+  }
+
+  /** Runs under way. */
+  get count (): number {
+    return this.stops.size
+  }
+
+  /** Items that it could run at once. */
+  get slots (): number {
+    return this.admission.policy.type === 'none' ? 0 : Math.ceil(this.state.limit)
+  }
+
+  tell (event: BatchAdmissionEvent): void {
+    const { state, effects } = stepBatchAdmission(this.state, event, this.options.clock.now(), this.admission)
+    this.state = state
+    for (const effect of effects) {
+      if (effect.type === 'preempt') this.stops.get(effect.id)?.()
+      else this.start(effect.count, effect.prefill)
+    }
+  }
+
+  observe (gap: number): void {
+    this.gaps.push(gap)
+  }
+
+  tick (): void {
+    if (this.gaps.length > 0) this.tell({ type: 'observed', gap: this.gaps.reduce((sum, gap) => sum + gap, 0) / this.gaps.length })
+    this.gaps.length = 0
+    this.tell({ type: 'tick' })
+  }
+
+  end (id: string): void {
+    this.stops.delete(id)
+    this.tell({ type: 'ended', id })
+  }
+
+  stopAll (): void {
+    for (const stop of this.stops.values()) stop()
+  }
+
+  private start (count: number, prefill: number): void {
+    for (let i = 0, left = prefill; i < count && left > 0; i++) {
+      const run = this.options.start(left, i === 0)
+      if (run === undefined) return
+      left -= run.prefill
+      this.stops.set(run.id, run.stop)
+      this.tell({ type: 'started', id: run.id, prefill: run.prefill })
+    }
+  }
+}
--- /dev/null
+++ b/src/ownership/server-view-spread.ts
@@ -0,0 +1,107 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Members } from '../peers/members.js'
+import { peerHandlerPoint } from '../peers/peer-handler-point.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import type { PeerMessage } from '../peers/peer-message.js'
+import { InstanceList } from '../platform/instance-list.js'
+import type { ServerView } from '../routing/server-view.js'
+import { ServerViews } from '../routing/server-views.js'
+import { BatchRunner } from './batch-runner.js'
+import { OnlineLoad } from './online-load.js'
+import { planViewPeriod } from './plan-view-period.js'
+import { ServedModels } from './served-models.js'
+import { ServerOwners } from './server-owners.js'
+import { ServerWatch } from './server-watch.js'
+
+const CHECK_PERIOD = 100
+/** A view that isn't told again for so many periods is dropped: its owner may be gone, and it holds nothing any more. */
+const MISSED_PERIODS = 4
+const MESSAGE_TYPE = 'views'
+
+/** Tells the daemons of a region how its servers are, from each server's owner. */
+@scoped(Lifecycle.ContainerScoped)
+export class ServerViewSpread implements Part {
+  readonly extensions = [peerHandlerPoint.of({ type: MESSAGE_TYPE, handle: message => this.hear(message) })]
+  private readonly told = new Map<string, { readonly view: ServerView, readonly at: number }>()
+  private readonly heard = new Map<string, number>()
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(ServerOwners) private readonly owners: ServerOwners,
+    @inject(ServerWatch) private readonly watch: ServerWatch,
+    @inject(OnlineLoad) private readonly online: OnlineLoad,
+    @inject(BatchRunner) private readonly batch: BatchRunner,
+    @inject(ServedModels) private readonly models: ServedModels,
+    @inject(ServerViews) private readonly views: ServerViews,
+    @inject(InstanceList) private readonly list: InstanceList,
+    @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: PeerLinks,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  private check (): void {
+    const period = planViewPeriod(this.list.all.length)
+    const now = this.clock.now()
+    for (const [server, at] of this.heard) if (now > at + MISSED_PERIODS * period) this.drop(server)
+    const owned = this.owners.listOwned()
+    for (const server of this.told.keys()) if (!owned.includes(server)) this.told.delete(server)
+    const fresh = owned.map(server => this.build(server)).filter(view => this.isNews(view, now, period))
+    if (fresh.length === 0) return
+    for (const view of fresh) {
+      this.told.set(view.server, { view, at: now })
+      this.take(view)
+    }
+    for (const { instance } of this.members.all()) {
+      if (instance.name !== this.settings.instance && instance.region === this.settings.region) this.links.send(instance.name, { type: MESSAGE_TYPE, views: fresh })
+    }
+  }
+
+  /** An owner whose claim hasn't come yet speaks under the number last known, so that soft state isn't held up. */
+  private build (server: string): ServerView {
+    return {
+      server,
+      state: this.watch.getState(server),
+      online: this.online.count(server),
+      batch: this.batch.count(server),
+      limit: this.models.findLimit(server) ?? Number.MAX_SAFE_INTEGER,
+      fencing: this.owners.getFencing(server) || (this.views.get(server)?.fencing ?? 0)
+    }
+  }
+
+  /** A change of state is news at once; counts are told again at the period. */
+  private isNews (view: ServerView, now: number, period: number): boolean {
+    const told = this.told.get(view.server)
+    return told === undefined || told.view.state !== view.state || told.view.limit !== view.limit || now >= told.at + period
+  }
+
+  private hear ({ views }: PeerMessage): void {
+    if (!Array.isArray(views)) return
+    for (const view of views as readonly ServerView[]) if (typeof view?.server === 'string' && typeof view.fencing === 'number') this.take(view)
+  }
+
+  private take (view: ServerView): void {
+    this.views.update(view)
+    if (this.views.get(view.server) === view) this.heard.set(view.server, this.clock.now())
+  }
+
+  private drop (server: string): void {
+    this.heard.delete(server)
+    this.views.remove(server)
+  }
+}
+
+partRegistry.register({ name: 'server view spread', part: ServerViewSpread, needs: ['server owners', 'server watch', 'online load', 'batch runner', 'peer links', 'members'] })
--- /dev/null
+++ b/src/ownership/server-watch.ts
@@ -0,0 +1,93 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Agent, request } from 'undici'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import type { Instance } from '../platform/instance.js'
+import { InstanceList } from '../platform/instance-list.js'
+import type { HealthState } from './health-state.js'
+import { ServerOwners } from './server-owners.js'
+import { stepHealth } from './step-health.js'
+
+const POLL_PERIOD = 500
+const POLL_TIMEOUT = 400
+const HEALTHY: HealthState = { state: 'open', failures: 0 }
+
+/** What a poll of one server told. */
+interface Known { readonly health: HealthState, readonly sequences: number }
+
+/** Health and lagged load of the servers that this daemon owns, and of no others: polls are O(servers). */
+@scoped(Lifecycle.ContainerScoped)
+export class ServerWatch implements Part {
+  private readonly agent = new Agent({ connections: 1, keepAliveTimeout: POLL_PERIOD, keepAliveMaxTimeout: POLL_PERIOD })
+  private readonly known = new Map<string, Known>()
+  private readonly listeners = new Set<(server: string) => void>()
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(ServerOwners) private readonly owners: ServerOwners,
+    @inject(InstanceList) private readonly list: InstanceList,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(POLL_PERIOD, () => this.pollAll())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+    await this.agent.destroy()
+  }
+
+  /** Leaving by the platform's list, down by health checks, or open. */
+  getState (server: string): 'open' | 'leaving' | 'down' {
+    const instance = this.list.all.find(({ name }) => name === server)
+    if (instance === undefined || instance.state === 'leaving') return 'leaving'
+    return this.known.get(server)?.health.state ?? 'open'
+  }
+
+  /** Sequences running and waiting at the server, as it last reported. */
+  getReported (server: string): number {
+    return this.known.get(server)?.sequences ?? 0
+  }
+
+  /** `listener` runs after each poll of a server. */
+  subscribe (listener: (server: string) => void): void {
+    this.listeners.add(listener)
+  }
+
+  private pollAll (): void {
+    const owned = this.owners.listOwned()
+    for (const server of this.known.keys()) if (!owned.includes(server)) this.known.delete(server)
+    for (const instance of this.list.all) if (owned.includes(instance.name)) void this.poll(instance)
+  }
+
+  private async poll (instance: Instance): Promise<void> {
+    const { name, host, port } = instance
+    const [health, load] = await Promise.all([this.ask(`http://${host}:${port}/health`), this.ask(`http://${host}:${port}/load`)])
+    const before = this.known.get(name) ?? { health: HEALTHY, sequences: 0 }
+    const next = stepHealth(before.health, health === undefined || health.status >= 500 ? 'failed' : 'passed')
+    if (next.state !== before.health.state) this.timeline.record({ part: 'ownership', what: next.state === 'down' ? 'server down' : 'server up', server: name })
+    const sequences = load?.status === 200 ? Number(load.body?.running ?? 0) + Number(load.body?.waiting ?? 0) : before.sequences
+    this.known.set(name, { health: next, sequences })
+    for (const listener of this.listeners) listener(name)
+  }
+
+  private async ask (url: string): Promise<{ readonly status: number, readonly body: any } | undefined> {
+    const abort = new AbortController()
+    const cancel = this.clock.after(POLL_TIMEOUT, () => abort.abort())
+    try {
+      const answer = await request(url, { dispatcher: this.agent, signal: abort.signal })
+      return { status: answer.statusCode, body: await answer.body.json().catch(() => undefined) }
+    } catch {
+      return undefined
+    } finally {
+      cancel()
+    }
+  }
+}
+
+partRegistry.register({ name: 'server watch', part: ServerWatch, needs: ['server owners', 'instance list'] })
--- /dev/null
+++ b/src/ownership/step-online-counts.ts
@@ -0,0 +1,40 @@
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { OnlineCountsEvent } from './online-counts-event.js'
+import type { OnlineCountsState } from './online-counts-state.js'
+
+/**
+ * How long a level counts that isn't told again, ms. Reporters repeat theirs every second; one that died or can't be
+ * reached would otherwise hold batch back for good, the symptom being a server that stays idle.
+ */
+const KEEP = 3_500
+
+/**
+ * The next counts. Levels, not differences, are told: a lost or late frame is healed by the next one, and a message
+ * older than the newest of its reporter is ignored.
+ */
+export function stepOnlineCounts (state: OnlineCountsState, event: OnlineCountsEvent, now: number): OnlineCountsState {
+  switch (event.type) {
+    case 'told': {
+      if (event.number <= (state.newest.get(event.reporter) ?? -Infinity)) return state
+      const rest = filterReports(state, reporter => reporter !== event.reporter)
+      for (const [server, count] of event.counts) {
+        if (count > 0) rest.set(server, new Map(rest.get(server)).set(event.reporter, { count, heardAt: now }))
+      }
+      return { servers: rest, newest: new Map(state.newest).set(event.reporter, event.number) }
+    }
+    case 'lost': return { ...state, servers: filterReports(state, reporter => reporter !== event.reporter) }
+    case 'tick': return { ...state, servers: filterReports(state, (_reporter, heardAt) => now - heardAt < KEEP) }
+    default: return failUnreachable(event)
+  }
+}
+
+type Servers = Map<string, OnlineCountsState['servers'] extends ReadonlyMap<string, infer Reports> ? Reports : never>
+
+function filterReports ({ servers }: OnlineCountsState, keep: (reporter: string, heardAt: number) => boolean): Servers {
+  const kept: Servers = new Map()
+  for (const [server, reports] of servers) {
+    const left = [...reports].filter(([reporter, { heardAt }]) => keep(reporter, heardAt))
+    if (left.length > 0) kept.set(server, new Map(left))
+  }
+  return kept
+}
--- /dev/null
+++ b/src/ownership/work-queue.ts
@@ -0,0 +1,90 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Extensions } from '../kernel/extensions.js'
+import { hashRequest } from '../routing/hash-request.js'
+import { Quarantine } from '../routing/quarantine.js'
+import { batchSourcePoint } from './batch-source-point.js'
+import type { BatchWork } from './batch-work.js'
+import { DispatchedBatch } from './dispatched-batch.js'
+import { ServedModels } from './served-models.js'
+
+/** Items that run by the dispatcher at once. */
+const MAX_APART = 4
+
+/** Batch items on their way from the source to a server, those that can't be started now held by server. */
+@scoped(Lifecycle.ContainerScoped)
+export class WorkQueue {
+  private readonly held = new Map<string, BatchWork>()
+  private readonly apart = new Set<Promise<void>>()
+
+  constructor (
+    @inject(ServedModels) private readonly models: ServedModels,
+    @inject(Quarantine) private readonly quarantine: Quarantine,
+    @inject(DispatchedBatch) private readonly dispatched: DispatchedBatch,
+    @inject(Extensions) private readonly added: Extensions
+  ) {}
+
+  /** Puts an item back to the front for its server. */
+  hold (server: string, work: BatchWork): void {
+    this.held.set(server, work)
+  }
+
+  /** Gives back what is held and waits for what the dispatcher runs. */
+  async drain (): Promise<void> {
+    for (const work of this.held.values()) this.giveBack(work)
+    this.held.clear()
+    await Promise.all(this.apart)
+  }
+
+  /** Gives back what is held for servers that this daemon owns no more. */
+  keepOnly (servers: readonly string[]): void {
+    for (const [server, work] of this.held) {
+      if (servers.includes(server)) continue
+      this.held.delete(server)
+      this.giveBack(work)
+    }
+  }
+
+  /** The next item that may run as a stream here; what may not goes by the dispatcher. */
+  take (server: string): BatchWork | undefined {
+    for (let work = this.takeAny(server); work !== undefined; work = this.takeAny(server)) {
+      if (work.signal.aborted) this.giveBack(work)
+      else if (!this.isApart(work)) return work
+      else if (this.apart.size >= MAX_APART) {
+        this.hold(server, work)
+        return undefined
+      } else this.runApart(work)
+    }
+    return undefined
+  }
+
+  private takeAny (server: string): BatchWork | undefined {
+    const held = this.held.get(server)
+    this.held.delete(server)
+    if (held !== undefined) return held
+    for (const source of this.added.collect(batchSourcePoint)) {
+      for (const { service } of this.models.list(server)) {
+        const work = source.take(service)
+        if (work !== undefined) return work
+      }
+    }
+    return undefined
+  }
+
+  private runApart (work: BatchWork): void {
+    const run = this.dispatched.run(work).finally(() => this.apart.delete(run))
+    this.apart.add(run)
+  }
+
+  /**
+   * Whether an item must not run as a stream that may be closed: a suspect of having crashed a server, which runs
+   * alone, or a non-idempotent one, which runs to its end.
+   */
+  private isApart ({ caller, service, item, idempotent }: BatchWork): boolean {
+    const fingerprint = hashRequest({ caller, service, path: item.url, body: Buffer.from(JSON.stringify({ ...item.body, stream: false })) })
+    return !idempotent || this.quarantine.check(fingerprint) !== 'clear'
+  }
+
+  private giveBack (work: BatchWork): void {
+    work.giveBack(work.signal.aborted ? 'aborted' : 'gave way', { ran: false, tokens: work.resumeFrom, server: '' })
+  }
+}
--- a/src/routing/sender.ts
+++ b/src/routing/sender.ts
@@ -58,7 +58,8 @@
 
   private begin (server: BackendServer, request: ServerRequest, exchange: Exchange, fingerprint: string): OpenExchange {
     const observers = this.added.collect(exchangeObserverPoint)
-    const release = this.servers.begin(server.name)
+    // Batch streams give way to online requests, so they take no place of theirs.
+    const release = request.work === 'online' ? this.servers.begin(server.name) : () => {}
     const forget = this.quarantine.begin(fingerprint, server.name)
     for (const observer of observers) observer.onBegin(request, server.name)
     let ended = false
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -61,6 +61,15 @@
     })
   }
 
+  /** The pool of a server, where the instance list has it. */
+  findPool (server: string): string | undefined {
+    return this.list.all.find(({ name }) => name === server)?.pool
+  }
+
+  find (server: string): BackendServer | undefined {
+    return this.inPool(this.findPool(server) ?? '').find(({ name }) => name === server)
+  }
+
   /** Counts a request in flight; the function it gives back ends it and is called once. */
   begin (server: string): () => void {
     this.counts.set(server, (this.counts.get(server) ?? 0) + 1)
--- a/stand-ins/engine/answer-shape.ts
+++ b/stand-ins/engine/answer-shape.ts
@@ -8,4 +8,5 @@
   /** How many of them an earlier run gave. */
   readonly resumed: number
   readonly promptTokens: number
+  readonly includeUsage: boolean
 }
--- a/stand-ins/engine/engine.ts
+++ b/stand-ins/engine/engine.ts
@@ -65,7 +65,7 @@
     if (answerDelay > 0) await new Promise(resolve => setTimeout(resolve, answerDelay))
     const id = String(req.headers['x-request-id'])
     const words = this.model.listWords(completion)
-    const shape = { id, model: completion.model, chat, words, resumed: completion.resumeFrom.length, promptTokens: Math.ceil(completion.prompt.length / 4) }
+    const shape = { id, model: completion.model, chat, words, resumed: completion.resumeFrom.length, promptTokens: Math.ceil(completion.prompt.length / 4), includeUsage: completion.includeUsage }
     const write = (completion.stream ? writeStream : writeWhole)(res, shape)
     const run = this.model.start(completion, id, text, this.applyFaults(res, write))
     res.on('close', () => run.cancel())
--- a/stand-ins/engine/read-completion.ts
+++ b/stand-ins/engine/read-completion.ts
@@ -16,7 +16,7 @@
   if (!Array.isArray(resumeFrom) || resumeFrom.some(word => typeof word !== 'string')) return Err('resume_from: must be a list of tokens')
   const kv = body.kv ?? undefined
   if (kv !== undefined && typeof kv !== 'string') return Err('kv: must be a handle')
-  return Ok({ chat, model: String(body.model), prompt, tokens: tokens as number, stream: body.stream === true, resumeFrom, kv })
+  return Ok({ chat, model: String(body.model), prompt, tokens: tokens as number, stream: body.stream === true, includeUsage: (body.stream_options as any)?.include_usage === true, resumeFrom, kv })
 }
 
 function parse (text: string): Record<string, unknown> | undefined {
--- a/stand-ins/engine/write-stream.ts
+++ b/stand-ins/engine/write-stream.ts
@@ -3,7 +3,7 @@
 import type { TokenWriter } from './token-writer.js'
 
 /** Answers token by token, as server-sent events; a resumed answer starts after the tokens it was resumed from. */
-export function writeStream (res: ServerResponse, { id, model, chat, resumed }: AnswerShape): TokenWriter {
+export function writeStream (res: ServerResponse, { id, model, chat, words, resumed, promptTokens, includeUsage }: AnswerShape): TokenWriter {
   res.writeHead(200, { 'content-type': 'text/event-stream' })
   res.flushHeaders()
   let first = resumed === 0
@@ -14,6 +14,9 @@
     const choice = chat ? { index: 0, delta: { content: text }, finish_reason: finish } : { index: 0, text, finish_reason: finish }
     const object = chat ? 'chat.completion.chunk' : 'text_completion'
     res.write(`data: ${JSON.stringify({ id, object, model, created: 0, choices: [choice] })}\n\n`)
-    if (last) res.end('data: [DONE]\n\n')
+    if (!last) return
+    const usage = { prompt_tokens: promptTokens, completion_tokens: words.length - resumed, total_tokens: promptTokens + words.length - resumed }
+    if (includeUsage) res.write(`data: ${JSON.stringify({ id, object, model, created: 0, choices: [], usage })}\n\n`)
+    res.end('data: [DONE]\n\n')
   }
 }
