--- /dev/null
+++ b/test/batch/cancel.test.ts
@@ -0,0 +1,72 @@
+import 'reflect-metadata'
+import test from 'ava'
+import fc from 'fast-check'
+import assert from 'node:assert/strict'
+import { addCounts } from '../../src/batch/add-counts.js'
+import { cancelJob } from '../../src/batch/cancel-job.js'
+import { mayStart } from '../../src/batch/may-start.js'
+import { createTrialJob } from './helpers/create-trial-job.js'
+import { readLines } from './helpers/read-lines.js'
+import { Trial } from './helpers/trial.js'
+import { trialEvents } from './helpers/trial-events.js'
+
+const SEED = 20261203
+const RUNS = 40
+const ITEMS = 2_000
+const SECONDS = 400
+const BOUND = 5_000
+const OUTAGE_BOUND = 60_000
+
+// What the caller sees: its cancelling acknowledged, then no item started after the stated bound, and counts that
+// add up to all items. The holders are killed, paused and resumed, the platform has outages, loses replies and gives
+// old reads, before, at and after the cancelling. Old reads of a job stretch the bound, so they end before it.
+test('a cancelled job stops, and its counts add up, under random faults', async t => {
+  await fc.assert(fc.asyncProperty(trialEvents, fc.integer({ min: 1, max: 70 }), async (events, when) => {
+    const trial = await new Trial().start(4)
+    const { jobs } = trial.daemons[3]!
+    const job = await createTrialJob(trial.daemons[3]!, { count: ITEMS, idempotent: i => i % 5 !== 0 })
+    let acknowledged = Infinity
+    let bound = BOUND
+    while (trial.second < SECONDS) {
+      if (trial.second >= when && acknowledged === Infinity) {
+        const cancelled = await jobs.update(job.id, job => cancelJob(job, trial.clock.date()), 'caller')
+        if (cancelled.ok) acknowledged = trial.clock.now()
+        if (cancelled.ok && cancelled.val.status === 'cancelling') trial.daemons[3]!.care.announceCancel(job.id)
+      }
+      await trial.step(events.filter(({ type }) => type !== 'old reads'))
+      if (trial.second < trial.faults.outageUntil && trial.clock.now() - acknowledged < BOUND + 1_000) bound = OUTAGE_BOUND
+    }
+    const late = trial.runs.filter(({ at }) => at > acknowledged + bound)
+    assert.deepEqual(late, [])
+    const ended = (await jobs.read(job.id)).unwrap()
+    const { completed, failed, cancelled } = addCounts(Object.values(ended.finished))
+    assert.equal(ended.status, 'cancelled')
+    assert.equal(completed + failed + cancelled, ITEMS)
+    const lines = [...(await readLines(trial.daemons[3]!, job)).values()].map(line => JSON.parse(line))
+    assert.equal(lines.length, ITEMS)
+    assert.equal(lines.filter(({ error }) => error?.code === 'cancelled').length, cancelled)
+  }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+  t.pass()
+})
+
+// What the caller sees: a refusal. In an outage of the platform a cancelling can't be made durable, so it is not
+// acknowledged, and the job goes on.
+test('a cancelling in an outage is refused', async t => {
+  const trial = await new Trial().start(1)
+  const job = await createTrialJob(trial.daemons[0]!, { count: 20 })
+  trial.faults.outageUntil = 10
+  t.true((await trial.daemons[0]!.jobs.update(job.id, job => cancelJob(job, 0))).err)
+  await trial.run(40)
+  t.is((await trial.daemons[0]!.jobs.read(job.id)).unwrap().status, 'completed')
+})
+
+test('a start needs a look at the job that is fresh, or an outage that is short', t => {
+  const table = [
+    [{ seen: 0, unreachable: false }, 5_000, true],
+    [{ seen: 0, unreachable: false }, 5_001, false],
+    [{ seen: 0, unreachable: true }, 60_000, true],
+    [{ seen: 0, unreachable: true }, 60_001, false],
+    [{ unreachable: true }, 1, false]
+  ] as const
+  for (const [check, now, expected] of table) t.is(mayStart(check, now), expected)
+})
--- /dev/null
+++ b/test/batch/helpers/trial.ts
@@ -0,0 +1,74 @@
+import { MemoryStore } from '../../../stand-ins/platform/memory-store.js'
+import { VirtualClock } from '../../helpers/virtual-clock.js'
+import { TrialDaemon } from './trial-daemon.js'
+import type { TrialEvent } from './trial-event.js'
+
+const SECOND = 1_000
+
+/** Several daemons over one store and one virtual clock, with faults. */
+export class Trial {
+  readonly store = new MemoryStore()
+  readonly clock = new VirtualClock()
+  readonly runs: Array<{ readonly item: string, readonly daemon: string, readonly at: number }> = []
+  readonly daemons: TrialDaemon[] = []
+  readonly faults = { outageUntil: -1, lostUntil: -1, oldUntil: -1 }
+  private readonly dead = new Set<string>()
+  private puts = 0
+
+  constructor (readonly answer?: ConstructorParameters<typeof TrialDaemon>[1]['answer']) {
+    this.store.fault = ({ call }) => {
+      if (this.second < this.faults.outageUntil) return { fail: { type: 'unavailable', reason: 'outage' } }
+      const lost = call === 'put' && this.second < this.faults.lostUntil && ++this.puts % 3 === 0
+      return lost ? { loseReply: { type: 'unknown', reason: 'lost' } } : 'none'
+    }
+  }
+
+  get second (): number {
+    return Math.floor(this.clock.now() / SECOND)
+  }
+
+  /** The list of instances: the dead leave it at once, the paused stay. */
+  readonly members = (): readonly string[] => this.daemons.map(({ name }) => name).filter(name => !this.dead.has(name))
+
+  async start (count: number): Promise<this> {
+    for (let n = 0; n < count; n++) this.daemons.push(await new TrialDaemon(`entry-${n}`, this).start())
+    return this
+  }
+
+  /** Lets a second pass, `events` falling on it first. */
+  async step (events: readonly TrialEvent[] = []): Promise<void> {
+    for (const event of events) if (event.at === this.second) await this.apply(event)
+    for (const { store } of this.daemons) store.oldReads = this.second < this.faults.oldUntil ? 3 : 0
+    await this.clock.advance(SECOND)
+  }
+
+  async run (seconds: number): Promise<void> {
+    for (let i = 0; i < seconds; i++) await this.step()
+  }
+
+  private async apply (event: TrialEvent): Promise<void> {
+    switch (event.type) {
+      case 'kill': return this.kill(event.daemon)
+      case 'replace': {
+        this.kill(event.daemon)
+        this.dead.delete(`entry-${event.daemon}`)
+        this.daemons[event.daemon] = await new TrialDaemon(`entry-${event.daemon}`, this).start()
+        return
+      }
+      case 'pause': {
+        const { clock } = this.daemons[event.daemon]!
+        clock.freeze()
+        this.clock.after(event.length * SECOND, () => this.daemons[event.daemon]!.clock === clock && !this.dead.has(`entry-${event.daemon}`) && clock.resume())
+        return
+      }
+      case 'outage': this.faults.outageUntil = this.second + event.length; return
+      case 'lost replies': this.faults.lostUntil = this.second + event.length; return
+      case 'old reads': this.faults.oldUntil = this.second + event.length
+    }
+  }
+
+  kill (daemon: number): void {
+    this.daemons[daemon]!.clock.freeze()
+    this.dead.add(`entry-${daemon}`)
+  }
+}
