--- a/src/batch/chunk-source.ts
+++ b/src/batch/chunk-source.ts
@@ -196,8 +196,8 @@
       return false
     }
     this.held.set(name, held)
-    // The job is looked at again after the claim: a cancelling that did not see the claim is seen here.
-    if (await this.jobs.check(job.id) === undefined || this.draining) void held.release({ abort: true })
+    // The job may have been cancelled, or the daemon told to drain, while the claim was on its way.
+    if (!this.jobs.watches(job.id) || this.draining) void held.release({ abort: true })
     else this.tell(service)
     return true
   }
