citronwheel apply, start in a platform outage, and process tests of the distribution

Cause: operators had no command, a daemon started in an outage waited for the platform, and callers of a daemon without a configuration were told that their token was wrong. Ruled out: retrying the platform alone at start; a list of peers kept in a file (the others have no disk): the settings may name a few seeds, which stand in for the instance list until it has been read. Conclusion: distribution doesn't hang on the platform's watches.

--- /dev/null
+++ b/src/commands/apply.ts
@@ -0,0 +1,117 @@
+import { Command, Option } from 'clipanion'
+import { userInfo } from 'node:os'
+import { createInterface } from 'node:readline/promises'
+import { checkFiles } from '../config/check-files.js'
+import type { KeyChange } from '../config/key-change.js'
+import { listFolder } from '../config/list-folder.js'
+import { listKeyChanges } from '../config/list-key-changes.js'
+import type { Reach } from '../config/reach.js'
+import { showFinding } from '../config/show-finding.js'
+import { EntryCommand } from './entry-command.js'
+import { exitCodes } from './exit-codes.js'
+
+const CONFLICT = 409
+const UNKNOWN = 504
+const POLL_PERIOD = 250
+const MS_PER_SECOND = 1_000
+
+/** What a folder changes against the version that is in force. */
+interface Plan {
+  readonly version: number
+  readonly put: Readonly<Record<string, string>>
+  readonly remove: readonly string[]
+  readonly keys: readonly KeyChange[]
+}
+
+/** Makes a folder the accepted configuration. */
+export class ApplyCommand extends EntryCommand {
+  static override paths = [['apply']]
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'make a folder the accepted configuration',
+    details: 'Checks the folder, shows the difference, swaps the version it was based on and waits until all daemons act on the new one. Exit codes: 0 accepted and in force on every daemon that is known, or nothing to change; 1 findings, or refused and not accepted; 2 wrong usage, or not confirmed; 3 no daemon answered, and nothing was sent; 4 another change came first; 5 accepted, but some daemons don\'t act on it yet; 6 not known whether it was accepted.',
+    examples: [
+      ['Show the difference only', 'citronwheel apply fleet/ --diff --entry http://10.0.0.1:8080 --token TOKEN'],
+      ['Apply what was reviewed against version 812', 'citronwheel apply fleet/ --based-on 812 --yes --entry http://10.0.0.1:8080 --token TOKEN']
+    ]
+  })
+
+  folder = Option.String({ required: true })
+  basedOn = Option.String('--based-on', { description: 'the version that the folder was made from; without it the one in force' })
+  yes = Option.Boolean('--yes', false, { description: 'do not ask' })
+  diff = Option.Boolean('--diff', false, { description: 'show the difference and change nothing' })
+  by = Option.String('--by', userInfo().username, { description: 'who makes the change, for the history' })
+  wait = Option.String('--wait', '10', { description: 'seconds to wait until all daemons act on it' })
+
+  async execute (): Promise<number> {
+    const files = listFolder(this.folder)
+    const checked = files.andThen(texts => checkFiles(texts))
+    if (checked.err) return this.write({ findings: checked.val }, checked.val.map(showFinding).join('\n'), exitCodes.refused)
+    const present = await this.client().call<{ version: number, files: Record<string, string> }>('GET', '/operator/configuration/files')
+    if (present.err) return this.showError(present.val)
+    const plan = createPlan(present.val.version, new Map(Object.entries(present.val.files)), files.unwrap())
+    const text = showPlan(plan)
+    if (this.diff || (Object.keys(plan.put).length + plan.remove.length === 0)) return this.write(plan, text, exitCodes.ok)
+    if (!this.json) this.context.stdout.write(text + '\n')
+    if (!await this.confirm()) return exitCodes.usage
+    return await this.send(plan)
+  }
+
+  private async confirm (): Promise<boolean> {
+    if (this.yes) return true
+    if (!process.stdin.isTTY) {
+      this.context.stderr.write('not applied: confirm with --yes\n')
+      return false
+    }
+    const lines = createInterface({ input: process.stdin, output: process.stderr })
+    const answer = await lines.question('apply? [y/N] ')
+    lines.close()
+    return /^y(es)?$/i.test(answer)
+  }
+
+  private async send ({ version, put, remove }: Plan): Promise<number> {
+    const basedOn = this.basedOn === undefined ? version : Number(this.basedOn)
+    const accepted = await this.client().call<{ version: number, changed: readonly string[] }>('PUT', '/operator/configuration', { basedOn, put, remove, by: this.by })
+    if (accepted.ok) return await this.waitForReach(accepted.val.version)
+    const code = this.showError(accepted.val)
+    if (accepted.val.type !== 'refused') return exitCodes.unknown
+    if (accepted.val.status === CONFLICT) return exitCodes.conflict
+    return accepted.val.status === UNKNOWN ? exitCodes.unknown : code
+  }
+
+  private async waitForReach (version: number): Promise<number> {
+    const end = Date.now() + Number(this.wait) * MS_PER_SECOND
+    for (;;) {
+      const reach = await this.client().call<Reach>('GET', `/operator/configuration/reach?version=${version}`)
+      const done = reach.ok && reach.val.behind.length + reach.val.silent.length === 0
+      if (done || Date.now() >= end) return this.showReach(version, reach.unwrapOr(undefined), done)
+      await new Promise(resolve => setTimeout(resolve, POLL_PERIOD))
+    }
+  }
+
+  private showReach (version: number, reach: Reach | undefined, done: boolean): number {
+    const lines = [`accepted as version ${version}`]
+    if (reach === undefined) lines.push('the daemon did not say which daemons act on it')
+    else lines.push(`${reach.acting.length} daemons act on it`, ...reach.behind.map(({ instance, version }) => `${instance} acts on ${version}`), ...reach.silent.map(name => `${name} does not answer`))
+    return this.write({ version, reach }, lines.join('\n'), done ? exitCodes.ok : exitCodes.behind)
+  }
+
+  private write (value: unknown, text: string, code: number): number {
+    this.context.stdout.write((this.json ? JSON.stringify(value, null, 2) : text) + '\n')
+    return code
+  }
+}
+
+function createPlan (version: number, present: ReadonlyMap<string, string>, files: ReadonlyMap<string, string>): Plan {
+  const put = Object.fromEntries([...files].filter(([name, text]) => present.get(name) !== text))
+  const before = checkFiles(present)
+  const keys = before.ok ? listKeyChanges(before.val.root, checkFiles(files).unwrap().root) : []
+  return { version, put, remove: [...present.keys()].filter(name => !files.has(name)), keys }
+}
+
+function showPlan ({ version, put, remove, keys }: Plan): string {
+  const files = [...Object.keys(put).map(name => `  set     ${name}`), ...remove.map(name => `  remove  ${name}`)]
+  if (files.length === 0) return `nothing differs from version ${version}`
+  const changes = keys.map(({ file, line, key, before = 'not set', after = 'not set' }) => `  ${key}: ${before} -> ${after}  (${file}:${line})`)
+  return [`against version ${version}:`, ...files, ...changes].join('\n')
+}
--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,4 +1,5 @@
 import { Builtins, type CommandClass } from 'clipanion'
+import { ApplyCommand } from './apply.js'
 import { CheckCommand } from './check.js'
 import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
@@ -13,6 +14,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   ServeCommand,
+  ApplyCommand,
   CheckCommand,
   StatusCommand,
   TimelineCommand,
--- a/src/commands/exit-codes.ts
+++ b/src/commands/exit-codes.ts
@@ -6,5 +6,11 @@
   /** The words, the settings or the files given are wrong. */
   usage: 2,
   /** No daemon answered. */
-  unreachable: 3
+  unreachable: 3,
+  /** Another operator's change came first; nothing was changed. */
+  conflict: 4,
+  /** The change is accepted, but some daemons don't act on it yet. */
+  behind: 5,
+  /** It isn't known whether the change took effect. */
+  unknown: 6
 } as const
--- /dev/null
+++ b/src/config/list-key-changes.ts
@@ -0,0 +1,29 @@
+import type { Entry } from './entry.js'
+import type { KeyChange } from './key-change.js'
+
+/** Every merged key whose value differs between two folders, in the order of the keys. */
+export function listKeyChanges (before: Entry, after: Entry): readonly KeyChange[] {
+  const old = indexLeaves(before)
+  const next = indexLeaves(after)
+  return [...new Set([...old.keys(), ...next.keys()])].sort().flatMap(key => {
+    const [from, to] = [old.get(key), next.get(key)]
+    if (from?.json === to?.json) return []
+    return [{ key, ...(to ?? from)!.place, before: from?.json, after: to?.json }]
+  })
+}
+
+interface Leaf { readonly json: string, readonly place: Entry['place'] }
+
+function indexLeaves (entry: Entry, path = '', leaves = new Map<string, Leaf>()): ReadonlyMap<string, Leaf> {
+  if (entry.type !== 'map') return leaves.set(path, { json: JSON.stringify(readValue(entry)), place: entry.place })
+  for (const [key, value] of entry.keys) indexLeaves(value, path === '' ? key : `${path}.${key}`, leaves)
+  return leaves
+}
+
+function readValue (entry: Entry): unknown {
+  switch (entry.type) {
+    case 'scalar': return entry.value
+    case 'list': return entry.items.map(readValue)
+    case 'map': return Object.fromEntries([...entry.keys].map(([key, value]) => [key, readValue(value)]))
+  }
+}
--- a/src/config/settings-schema.ts
+++ b/src/config/settings-schema.ts
@@ -1,9 +1,11 @@
+import type { Seed } from '../kernel/seed.js'
 import type { Settings } from '../kernel/settings.js'
 import type { KeySchema } from './key-schema.js'
 import type { KeySchemas } from './key-schemas.js'
 
 const MAX_PORT = 65_535
 const MIN_SECRET = 16
+const MAX_SEEDS = 32
 const PLATFORM_URL = /^https?:\/\/[^/?#]+(\/[^?#]*)?$/
 
 const listen: KeySchemas<Settings['listen']> = {
@@ -17,6 +19,13 @@
   format: { type: 'choice', of: ['text', 'json'], default: 'text', doc: 'Form of a log line.' }
 }
 
+const seed: KeySchemas<Seed> = {
+  name: { type: 'text', minLength: 1, maxLength: 100, doc: 'Its instance name.' },
+  host: { type: 'text', minLength: 1, doc: 'Its IP address.' },
+  peerPort: { type: 'number', unit: 'port', whole: true, min: 1, max: MAX_PORT, doc: 'Its port for daemons.' },
+  failureDomain: { type: 'text', minLength: 1, maxLength: 100, doc: 'Its failure domain.' }
+}
+
 const settings: KeySchemas<Settings> = {
   instance: { type: 'text', minLength: 1, maxLength: 100, doc: 'Name of this instance, unique in the fleet.' },
   failureDomain: { type: 'text', minLength: 1, maxLength: 100, doc: 'Failure domain that the instance stands in.' },
@@ -26,6 +35,7 @@
   peerKey: { type: 'text', minLength: MIN_SECRET, doc: 'Secret shared by the daemons, which proves a peer.' },
   operatorToken: { type: 'text', minLength: MIN_SECRET, doc: 'Token that operators present.' },
   dataFolder: { type: 'text', minLength: 1, optional: true, doc: 'Folder for bulk data on instances that have a disk.' },
+  seeds: { type: 'list', maxItems: MAX_SEEDS, optional: true, of: { type: 'object', keys: seed, doc: 'One daemon.' }, doc: 'Other daemons to ask when this one starts while the platform is out; a few in other failure domains are enough.' },
   log: { type: 'object', keys: log, doc: 'The log.' }
 }
 
--- a/src/config/write-key-table.ts
+++ b/src/config/write-key-table.ts
@@ -13,11 +13,11 @@
   switch (schema.type) {
     case 'object': return Object.entries(schema.keys).flatMap(([key, inner]) => listRows(inner, path === '' ? key : `${path}.${key}`))
     case 'map': return [{ path, ...describe(schema) }, ...listRows(schema.of, `${path}.NAME`)]
+    case 'list': return [{ path, ...describe(schema) }, ...(schema.of.type === 'object' ? listRows(schema.of, `${path}[]`) : [])]
     case 'text':
     case 'number':
     case 'boolean':
-    case 'choice':
-    case 'list': return [{ path, ...describe(schema) }]
+    case 'choice': return [{ path, ...describe(schema) }]
     default: return failUnreachable(schema)
   }
 }
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -16,6 +16,7 @@
 import { sendProblem } from './send-problem.js'
 
 const HEADERS_TIMEOUT = 10_000
+const NOT_READY_RETRY = 1_000
 
 /** The HTTP interface for callers and operators: the routes that the parts contribute, each behind its check. */
 @scoped(Lifecycle.ContainerScoped)
@@ -69,6 +70,10 @@
         break
       }
       case 'caller': {
+        if (this.configuration.value.version === 0) {
+          sendProblem(res, { status: 503, code: 'not-ready', detail: 'this daemon knows no configuration yet', retryAfter: NOT_READY_RETRY, more: { ran: 'not run' } })
+          return undefined
+        }
         const caller = authenticate(req, this.configuration.value)
         if (caller !== undefined) return caller
       }
--- /dev/null
+++ b/src/kernel/seed.ts
@@ -0,0 +1,7 @@
+/** A daemon that another one may ask when it starts while the platform is out. */
+export interface Seed {
+  readonly name: string
+  readonly host: string
+  readonly peerPort: number
+  readonly failureDomain: string
+}
--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -1,3 +1,5 @@
+import type { Seed } from './seed.js'
+
 /** The daemon's own settings, read once at start. Times are in ms, sizes in bytes. */
 export interface Settings {
   /** Name of this instance, unique in the fleet. */
@@ -19,5 +21,7 @@
   readonly operatorToken: string
   /** Folder for bulk data on instances that have a disk. */
   readonly dataFolder?: string
+  /** Other daemons to ask when this one starts while the platform is out. */
+  readonly seeds?: readonly Seed[]
   readonly log: { readonly level: 'error' | 'warn' | 'info' | 'debug', readonly format: 'text' | 'json' }
 }
--- a/src/platform/instance-list.ts
+++ b/src/platform/instance-list.ts
@@ -2,13 +2,17 @@
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import type { Instance } from './instance.js'
 import type { ObjectStore } from './object-store.js'
 
 const POLL_PERIOD = 1_000
 
-/** The platform's instance list as last read. It lags, and is kept through an outage. */
+/**
+ * The platform's instance list as last read. It lags, and is kept through an outage. Until it has been read once it
+ * holds the seeds of the settings, so that a daemon started in an outage finds its peers.
+ */
 @scoped(Lifecycle.ContainerScoped)
 export class InstanceList implements Part {
   all: readonly Instance[] = []
@@ -17,8 +21,11 @@
 
   constructor (
     @inject(tokens.store) private readonly store: ObjectStore,
-    @inject(tokens.clock) private readonly clock: Clock
-  ) {}
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.settings) settings?: Settings
+  ) {
+    this.all = (settings?.seeds ?? []).map(({ name, host, peerPort, failureDomain }) => ({ name, host, peerPort, failureDomain, pool: 'entry', port: 0, region: settings!.region, state: 'live' }))
+  }
 
   async start (): Promise<void> {
     await this.read()
--- /dev/null
+++ b/test/config/distribution.test.ts
@@ -0,0 +1,88 @@
+import test from 'ava'
+import { execFile } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { request } from 'undici'
+import { Fleet } from '../../harness/fleet.js'
+
+type Daemon = Fleet['daemons'][number]
+
+const DOMAINS = ['domain-a', 'domain-b']
+const LIMIT = 3_000
+const TOKEN = '24eb5512b3a677c8f2247588f05d72a8d64ced5dd80e464e52d6d53ab283363b'
+const files = (deadline: number): Record<string, string> => ({ 'callers.yaml': `callers: { quay-desk: { tokens: ['${TOKEN}'] } }\n`, 'limits.yaml': `limits: { deadline: ${deadline} }\n` })
+
+async function start (t: { teardown: (end: () => Promise<void>) => void }, daemons: number): Promise<Fleet> {
+  const fleet = await Fleet.start()
+  t.teardown(async () => await fleet.stop())
+  await Promise.all(Array.from({ length: daemons }, async (_, i) => await fleet.addDaemon(`entry-${i}`, DOMAINS[i % 2]!)))
+  return fleet
+}
+
+const put = async (fleet: Fleet, daemon: Daemon, basedOn: number, deadline: number): Promise<number> => (await fleet.operator('PUT', daemon, '/operator/configuration', { basedOn, put: files(deadline) })).version
+const read = async (fleet: Fleet, daemon: Daemon): Promise<number> => (await fleet.operator('GET', daemon, '/operator/configuration')).version
+const ask = async (fleet: Fleet, daemon: Daemon, path: string): Promise<number> => (await request(fleet.url(daemon) + path, { headers: { authorization: 'Bearer quay-desk-token' } })).statusCode
+
+test('a daemon started while the platform is out gets the configuration from its peers, and takes no callers before', async t => {
+  // Callers see "not-ready" at first and then whole service. What happens: a version is accepted, the platform goes
+  // out, and an instance is replaced. Why: a daemon that waited for the platform would stay out as long as it does.
+  const fleet = await start(t, 3)
+  t.is(await ask(fleet, fleet.daemons[0]!, '/v1/models'), 503)
+  const version = await put(fleet, fleet.daemons[0]!, 0, 900)
+  await fleet.waitUntil(async () => (await Promise.all(fleet.daemons.map(async daemon => await read(fleet, daemon)))).every(known => known === version))
+  await fleet.setPlatformFaults({ outage: 'refused' })
+  const seeds = fleet.daemons.map(({ instance }) => ({ name: instance.name, host: instance.host, peerPort: instance.peerPort, failureDomain: instance.failureDomain }))
+  const late = await fleet.addDaemon('entry-late', DOMAINS[0]!, { seeds })
+  await fleet.waitUntil(async () => await ask(fleet, late, '/readyz') === 200)
+  t.is(await read(fleet, late), version)
+  t.is(await ask(fleet, late, '/v1/models'), 200)
+  await t.throwsAsync(put(fleet, late, version, 800), { message: /not-accepted/ })
+})
+
+test('a change reaches all in seconds, and a daemon paused across it never goes back', async t => {
+  // The operator sees the change in force on all daemons; a paused one acts on the old version until it runs again and
+  // then on the new one. What happens: watches are silent, reads are old, one daemon stands still while versions are
+  // accepted. Why: it must hear of them from its peers at once, and must not take an old read for news.
+  const fleet = await start(t, 4)
+  let version = await put(fleet, fleet.daemons[0]!, 0, 900)
+  await fleet.waitUntil(async () => (await Promise.all(fleet.daemons.map(async daemon => await read(fleet, daemon)))).every(known => known === version))
+  await fleet.setPlatformFaults({ silentWatches: true })
+  fleet.daemons[3]!.child.signal('SIGSTOP')
+  const began = Date.now()
+  version = await put(fleet, fleet.daemons[0]!, version, 800)
+  await fleet.waitUntil(async () => (await Promise.all(fleet.daemons.slice(0, 3).map(async daemon => await read(fleet, daemon)))).every(known => known === version))
+  const reached = Date.now() - began
+  t.log(`silent watches: ${reached} ms until 3 daemons acted on it`)
+  t.true(reached < LIMIT)
+  await fleet.setPlatformFaults({ oldReads: { share: 1, lag: 60_000 } })
+  fleet.daemons[3]!.child.signal('SIGCONT')
+  await fleet.waitUntil(async () => await read(fleet, fleet.daemons[3]!) === version)
+  const reach = await fleet.operator('GET', fleet.daemons[0]!, `/operator/configuration/reach?version=${version}`)
+  t.deepEqual(reach, { version, acting: ['entry-0', 'entry-1', 'entry-2', 'entry-3'], behind: [], silent: [] })
+})
+
+test('apply: shows the difference, accepts, and refuses what another change overtook', async t => {
+  const fleet = await start(t, 2)
+  const folder = mkdtempSync(join(tmpdir(), 'citronwheel-apply-'))
+  t.teardown(() => rmSync(folder, { recursive: true }))
+  const apply = async (deadline: number, ...words: string[]): Promise<{ code: number, text: string }> => {
+    for (const [name, text] of Object.entries(files(deadline))) writeFileSync(join(folder, name), text)
+    return await new Promise(resolve => {
+      execFile(process.execPath, ['dist/citronwheel.cjs', 'apply', folder, '--entry', fleet.url(fleet.daemons[1]!), '--token', fleet.operatorToken, ...words], (error, out, text) => resolve({ code: Number(error?.code ?? 0), text: out + text }))
+    })
+  }
+  await fleet.waitUntil(async () => (await fleet.operator('GET', fleet.daemons[1]!, '/operator/status')).members.length === 2)
+  t.is((await apply(1)).code, 1)
+  t.is((await apply(900)).code, 2)
+  const first = await apply(900, '--yes')
+  t.is(first.code, 0, first.text)
+  t.regex(first.text, /2 daemons act on it/)
+  const shown = await apply(800, '--diff')
+  t.regex(shown.text, /set {5}limits\.yaml\n {2}limits\.deadline: 900 -> 800 {2}\(limits\.yaml:1\)/)
+  const { version } = await fleet.operator('GET', fleet.daemons[1]!, '/operator/configuration')
+  await put(fleet, fleet.daemons[0]!, version, 700)
+  const overtaken = await apply(800, '--yes', '--based-on', String(version))
+  t.is(overtaken.code, 4)
+  t.regex(overtaken.text, /since then limits\.yaml changed/)
+})
