Keyed requests: a durable claim before the first byte, and the recorded answer after it

Cause: a request with a key was sent by every daemon it came through; one whose daemon died was run again.

--- /dev/null
+++ b/src/entry/keyed-requests.ts
@@ -0,0 +1,193 @@
+import { createHash, randomUUID } from 'node:crypto'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Gate } from '../admission/gate.js'
+import type { Refusal } from '../admission/refusal.js'
+import type { Clock } from '../kernel/clock.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Random } from '../kernel/random.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import { Members } from '../peers/members.js'
+import type { StoreError } from '../platform/store-error.js'
+import type { StoredObject } from '../platform/stored-object.js'
+import type { ServerAnswer } from '../routing/server-answer.js'
+import type { ServerRequest } from '../routing/server-request.js'
+import { collectAnswer } from './collect-answer.js'
+import { decideClaim } from './decide-claim.js'
+import type { KeyedClaim } from './keyed-claim.js'
+import { KeyedClaims } from './keyed-claims.js'
+import { KeyedIndex } from './keyed-index.js'
+import type { KeyedOutcome } from './keyed-outcome.js'
+
+/** Longest answer that is recorded, in bytes: base64 and the rest stay under the 1 MB of a value. */
+const KEPT_BYTES = 512_000
+const RETRY_AFTER = 2_000
+/** How long a request with a key in progress is held for its outcome, ms. */
+const WAIT = 10_000
+const FIRST_POLL = 100
+const LAST_POLL = 1_000
+
+type Settlement = Parameters<KeyedClaims['settle']>[2]
+
+/** Runs requests that carry a key: each key of a caller at most once, whichever daemons it is sent through. */
+@scoped(Lifecycle.ContainerScoped)
+export class KeyedRequests {
+  private readonly run: number
+  /** Ids of claims whose request may have been sent by this process. */
+  private readonly sent = new Set<string>()
+  /** What is running here, by the claim's name. */
+  private readonly running = new Map<string, Promise<unknown>>()
+
+  constructor (
+    @inject(Gate) private readonly gate: Gate,
+    @inject(KeyedClaims) private readonly claims: KeyedClaims,
+    @inject(KeyedIndex) private readonly index: KeyedIndex,
+    @inject(Members) private readonly members: Members,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.random) private readonly random: Random
+  ) {
+    this.run = members.run
+  }
+
+  /** `request.signal` is left out of account: the caller may come back with its key for the answer. */
+  async send (request: ServerRequest, key: string): Promise<KeyedOutcome> {
+    const name = hash(request.caller, key)
+    const fingerprint = hash(request.service, request.method, request.path, request.body ?? '')
+    const end = Math.min(request.deadline, this.clock.now() + WAIT)
+    for (let pause = FIRST_POLL, version = 0; ; pause = Math.min(LAST_POLL, pause * 2)) {
+      if (version >= 0 && !this.running.has(name)) {
+        const claimed = await this.begin(name, this.buildClaim(request, fingerprint), version, request)
+        if (claimed !== 'taken') return claimed
+      }
+      await this.wait(this.running.get(name), end - this.clock.now())
+      const next = await this.follow(name, fingerprint)
+      if (typeof next === 'object') return next
+      version = next
+      // At once the first time only: an old read may go on calling free what a write finds taken.
+      if (version >= 0 && !this.running.has(name) && pause === FIRST_POLL) continue
+      if (this.clock.now() >= end) return { type: 'in progress' }
+      await this.wait('time', Math.min(pause, end - this.clock.now()))
+    }
+  }
+
+  private buildClaim ({ deadline }: ServerRequest, fingerprint: string): KeyedClaim {
+    const at = this.clock.date()
+    return { id: randomUUID(), holder: this.settings.instance, run: this.run, fingerprint, at, until: at + deadline - this.clock.now(), outcome: { type: 'open' } }
+  }
+
+  /** Claims the key and runs the request, or says that the key is taken. */
+  private async begin (name: string, claim: KeyedClaim, version: number, request: ServerRequest): Promise<KeyedOutcome | 'taken'> {
+    const running = this.claimAndRun(name, claim, version, request)
+    this.running.set(name, running)
+    try {
+      return await running
+    } finally {
+      this.running.delete(name)
+    }
+  }
+
+  private async claimAndRun (name: string, claim: KeyedClaim, version: number, request: ServerRequest): Promise<KeyedOutcome | 'taken'> {
+    const created = await this.claims.create(name, claim, version)
+    if (created.err) return created.val.type === 'conflict' ? 'taken' : this.refuse(created.val)
+    this.index.add(name)
+    this.timeline.record({ part: 'entry', what: 'key claimed', request: request.id })
+    // A process that stood still between its claim and here would send long after its caller was told the end.
+    if (this.clock.now() >= request.deadline) {
+      await this.claims.settle(name, claim.id, 'release')
+      return { type: 'refused', refusal: { cause: 'deadline', ran: 'not run', retryAfter: this.random.spread(RETRY_AFTER), detail: 'the deadline passed before it was sent' } }
+    }
+    this.sent.add(claim.id)
+    const answer = await this.gate.send({ ...request, idempotent: false, signal: undefined })
+    return answer.ok ? await this.takeAnswer(name, claim.id, answer.val) : await this.takeRefusal(name, claim.id, answer.val)
+  }
+
+  /** Forgets that it was sent once that is on record. */
+  private async settle (name: string, id: string, settlement: Settlement): Promise<void> {
+    if (await this.claims.settle(name, id, settlement)) this.sent.delete(id)
+  }
+
+  private async takeRefusal (name: string, id: string, refusal: Refusal): Promise<KeyedOutcome> {
+    if (refusal.ran === 'unknown') {
+      await this.settle(name, id, { type: 'unknown', cause: refusal.detail })
+      return { type: 'unknown', cause: refusal.detail }
+    }
+    this.sent.delete(id)
+    await this.settle(name, id, 'release')
+    return { type: 'refused', refusal }
+  }
+
+  /** Records the answer, then gives it: one who asks again gets the same. One that is cut ends as unknown. */
+  private async takeAnswer (name: string, id: string, answer: ServerAnswer): Promise<KeyedOutcome> {
+    const collected = await collectAnswer(answer, KEPT_BYTES)
+    if (collected.type === 'cut') {
+      const cause = 'its answer was cut'
+      await this.settle(name, id, { type: 'unknown', cause })
+      return { type: 'unknown', cause }
+    }
+    const { status, headers: { 'content-type': type } } = answer
+    const contentType = type === undefined ? undefined : String(type)
+    const body = collected.type === 'whole' ? collected.body.toString('base64') : undefined
+    await this.settle(name, id, { type: 'answered', status, contentType, body })
+    return { type: 'answered', status, contentType, body: collected.body, replayed: false }
+  }
+
+  /** What a claim that stands comes to; else the version to take it at, or -1 to wait for it. */
+  private async follow (name: string, fingerprint: string): Promise<KeyedOutcome | number> {
+    const read = await this.claims.read(name)
+    if (read.err) return read.val.type === 'missing' ? 0 : this.refuse(read.val)
+    const claim = read.val.value
+    const own = claim.holder === this.settings.instance && claim.run === this.run
+    const ownUnsent = own && !this.sent.has(claim.id) && !this.running.has(name)
+    const decision = decideClaim(claim, { now: this.clock.date(), fingerprint, holderGone: !own && this.isGone(claim), ownUnsent })
+    switch (decision) {
+      case 'take': return read.val.version
+      case 'wait': return -1
+      case 'mismatch': return { type: 'mismatch' }
+      case 'end as unknown': return await this.endAsUnknown(read.val)
+      case 'replay':
+      case 'unknown': return readOutcome(claim)
+    }
+  }
+
+  private async endAsUnknown (claim: StoredObject<KeyedClaim>): Promise<KeyedOutcome | number> {
+    const ended = await this.claims.endAsUnknown(claim)
+    return ended ? { type: 'unknown', cause: 'the daemon that sent it is gone' } : -1
+  }
+
+  /** Never right after a start or a pause, when this daemon has heard from nobody yet. */
+  private isGone ({ holder, run }: KeyedClaim): boolean {
+    if (this.members.owners().length === 0) return false
+    const member = this.members.all().find(({ instance }) => instance.name === holder)
+    return member === undefined || (member.run > 0 && member.run !== run)
+  }
+
+  private refuse (error: StoreError): KeyedOutcome {
+    const retryAfter = error.type === 'limited' ? error.retryAfter : RETRY_AFTER
+    return { type: 'refused', refusal: { cause: 'platform', ran: 'not run', retryAfter: this.random.spread(retryAfter), detail: 'the key could not be claimed at the platform; nothing was sent' } }
+  }
+
+  /** Waits for `time` ms or, where the request runs here, for its end; not at all where that has come. */
+  private async wait (running: Promise<unknown> | undefined | 'time', time: number): Promise<void> {
+    if (running === undefined) return
+    const timer = new Promise<void>(resolve => { this.clock.after(time, resolve) })
+    await (running === 'time' ? timer : Promise.race([timer, running]))
+  }
+}
+
+function readOutcome ({ outcome }: KeyedClaim): KeyedOutcome {
+  if (outcome.type !== 'answered') return { type: 'unknown', cause: outcome.type === 'unknown' ? outcome.cause : '' }
+  const { status, contentType, body } = outcome
+  if (body === undefined) return { type: 'not kept', status }
+  return { type: 'answered', status, contentType, body: Buffer.from(body, 'base64'), replayed: true }
+}
+
+function hash (...parts: readonly (string | Uint8Array)[]): string {
+  const sum = createHash('sha256')
+  for (const part of parts) sum.update(`${part.length}:`).update(part)
+  return sum.digest('hex')
+}
+
+partRegistry.register({ name: 'keyed requests', part: KeyedRequests, needs: ['members', 'keyed claims', 'keyed index', 'dispatcher'] })
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -14,12 +14,16 @@
 import { tokens } from '../kernel/tokens.js'
 import { Timeline } from '../observe/timeline.js'
 import type { ServerAnswer } from '../routing/server-answer.js'
+import type { ServerRequest } from '../routing/server-request.js'
+import { KeyedRequests } from './keyed-requests.js'
 import type { Route } from './route.js'
 import { routePoint } from './route-point.js'
+import { sendKeyedOutcome } from './send-keyed-outcome.js'
 import { sendProblem } from './send-problem.js'
 import { sendRefusal } from './send-refusal.js'
 
 const PLAIN_LIMIT = 64
+const KEY_LENGTH = 255
 
 interface Target { readonly name: string, readonly service: Service, readonly path: string }
 
@@ -36,6 +40,7 @@
   constructor (
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(Gate) private readonly gate: Gate,
+    @inject(KeyedRequests) private readonly keyed: KeyedRequests,
     @inject(Account) private readonly account: Account,
     @inject(Timeline) private readonly timeline: Timeline,
     @inject(tokens.clock) private readonly clock: Clock
@@ -87,7 +92,7 @@
     res.on('close', () => gone.abort())
     this.account.count(caller, name, 'online', { type: 'asked' })
     this.timeline.record({ part: 'entry', what: 'asked', request: id, detail: caller })
-    const answer = await this.gate.send({
+    const request: ServerRequest = {
       id,
       caller,
       service: name,
@@ -97,17 +102,34 @@
       path,
       headers: { 'content-type': String(req.headers['content-type'] ?? 'application/json') },
       body: body.length === 0 ? undefined : body,
-      idempotent: service.idempotent && req.headers['idempotency-key'] === undefined,
+      idempotent: service.idempotent,
       deadline: this.clock.now() + limits.deadline,
       limit: models[service.model ?? '']?.maxInFlight ?? PLAIN_LIMIT,
       signal: gone.signal
-    })
+    }
+    const key = req.headers['idempotency-key']
+    if (key !== undefined) return await this.sendKeyed(res, request, String(key))
+    const answer = await this.gate.send(request)
     if (answer.ok) return await this.relay(answer.val, res, { id, caller, service: name })
     this.account.count(caller, name, 'online', { type: 'refused', cause: answer.val.cause })
     this.timeline.record({ part: 'entry', what: 'refused', request: id, detail: answer.val.cause })
     sendRefusal(res, answer.val)
   }
 
+  /** A key marks the request as one that may not be repeated, whatever its service says. */
+  private async sendKeyed (res: Response, request: ServerRequest, key: string): Promise<void> {
+    const { id, caller, service } = request
+    if (key.length === 0 || key.length > KEY_LENGTH) {
+      return sendProblem(res, { status: 400, code: 'bad-key', detail: `idempotency-key: must have 1 to ${KEY_LENGTH} characters`, more: { ran: 'not run' } })
+    }
+    const outcome = await this.keyed.send(request, key)
+    const answered = outcome.type === 'answered'
+    this.account.count(caller, service, 'online', answered ? { type: 'answered', tokens: 0 } : { type: 'refused', cause: outcome.type === 'refused' ? outcome.refusal.cause : outcome.type })
+    this.timeline.record({ part: 'entry', what: outcome.type, request: id })
+    res.setHeader('x-request-id', id)
+    await sendKeyedOutcome(res, outcome)
+  }
+
   /** A body that is cut destroys the caller's connection, so that it never looks whole. */
   private async relay (answer: ServerAnswer, res: Response, { id, caller, service }: { readonly id: string, readonly caller: string, readonly service: string }): Promise<void> {
     const { 'content-type': type, 'content-length': length } = answer.headers
--- a/src/peers/member.ts
+++ b/src/peers/member.ts
@@ -6,4 +6,6 @@
   readonly state: 'alive' | 'suspect' | 'leaving'
   /** Whether it takes callers: it knows a configuration. */
   readonly ready: boolean
+  /** Wall-clock ms at which its process started; 0 while only the platform's list knows it. */
+  readonly run: number
 }
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -37,6 +37,8 @@
     }
   })]
 
+  /** Wall-clock ms at which this run of the daemon began. */
+  readonly run: number
   private state: MembershipState
   private readonly listeners = new Set<() => void>()
   private port = 0
@@ -56,11 +58,12 @@
     @inject(PauseWatch) private readonly pauses: PauseWatch,
     @inject(Timeline) private readonly timeline: Timeline
   ) {
-    this.state = createMembership({ name: settings.instance, incarnation: clock.date(), data: {}, now: clock.now() })
+    this.run = clock.date()
+    this.state = createMembership({ name: settings.instance, incarnation: this.run, data: {}, now: clock.now() })
   }
 
   async start (): Promise<void> {
-    this.state = createMembership({ name: this.settings.instance, incarnation: this.clock.date(), data: this.describeSelf(), now: this.clock.now() })
+    this.state = createMembership({ name: this.settings.instance, incarnation: this.run, data: this.describeSelf(), now: this.clock.now() })
     this.pauses.subscribe(() => this.step({ type: 'paused', incarnation: Math.max(this.clock.date(), this.record.incarnation + 1) }))
     this.list.subscribe(() => this.takeList())
     this.takeList()
@@ -147,7 +150,7 @@
 
   private describeSelf (): MemberRecord['data'] {
     const { address, listen, failureDomain, region } = this.settings
-    return { host: address ?? listen.host, port: this.port, peerPort: this.links.port, ready: Number(this.ready), failureDomain, region }
+    return { host: address ?? listen.host, port: this.port, peerPort: this.links.port, ready: Number(this.ready), run: this.run, failureDomain, region }
   }
 
   private takeList (): void {
@@ -179,7 +182,7 @@
 
 function readMember (record: MemberRecord): Member {
   const state = record.leaving ? 'leaving' : record.status === 'suspect' ? 'suspect' : 'alive'
-  return { instance: readInstance(record), state, ready: record.data.ready === 1 }
+  return { instance: readInstance(record), state, ready: record.data.ready === 1, run: Number(record.data.run ?? 0) }
 }
 
 partRegistry.register({ name: 'members', part: Members, needs: ['instance list', 'peer links', 'pause watch'] })
--- a/stand-ins/service/service.ts
+++ b/stand-ins/service/service.ts
@@ -1,31 +1,38 @@
-import { App } from '@tinyhttp/app'
+import { App, type Response } from '@tinyhttp/app'
 import type { Server } from 'node:http'
 import { createAppServer } from '../../src/http/create-app-server.js'
 import { listen } from '../../src/http/listen.js'
 import { readBody } from '../../src/http/read-body.js'
 import { sendJson } from '../../src/http/send-json.js'
 import type { RunRecord } from '../engine/run-record.js'
+import type { ServiceFaults } from './service-faults.js'
 
 const BODY_LIMIT = 1_000_000
+const CRASH_CODE = 70
 
 /** A stand-in plain service: answers any POST or GET with what it was asked, after `delay` ms, and logs each run. */
 export class Service {
   readonly log: RunRecord[] = []
   private readonly server: Server
+  private faults: ServiceFaults = {}
 
   constructor ({ delay = 5 }: { readonly delay?: number } = {}) {
     const app = new App()
     app.get('/health', (_req, res) => sendJson(res, 200, { status: 'ok' }))
     app.get('/load', (_req, res) => sendJson(res, 200, { running: 0, waiting: 0 }))
     app.get('/control/log', (_req, res) => sendJson(res, 200, { runs: this.log }))
+    app.post('/control/faults', async (req, res) => {
+      this.faults = JSON.parse((await readBody(req, BODY_LIMIT)).unwrap().toString())
+      sendJson(res, 200, {})
+    })
     app.all('/*', async (req, res) => {
       const body = (await readBody(req, BODY_LIMIT)).unwrapOr(Buffer.alloc(0)).toString()
       const run: RunRecord = { requestId: String(req.headers['x-request-id']), at: Date.now(), body, outcome: 'running' }
       this.log.push(run)
-      setTimeout(() => {
-        run.outcome = 'finished'
-        sendJson(res, 200, { path: req.path, echo: body, run: this.log.length })
-      }, delay)
+      const answer = { path: req.path, echo: body, run: this.log.length }
+      const { silence = false, crash = false } = this.faults
+      if (crash) process.exit(CRASH_CODE)
+      if (!silence) setTimeout(() => this.answer(res, run, answer), this.faults.delay ?? delay)
     })
     this.server = createAppServer(app)
   }
@@ -34,6 +41,14 @@
     return await listen(this.server, host, port)
   }
 
+  private answer (res: Response, run: RunRecord, answer: object): void {
+    run.outcome = 'finished'
+    if (this.faults.cut !== true) return sendJson(res, 200, answer)
+    const text = JSON.stringify(answer)
+    res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+    res.write(text.slice(0, text.length / 2), () => res.socket?.destroy())
+  }
+
   close (): void {
     this.server.close()
     this.server.closeAllConnections()
