--- a/test/batch/helpers/trial-daemon.ts
+++ b/test/batch/helpers/trial-daemon.ts
@@ -6,6 +6,7 @@
 import { FileStore } from '../../../src/batch/file-store.js'
 import { HoldingRecord } from '../../../src/batch/holding-record.js'
 import type { ItemResult } from '../../../src/batch/item-result.js'
+import { JobCare } from '../../../src/batch/job-care.js'
 import { JobCounter } from '../../../src/batch/job-counter.js'
 import { JobSettler } from '../../../src/batch/job-settler.js'
 import { JobStore } from '../../../src/batch/job-store.js'
@@ -17,13 +18,14 @@
 import { PauseWatch } from '../../../src/kernel/pause-watch.js'
 import { Timeline } from '../../../src/observe/timeline.js'
 import type { BatchWork } from '../../../src/ownership/batch-work.js'
+import type { Members } from '../../../src/peers/members.js'
+import type { PeerLinks } from '../../../src/peers/peer-links.js'
 import type { MemoryStore } from '../../../stand-ins/platform/memory-store.js'
 import type { VirtualClock } from '../../helpers/virtual-clock.js'
 import { TrialClock } from './trial-clock.js'
 import { TrialStore } from './trial-store.js'
 
 const SERVICE = 'drafts'
-const RUN_TIME = 700
 const SLOTS = 4
 
 /** One run of an item, as a backend server would log it. */
@@ -33,6 +35,10 @@
   readonly store: MemoryStore
   readonly clock: VirtualClock
   readonly runs: Run[]
+  /** Names of the daemons that are in the list of instances. */
+  readonly members?: () => readonly string[]
+  /** Time of one run in ms. */
+  readonly runTime?: number
   /** What becomes of an item; by default it completes with a body that names its run. */
   readonly answer?: (work: BatchWork, run: number) => ItemResult | Parameters<BatchWork['giveBack']>
 }
@@ -48,7 +54,7 @@
   readonly watch: JobWatch
   readonly settler: JobSettler
   readonly results: ResultReader
-  readonly recovery: Recovery
+  readonly care: JobCare
   private readonly pauses: PauseWatch
   private readonly holding: HoldingRecord
   private running = 0
@@ -70,11 +76,13 @@
     this.source = new ChunkSource(work, claims, this.watch, this.holding, new ConfigurationHolder(), this.pauses, this.clock)
     this.settler = new JobSettler(this.store, this.clock, this.jobs, work, this.holding)
     this.results = new ResultReader(this.store, this.files, this.clock)
-    this.recovery = new Recovery(this.store, timeline)
+    const recovery = new Recovery(this.store, timeline)
+    const links = { send: () => {} } as unknown as PeerLinks
+    this.care = new JobCare(this.clock, createMembers(options.members), links, this.holding, this.watch, this.jobs, this.settler, recovery, this.source)
   }
 
   async start (): Promise<this> {
-    for (const part of [this.pauses, this.holding, this.watch, this.source]) await part.start()
+    for (const part of [this.pauses, this.holding, this.watch, this.source, this.care]) await part.start()
     this.source.subscribe(() => this.fill())
     this.clock.every(200, () => {
       this.source.want(SERVICE, SLOTS)
@@ -92,11 +100,11 @@
   }
 
   private run (work: BatchWork): void {
-    const { runs, answer = complete } = this.options
+    const { runs, answer = complete, runTime = 700 } = this.options
     runs.push({ item: work.item.id, daemon: this.name, at: this.clock.now() })
     const run = runs.length
     this.running++
-    const end = this.clock.after(RUN_TIME, () => {
+    const end = this.clock.after(runTime, () => {
       const outcome = answer(work, run)
       this.running--
       if ('type' in outcome) work.finish(outcome)
@@ -111,6 +119,10 @@
   }
 }
 
+function createMembers (list: () => readonly string[] = () => []): Members {
+  return { all: () => list().map(name => ({ instance: { name } })), owners: list } as unknown as Members
+}
+
 function complete (work: BatchWork, run: number): ItemResult {
   return { type: 'completed', status: 200, body: { run, text: `answer to ${work.item.id}`, usage: { completion_tokens: 1 } } }
 }
