Quarantine in the path: trials of suspects over the whole fleet

Ruled out: counting a second loss only where no other suspect was seen (needs a third crash to tell); a fixed pause before trials (adds its whole length to every lost server). Change: one daemon gives trials out; suspects still in flight elsewhere hold their server; a key goes to the first two servers of its ranking before two random ones; the retry budget starts at 20, since one lost server used up 5.

--- a/src/coordination/retry-budget.ts
+++ b/src/coordination/retry-budget.ts
@@ -26,7 +26,7 @@
   private readonly capacity: number
   private held: number
 
-  constructor ({ share = 0.1, capacity = 50, initial = 5 }: RetryBudgetOptions = {}) {
+  constructor ({ share = 0.1, capacity = 50, initial = 20 }: RetryBudgetOptions = {}) {
     this.share = share
     this.capacity = capacity
     this.held = Math.min(initial, capacity)
--- a/src/routing/choose-server.ts
+++ b/src/routing/choose-server.ts
@@ -4,6 +4,10 @@
 
 /** How far above the mean load the server of a prefix may be and still be taken. */
 const LOAD_BOUND = 1.25
+/** Requests above that bound which make no difference to an engine that runs many at once. */
+const LOAD_SLACK = 4
+/** Servers that may hold a key. */
+const RANKS = 2
 
 interface ChooseOptions {
   readonly random: Random
@@ -41,10 +45,18 @@
   return !leaving && inFlight < Math.min(limit, highest) && load < totalLimit
 }
 
-/** The server that holds the prefix, ranked among all that stay, so that one at its limit doesn't move the others'. */
+/**
+ * The first of the two servers ranked for the key that isn't too busy. The ranks are among all that stay, so that
+ * one at its limit doesn't move the others' keys; a second rank, and slack while all have room, keep copies of one
+ * request together though the daemons that choose know of different loads.
+ */
 function findHolder (servers: readonly BackendServer[], open: readonly BackendServer[], key: string): BackendServer | undefined {
   const staying = servers.filter(({ leaving }) => !leaving)
-  const bound = LOAD_BOUND * staying.reduce((sum, { load }) => sum + load, 0) / staying.length + 1
-  const name = rankOwners(key, staying.map(({ name }) => name))[0]
-  return open.find(server => server.name === name && server.load <= bound)
+  const bound = LOAD_BOUND * staying.reduce((sum, { load }) => sum + load, 0) / staying.length + LOAD_SLACK
+  const ranked = rankOwners(key, staying.map(({ name }) => name)).slice(0, RANKS)
+  for (const name of ranked) {
+    const server = open.find(other => other.name === name && other.load <= bound)
+    if (server !== undefined) return server
+  }
+  return undefined
 }
--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -37,6 +37,7 @@
 
   private state: QuarantineState = { inFlight: new Map(), suspects: new Map() }
   private exchanges = 0
+  private readonly listeners = new Set<() => void>()
 
   constructor (
     @inject(Members) private readonly members: Members,
@@ -61,6 +62,16 @@
     return () => { this.apply({ type: 'ended', exchange }) }
   }
 
+  /** Exchanges in flight from this daemon whose request is suspect. */
+  listSuspectExchanges (): readonly { readonly exchange: number, readonly fingerprint: string, readonly server: string }[] {
+    return [...this.state.inFlight].flatMap(([exchange, { fingerprint, server }]) => this.check(fingerprint) === 'suspect' ? [{ exchange, fingerprint, server }] : [])
+  }
+
+  /** Calls `listener` when requests have become suspect, here or at another daemon. */
+  subscribe (listener: () => void): void {
+    this.listeners.add(listener)
+  }
+
   /** A server where the same request is in flight from this daemon, so that its copies don't spread over more. */
   findServer (fingerprint: string): string | undefined {
     for (const exchange of this.state.inFlight.values()) if (exchange.fingerprint === fingerprint) return exchange.server
@@ -98,6 +109,7 @@
   private apply (event: QuarantineEvent): readonly string[] {
     const { state, accused } = stepQuarantine(this.state, event, { now: this.clock.now(), keep: KEEP })
     this.state = state
+    if (accused.length > 0) for (const listener of this.listeners) listener()
     return accused
   }
 
--- a/src/routing/step-trials.ts
+++ b/src/routing/step-trials.ts
@@ -5,13 +5,15 @@
 
 /** How long an ask holds, ms; askers repeat theirs several times in that time. */
 const ASK_HOLDS = 1_500
+/** How long an ask waits at least, ms, so that what else is in flight of the suspects has been heard of. */
+const SETTLE = 50
 
 interface Grant { readonly id: string, readonly server: string }
 
 /**
  * Gives out trials: at most one suspect at a server at a time, and at most one request with the same fingerprint in
- * the whole fleet, so that a second loss has one suspect only. Asks that are no longer repeated lapse, so that a
- * daemon that is gone holds nobody up.
+ * the whole fleet, so that a second loss has one suspect only. What was in flight when it became suspect counts like
+ * a trial. Asks that are no longer repeated lapse, so that a daemon that is gone holds nobody up.
  */
 export function stepTrials (state: TrialsState, event: TrialsEvent, now: number): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
   const running = new Map([...state.running].filter(([, { until }]) => until > now))
@@ -27,9 +29,13 @@
         running.set(id, { ...granted, until: now + ASK_HOLDS })
         return { state: { running, waiting }, grants: [{ id, server: granted.server }] }
       }
-      const ask = { id, fingerprint, servers, until: now + ASK_HOLDS }
-      const known = waiting.some(other => other.id === id)
-      return grant({ running, waiting: known ? waiting.map(other => other.id === id ? ask : other) : [...waiting, ask] }, now)
+      const known = waiting.find(other => other.id === id)
+      const ask = { id, fingerprint, servers, since: known?.since ?? now, until: now + ASK_HOLDS }
+      return grant({ running, waiting: known === undefined ? [...waiting, ask] : waiting.map(other => other.id === id ? ask : other) }, now)
+    }
+    case 'hold': {
+      const { id, fingerprint, server } = event
+      return { state: { running: running.set(id, { fingerprint, server, until: now + ASK_HOLDS }), waiting }, grants: [] }
     }
     default: return failUnreachable(event)
   }
@@ -38,7 +44,8 @@
 function grant (state: TrialsState, now: number): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
   const running = new Map(state.running)
   const grants: Grant[] = []
-  for (const { id, fingerprint, servers } of state.waiting) {
+  for (const { id, fingerprint, servers, since } of state.waiting) {
+    if (now - since < SETTLE) continue
     const taken = [...running.values()]
     if (taken.some(other => other.fingerprint === fingerprint)) continue
     const server = rankOwners(fingerprint, servers).find(name => !taken.some(other => other.server === name))
--- a/src/routing/trials-state.ts
+++ b/src/routing/trials-state.ts
@@ -1,5 +1,5 @@
 /** One suspect that waits for its trial, at the daemon that gives trials out. Times in monotonic ms. */
-interface Waiting { readonly id: string, readonly fingerprint: string, readonly servers: readonly string[], readonly until: number }
+interface Waiting { readonly id: string, readonly fingerprint: string, readonly servers: readonly string[], readonly since: number, readonly until: number }
 
 interface Running { readonly fingerprint: string, readonly server: string, readonly until: number }
 
--- a/src/routing/trials.ts
+++ b/src/routing/trials.ts
@@ -15,7 +15,8 @@
 import type { TrialsEvent } from './trials-event.js'
 import type { TrialsState } from './trials-state.js'
 
-const ASK_PERIOD = 250
+/** How often asks and holds are repeated, ms. */
+const ASK_PERIOD = 100
 
 interface WaitOptions { readonly deadline: number, readonly signal?: AbortSignal }
 
@@ -30,11 +31,15 @@
 export class Trials implements Part {
   readonly extensions = [
     peerHandlerPoint.of({ type: 'trial-ask', handle: ({ id, fingerprint, servers }, from) => { this.hearAsk({ id: String(id), fingerprint: String(fingerprint), servers: (servers as unknown[]).map(String) }, from) } }),
+    peerHandlerPoint.of({ type: 'trial-hold', handle: ({ id, fingerprint, server }) => { this.apply({ type: 'hold', id: String(id), fingerprint: String(fingerprint), server: String(server) }) } }),
     peerHandlerPoint.of({ type: 'trial-done', handle: ({ id }) => { this.apply({ type: 'done', id: String(id) }) } }),
     peerHandlerPoint.of({ type: 'trial', handle: ({ id, server }) => { this.asks.get(String(id))?.(server === undefined ? 'quarantined' : String(server)) } })
   ]
 
   private state: TrialsState = { running: new Map(), waiting: [] }
+  private cancel = (): void => {}
+  private held: ReadonlySet<number> = new Set()
+  private readonly granted = new Map<string, { readonly fingerprint: string, readonly server: string }>()
   private readonly asks = new Map<string, (answer: string) => void>()
   private count = 0
 
@@ -44,7 +49,18 @@
     @inject(PeerLinks) private readonly links: PeerLinks,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.clock) private readonly clock: Clock
-  ) {}
+  ) {
+    // A moment later, when the exchanges that the lost server cut have ended.
+    quarantine.subscribe(() => { clock.after(1, () => this.tellHolds()) })
+  }
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(ASK_PERIOD, () => this.tellHolds())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
 
   /** Resolves with leave to run at one of `servers`, or with why there is no need or no use for it. */
   async wait (fingerprint: string, servers: readonly string[], { deadline, signal }: WaitOptions): Promise<Outcome> {
@@ -54,6 +70,7 @@
       const cancel = this.clock.every(ASK_PERIOD, () => check())
       const end = (): void => {
         cancel()
+        this.granted.delete(id)
         if (this.asks.delete(id)) this.send({ type: 'trial-done', id })
       }
       const finish = (outcome: Outcome): void => {
@@ -67,15 +84,39 @@
         else if (this.clock.now() >= deadline || signal?.aborted === true) finish('deadline')
         else this.send({ type: 'trial-ask', ...ask })
       }
-      this.asks.set(id, answer => finish(answer === 'quarantined' ? answer : { server: answer, end }))
+      this.asks.set(id, answer => {
+        if (answer !== 'quarantined') this.granted.set(id, { fingerprint, server: answer })
+        finish(answer === 'quarantined' ? answer : { server: answer, end })
+      })
       check()
     })
   }
 
+  /**
+   * Copies of a suspect may be in flight through several daemons when the first of them ends its server. Were they
+   * not known, another suspect could be tried beside one, and be blamed for what the copy does.
+   */
+  private tellHolds (): void {
+    const holds = this.quarantine.listSuspectExchanges().filter(hold => !this.isGranted(hold))
+    const held = new Set(holds.map(({ exchange }) => exchange))
+    for (const { exchange, fingerprint, server } of holds) this.send({ type: 'trial-hold', id: this.nameHold(exchange), fingerprint, server })
+    for (const exchange of this.held) if (!held.has(exchange)) this.send({ type: 'trial-done', id: this.nameHold(exchange) })
+    this.held = held
+  }
+
+  private isGranted ({ fingerprint, server }: { readonly fingerprint: string, readonly server: string }): boolean {
+    return [...this.granted.values()].some(trial => trial.fingerprint === fingerprint && trial.server === server)
+  }
+
+  private nameHold (exchange: number): string {
+    return `${this.settings.instance}.hold.${exchange}`
+  }
+
   private send (message: PeerMessage): void {
     const lead = rankOwners('trials', this.members.owners())[0] ?? this.settings.instance
     if (lead !== this.settings.instance) this.links.send(lead, message)
     else if (message.type === 'trial-done') this.apply({ type: 'done', id: String(message.id) })
+    else if (message.type === 'trial-hold') this.apply({ type: 'hold', id: String(message.id), fingerprint: String(message.fingerprint), server: String(message.server) })
     else this.hearAsk(message as unknown as { id: string, fingerprint: string, servers: readonly string[] }, lead)
   }
 
--- /dev/null
+++ b/test/routing/step-trials.test.ts
@@ -0,0 +1,50 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { stepTrials } from '../../src/routing/step-trials.js'
+import type { TrialsEvent } from '../../src/routing/trials-event.js'
+import type { TrialsState } from '../../src/routing/trials-state.js'
+
+const EMPTY: TrialsState = { running: new Map(), waiting: [] }
+const SERVERS = ['x', 'y', 'z']
+
+const id = fc.constantFrom('1', '2', '3', '4', '5', '6')
+const step = fc.record({
+  pause: fc.integer({ min: 0, max: 400 }),
+  event: fc.oneof(
+    id.map((id): TrialsEvent => ({ type: 'ask', id, fingerprint: `f${Number(id) % 3}`, servers: SERVERS })),
+    id.map((id): TrialsEvent => ({ type: 'done', id }))
+  )
+})
+
+test('in any order of asks no two suspects share a server and no fingerprint runs twice', t => {
+  t.notThrows(() => fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+    let state = EMPTY
+    let now = 0
+    for (const { pause, event } of steps) {
+      now += pause
+      state = stepTrials(state, event, now).state
+      const running = [...state.running.values()].filter(({ until }) => until > now)
+      if (new Set(running.map(({ server }) => server)).size < running.length) return false
+      if (new Set(running.map(({ fingerprint }) => fingerprint)).size < running.length) return false
+    }
+    return true
+  }), { seed: 7, numRuns: 500 }))
+})
+
+// A daemon that asked goes away: without a lapse, its trial would hold a server and its copies for good.
+test('a trial that is no longer asked for lapses, and the next copy is let go', t => {
+  const ask = (id: string): TrialsEvent => ({ type: 'ask', id, fingerprint: 'f', servers: SERVERS })
+  const begun = [0, 100].reduce((state, now) => stepTrials(state, ask('1'), now).state, EMPTY)
+  t.deepEqual([...begun.running.keys()], ['1'])
+  const waited = [200, 300].reduce((state, now) => stepTrials(state, ask('2'), now).state, begun)
+  t.deepEqual([...waited.running.keys()], ['1'])
+  t.deepEqual(stepTrials(waited, ask('2'), 1_700).grants.map(({ id }) => id), ['2'])
+})
+
+test('no trial is given at a server where another suspect is still in flight', t => {
+  const held = stepTrials(EMPTY, { type: 'hold', id: 'hold', fingerprint: 'g', server: 'x' }, 0).state
+  const ask: TrialsEvent = { type: 'ask', id: '1', fingerprint: 'f', servers: ['x'] }
+  const asked = stepTrials(stepTrials(held, ask, 0).state, ask, 100)
+  t.deepEqual(asked.grants, [])
+  t.deepEqual(stepTrials(asked.state, { type: 'done', id: 'hold' }, 200).grants, [{ id: '1', server: 'x' }])
+})
