--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path'
 import { request } from 'undici'
 import type { Configuration } from '../src/config/configuration.js'
-import { readFolder } from '../src/config/read-folder.js'
+import { listFolder } from '../src/config/list-folder.js'
 import type { Instance } from '../src/platform/instance.js'
 import type { RunRecord } from '../stand-ins/engine/run-record.js'
 import type { PlatformFaults } from '../stand-ins/platform/platform-faults.js'
@@ -100,16 +100,29 @@
 
   /** Applies a folder or a configuration through the first daemon and waits until every daemon acts on it. */
   async apply (folder: string | Omit<Configuration, 'version'>, basedOn = 0): Promise<number> {
-    const configuration = typeof folder === 'string' ? readFolder(folder).unwrap() : folder
-    const answer = await this.operator('PUT', this.daemons[0]!, '/operator/configuration', { configuration, basedOn })
+    const files: Record<string, string> = typeof folder === 'string'
+      ? Object.fromEntries(listFolder(folder).unwrap())
+      : { 'configuration.yaml': JSON.stringify(folder, null, 1) }
+    const present = await this.operator('GET', this.daemons[0]!, '/operator/configuration/files')
+    const remove = Object.keys(present.files).filter(name => files[name] === undefined)
+    const answer = await this.operator('PUT', this.daemons[0]!, '/operator/configuration', { basedOn, put: files, remove, by: 'harness' })
     const version = answer.version as number
     await this.waitUntil(async () => {
       const known = await Promise.all(this.daemons.map(async daemon => (await this.operator('GET', daemon, '/operator/configuration')).version))
       return known.every(other => other >= version)
     })
+    await this.waitForServers()
     return version
   }
 
+  /** Waits until every daemon has read of every registered server; the platform's list lags. */
+  async waitForServers (): Promise<void> {
+    await this.waitUntil(async () => {
+      const known = await Promise.all(this.daemons.map(async daemon => (await this.operator('GET', daemon, '/operator/status')).servers as string[]))
+      return this.servers.every(({ instance }) => known.every(names => names.includes(instance.name)))
+    })
+  }
+
   async operator (method: 'GET' | 'PUT' | 'POST', daemon: Node, path: string, body?: unknown): Promise<any> {
     return await this.call(method, this.url(daemon) + path, body, { authorization: `Bearer ${OPERATOR_TOKEN}` })
   }
--- a/src/batch/batch-worker.ts
+++ b/src/batch/batch-worker.ts
@@ -15,7 +15,7 @@
 const PLAIN_LIMIT = 64
 const WANT_PERIOD = 500
 
-/** Runs batch items through the dispatcher, a fixed number at once; stands in for the owners of servers. */
+/** Runs the batch items of plain services through the dispatcher, a fixed number at once; models are the owners' to run. */
 @scoped(Lifecycle.ContainerScoped)
 export class BatchWorker implements Part {
   private readonly running = new Map<string, number>()
@@ -27,12 +27,12 @@
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
-    source.subscribe(service => this.fill(service))
+    source.subscribe(service => { if (this.isPlain(service)) this.fill(service) })
   }
 
   async start (): Promise<void> {
     this.cancelTimer = this.clock.every(WANT_PERIOD, () => {
-      for (const service of Object.keys(this.configuration.value.services)) {
+      for (const service of Object.keys(this.configuration.value.services).filter(name => this.isPlain(name))) {
         this.source.want(service, WORKERS)
         this.fill(service)
       }
@@ -43,6 +43,10 @@
     this.cancelTimer()
   }
 
+  private isPlain (service: string): boolean {
+    return this.configuration.value.services[service]?.kind === 'plain'
+  }
+
   private fill (service: string): void {
     while ((this.running.get(service) ?? 0) < WORKERS) {
       const work = this.source.take(service)
--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -11,6 +11,8 @@
     /** Port for the other daemons; 0 lets the system choose. */
     readonly peerPort: number
   }
+  /** Address at which callers and other daemons reach this instance; `listen.host` where it is left out. */
+  readonly address?: string
   /** Base address of the platform's object API. */
   readonly platform: string
   /** Secret shared by the daemons, which proves a peer. */
@@ -19,5 +21,11 @@
   readonly operatorToken: string
   /** Folder for bulk data on instances that have a disk. */
   readonly dataFolder?: string
+  /** How batch work shares servers with online requests; `preempting` where it is left out. */
+  readonly batchPolicy?: {
+    readonly type: 'none' | 'forward' | 'static' | 'load reports' | 'preempting'
+    /** Batch streams a server for the type `static`. */
+    readonly streams?: number
+  }
   readonly log: { readonly level: 'error' | 'warn' | 'info' | 'debug', readonly format: 'text' | 'json' }
 }
