--- /dev/null
+++ b/test/ownership/online-counts.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { countOnline } from '../../src/ownership/count-online.js'
+import type { OnlineCountsState } from '../../src/ownership/online-counts-state.js'
+import { stepOnlineCounts } from '../../src/ownership/step-online-counts.js'
+
+const EMPTY: OnlineCountsState = { servers: new Map(), newest: new Map() }
+const told = (reporter: string, number: number, counts: Record<string, number>) => ({ type: 'told' as const, reporter, number, counts: new Map(Object.entries(counts)) })
+
+// A daemon tells of online requests that begin and end; frames are lost, come twice or in another order. A count that
+// drifts up holds batch back for good, one that drifts down lets batch stand in the way.
+test('whatever was lost or crossed, the newest level that arrives is the count', t => {
+  const message = fc.record({ reporter: fc.constantFrom('a', 'b'), server: fc.constantFrom('s', 't'), count: fc.nat(5), lost: fc.boolean() })
+  fc.assert(fc.property(fc.array(message, { maxLength: 30 }), fc.nat(), (messages, seed) => {
+    const arriving = messages.map((each, number) => ({ ...each, number })).filter(({ lost }) => !lost)
+    const shuffled = arriving.flatMap(each => [each, each]).sort((a, b) => ((a.number * 7 + seed) % 11) - ((b.number * 7 + seed) % 11))
+    const end = shuffled.reduce((state, { reporter, number, server, count }) => stepOnlineCounts(state, told(reporter, number, { [server]: count }), 0), EMPTY)
+    const newest = ['a', 'b'].map(reporter => arriving.filter(each => each.reporter === reporter).at(-1))
+    return ['s', 't'].every(server => countOnline(end, server) === newest.reduce((sum, each) => sum + (each?.server === server ? each.count : 0), 0))
+  }), { seed: 3, numRuns: 300 })
+  t.pass()
+})
+
+test('a reporter that died or went silent counts no more', t => {
+  const two = stepOnlineCounts(stepOnlineCounts(EMPTY, told('a', 1, { s: 2 }), 0), told('b', 1, { s: 3 }), 2_000)
+  t.is(countOnline(two, 's'), 5)
+  t.is(countOnline(stepOnlineCounts(two, { type: 'lost', reporter: 'b' }, 2_000), 's'), 2)
+  t.is(countOnline(stepOnlineCounts(two, { type: 'tick' }, 4_000), 's'), 3)
+  t.is(countOnline(stepOnlineCounts(two, told('b', 1, { s: 9 }), 2_100), 's'), 5)
+})
