Names of the policies in the bench follow the settings: forward and static

Change: two words in bench/policies.ts. Conclusion: one set of names, those of src/kernel/settings.ts.

--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -3,8 +3,8 @@
 /** The policies compared: ours and the baselines. */
 export const policies: readonly Policy[] = [
   { letter: 'a', name: 'no batch' },
-  { letter: 'b', name: 'forwarded as it comes', batchPolicy: { type: 'forwarding' } },
-  { letter: 'c', name: 'static split', batchPolicy: { type: 'split', streams: 8 } },
+  { letter: 'b', name: 'forwarded as it comes', batchPolicy: { type: 'forward' } },
+  { letter: 'c', name: 'static split', batchPolicy: { type: 'static', streams: 8 } },
   { letter: 'd', name: 'by load reports', batchPolicy: { type: 'load reports' } },
   { letter: 'e', name: 'ours', batchPolicy: { type: 'preempting' } }
 ]
