--- a/test/whole/openai.test.ts
+++ b/test/whole/openai.test.ts
@@ -36,7 +36,7 @@
   const batch = await client.batches.create({ input_file_id: file.id, endpoint: '/v1/chat/completions', completion_window: '24h' })
   await fleet.waitUntil(async () => (await client.batches.retrieve(batch.id)).status === 'completed')
   const done = await client.batches.retrieve(batch.id)
-  t.deepEqual<unknown>(done.request_counts, { total: 5, completed: 5, failed: 0, cancelled: 0 })
+  t.deepEqual(done.request_counts as unknown, { total: 5, completed: 5, failed: 0, cancelled: 0 })
   const output = await (await client.files.content(done.output_file_id!)).text()
   t.deepEqual(output.trim().split('\n').map(line => JSON.parse(line).custom_id).sort(), ['d0', 'd1', 'd2', 'd3', 'd4'])
   const listed = await client.batches.list()
