--- a/src/batch/chunk-claims.ts
+++ b/src/batch/chunk-claims.ts
@@ -17,6 +17,9 @@
 import type { Job } from './job.js'
 import { JobCounter } from './job-counter.js'
 
+/** Chunks that are remembered as counted; a chunk is met again only until its job has its counts. */
+const MAX_COUNTED = 10_000
+
 /** A chunk to claim, and what to call while it is held. */
 interface Claim {
   readonly job: Job
@@ -31,6 +34,7 @@
 @scoped(Lifecycle.ContainerScoped)
 export class ChunkClaims {
   private readonly counting = new Set<Promise<void>>()
+  private readonly counted = new Set<string>()
 
   constructor (
     @inject(tokens.store) private readonly store: ObjectStore,
@@ -103,10 +107,22 @@
     const { closed } = chunk
     this.timeline.record({ part: 'batch', what: closed === undefined ? 'let go' : 'finished', job: job.id, detail: `chunk ${n}` })
     if (closed !== undefined) {
-      if (isHolder({ ...chunk, holder: closed.by }, this.holding.by)) await countChunk(this.store, this.account, { caller: job.caller, service, chunk })
+      if (this.mayCount(`${job.id}.${n}`, chunk)) await countChunk(this.store, this.account, { caller: job.caller, service, chunk })
       await this.counter.add(job.id, n, closed)
     }
     this.holding.remove([`${job.id}.${n}`])
     return 'closed'
   }
+
+  /**
+   * Whether a closed chunk is this daemon's to count, for the first time. Until the job has its counts a chunk that was
+   * closed here is met again by the next look for work; without the memory its results are counted at each.
+   */
+  private mayCount (name: string, { closed }: Chunk): boolean {
+    const { instance, started } = this.holding.by
+    if (closed?.by.instance !== instance || closed.by.started !== started || this.counted.has(name)) return false
+    this.counted.add(name)
+    if (this.counted.size > MAX_COUNTED) this.counted.delete(this.counted.values().next().value!)
+    return true
+  }
 }
--- a/src/batch/chunk-source.ts
+++ b/src/batch/chunk-source.ts
@@ -1,6 +1,4 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
-import { ConfigurationHolder } from '../config/configuration-holder.js'
-import { rankOwners } from '../coordination/rank-owners.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -10,20 +8,14 @@
 import { batchSourcePoint } from '../ownership/batch-source-point.js'
 import type { BatchWork } from '../ownership/batch-work.js'
 import { ChunkClaims } from './chunk-claims.js'
-import { estimateRest } from './estimate-rest.js'
 import { HeldChunk } from './held-chunk.js'
+import { HeldChunks } from './held-chunks.js'
 import { HoldingRecord } from './holding-record.js'
 import type { Job } from './job.js'
 import { JobWatch } from './job-watch.js'
-import { listChunks } from './list-chunks.js'
-import { orderJobs } from './order-jobs.js'
-import { RecentUse } from './recent-use.js'
-import type { WorkEntry } from './work-entry.js'
-import { WorkIndex } from './work-index.js'
+import { WorkFinder } from './work-finder.js'
 
 const IDLE_PERIOD = 2_000
-const BUSY_PAUSE = 5_000
-const MAX_PROBES = 8
 /** Bytes of results that may wait for the platform before nothing more is started. */
 const MAX_WAITING_BYTES = 16_000_000
 
@@ -34,20 +26,16 @@
 export class ChunkSource implements Part, BatchSource {
   readonly extensions = [batchSourcePoint.of(this)]
   private readonly wanted = new Map<string, Wanted>()
-  private readonly held = new Map<string, HeldChunk>()
-  private readonly busy = new Map<string, number>()
-  private readonly use = new RecentUse()
-  private readonly rest = new Map<string, number>()
+  private readonly held = new HeldChunks()
   private readonly listeners = new Set<(service: string) => void>()
   private draining = false
   private cancelTimer = (): void => {}
 
   constructor (
-    @inject(WorkIndex) private readonly work: WorkIndex,
+    @inject(WorkFinder) private readonly finder: WorkFinder,
     @inject(ChunkClaims) private readonly claims: ChunkClaims,
     @inject(JobWatch) private readonly jobs: JobWatch,
     @inject(HoldingRecord) private readonly holding: HoldingRecord,
-    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(PauseWatch) pauses: PauseWatch,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
@@ -63,7 +51,7 @@
   async drain (): Promise<void> {
     this.draining = true
     this.cancelTimer()
-    await Promise.all([...this.held.values()].map(async held => await held.release()))
+    await Promise.all(this.held.all().map(async held => await held.release()))
     await this.claims.waitForCounts()
     await this.holding.write()
   }
@@ -77,13 +65,12 @@
   }
 
   take (service: string): BatchWork | undefined {
-    if (this.draining || this.countWaiting() > MAX_WAITING_BYTES) return undefined
-    for (const held of this.listHeld(service)) {
+    if (this.draining || this.held.countWaiting() > MAX_WAITING_BYTES) return undefined
+    for (const held of this.held.ofService(service)) {
       if (!this.jobs.mayStart(held.options.job.id)) continue
       const work = held.take()
       if (work === undefined) continue
-      this.use.add(work.caller, 1, this.clock.now())
-      this.use.add(work.job, 1, this.clock.now())
+      this.finder.countUse(work.caller, work.job)
       return work
     }
     return undefined
@@ -103,17 +90,9 @@
     }
   }
 
-  private listHeld (service: string): readonly HeldChunk[] {
-    return [...this.held.values()].filter(held => held.options.service === service)
-  }
-
-  private countWaiting (): number {
-    return [...this.held.values()].reduce((sum, held) => sum + held.waitingBytes, 0)
-  }
-
   private prepare (service: string): void {
     const slots = this.wanted.get(service)?.slots ?? 0
-    for (const held of this.listHeld(service)) held.prepare(slots)
+    for (const held of this.held.ofService(service)) held.prepare(slots)
   }
 
   private tell (service: string): void {
@@ -122,21 +101,19 @@
   }
 
   private stopJob (job: string): void {
-    for (const held of this.held.values()) if (held.options.job.id === job) void held.release({ abort: true })
+    for (const held of this.held.ofJob(job)) void held.release({ abort: true })
   }
 
   private checkAll (): void {
-    for (const held of this.held.values()) void held.check()
+    for (const held of this.held.all()) void held.check()
   }
 
   private lookForMore (): void {
-    this.use.drop(this.clock.now())
     for (const [service, wanted] of this.wanted) void this.look(service, wanted)
   }
 
   private needsMore (service: string, { slots }: Wanted): boolean {
-    const ready = this.listHeld(service).reduce((sum, held) => sum + held.ready, 0)
-    return !this.draining && ready < slots && this.countWaiting() <= MAX_WAITING_BYTES
+    return !this.draining && this.held.countReady(service) < slots && this.held.countWaiting() <= MAX_WAITING_BYTES
   }
 
   /** One look at a time for each service; one that found nothing is repeated no sooner than after the idle period. */
@@ -152,63 +129,31 @@
   }
 
   private async claimMore (service: string): Promise<boolean> {
-    const open = await this.work.list(service)
-    if (open.err) return false
-    const now = this.clock.now()
-    const order = orderJobs(open.val.filter(entry => entry.service === service), {
-      date: this.clock.date(),
-      share: caller => this.configuration.value.callers[caller]?.share ?? 1,
-      used: name => this.use.get(name, now),
-      estimate: ({ job }) => this.rest.get(job) ?? 0
-    })
-    for (const job of this.rest.keys()) if (open.val.every(entry => entry.job !== job)) this.rest.delete(job)
-    for (const entry of order) {
-      if (!this.draining && await this.claimFrom(entry)) return true
-    }
-    return false
-  }
-
-  /** Claims one chunk of the job, trying those first that fall to this daemon by hashing. */
-  private async claimFrom (entry: WorkEntry): Promise<boolean> {
-    const job = await this.jobs.check(entry.job)
-    if (job === undefined) return false
-    this.rest.set(job.id, estimateRest(job, this.clock.date()))
-    const now = this.clock.now()
-    const open = listChunks(job.services).filter(({ n, service }) => {
-      const name = `${job.id}.${n}`
-      return service === entry.service && job.finished[n] === undefined && !this.held.has(name) && (this.busy.get(name) ?? 0) <= now
-    })
-    if (open.length === 0) this.forget(job)
-    const first = Number(rankOwners(this.holding.by.instance, open.map(({ n }) => String(n)))[0])
-    const start = open.findIndex(({ n }) => n === first)
-    for (let i = 0; i < Math.min(MAX_PROBES, open.length); i++) {
-      const chunk = open[(start + i) % open.length]!
-      if (await this.claimChunk(job, chunk)) return true
+    for await (const { job, place } of this.finder.find(service, this.held)) {
+      if (this.draining) return false
+      if (await this.claimChunk(job, place)) return true
     }
     return false
   }
 
-  private async claimChunk (job: Job, { n, service, items }: ReturnType<typeof listChunks>[number]): Promise<boolean> {
+  private async claimChunk (job: Job, { n, service, items }: { readonly n: number, readonly service: string, readonly items: number }): Promise<boolean> {
     const name = `${job.id}.${n}`
     const held = await this.claims.claim({ job, n, service, items, onReady: () => this.tell(service), onEnd: () => this.drop(name, job) })
     if (!(held instanceof HeldChunk)) {
-      this.busy.set(name, this.clock.now() + BUSY_PAUSE)
+      this.finder.putAside(name)
       return false
     }
-    this.held.set(name, held)
+    this.held.add(held)
     // The job may have been cancelled, or the daemon told to drain, while the claim was on its way.
-    if (!this.jobs.watches(job.id) || this.draining) void held.release({ abort: true })
+    const goesOn = this.jobs.watches(job.id) || await this.jobs.check(job.id) !== undefined
+    if (!goesOn || this.draining) void held.release({ abort: true })
     else this.tell(service)
     return true
   }
 
   private drop (name: string, job: Job): void {
-    this.held.delete(name)
-    this.forget(job)
-  }
-
-  private forget (job: Job): void {
-    if ([...this.held.values()].every(held => held.options.job.id !== job.id)) this.jobs.remove(job.id)
+    this.held.remove(name)
+    if (this.held.ofJob(job.id).length === 0) this.jobs.remove(job.id)
   }
 }
 
--- /dev/null
+++ b/src/batch/work-finder.ts
@@ -0,0 +1,101 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { Clock } from '../kernel/clock.js'
+import { tokens } from '../kernel/tokens.js'
+import { estimateRest } from './estimate-rest.js'
+import type { HeldChunks } from './held-chunks.js'
+import { HoldingRecord } from './holding-record.js'
+import type { Job } from './job.js'
+import { JobWatch } from './job-watch.js'
+import { listChunks } from './list-chunks.js'
+import { orderJobs } from './order-jobs.js'
+import { RecentUse } from './recent-use.js'
+import type { WorkEntry } from './work-entry.js'
+import { WorkIndex } from './work-index.js'
+
+const BUSY_PAUSE = 5_000
+const MAX_JOBS = 6
+const MAX_PROBES = 8
+
+type Place = ReturnType<typeof listChunks>[number]
+
+/** A chunk that may be free to claim. */
+interface Candidate { readonly job: Job, readonly place: Place }
+
+/**
+ * Finds chunks to claim, in the order of jobs. A look reads one page of the index, at most six jobs and eight chunks
+ * of each; what turned out to be taken is left alone for five seconds, so that daemons without work don't wear the
+ * platform out.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class WorkFinder {
+  private readonly busy = new Map<string, number>()
+  private readonly rest = new Map<string, number>()
+  private readonly use = new RecentUse()
+
+  constructor (
+    @inject(WorkIndex) private readonly work: WorkIndex,
+    @inject(JobWatch) private readonly jobs: JobWatch,
+    @inject(HoldingRecord) private readonly holding: HoldingRecord,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  /** Counts an item that was taken, for its caller and its job. */
+  countUse (caller: string, job: string): void {
+    this.use.add(caller, 1, this.clock.now())
+    this.use.add(job, 1, this.clock.now())
+  }
+
+  /** Leaves a job or chunk alone for a while. */
+  putAside (name: string): void {
+    this.busy.set(name, this.clock.now() + BUSY_PAUSE)
+  }
+
+  async * find (service: string, held: HeldChunks): AsyncGenerator<Candidate> {
+    this.dropOld()
+    const entries = await this.work.list(service)
+    if (entries.err) return
+    const open = this.orderEntries(entries.val.filter(entry => entry.service === service && !this.busy.has(entry.job)))
+    for (const { job: id } of open.slice(0, MAX_JOBS)) {
+      const job = await this.jobs.check(id)
+      if (job === undefined) continue
+      this.rest.set(id, estimateRest(job, this.clock.date()))
+      for (const place of this.choosePlaces(job, service, held)) yield { job, place }
+      this.putAside(id)
+      if (held.ofJob(id).length === 0) this.jobs.remove(id)
+    }
+  }
+
+  private orderEntries (entries: readonly WorkEntry[]): readonly WorkEntry[] {
+    const now = this.clock.now()
+    return orderJobs(entries, {
+      date: this.clock.date(),
+      share: caller => this.configuration.value.callers[caller]?.share ?? 1,
+      used: name => this.use.get(name, now),
+      estimate: ({ job }) => this.rest.get(job) ?? 0
+    })
+  }
+
+  /** Open chunks, those first that fall to this daemon by hashing, so that daemons seldom try for the same one. */
+  private choosePlaces (job: Job, service: string, held: HeldChunks): readonly Place[] {
+    const open = listChunks(job.services).filter(place => {
+      const name = `${job.id}.${place.n}`
+      return place.service === service && job.finished[place.n] === undefined && !held.has(name) && !this.busy.has(name)
+    })
+    const first = rankOwners(this.holding.by.instance, open.map(({ n }) => String(n)))[0]
+    const start = open.findIndex(({ n }) => String(n) === first)
+    return [...open.slice(start), ...open.slice(0, Math.max(0, start))].slice(0, MAX_PROBES)
+  }
+
+  private dropOld (): void {
+    const now = this.clock.now()
+    this.use.drop(now)
+    for (const [name, until] of this.busy) {
+      if (until > now) continue
+      this.busy.delete(name)
+      this.rest.delete(name)
+    }
+  }
+}
--- a/test/batch/helpers/trial-daemon.ts
+++ b/test/batch/helpers/trial-daemon.ts
@@ -13,6 +13,7 @@
 import { JobWatch } from '../../../src/batch/job-watch.js'
 import { Recovery } from '../../../src/batch/recovery.js'
 import { ResultReader } from '../../../src/batch/result-reader.js'
+import { WorkFinder } from '../../../src/batch/work-finder.js'
 import { WorkIndex } from '../../../src/batch/work-index.js'
 import { ConfigurationHolder } from '../../../src/config/configuration-holder.js'
 import { PauseWatch } from '../../../src/kernel/pause-watch.js'
@@ -73,7 +74,7 @@
     this.watch = new JobWatch(this.jobs, this.clock, this.pauses)
     const counter = new JobCounter(this.jobs, work, this.clock)
     const claims = new ChunkClaims(this.store, this.clock, this.files, this.holding, counter, this.account, timeline)
-    this.source = new ChunkSource(work, claims, this.watch, this.holding, new ConfigurationHolder(), this.pauses, this.clock)
+    this.source = new ChunkSource(new WorkFinder(work, this.watch, this.holding, new ConfigurationHolder(), this.clock), claims, this.watch, this.holding, this.pauses, this.clock)
     this.settler = new JobSettler(this.store, this.clock, this.jobs, work, this.holding)
     this.results = new ResultReader(this.store, this.files, this.clock)
     const recovery = new Recovery(this.store, timeline)
--- /dev/null
+++ b/test/batch/retries.test.ts
@@ -0,0 +1,67 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { planRetry } from '../../src/batch/plan-retry.js'
+import { createTrialJob } from './helpers/create-trial-job.js'
+import { readLines } from './helpers/read-lines.js'
+import { Trial } from './helpers/trial.js'
+
+const ITEMS = 500
+
+test('what becomes of an item that was given back', t => {
+  const given = { why: 'server failed', ran: true, idempotent: true, attempts: 0, server: 'engine-1' } as const
+  const table = [
+    [given, { type: 'again', pause: 200, attempts: 1 }],
+    [{ ...given, attempts: 3 }, { type: 'again', pause: 1_600, attempts: 4 }],
+    [{ ...given, why: 'gave way', attempts: 4 }, { type: 'again', pause: 0, attempts: 4 }],
+    [{ ...given, why: 'aborted', attempts: 4 }, { type: 'again', pause: 0, attempts: 4 }],
+    [{ ...given, idempotent: false, ran: false }, { type: 'again', pause: 200, attempts: 1 }]
+  ] as const
+  for (const [back, plan] of table) t.deepEqual(planRetry(back), plan)
+  const over = planRetry({ ...given, attempts: 4 })
+  t.is(over.type === 'finish' && over.result.type === 'failed' && over.result.cause, 'server-failed')
+  const unknown = planRetry({ ...given, why: 'gave way', idempotent: false })
+  t.is(unknown.type === 'finish' && unknown.result.type === 'failed' && unknown.result.cause, 'unknown')
+})
+
+// What the caller sees: 500 items, four of which can't be done, end; the four with their causes, the rest completed.
+// One is refused for good, one fails at every server, one is too large an answer to keep, one non-idempotent fails
+// with its fate unknown. The ones that fail everywhere must neither be tried without end nor hold up the others.
+test('items that can never be done end as failed with their cause, the others complete', async t => {
+  const trial = await new Trial({
+    answer: ({ item }, run) => {
+      switch (item.id) {
+        case 'item-10': return { type: 'failed', cause: 'status-400', detail: 'no' }
+        case 'item-20':
+        case 'item-30': return ['server failed', { ran: true, server: `engine-${run}` }]
+        case 'item-40': return { type: 'completed', status: 200, body: 'x'.repeat(500_000) }
+        default: return { type: 'completed', status: 200, body: {} }
+      }
+    }
+  }).start(2)
+  const job = await createTrialJob(trial.daemons[0]!, { count: ITEMS, idempotent: i => i !== 30 })
+  await trial.run(120)
+  const ended = (await trial.daemons[0]!.jobs.read(job.id)).unwrap()
+  const lines = [...(await readLines(trial.daemons[0]!, job)).values()].map(line => JSON.parse(line))
+  const failed = lines.filter(({ error }) => error !== null).map(({ custom_id: id, error }) => [id, error.code])
+  t.is(ended.status, 'completed')
+  t.is(lines.length, ITEMS)
+  t.deepEqual(failed.sort(), [['item-10', 'status-400'], ['item-20', 'server-failed'], ['item-30', 'unknown'], ['item-40', 'result-too-large']])
+  t.deepEqual(['item-10', 'item-20', 'item-30'].map(id => trial.runs.filter(({ item }) => item === id).length), [1, 5, 1])
+})
+
+// What the caller sees: its item done however often it gave way to online requests. A preemption isn't an attempt,
+// and the next run gets the tokens of the one before.
+test('giving way is no attempt, and keeps what was generated', async t => {
+  const resumed: number[] = []
+  const trial = await new Trial({
+    answer: ({ resumeFrom = [] }) => {
+      resumed.push(resumeFrom.length)
+      if (resumeFrom.length < 12) return ['gave way', { ran: true, server: 'engine-1', tokens: [...resumeFrom, 'word'] }]
+      return { type: 'completed', status: 200, body: {} }
+    }
+  }).start(1)
+  const job = await createTrialJob(trial.daemons[0]!, { count: 1 })
+  await trial.run(30)
+  t.deepEqual(resumed, Array.from({ length: 13 }, (_, i) => i))
+  t.is((await trial.daemons[0]!.jobs.read(job.id)).unwrap().finished[0]!.completed, 1)
+})
