--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -3,9 +3,10 @@
 import { join } from 'node:path'
 import { request } from 'undici'
 import type { Configuration } from '../src/config/configuration.js'
-import { readFolder } from '../src/config/read-folder.js'
+import { listFolder } from '../src/config/list-folder.js'
 import type { Instance } from '../src/platform/instance.js'
 import type { RunRecord } from '../stand-ins/engine/run-record.js'
+import type { PlatformFaults } from '../stand-ins/platform/platform-faults.js'
 import { Child } from './child.js'
 
 const HOST = '127.0.0.1'
@@ -46,6 +47,16 @@
     return node
   }
 
+  /** Adds several engines that share one process, where their number matters and their speed doesn't. */
+  async addEngines (names: readonly string[], failureDomain: string, { pool, options = {} }: Omit<ServerOptions, 'kind'>): Promise<void> {
+    const { child, ready } = await Child.start<{ ports: readonly number[] }>(['stand-in', 'engine', '--count', String(names.length), '--options', JSON.stringify(options)])
+    for (const [i, name] of names.entries()) {
+      const node: Node = { child, instance: { name, pool, host: HOST, port: ready.ports[i]!, failureDomain, region: 'region-1', state: 'live' } }
+      this.servers.push(node)
+      await this.register(node.instance)
+    }
+  }
+
   async addDaemon (name: string, failureDomain: string, more: Readonly<Record<string, unknown>> = {}): Promise<Node> {
     const file = join(this.folder, `${name}.yaml`)
     writeFileSync(file, JSON.stringify({
@@ -89,16 +100,29 @@
 
   /** Applies a folder or a configuration through the first daemon and waits until every daemon acts on it. */
   async apply (folder: string | Omit<Configuration, 'version'>, basedOn = 0): Promise<number> {
-    const configuration = typeof folder === 'string' ? readFolder(folder).unwrap() : folder
-    const answer = await this.operator('PUT', this.daemons[0]!, '/operator/configuration', { configuration, basedOn })
+    const files: Record<string, string> = typeof folder === 'string'
+      ? Object.fromEntries(listFolder(folder).unwrap())
+      : { 'configuration.yaml': JSON.stringify(folder, null, 1) }
+    const present = await this.operator('GET', this.daemons[0]!, '/operator/configuration/files')
+    const remove = Object.keys(present.files).filter(name => files[name] === undefined)
+    const answer = await this.operator('PUT', this.daemons[0]!, '/operator/configuration', { basedOn, put: files, remove, by: 'harness' })
     const version = answer.version as number
     await this.waitUntil(async () => {
       const known = await Promise.all(this.daemons.map(async daemon => (await this.operator('GET', daemon, '/operator/configuration')).version))
       return known.every(other => other >= version)
     })
+    await this.waitForServers()
     return version
   }
 
+  /** Waits until every daemon has read of every registered server; the platform's list lags. */
+  async waitForServers (): Promise<void> {
+    await this.waitUntil(async () => {
+      const known = await Promise.all(this.daemons.map(async daemon => (await this.operator('GET', daemon, '/operator/status')).servers as string[]))
+      return this.servers.every(({ instance }) => known.every(names => names.includes(instance.name)))
+    })
+  }
+
   async operator (method: 'GET' | 'PUT' | 'POST', daemon: Node, path: string, body?: unknown): Promise<any> {
     return await this.call(method, this.url(daemon) + path, body, { authorization: `Bearer ${OPERATOR_TOKEN}` })
   }
@@ -107,6 +131,11 @@
     return await this.call(method, this.platform.url + path, body)
   }
 
+  /** Sets what goes wrong at the platform from here on; {} ends all faults. */
+  async setPlatformFaults (faults: PlatformFaults): Promise<void> {
+    await this.control('POST', '/control/faults', faults)
+  }
+
   /** What the server itself logged as run. */
   async readLog (server: Node): Promise<readonly RunRecord[]> {
     return (await this.call('GET', `http://${HOST}:${server.instance.port}/control/log`)).runs
