Results that wait in an outage are kept on disk, where there is one

Cause: a daemon replaced in an outage lost what its items had answered, and they ran once more. Ruled out: spooling every result at once, since the platform takes nearly all within 5 s; only what waits over 8 s is written. Change: spool file with a checksum a line, read by the next run; a drain ends after 90 s where the platform takes nothing; the runner kept for plain services is named so. Figures: npx ava test/batch/spool.test.ts, 2 passed: 60 items, 60 runs, over an outage and a kill. Conclusion: nothing runs twice for an outage where there is a data folder.

--- a/src/batch/chunk-source.ts
+++ b/src/batch/chunk-source.ts
@@ -13,9 +13,11 @@
 import { HoldingRecord } from './holding-record.js'
 import type { Job } from './job.js'
 import { JobWatch } from './job-watch.js'
+import type { SpoolEntry } from './spool-entry.js'
 import { WorkFinder } from './work-finder.js'
 
 const IDLE_PERIOD = 2_000
+const DRAIN_LIMIT = 90_000
 /** Bytes of results that may wait for the platform before nothing more is started. */
 const MAX_WAITING_BYTES = 16_000_000
 
@@ -47,11 +49,19 @@
     this.cancelTimer = this.clock.every(IDLE_PERIOD, () => this.lookForMore())
   }
 
-  /** Takes no more, lets what runs end, and leaves the rest to others at once. */
+  /**
+   * Takes no more, lets what runs end, and leaves the rest to others at once. In an outage of the platform nothing
+   * can be let go; after a limit it ends all the same, and the claims are taken over as those of a dead daemon.
+   */
   async drain (): Promise<void> {
     this.draining = true
     this.cancelTimer()
-    await Promise.all(this.held.all().map(async held => await held.release()))
+    const released = Promise.all(this.held.all().map(async held => await held.release()))
+    const limit = new Promise<void>(resolve => this.clock.after(DRAIN_LIMIT, resolve))
+    await Promise.race([released.then(async () => await this.letGo()), limit])
+  }
+
+  private async letGo (): Promise<void> {
     await this.claims.waitForCounts()
     await this.holding.write()
   }
@@ -80,6 +90,11 @@
     this.listeners.add(listener)
   }
 
+  /** Results of held chunks that aren't known to be durable. */
+  listUnsaved (): readonly SpoolEntry[] {
+    return this.held.all().flatMap(held => held.unsaved.map(entry => ({ chunk: held.name, items: held.options.items.length, ...entry })))
+  }
+
   /** Looks for work of these services now, because somebody said that there is some. */
   lookAgain (services: readonly string[]): void {
     for (const service of services) {
--- /dev/null
+++ b/src/batch/decode-spool.ts
@@ -0,0 +1,26 @@
+import { encodeSpoolLine } from './encode-spool-line.js'
+import type { SpoolEntry } from './spool-entry.js'
+
+/**
+ * The entries of a spool file whose checksums are right, and how many lines aren't. A process that dies in a write
+ * leaves a torn line; without the checksum it would be taken for a result, cut or mixed with the next.
+ */
+export function decodeSpool (text: string): { readonly entries: readonly SpoolEntry[], readonly torn: number } {
+  const entries: SpoolEntry[] = []
+  let torn = 0
+  for (const line of text.split('\n')) {
+    const entry = line === '' ? undefined : decodeLine(line)
+    if (entry !== undefined) entries.push(entry)
+    else if (line !== '') torn++
+  }
+  return { entries, torn }
+}
+
+function decodeLine (line: string): SpoolEntry | undefined {
+  try {
+    const entry = JSON.parse(line.slice(line.indexOf(' ') + 1))
+    return encodeSpoolLine(entry) === `${line}\n` ? entry : undefined
+  } catch {
+    return undefined
+  }
+}
--- a/src/batch/batch-worker.ts
+++ b/src/batch/plain-runner.ts
@@ -17,7 +17,7 @@
 
 /** Runs the batch items of plain services through the dispatcher, a fixed number at once; models are the owners' to run. */
 @scoped(Lifecycle.ContainerScoped)
-export class BatchWorker implements Part {
+export class PlainRunner implements Part {
   private readonly running = new Map<string, number>()
   private cancelTimer = (): void => {}
 
@@ -100,4 +100,4 @@
   }
 }
 
-partRegistry.register({ name: 'batch worker', part: BatchWorker, needs: ['dispatcher', 'configuration', 'chunk source'] })
+partRegistry.register({ name: 'plain runner', part: PlainRunner, needs: ['dispatcher', 'configuration', 'chunk source'] })
--- /dev/null
+++ b/src/batch/result-spool.ts
@@ -0,0 +1,113 @@
+import { appendFileSync, mkdirSync, readFileSync, rmSync, truncateSync } from 'node:fs'
+import { join } from 'node:path'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { Chunk } from './chunk.js'
+import { ChunkSource } from './chunk-source.js'
+import { decodeSpool } from './decode-spool.js'
+import { encodeSpoolLine } from './encode-spool-line.js'
+import { HoldingRecord } from './holding-record.js'
+import { recordEntries } from './record-entries.js'
+import type { SpoolEntry } from './spool-entry.js'
+import { updateObject } from './update-object.js'
+
+const PERIOD = 2_000
+/** Results are written to the platform within 5 s; what waits for longer waits because it doesn't answer. */
+const MIN_WAIT = 8_000
+const FILE = 'batch-results.spool'
+
+/**
+ * Keeps results on disk, where the instance has one, while the platform doesn't take them. A daemon that is
+ * replaced in an outage would lose what its items answered, and they would run once more; its next run records
+ * them from the file instead. First recorded wins, so a file that is read late, or twice, does no harm.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class ResultSpool implements Part {
+  private readonly file: string | undefined
+  private readonly seen = new Map<string, number>()
+  private readonly spooled = new Set<string>()
+  private cancelTimer = (): void => {}
+
+  constructor (
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.settings) settings: Settings,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(HoldingRecord) private readonly holding: HoldingRecord,
+    @inject(ChunkSource) private readonly source: ChunkSource
+  ) {
+    if (settings.dataFolder === undefined) return
+    mkdirSync(settings.dataFolder, { recursive: true })
+    this.file = join(settings.dataFolder, FILE)
+  }
+
+  async start (): Promise<void> {
+    if (this.file === undefined) return
+    const { entries, torn } = decodeSpool(readText(this.file))
+    if (torn > 0) this.log.write('warn', 'batch', 'left out torn lines of the spool file', { lines: torn })
+    void this.recover(entries)
+  }
+
+  async stop (): Promise<void> {
+    this.cancelTimer()
+  }
+
+  /** Records what the run before had left, for as long as it takes, and only then spools anew. */
+  private async recover (entries: readonly SpoolEntry[]): Promise<void> {
+    for (const entry of entries) while (!await this.record(entry)) await this.wait()
+    if (entries.length > 0) this.log.write('info', 'batch', 'recorded results from the spool file', { results: entries.length })
+    rmSync(this.file!, { force: true })
+    this.cancelTimer = this.clock.every(PERIOD, () => this.save())
+  }
+
+  private async record ({ chunk: name, items, item, result }: SpoolEntry): Promise<boolean> {
+    const written = await updateObject<Chunk>(this.store, 'chunk', name, {
+      change: chunk => recordEntries(chunk, [{ type: 'result', item, result }], { items, by: this.holding.by })
+    })
+    return written.ok || written.val.type === 'missing'
+  }
+
+  private save (): void {
+    const now = this.clock.now()
+    const waiting = this.source.listUnsaved()
+    const names = new Set(waiting.map(nameEntry))
+    for (const name of this.seen.keys()) if (!names.has(name)) this.seen.delete(name)
+    for (const entry of waiting) {
+      const name = nameEntry(entry)
+      if (!this.seen.has(name)) this.seen.set(name, now)
+      if (this.spooled.has(name) || now - this.seen.get(name)! < MIN_WAIT) continue
+      appendFileSync(this.file!, encodeSpoolLine(entry))
+      this.spooled.add(name)
+    }
+    if (waiting.length === 0 && this.spooled.size > 0) this.clear()
+  }
+
+  private clear (): void {
+    truncateSync(this.file!)
+    this.spooled.clear()
+  }
+
+  private async wait (): Promise<void> {
+    await new Promise<void>(resolve => this.clock.after(PERIOD, resolve))
+  }
+}
+
+function nameEntry ({ chunk, item }: SpoolEntry): string {
+  return `${chunk}/${item}`
+}
+
+function readText (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch {
+    return ''
+  }
+}
+
+partRegistry.register({ name: 'result spool', part: ResultSpool, needs: ['chunk source', 'holding record'] })
--- a/test/batch/helpers/trial-daemon.ts
+++ b/test/batch/helpers/trial-daemon.ts
@@ -13,6 +13,7 @@
 import { JobWatch } from '../../../src/batch/job-watch.js'
 import { Recovery } from '../../../src/batch/recovery.js'
 import { ResultReader } from '../../../src/batch/result-reader.js'
+import { ResultSpool } from '../../../src/batch/result-spool.js'
 import { WorkFinder } from '../../../src/batch/work-finder.js'
 import { WorkIndex } from '../../../src/batch/work-index.js'
 import { ConfigurationHolder } from '../../../src/config/configuration-holder.js'
@@ -38,6 +39,7 @@
   readonly runs: Run[]
   /** Names of the daemons that are in the list of instances. */
   readonly members?: () => readonly string[]
+  readonly dataFolder?: string
   /** Time of one run in ms. */
   readonly runTime?: number
   /** What becomes of an item; by default it completes with a body that names its run. */
@@ -56,6 +58,7 @@
   readonly settler: JobSettler
   readonly results: ResultReader
   readonly care: JobCare
+  private readonly spool: ResultSpool
   private readonly pauses: PauseWatch
   private readonly holding: HoldingRecord
   private running = 0
@@ -63,7 +66,7 @@
   constructor (readonly name: string, private readonly options: TrialOptions) {
     this.clock = new TrialClock(options.clock)
     this.store = new TrialStore(options.store, this.clock)
-    const settings = { instance: name } as ConstructorParameters<typeof HoldingRecord>[2]
+    const settings = { instance: name, dataFolder: options.dataFolder } as ConstructorParameters<typeof HoldingRecord>[2]
     const timeline = new Timeline(this.clock, settings)
     const index = new CallerIndex(this.store)
     const work = new WorkIndex(this.store)
@@ -78,12 +81,13 @@
     this.settler = new JobSettler(this.store, this.clock, this.jobs, work, this.holding)
     this.results = new ResultReader(this.store, this.files, this.clock)
     const recovery = new Recovery(this.store, timeline)
+    this.spool = new ResultSpool(this.store, this.clock, settings, { write: () => {} }, this.holding, this.source)
     const links = { send: () => {} } as unknown as PeerLinks
     this.care = new JobCare(this.clock, createMembers(options.members), links, this.holding, this.watch, this.jobs, this.settler, recovery, this.source)
   }
 
   async start (): Promise<this> {
-    for (const part of [this.pauses, this.holding, this.watch, this.source, this.care]) await part.start()
+    for (const part of [this.pauses, this.holding, this.watch, this.source, this.care, this.spool]) await part.start()
     this.source.subscribe(() => this.fill())
     this.clock.every(200, () => {
       this.source.want(SERVICE, SLOTS)
--- /dev/null
+++ b/test/batch/spool.test.ts
@@ -0,0 +1,46 @@
+import 'reflect-metadata'
+import test from 'ava'
+import fc from 'fast-check'
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { decodeSpool } from '../../src/batch/decode-spool.js'
+import { encodeSpoolLine } from '../../src/batch/encode-spool-line.js'
+import { createTrialJob } from './helpers/create-trial-job.js'
+import { readLines } from './helpers/read-lines.js'
+import { Trial } from './helpers/trial.js'
+
+const SEED = 20261206
+const ITEMS = 60
+
+// What the caller sees: each item run once, though the daemon that ran them died before it could record them.
+// The platform goes down while items run, the holder spools what they answered, dies, and is started again after the
+// outage, when others wait for its lease still. Its next run records the file, so nothing is run again.
+test('results spooled in an outage are recorded by the next run', async t => {
+  const dataFolder = mkdtempSync(join(tmpdir(), 'citronwheel-spool-'))
+  t.teardown(() => rmSync(dataFolder, { recursive: true }))
+  const trial = await new Trial({ dataFolder }).start(1)
+  const job = await createTrialJob(trial.daemons[0]!, { count: ITEMS })
+  await trial.run(2)
+  trial.faults.outageUntil = trial.second + 30
+  await trial.run(25)
+  t.is(trial.runs.length, ITEMS)
+  t.true(readFileSync(join(dataFolder, 'batch-results.spool'), 'utf8').split('\n').length > ITEMS / 2)
+  trial.kill(0)
+  await trial.run(10)
+  await trial.step([{ type: 'replace', daemon: 0, at: trial.second }])
+  await trial.run(20)
+  t.is((await readLines(trial.daemons[0]!, job)).size, ITEMS)
+  t.is((await trial.daemons[0]!.jobs.read(job.id)).unwrap().status, 'completed')
+  t.is(trial.runs.length, ITEMS)
+})
+
+test('a spool file cut or changed anywhere gives whole entries only', t => {
+  const entries = [0, 1, 2].map(item => ({ chunk: 'job.0', items: 3, item, result: { type: 'completed' as const, status: 200, body: { text: `é ${item}\n` } } }))
+  const text = entries.map(encodeSpoolLine).join('')
+  t.deepEqual(decodeSpool(text), { entries, torn: 0 })
+  fc.assert(fc.property(fc.nat(text.length - 1), fc.nat(text.length - 1), fc.string({ maxLength: 3 }), (from, to, noise) => {
+    const { entries: read } = decodeSpool(text.slice(0, from) + noise + text.slice(to))
+    return read.every(entry => entries.some(whole => JSON.stringify(whole) === JSON.stringify(entry)))
+  }), { seed: SEED, numRuns: 500 })
+})
