--- a/src/config/acting-configuration.ts
+++ b/src/config/acting-configuration.ts
@@ -4,6 +4,7 @@
 import { Metrics } from '../observe/metrics.js'
 import { checkFiles } from './check-files.js'
 import { ConfigurationHolder } from './configuration-holder.js'
+import type { Entry } from './entry.js'
 import type { PackedFile } from './packed-file.js'
 import { parseFile } from './parse-file.js'
 import { showFinding } from './show-finding.js'
@@ -21,6 +22,7 @@
 @scoped(Lifecycle.ContainerScoped)
 export class ActingConfiguration {
   private readonly parsed = new WeakMap<PackedFile, Parsed>()
+  private readonly known = new WeakMap<Entry, unknown>()
   private latest = 0
 
   constructor (
@@ -51,7 +53,7 @@
   /** Merges and checks files as `checkFiles` does. */
   async check (files: readonly PackedFile[]): Promise<ReturnType<typeof checkFiles>> {
     const parsed = await this.parse(files)
-    return checkFiles(new Map(files), name => parsed.get(name)!)
+    return checkFiles(new Map(files), { parse: name => parsed.get(name)!, known: this.known })
   }
 
   private async parse (files: readonly PackedFile[]): Promise<ReadonlyMap<string, Parsed>> {
--- a/src/config/check-files.ts
+++ b/src/config/check-files.ts
@@ -14,6 +14,9 @@
 /** A folder that holds together: its configuration, and the entries it was merged from, with their places. */
 interface CheckedFiles { readonly configuration: Omit<Configuration, 'version'>, readonly root: Entry }
 
+/** `known` keeps the values of entries that `parse` gave before, and makes a check after a small change cheap. */
+interface CheckOptions { readonly parse?: typeof parseFile, readonly known?: WeakMap<Entry, unknown> }
+
 const EMPTY: Entry = { type: 'map', keys: new Map(), place: { file: '', line: 1, column: 1 }, replaced: [] }
 
 /**
@@ -24,7 +27,7 @@
  * checkFiles(new Map([['10-models.yaml', 'models: {}'], ['20-limits.yaml', 'limits: { deadline: 5 }']])).val
  * // [{ file: '20-limits.yaml', line: 1, column: 11, message: 'limits.deadline: 5 is out of bounds: 100 to 3600000 (ms)' }]
  */
-export function checkFiles (files: ReadonlyMap<string, string>, parse = parseFile): Result<CheckedFiles, readonly Finding[]> {
+export function checkFiles (files: ReadonlyMap<string, string>, { parse = parseFile, known }: CheckOptions = {}): Result<CheckedFiles, readonly Finding[]> {
   const findings: Finding[] = []
   const roots: [Entry, ...Entry[]] = [EMPTY]
   for (const [file, text] of [...files].sort(([a], [b]) => a < b ? -1 : 1)) {
@@ -35,7 +38,7 @@
     else roots.push(parsed.val)
   }
   const root = mergeEntries(roots)
-  const configuration = checkEntry(root, configurationSchema, '', findings) as Omit<Configuration, 'version'>
+  const configuration = checkEntry(root, configurationSchema, '', findings, known) as Omit<Configuration, 'version'>
   if (findings.length === 0) findings.push(...checkContradictions(configuration, root))
   return findings.length > 0 ? Err(orderFindings(findings)) : Ok({ configuration, root })
 }
--- a/src/config/configuration-distribution.ts
+++ b/src/config/configuration-distribution.ts
@@ -26,7 +26,8 @@
 
 const MESSAGE = 'configuration'
 const MESSAGE_TYPES = ['digest', 'ask head', 'head', 'ask parts', 'parts']
-const TICK_PERIOD = 1_000
+const TICK_PERIOD = 250
+const WATCHER_CHECK = 1_000
 const TICK_PEERS = 2
 const SPREAD_PEERS = 4
 const WATCHERS = 2
@@ -167,7 +168,7 @@
     while (this.running) {
       if (this.head !== undefined && !this.isWatcher()) {
         revision = -1
-        await this.pause(TICK_PERIOD)
+        await this.pause(WATCHER_CHECK)
         continue
       }
       if (this.clock.now() >= reread) revision = -1
--- a/src/coordination/step-version.ts
+++ b/src/coordination/step-version.ts
@@ -9,8 +9,10 @@
   /** Content hash of a part. A part whose hash isn't the one asked for is dropped. */
   readonly hash: (part: Part) => string
   readonly size: (part: Part) => number
-  /** After this long without an answer, the same is asked of somebody else. */
+  /** After this long without an answer it is asked again, by turns of the same and of somebody else. */
   readonly askTimeout?: number
+  /** How often the drawn peers are told our version. Ticks may come more often, and then ask again sooner. */
+  readonly digestPeriod?: number
   /** Most bytes of parts in one message; at least one part is sent. */
   readonly messageBytes?: number
   /** A holder that reads a head in the store fetches up to this many missing parts there, more from its peers. */
@@ -21,7 +23,8 @@
 
 type Options<Part> = Required<VersionOptions<Part>>
 
-const ASK_TIMEOUT = 400
+const ASK_TIMEOUT = 200
+const DIGEST_PERIOD = 1_000
 const MESSAGE_BYTES = 400_000
 const STORE_PARTS = 8
 const ASKED_PARTS = 200
@@ -43,7 +46,7 @@
  * state = step.state // and carry out step.effects: here { type: 'read parts', hashes: ['h1'] }
  */
 export function stepVersion<Part> (state: VersionState<Part>, event: VersionEvent<Part>, now: number, options: VersionOptions<Part>): Step<Part> {
-  const all = { askTimeout: ASK_TIMEOUT, messageBytes: MESSAGE_BYTES, storeParts: STORE_PARTS, ...options }
+  const all = { askTimeout: ASK_TIMEOUT, digestPeriod: DIGEST_PERIOD, messageBytes: MESSAGE_BYTES, storeParts: STORE_PARTS, ...options }
   switch (event.type) {
     case 'message': return handleMessage(state, event.from, event.message, now, all)
     case 'read head': return takeHead(state, event.head, { parts: event.parts }, now, all)
@@ -73,7 +76,7 @@
   if (version < own) return { state, effects: [{ type: 'send', to: from, message: { type: 'digest', version: own } }] }
   if (version <= (state.target?.version ?? own)) return keep(state)
   if (version <= state.asked.version && now - state.asked.at < askTimeout) return keep(state)
-  return { state: { ...state, asked: { version, at: now } }, effects: [{ type: 'send', to: from, message: { type: 'ask head' } }] }
+  return { state: { ...state, asked: { version, from, at: now } }, effects: [{ type: 'send', to: from, message: { type: 'ask head' } }] }
 }
 
 /** An old read of the store or a late message has a lower version than one known, and ends here. */
@@ -96,15 +99,30 @@
   return left.length === 0 ? act(next) : { state: next, effects: [fetchParts(left, from)] }
 }
 
-/** Tells the drawn peers our version; what was asked for and didn't come is asked of a peer and the store by turns. */
-function runTick<Part> (state: VersionState<Part>, now: number, { askTimeout }: Options<Part>): Step<Part> {
+/** Tells the drawn peers our version, and asks again for what didn't come. */
+function runTick<Part> (state: VersionState<Part>, now: number, { askTimeout, digestPeriod }: Options<Part>): Step<Part> {
+  const tell = now - state.told >= digestPeriod
   const version = state.head?.version ?? 0
-  const digests = state.peers.map(to => ({ type: 'send' as const, to, message: { type: 'digest' as const, version } }))
-  const missing = listMissing(state)
-  if (missing.length === 0 || now - state.fetched.at < askTimeout) return { state, effects: digests }
+  const digests = tell ? state.peers.map(to => ({ type: 'send' as const, to, message: { type: 'digest' as const, version } })) : []
+  const next = tell ? { ...state, told: now } : state
+  const again = state.target === undefined ? askHeadAgain(next, now, askTimeout) : askPartsAgain(next, now, askTimeout)
+  return { state: again.state, effects: [...digests, ...again.effects] }
+}
+
+/** A question or its answer was lost: the version heard of is still not known. */
+function askHeadAgain<Part> (state: VersionState<Part>, now: number, askTimeout: number): Step<Part> {
+  const { version, from, at } = state.asked
+  if (version <= (state.head?.version ?? 0) || from === undefined || now - at < askTimeout) return keep(state)
+  const tries = state.fetched.tries + 1
+  const to = tries % 2 === 1 ? from : state.peers[0] ?? from
+  return { state: { ...state, asked: { version, from, at: now }, fetched: { ...state.fetched, tries } }, effects: [{ type: 'send', to, message: { type: 'ask head' } }] }
+}
+
+function askPartsAgain<Part> (state: VersionState<Part>, now: number, askTimeout: number): Step<Part> {
+  if (now - state.fetched.at < askTimeout) return keep(state)
   const tries = state.fetched.tries + 1
-  const fetch = fetchParts<Part>(missing, tries % 2 === 1 ? state.peers[0] : undefined)
-  return { state: { ...state, fetched: { at: now, tries } }, effects: [...digests, fetch] }
+  const fetch = fetchParts<Part>(listMissing(state), tries % 2 === 1 ? state.asked.from ?? state.peers[0] : tries % 4 === 0 ? undefined : state.peers[0])
+  return { state: { ...state, fetched: { at: now, tries } }, effects: [fetch] }
 }
 
 function act<Part> (state: VersionState<Part>): Step<Part> {
--- a/src/coordination/version-state.ts
+++ b/src/coordination/version-state.ts
@@ -8,8 +8,10 @@
   readonly parts: ReadonlyMap<string, Part>
   /** Other holders drawn at the last tick. */
   readonly peers: readonly string[]
-  /** Highest version asked for and when (ms), so that many digests cause one question. */
-  readonly asked: { readonly version: number, readonly at: number }
+  /** Highest version heard of, who was asked for it and when (ms), so that many digests cause one question. */
+  readonly asked: { readonly version: number, readonly from?: string, readonly at: number }
+  /** When peers were last told our version (ms). */
+  readonly told: number
   /** When parts were last asked for (ms), and how often since the last ones came. */
   readonly fetched: { readonly at: number, readonly tries: number }
 }
