Leaving and shutdown: out of the addresses first, no connection closed while it may be in use

Ruled out: a fixed wait; http.Server.close, which ends idle connections by itself. Conclusion: whole; a caller that ignores the Keep-Alive hint isn't covered.

--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,5 +1,6 @@
 import { Builtins, type CommandClass } from 'clipanion'
 import { CheckCommand } from './check.js'
+import { DrainCommand } from './drain.js'
 import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
@@ -17,6 +18,7 @@
   StatusCommand,
   TimelineCommand,
   LoadCommand,
+  DrainCommand,
   StandInPlatformCommand,
   StandInEngineCommand,
   StandInServiceCommand
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -2,6 +2,7 @@
 import { readSettings } from '../config/read-settings.js'
 import { showFinding } from '../config/show-finding.js'
 import { EntryServer } from '../entry/entry-server.js'
+import { Shutdown } from '../kernel/shutdown.js'
 import { createLog } from '../observe/create-log.js'
 import { PeerLinks } from '../peers/peer-links.js'
 import { createDaemon } from './create-daemon.js'
@@ -33,7 +34,7 @@
       listening: daemon.container.resolve(EntryServer).port,
       peerPort: daemon.container.resolve(PeerLinks).port
     }) + '\n')
-    await waitForSignal()
+    await Promise.race([waitForSignal(), daemon.container.resolve(Shutdown).wait()])
     log.write('info', 'kernel', 'shuts down')
     await daemon.shutDown()
     log.write('info', 'kernel', 'ended')
--- /dev/null
+++ b/src/entry/connection-table.ts
@@ -0,0 +1,52 @@
+interface Connection { readonly address: string, open: number, idleSince: number }
+
+/**
+ * The open connections of callers: how many each address has, what is under way on each, and since when it is idle.
+ * Times in monotonic ms.
+ */
+export class ConnectionTable<Key> {
+  private readonly connections = new Map<Key, Connection>()
+  private readonly byAddress = new Map<string, number>()
+
+  get size (): number {
+    return this.connections.size
+  }
+
+  /** Connections that `address` has open. */
+  count (address: string): number {
+    return this.byAddress.get(address) ?? 0
+  }
+
+  add (key: Key, address: string, now: number): void {
+    this.connections.set(key, { address, open: 0, idleSince: now })
+    this.byAddress.set(address, this.count(address) + 1)
+  }
+
+  remove (key: Key): void {
+    const connection = this.connections.get(key)
+    if (connection === undefined) return
+    this.connections.delete(key)
+    const left = this.count(connection.address) - 1
+    if (left === 0) this.byAddress.delete(connection.address)
+    else this.byAddress.set(connection.address, left)
+  }
+
+  /** An exchange begins on the connection; false where there is none such. */
+  begin (key: Key): boolean {
+    const connection = this.connections.get(key)
+    if (connection !== undefined) connection.open++
+    return connection !== undefined
+  }
+
+  end (key: Key, now: number): void {
+    const connection = this.connections.get(key)
+    if (connection === undefined) return
+    connection.open--
+    connection.idleSince = now
+  }
+
+  /** Connections without an exchange for `time` ms or longer. */
+  listIdle (now: number, time: number): readonly Key[] {
+    return [...this.connections].filter(([, { open, idleSince }]) => open === 0 && now - idleSince >= time).map(([key]) => key)
+  }
+}
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -4,19 +4,28 @@
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import { createAppServer } from '../http/create-app-server.js'
 import { listen } from '../http/listen.js'
+import type { Clock } from '../kernel/clock.js'
 import { Extensions } from '../kernel/extensions.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
+import { Metrics } from '../observe/metrics.js'
 import { Members } from '../peers/members.js'
+import { Addresses } from './addresses.js'
 import { authenticate } from './authenticate.js'
+import { CallerConnections } from './caller-connections.js'
+import { handleClientError } from './handle-client-error.js'
+import { isOperator } from './is-operator.js'
 import type { Route } from './route.js'
 import { routePoint } from './route-point.js'
 import { sendProblem } from './send-problem.js'
 
 const HEADERS_TIMEOUT = 10_000
+const TIMEOUT_CHECK = 1_000
+/** Above what callers are told (5 s), so that it is theirs to close an idle connection first. */
+const KEEP_ALIVE_TIMEOUT = 15_000
 
 /** The HTTP interface for callers and operators: the routes that the parts contribute, each behind its check. */
 @scoped(Lifecycle.ContainerScoped)
@@ -25,15 +34,23 @@
   port = 0
   private readonly server: Server
   private readonly app = new App()
+  private readonly connections: CallerConnections
 
   constructor (
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(Members) private readonly members: Members,
+    @inject(Addresses) private readonly addresses: Addresses,
+    @inject(tokens.clock) clock: Clock,
+    @inject(Metrics) metrics: Metrics,
     @inject(Extensions) private readonly added: Extensions
   ) {
-    this.server = createAppServer(this.app, { headersTimeout: HEADERS_TIMEOUT })
+    this.server = createAppServer(this.app, { headersTimeout: HEADERS_TIMEOUT, connectionsCheckingInterval: TIMEOUT_CHECK, keepAliveTimeout: KEEP_ALIVE_TIMEOUT })
+    this.connections = new CallerConnections(this.server, clock)
+    this.server.on('clientError', handleClientError)
+    this.app.use((req, res, next) => this.connections.begin(req, res) ? next() : res.destroy())
+    metrics.gauge('entry_connections', () => this.connections.size)
   }
 
   async start (): Promise<void> {
@@ -45,11 +62,15 @@
     void this.configuration.waitForFirst().then(() => this.members.update({ ready: true }))
   }
 
-  /** Resolves once every open exchange has ended. */
+  /**
+   * Leaves the addresses, serves on until no kept answer names this daemon, then ends each connection with its last
+   * answer. Whatever other parts do meanwhile, routes go on being served.
+   */
   async drain (): Promise<void> {
-    const closed = new Promise(resolve => this.server.close(resolve))
-    this.server.closeIdleConnections()
-    await closed
+    this.log.write('info', 'entry', 'leaves')
+    await this.addresses.leave()
+    this.log.write('info', 'entry', 'closes', { connections: this.connections.size })
+    await this.connections.close()
   }
 
   private addRoute (route: Route): void {
@@ -69,7 +90,7 @@
     switch (route.access) {
       case 'public': return ''
       case 'operator': {
-        if (req.headers.authorization === `Bearer ${this.settings.operatorToken}`) return ''
+        if (isOperator(req, this.settings.operatorToken)) return ''
         break
       }
       case 'caller': {
--- a/src/entry/operator-routes.ts
+++ b/src/entry/operator-routes.ts
@@ -6,6 +6,7 @@
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
+import { Shutdown } from '../kernel/shutdown.js'
 import { tokens } from '../kernel/tokens.js'
 import { Members } from '../peers/members.js'
 import { InstanceList } from '../platform/instance-list.js'
@@ -18,6 +19,7 @@
   readonly extensions = ([
     { method: 'get', path: '/operator/account', access: 'operator', handle: (_req, res) => sendJson(res, 200, { instance: this.settings.instance, rows: this.account.read() }) },
     { method: 'get', path: '/operator/status', access: 'operator', handle: (_req, res) => this.showStatus(res) },
+    { method: 'post', path: '/operator/drain', access: 'operator', handle: (_req, res) => this.beginDrain(res) },
     { method: 'get', path: '/healthz', access: 'public', handle: (_req, res) => sendJson(res, 200, { status: 'ok' }) },
     { method: 'get', path: '/readyz', access: 'public', handle: (_req, res) => this.showReady(res) }
   ] satisfies Route[]).map(route => routePoint.of(route))
@@ -27,11 +29,17 @@
     @inject(Account) private readonly account: Account,
     @inject(Members) private readonly members: Members,
     @inject(InstanceList) private readonly list: InstanceList,
+    @inject(Shutdown) private readonly shutdown: Shutdown,
     @inject(tokens.settings) private readonly settings: Settings
   ) {}
 
+  private beginDrain (res: Response): void {
+    sendJson(res, 202, { instance: this.settings.instance, state: 'draining' })
+    this.shutdown.begin()
+  }
+
   private showReady (res: Response): void {
-    const ready = this.configuration.value.version > 0
+    const ready = this.configuration.value.version > 0 && this.members.self.state !== 'leaving'
     sendJson(res, ready ? 200 : 503, { ready, configuration: this.configuration.value.version })
   }
 
--- a/src/kernel/part.ts
+++ b/src/kernel/part.ts
@@ -7,7 +7,10 @@
 export interface Part {
   readonly extensions?: readonly Extension[]
   start? (): Promise<void>
-  /** Takes no new work from here on; resolves once what was running has ended. */
+  /**
+   * Begins no work of its own from here on; resolves once what was running has ended. Requests still come in by the
+   * entry while parts drain, and are to be served as before.
+   */
   drain? (): Promise<void>
   /** Lets go of sockets and timers. */
   stop? (): Promise<void>
--- /dev/null
+++ b/test/entry/caller-connections.test.ts
@@ -0,0 +1,62 @@
+import test, { type ExecutionContext } from 'ava'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import { connect, type AddressInfo, type Socket } from 'node:net'
+import { CallerConnections } from '../../src/entry/caller-connections.js'
+import { VirtualClock } from '../helpers/virtual-clock.js'
+
+const ASK = 'GET / HTTP/1.1\r\nhost: h\r\n\r\n'
+
+async function setUp (t: ExecutionContext) {
+  const clock = new VirtualClock()
+  const server = createServer((req, res) => {
+    if (connections.begin(req, res)) res.end('answer')
+    else res.destroy()
+  })
+  const connections = new CallerConnections(server, clock)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  t.teardown(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+  const open = async (): Promise<Socket> => {
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    await once(socket, 'connect')
+    return socket
+  }
+  return { clock, connections, open }
+}
+
+async function ask (socket: Socket): Promise<string> {
+  socket.write(ASK)
+  return await Promise.race([once(socket, 'data').then(([data]) => String(data)), once(socket, 'close').then(() => 'closed')])
+}
+
+// A caller sends on its idle connection while the daemon is closing. Had the daemon closed it at that moment, as the
+// HTTP server does by itself, the request would be cut, and the caller couldn't tell whether it ran.
+test('a request on an idle connection is still answered while closing, and ends the connection', async t => {
+  const { clock, connections, open } = await setUp(t)
+  const [socket, idle] = [await open(), await open()]
+  t.regex(await ask(socket), /keep-alive: timeout=5/i)
+  const closed = connections.close()
+  await clock.advance(5_000)
+  t.is(connections.size, 2)
+  const ends = [socket, idle].map(async socket => await once(socket.resume(), 'close'))
+  t.regex(await ask(socket), /connection: close[^]*answer/i)
+  await ends[0]
+  await clock.advance(1_000)
+  await ends[1]
+  while (connections.size > 0) await new Promise(resolve => setImmediate(resolve))
+  await clock.advance(1_000)
+  await closed
+  t.is(connections.size, 0)
+})
+
+// One caller opens connections without end. It is told so, and those of other addresses still find room.
+test('connections of one address above its limit get a problem document', async t => {
+  const { open } = await setUp(t)
+  for (let i = 0; i < 1_000; i += 100) await Promise.all(Array.from({ length: 100 }, open))
+  const refused = await open()
+  t.regex(String((await once(refused, 'data'))[0]), /^HTTP\/1.1 503[^]*too-many-connections[^]*not run/)
+})
