--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,6 +1,7 @@
 import { Builtins, type CommandClass } from 'clipanion'
 import { ApplyCommand } from './apply.js'
 import { CheckCommand } from './check.js'
+import { DrainCommand } from './drain.js'
 import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
@@ -19,6 +20,7 @@
   StatusCommand,
   TimelineCommand,
   LoadCommand,
+  DrainCommand,
   StandInPlatformCommand,
   StandInEngineCommand,
   StandInServiceCommand
