--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -12,7 +12,7 @@
 import type { ServerRequest } from '../routing/server-request.js'
 import { Servers } from '../routing/servers.js'
 import { Account } from './account.js'
-import { PoolQueue, type Waiting } from './pool-queue.js'
+import { PoolQueue } from './pool-queue.js'
 import type { Refusal } from './refusal.js'
 
 const LEAST_RETRY_AFTER = 1_000
@@ -30,7 +30,6 @@
 @scoped(Lifecycle.ContainerScoped)
 export class Gate implements Part {
   private readonly queues = new Map<string, PoolQueue>()
-  private readonly requests = new WeakMap<Waiting, ServerRequest>()
   private cancel = (): void => {}
 
   constructor (
@@ -77,9 +76,8 @@
       }
       const refuse = (cause: Refusal['cause'], retryAfter: number): void => settle(Err(this.refuse(cause, retryAfter)))
       const start = (cost: number): void => settle(this.run(queue, share, request, cost))
-      const waiting: Waiting = { caller, share, deadline, start, refuse }
-      this.requests.set(waiting, request)
-      const leave = queue.add(waiting, asked)
+      const hasPlace = (): boolean => this.dispatcher.hasPlace(request)
+      const leave = queue.add({ caller, share, deadline, hasPlace, start, refuse }, asked)
       const limit = Math.min(this.configuration.value.limits.queueWait, deadline - asked)
       stops.push(this.clock.after(limit, () => {
         leave()
@@ -112,7 +110,7 @@
 
   private letIn (): void {
     for (const queue of this.queues.values()) {
-      for (let next = queue.peek(); next !== undefined && this.dispatcher.hasPlace(this.requests.get(next)!); next = queue.peek()) queue.take()
+      while (queue.peek()?.hasPlace() === true) queue.take()
     }
   }
 
--- a/src/admission/pool-queue.ts
+++ b/src/admission/pool-queue.ts
@@ -8,10 +8,12 @@
 const FIRST_COST = 200
 
 /** A request that waits, as the queue knows it. Times in monotonic ms. */
-export interface Waiting {
+interface Waiting {
   readonly caller: string
   readonly share: number
   readonly deadline: number
+  /** Whether there is a place for it now. */
+  readonly hasPlace: () => boolean
   /** Lets it in. */
   readonly start: (cost: number) => void
   readonly refuse: (cause: Refusal['cause'], retryAfter: number) => void
--- a/src/routing/backend-server.ts
+++ b/src/routing/backend-server.ts
@@ -9,10 +9,8 @@
   readonly leaving: boolean
   /** Requests of this daemon in flight there. */
   readonly inFlight: number
-  /** Requests in flight there as far as known: ours, or its owner's count over all daemons where that is higher. */
+  /** Requests in flight there as far as known: ours, and what its owner last counted of the other daemons'. */
   readonly load: number
   /** Requests of this daemon that may be in flight there; 0 while it is ejected. */
   readonly limit: number
-  /** Requests of all daemons that may be in flight there, by its owner. */
-  readonly totalLimit: number
 }
--- a/src/routing/choose-server.ts
+++ b/src/routing/choose-server.ts
@@ -41,8 +41,8 @@
   return choice[first]!.load <= choice[second]!.load ? choice[first] : choice[second]
 }
 
-function hasPlace ({ leaving, inFlight, load, limit, totalLimit }: BackendServer, highest: number): boolean {
-  return !leaving && inFlight < Math.min(limit, highest) && load < totalLimit
+function hasPlace ({ leaving, inFlight, limit }: BackendServer, highest: number): boolean {
+  return !leaving && inFlight < Math.min(limit, highest)
 }
 
 /**
--- a/src/routing/model-stream.ts
+++ b/src/routing/model-stream.ts
@@ -35,7 +35,7 @@
   readonly body: Readable
   /** Why it ended before it was whole. */
   failure?: Refusal
-  private progress: StreamProgress = { tokens: [], finished: false, done: false, resumable: true }
+  private progress: StreamProgress = { tokens: [], carried: 0, finished: false, done: false, resumable: true }
 
   constructor (private current: OpenExchange, private readonly options: ModelStreamOptions) {
     this.body = Readable.from(this.relay(), { objectMode: false })
@@ -88,7 +88,8 @@
 
   /** An answer that has named its end lacks nothing but the mark; any other that stops is cut. */
   private async * finish (failure: SendFailure): AsyncGenerator<string, SendFailure | undefined> {
-    if (!this.progress.finished || failure.why === 'abandoned') return failure
+    const lacksUsage = this.options.model.includeUsage && this.progress.usage === undefined
+    if (!this.progress.finished || lacksUsage || failure.why === 'abandoned') return failure
     this.progress = { ...this.progress, done: true }
     await this.current.fail(failure)
     yield DONE
@@ -109,10 +110,12 @@
     const { delivery, model, canResume } = this.options
     const { tokens, resumable } = this.progress
     const started = tokens.length > 0
+    if (this.progress.finished) return Err(delivery.refuse('server failed', 'the answer was cut before its usage came'))
     if (started && !(canResume && resumable)) return Err(delivery.refuse('server failed', `the answer was cut (${failure.why}) and its servers can't resume it`))
     const refusal = delivery.plan(failure)
     if (refusal !== undefined) return Err(refusal)
     const next = await delivery.open(started ? model.resume(tokens) : delivery.request.body ?? null)
+    this.progress = { ...this.progress, carried: tokens.length }
     if (next.err || next.val.exchange.isStream()) return next
     next.val.end('abandoned')
     return Err(delivery.refuse('server failed', `the next server answered ${next.val.exchange.status}`))
--- a/src/routing/read-model-request.ts
+++ b/src/routing/read-model-request.ts
@@ -12,6 +12,7 @@
     const value = JSON.parse(body.toString())
     return {
       stream: value.stream === true,
+      includeUsage: value.stream_options?.include_usage === true,
       prefix: showPrompt(value).slice(0, PREFIX_LENGTH),
       resume: tokens => Buffer.from(JSON.stringify({ ...value, resume_from: tokens }))
     }
--- a/src/routing/server-views.ts
+++ b/src/routing/server-views.ts
@@ -5,6 +5,7 @@
 @scoped(Lifecycle.ContainerScoped)
 export class ServerViews {
   private readonly views = new Map<string, ServerView>()
+  private readonly listeners = new Set<(view: ServerView) => void>()
 
   get (server: string): ServerView | undefined {
     return this.views.get(server)
@@ -12,7 +13,14 @@
 
   /** Takes a view unless it comes from an earlier owner than the one known. */
   update (view: ServerView): void {
-    if (view.fencing >= (this.views.get(view.server)?.fencing ?? 0)) this.views.set(view.server, view)
+    if (view.fencing < (this.views.get(view.server)?.fencing ?? 0)) return
+    this.views.set(view.server, view)
+    for (const listener of this.listeners) listener(view)
+  }
+
+  /** Calls `listener` with each view that is taken. */
+  subscribe (listener: (view: ServerView) => void): void {
+    this.listeners.add(listener)
   }
 
   remove (server: string): void {
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -7,13 +7,17 @@
 import { tokens } from '../kernel/tokens.js'
 import { InstanceList } from '../platform/instance-list.js'
 import type { BackendServer } from './backend-server.js'
+import { Members } from '../peers/members.js'
 import { markSent } from './mark-sent.js'
+import { planPart } from './plan-part.js'
 import type { ServerHealth } from './server-health.js'
 import { ServerViews } from './server-views.js'
 import { stepServerHealth } from './step-server-health.js'
 
 /** How long an idle connection is kept for reuse, ms. */
 const KEEP_ALIVE = 500
+/** How long an owner's count of the other daemons' requests is gone by, ms. */
+const COUNT_HOLDS = 1_000
 
 /**
  * The backend servers, what this daemon has in flight on each, and its connections to them. Online and batch have
@@ -31,13 +35,19 @@
   private readonly counts = new Map<string, number>()
   private readonly health = new Map<string, ServerHealth>()
   private readonly limits = new Map<string, AdaptiveLimit>()
+  private readonly others = new Map<string, { readonly count: number, readonly at: number }>()
   private readonly listeners = new Set<() => void>()
 
   constructor (
     @inject(InstanceList) private readonly list: InstanceList,
     @inject(ServerViews) private readonly views: ServerViews,
+    @inject(Members) private readonly members: Members,
     @inject(tokens.clock) private readonly clock: Clock
-  ) {}
+  ) {
+    views.subscribe(({ server, online }) => {
+      this.others.set(server, { count: Math.max(0, online - (this.counts.get(server) ?? 0)), at: clock.now() })
+    })
+  }
 
   async stop (): Promise<void> {
     await Promise.all([this.pools.online.destroy(), this.pools.batch.destroy()])
@@ -47,6 +57,7 @@
     return this.list.all.filter(instance => instance.pool === pool).map(({ name, host, port, failureDomain, state }) => {
       const view = this.views.get(name)
       const inFlight = this.counts.get(name) ?? 0
+      const others = this.countOthers(name)
       return {
         name,
         pool,
@@ -54,9 +65,8 @@
         url: `http://${host}:${port}`,
         leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
         inFlight,
-        load: Math.max(inFlight, view?.online ?? 0),
-        limit: this.readLimit(name),
-        totalLimit: view?.limit ?? Infinity
+        load: inFlight + (others ?? 0),
+        limit: Math.min(this.readLimit(name), planPart({ limit: view?.limit, others, daemons: this.daemons() }))
       }
     })
   }
@@ -112,6 +122,16 @@
     })
   }
 
+  /** What the other daemons had in flight there by a view that isn't too old to go by. */
+  private countOthers (server: string): number | undefined {
+    const told = this.others.get(server)
+    return told !== undefined && this.clock.now() - told.at <= COUNT_HOLDS ? told.count : undefined
+  }
+
+  private daemons (): number {
+    return Math.max(1, this.members.owners().length)
+  }
+
   private readLimit (server: string): number {
     const health = this.health.get(server)
     if (health !== undefined && health.ejections > 0) return this.clock.now() < health.ejectedUntil ? 0 : 1
@@ -123,4 +143,4 @@
   return new Agent({ connections, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining: 1 })
 }
 
-partRegistry.register({ name: 'servers', part: Servers, needs: ['instance list'] })
+partRegistry.register({ name: 'servers', part: Servers, needs: ['instance list', 'members'] })
--- a/src/routing/step-progress.ts
+++ b/src/routing/step-progress.ts
@@ -4,13 +4,15 @@
 const DONE = '[DONE]'
 
 interface Choice { readonly index?: number, readonly text?: string, readonly finish_reason?: string | null, readonly delta?: Readonly<Record<string, unknown>> }
-interface Chunk { id?: string, readonly choices?: readonly Choice[], readonly usage?: { readonly completion_tokens?: number } | null }
+interface Usage { readonly completion_tokens?: number, readonly total_tokens?: number }
+interface Chunk { id?: string, readonly choices?: readonly Choice[], readonly usage?: Usage | null }
 
 interface Step { readonly progress: StreamProgress, readonly relay?: string }
 
 /**
  * Takes one event of a streamed answer. `relay` is what the caller is to see of it, under the id of the first chunk
- * though a later server may have given another; it is absent for what the caller has already seen.
+ * though a later server may have given another, and with the usage of all servers; it is absent for what the caller has
+ * already seen.
  */
 export function stepProgress (progress: StreamProgress, { data, raw }: SseEvent): Step {
   if (data === '') return { progress, relay: raw }
@@ -20,17 +22,25 @@
   const choice = chunk.choices?.[0]
   const text = choice?.text ?? choice?.delta?.content
   const repeated = progress.id !== undefined && choice !== undefined && (text === undefined || text === '') && choice.finish_reason == null && isPlain(choice)
+  const usage = chunk.usage == null ? undefined : addCarried(chunk.usage, progress.carried)
   const next: StreamProgress = {
     tokens: typeof text === 'string' && text !== '' ? [...progress.tokens, text] : progress.tokens,
     id: progress.id ?? chunk.id,
     finished: progress.finished || choice?.finish_reason != null,
     done: progress.done,
     resumable: progress.resumable && (chunk.choices?.every(({ index = 0 }) => index === 0) ?? true) && (choice === undefined || isPlain(choice)),
-    usage: chunk.usage?.completion_tokens ?? progress.usage
+    carried: progress.carried,
+    usage: usage?.completion_tokens ?? progress.usage
   }
   if (repeated) return { progress: next }
   const renamed = progress.id !== undefined && chunk.id !== undefined && chunk.id !== progress.id
-  return { progress: next, relay: renamed ? `data: ${JSON.stringify({ ...chunk, id: progress.id })}\n\n` : raw }
+  const changed = renamed || (usage !== undefined && progress.carried > 0)
+  return { progress: next, relay: changed ? `data: ${JSON.stringify({ ...chunk, id: next.id, ...(usage && { usage }) })}\n\n` : raw }
+}
+
+function addCarried (usage: Usage, carried: number): Usage {
+  const { completion_tokens: completion = 0, total_tokens: total = 0 } = usage
+  return { ...usage, completion_tokens: completion + carried, total_tokens: total + carried }
 }
 
 /** Whether the chunk carries nothing but text: tool calls and the like can't be continued from tokens. */
--- a/src/routing/stream-progress.ts
+++ b/src/routing/stream-progress.ts
@@ -10,6 +10,8 @@
   readonly done: boolean
   /** Whether the tokens are all there is to continue from: one choice and plain text. */
   readonly resumable: boolean
-  /** Completion tokens by the server's own count, where it gave one. */
+  /** Tokens that earlier servers gave, which the present one doesn't count. */
+  readonly carried: number
+  /** Completion tokens by the servers' own count, where they gave one. */
   readonly usage?: number
 }
--- a/stand-ins/engine/engine-model.ts
+++ b/stand-ins/engine/engine-model.ts
@@ -1,3 +1,4 @@
+import { appendFileSync } from 'node:fs'
 import { Random } from '../../src/kernel/random.js'
 import { answerWords } from './answer-words.js'
 import { Batcher } from './batcher.js'
@@ -58,6 +59,7 @@
   start (completion: Completion, requestId: string, body: string, write: TokenWriter): Run {
     const record: RunRecord = { requestId, at: Date.now(), body, outcome: 'running', tokens: 0 }
     this.log.push(record)
+    if (this.parameters.runFile !== undefined) appendFileSync(this.parameters.runFile, `${requestId}\n`)
     const sequence = this.createSequence(completion, requestId, (word, last) => {
       record.firstTokenAt ??= Date.now()
       record.tokens!++
--- a/stand-ins/engine/engine-parameters.ts
+++ b/stand-ins/engine/engine-parameters.ts
@@ -37,6 +37,8 @@
   readonly weightBytes: number
   /** Rate of the weight store. */
   readonly weightBytesPerSecond: number
+  /** File to which the id of each run is added as it starts; unlike the log it outlives the process. */
+  readonly runFile?: string
   /** Seeds the random choices: gaps in cache events, answers that a fault hits. */
   readonly seed: number
 }
--- a/test/routing/model-stream.test.ts
+++ b/test/routing/model-stream.test.ts
@@ -75,3 +75,20 @@
     t.is((await readStream(bench)).text, answerWords(PROMPT, TOKENS).join(' '))
   }
 })
+
+// The second server counts only the tokens that it gave itself. A caller that pays by the usage of the last event
+// has to see the tokens of both.
+test('the usage of a resumed stream counts the tokens of every server', async t => {
+  const { bench, urls, stop } = await DispatchBench.start(2)
+  t.teardown(stop)
+  for (const faulty of urls) {
+    await setFaults(urls, {})
+    await setFaults([faulty], { cutAfter: 3 })
+    const body = Buffer.from(JSON.stringify({ model: 'assistant', stream: true, stream_options: { include_usage: true }, max_tokens: TOKENS, messages: [{ role: 'user', content: PROMPT }] }))
+    const answer = (await bench.dispatcher.send(bench.request(PROMPT, { body }))).unwrap()
+    const text = (await answer.body.toArray()).join('')
+    answer.end(true)
+    t.is(/"completion_tokens":(\d+)/.exec(text)?.[1], String(TOKENS))
+    t.true(text.endsWith('data: [DONE]\n\n'))
+  }
+})
--- a/test/routing/step-progress.test.ts
+++ b/test/routing/step-progress.test.ts
@@ -4,7 +4,7 @@
 import { stepProgress } from '../../src/routing/step-progress.js'
 import type { StreamProgress } from '../../src/routing/stream-progress.js'
 
-const EMPTY: StreamProgress = { tokens: [], finished: false, done: false, resumable: true }
+const EMPTY: StreamProgress = { tokens: [], carried: 0, finished: false, done: false, resumable: true }
 
 function showChunk (id: string, delta: object, finish: string | null = null): string {
   return `data: ${JSON.stringify({ id, choices: [{ index: 0, delta, finish_reason: finish }] })}\n\n`
