--- /dev/null
+++ b/src/admission/account-day.ts
@@ -0,0 +1,13 @@
+import type { AccountRows } from './account-rows.js'
+
+/** One shard of a day's sums: the callers whose hash falls into it. */
+export interface AccountDay {
+  /** YYYY-MM-DD, UTC. */
+  readonly day: string
+  readonly shard: number
+  readonly rows: AccountRows
+  /** Names of the parts that are in the sums, so that none is added twice. */
+  readonly folded: readonly string[]
+  /** Online requests that folded parts which were never closed may lack. */
+  readonly mayMiss: number
+}
--- /dev/null
+++ b/src/admission/account-flush.ts
@@ -0,0 +1,84 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import { accountLimits } from './account-limits.js'
+import { Account } from './account.js'
+import { AccountWriter } from './account-writer.js'
+
+/** How often it is looked whether a flush is due, ms. */
+const CHECK_PERIOD = 1_000
+
+/**
+ * Flushes the account: at the end of each period with something to tell, at once after many requests, and at the
+ * end. A daemon that is killed takes with it what it counted since: without the second bound that would be a whole
+ * period of the busiest moment.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class AccountFlush implements Part {
+  private readonly writer: AccountWriter
+  private readonly started: number
+  private flushedAsked = 0
+  /** Monotonic ms before which none is due, but for many requests or the end. */
+  private due: number
+  /** Monotonic ms before which a failed one isn't tried again. */
+  private retryAt = 0
+  private last: Promise<boolean> = Promise.resolve(true)
+  private running = false
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(Account) private readonly account: Account,
+    @inject(tokens.store) store: ObjectStore,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.started = clock.date()
+    this.writer = new AccountWriter({ store, instance: settings.instance, started: this.started })
+    this.due = clock.now() + accountLimits.period
+    account.subscribe(() => { if (account.askedOnline - this.flushedAsked >= accountLimits.unflushed) this.begin() })
+  }
+
+  /** The run is known to the platform before it counts: one that was killed before its first flush would leave no trace. */
+  async start (): Promise<void> {
+    await this.flush(false)
+    this.cancel = this.clock.every(CHECK_PERIOD, () => { if (this.clock.now() >= this.due) this.begin() })
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+    await this.flush(true)
+  }
+
+  /** Flushes; gives back this run if all of it is in the platform, undefined if not. */
+  async flushNow (): Promise<{ readonly instance: string, readonly started: number } | undefined> {
+    return await this.flush(false) ? { instance: this.settings.instance, started: this.started } : undefined
+  }
+
+  private begin (): void {
+    if (!this.running && this.clock.now() >= this.retryAt) void this.flush(false)
+  }
+
+  /** One after the other: each is a conditional update on the one before. */
+  private async flush (closed: boolean): Promise<boolean> {
+    this.last = this.last.then(async () => await this.write(closed))
+    return await this.last
+  }
+
+  private async write (closed: boolean): Promise<boolean> {
+    this.running = true
+    const { askedOnline } = this.account
+    const written = await this.writer.flush({ rows: this.account.read(), askedOnline, date: this.clock.date() }, closed)
+    this.running = false
+    if (written) this.flushedAsked = askedOnline
+    const now = this.clock.now()
+    this.retryAt = written ? 0 : now + CHECK_PERIOD
+    this.due = written ? now + accountLimits.period : this.retryAt
+    return written
+  }
+}
+
+partRegistry.register({ name: 'account flush', part: AccountFlush })
--- /dev/null
+++ b/src/admission/account-fold.ts
@@ -0,0 +1,50 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Members } from '../peers/members.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import { accountLimits } from './account-limits.js'
+import type { AccountPart } from './account-part.js'
+import { foldPart } from './fold-part.js'
+import { readAll } from './read-all.js'
+
+const PERIOD = 300_000
+
+/**
+ * Folds the parts of runs that have ended into their days, so that objects don't pile up with each restart. One daemon
+ * does it, by rendezvous; two at once do no harm.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class AccountFold implements Part {
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(Members) private readonly members: Members,
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(PERIOD, () => { void this.fold() })
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  private async fold (): Promise<void> {
+    if (rankOwners('account fold', this.members.owners())[0] !== this.settings.instance) return
+    const parts = (await readAll<AccountPart>(this.store, 'account')).unwrapOr([])
+    for (const part of parts) {
+      const { closed, flushedAt } = part.value
+      if (closed || this.clock.date() - flushedAt > accountLimits.foldAfter) await foldPart(this.store, part)
+    }
+  }
+}
+
+partRegistry.register({ name: 'account fold', part: AccountFold, needs: ['members'] })
--- /dev/null
+++ b/src/admission/account-limits.ts
@@ -0,0 +1,15 @@
+/** Bounds of what the account may miss and of what it keeps in the platform. Times in ms. */
+export const accountLimits = {
+  /** Longest time between two flushes while the platform answers. */
+  period: 10_000,
+  /** Online requests after which a flush doesn't wait for the period. */
+  unflushed: 200,
+  /** What a flush may take: one call and the reading back of its reply. */
+  flushTime: 5_000,
+  /** Rows after which a part is closed and the next begun, so that an object stays under 1 MB. */
+  rows: 3_000,
+  /** Time after which a part that wasn't closed and isn't flushed any more is folded into its day. */
+  foldAfter: 3_600_000,
+  /** Objects over which a day's callers are spread. */
+  shards: 16
+} as const
--- /dev/null
+++ b/src/commands/account.ts
@@ -0,0 +1,33 @@
+import { Command, Option } from 'clipanion'
+import type { AccountCounts } from '../admission/account-counts.js'
+import type { MergedAccount } from '../admission/merged-account.js'
+import { EntryCommand } from './entry-command.js'
+
+/** Shows what each caller asked for, got and was refused, over the whole fleet. */
+export class AccountCommand extends EntryCommand {
+  static override paths = [['account']]
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'show what each caller asked for, got and was refused',
+    details: 'Figures of other daemons are up to 10 s old; the last line says how many requests may lack. Exit codes: 0 shown; 1 refused; 2 wrong usage; 3 no daemon answered.',
+    examples: [['What one caller got since a day', 'citronwheel account --entry http://10.0.0.1:8080 --token TOKEN --caller quay-desk --since 2026-12-01']]
+  })
+
+  caller = Option.String('--caller', { description: 'show this caller only' })
+  since = Option.String('--since', { description: 'first day to count, as YYYY-MM-DD' })
+
+  async execute (): Promise<number> {
+    const query = new URLSearchParams({ ...(this.caller && { caller: this.caller }), ...(this.since && { since: this.since }) })
+    const account = await this.client().call<MergedAccount>('GET', `/operator/account?${query}`)
+    return this.show(account, ({ rows, mayMiss, whole }) => [
+      ...Object.entries(rows).sort(([a], [b]) => a < b ? -1 : 1).map(([name, counts]) => writeRow(name, counts)),
+      `may lack up to ${mayMiss.asked} online requests, of ${mayMiss.runs.length} runs`,
+      ...whole ? [] : ['the platform could not be read: the figures are of the daemon asked only']
+    ].join('\n'))
+  }
+}
+
+function writeRow (name: string, { asked, answered, tokens, waited, refused, failed }: AccountCounts): string {
+  const causes = [...Object.entries(refused).map(([cause, n]) => `${n} refused (${cause})`), ...Object.entries(failed).map(([cause, n]) => `${n} failed (${cause})`)]
+  return [name, `${asked} asked`, `${answered} answered`, `${tokens} tokens`, `${Math.round(waited)} ms waited`, ...causes].join('  ')
+}
--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,4 +1,5 @@
 import { Builtins, type CommandClass } from 'clipanion'
+import { AccountCommand } from './account.js'
 import { ApplyCommand } from './apply.js'
 import { CheckCommand } from './check.js'
 import { LoadCommand } from './load.js'
@@ -18,6 +19,7 @@
   CheckCommand,
   StatusCommand,
   TimelineCommand,
+  AccountCommand,
   LoadCommand,
   StandInPlatformCommand,
   StandInEngineCommand,
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -147,6 +147,7 @@
     } catch {
       answer.end(false)
       res.destroy()
+      this.account.count(caller, service, 'online', { type: 'failed', cause: 'cut' })
       this.timeline.record({ part: 'entry', what: 'cut', request: id })
     }
   }
--- a/src/entry/operator-routes.ts
+++ b/src/entry/operator-routes.ts
@@ -1,6 +1,5 @@
 import type { Response } from '@tinyhttp/app'
 import { inject, Lifecycle, scoped } from 'tsyringe'
-import { Account } from '../admission/account.js'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import { sendJson } from '../http/send-json.js'
 import type { Part } from '../kernel/part.js'
@@ -12,11 +11,10 @@
 import type { Route } from './route.js'
 import { routePoint } from './route-point.js'
 
-/** What operators ask of a daemon: the account, the members and whether it is ready. */
+/** What operators ask of a daemon: the members and whether it is ready. */
 @scoped(Lifecycle.ContainerScoped)
 export class OperatorRoutes implements Part {
   readonly extensions = ([
-    { method: 'get', path: '/operator/account', access: 'operator', handle: (_req, res) => sendJson(res, 200, { instance: this.settings.instance, rows: this.account.read() }) },
     { method: 'get', path: '/operator/status', access: 'operator', handle: (_req, res) => this.showStatus(res) },
     { method: 'get', path: '/healthz', access: 'public', handle: (_req, res) => sendJson(res, 200, { status: 'ok' }) },
     { method: 'get', path: '/readyz', access: 'public', handle: (_req, res) => this.showReady(res) }
@@ -24,7 +22,6 @@
 
   constructor (
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
-    @inject(Account) private readonly account: Account,
     @inject(Members) private readonly members: Members,
     @inject(InstanceList) private readonly list: InstanceList,
     @inject(tokens.settings) private readonly settings: Settings
--- /dev/null
+++ b/test/admission/account-whole.test.ts
@@ -0,0 +1,38 @@
+import test from 'ava'
+import { CallerClient } from '../../harness/caller-client.js'
+import { Fleet } from '../../harness/fleet.js'
+
+const DAEMONS = 3
+const REQUESTS = 25
+const TOKENS = 4
+
+// One daemon is killed with counts that it hasn't flushed, another one ends gracefully, the third is asked for the
+// account. What lacks against the engine's own log must be what the killed one held, and no more than the account says.
+test('the account equals the engine\'s log but for what a killed daemon may have held, which it states', async t => {
+  const fleet = await Fleet.start()
+  t.teardown(async () => await fleet.stop())
+  const [engine] = await Promise.all([
+    fleet.addServer('engine-0', 'domain-0', { pool: 'charter-engines', kind: 'engine' }),
+    ...Array.from({ length: DAEMONS }, async (_, i) => await fleet.addDaemon(`entry-${i}`, `domain-${i}`))
+  ])
+  await fleet.apply('demo/folder')
+  for (const daemon of fleet.daemons) {
+    const client = new CallerClient(fleet.url(daemon), 'quay-desk-token')
+    await Promise.all(Array.from({ length: REQUESTS }, async (_, i) => t.is((await client.chat('berth-assistant', `Question ${i}`, { tokens: TOKENS, stream: i % 2 === 0 })).status, 200)))
+  }
+  const [asked, ended, killed] = fleet.daemons as [typeof fleet.daemons[0], typeof fleet.daemons[0], typeof fleet.daemons[0]]
+  killed!.child.signal('SIGKILL')
+  ended!.child.signal('SIGTERM')
+  t.is(await ended!.child.waitForExit(), 0)
+
+  const runs = (await fleet.readLog(engine)).length
+  t.is(runs, DAEMONS * REQUESTS)
+  const { rows, mayMiss, whole } = await fleet.operator('GET', asked!, '/operator/account?caller=quay-desk')
+  const row = rows['quay-desk/berth-assistant/online']
+  t.true(whole)
+  t.is(row.answered, row.asked)
+  t.is(row.tokens, row.answered * TOKENS)
+  t.true(row.answered >= 2 * REQUESTS)
+  t.true(row.answered <= runs && runs - row.answered <= mayMiss.asked, `${runs} runs, ${row.answered} answered, may miss ${mayMiss.asked}`)
+  t.log({ runs, answered: row.answered, mayMiss })
+})
