Orders by placement: level-triggered, fenced, within slots for loads

Cause: nothing brought servers to the models and the role that operators want. Ruled out: orders as recorded events (a lost reply leaves open what took effect), a rate a daemon and a queue object for the weight store. Conclusion: placement is followed over a killed owner and a change midway.

--- a/src/config/configuration-schema.ts
+++ b/src/config/configuration-schema.ts
@@ -4,6 +4,7 @@
 import type { KeySchemas } from './key-schemas.js'
 import type { Limits } from './limits.js'
 import type { Model } from './model.js'
+import type { Placement } from './placement.js'
 import type { Service } from './service.js'
 
 const SECOND = 1_000
@@ -12,6 +13,7 @@
 const MAX_CALLERS = 20_000
 const MAX_SERVICES = 1_000
 const MAX_TOKENS = 16
+const MAX_PLACED = 100
 const TOKEN_HASH = /^[0-9a-f]{64}$/
 
 const model: KeySchemas<Model> = {
@@ -41,11 +43,19 @@
   addressKeep: { type: 'number', unit: 'ms', whole: false, min: 100, max: 10 * MINUTE, default: 5 * SECOND, doc: 'How long a caller may keep an answer of /v1/addresses.' }
 }
 
+const placement: KeySchemas<Placement> = {
+  models: { type: 'list', maxItems: MAX_PLACED, of: { type: 'text', minLength: 1, doc: 'Name that the servers know it by.' }, doc: 'Models, adapters and versions to have loaded, the most important first.' },
+  role: { type: 'text', minLength: 1, optional: true, doc: 'Role of the servers; theirs to choose where it is left out.' },
+  checksFencing: { type: 'boolean', default: false, doc: 'Whether the servers refuse an order with an old fencing number.' },
+  leaving: { type: 'list', maxItems: MAX_SERVICES, optional: true, of: { type: 'text', minLength: 1, doc: 'Name of an instance.' }, doc: 'Servers that are to get no new work.' }
+}
+
 const configuration: KeySchemas<Omit<Configuration, 'version'>> = {
   services: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: service, doc: 'One service.' }, doc: 'Services that callers name.' },
   models: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: model, doc: 'One model.' }, doc: 'Models that engines serve.' },
   callers: { type: 'map', maxKeys: MAX_CALLERS, of: { type: 'object', keys: caller, doc: 'One caller.' }, doc: 'Who may ask, and for how much of the fleet.' },
-  limits: { type: 'object', keys: limits, doc: 'Limits that hold for every caller.' }
+  limits: { type: 'object', keys: limits, doc: 'Limits that hold for every caller.' },
+  placement: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: placement, doc: 'One pool.' }, doc: 'What the servers of each pool are to have loaded.' }
 }
 
 /** Every key of the operators' folder. */
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -1,6 +1,7 @@
 import type { Caller } from './caller.js'
 import type { Limits } from './limits.js'
 import type { Model } from './model.js'
+import type { Placement } from './placement.js'
 import type { Service } from './service.js'
 
 /** What operators have set: the merge of their folder, checked and accepted as one version. */
@@ -10,4 +11,6 @@
   readonly models: Readonly<Record<string, Model>>
   readonly callers: Readonly<Record<string, Caller>>
   readonly limits: Limits
+  /** By pool: what its servers are to have loaded and to be. Pools left out are left alone. */
+  readonly placement?: Readonly<Record<string, Placement>>
 }
--- /dev/null
+++ b/src/ownership/server-orders.ts
@@ -0,0 +1,114 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Agent, request } from 'undici'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import type { Placement } from '../config/placement.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import type { Instance } from '../platform/instance.js'
+import { InstanceList } from '../platform/instance-list.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import { LoadSlots } from './load-slots.js'
+import { planOrder } from './plan-order.js'
+import type { ServerOrder } from './server-order.js'
+import { ServerOwners } from './server-owners.js'
+import type { ServerState } from './server-state.js'
+
+const PERIOD = 500
+/** An order that hasn't been answered is given up; `longestAction` of the claims allows for it. */
+const ORDER_TIMEOUT = 1_500
+const STATE_TIMEOUT = 400
+/** Loads over the fleet at once. */
+const LOADS_AT_ONCE = 2
+const SLOT_KEEP = 30_000
+
+/**
+ * Brings the servers that this daemon owns to what the configuration wants of them: reads what each has, and orders
+ * the difference, one order at a time. An order carries the fencing number of a freshly proven claim; to servers
+ * that don't check it, none goes out before an earlier owner's last one must have arrived.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class ServerOrders implements Part {
+  private readonly agent = new Agent({ connections: 1, keepAliveTimeout: PERIOD, keepAliveMaxTimeout: PERIOD })
+  private readonly slots: LoadSlots
+  private readonly busy = new Set<string>()
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(ServerOwners) private readonly owners: ServerOwners,
+    @inject(InstanceList) private readonly list: InstanceList,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.store) store: ObjectStore,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.slots = new LoadSlots({ store, date: () => clock.date(), count: LOADS_AT_ONCE, keep: SLOT_KEEP })
+  }
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(PERIOD, () => this.visitAll())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+    await this.agent.destroy()
+  }
+
+  private visitAll (): void {
+    const owned = this.owners.listOwned()
+    for (const instance of this.list.all) {
+      const placement = this.configuration.value.placement?.[instance.pool]
+      if (placement !== undefined && owned.includes(instance.name) && !this.busy.has(instance.name)) void this.visit(instance, placement)
+    }
+  }
+
+  private async visit (instance: Instance, placement: Placement): Promise<void> {
+    this.busy.add(instance.name)
+    const state = await this.readState(instance)
+    if (state !== undefined) await this.bringNearer(instance, placement, state)
+    this.busy.delete(instance.name)
+  }
+
+  private async bringNearer (instance: Instance, placement: Placement, state: ServerState): Promise<void> {
+    const { name } = instance
+    const order = planOrder(placement, state)
+    if (order === undefined) {
+      if (state.models.some(({ state }) => state === 'loading')) await this.slots.claim(name)
+      else await this.slots.release(name)
+      return
+    }
+    if (order.kind === 'load' && !await this.slots.claim(name)) return
+    const fencing = this.owners.getAuthority(name, placement.checksFencing)
+    // The proof comes with the store's reply; the next visit finds it.
+    if (fencing === undefined) this.owners.confirm(name, placement.checksFencing)
+    else await this.send(instance, order, fencing)
+  }
+
+  private async send (instance: Instance, order: ServerOrder, fencing: number): Promise<void> {
+    const answer = await this.call(instance, '/orders', ORDER_TIMEOUT, JSON.stringify({ ...order, fencing }))
+    const what = answer === undefined ? 'order unanswered' : answer.status < 300 ? 'ordered' : 'order refused'
+    this.timeline.record({ part: 'ownership', what, server: instance.name, detail: `${JSON.stringify(order)} fencing ${fencing}` })
+  }
+
+  private async readState (instance: Instance): Promise<ServerState | undefined> {
+    const answer = await this.call(instance, '/state', STATE_TIMEOUT)
+    return answer?.status === 200 && Array.isArray(answer.body?.models) ? answer.body : undefined
+  }
+
+  private async call ({ host, port }: Instance, path: string, timeout: number, body?: string): Promise<{ readonly status: number, readonly body: any } | undefined> {
+    const abort = new AbortController()
+    const cancel = this.clock.after(timeout, () => abort.abort())
+    try {
+      const answer = await request(`http://${host}:${port}${path}`, { dispatcher: this.agent, signal: abort.signal, method: body === undefined ? 'GET' : 'POST', body: body ?? null })
+      return { status: answer.statusCode, body: await answer.body.json().catch(() => undefined) }
+    } catch {
+      return undefined
+    } finally {
+      cancel()
+    }
+  }
+}
+
+partRegistry.register({ name: 'server orders', part: ServerOrders, needs: ['server owners', 'instance list', 'configuration'] })
--- a/src/ownership/server-owners.ts
+++ b/src/ownership/server-owners.ts
@@ -75,9 +75,10 @@
     return state?.type === 'held' ? state.version : 0
   }
 
-  /** Asks for a fresh proof of the claim; `getAuthority` tells later whether it came. */
-  confirm (server: string): void {
-    this.tell(server, { type: 'confirm' })
+  /** Asks for a fresh proof of the claim where one is of use now; `getAuthority` tells later whether it came. */
+  confirm (server: string, checksFencing: boolean): void {
+    const state = this.claims.get(server)
+    if (state !== undefined && (checksFencing || isClaimSettled(state, this.clock.now(), this.options))) this.tell(server, { type: 'confirm' })
   }
 
   /**
--- a/src/ownership/server-watch.ts
+++ b/src/ownership/server-watch.ts
@@ -1,5 +1,6 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { Agent, request } from 'undici'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -29,6 +30,7 @@
   constructor (
     @inject(ServerOwners) private readonly owners: ServerOwners,
     @inject(InstanceList) private readonly list: InstanceList,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(Timeline) private readonly timeline: Timeline,
     @inject(tokens.clock) private readonly clock: Clock
   ) {}
@@ -42,10 +44,11 @@
     await this.agent.destroy()
   }
 
-  /** Leaving by the platform's list, down by health checks, or open. */
+  /** Leaving by the platform's list or the operators' placement, down by health checks, or open. */
   getState (server: string): 'open' | 'leaving' | 'down' {
     const instance = this.list.all.find(({ name }) => name === server)
     if (instance === undefined || instance.state === 'leaving') return 'leaving'
+    if (this.configuration.value.placement?.[instance.pool]?.leaving?.includes(server) === true) return 'leaving'
     return this.known.get(server)?.health.state ?? 'open'
   }
 
--- /dev/null
+++ b/test/ownership/placement.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava'
+import { request } from 'undici'
+import { Fleet } from '../../harness/fleet.js'
+import { readFolder } from '../../src/config/read-folder.js'
+
+const LOAD_TIME = 150
+
+// Operators change what a pool is to have loaded while its servers still load what was wanted before, from a slow
+// weight store, and one of the daemons that order is killed. What counts is what the servers have in the end, and
+// that no more of them load at once than the store's rate allows.
+test('servers come to have what the placement wants last, within the slots for loads', async t => {
+  const fleet = await Fleet.start()
+  t.teardown(async () => await fleet.stop())
+  const options = { weightBytes: LOAD_TIME, weightBytesPerSecond: 1_000 }
+  const servers = await Promise.all(['a', 'b', 'c', 'd'].map(async domain => await fleet.addServer(`engine-${domain}`, domain, { pool: 'charter-engines', kind: 'engine', options })))
+  const daemons = await Promise.all(['a', 'b', 'c'].map(async domain => await fleet.addDaemon(`entry-${domain}`, domain)))
+  const read = async (path: string): Promise<readonly any[]> => await Promise.all(servers.map(async ({ instance }) => await (await request(`http://127.0.0.1:${instance.port}${path}`)).body.json()))
+  const folder = readFolder('demo/folder').unwrap()
+  const place = (models: readonly string[]) => ({ ...folder, placement: { 'charter-engines': { models, role: 'decode', checksFencing: true } } })
+
+  const version = await fleet.apply(place(['charter-7b@1', 'adapter-a']))
+  await fleet.waitUntil(async () => (await read('/state')).some(({ models }) => models.length === 2))
+  await fleet.apply(place(['charter-7b@2']), version)
+  daemons[2]!.child.signal('SIGKILL')
+  await fleet.unregister('entry-c')
+  await fleet.waitUntil(async () => (await read('/state')).every(({ role, models }) => role === 'decode' && models.length === 1 && models[0].model === 'charter-7b@2' && models[0].state === 'loaded'))
+
+  const orders = (await read('/control/orders')).map(answer => answer.orders as any[])
+  t.true(orders.every(taken => taken.every((order, i) => i === 0 || order.fencing >= taken[i - 1].fencing)))
+  const loads = orders.flat().filter(({ kind }) => kind === 'load').map(({ at }) => at as number).sort((a, b) => a - b)
+  t.true(loads.every((at, i) => loads.slice(i).filter(other => other < at + LOAD_TIME).length <= 2))
+})
