--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -4,7 +4,7 @@
 export const policies: readonly Policy[] = [
   { letter: 'a', name: 'no batch' },
   { letter: 'b', name: 'forwarded as it comes', batchPolicy: { type: 'forward' } },
-  { letter: 'c', name: 'static split', batchPolicy: { type: 'static', streams: 8 } },
+  { letter: 'c', name: 'static split', batchPolicy: { type: 'static' } },
   { letter: 'd', name: 'by load reports', batchPolicy: { type: 'load reports' } },
   { letter: 'e', name: 'ours', batchPolicy: { type: 'preempting' } }
 ]
