--- a/bench/policy-model.ts
+++ b/bench/policy-model.ts
@@ -12,16 +12,18 @@
 const BETWEEN_TOKENS = 46
 const ENGINE: EngineParameters = { ...defaultParameters, stepBase: 12, stepPerSequence: 0.25, prefillPerToken: 0.05, memoryTokens: 120_000 }
 const POLICIES: readonly BatchPolicy[] = [{ type: 'none' }, { type: 'forward' }, { type: 'static', streams: 16 }, { type: 'load reports' }, { type: 'preempting' }]
+/** How late news of online requests may come, ms: slow links. */
+const NEWS_DELAYS = [20, 100, 500]
 const WORKLOADS = {
   bursts: { burst: 4_000, quiet: 6_000, between: 250 },
   'short bursts': { burst: 1_500, quiet: 1_500, between: 120 },
   steady: { burst: 60_000, quiet: 500, between: 400 }
 }
 
-function simulate (policy: BatchPolicy, workload: keyof typeof WORKLOADS | 'nothing', seed: number): PolicyRun {
+function simulate (policy: BatchPolicy, workload: keyof typeof WORKLOADS | 'nothing', seed: number, newsDelay = 0): PolicyRun {
   const requests = workload === 'nothing' ? [] : createWorkload(new Random(seed), { ...WORKLOADS[workload], length: LENGTH })
   const admission = { policy, maxInFlight: MAX_IN_FLIGHT, betweenTokens: BETWEEN_TOKENS }
-  return new PolicySimulation({ admission, engine: ENGINE, workload: requests, length: LENGTH, seed }).play()
+  return new PolicySimulation({ admission, engine: ENGINE, workload: requests, length: LENGTH, seed, newsDelay }).play()
 }
 
 function quantiles (values: readonly number[]): readonly number[] {
@@ -55,3 +57,9 @@
     console.log(`  batch ${(run.batchTokens / LENGTH / SEEDS.length * 1_000).toFixed(0)} tokens/s, ${(100 * run.batchTokens / alone / base.idle).toFixed(1)} % of idle capacity, ${run.preemptions} preemptions`)
   })
 }
+
+const base = merge(SEEDS.map(seed => simulate({ type: 'none' }, 'bursts', seed)))
+for (const delay of NEWS_DELAYS) {
+  const run = merge(SEEDS.map(seed => simulate({ type: 'preempting' }, 'bursts', seed, delay)))
+  console.log(`\nbursts, preempting, news ${delay} ms late\n  first token ${show(quantiles(run.firstToken), quantiles(base.firstToken))}\n  between     ${show(quantiles(run.betweenTokens), quantiles(base.betweenTokens))}`)
+}
--- a/bench/policy/policy-simulation.ts
+++ b/bench/policy/policy-simulation.ts
@@ -27,6 +27,8 @@
   readonly workload: ReturnType<typeof createWorkload>
   readonly length: number
   readonly seed: number
+  /** ms by which news of online requests comes later than on a healthy link. */
+  readonly newsDelay?: number
 }
 
 /** One server, its owner and endless batch work, on virtual time. */
@@ -35,6 +37,7 @@
   private readonly schedule = new Schedule()
   private readonly batcher: Batcher
   private readonly random: Random
+  private readonly newsDelay: number
   private stepping = false
   private state: BatchAdmissionState
   private online = 0
@@ -49,6 +52,7 @@
   constructor (private readonly options: SimulationOptions) {
     this.batcher = new Batcher(options.engine)
     this.random = new Random(options.seed)
+    this.newsDelay = options.newsDelay ?? 0
     this.state = createBatchAdmission(options.admission)
   }
 
@@ -83,7 +87,7 @@
   private arrive (promptTokens: number, answerTokens: number): void {
     const asked = this.schedule.now
     if (this.online++ === 0) this.run.idle += asked - this.idleSince
-    this.schedule.after(COALESCE_BEGIN + HOP, () => this.tellOnline())
+    this.schedule.after(COALESCE_BEGIN + HOP + this.newsDelay, () => this.tellOnline())
     let last = asked
     const sequence = createSequence({ contextTokens: promptTokens, words: new Array(answerTokens).fill('w'), blocks: [] }, (first, end) => {
       const now = this.schedule.now
@@ -97,7 +101,7 @@
 
   private leave (): void {
     if (--this.online === 0) this.idleSince = this.schedule.now
-    this.schedule.after(COALESCE_END + HOP, () => this.tellOnline())
+    this.schedule.after(COALESCE_END + HOP + this.newsDelay, () => this.tellOnline())
   }
 
   private tellOnline (): void {
