Retention: read results go after limits.resultKeep, unread ones stay

Cause: nothing was ever removed from the platform. Conclusion: what a job leaves behind goes with it.

--- /dev/null
+++ b/src/batch/cleaner.ts
@@ -0,0 +1,124 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
+import { Members } from '../peers/members.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import { CallerIndex } from './caller-index.js'
+import type { Chunk } from './chunk.js'
+import type { Expiry } from './expiry.js'
+import { ExpiryIndex } from './expiry-index.js'
+import { FileStore } from './file-store.js'
+import { HoldingRecord } from './holding-record.js'
+import type { Job } from './job.js'
+import { JobStore } from './job-store.js'
+import { listChunks } from './list-chunks.js'
+import { mayRemove } from './may-remove.js'
+
+const PERIOD = 60_000
+const DAY = 86_400_000
+const PAGE = 500
+
+/**
+ * Removes jobs, results and files whose time is over, on one daemon at a time. The job goes last, so that a clean-up
+ * that was cut short is done again from its start.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class Cleaner implements Part {
+  private cleaning = false
+  private cancelTimer = (): void => {}
+
+  constructor (
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(ExpiryIndex) private readonly expiries: ExpiryIndex,
+    @inject(FileStore) private readonly files: FileStore,
+    @inject(JobStore) private readonly jobs: JobStore,
+    @inject(CallerIndex) private readonly index: CallerIndex,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Members) private readonly members: Members,
+    @inject(HoldingRecord) private readonly holding: HoldingRecord,
+    @inject(Timeline) private readonly timeline: Timeline
+  ) {}
+
+  async start (): Promise<void> {
+    this.cancelTimer = this.clock.every(PERIOD, () => { void this.clean() })
+  }
+
+  async stop (): Promise<void> {
+    this.cancelTimer()
+  }
+
+  private async clean (): Promise<void> {
+    if (this.cleaning || rankOwners('clean-up', this.members.owners())[0] !== this.holding.by.instance) return
+    this.cleaning = true
+    const due = (await this.expiries.list(this.clock.date())).unwrapOr([])
+    for (const expiry of due) await this.look(expiry)
+    this.cleaning = false
+  }
+
+  /** Removes it, or has it looked at again tomorrow; whatever fails is met again at the next look. */
+  private async look (expiry: Expiry & { readonly name: string }): Promise<void> {
+    const removed = expiry.type === 'job' ? await this.lookAtJob(expiry.id) : await this.lookAtFile(expiry.id)
+    if (removed === 'failed') return
+    if (removed === 'kept' && (await this.expiries.add(expiry, this.clock.date() + DAY)).err) return
+    if (removed === 'removed') this.timeline.record({ part: 'batch', what: 'removed', job: expiry.id })
+    await this.expiries.remove(expiry.name)
+  }
+
+  private async lookAtJob (id: string): Promise<'removed' | 'kept' | 'failed'> {
+    const job = await this.jobs.read(id, 'background')
+    if (job.err) return job.val.type === 'missing' ? 'removed' : 'failed'
+    const keep = this.configuration.value.limits.resultKeep
+    if (!mayRemove(job.val, { keep, date: this.clock.date() })) return 'kept'
+    return await this.removeJob(job.val) ? 'removed' : 'failed'
+  }
+
+  private async removeJob (job: Job): Promise<boolean> {
+    for (const { n } of listChunks(job.services)) {
+      const chunk = await this.store.get<Chunk>('chunk', `${job.id}.${n}`)
+      if (chunk.err && chunk.val.type !== 'missing') return false
+      if (!await this.removeParts(`${job.id}.${n}.`) || !await this.remove('chunk', `${job.id}.${n}`)) return false
+    }
+    if ((await this.index.remove('job', job)).err || !await this.remove('file-job', `${job.file}~${job.id}`)) return false
+    return await this.remove('job', job.id)
+  }
+
+  /** A file goes once no job names it and its time is over; jobs read their items' names from it to the last. */
+  private async lookAtFile (id: string): Promise<'removed' | 'kept' | 'failed'> {
+    const users = await this.store.list('file-job', { prefix: `${id}~`, limit: 1 })
+    if (users.err) return 'failed'
+    if (users.val.length > 0) return 'kept'
+    const file = await this.files.read(id)
+    if (file.err && file.val.type !== 'missing') return 'failed'
+    if (file.ok && (await this.files.delete(file.val)).err) return 'failed'
+    return await this.removeAll('items', `${id}.`) ? 'removed' : 'failed'
+  }
+
+  /** Parts that no chunk names go too: a holder died after it wrote them. */
+  private async removeParts (prefix: string): Promise<boolean> {
+    return await this.removeAll('part', prefix)
+  }
+
+  private async removeAll (kind: string, prefix: string): Promise<boolean> {
+    const found = await this.store.list(kind, { prefix, limit: PAGE })
+    if (found.err) return false
+    for (const { name, version } of found.val) {
+      const deleted = await this.store.delete(kind, name, version)
+      if (deleted.err && deleted.val.type !== 'missing' && deleted.val.type !== 'conflict') return false
+    }
+    return found.val.length < PAGE || await this.removeAll(kind, prefix)
+  }
+
+  private async remove (kind: string, name: string): Promise<boolean> {
+    const read = await this.store.get(kind, name)
+    if (read.err) return read.val.type === 'missing'
+    return (await this.store.delete(kind, name, read.val.version)).ok
+  }
+}
+
+partRegistry.register({ name: 'batch clean-up', part: Cleaner, needs: ['members', 'holding record', 'configuration'] })
--- /dev/null
+++ b/src/batch/expiry-index.ts
@@ -0,0 +1,38 @@
+import { Err, Ok, type Result } from 'ts-results'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { tokens } from '../kernel/tokens.js'
+import type { ObjectStore } from '../platform/object-store.js'
+import type { StoreError } from '../platform/store-error.js'
+import { createObject } from './create-object.js'
+import type { Expiry } from './expiry.js'
+
+const PAGE = 100
+const DAY_LENGTH = 'yyyy-mm-dd'.length
+
+/** What is to be looked at for removal, by day, in small objects under names that sort by it: a page is one read. */
+@scoped(Lifecycle.ContainerScoped)
+export class ExpiryIndex {
+  constructor (@inject(tokens.store) private readonly store: ObjectStore) {}
+
+  /** Has a file or job looked at on the day of `date` (wall-clock ms). */
+  async add ({ type, id }: Expiry, date: number): Promise<Result<void, StoreError>> {
+    const expiry: Expiry = { type, id }
+    return (await createObject(this.store, 'expiry', `${formatDay(date)}~${type}~${id}`, expiry)).map(() => undefined)
+  }
+
+  /** What fell due on the day of `date` or before, a page of it. */
+  async list (date: number): Promise<Result<ReadonlyArray<Expiry & { readonly name: string }>, StoreError>> {
+    const found = await this.store.list<Expiry>('expiry', { limit: PAGE })
+    return found.map(entries => entries.filter(({ name }) => name.slice(0, DAY_LENGTH) <= formatDay(date)).map(({ name, value }) => ({ name, ...value })))
+  }
+
+  async remove (name: string): Promise<Result<void, StoreError>> {
+    const read = await this.store.get('expiry', name)
+    if (read.err) return read.val.type === 'missing' ? Ok(undefined) : Err(read.val)
+    return await this.store.delete('expiry', name, read.val.version)
+  }
+}
+
+function formatDay (date: number): string {
+  return new Date(date).toISOString().slice(0, DAY_LENGTH)
+}
--- a/src/batch/file-store.ts
+++ b/src/batch/file-store.ts
@@ -1,5 +1,6 @@
 import { Ok, type Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
 import type { ObjectStore } from '../platform/object-store.js'
@@ -7,6 +8,7 @@
 import type { BatchFile } from './batch-file.js'
 import { CallerIndex } from './caller-index.js'
 import { createObject } from './create-object.js'
+import { ExpiryIndex } from './expiry-index.js'
 import { hashId } from './hash-id.js'
 import type { Item } from './item.js'
 import { listChunks } from './list-chunks.js'
@@ -27,12 +29,14 @@
   constructor (
     @inject(tokens.store) private readonly store: ObjectStore,
     @inject(tokens.clock) private readonly clock: Clock,
-    @inject(CallerIndex) private readonly index: CallerIndex
+    @inject(CallerIndex) private readonly index: CallerIndex,
+    @inject(ExpiryIndex) private readonly expiries: ExpiryIndex,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder
   ) {}
 
   /**
    * Keeps a file under an id that follows from its caller and content, so that the same upload is the same file.
-   * Its items come first: a file that can be read is whole.
+   * The file itself is written last: one that can be read is whole, listed, and known to the clean-up.
    */
   async create ({ caller, name, bytes, items }: Upload): Promise<Result<BatchFile, StoreError>> {
     const id = `file-${hashId(caller, [...items])}`
@@ -81,8 +85,9 @@
   }
 
   private async keep (file: BatchFile): Promise<Result<BatchFile, StoreError>> {
-    const kept = await createObject(this.store, 'file', file.id, file)
-    if (kept.err) return kept
-    return (await this.index.add('file', kept.val)).map(() => kept.val)
+    const due = await this.expiries.add({ type: 'file', id: file.id }, file.created + this.configuration.value.limits.resultKeep)
+    if (due.err) return due
+    const listed = await this.index.add('file', file)
+    return listed.ok ? await createObject(this.store, 'file', file.id, file) : listed
   }
 }
--- a/src/batch/job-store.ts
+++ b/src/batch/job-store.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { Ok, type Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
 import type { CallPriority } from '../platform/call-priority.js'
@@ -9,6 +10,7 @@
 import type { BatchFile } from './batch-file.js'
 import { CallerIndex } from './caller-index.js'
 import { createObject } from './create-object.js'
+import { ExpiryIndex } from './expiry-index.js'
 import { hashId } from './hash-id.js'
 import type { Job } from './job.js'
 import { updateObject } from './update-object.js'
@@ -30,28 +32,40 @@
     @inject(tokens.store) private readonly store: ObjectStore,
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(WorkIndex) private readonly work: WorkIndex,
-    @inject(CallerIndex) private readonly index: CallerIndex
+    @inject(CallerIndex) private readonly index: CallerIndex,
+    @inject(ExpiryIndex) private readonly expiries: ExpiryIndex,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder
   ) {}
 
   /**
    * Creates a job under an id that follows from caller and key, so that a job sent again is the same job, through
    * whichever daemon. It is acknowledged only once those who look for work can find it; if this daemon dies before
    * that, the same job sent again goes on from where it got to. `created` is true for one of them all.
+   *
+   * The file is read again after it is known to be in use: a clean-up that did not see the use has removed it by then.
    */
   async create (file: BatchFile, { key, endpoint, window, metadata }: JobOptions): Promise<Result<{ readonly job: Job, readonly created: boolean }, StoreError>> {
     const created = this.clock.date()
     const acceptance = randomUUID()
     const id = `batch-${hashId(file.caller, key)}`
+    const used = await createObject(this.store, 'file-job', `${file.id}~${id}`, { job: id })
+    if (used.err) return used
+    const present = await this.store.get('file', file.id, 'caller')
+    if (present.err) return present
     const kept = await createObject<Job>(this.store, 'job', id, {
       id, caller: file.caller, file: file.id, endpoint, created, due: created + window, items: file.items, services: file.services, status: 'in_progress', finished: {}, acceptance, metadata
     })
     if (kept.err) return kept
-    const job = kept.val
-    if (job.status === 'in_progress' && job.ended === undefined) {
-      const added = await this.work.add(job)
-      if (added.err) return added
-    }
-    return (await this.index.add('job', job)).map(() => ({ job, created: job.acceptance === acceptance }))
+    const listed = await this.announce(kept.val)
+    return listed.map(() => ({ job: kept.val, created: kept.val.acceptance === acceptance }))
+  }
+
+  /** Makes the job known to those who look for work, to its caller's listing and to the clean-up. */
+  private async announce (job: Job): Promise<Result<void, StoreError>> {
+    const added = job.ended === undefined ? await this.work.add(job) : Ok(undefined)
+    if (added.err) return added
+    const due = await this.expiries.add({ type: 'job', id: job.id }, job.due + this.configuration.value.limits.resultKeep)
+    return due.ok ? await this.index.add('job', job) : due
   }
 
   async read (id: string, priority: CallPriority = 'caller'): Promise<Result<Job, StoreError>> {
--- a/src/config/configuration-schema.ts
+++ b/src/config/configuration-schema.ts
@@ -9,6 +9,7 @@
 const SECOND = 1_000
 const MINUTE = 60 * SECOND
 const HOUR = 60 * MINUTE
+const DAY = 24 * HOUR
 const MAX_CALLERS = 20_000
 const MAX_SERVICES = 1_000
 const MAX_TOKENS = 16
@@ -38,7 +39,8 @@
   fileBytes: { type: 'number', unit: 'bytes', whole: true, min: 1_000, max: 2_000_000_000, default: 200_000_000, doc: 'Largest file of batch items.' },
   queueWait: { type: 'number', unit: 'ms', whole: false, min: 0, max: MINUTE, default: 500, doc: 'Longest wait for a place on a server before an online request is refused.' },
   deadline: { type: 'number', unit: 'ms', whole: false, min: 100, max: HOUR, default: MINUTE, doc: 'Longest time an online request may take in all.' },
-  addressKeep: { type: 'number', unit: 'ms', whole: false, min: 100, max: 10 * MINUTE, default: 5 * SECOND, doc: 'How long a caller may keep an answer of /v1/addresses.' }
+  addressKeep: { type: 'number', unit: 'ms', whole: false, min: 100, max: 10 * MINUTE, default: 5 * SECOND, doc: 'How long a caller may keep an answer of /v1/addresses.' },
+  resultKeep: { type: 'number', unit: 'ms', whole: false, min: HOUR, max: 366 * DAY, default: 30 * DAY, doc: 'How long a batch job and its results stay after they were read.' }
 }
 
 const configuration: KeySchemas<Omit<Configuration, 'version'>> = {
--- a/src/config/limits.ts
+++ b/src/config/limits.ts
@@ -8,4 +8,6 @@
   readonly deadline: number
   /** How long a caller may keep an answer of /v1/addresses. */
   readonly addressKeep: number
+  /** How long a job and its results stay after they were read. */
+  readonly resultKeep: number
 }
--- a/test/batch/helpers/trial-clock.ts
+++ b/test/batch/helpers/trial-clock.ts
@@ -5,7 +5,7 @@
   private thaw?: () => void
   private thawed: Promise<void> = Promise.resolve()
 
-  constructor (private readonly shared: Clock) {}
+  constructor (private readonly shared: Clock, private readonly shift: { readonly ms: number }) {}
 
   get frozen (): boolean {
     return this.thaw !== undefined
@@ -16,7 +16,7 @@
   }
 
   date (): number {
-    return this.shared.date()
+    return this.shared.date() + this.shift.ms
   }
 
   after (delay: number, task: () => void): () => void {
--- a/test/batch/helpers/trial-daemon.ts
+++ b/test/batch/helpers/trial-daemon.ts
@@ -3,6 +3,8 @@
 import { CallerIndex } from '../../../src/batch/caller-index.js'
 import { ChunkClaims } from '../../../src/batch/chunk-claims.js'
 import { ChunkSource } from '../../../src/batch/chunk-source.js'
+import { Cleaner } from '../../../src/batch/cleaner.js'
+import { ExpiryIndex } from '../../../src/batch/expiry-index.js'
 import { FileStore } from '../../../src/batch/file-store.js'
 import { HoldingRecord } from '../../../src/batch/holding-record.js'
 import type { ItemResult } from '../../../src/batch/item-result.js'
@@ -37,6 +39,8 @@
   readonly store: MemoryStore
   readonly clock: VirtualClock
   readonly runs: Run[]
+  /** How far the wall clock is moved on, apart from the time that passes. */
+  readonly shift: { readonly ms: number }
   /** Names of the daemons that are in the list of instances. */
   readonly members?: () => readonly string[]
   readonly dataFolder?: string
@@ -59,12 +63,13 @@
   readonly results: ResultReader
   readonly care: JobCare
   private readonly spool: ResultSpool
+  private readonly cleaner: Cleaner
   private readonly pauses: PauseWatch
   private readonly holding: HoldingRecord
   private running = 0
 
   constructor (readonly name: string, private readonly options: TrialOptions) {
-    this.clock = new TrialClock(options.clock)
+    this.clock = new TrialClock(options.clock, options.shift)
     this.store = new TrialStore(options.store, this.clock)
     const settings = { instance: name, dataFolder: options.dataFolder } as ConstructorParameters<typeof HoldingRecord>[2]
     const timeline = new Timeline(this.clock, settings)
@@ -72,22 +77,25 @@
     const work = new WorkIndex(this.store)
     this.pauses = new PauseWatch(this.clock)
     this.holding = new HoldingRecord(this.store, this.clock, settings)
-    this.files = new FileStore(this.store, this.clock, index)
-    this.jobs = new JobStore(this.store, this.clock, work, index)
+    const expiries = new ExpiryIndex(this.store)
+    const configuration = new ConfigurationHolder()
+    this.files = new FileStore(this.store, this.clock, index, expiries, configuration)
+    this.jobs = new JobStore(this.store, this.clock, work, index, expiries, configuration)
     this.watch = new JobWatch(this.jobs, this.clock, this.pauses)
     const counter = new JobCounter(this.jobs, work, this.clock)
     const claims = new ChunkClaims(this.store, this.clock, this.files, this.holding, counter, this.account, timeline)
-    this.source = new ChunkSource(new WorkFinder(work, this.watch, this.holding, new ConfigurationHolder(), this.clock), claims, this.watch, this.holding, this.pauses, this.clock)
+    this.source = new ChunkSource(new WorkFinder(work, this.watch, this.holding, configuration, this.clock), claims, this.watch, this.holding, this.pauses, this.clock)
     this.settler = new JobSettler(this.store, this.clock, this.jobs, work, this.holding)
     this.results = new ResultReader(this.store, this.files, this.clock)
     const recovery = new Recovery(this.store, timeline)
     this.spool = new ResultSpool(this.store, this.clock, settings, { write: () => {} }, this.holding, this.source)
     const links = { send: () => {} } as unknown as PeerLinks
+    this.cleaner = new Cleaner(this.store, this.clock, expiries, this.files, this.jobs, index, configuration, createMembers(options.members), this.holding, timeline)
     this.care = new JobCare(this.clock, createMembers(options.members), links, this.holding, this.watch, this.jobs, this.settler, recovery, this.source)
   }
 
   async start (): Promise<this> {
-    for (const part of [this.pauses, this.holding, this.watch, this.source, this.care, this.spool]) await part.start()
+    for (const part of [this.pauses, this.holding, this.watch, this.source, this.care, this.spool, this.cleaner]) await part.start()
     this.source.subscribe(() => this.fill())
     this.clock.every(200, () => {
       this.source.want(SERVICE, SLOTS)
--- a/test/batch/helpers/trial.ts
+++ b/test/batch/helpers/trial.ts
@@ -11,6 +11,7 @@
   readonly clock = new VirtualClock()
   readonly runs: Array<{ readonly item: string, readonly daemon: string, readonly at: number }> = []
   readonly daemons: TrialDaemon[] = []
+  readonly shift = { ms: 0 }
   readonly faults = { outageUntil: -1, lostUntil: -1, oldUntil: -1 }
   private readonly dead = new Set<string>()
   private puts = 0
@@ -47,8 +48,8 @@
   }
 
   private create (name: string): TrialDaemon {
-    const { store, clock, runs, members } = this
-    return new TrialDaemon(name, { store, clock, runs, members, ...this.options })
+    const { store, clock, runs, shift, members } = this
+    return new TrialDaemon(name, { store, clock, runs, shift, members, ...this.options })
   }
 
   private async apply (event: TrialEvent): Promise<void> {
--- /dev/null
+++ b/test/batch/retention.test.ts
@@ -0,0 +1,28 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { createTrialJob } from './helpers/create-trial-job.js'
+import { Trial } from './helpers/trial.js'
+
+const DAY = 86_400_000
+const KINDS = ['job', 'file', 'items', 'chunk', 'part', 'work', 'expiry', 'caller-job', 'caller-file', 'file-job']
+
+// What the caller sees: results that stay until it has read them, and then for the stated time. Everything that a job
+// left at the platform goes with it, the file it came from once no job names it, and no read lists all jobs.
+test('read results go after their time with all they left behind, unread ones stay', async t => {
+  const trial = await new Trial().start(2)
+  const [daemon] = trial.daemons
+  const job = await createTrialJob(daemon!, { count: 300 })
+  await trial.run(60)
+  const skip = async (days: number): Promise<void> => {
+    trial.shift.ms += days * DAY
+    await trial.run(180)
+  }
+  await skip(80)
+  t.is((await daemon!.jobs.read(job.id)).unwrap().status, 'completed')
+  await daemon!.jobs.update(job.id, job => ({ ...job, read: daemon!.clock.date() }))
+  await skip(29)
+  t.true((await daemon!.jobs.read(job.id)).ok)
+  for (let i = 0; i < 4; i++) await skip(1)
+  const left = KINDS.filter(kind => trial.store.objects.list(kind, '', '', 1).length > 0)
+  t.deepEqual(left, [])
+})
