--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -1,3 +1,5 @@
+import type { Seed } from './seed.js'
+
 /** The daemon's own settings, read once at start. Times are in ms, sizes in bytes. */
 export interface Settings {
   /** Name of this instance, unique in the fleet. */
@@ -27,5 +29,7 @@
     /** Batch streams a server for the type `static`. */
     readonly streams?: number
   }
+  /** Other daemons to ask when this one starts while the platform is out. */
+  readonly seeds?: readonly Seed[]
   readonly log: { readonly level: 'error' | 'warn' | 'info' | 'debug', readonly format: 'text' | 'json' }
 }
