--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,6 +1,11 @@
 import { Builtins, type CommandClass } from 'clipanion'
 import { ApplyCommand } from './apply.js'
 import { CheckCommand } from './check.js'
+import { JobsCancelCommand } from './jobs-cancel.js'
+import { JobsListCommand } from './jobs-list.js'
+import { JobsResultsCommand } from './jobs-results.js'
+import { JobsStatusCommand } from './jobs-status.js'
+import { JobsSubmitCommand } from './jobs-submit.js'
 import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
@@ -19,6 +24,11 @@
   StatusCommand,
   TimelineCommand,
   LoadCommand,
+  JobsSubmitCommand,
+  JobsListCommand,
+  JobsStatusCommand,
+  JobsResultsCommand,
+  JobsCancelCommand,
   StandInPlatformCommand,
   StandInEngineCommand,
   StandInServiceCommand
--- a/src/commands/entry-client.ts
+++ b/src/commands/entry-client.ts
@@ -10,11 +10,11 @@
 export class EntryClient {
   constructor (readonly url: string, private readonly token: string) {}
 
-  async call<T> (method: Method, path: string, body?: unknown): Promise<Result<T, EntryError>> {
+  async call<T> (method: Method, path: string, body?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<Result<T, EntryError>> {
     try {
       const response = await request(new URL(path, this.url), {
         method,
-        headers: { authorization: `Bearer ${this.token}`, 'content-type': 'application/json' },
+        headers: { authorization: `Bearer ${this.token}`, 'content-type': 'application/json', ...headers },
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(TIMEOUT)
       })
