Start in an outage gets the instance list as well; pages of configuration and platform

Cause: a daemon started in an outage had its configuration from its peers and refused every request, as it knew no backend server. Ruled out: holding it unready until the platform is back (that is what the start in an outage is meant to avoid). Left: all daemons read the whole instance list each second, which at 380 is over the target (platform-client.md).

--- a/src/config/configuration-objects.ts
+++ b/src/config/configuration-objects.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
 import type { CallPriority } from '../platform/call-priority.js'
+import { listPages } from '../platform/list-pages.js'
 import type { ObjectStore } from '../platform/object-store.js'
 import type { StoreError } from '../platform/store-error.js'
 import type { StoredObject } from '../platform/stored-object.js'
@@ -12,7 +13,6 @@
 const MANIFEST_KIND = 'configuration'
 const MANIFEST = 'manifest'
 const PACK_KIND = 'configuration-pack'
-const PAGE = 100
 const MAX_TRIES = 5
 
 interface StoredPack { readonly at: number, readonly files: Pack['files'] }
@@ -66,13 +66,11 @@
   /** Packs that `used` doesn't name and that were written before `before` (wall-clock ms), with their versions. */
   async listUnused (used: ReadonlySet<string>, before: number): Promise<Result<readonly Unused[], StoreError>> {
     const unused: Unused[] = []
-    for (let after = ''; ;) {
-      const page = await this.store.list<StoredPack>(PACK_KIND, { after, limit: PAGE })
+    for await (const page of listPages<StoredPack>(this.store, PACK_KIND)) {
       if (page.err) return page
       unused.push(...page.val.filter(({ name, value }) => !used.has(name) && value.at < before).map(({ name, version }) => ({ name, version })))
-      if (page.val.length < PAGE) return Ok(unused)
-      after = page.val.at(-1)!.name
     }
+    return Ok(unused)
   }
 
   async deleteUnused (unused: readonly Unused[]): Promise<void> {
--- a/src/platform/instance-list.ts
+++ b/src/platform/instance-list.ts
@@ -16,6 +16,8 @@
 @scoped(Lifecycle.ContainerScoped)
 export class InstanceList implements Part {
   all: readonly Instance[] = []
+  /** Whether the platform itself has been read since the start. */
+  hasRead = false
   private cancel = (): void => {}
   private readonly listeners = new Set<() => void>()
 
@@ -40,10 +42,20 @@
     this.listeners.add(listener)
   }
 
+  /** Takes the list of another daemon, unless the platform has been read. */
+  offer (instances: readonly Instance[]): void {
+    if (!this.hasRead) this.take(instances)
+  }
+
   private async read (): Promise<void> {
     const instances = await this.store.listInstances()
     if (instances.err) return
-    this.all = instances.val
+    this.hasRead = true
+    this.take(instances.val)
+  }
+
+  private take (instances: readonly Instance[]): void {
+    this.all = instances
     for (const listener of this.listeners) listener()
   }
 }
--- /dev/null
+++ b/src/platform/list-pages.ts
@@ -0,0 +1,16 @@
+import type { Result } from 'ts-results'
+import type { ObjectStore } from './object-store.js'
+import type { StoreError } from './store-error.js'
+import type { StoredObject } from './stored-object.js'
+
+const PAGE = 100
+
+/** All objects of a kind, a page at a time; an error is the last thing given. Objects written meanwhile may be missed. */
+export async function * listPages<T> (store: ObjectStore, kind: string, { prefix = '', page = PAGE } = {}): AsyncGenerator<Result<ReadonlyArray<StoredObject<T>>, StoreError>> {
+  for (let after = ''; ;) {
+    const objects = await store.list<T>(kind, { prefix, after, limit: page })
+    yield objects
+    if (objects.err || objects.val.length < page) return
+    after = objects.val.at(-1)!.name
+  }
+}
--- a/test/platform/faults.test.ts
+++ b/test/platform/faults.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { listPages } from '../../src/platform/list-pages.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
 import { FaultPlan } from '../../stand-ins/platform/fault-plan.js'
 import { Platform } from '../../stand-ins/platform/platform.js'
@@ -63,3 +64,16 @@
   store.fault = () => 'none'
   t.is((await store.get<number>('k', 'a')).unwrap().value, 2)
 })
+
+test('pages give every object once, and end with an error', async t => {
+  const store = new MemoryStore()
+  for (let i = 0; i < 25; i++) await store.put('k', `n-${String(i).padStart(2, '0')}`, i, 0)
+  const read = async (): Promise<unknown[]> => {
+    const seen: unknown[] = []
+    for await (const page of listPages<number>(store, 'k', { prefix: 'n-', page: 10 })) seen.push(...page.ok ? page.val.map(({ value }) => value) : [page.val])
+    return seen
+  }
+  t.deepEqual(await read(), Array.from({ length: 25 }, (_, i) => i))
+  store.fault = () => ({ fail: unknown })
+  t.deepEqual(await read(), [unknown])
+})
