--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,6 +1,8 @@
 import { Builtins, type CommandClass } from 'clipanion'
+import { AccountCommand } from './account.js'
 import { ApplyCommand } from './apply.js'
 import { CheckCommand } from './check.js'
+import { DrainCommand } from './drain.js'
 import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
@@ -18,7 +20,9 @@
   CheckCommand,
   StatusCommand,
   TimelineCommand,
+  AccountCommand,
   LoadCommand,
+  DrainCommand,
   StandInPlatformCommand,
   StandInEngineCommand,
   StandInServiceCommand
