Merge and check of a version give way to the loop

Ruled out: a worker thread (one loop on one thread); merging pack by pack (the names are visited all the same). Change: the merge and check run in steps; ActingConfiguration gives way every 5 ms.

--- a/src/config/acting-configuration.ts
+++ b/src/config/acting-configuration.ts
@@ -1,23 +1,26 @@
+import type { Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
-import { checkFiles } from './check-files.js'
+import { checkInSteps } from './check-in-steps.js'
+import type { CheckedFiles } from './checked-files.js'
 import { ConfigurationHolder } from './configuration-holder.js'
 import type { Entry } from './entry.js'
+import type { Finding } from './finding.js'
 import type { PackedFile } from './packed-file.js'
 import { parseFile } from './parse-file.js'
 import { showFinding } from './show-finding.js'
 
-/** Longest time the loop is held by reading files, in ms. */
+/** Time after which work on files gives way to the loop, in ms. */
 const SLICE = 5
 const LOGGED_FINDINGS = 5
 
 type Parsed = ReturnType<typeof parseFile>
 
 /**
- * Turns the files of a version into the configuration that this daemon acts on. Files that haven't changed aren't
- * parsed again, and parsing gives way to the loop every few ms.
+ * Turns the files of a version into the configuration that this daemon acts on. Files that haven't changed are neither
+ * parsed nor checked again, and the work gives way to the loop every few ms.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class ActingConfiguration {
@@ -50,23 +53,22 @@
     this.log.write('error', 'configuration', 'can not read an accepted version', { version, findings: checked.val.slice(0, LOGGED_FINDINGS).map(showFinding) })
   }
 
-  /** Merges and checks files as `checkFiles` does. */
-  async check (files: readonly PackedFile[]): Promise<ReturnType<typeof checkFiles>> {
-    const parsed = await this.parse(files)
-    return checkFiles(new Map(files), { parse: name => parsed.get(name)!, known: this.known })
-  }
-
-  private async parse (files: readonly PackedFile[]): Promise<ReadonlyMap<string, Parsed>> {
-    const all = new Map<string, Parsed>()
-    let since = performance.now()
-    for (const file of files) {
-      const result = this.parsed.get(file) ?? parseFile(...file)
-      this.parsed.set(file, result)
-      all.set(file[0], result)
+  /** Merges and checks files as `checkFiles` does, giving way to the loop every few ms. */
+  async check (files: readonly PackedFile[]): Promise<Result<CheckedFiles, readonly Finding[]>> {
+    const byName = new Map(files.map(file => [file[0], file]))
+    const steps = checkInSteps(new Map(files), { parse: name => this.parse(byName.get(name)!), known: this.known })
+    for (let since = performance.now(); ;) {
+      const step = steps.next()
+      if (step.done === true) return step.value
       if (performance.now() - since < SLICE) continue
       await new Promise(resolve => setImmediate(resolve))
       since = performance.now()
     }
-    return all
+  }
+
+  private parse (file: PackedFile): Parsed {
+    const result = this.parsed.get(file) ?? parseFile(...file)
+    this.parsed.set(file, result)
+    return result
   }
 }
--- a/src/config/check-files.ts
+++ b/src/config/check-files.ts
@@ -1,23 +1,7 @@
-import { Err, Ok, type Result } from 'ts-results'
-import { checkContradictions } from './check-contradictions.js'
-import { checkEntry } from './check-entry.js'
-import type { Configuration } from './configuration.js'
-import { configurationSchema } from './configuration-schema.js'
-import type { Entry } from './entry.js'
+import type { Result } from 'ts-results'
+import { checkInSteps } from './check-in-steps.js'
+import type { CheckedFiles } from './checked-files.js'
 import type { Finding } from './finding.js'
-import { mergeEntries } from './merge-entries.js'
-import { parseFile } from './parse-file.js'
-
-/** A file must fit in one object of the platform, beside others. */
-const MAX_FILE_BYTES = 250_000
-
-/** A folder that holds together: its configuration, and the entries it was merged from, with their places. */
-interface CheckedFiles { readonly configuration: Omit<Configuration, 'version'>, readonly root: Entry }
-
-/** `known` keeps the values of entries that `parse` gave before, and makes a check after a small change cheap. */
-interface CheckOptions { readonly parse?: typeof parseFile, readonly known?: WeakMap<Entry, unknown> }
-
-const EMPTY: Entry = { type: 'map', keys: new Map(), place: { file: '', line: 1, column: 1 }, replaced: [] }
 
 /**
  * Merges files key by key in the order of their names and checks the whole. All findings of all files come
@@ -27,22 +11,10 @@
  * checkFiles(new Map([['10-models.yaml', 'models: {}'], ['20-limits.yaml', 'limits: { deadline: 5 }']])).val
  * // [{ file: '20-limits.yaml', line: 1, column: 11, message: 'limits.deadline: 5 is out of bounds: 100 to 3600000 (ms)' }]
  */
-export function checkFiles (files: ReadonlyMap<string, string>, { parse = parseFile, known }: CheckOptions = {}): Result<CheckedFiles, readonly Finding[]> {
-  const findings: Finding[] = []
-  const roots: [Entry, ...Entry[]] = [EMPTY]
-  for (const [file, text] of [...files].sort(([a], [b]) => a < b ? -1 : 1)) {
-    if (Buffer.byteLength(text) > MAX_FILE_BYTES) findings.push({ file, line: 1, column: 1, message: `over the limit of ${MAX_FILE_BYTES} bytes: split it` })
-    const parsed = parse(file, text)
-    if (parsed.err) findings.push(...parsed.val)
-    else if (parsed.val.type !== 'map') findings.push({ ...parsed.val.place, message: 'a file must be a map of keys' })
-    else roots.push(parsed.val)
+export function checkFiles (files: ReadonlyMap<string, string>): Result<CheckedFiles, readonly Finding[]> {
+  const steps = checkInSteps(files)
+  for (;;) {
+    const step = steps.next()
+    if (step.done === true) return step.value
   }
-  const root = mergeEntries(roots)
-  const configuration = checkEntry(root, configurationSchema, '', findings, known) as Omit<Configuration, 'version'>
-  if (findings.length === 0) findings.push(...checkContradictions(configuration, root))
-  return findings.length > 0 ? Err(orderFindings(findings)) : Ok({ configuration, root })
-}
-
-function orderFindings (findings: readonly Finding[]): readonly Finding[] {
-  return [...findings].sort((a, b) => a.file < b.file ? -1 : a.file > b.file ? 1 : a.line - b.line || a.column - b.column)
 }
--- a/src/config/merge-entries.ts
+++ b/src/config/merge-entries.ts
@@ -1,10 +1,13 @@
 import type { Entry } from './entry.js'
 
+/** Entries merged between two pauses. */
+const STEP = 200
+
 /**
  * Entries of one key, the latest last, as one: maps are merged key by key, and anything else replaces what came
- * before it. Each key is visited once, whatever the number of files.
+ * before it. Each key is visited once, whatever the number of files. It pauses now and then, see `checkInSteps`.
  */
-export function mergeEntries (entries: readonly [Entry, ...Entry[]]): Entry {
+export function * mergeEntries (entries: readonly [Entry, ...Entry[]]): Generator<void, Entry> {
   if (entries.length === 1) return entries[0]
   const latest = entries.at(-1)!
   const start = entries.findLastIndex(({ type }) => type !== 'map')
@@ -12,14 +15,15 @@
   if (latest.type !== 'map') return { ...latest, replaced }
   const keys = new Map<string, Entry>()
   const shared = new Map<string, [Entry, ...Entry[]]>()
-  for (const entry of entries.slice(start + 1)) {
+  for (const [i, entry] of entries.slice(start + 1).entries()) {
     for (const [key, value] of entry.type === 'map' ? entry.keys : []) {
       const known = keys.get(key)
       if (known === undefined) keys.set(key, value)
       else addTo(shared, key, known, value)
     }
+    if (i % STEP === STEP - 1) yield
   }
-  for (const [key, group] of shared) keys.set(key, mergeEntries(group))
+  for (const [key, group] of shared) keys.set(key, yield * mergeEntries(group))
   return { ...entries[start + 1]!, type: 'map', replaced, keys }
 }
 
