Operators racing through two daemons while replies are lost, over processes

Cause: racing and lost replies were proved on the store in memory only. Change: a process test of six rounds with half of the replies to writes lost. Conclusion: an operator can act on the answer.

--- a/test/config/distribution.test.ts
+++ b/test/config/distribution.test.ts
@@ -90,3 +90,32 @@
   t.is(overtaken.code, 4)
   t.regex(overtaken.text, /since then limits\.yaml changed/)
 })
+
+test('operators race through two daemons while replies to writes are lost: each answer is true', async t => {
+  // An operator sees "accepted", "conflict" or "unknown". What happens: two changes on one version come at once through
+  // two daemons, and half of the platform's replies to writes are lost after they took effect. Why: an answer from the
+  // version alone would call an accepted change refused, and its operator would make it twice.
+  const fleet = await start(t, 2)
+  let version = await put(fleet, fleet.daemons[0]!, 0, 900)
+  await fleet.setPlatformFaults({ lostReplies: 0.5, seed: 4 })
+  const said: Array<{ readonly by: string, readonly status: number }> = []
+  for (let round = 0; round < 6; round++) {
+    await Promise.all(fleet.daemons.map(async (daemon, i) => {
+      const by = `operator-${round}-${i}`
+      const body = JSON.stringify({ basedOn: version, put: { 'limits.yaml': `limits: { deadline: ${1_000 + 10 * round + i} }\n` }, by })
+      const answer = await request(`${fleet.url(daemon)}/operator/configuration`, { method: 'PUT', headers: { authorization: `Bearer ${fleet.operatorToken}` }, body })
+      await answer.body.dump()
+      said.push({ by, status: answer.statusCode })
+    }))
+    version = (await fleet.control('GET', '/objects/configuration/manifest')).version
+  }
+  const manifest = await fleet.control('GET', '/objects/configuration/manifest')
+  const accepted: readonly string[] = manifest.value.changes.map(({ by }: { readonly by: string }) => by)
+  t.log(`answers: ${said.map(({ status }) => status).join(' ')}`)
+  for (const { by, status } of said) {
+    if (status === 200) t.true(accepted.includes(by), `${by} was told that it is accepted`)
+    if (status === 409 || status === 503) t.false(accepted.includes(by), `${by} was told that it is not accepted`)
+  }
+  t.true(said.some(({ status }) => status === 200))
+  await fleet.waitUntil(async () => (await Promise.all(fleet.daemons.map(async daemon => await read(fleet, daemon)))).every(known => known === manifest.version))
+})
