--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,4 +1,5 @@
 import { Builtins, type CommandClass } from 'clipanion'
+import { ApplyCommand } from './apply.js'
 import { CheckCommand } from './check.js'
 import { DrainCommand } from './drain.js'
 import { LoadCommand } from './load.js'
@@ -14,6 +15,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   ServeCommand,
+  ApplyCommand,
   CheckCommand,
   StatusCommand,
   TimelineCommand,
--- a/src/config/settings-schema.ts
+++ b/src/config/settings-schema.ts
@@ -1,9 +1,11 @@
+import type { Seed } from '../kernel/seed.js'
 import type { Settings } from '../kernel/settings.js'
 import type { KeySchema } from './key-schema.js'
 import type { KeySchemas } from './key-schemas.js'
 
 const MAX_PORT = 65_535
 const MIN_SECRET = 16
+const MAX_SEEDS = 32
 const PLATFORM_URL = /^https?:\/\/[^/?#]+(\/[^?#]*)?$/
 
 const listen: KeySchemas<Settings['listen']> = {
@@ -22,6 +24,13 @@
   streams: { type: 'number', unit: 'streams', whole: true, min: 0, max: 10_000, optional: true, doc: 'Batch streams a server, for the type `static`.' }
 }
 
+const seed: KeySchemas<Seed> = {
+  name: { type: 'text', minLength: 1, maxLength: 100, doc: 'Its instance name.' },
+  host: { type: 'text', minLength: 1, doc: 'Its IP address.' },
+  peerPort: { type: 'number', unit: 'port', whole: true, min: 1, max: MAX_PORT, doc: 'Its port for daemons.' },
+  failureDomain: { type: 'text', minLength: 1, maxLength: 100, doc: 'Its failure domain.' }
+}
+
 const settings: KeySchemas<Settings> = {
   instance: { type: 'text', minLength: 1, maxLength: 100, doc: 'Name of this instance, unique in the fleet.' },
   failureDomain: { type: 'text', minLength: 1, maxLength: 100, doc: 'Failure domain that the instance stands in.' },
@@ -33,6 +42,7 @@
   operatorToken: { type: 'text', minLength: MIN_SECRET, doc: 'Token that operators present.' },
   dataFolder: { type: 'text', minLength: 1, optional: true, doc: 'Folder for bulk data on instances that have a disk.' },
   batchPolicy: { type: 'object', optional: true, keys: batchPolicy, doc: 'How batch work shares servers with online requests.' },
+  seeds: { type: 'list', maxItems: MAX_SEEDS, optional: true, of: { type: 'object', keys: seed, doc: 'One daemon.' }, doc: 'Other daemons to ask when this one starts while the platform is out; a few in other failure domains are enough.' },
   log: { type: 'object', keys: log, doc: 'The log.' }
 }
 
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -26,6 +26,7 @@
 const TIMEOUT_CHECK = 1_000
 /** Above what callers are told (5 s), so that it is theirs to close an idle connection first. */
 const KEEP_ALIVE_TIMEOUT = 15_000
+const NOT_READY_RETRY = 1_000
 
 /** The HTTP interface for callers and operators: the routes that the parts contribute, each behind its check. */
 @scoped(Lifecycle.ContainerScoped)
@@ -94,6 +95,10 @@
         break
       }
       case 'caller': {
+        if (this.configuration.value.version === 0) {
+          sendProblem(res, { status: 503, code: 'not-ready', detail: 'this daemon knows no configuration yet', retryAfter: NOT_READY_RETRY, more: { ran: 'not run' } })
+          return undefined
+        }
         const caller = authenticate(req, this.configuration.value)
         if (caller !== undefined) return caller
       }
--- a/src/entry/keyed-claims.ts
+++ b/src/entry/keyed-claims.ts
@@ -71,6 +71,8 @@
     if (written.val.type === 'unknown' || written.val.type === 'unavailable') {
       const read = await this.read(name)
       if (read.ok && read.val.value.id === claim.id) return Ok(undefined)
+      // Another claim stands at a version that ours wasn't based on: ours can't come to stand any more.
+      if (read.ok && read.val.version !== version) return Err({ type: 'conflict', version: read.val.version })
       this.keep({ name, id: claim.id, settlement: 'release', expected: this.clock.now() + LATE_WRITE })
     }
     return Err(written.val)
