--- a/src/entry/operator-routes.ts
+++ b/src/entry/operator-routes.ts
@@ -45,7 +45,7 @@
 
   private showStatus (res: Response): void {
     const servers = this.list.all.filter(({ peerPort }) => peerPort === undefined).map(({ name }) => name)
-    sendJson(res, 200, { instance: this.settings.instance, configuration: this.configuration.value.version, members: this.members.all(), servers })
+    sendJson(res, 200, { instance: this.settings.instance, configuration: this.configuration.value.version, members: this.members.all(), servers, memory: process.memoryUsage.rss() })
   }
 }
 
--- a/src/peers/session.ts
+++ b/src/peers/session.ts
@@ -8,6 +8,8 @@
 import type { SessionEvent } from './session-event.js'
 
 const PROTOCOL_VERSION = 2
+/** A newer version speaks this one too, to peers that say it; what it adds to frames is ignored. */
+const OLDEST_VERSION = 2
 const NONCE_BYTES = 16
 /** The longest frame before the peer has proved itself. */
 const HANDSHAKE_LIMIT = 256
@@ -75,7 +77,7 @@
     if (decoded.err) return decoded
     if (this.expected !== undefined) return this.settleProof(decoded.val)
     const { v, from, nonce } = decoded.val
-    if (v !== PROTOCOL_VERSION) return Err(`the peer speaks version ${String(v)}, we speak ${PROTOCOL_VERSION}`)
+    if (typeof v !== 'number' || v < OLDEST_VERSION) return Err(`the peer speaks version ${String(v)}, we need ${OLDEST_VERSION}`)
     if (typeof from !== 'string' || !(nonce instanceof Uint8Array) || nonce.length !== NONCE_BYTES) return Err('a handshake lacks its name or nonce')
     return this.options.to === undefined ? this.acceptHello(from, nonce) : this.acceptAnswer(from, nonce, decoded.val)
   }
