--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -89,9 +89,15 @@
 
   /** A suspect that was answered whole is one no more. */
   clear (fingerprint: string): void {
-    if (this.check(fingerprint) !== 'suspect') return
+    if (this.check(fingerprint) === 'suspect') this.release(fingerprint)
+  }
+
+  /** Holds nothing against it any more, at any daemon; says whether anything was held here. */
+  release (fingerprint: string): boolean {
+    if (this.check(fingerprint) === 'clear') return false
     this.apply({ type: 'cleared', fingerprint })
     this.tell({ type: 'suspect-cleared', fingerprint })
+    return true
   }
 
   /** Fingerprints that are suspect or quarantined, for operators. */
