A server that refuses connections takes no batch items, and no chunk stays with a daemon without servers

Ruled out: fewer health checks to down (one lost answer would take a server out). Settling of runs is a module of its own.

--- a/src/batch/chunk-source.ts
+++ b/src/batch/chunk-source.ts
@@ -70,6 +70,8 @@
     const wanted = this.wanted.get(service) ?? { slots: 0, looking: false, nextLook: 0 }
     this.wanted.set(service, wanted)
     wanted.slots = slots
+    // A daemon whose servers are all gone would keep what it claimed from those that could run it.
+    if (slots === 0) for (const held of this.held.ofService(service)) void held.release()
     this.prepare(service)
     void this.look(service, wanted)
   }
--- a/src/ownership/batch-run.ts
+++ b/src/ownership/batch-run.ts
@@ -53,7 +53,7 @@
     const request = this.buildRequest()
     const { sender, server } = this.options
     const opened = await sender.send(server, request, { body: request.body!, fingerprint: this.hash(), patience: FIRST_PATIENCE })
-    if (opened.err) return this.showStopped(opened.val.sent)
+    if (opened.err) return opened.val.why === 'unreachable' ? { type: 'unreachable' } : this.showStopped(opened.val.sent)
     const { exchange } = opened.val
     const failure = exchange.isStream() ? await this.readStream(opened.val) : undefined
     if (failure !== undefined) return await this.fail(opened.val, failure)
--- a/src/ownership/batch-runner.ts
+++ b/src/ownership/batch-runner.ts
@@ -6,10 +6,8 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { Metrics } from '../observe/metrics.js'
-import { Timeline } from '../observe/timeline.js'
 import { Sender } from '../routing/sender.js'
 import { Servers } from '../routing/servers.js'
-import type { BatchOutcome } from './batch-outcome.js'
 import type { BatchPolicy } from './batch-policy.js'
 import { BatchRun } from './batch-run.js'
 import { batchSourcePoint } from './batch-source-point.js'
@@ -17,7 +15,7 @@
 import { estimatePrefill } from './estimate-prefill.js'
 import { OnlineLoad } from './online-load.js'
 import { readBatchPolicy } from './read-batch-policy.js'
-import { RecentRuns } from './recent-runs.js'
+import { RunSettler } from './run-settler.js'
 import { ServedModels } from './served-models.js'
 import { ServerBatch } from './server-batch.js'
 import { ServerOwners } from './server-owners.js'
@@ -34,9 +32,9 @@
 @scoped(Lifecycle.ContainerScoped)
 export class BatchRunner implements Part {
   private readonly batches = new Map<string, ServerBatch>()
-  private readonly recent = new RecentRuns()
   private readonly running = new Set<Promise<void>>()
   private readonly policy: BatchPolicy
+  private wanted = new Set<string>()
   private draining = false
   private cancels: ReadonlyArray<() => void> = []
 
@@ -49,8 +47,8 @@
     @inject(ServedModels) private readonly models: ServedModels,
     @inject(WorkQueue) private readonly queue: WorkQueue,
     @inject(Extensions) private readonly added: Extensions,
+    @inject(RunSettler) private readonly settler: RunSettler,
     @inject(Metrics) private readonly metrics: Metrics,
-    @inject(Timeline) private readonly timeline: Timeline,
     @inject(tokens.settings) settings: Settings,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
@@ -101,11 +99,13 @@
   private want (): void {
     if (this.draining) return
     this.update()
-    const slots = new Map<string, number>()
+    const slots = new Map([...this.wanted].map(service => [service, 0]))
     for (const [server, batch] of this.batches) {
-      for (const { service } of this.models.list(server)) slots.set(service, (slots.get(service) ?? 0) + batch.slots)
+      const open = this.watch.getState(server) === 'open' ? batch.slots : 0
+      for (const { service } of this.models.list(server)) slots.set(service, (slots.get(service) ?? 0) + open)
     }
     for (const source of this.added.collect(batchSourcePoint)) for (const [service, count] of slots) source.want(service, count)
+    this.wanted = new Set(slots.keys())
   }
 
   private open (server: string): ServerBatch | undefined {
@@ -127,7 +127,7 @@
     if (this.draining || this.watch.getState(server) !== 'open') return undefined
     const work = this.queue.take(server)
     if (work === undefined) return undefined
-    const cost = estimatePrefill(work, this.recent.isCached(work.id, server, this.clock.now()))
+    const cost = estimatePrefill(work, this.settler.recent.isCached(work.id, server, this.clock.now()))
     if (cost > prefill && !first) {
       this.queue.hold(server, work)
       return undefined
@@ -156,7 +156,7 @@
     this.track(run.run().then(outcome => {
       // Ended first: an item given back may be started here again at once, under the same id.
       batch.end(work.id)
-      this.settle(work, server, outcome, gaveWay)
+      this.settler.settle(work, server, outcome, gaveWay)
     }))
     return {
       id: work.id,
@@ -168,17 +168,6 @@
     }
   }
 
-  private settle (work: BatchWork, server: string, outcome: BatchOutcome, gaveWay: boolean): void {
-    if (outcome.type === 'finished') return work.finish(outcome.result)
-    const why = work.signal.aborted ? 'aborted' : gaveWay ? 'gave way' : 'server failed'
-    if (why === 'gave way') {
-      this.recent.record(work.id, server, this.clock.now())
-      this.metrics.count('batch_preemptions_total')
-    }
-    this.timeline.record({ part: 'ownership', what: `batch item ${why}`, request: work.id, job: work.job, server })
-    work.giveBack(why, { ran: outcome.ran, tokens: outcome.tokens.length > 0 ? outcome.tokens : undefined, server })
-  }
-
   private track (run: Promise<void>): void {
     this.running.add(run)
     void run.finally(() => this.running.delete(run))
--- /dev/null
+++ b/src/ownership/run-settler.ts
@@ -0,0 +1,45 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import { tokens } from '../kernel/tokens.js'
+import { Metrics } from '../observe/metrics.js'
+import { Timeline } from '../observe/timeline.js'
+import type { BatchOutcome } from './batch-outcome.js'
+import type { BatchWork } from './batch-work.js'
+import { RecentRuns } from './recent-runs.js'
+import { ServerWatch } from './server-watch.js'
+
+/** Tells the batch source, once a run, what became of its item. */
+@scoped(Lifecycle.ContainerScoped)
+export class RunSettler {
+  readonly recent = new RecentRuns()
+
+  constructor (
+    @inject(ServerWatch) private readonly watch: ServerWatch,
+    @inject(Metrics) private readonly metrics: Metrics,
+    @inject(Timeline) private readonly timeline: Timeline,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  /** `gaveWay` tells whether the run was closed for online requests. */
+  settle (work: BatchWork, server: string, outcome: BatchOutcome, gaveWay: boolean): void {
+    if (outcome.type === 'finished') return work.finish(outcome.result)
+    if (outcome.type === 'unreachable') return this.settleUnreachable(work, server)
+    const why = work.signal.aborted ? 'aborted' : gaveWay ? 'gave way' : 'server failed'
+    if (why === 'gave way') {
+      this.recent.record(work.id, server, this.clock.now())
+      this.metrics.count('batch_preemptions_total')
+    }
+    this.timeline.record({ part: 'ownership', what: `batch item ${why}`, request: work.id, job: work.job, server })
+    work.giveBack(why, { ran: outcome.ran, tokens: outcome.tokens.length > 0 ? outcome.tokens : undefined, server })
+  }
+
+  /**
+   * A server whose process ended refuses each connection at once, and so would take and fail item after item until
+   * the next health checks; the symptom is a job whose items end as failed by a server that ran none of them. It
+   * counts as down until a check passes, and nothing was attempted.
+   */
+  private settleUnreachable (work: BatchWork, server: string): void {
+    this.watch.markDown(server)
+    work.giveBack(work.signal.aborted ? 'aborted' : 'gave way', { ran: false, tokens: work.resumeFrom, server })
+  }
+}
--- a/src/ownership/server-watch.ts
+++ b/src/ownership/server-watch.ts
@@ -57,6 +57,13 @@
     return this.known.get(server)?.sequences ?? 0
   }
 
+  /** Takes the server for down until a check of it passes. */
+  markDown (server: string): void {
+    const { sequences } = this.known.get(server) ?? { sequences: 0 }
+    if (this.known.get(server)?.health.state !== 'down') this.timeline.record({ part: 'ownership', what: 'server down', server, detail: 'unreachable' })
+    this.known.set(server, { health: { state: 'down', failures: 0 }, sequences })
+  }
+
   /** `listener` runs after each poll of a server. */
   subscribe (listener: (server: string) => void): void {
     this.listeners.add(listener)
