--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -3,6 +3,11 @@
 import { ApplyCommand } from './apply.js'
 import { CheckCommand } from './check.js'
 import { DrainCommand } from './drain.js'
+import { JobsCancelCommand } from './jobs-cancel.js'
+import { JobsListCommand } from './jobs-list.js'
+import { JobsResultsCommand } from './jobs-results.js'
+import { JobsStatusCommand } from './jobs-status.js'
+import { JobsSubmitCommand } from './jobs-submit.js'
 import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
@@ -23,6 +28,11 @@
   AccountCommand,
   LoadCommand,
   DrainCommand,
+  JobsSubmitCommand,
+  JobsListCommand,
+  JobsStatusCommand,
+  JobsResultsCommand,
+  JobsCancelCommand,
   StandInPlatformCommand,
   StandInEngineCommand,
   StandInServiceCommand
