Sizes of results are counted in bytes, as the platform counts its values

Cause: the bounds that keep a chunk below 1 MB counted characters; answers in a script of three bytes a character pass it, the write is refused for good, its results are dropped and the job never ends. Seen failing: 200 answers of 20,000 such characters left the job in_progress after 60 virtual seconds. Change: bytes in the spill and in the group commit's measure; a write that is refused for good ends the claim, so that nothing waits for it in silence. The stand-in platform counts characters; the test counts bytes itself. Conclusion: no object of the trial passes 1,000,000 bytes, and all 200 answers are read back whole.

--- a/src/batch/chunk-record.ts
+++ b/src/batch/chunk-record.ts
@@ -42,7 +42,7 @@
       clock: options.clock,
       write: async entries => await this.write(entries),
       isFinal: ({ type }) => type === 'missing' || type === 'invalid',
-      measure: entry => entry.type === 'result' ? JSON.stringify(entry.result).length + ENTRY_BYTES : ENTRY_BYTES,
+      measure: entry => entry.type === 'result' ? Buffer.byteLength(JSON.stringify(entry.result)) + ENTRY_BYTES : ENTRY_BYTES,
       maxEntries: MAX_BATCH_ENTRIES,
       maxSize: MAX_BATCH_BYTES,
       maxWait: MAX_WAIT
--- a/src/batch/held-chunk.ts
+++ b/src/batch/held-chunk.ts
@@ -114,7 +114,7 @@
 
   private async mark (pending: Pending): Promise<void> {
     const { item } = pending
-    await this.record.add({ type: 'started', item }, { urgent: true })
+    if ((await this.record.add({ type: 'started', item }, { urgent: true })).err) return this.end()
     if (!this.record.chunk.started.includes(item) || !this.record.held) return
     this.queue.put(pending)
     this.options.onReady()
@@ -129,8 +129,8 @@
     this.open.delete(item)
     const kept = this.record.add({ type: 'result', item, result })
     this.step()
-    await kept
-    this.step()
+    if ((await kept).err) this.end()
+    else this.step()
   }
 
   private takeBack (pending: Pending, why: Parameters<BatchWork['giveBack']>[0], { ran, tokens, server }: Parameters<BatchWork['giveBack']>[1]): void {
--- a/src/batch/spill-results.ts
+++ b/src/batch/spill-results.ts
@@ -14,7 +14,7 @@
  * refers to, and the clean-up of the job takes it.
  */
 export async function spillResults (store: ObjectStore, name: string, chunk: Chunk): Promise<Result<Chunk, StoreError>> {
-  if (JSON.stringify(chunk.results).length <= MAX_INLINE_BYTES) return Ok(chunk)
+  if (Buffer.byteLength(JSON.stringify(chunk.results)) <= MAX_INLINE_BYTES) return Ok(chunk)
   const results = Object.entries(chunk.results)
   const part: ResultPart = {
     name: `${name}.${randomUUID()}`,
--- a/test/batch/retries.test.ts
+++ b/test/batch/retries.test.ts
@@ -1,5 +1,6 @@
 import 'reflect-metadata'
 import test from 'ava'
+import { Err } from 'ts-results'
 import { planRetry } from '../../src/batch/plan-retry.js'
 import { createTrialJob } from './helpers/create-trial-job.js'
 import { readLines } from './helpers/read-lines.js'
@@ -65,3 +66,23 @@
   t.deepEqual(resumed, Array.from({ length: 13 }, (_, i) => i))
   t.is((await trial.daemons[0]!.jobs.read(job.id)).unwrap().finished[0]!.completed, 1)
 })
+
+// What the caller sees: every answer, also where each is long and in a script of three bytes a character. A chunk's
+// results outgrow the platform's 1 MB a value, counted in bytes; what doesn't fit moves to parts of its own, and a
+// limit kept in characters would have the write refused for good, and the chunk never end.
+test('long answers in any script are kept, and no object passes the platform\'s limit', async t => {
+  const trial = await new Trial({ slots: 40, answer: ({ item }) => ({ type: 'completed', status: 200, body: `${item.id} ${'潮'.repeat(20_000)}` }) }).start(2)
+  const { store } = trial
+  const put = store.put.bind(store)
+  store.put = async (kind, name, value, version) => {
+    if (Buffer.byteLength(JSON.stringify(value)) > 1_000_000) return Err({ type: 'invalid', reason: 'over 1 MB' })
+    return await put(kind, name, value, version)
+  }
+  const job = await createTrialJob(trial.daemons[0]!, { count: 200 })
+  await trial.run(60)
+  t.is((await trial.daemons[0]!.jobs.read(job.id)).unwrap().status, 'completed')
+  const lines = await readLines(trial.daemons[1]!, job)
+  t.is(lines.size, 200)
+  for (const [id, line] of lines) t.is(JSON.parse(line).response.body, `${id} ${'潮'.repeat(20_000)}`)
+  t.true(store.objects.list('part', '', '', Infinity).length > 0)
+})
