--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -1,6 +1,8 @@
 import { Builtins, type CommandClass } from 'clipanion'
+import { AccountCommand } from './account.js'
 import { ApplyCommand } from './apply.js'
 import { CheckCommand } from './check.js'
+import { DrainCommand } from './drain.js'
 import { JobsCancelCommand } from './jobs-cancel.js'
 import { JobsListCommand } from './jobs-list.js'
 import { JobsResultsCommand } from './jobs-results.js'
@@ -23,7 +25,9 @@
   CheckCommand,
   StatusCommand,
   TimelineCommand,
+  AccountCommand,
   LoadCommand,
+  DrainCommand,
   JobsSubmitCommand,
   JobsListCommand,
   JobsStatusCommand,
