--- a/bench/fault-suite.ts
+++ b/bench/fault-suite.ts
@@ -11,10 +11,10 @@
   { type: 'platform out', lasting: 60_000 }
 ]
 
-/** Every fault, each on a fleet of its own. */
-export async function runFaultSuite (site: Site, say: (sentence: string) => void): Promise<readonly FaultResult[]> {
+/** Every fault, or the one named, each on a fleet of its own. */
+export async function runFaultSuite (site: Site, say: (sentence: string) => void, only?: string): Promise<readonly FaultResult[]> {
   const results: FaultResult[] = []
-  for (const fault of FAULTS) {
+  for (const fault of FAULTS.filter(({ type }) => only === undefined || type === only)) {
     const result = await runFault(site, fault)
     results.push(result)
     say(`${site.name}, ${fault.type}: ${JSON.stringify(result)}`)
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,7 +10,7 @@
 import { sites } from './sites.js'
 
 const OUT = 'bench/out'
-const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--line NAME]… [--site NAME] [--policy LETTERS] [--check]
+const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--fault NAME] [--line NAME]… [--site NAME] [--policy LETTERS] [--check]
   without --suite: policies and faults; --check exits 1 when a bound of bench/bounds.yaml is broken`
 
 function say (sentence: string): void {
@@ -19,7 +19,7 @@
 
 async function main (): Promise<number> {
   const { values } = parseArgs({
-    options: { suite: { type: 'string', multiple: true, default: ['policies', 'faults'] }, site: { type: 'string' }, policy: { type: 'string', default: 'abcde' }, line: { type: 'string', multiple: true }, check: { type: 'boolean', default: false }, help: { type: 'boolean', default: false } }
+    options: { suite: { type: 'string', multiple: true, default: ['policies', 'faults'] }, site: { type: 'string' }, policy: { type: 'string', default: 'abcde' }, line: { type: 'string', multiple: true }, fault: { type: 'string' }, check: { type: 'boolean', default: false }, help: { type: 'boolean', default: false } }
   })
   if (values.help) {
     console.log(USAGE)
@@ -29,7 +29,7 @@
   const policies: PolicyReport[] = []
   const faults: FaultResult[] = []
   if (values.suite.includes('policies')) for (const site of chosen) policies.push(await runPolicySuite(site, say, values.policy))
-  if (values.suite.includes('faults')) faults.push(...await runFaultSuite(chosen[0]!, say))
+  if (values.suite.includes('faults')) faults.push(...await runFaultSuite(chosen[0]!, say, values.fault))
   mkdirSync(OUT, { recursive: true })
   if (values.suite.includes('slopes')) writeFileSync(`${OUT}/slopes.json`, JSON.stringify(await runSlopeSuite(say, values.line), null, 2))
   writeFileSync(`${OUT}/report.json`, JSON.stringify({ policies, faults }, null, 2))
--- a/bench/run-policy.ts
+++ b/bench/run-policy.ts
@@ -26,7 +26,6 @@
     const since = Date.now()
     const outcomes = await runLoad(planArrivals(online ? site.plan : { ...site.plan, rate: 0.5, burst: { every: 0, length: 0, rate: 0 } }), { urls: () => urls, model: site.plan.model })
     const until = Date.now()
-    if (process.env.BENCH_SLOW !== undefined) await showSlow(fleet, outcomes)
     const work = await readEngineWork(fleet, since)
     const idle = await Promise.all(fleet.servers.map(async server => readIdleShare(await fleet.readLog(server), since, until)))
     const seconds = (until - since) / MS_PER_SECOND
@@ -45,12 +44,3 @@
     await fleet.stop()
   }
 }
-
-async function showSlow (fleet: any, outcomes: readonly any[]): Promise<void> {
-  const slow = outcomes.filter(({ firstToken }) => firstToken > 300)
-  console.log('slow', slow.length, slow.slice(0, 400).map(({ at, firstToken }) => `${at.toFixed(0)}:${firstToken.toFixed(0)}`).join(' '))
-  for (const { id } of slow.slice(0, 3)) {
-    const all = await Promise.all(fleet.daemons.map(async (daemon: any) => (await fleet.operator('GET', daemon, `/operator/timeline?request=${id}`)).events))
-    console.log(all.flat().map((event: any) => JSON.stringify(event)).join('\n'))
-  }
-}
