--- a/src/coordination/tick-membership.ts
+++ b/src/coordination/advance-membership.ts
@@ -7,10 +7,10 @@
 /** One tick in this many also pings a dead member that the list still knows: a healed cut is noticed by it. */
 const REVIVE_ONE_IN = 25
 
-const { none, sendTo, listOthers, chooseSome, setRecord } = membershipMoves
+const { buildStep, sendTo, listOthers, chooseSome, setRecord } = membershipMoves
 
 /** One delay of our own loop must not look like the silence of others: what they sent still waits in our sockets. */
-function forgiveDelay (state: MembershipState, { now, options }: Context): MembershipState {
+function advanceDeadlines (state: MembershipState, { now, options }: Context): MembershipState {
   const gap = now - state.tickedAt
   if (gap <= options.lateAfter) return { ...state, tickedAt: now }
   const members = new Map([...state.members].map(([name, record]) => [name, { ...record, since: record.since + gap }]))
@@ -21,8 +21,8 @@
  * What a member does as time passes: judges what has gone unanswered, asks others to probe for it, probes the next
  * one, and tries now and then whether one that it holds for dead is back.
  */
-export function tickMembership (state: MembershipState, context: Context): Step {
-  let step: Step = none(judgeMembers(forgiveDelay(state, context), context))
+export function advanceMembership (state: MembershipState, context: Context): Step {
+  let step: Step = buildStep(checkMembers(advanceDeadlines(state, context), context))
   const add = (run: (state: MembershipState, context: Context) => Step): void => {
     const next = run(step.state, context)
     step = { state: next.state, effects: [...step.effects, ...next.effects] }
@@ -30,24 +30,24 @@
   add(askHelpers)
   add(endProbes)
   add(beginProbe)
-  add(reviveListed)
+  add(askListed)
   return step
 }
 
 /** Suspects that didn't refute in time are dead; the dead are forgotten in the end. */
-function judgeMembers (state: MembershipState, { now, options }: Context): MembershipState {
+function checkMembers (state: MembershipState, { now, options }: Context): MembershipState {
   const deadAfter = options.deadAfter * Math.max(1, Math.log10(state.members.size))
   let next = state
   for (const record of state.members.values()) {
     if (record.name === state.self) continue
     if (record.status === 'suspect' && now - record.since >= deadAfter) next = setRecord(next, { ...record, status: 'dead', since: now })
-    if (record.status === 'dead' && now - record.since >= options.forgetAfter) next = forget(next, record.name)
+    if (record.status === 'dead' && now - record.since >= options.forgetAfter) next = removeMember(next, record.name)
   }
   const unheard = [...next.members.values()].some(({ incarnation, status }) => incarnation === 0 && status !== 'dead')
   return next.settled || unheard ? next : { ...next, settled: true }
 }
 
-function forget (state: MembershipState, name: string): MembershipState {
+function removeMember (state: MembershipState, name: string): MembershipState {
   const members = new Map(state.members)
   const rumors = new Map(state.rumors)
   members.delete(name)
@@ -57,7 +57,7 @@
 
 function askHelpers (state: MembershipState, { now, random, options }: Context): Step {
   const late = state.probes.filter(({ asked, at }) => !asked && now - at >= options.answerWithin)
-  if (late.length === 0) return none(state)
+  if (late.length === 0) return buildStep(state)
   const { incarnation: i } = state.members.get(state.self)!
   const h = membershipMessages.hashMembers(state.members)
   const effects = late.flatMap(({ n, target }) => {
@@ -76,25 +76,25 @@
     const record = next.members.get(target)
     if (record?.status === 'alive') next = setRecord(next, { ...record, status: 'suspect', since: now })
   }
-  return none(next)
+  return buildStep(next)
 }
 
 /** Probes all in turn, in a new random order each round: each is probed in every round, whatever its luck. */
 function beginProbe (state: MembershipState, context: Context): Step {
   const { now, random, options } = context
-  if (now - state.probedAt < options.probeEvery) return none(state)
+  if (now - state.probedAt < options.probeEvery) return buildStep(state)
   const left = state.round.filter(name => ['alive', 'suspect'].includes(state.members.get(name)?.status ?? 'dead'))
   const round = left.length > 0 ? left : chooseSome(listOthers(state, ['alive', 'suspect']), Infinity, random)
   const target = round[0]
-  if (target === undefined) return none({ ...state, probedAt: now })
+  if (target === undefined) return buildStep({ ...state, probedAt: now })
   const n = state.sequence + 1
   const probes = [...state.probes, { n, target, at: now, asked: false }]
   return sendTo({ ...state, round: round.slice(1), sequence: n, probes, probedAt: now }, target, 'ping', n, context)
 }
 
-function reviveListed (state: MembershipState, context: Context): Step {
-  if (context.random.below(REVIVE_ONE_IN) > 0) return none(state)
+function askListed (state: MembershipState, context: Context): Step {
+  if (context.random.below(REVIVE_ONE_IN) > 0) return buildStep(state)
   const dead = listOthers(state, ['dead']).filter(name => state.listed.has(name))
   const [target] = chooseSome(dead, 1, context.random)
-  return target === undefined ? none(state) : sendTo(state, target, 'ping', 0, context)
+  return target === undefined ? buildStep(state) : sendTo(state, target, 'ping', 0, context)
 }
--- a/src/coordination/membership-moves.ts
+++ b/src/coordination/membership-moves.ts
@@ -5,7 +5,7 @@
 import type { MembershipState } from './membership-state.js'
 import type { MembershipStep as Step } from './membership-step.js'
 
-function none (state: MembershipState): Step {
+function buildStep (state: MembershipState): Step {
   return { state, effects: [] }
 }
 
@@ -29,4 +29,4 @@
 }
 
 /** The small steps that the larger ones are made of. */
-export const membershipMoves = { none, sendTo, listOthers, chooseSome, setRecord }
+export const membershipMoves = { buildStep, sendTo, listOthers, chooseSome, setRecord }
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -12,9 +12,9 @@
 import { membershipMoves } from './membership-moves.js'
 import type { MembershipStep as Step } from './membership-step.js'
 import { mergeRecords } from './merge-records.js'
-import { tickMembership } from './tick-membership.js'
+import { advanceMembership } from './advance-membership.js'
 
-const { none, sendTo, listOthers, chooseSome, setRecord } = membershipMoves
+const { buildStep, sendTo, listOthers, chooseSome, setRecord } = membershipMoves
 
 const JOIN_FANOUT = 3
 
@@ -41,10 +41,10 @@
 }): Step {
   const context = { now, random, options: { ...membershipDefaults, ...options } }
   switch (event.type) {
-    case 'tick': return tickMembership(state, context)
-    case 'message': return receive(state, event.from, event.message, context)
+    case 'tick': return advanceMembership(state, context)
+    case 'message': return handleMessage(state, event.from, event.message, context)
     case 'listed': return takeList(state, event.members, context)
-    case 'paused': return restart(state, event.incarnation, context)
+    case 'paused': return dropBeliefs(state, event.incarnation, context)
     case 'updated': return updateSelf(state, { data: event.data }, context)
     case 'leave': return updateSelf(state, { leaving: true }, context)
     case 'end': return updateSelf(state, { status: 'dead' }, context)
@@ -80,13 +80,13 @@
   const members = new Map(state.members)
   for (const { name, data } of fresh) members.set(name, { name, incarnation: 0, status: 'alive', leaving: false, data, since: context.now })
   const next = { ...state, members, listed: new Set(others.map(({ name }) => name)) }
-  if (fresh.length === 0) return none(next)
+  if (fresh.length === 0) return buildStep(next)
   const asked = chooseSome(fresh.map(({ name }) => name), JOIN_FANOUT, context.random)
   return { state: { ...next, settled: state.settled && state.members.size > 1 }, effects: asked.map(to => sendState(next, to, true)) }
 }
 
 /** What it believed of the others may have lapsed: they are known by name only, until they are heard again. */
-function restart (state: MembershipState, incarnation: number, context: Context): Step {
+function dropBeliefs (state: MembershipState, incarnation: number, context: Context): Step {
   const { now, random } = context
   const members = new Map([...state.members].map(([name, record]) => {
     if (name === state.self) return [name, { ...record, incarnation, since: now }]
@@ -97,7 +97,7 @@
   return { state: next, effects: chooseSome(listOthers(next, ['alive']), JOIN_FANOUT, random).map(to => sendState(next, to, true)) }
 }
 
-function receive (state: MembershipState, from: string, message: MembershipMessage, context: Context): Step {
+function handleMessage (state: MembershipState, from: string, message: MembershipMessage, context: Context): Step {
   const merged = mergeRecords(state, message.u, context.now)
   switch (message.type) {
     case 'state': {
@@ -129,5 +129,5 @@
 function takeAnswer (state: MembershipState, n: number, context: Context): Step {
   const relay = state.relays.find(relay => relay.n === n)
   const next = { ...state, probes: state.probes.filter(probe => probe.n !== n), relays: state.relays.filter(relay => relay.n !== n) }
-  return relay === undefined ? none(next) : sendTo(next, relay.to, 'ack', relay.toN, context)
+  return relay === undefined ? buildStep(next) : sendTo(next, relay.to, 'ack', relay.toN, context)
 }
--- a/src/coordination/merge-records.ts
+++ b/src/coordination/merge-records.ts
@@ -13,7 +13,7 @@
   for (const [name, incarnation, status, leaving, data] of sent) {
     const known = (members ?? state.members).get(name)
     const next = name === state.self
-      ? refute(known!, incarnation, status)
+      ? rejectClaim(known!, incarnation, status)
       : readRecord(known, { name, incarnation, status, leaving, data: data ?? known?.data ?? {}, since: now })
     if (next === undefined) continue
     members = (members ?? new Map(state.members)).set(name, { ...next, since: now })
@@ -26,7 +26,7 @@
   return isNewerRecord(next, known) ? next : undefined
 }
 
-function refute (self: MemberRecord, incarnation: number, status: MemberRecord['status']): MemberRecord | undefined {
+function rejectClaim (self: MemberRecord, incarnation: number, status: MemberRecord['status']): MemberRecord | undefined {
   if (status === 'alive' ? incarnation <= self.incarnation : incarnation < self.incarnation) return undefined
   return { ...self, incarnation: incarnation + 1 }
 }
--- a/src/entry/keyed-claims.ts
+++ b/src/entry/keyed-claims.ts
@@ -40,7 +40,7 @@
   }
 
   async start (): Promise<void> {
-    this.cancel = this.clock.every(RETRY_PERIOD, () => { void this.retry() })
+    this.cancel = this.clock.every(RETRY_PERIOD, () => { void this.settleAll() })
   }
 
   /**
@@ -51,7 +51,7 @@
     this.cancel()
     const end = this.clock.now() + DRAIN_BOUND
     while (this.unsettled.length > 0 && this.clock.now() < end) {
-      await this.retry()
+      await this.settleAll()
       if (this.unsettled.length > 0) await new Promise<void>(resolve => { this.clock.after(RETRY_PERIOD / 4, resolve) })
     }
   }
@@ -77,7 +77,7 @@
       if (read.ok && read.val.value.id === claim.id) return Ok(undefined)
       // Another claim stands at a version that ours wasn't based on: ours can't come to stand any more.
       if (read.ok && read.val.version !== version) return Err({ type: 'conflict', version: read.val.version })
-      this.keep({ name, id: claim.id, settlement: 'release', expected: this.clock.now() + LATE_WRITE })
+      this.addUnsettled({ name, id: claim.id, settlement: 'release', expected: this.clock.now() + LATE_WRITE })
       if (read.ok) return Err({ type: 'conflict', version: read.val.version })
     }
     return Err(written.val)
@@ -85,8 +85,8 @@
 
   /** Records how it ended, or releases it because nothing was sent; now or, if the platform is down, later. Says which. */
   async settle (name: string, id: string, settlement: Settlement): Promise<boolean> {
-    const settled = await this.trySettle({ name, id, settlement })
-    if (!settled) this.keep({ name, id, settlement })
+    const settled = await this.settleNow({ name, id, settlement })
+    if (!settled) this.addUnsettled({ name, id, settlement })
     return settled
   }
 
@@ -96,18 +96,18 @@
     return ended.ok
   }
 
-  private keep (entry: Unsettled): void {
+  private addUnsettled (entry: Unsettled): void {
     this.unsettled = [...this.unsettled, entry].slice(-MAX_UNSETTLED)
   }
 
-  private async retry (): Promise<void> {
+  private async settleAll (): Promise<void> {
     const entries = this.unsettled
-    const settled = await Promise.all(entries.slice(0, 20).map(async entry => await this.trySettle(entry) ? [entry] : []))
+    const settled = await Promise.all(entries.slice(0, 20).map(async entry => await this.settleNow(entry) ? [entry] : []))
     this.unsettled = this.unsettled.filter(entry => !settled.flat().includes(entry))
   }
 
   /** Whether no more is to be done. A claim that is no longer of this id belongs to another request. */
-  private async trySettle ({ name, id, settlement, expected = 0 }: Unsettled): Promise<boolean> {
+  private async settleNow ({ name, id, settlement, expected = 0 }: Unsettled): Promise<boolean> {
     const read = await this.read(name)
     if (read.err) return read.val.type === 'missing' && this.clock.now() >= expected
     const { version, value } = read.val
--- a/src/entry/keyed-index.ts
+++ b/src/entry/keyed-index.ts
@@ -40,22 +40,22 @@
 
   async start (): Promise<void> {
     this.cancels.push(
-      this.clock.every(FLUSH_PERIOD, () => { void this.flush() }),
-      this.clock.every(SWEEP_PERIOD, () => { void this.sweep() })
+      this.clock.every(FLUSH_PERIOD, () => { void this.writeNames() }),
+      this.clock.every(SWEEP_PERIOD, () => { void this.removeOld() })
     )
   }
 
   async stop (): Promise<void> {
     for (const cancel of this.cancels) cancel()
-    await this.flush()
+    await this.writeNames()
   }
 
   add (name: string): void {
     this.names.push(name)
-    if (this.names.length === FLUSH_AT) void this.flush()
+    if (this.names.length === FLUSH_AT) void this.writeNames()
   }
 
-  async flush (): Promise<void> {
+  async writeNames (): Promise<void> {
     const { names } = this
     if (names.length === 0) return
     this.names = []
@@ -65,7 +65,7 @@
   }
 
   /** Removes the keys of the days that have passed out of keeping, where this daemon is the one to do it. */
-  async sweep (): Promise<void> {
+  async removeOld (): Promise<void> {
     if (this.sweeping) return
     this.sweeping = true
     for (const back of [2, 3, 4]) {
--- a/src/entry/keyed-requests.ts
+++ b/src/entry/keyed-requests.ts
@@ -13,8 +13,8 @@
 import type { StoredObject } from '../platform/stored-object.js'
 import type { ServerAnswer } from '../routing/server-answer.js'
 import type { ServerRequest } from '../routing/server-request.js'
-import { collectAnswer } from './collect-answer.js'
-import { decideClaim } from './decide-claim.js'
+import { readAnswer } from './read-answer.js'
+import { planClaim } from './plan-claim.js'
 import type { KeyedClaim } from './keyed-claim.js'
 import { KeyedClaims } from './keyed-claims.js'
 import { KeyedIndex } from './keyed-index.js'
@@ -121,7 +121,7 @@
 
   /** Records the answer, then gives it: one who asks again gets the same. One that is cut ends as unknown. */
   private async takeAnswer (name: string, id: string, answer: ServerAnswer): Promise<KeyedOutcome> {
-    const collected = await collectAnswer(answer, KEPT_BYTES)
+    const collected = await readAnswer(answer, KEPT_BYTES)
     if (collected.type === 'cut') {
       const cause = 'its answer was cut'
       await this.settle(name, id, { type: 'unknown', cause })
@@ -141,7 +141,7 @@
     const claim = read.val.value
     const own = claim.holder === this.settings.instance && claim.run === this.run
     const ownUnsent = own && !this.sent.has(claim.id) && !this.running.has(name)
-    const decision = decideClaim(claim, { now: this.clock.date(), fingerprint, holderGone: !own && this.isGone(claim), ownUnsent })
+    const decision = planClaim(claim, { now: this.clock.date(), fingerprint, holderGone: !own && this.isGone(claim), ownUnsent })
     switch (decision) {
       case 'take': return read.val.version
       case 'wait': return -1
--- a/src/entry/decide-claim.ts
+++ b/src/entry/plan-claim.ts
@@ -17,7 +17,7 @@
  * gone, or past the deadline, it ends as unknown. It is taken again only by the very process that holds it and knows
  * that it sent nothing (the write's reply was lost), or once the key has expired.
  */
-export function decideClaim (claim: KeyedClaim, { now, fingerprint, holderGone, ownUnsent }: {
+export function planClaim (claim: KeyedClaim, { now, fingerprint, holderGone, ownUnsent }: {
   readonly now: number
   readonly fingerprint: string
   /** Whether the holder's process has ended. */
--- a/src/entry/collect-answer.ts
+++ b/src/entry/read-answer.ts
@@ -8,7 +8,7 @@
   | { readonly type: 'cut' }
 
 /** Reads the body of an answer, holding at most `limit` bytes of it and what came with the last of them. */
-export async function collectAnswer (answer: ServerAnswer, limit: number): Promise<CollectedAnswer> {
+export async function readAnswer (answer: ServerAnswer, limit: number): Promise<CollectedAnswer> {
   const parts: Buffer[] = []
   const source = (answer.body as AsyncIterable<Buffer>)[Symbol.asyncIterator]()
   try {
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -63,7 +63,7 @@
   }
 
   async start (): Promise<void> {
-    this.state = createMembership({ name: this.settings.instance, incarnation: this.run, data: this.describeSelf(), now: this.clock.now() })
+    this.state = createMembership({ name: this.settings.instance, incarnation: this.run, data: this.readSelf(), now: this.clock.now() })
     this.pauses.subscribe(() => this.step({ type: 'paused', incarnation: Math.max(this.clock.date(), this.record.incarnation + 1) }))
     this.list.subscribe(() => this.takeList())
     this.takeList()
@@ -110,7 +110,7 @@
   update ({ port = this.port, ready = this.ready }: { readonly port?: number, readonly ready?: boolean }): void {
     this.port = port
     this.ready = ready
-    this.step({ type: 'updated', data: this.describeSelf() })
+    this.step({ type: 'updated', data: this.readSelf() })
   }
 
   /**
@@ -148,7 +148,7 @@
     return this.state.members.get(this.settings.instance)!
   }
 
-  private describeSelf (): MemberRecord['data'] {
+  private readSelf (): MemberRecord['data'] {
     const { address, listen, failureDomain, region } = this.settings
     return { host: address ?? listen.host, port: this.port, peerPort: this.links.port, ready: Number(this.ready), run: this.run, failureDomain, region }
   }
--- a/src/peers/session-keys.ts
+++ b/src/peers/session-keys.ts
@@ -22,11 +22,11 @@
  */
 export function buildSessionKeys (secret: string, { opener, acceptor, openerNonce, acceptorNonce }: SessionParties): SessionKeys {
   const names = JSON.stringify([opener, acceptor])
-  const derive = (use: string): Buffer => createHmac('sha256', secret).update(use).update('\0').update(openerNonce).update(acceptorNonce).update(names).digest()
+  const hashFor = (use: string): Buffer => createHmac('sha256', secret).update(use).update('\0').update(openerNonce).update(acceptorNonce).update(names).digest()
   return {
-    openerProof: derive('proof of the opener'),
-    acceptorProof: derive('proof of the acceptor'),
-    openerKey: derive('frames of the opener'),
-    acceptorKey: derive('frames of the acceptor')
+    openerProof: hashFor('proof of the opener'),
+    acceptorProof: hashFor('proof of the acceptor'),
+    openerKey: hashFor('frames of the opener'),
+    acceptorKey: hashFor('frames of the acceptor')
   }
 }
--- a/src/peers/session.ts
+++ b/src/peers/session.ts
@@ -60,7 +60,7 @@
       const frame = this.reader.take()
       if (frame.err) return frame
       if (frame.val === undefined) return Ok(events)
-      const step = this.peer === undefined ? this.shakeHands(frame.val) : this.openFrame(frame.val)
+      const step = this.peer === undefined ? this.handleHandshake(frame.val) : this.openFrame(frame.val)
       if (step.err) return step
       events.push(...step.val)
     }
@@ -72,7 +72,7 @@
     return frameCodec.decode(body).map(value => [{ type: 'value', value }])
   }
 
-  private shakeHands (frame: Buffer): Result<readonly SessionEvent[], string> {
+  private handleHandshake (frame: Buffer): Result<readonly SessionEvent[], string> {
     const decoded = frameCodec.decode(frame)
     if (decoded.err) return decoded
     if (this.expected !== undefined) return this.settleProof(decoded.val)
@@ -100,15 +100,15 @@
     this.outgoing = new FrameSeal(keys.openerKey)
     this.incoming = new FrameSeal(keys.acceptorKey)
     const sent: SessionEvent = { type: 'send', bytes: encodeFrame(frameCodec.encode({ proof: keys.openerProof })) }
-    return Ok([sent, this.enter(from)])
+    return Ok([sent, this.recordPeer(from)])
   }
 
   private settleProof ({ proof }: Value): Result<readonly SessionEvent[], string> {
     if (!isSame(proof, this.expected!.proof)) return Err('the peer key is wrong')
-    return Ok([this.enter(this.expected!.peer)])
+    return Ok([this.recordPeer(this.expected!.peer)])
   }
 
-  private enter (peer: string): SessionEvent {
+  private recordPeer (peer: string): SessionEvent {
     this.peer = peer
     this.reader.limit = FRAME_LIMIT
     return { type: 'proven', peer }
