--- a/src/entry/keyed-index.ts
+++ b/src/entry/keyed-index.ts
@@ -16,6 +16,8 @@
 const SWEEP_PERIOD = 600_000
 /** Pause between two removals: at most some 5 writes a second, and those in the background. */
 const REMOVE_PAUSE = 200
+/** Lists of names read at once, each of some 65 KB at most. */
+const LIST_LIMIT = 20
 
 interface DayNames { readonly names: readonly string[] }
 
@@ -28,7 +30,7 @@
 export class KeyedIndex implements Part {
   private names: string[] = []
   private flushes = 0
-  private sweeping = false
+  private removing = false
   private readonly cancels: (() => void)[] = []
 
   constructor (
@@ -64,20 +66,18 @@
     if (written.err) this.names = [...names, ...this.names].slice(-FLUSH_AT)
   }
 
-  /** Removes the keys of the days that have passed out of keeping, where this daemon is the one to do it. */
+  /** Removes the keys of days that have passed out of keeping, the oldest first, where this daemon is to do it. */
   async removeOld (): Promise<void> {
-    if (this.sweeping) return
-    this.sweeping = true
-    for (const back of [2, 3, 4]) {
-      const day = this.readDay(back)
-      if (rankOwners(day, this.members.owners())[0] !== this.settings.instance) continue
-      const listed = await this.store.list<DayNames>(KIND, { prefix: `${day}/`, limit: 100 })
-      for (const { name, version, value } of listed.unwrapOr([])) {
-        for (const key of value.names) await this.removeKey(key)
-        await this.store.delete(KIND, name, version, 'background')
-      }
+    if (this.removing || rankOwners(KIND, this.members.owners())[0] !== this.settings.instance) return
+    this.removing = true
+    const listed = await this.store.list<DayNames>(KIND, { limit: LIST_LIMIT })
+    const kept = this.readDay(1)
+    for (const { name, version, value } of listed.unwrapOr([])) {
+      if (name >= kept) break
+      for (const key of value.names) await this.removeKey(key)
+      await this.store.delete(KIND, name, version, 'background')
     }
-    this.sweeping = false
+    this.removing = false
   }
 
   /** A key that was used again since then is a newer claim, and stays. */
