--- a/bench/slope-result.ts
+++ b/bench/slope-result.ts
@@ -12,6 +12,8 @@
   readonly platformReads: number
   readonly platformWrites: number
   readonly platformWatches: number
+  /** Calls a second over the fleet, by what they were for. */
+  readonly platformCalls: Readonly<Record<string, number>>
   readonly answered: number
   readonly itemsDone: number
 }
