Names of functions begin with the verbs of VERBS.md

Cause: parse, act, fetch, probe, refill and others of this lane weren't on the list. Conclusion: no behaviour changed.

--- a/src/commands/apply.ts
+++ b/src/commands/apply.ts
@@ -53,11 +53,11 @@
     const text = showPlan(plan)
     if (this.diff || (Object.keys(plan.put).length + plan.remove.length === 0)) return this.write(plan, text, exitCodes.ok)
     if (!this.json) this.context.stdout.write(text + '\n')
-    if (!await this.confirm()) return exitCodes.usage
+    if (!await this.askToConfirm()) return exitCodes.usage
     return await this.send(plan)
   }
 
-  private async confirm (): Promise<boolean> {
+  private async askToConfirm (): Promise<boolean> {
     if (this.yes) return true
     if (!process.stdin.isTTY) {
       this.context.stderr.write('not applied: confirm with --yes\n')
--- a/src/config/acting-configuration.ts
+++ b/src/config/acting-configuration.ts
@@ -9,14 +9,14 @@
 import type { Entry } from './entry.js'
 import type { Finding } from './finding.js'
 import type { PackedFile } from './packed-file.js'
-import { parseFile } from './parse-file.js'
+import { decodeFile } from './decode-file.js'
 import { showFinding } from './show-finding.js'
 
 /** Time after which work on files gives way to the loop, in ms. */
 const SLICE = 5
 const LOGGED_FINDINGS = 5
 
-type Parsed = ReturnType<typeof parseFile>
+type Decoded = ReturnType<typeof decodeFile>
 
 /**
  * Turns the files of a version into the configuration that this daemon acts on. Files that haven't changed are neither
@@ -24,7 +24,7 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class ActingConfiguration {
-  private readonly parsed = new WeakMap<PackedFile, Parsed>()
+  private readonly decoded = new WeakMap<PackedFile, Decoded>()
   private readonly known = new WeakMap<Entry, unknown>()
   private latest = 0
 
@@ -56,7 +56,7 @@
   /** Merges and checks files as `checkFiles` does, giving way to the loop every few ms. */
   async check (files: readonly PackedFile[]): Promise<Result<CheckedFiles, readonly Finding[]>> {
     const byName = new Map(files.map(file => [file[0], file]))
-    const steps = checkInSteps(new Map(files), { parse: name => this.parse(byName.get(name)!), known: this.known })
+    const steps = checkInSteps(new Map(files), { decode: name => this.decode(byName.get(name)!), known: this.known })
     for (let since = performance.now(); ;) {
       const step = steps.next()
       if (step.done === true) return step.value
@@ -66,9 +66,9 @@
     }
   }
 
-  private parse (file: PackedFile): Parsed {
-    const result = this.parsed.get(file) ?? parseFile(...file)
-    this.parsed.set(file, result)
+  private decode (file: PackedFile): Decoded {
+    const result = this.decoded.get(file) ?? decodeFile(...file)
+    this.decoded.set(file, result)
     return result
   }
 }
--- a/src/config/check-in-steps.ts
+++ b/src/config/check-in-steps.ts
@@ -7,13 +7,13 @@
 import type { Entry } from './entry.js'
 import type { Finding } from './finding.js'
 import { mergeEntries } from './merge-entries.js'
-import { parseFile } from './parse-file.js'
+import { decodeFile } from './decode-file.js'
 
 /** A file must fit in one object of the platform, beside others. */
 const MAX_FILE_BYTES = 250_000
 
-/** `known` keeps the values of entries that `parse` gave before, and makes a check after a small change cheap. */
-interface CheckOptions { readonly parse?: typeof parseFile, readonly known?: WeakMap<Entry, unknown> }
+/** `known` keeps the values of entries that `decode` gave before, and makes a check after a small change cheap. */
+interface CheckOptions { readonly decode?: typeof decodeFile, readonly known?: WeakMap<Entry, unknown> }
 
 const EMPTY: Entry = { type: 'map', keys: new Map(), place: { file: '', line: 1, column: 1 }, replaced: [] }
 
@@ -21,12 +21,12 @@
  * The merge and check of `checkFiles`, with a pause after each part of the work: thousands of files taken at one go
  * would hold the loop, and its symptom would be a gap in every stream of the daemon at each change.
  */
-export function * checkInSteps (files: ReadonlyMap<string, string>, { parse = parseFile, known }: CheckOptions = {}): Generator<void, Result<CheckedFiles, readonly Finding[]>> {
+export function * checkInSteps (files: ReadonlyMap<string, string>, { decode = decodeFile, known }: CheckOptions = {}): Generator<void, Result<CheckedFiles, readonly Finding[]>> {
   const findings: Finding[] = []
   const roots: [Entry, ...Entry[]] = [EMPTY]
   for (const [file, text] of [...files].sort(([a], [b]) => a < b ? -1 : 1)) {
     if (Buffer.byteLength(text) > MAX_FILE_BYTES) findings.push({ file, line: 1, column: 1, message: `over the limit of ${MAX_FILE_BYTES} bytes: split it` })
-    const parsed = parse(file, text)
+    const parsed = decode(file, text)
     if (parsed.err) findings.push(...parsed.val)
     else if (parsed.val.type !== 'map') findings.push({ ...parsed.val.place, message: 'a file must be a map of keys' })
     else roots.push(parsed.val)
--- a/src/config/configuration-distribution.ts
+++ b/src/config/configuration-distribution.ts
@@ -96,9 +96,9 @@
    */
   async start (): Promise<void> {
     this.clock.after(START_WAIT, this.endStart)
-    this.cancel = this.clock.every(TICK_PERIOD, () => this.tick())
-    this.pauses.subscribe(() => this.tick())
-    this.tick()
+    this.cancel = this.clock.every(TICK_PERIOD, () => this.runTick())
+    this.pauses.subscribe(() => this.runTick())
+    this.runTick()
     void this.watch()
   }
 
@@ -107,11 +107,11 @@
     this.cancel()
   }
 
-  private tick (): void {
-    this.step({ type: 'tick', peers: this.drawPeers(TICK_PEERS) })
+  private runTick (): void {
+    this.step({ type: 'tick', peers: this.choosePeers(TICK_PEERS) })
   }
 
-  private drawPeers (count: number): readonly string[] {
+  private choosePeers (count: number): readonly string[] {
     const others = this.members.all().filter(({ instance }) => instance.name !== this.settings.instance).map(({ instance }) => instance.name)
     const drawn: string[] = []
     while (drawn.length < count && others.length > 0) drawn.push(...others.splice(this.random.below(others.length), 1))
@@ -132,9 +132,9 @@
   private run (effect: VersionEffect<Pack>): void {
     switch (effect.type) {
       case 'send': this.send(effect.to, effect.message); break
-      case 'spread': for (const peer of this.drawPeers(SPREAD_PEERS)) this.send(peer, effect.message); break
+      case 'spread': for (const peer of this.choosePeers(SPREAD_PEERS)) this.send(peer, effect.message); break
       case 'read parts': void this.readPacks(effect.hashes); break
-      case 'act': void this.act(effect.head, effect.parts)
+      case 'act': void this.applyVersion(effect.head, effect.parts)
     }
   }
 
@@ -156,7 +156,7 @@
     this.step({ type: 'read parts', parts })
   }
 
-  private async act (head: VersionHead, packs: readonly Pack[]): Promise<void> {
+  private async applyVersion (head: VersionHead, packs: readonly Pack[]): Promise<void> {
     await this.started
     if (head.version === this.head?.version) await this.acting.take(head.version, packs.flatMap(({ files }) => files))
   }
--- a/src/config/configuration-writer.ts
+++ b/src/config/configuration-writer.ts
@@ -47,22 +47,22 @@
 
   async apply (change: FolderChange): Promise<ApplyOutcome> {
     const present = await this.readPresent()
-    if (present.err) return notSent(present.val)
+    if (present.err) return createNotSent(present.val)
     if (present.val.version !== change.basedOn) return showConflict(present.val, change.basedOn)
     const packs = await this.readPacks(present.val.value.packs)
-    if (packs.err) return notSent(packs.val)
+    if (packs.err) return createNotSent(packs.val)
     const files = new Map(packs.val.flatMap(pack => pack.files.map(file => [file[0], file])))
     const changed = applyChange(files, change)
     if (changed.length === 0) return { type: 'unchanged', version: present.val.version }
     const checked = await this.acting.check([...files.values()])
     if (checked.err) return { type: 'findings', findings: checked.val }
-    return await this.swap(present.val, splitPacks([...files.values()]), changed, change.by)
+    return await this.writeSwap(present.val, splitPacks([...files.values()]), changed, change.by)
   }
 
-  private async swap ({ version, value: manifest }: Present, packs: readonly Pack[], changed: readonly string[], by: string): Promise<ApplyOutcome> {
+  private async writeSwap ({ version, value: manifest }: Present, packs: readonly Pack[], changed: readonly string[], by: string): Promise<ApplyOutcome> {
     for (const pack of packs.filter(({ hash }) => !manifest.packs.includes(hash))) {
       const written = await this.objects.writePack(pack)
-      if (written.err) return notSent(written.val)
+      if (written.err) return createNotSent(written.val)
     }
     const now = this.clock.date()
     const hashes = packs.map(({ hash }) => hash)
@@ -113,6 +113,6 @@
 }
 
 /** Before the swap nothing was accepted, whatever became of the calls. */
-function notSent (error: StoreError): ApplyOutcome {
+function createNotSent (error: StoreError): ApplyOutcome {
   return { type: 'not sent', reason: 'reason' in error ? error.reason : error.type, retryAfter: error.type === 'limited' ? error.retryAfter : RETRY_AFTER }
 }
--- a/src/config/parse-file.ts
+++ b/src/config/decode-file.ts
@@ -10,18 +10,18 @@
 
   constructor (private readonly file: string, private readonly lines: LineCounter) {}
 
-  place (offset: number): Place {
+  readPlace (offset: number): Place {
     const { line, col } = this.lines.linePos(offset)
     return { file: this.file, line, column: col }
   }
 
   add (offset: number, message: string): void {
-    this.findings.push({ ...this.place(offset), message })
+    this.findings.push({ ...this.readPlace(offset), message })
   }
 
   /** `at` is where to place the entry: at its key, where it has one. */
   read (node: ParsedNode | null, at: number): Entry {
-    const shared = { place: this.place(at), replaced: [] }
+    const shared = { place: this.readPlace(at), replaced: [] }
     if (isMap(node)) return { ...shared, type: 'map', keys: this.readKeys(node.items) }
     if (isSeq(node)) return { ...shared, type: 'list', items: node.items.map(item => this.read(item as ParsedNode, (item as ParsedNode).range[0])) }
     if (isAlias(node)) this.add(node.range[0], `*${node.source}: aliases are not supported; write the value out`)
@@ -39,7 +39,7 @@
 }
 
 /** Reads one YAML file; every error in it is a finding with its place. An empty file is an empty map. */
-export function parseFile (file: string, text: string): Result<Entry, readonly Finding[]> {
+export function decodeFile (file: string, text: string): Result<Entry, readonly Finding[]> {
   const lines = new LineCounter()
   const document = parseDocument(text, { lineCounter: lines })
   const reader = new EntryReader(file, lines)
@@ -47,6 +47,6 @@
   if (reader.findings.length > 0) return Err(reader.findings)
   const { contents } = document
   const empty = contents === null || (isScalar(contents) && contents.value === null)
-  const root: Entry = empty ? { type: 'map', keys: new Map(), place: reader.place(0), replaced: [] } : reader.read(contents, contents.range[0])
+  const root: Entry = empty ? { type: 'map', keys: new Map(), place: reader.readPlace(0), replaced: [] } : reader.read(contents, contents.range[0])
   return reader.findings.length > 0 ? Err(reader.findings) : Ok(root)
 }
--- a/src/config/read-settings.ts
+++ b/src/config/read-settings.ts
@@ -3,7 +3,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { checkEntry } from './check-entry.js'
 import type { Finding } from './finding.js'
-import { parseFile } from './parse-file.js'
+import { decodeFile } from './decode-file.js'
 import { settingsSchema } from './settings-schema.js'
 
 /** Reads and checks a daemon's own settings; all findings come together. */
@@ -14,7 +14,7 @@
   } catch (error) {
     return Err([{ file, line: 1, column: 1, message: `can not be read: ${(error as Error).message}` }])
   }
-  const parsed = parseFile(file, text)
+  const parsed = decodeFile(file, text)
   if (parsed.err) return parsed
   const findings: Finding[] = []
   const settings = checkEntry(parsed.val, settingsSchema, '', findings) as Settings
--- a/src/config/write-key-table.ts
+++ b/src/config/write-key-table.ts
@@ -12,17 +12,17 @@
 function listRows (schema: KeySchema, path: string): readonly Row[] {
   switch (schema.type) {
     case 'object': return Object.entries(schema.keys).flatMap(([key, inner]) => listRows(inner, path === '' ? key : `${path}.${key}`))
-    case 'map': return [{ path, ...describe(schema) }, ...listRows(schema.of, `${path}.NAME`)]
-    case 'list': return [{ path, ...describe(schema) }, ...(schema.of.type === 'object' ? listRows(schema.of, `${path}[]`) : [])]
+    case 'map': return [{ path, ...showRow(schema) }, ...listRows(schema.of, `${path}.NAME`)]
+    case 'list': return [{ path, ...showRow(schema) }, ...(schema.of.type === 'object' ? listRows(schema.of, `${path}[]`) : [])]
     case 'text':
     case 'number':
     case 'boolean':
-    case 'choice': return [{ path, ...describe(schema) }]
+    case 'choice': return [{ path, ...showRow(schema) }]
     default: return failUnreachable(schema)
   }
 }
 
-function describe (schema: KeySchema): Omit<Row, 'path'> {
+function showRow (schema: KeySchema): Omit<Row, 'path'> {
   const base = { type: schema.type, unit: '', bounds: '', fallback: schema.optional === true ? 'none' : 'must be set', doc: schema.doc }
   switch (schema.type) {
     case 'text': {
--- a/src/coordination/step-version.ts
+++ b/src/coordination/step-version.ts
@@ -59,14 +59,14 @@
   const send = (answer: VersionMessage<Part>): Step<Part> => ({ state, effects: [{ type: 'send', to: from, message: answer }] })
   switch (message.type) {
     case 'digest': return takeDigest(state, from, message.version, now, options)
-    case 'ask head': return state.head === undefined ? keep(state) : send({ type: 'head', head: state.head })
+    case 'ask head': return state.head === undefined ? createStep(state) : send({ type: 'head', head: state.head })
     case 'head': return takeHead(state, message.head, { from }, now, options)
     case 'ask parts': return send({ type: 'parts', parts: choose(state, message.hashes, options) })
     case 'parts': return takeParts(state, message.parts, from, now, options)
   }
 }
 
-function keep<Part> (state: VersionState<Part>): Step<Part> {
+function createStep<Part> (state: VersionState<Part>): Step<Part> {
   return { state, effects: [] }
 }
 
@@ -74,29 +74,29 @@
 function takeDigest<Part> (state: VersionState<Part>, from: string, version: number, now: number, { askTimeout }: Options<Part>): Step<Part> {
   const own = state.head?.version ?? 0
   if (version < own) return { state, effects: [{ type: 'send', to: from, message: { type: 'digest', version: own } }] }
-  if (version <= (state.target?.version ?? own)) return keep(state)
-  if (version <= state.asked.version && now - state.asked.at < askTimeout) return keep(state)
+  if (version <= (state.target?.version ?? own)) return createStep(state)
+  if (version <= state.asked.version && now - state.asked.at < askTimeout) return createStep(state)
   return { state: { ...state, asked: { version, from, at: now } }, effects: [{ type: 'send', to: from, message: { type: 'ask head' } }] }
 }
 
 /** An old read of the store or a late message has a lower version than one known, and ends here. */
 function takeHead<Part> (state: VersionState<Part>, head: VersionHead, { from, parts = [] }: { readonly from?: string, readonly parts?: readonly Part[] }, now: number, options: Options<Part>): Step<Part> {
-  if (head.version <= (state.target?.version ?? state.head?.version ?? 0)) return keep(state)
+  if (head.version <= (state.target?.version ?? state.head?.version ?? 0)) return createStep(state)
   const known = new Map([...parts.map(part => [options.hash(part), part] as const), ...state.parts])
   const next: VersionState<Part> = { ...state, parts: known, target: head, fetched: { at: now, tries: 0 } }
   const missing = listMissing(next)
-  if (missing.length === 0) return act(next)
+  if (missing.length === 0) return applyTarget(next)
   const peer = from ?? (missing.length > options.storeParts ? state.peers[0] : undefined)
-  return { state: next, effects: [fetchParts(missing, peer)] }
+  return { state: next, effects: [askForParts(missing, peer)] }
 }
 
 function takeParts<Part> (state: VersionState<Part>, parts: readonly Part[], from: string | undefined, now: number, { hash }: Options<Part>): Step<Part> {
   const missing = new Set(listMissing(state))
   const wanted = parts.map(part => [hash(part), part] as const).filter(([key]) => missing.has(key))
-  if (wanted.length === 0) return keep(state)
+  if (wanted.length === 0) return createStep(state)
   const next: VersionState<Part> = { ...state, parts: new Map([...state.parts, ...wanted]), fetched: { at: now, tries: 0 } }
   const left = listMissing(next)
-  return left.length === 0 ? act(next) : { state: next, effects: [fetchParts(left, from)] }
+  return left.length === 0 ? applyTarget(next) : { state: next, effects: [askForParts(left, from)] }
 }
 
 /** Tells the drawn peers our version, and asks again for what didn't come. */
@@ -112,20 +112,20 @@
 /** A question or its answer was lost: the version heard of is still not known. */
 function askHeadAgain<Part> (state: VersionState<Part>, now: number, askTimeout: number): Step<Part> {
   const { version, from, at } = state.asked
-  if (version <= (state.head?.version ?? 0) || from === undefined || now - at < askTimeout) return keep(state)
+  if (version <= (state.head?.version ?? 0) || from === undefined || now - at < askTimeout) return createStep(state)
   const tries = state.fetched.tries + 1
   const to = tries % 2 === 1 ? from : state.peers[0] ?? from
   return { state: { ...state, asked: { version, from, at: now }, fetched: { ...state.fetched, tries } }, effects: [{ type: 'send', to, message: { type: 'ask head' } }] }
 }
 
 function askPartsAgain<Part> (state: VersionState<Part>, now: number, askTimeout: number): Step<Part> {
-  if (now - state.fetched.at < askTimeout) return keep(state)
+  if (now - state.fetched.at < askTimeout) return createStep(state)
   const tries = state.fetched.tries + 1
-  const fetch = fetchParts<Part>(listMissing(state), tries % 2 === 1 ? state.asked.from ?? state.peers[0] : tries % 4 === 0 ? undefined : state.peers[0])
+  const fetch = askForParts<Part>(listMissing(state), tries % 2 === 1 ? state.asked.from ?? state.peers[0] : tries % 4 === 0 ? undefined : state.peers[0])
   return { state: { ...state, fetched: { at: now, tries } }, effects: [fetch] }
 }
 
-function act<Part> (state: VersionState<Part>): Step<Part> {
+function applyTarget<Part> (state: VersionState<Part>): Step<Part> {
   const head = state.target!
   const parts = head.parts.map(hash => state.parts.get(hash)!)
   return {
@@ -138,7 +138,7 @@
   return target === undefined ? [] : target.parts.filter(hash => !parts.has(hash))
 }
 
-function fetchParts<Part> (missing: readonly string[], peer: string | undefined): VersionEffect<Part> {
+function askForParts<Part> (missing: readonly string[], peer: string | undefined): VersionEffect<Part> {
   const hashes = missing.slice(0, ASKED_PARTS)
   return peer === undefined ? { type: 'read parts', hashes } : { type: 'send', to: peer, message: { type: 'ask parts', hashes } }
 }
--- a/src/platform/call-budget.ts
+++ b/src/platform/call-budget.ts
@@ -41,7 +41,7 @@
   constructor ({ rate, minRate = 0.5, maxRate = 2_000, growth = 1, cut = 0.7, restartRate = 1 }: CallBudgetOptions) {
     this.options = { rate, minRate, maxRate, growth, cut, restartRate }
     this.rate = rate
-    this.tokens = this.burst(-Infinity)
+    this.tokens = this.readBurst(-Infinity)
   }
 
   /** The rate in force at `now`, in calls a second. */
@@ -52,9 +52,9 @@
 
   /** Takes a call out of the budget and gives 0, or the ms after which to ask again. */
   take (priority: CallPriority, now: number): number {
-    this.refill(now)
+    this.addTokens(now)
     if (priority !== 'caller' && now < this.pausedUntil) return this.pausedUntil - now
-    const missing = 1 + RESERVES[priority] * (this.burst(now) - 1) - this.tokens
+    const missing = 1 + RESERVES[priority] * (this.readBurst(now) - 1) - this.tokens
     if (missing <= 0) {
       this.tokens--
       return 0
@@ -65,7 +65,7 @@
 
   /** The platform refused a call for its rate; calls that no caller waits for stay away for `pause` ms. */
   onRefused (pause: number, now: number): void {
-    this.refill(now)
+    this.addTokens(now)
     this.tokens = Math.min(this.tokens, 0)
     this.pausedUntil = Math.max(this.pausedUntil, now + pause)
     if (now - this.cutAt < MS_PER_SECOND) return
@@ -81,12 +81,12 @@
     this.tokens = Math.min(this.tokens, 1)
   }
 
-  private refill (now: number): void {
+  private addTokens (now: number): void {
     const passed = this.at === -Infinity ? 0 : (now - this.at) / MS_PER_SECOND
     this.at = now
     if (this.wanted && !this.isRestarting(now)) this.rate = Math.min(this.options.maxRate, this.rate + this.options.growth * Math.min(1, passed))
     this.wanted = false
-    this.tokens = Math.min(this.burst(now), this.tokens + this.readRate(now) * passed)
+    this.tokens = Math.min(this.readBurst(now), this.tokens + this.readRate(now) * passed)
   }
 
   private isRestarting (now: number): boolean {
@@ -94,7 +94,7 @@
   }
 
   /** Half a second's worth, and never less than one call. */
-  private burst (now: number): number {
+  private readBurst (now: number): number {
     return Math.max(1, (now === -Infinity ? this.rate : this.readRate(now)) / 2)
   }
 }
--- a/src/platform/call-gate.ts
+++ b/src/platform/call-gate.ts
@@ -91,24 +91,24 @@
     const now = this.clock.now()
     if (answer.type === 'answered' || answer.type === 'limited') {
       if (answer.type === 'limited') this.chooseBudget(call).onRefused(this.random.spread(answer.retryAfter, SPREAD), now)
-      if (this.circuit.onAnswer(now)) this.restart(now)
-    } else if ((call.type !== 'watch' || answer.type !== 'no answer') && this.circuit.onFailure(now)) this.probeLater()
+      if (this.circuit.onAnswer(now)) this.beginAgain(now)
+    } else if ((call.type !== 'watch' || answer.type !== 'no answer') && this.circuit.onFailure(now)) this.startProbe()
   }
 
-  private restart (now: number): void {
+  private beginAgain (now: number): void {
     this.cancelProbe()
     for (const budget of Object.values(this.budgets)) budget.onRestart(now)
   }
 
-  private probeLater (): void {
+  private startProbe (): void {
     const delay = this.random.spread(this.circuit.takeProbeDelay(), SPREAD)
-    this.cancelProbe = this.clock.after(delay, () => { void this.probe() })
+    this.cancelProbe = this.clock.after(delay, () => { void this.sendProbe() })
   }
 
-  private async probe (): Promise<void> {
+  private async sendProbe (): Promise<void> {
     const answer = await this.transport.send(PROBE, PROBE_TIMEOUT)
     this.metrics.count('platform_calls_total', { call: 'probe', outcome: answer.type })
     this.record(PROBE, answer)
-    if (this.out) this.probeLater()
+    if (this.out) this.startProbe()
   }
 }
--- a/stand-ins/platform/memory-store.ts
+++ b/stand-ins/platform/memory-store.ts
@@ -11,7 +11,7 @@
 
 /**
  * What a fault does to a call: nothing, fail it before it takes effect, lose the reply after, answer an error now and
- * run it at `landDelayed`, or (for a get, list or first watch) answer it from the state at the last `keepOld`.
+ * run it at `runDelayed`, or (for a get, list or first watch) answer it from the state at the last `keepOld`.
  */
 type FaultEffect = 'none' | 'old read' | { readonly fail: StoreError } | { readonly loseReply: StoreError } | { readonly landLater: StoreError }
 
@@ -36,7 +36,7 @@
   }
 
   /** Runs the writes that faults held back, in the order they were sent. */
-  landDelayed (): void {
+  runDelayed (): void {
     for (const run of this.delayed.splice(0)) run()
   }
 
--- a/stand-ins/platform/platform.ts
+++ b/stand-ins/platform/platform.ts
@@ -36,17 +36,17 @@
   constructor (private readonly options: PlatformOptions = {}) {
     this.plan = new FaultPlan(options.faults ?? {})
     const app = new App()
-    app.get('/objects/:kind/:name', this.guard('reads', (req, res) => this.readObject(req, res)))
-    app.put('/objects/:kind/:name', this.guard('writes', async (req, res) => await this.writeObject(req, res)))
-    app.delete('/objects/:kind/:name', this.guard('writes', (req, res) => this.removeObject(req, res)))
-    app.get('/objects/:kind', this.guard('reads', (req, res) => this.listObjects(req, res)))
-    app.get('/watch/:kind', this.guard('reads', (req, res) => this.watchObjects(req, res)))
-    app.get('/instances', this.guard('reads', (_req, res) => this.listInstances(res)))
+    app.get('/objects/:kind/:name', this.checkCall('reads', (req, res) => this.readObject(req, res)))
+    app.put('/objects/:kind/:name', this.checkCall('writes', async (req, res) => await this.writeObject(req, res)))
+    app.delete('/objects/:kind/:name', this.checkCall('writes', (req, res) => this.removeObject(req, res)))
+    app.get('/objects/:kind', this.checkCall('reads', (req, res) => this.listObjects(req, res)))
+    app.get('/watch/:kind', this.checkCall('reads', (req, res) => this.watchObjects(req, res)))
+    app.get('/instances', this.checkCall('reads', (_req, res) => this.listInstances(res)))
     app.get('/control/counts', (_req, res) => sendJson(res, 200, this.counts))
     app.post('/control/faults', async (req, res) => await this.setFaults(req, res))
     app.put('/control/instances/:name', async (req, res) => await this.putInstance(req, res))
     app.delete('/control/instances/:name', (req, res) => {
-      this.changeInstances(instances => instances.delete(req.params.name!))
+      this.updateInstances(instances => instances.delete(req.params.name!))
       sendJson(res, 200, {})
     })
     this.server = createAppServer(app)
@@ -62,10 +62,10 @@
   }
 
   /** Counts the call, then lets the outage, the rates and the slowness at it before `handle`. */
-  private guard (call: Call, handle: Handle): Handle {
+  private checkCall (call: Call, handle: Handle): Handle {
     return async (req, res) => {
       this.counts[call]++
-      if (this.fail(res) || this.refuse(call, res)) return
+      if (this.refuseInOutage(res) || this.refuseOverRate(call, res)) return
       const delay = this.plan.chooseDelay()
       if (delay > 0) await new Promise(resolve => setTimeout(resolve, delay))
       await handle(req, res)
@@ -73,7 +73,7 @@
   }
 
   /** Fails the call as the outage says; a silent one is left open. */
-  private fail (res: Response): boolean {
+  private refuseInOutage (res: Response): boolean {
     const { outage } = this.plan.faults
     if (outage === undefined) return false
     this.counts.failed++
@@ -83,7 +83,7 @@
   }
 
   /** Answers 429 when the second's rate is used up. */
-  private refuse (call: Call, res: Response): boolean {
+  private refuseOverRate (call: Call, res: Response): boolean {
     const at = Math.floor(Date.now() / MS_PER_SECOND)
     if (this.second.at !== at) this.second = { at, reads: 0, writes: 0 }
     const { writesPerSecond = 400, readsPerSecond = 2_000 } = { ...this.options, ...this.plan.faults }
@@ -180,11 +180,11 @@
 
   private async putInstance (req: Request, res: Response): Promise<void> {
     const body = (await readBody(req, BODY_LIMIT)).unwrap()
-    this.changeInstances(instances => instances.set(req.params.name!, JSON.parse(body.toString())))
+    this.updateInstances(instances => instances.set(req.params.name!, JSON.parse(body.toString())))
     sendJson(res, 200, {})
   }
 
-  private changeInstances (change: (instances: Map<string, Instance>) => void): void {
+  private updateInstances (change: (instances: Map<string, Instance>) => void): void {
     const instances = new Map(this.instances.latest)
     change(instances)
     this.instances.put(instances, Date.now())
--- a/test/config/configuration-writer.test.ts
+++ b/test/config/configuration-writer.test.ts
@@ -88,7 +88,7 @@
   const second = await accept(apply(first, { 'a.yaml': write(600) }))
   store.fault = ({ call, kind }) => call === 'put' && kind === 'configuration' ? { landLater: lost } : 'none'
   t.is((await apply(second, { 'a.yaml': write(700) })).type, 'unknown')
-  store.landDelayed()
+  store.runDelayed()
   t.deepEqual(manifest().changes.map(({ basedOn }) => basedOn), [0, first, second])
   store.fault = () => ({ fail: down })
   t.is((await apply(second, { 'a.yaml': write(800) })).type, 'not sent')
--- a/test/coordination/write-version.test.ts
+++ b/test/coordination/write-version.test.ts
@@ -32,7 +32,7 @@
   const { store, swap } = await start()
   store.fault = ({ call }) => call === 'put' ? { landLater: lost } : 'none'
   t.is((await swap('a', 1)).type, 'unknown')
-  store.landDelayed()
+  store.runDelayed()
   store.fault = () => 'none'
   t.deepEqual((await store.get<Value>('k', 'n')).unwrap().value.ids, ['first', 'a'])
 })
@@ -46,7 +46,7 @@
     return { landLater: lost }
   }
   t.like(await swap('a', 1), { type: 'refused', version: 2 })
-  store.landDelayed()
+  store.runDelayed()
   t.deepEqual((await store.get<Value>('k', 'n')).unwrap().value.ids, ['first', 'b'])
 })
 
--- a/test/platform/faults.test.ts
+++ b/test/platform/faults.test.ts
@@ -59,7 +59,7 @@
   store.keepOld()
   store.fault = ({ call }) => call === 'put' ? { landLater: unknown } : 'old read'
   t.deepEqual((await store.put('k', 'a', 2, 1)).val, unknown)
-  store.landDelayed()
+  store.runDelayed()
   t.is((await store.get<number>('k', 'a')).unwrap().value, 1)
   store.fault = () => 'none'
   t.is((await store.get<number>('k', 'a')).unwrap().value, 2)
