citronwheel history: who changed which files

Cause: the history could be read over HTTP only, though after an unknown outcome it is the place to look. Ruled out: an option of apply (it needs a folder). Conclusion: an operator settles an unknown outcome with one command.

--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -8,6 +8,7 @@
 import { JobsResultsCommand } from './jobs-results.js'
 import { JobsStatusCommand } from './jobs-status.js'
 import { JobsSubmitCommand } from './jobs-submit.js'
+import { HistoryCommand } from './history.js'
 import { LoadCommand } from './load.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
@@ -23,6 +24,7 @@
   ServeCommand,
   ApplyCommand,
   CheckCommand,
+  HistoryCommand,
   StatusCommand,
   TimelineCommand,
   AccountCommand,
--- a/test/config/distribution.test.ts
+++ b/test/config/distribution.test.ts
@@ -72,8 +72,11 @@
   t.teardown(() => rmSync(folder, { recursive: true }))
   const apply = async (deadline: number, ...words: string[]): Promise<{ code: number, text: string }> => {
     for (const [name, text] of Object.entries(files(deadline))) writeFileSync(join(folder, name), text)
+    return await run('apply', folder, ...words)
+  }
+  const run = async (...words: string[]): Promise<{ code: number, text: string }> => {
     const out = new PassThrough()
-    const code = await runProgram(['apply', folder, '--entry', fleet.url(fleet.daemons[1]!), '--token', fleet.operatorToken, ...words], { stdout: out, stderr: out })
+    const code = await runProgram([...words, '--entry', fleet.url(fleet.daemons[1]!), '--token', fleet.operatorToken], { stdout: out, stderr: out })
     return { code, text: String(out.read()) }
   }
   await fleet.waitUntil(async () => (await fleet.operator('GET', fleet.daemons[1]!, '/operator/status')).members.length === 2)
@@ -89,6 +92,7 @@
   const overtaken = await apply(800, '--yes', '--based-on', String(version))
   t.is(overtaken.code, 4)
   t.regex(overtaken.text, /since then limits\.yaml changed/)
+  t.regex((await run('history')).text, new RegExp(`^${version}  \\S+Z  \\S+  callers\\.yaml, limits\\.yaml, services\\.yaml\\n\\d+  \\S+Z  unnamed  limits\\.yaml\\n$`))
 })
 
 test('operators race through two daemons while replies to writes are lost: each answer is true', async t => {
