Answers of a server that stands still are sent again once its owner says it is down

Cause: a whole answer of a stopped engine was waited for through half of its deadline, 30 s. Ruled out: shorter patience for whole answers (long ones are healthy); TCP keep-alive (a stopped process's kernel answers). Change: Sender abandons exchanges that may be repeated at a server whose view says down; a stream's tokens are kept in one list in place of a copy a token; the account's process test also runs the command.

--- a/src/routing/model-stream.ts
+++ b/src/routing/model-stream.ts
@@ -35,14 +35,15 @@
   readonly body: Readable
   /** Why it ended before it was whole. */
   failure?: Refusal
-  private progress: StreamProgress = { tokens: [], carried: 0, finished: false, done: false, resumable: true }
+  private readonly tokens: string[] = []
+  private progress: StreamProgress = { given: 0, carried: 0, finished: false, done: false, resumable: true }
 
   constructor (private current: OpenExchange, private readonly options: ModelStreamOptions) {
     this.body = Readable.from(this.relay(), { objectMode: false })
   }
 
   countTokens (): number {
-    return Math.max(this.progress.usage ?? 0, this.progress.tokens.length)
+    return Math.max(this.progress.usage ?? 0, this.progress.given)
   }
 
   end (whole: boolean): void {
@@ -75,9 +76,9 @@
       const bytes = await this.current.exchange.read(this.options.getPatience(before))
       const cut = bytes.err ? bytes.val : bytes.val === undefined ? { why: 'cut', sent: true, detail: 'it ended before it was whole' } as const : undefined
       if (cut !== undefined) return yield * this.finish(cut)
-      const known = this.progress.tokens.length
+      const known = this.progress.given
       const relayed = this.take(reader, bytes.unwrap()!)
-      const given = this.progress.tokens.length - known
+      const given = this.progress.given - known
       if (given > 0) this.options.onTokens(this.current, given, before === 0, this.options.now() - (before === 0 ? this.current.sentAt : asked))
       before += given
       if (relayed !== '') yield relayed
@@ -99,7 +100,8 @@
   private take (reader: SseReader, bytes: Buffer): string {
     let relayed = ''
     for (const event of reader.push(bytes)) {
-      const { progress, relay = '' } = stepProgress(this.progress, event)
+      const { progress, relay = '', token } = stepProgress(this.progress, event)
+      if (token !== undefined) this.tokens.push(token)
       this.progress = progress
       relayed += relay
     }
@@ -108,14 +110,14 @@
 
   private async resume (failure: SendFailure): Promise<Result<OpenExchange, Refusal>> {
     const { delivery, model, canResume } = this.options
-    const { tokens, resumable } = this.progress
-    const started = tokens.length > 0
+    const { given, resumable } = this.progress
+    const started = given > 0
     if (this.progress.finished) return Err(delivery.refuse('server failed', 'the answer was cut before its usage came'))
     if (started && !(canResume && resumable)) return Err(delivery.refuse('server failed', `the answer was cut (${failure.why}) and its servers can't resume it`))
     const refusal = delivery.plan(failure)
     if (refusal !== undefined) return Err(refusal)
-    const next = await delivery.open(started ? model.resume(tokens) : delivery.request.body ?? null)
-    this.progress = { ...this.progress, carried: tokens.length }
+    const next = await delivery.open(started ? model.resume(this.tokens) : delivery.request.body ?? null)
+    this.progress = { ...this.progress, carried: given }
     if (next.err || next.val.exchange.isStream()) return next
     next.val.end('abandoned')
     return Err(delivery.refuse('server failed', `the next server answered ${next.val.exchange.status}`))
--- a/src/routing/sender.ts
+++ b/src/routing/sender.ts
@@ -12,6 +12,7 @@
 import { Quarantine } from './quarantine.js'
 import type { SendFailure } from './send-failure.js'
 import type { ServerRequest } from './server-request.js'
+import { ServerViews } from './server-views.js'
 import { Servers } from './servers.js'
 
 /** Statuses by which a server says that it can't serve now; a 500 may be the request's own doing. */
@@ -28,14 +29,19 @@
 @scoped(Lifecycle.ContainerScoped)
 export class Sender {
   private readonly probes = new Map<string, Promise<void>>()
+  /** Exchanges in flight that may be sent again, with their servers. */
+  private readonly repeatable = new Map<Exchange, string>()
 
   constructor (
     @inject(Servers) private readonly servers: Servers,
     @inject(Quarantine) private readonly quarantine: Quarantine,
     @inject(Extensions) private readonly added: Extensions,
     @inject(Timeline) private readonly timeline: Timeline,
+    @inject(ServerViews) views: ServerViews,
     @inject(tokens.clock) private readonly clock: Clock
-  ) {}
+  ) {
+    views.subscribe(({ server, state }) => { if (state === 'down') this.abandon(server) })
+  }
 
   /** Counts the exchange before the first wait, so that a choice made right before still holds. */
   async send (server: BackendServer, request: ServerRequest, { body, fingerprint, patience }: SendOptions): Promise<Result<OpenExchange, SendFailure>> {
@@ -62,10 +68,12 @@
     const release = request.work === 'online' ? this.servers.begin(server.name) : () => {}
     const forget = this.quarantine.begin(fingerprint, server.name)
     for (const observer of observers) observer.onBegin(request, server.name)
+    if (request.idempotent) this.repeatable.set(exchange, server.name)
     let ended = false
     const end = (outcome: 'answered' | 'failed' | 'abandoned'): void => {
       if (ended) return
       ended = true
+      this.repeatable.delete(exchange)
       if (outcome === 'answered') this.servers.observe(server.name, UNWELL.includes(exchange.status) ? 'failed' : 'answered')
       else exchange.abandon('abandoned')
       forget()
@@ -83,6 +91,14 @@
     return { server, exchange, sentAt: this.clock.now(), end, fail }
   }
 
+  /**
+   * A server that stands still keeps its connections open and says nothing. Whoever waits for a whole answer there
+   * would wait out half of its deadline; the server's owner knows sooner that it is down, by its health checks.
+   */
+  private abandon (server: string): void {
+    for (const [exchange, name] of this.repeatable) if (name === server) exchange.abandon('silent')
+  }
+
   /**
    * A cut connection alone doesn't tell a lost server from a lost connection. All exchanges that were cut at the
    * same time wait for the same probe, so that each is still counted as in flight when the server is judged.
--- a/src/routing/step-progress.ts
+++ b/src/routing/step-progress.ts
@@ -7,7 +7,7 @@
 interface Usage { readonly completion_tokens?: number, readonly total_tokens?: number }
 interface Chunk { id?: string, readonly choices?: readonly Choice[], readonly usage?: Usage | null }
 
-interface Step { readonly progress: StreamProgress, readonly relay?: string }
+interface Step { readonly progress: StreamProgress, readonly relay?: string, /** The piece of text that it gives. */ readonly token?: string }
 
 /**
  * Takes one event of a streamed answer. `relay` is what the caller is to see of it, under the id of the first chunk
@@ -23,8 +23,9 @@
   const text = choice?.text ?? choice?.delta?.content
   const repeated = progress.id !== undefined && choice !== undefined && (text === undefined || text === '') && choice.finish_reason == null && isPlain(choice)
   const usage = chunk.usage == null ? undefined : addCarried(chunk.usage, progress.carried)
+  const token = typeof text === 'string' && text !== '' ? text : undefined
   const next: StreamProgress = {
-    tokens: typeof text === 'string' && text !== '' ? [...progress.tokens, text] : progress.tokens,
+    given: progress.given + (token === undefined ? 0 : 1),
     id: progress.id ?? chunk.id,
     finished: progress.finished || choice?.finish_reason != null,
     done: progress.done,
@@ -35,7 +36,7 @@
   if (repeated) return { progress: next }
   const renamed = progress.id !== undefined && chunk.id !== undefined && chunk.id !== progress.id
   const changed = renamed || (usage !== undefined && progress.carried > 0)
-  return { progress: next, relay: changed ? `data: ${JSON.stringify({ ...chunk, id: next.id, ...(usage && { usage }) })}\n\n` : raw }
+  return { progress: next, token, relay: changed ? `data: ${JSON.stringify({ ...chunk, id: next.id, ...(usage && { usage }) })}\n\n` : raw }
 }
 
 function addCarried (usage: Usage, carried: number): Usage {
--- a/src/routing/stream-progress.ts
+++ b/src/routing/stream-progress.ts
@@ -1,7 +1,7 @@
 /** How far a model's streamed answer has come, as it was relayed to the caller. */
 export interface StreamProgress {
-  /** Pieces of text given so far, one a chunk, in order. */
-  readonly tokens: readonly string[]
+  /** Pieces of text given so far, one a chunk. */
+  readonly given: number
   /** Id of the answer: that of its first chunk. */
   readonly id?: string
   /** A chunk has named why the answer ended. */
--- a/test/admission/account-whole.test.ts
+++ b/test/admission/account-whole.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava'
+import { execFile } from 'node:child_process'
+import { promisify } from 'node:util'
 import { CallerClient } from '../../harness/caller-client.js'
 import { Fleet } from '../../harness/fleet.js'
+import { readFolder } from '../../src/config/read-folder.js'
 
 const DAEMONS = 3
 const REQUESTS = 25
@@ -15,7 +18,8 @@
     fleet.addServer('engine-0', 'domain-0', { pool: 'charter-engines', kind: 'engine' }),
     ...Array.from({ length: DAEMONS }, async (_, i) => await fleet.addDaemon(`entry-${i}`, `domain-${i}`))
   ])
-  await fleet.apply('demo/folder')
+  const configuration = readFolder('demo/folder').unwrap()
+  await fleet.apply({ ...configuration, limits: { ...configuration.limits, addressKeep: 500 } })
   for (const daemon of fleet.daemons) {
     const client = new CallerClient(fleet.url(daemon), 'quay-desk-token')
     await Promise.all(Array.from({ length: REQUESTS }, async (_, i) => t.is((await client.chat('berth-assistant', `Question ${i}`, { tokens: TOKENS, stream: i % 2 === 0 })).status, 200)))
@@ -34,5 +38,9 @@
   t.is(row.tokens, row.answered * TOKENS)
   t.true(row.answered >= 2 * REQUESTS)
   t.true(row.answered <= runs && runs - row.answered <= mayMiss.asked, `${runs} runs, ${row.answered} answered, may miss ${mayMiss.asked}`)
+
+  const command = await promisify(execFile)(process.execPath, ['dist/citronwheel.cjs', 'account', '--entry', fleet.url(asked!), '--token', fleet.operatorToken, '--caller', 'quay-desk'])
+  t.regex(command.stdout, new RegExp(`quay-desk/berth-assistant/online  ${row.asked} asked  ${row.answered} answered  ${row.tokens} tokens`))
+  t.regex(command.stdout, /may lack up to \d+ online requests, of \d+ runs/)
   t.log({ runs, answered: row.answered, mayMiss })
 })
--- /dev/null
+++ b/test/routing/silent-server.test.ts
@@ -0,0 +1,38 @@
+import test from 'ava'
+import { CallerClient } from '../../harness/caller-client.js'
+import { Fleet } from '../../harness/fleet.js'
+import { answerWords } from '../../stand-ins/engine/answer-words.js'
+
+const MODEL = 'berth-assistant'
+const PROMPT = 'When is high tide?'
+const TOKENS = 100
+
+// An engine stands still with a stream and a whole answer under way, its connections open. The stream's reader sees
+// tokens stop, the other one sees nothing. Both have to get their whole answer from the other engine, long before
+// their deadline of a minute; a request that may be repeated must not wait for a process that may never go on.
+test('a stream and a whole answer of an engine that stands still come from another one', async t => {
+  const fleet = await Fleet.start()
+  t.teardown(async () => await fleet.stop())
+  const [first, second] = await Promise.all([
+    ...[0, 1].map(async i => await fleet.addServer(`engine-${i}`, `domain-${i}`, { pool: 'charter-engines', kind: 'engine', options: { stepBase: 20 } })),
+    fleet.addDaemon('entry-0', 'domain-0')
+  ])
+  await fleet.apply('demo/folder')
+  const client = new CallerClient(fleet.url(fleet.daemons[0]!), 'quay-desk-token')
+  const begin = performance.now()
+  const streamed = client.chat(MODEL, PROMPT, { stream: true, tokens: TOKENS })
+  const whole = client.chat(MODEL, PROMPT, { tokens: TOKENS })
+  await fleet.waitUntil(async () => (await Promise.all([first!, second!].map(async server => (await fleet.readLog(server)).length))).reduce((sum, n) => sum + n, 0) === 2)
+  const holder = (await fleet.readLog(first!)).length > 0 ? first! : second!
+  t.is((await fleet.readLog(holder)).length, 2)
+  holder.child.signal('SIGSTOP')
+
+  const words = answerWords(PROMPT, TOKENS).join(' ')
+  const { text } = await streamed
+  t.is(text.split('\n').filter(line => line.startsWith('data: {')).map(line => JSON.parse(line.slice(6)).choices[0].delta.content).join(''), words)
+  t.true(text.endsWith('data: [DONE]\n\n'))
+  t.is(JSON.parse((await whole).text).choices[0].message.content, words)
+  const time = performance.now() - begin
+  t.true(time < 20_000)
+  t.log({ time: Math.round(time) })
+})
