An online level is heard again from a reporter whose clock went back

Cause: message numbers start from the wall clock; a reporter restarted with its clock set back would be ignored for good and batch not give way to its online requests. Ruled out: a random incarnation in each frame (8 more bytes at 50 frames a second). Change: the newest number holds only as long as levels are kept.

--- a/src/ownership/online-counts-state.ts
+++ b/src/ownership/online-counts-state.ts
@@ -1,3 +1,6 @@
+/** The newest message taken from a reporter, by which one that comes late is told. */
+interface Newest { readonly number: number, readonly heardAt: number }
+
 /** What one daemon last told of its online requests at one server. Times are monotonic ms of the owner. */
 interface Report { readonly count: number, readonly heardAt: number }
 
@@ -5,6 +8,5 @@
 export interface OnlineCountsState {
   /** By server, then by reporter; counts of zero aren't kept. */
   readonly servers: ReadonlyMap<string, ReadonlyMap<string, Report>>
-  /** The newest message taken from each reporter, by which one that comes late is told. */
-  readonly newest: ReadonlyMap<string, number>
+  readonly newest: ReadonlyMap<string, Newest>
 }
--- a/src/ownership/step-online-counts.ts
+++ b/src/ownership/step-online-counts.ts
@@ -10,13 +10,15 @@
 
 /**
  * The next counts. Levels, not differences, are told: a lost or late frame is healed by the next one, and a message
- * older than the newest of its reporter is ignored.
+ * older than the newest of its reporter is ignored, unless nothing newer came for as long as levels are kept: a reporter
+ * that restarts with its clock set back would otherwise never be heard again, and batch not give way to its requests.
  */
 export function stepOnlineCounts (state: OnlineCountsState, event: OnlineCountsEvent, now: number): OnlineCountsState {
   switch (event.type) {
     case 'told': {
-      if (event.number <= (state.newest.get(event.reporter) ?? -Infinity)) return state
-      return { servers: takeLevel(state.servers, event, now), newest: new Map(state.newest).set(event.reporter, event.number) }
+      const newest = state.newest.get(event.reporter)
+      if (newest !== undefined && event.number <= newest.number && now - newest.heardAt < KEEP) return state
+      return { servers: takeLevel(state.servers, event, now), newest: new Map(state.newest).set(event.reporter, { number: event.number, heardAt: now }) }
     }
     case 'lost': return { ...state, servers: filterReports(state, reporter => reporter !== event.reporter) }
     case 'tick': return { ...state, servers: filterReports(state, (_reporter, heardAt) => now - heardAt < KEEP) }
--- a/test/ownership/online-counts.test.ts
+++ b/test/ownership/online-counts.test.ts
@@ -27,4 +27,5 @@
   t.is(countOnline(stepOnlineCounts(two, { type: 'lost', reporter: 'b' }, 2_000), 's'), 2)
   t.is(countOnline(stepOnlineCounts(two, { type: 'tick' }, 4_000), 's'), 3)
   t.is(countOnline(stepOnlineCounts(two, told('b', 1, { s: 9 }), 2_100), 's'), 5)
+  t.is(countOnline(stepOnlineCounts(two, told('b', 0, { s: 9 }), 6_000), 's'), 11)
 })
