--- a/test/batch/fleet.test.ts
+++ b/test/batch/fleet.test.ts
@@ -26,6 +26,7 @@
     ...DOMAINS.map(async domain => await fleet.addDaemon(`entry-${domain}`, domain))
   ])
   await fleet.apply('demo/folder')
+  await fleet.waitForServers()
   return fleet
 }
 
