Process test: the platform down while items run

Cause: the outage was tried in memory only. Change: 200 items on three daemons; the stand-in platform refuses all calls while more than 100 items finish; a cancelling meanwhile is refused. Seen failing: with every error of a write taken as final the claims are given up and no further 100 items finish in 20 s. Conclusion: an outage costs no second run.

--- a/test/batch/fleet.test.ts
+++ b/test/batch/fleet.test.ts
@@ -84,6 +84,27 @@
   t.deepEqual(ids.filter(({ error }) => error !== null && error.code !== 'unknown'), [])
 })
 
+// What the caller sees: all results, each item run once, though the platform answers nobody for a while. Holders go on
+// with what they have claimed; results wait in memory and are recorded when the platform is back.
+test('the platform down while items run: they go on, and none runs twice', async t => {
+  const fleet = await startFleet()
+  t.teardown(async () => await fleet.stop())
+  const client = createClient(fleet, 0)
+  const file = await client.files.create({ purpose: 'batch', file: new File([lines(ITEMS, 30)], 'drafts.jsonl') })
+  const job = await client.batches.create({ input_file_id: file.id, endpoint: '/v1/chat/completions', completion_window: '24h' })
+  const countRuns = async (): Promise<number> => (await Promise.all(fleet.servers.map(async server => await fleet.readLog(server)))).flat().filter(({ outcome }) => outcome === 'finished').length
+  await fleet.waitUntil(async () => await countRuns() > 0)
+  await fleet.setPlatformFaults({ outage: 'refused' })
+  const before = await countRuns()
+  await fleet.waitUntil(async () => await countRuns() > before + 100)
+  await t.throwsAsync(async () => await client.batches.cancel(job.id), { message: /503/ })
+  await fleet.setPlatformFaults({})
+  await fleet.waitUntil(async () => (await client.batches.retrieve(job.id).catch(() => undefined))?.status === 'completed')
+  const output = await (await client.files.content(`${job.id}.output`)).text()
+  t.is(new Set(output.trim().split('\n').map(line => JSON.parse(line).custom_id)).size, ITEMS)
+  t.is(await countRuns(), ITEMS)
+})
+
 async function runJobs (words: readonly string[]): Promise<{ readonly code: number, readonly out: string, readonly err: string }> {
   const [out, err] = [new PassThrough(), new PassThrough()]
   const code = await runProgram(['jobs', ...words], { stdout: out, stderr: err })
