--- a/stand-ins/platform/platform.ts
+++ b/stand-ins/platform/platform.ts
@@ -29,6 +29,8 @@
   readonly objects = new ObjectTable(Date.now)
   readonly instances = new History<ReadonlyMap<string, Instance>>(new Map())
   readonly counts = { reads: 0, writes: 0, watches: 0, refused: 0, failed: 0 }
+  /** Calls by what they were for, such as `get chunk`. */
+  private readonly byKind = new Map<string, number>()
   private readonly server: Server
   private plan: FaultPlan
   private second = { at: 0, reads: 0, writes: 0 }
@@ -42,7 +44,7 @@
     app.get('/objects/:kind', this.guard('reads', (req, res) => this.listObjects(req, res)))
     app.get('/watch/:kind', this.guard('reads', (req, res) => this.watchObjects(req, res)))
     app.get('/instances', this.guard('reads', (_req, res) => this.listInstances(res)))
-    app.get('/control/counts', (_req, res) => sendJson(res, 200, this.counts))
+    app.get('/control/counts', (_req, res) => sendJson(res, 200, { ...this.counts, byKind: Object.fromEntries(this.byKind) }))
     app.post('/control/faults', async (req, res) => await this.setFaults(req, res))
     app.put('/control/instances/:name', async (req, res) => await this.putInstance(req, res))
     app.delete('/control/instances/:name', (req, res) => {
@@ -65,6 +67,8 @@
   private guard (call: Call, handle: Handle): Handle {
     return async (req, res) => {
       this.counts[call]++
+      const kind = `${req.method!.toLowerCase()} ${req.params.kind ?? req.path}`
+      this.byKind.set(kind, (this.byKind.get(kind) ?? 0) + 1)
       if (this.fail(res) || this.refuse(call, res)) return
       const delay = this.plan.chooseDelay()
       if (delay > 0) await new Promise(resolve => setTimeout(resolve, delay))
