--- a/src/batch/chunk-source.ts
+++ b/src/batch/chunk-source.ts
@@ -70,6 +70,8 @@
     const wanted = this.wanted.get(service) ?? { slots: 0, looking: false, nextLook: 0 }
     this.wanted.set(service, wanted)
     wanted.slots = slots
+    // A daemon whose servers are all gone would keep what it claimed from those that could run it.
+    if (slots === 0) for (const held of this.held.ofService(service)) void held.release()
     this.prepare(service)
     void this.look(service, wanted)
   }
@@ -95,8 +97,9 @@
     return this.held.all().flatMap(held => held.unsaved.map(entry => ({ chunk: held.name, items: held.options.items.length, ...entry })))
   }
 
-  /** Looks for work of these services now, because somebody said that there is some. */
-  lookAgain (services: readonly string[]): void {
+  /** Looks for work of these services now, or of all, because somebody said that there is some. */
+  lookAgain (services: readonly string[] = [...this.wanted.keys()]): void {
+    this.finder.forgetBusy()
     for (const service of services) {
       const wanted = this.wanted.get(service)
       if (wanted === undefined) continue
