--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -23,10 +23,10 @@
 import { sendProblem } from './send-problem.js'
 
 const HEADERS_TIMEOUT = 10_000
-const NOT_READY_RETRY = 1_000
 const TIMEOUT_CHECK = 1_000
 /** Above what callers are told (5 s), so that it is theirs to close an idle connection first. */
 const KEEP_ALIVE_TIMEOUT = 15_000
+const NOT_READY_RETRY = 1_000
 
 /** The HTTP interface for callers and operators: the routes that the parts contribute, each behind its check. */
 @scoped(Lifecycle.ContainerScoped)
