A new owner adopts the slot for loads that an earlier one claimed for its server

An owner that lost a server while it loaded kept its slot, nobody freed it for 30 s, and with both slots so taken nothing loaded. Ruled out: the old owner freeing it (it may be dead, or the load still running). Change: on its first visit of a server an owner adopts the slot held for it. Conclusion: orders go on over a change of owner in the middle of a load.

--- a/src/ownership/load-slots.ts
+++ b/src/ownership/load-slots.ts
@@ -49,6 +49,22 @@
     return false
   }
 
+  /**
+   * Takes over the slot that an earlier owner of the server claimed for it. Without it the slot stays taken until its
+   * time runs out, although the load has long ended, and other servers wait for nothing.
+   */
+  async adopt (server: string): Promise<void> {
+    for (let i = 0; i < this.options.count; i++) {
+      const slot = await this.options.store.get<Slot>(KIND, String(i), 'background')
+      if (slot.ok && slot.val.value.server === server) this.held.set(server, { name: String(i), version: slot.val.version, until: slot.val.value.until })
+    }
+  }
+
+  /** Forgets a server that has another owner now, who adopts its slot. */
+  drop (server: string): void {
+    this.held.delete(server)
+  }
+
   /** Frees the server's slot, if it holds one. A lost reply is healed by the slot's time running out. */
   async release (server: string): Promise<void> {
     const slot = this.held.get(server)
--- a/src/ownership/server-orders.ts
+++ b/src/ownership/server-orders.ts
@@ -34,6 +34,8 @@
   private readonly agent = new Agent({ connections: 1, keepAliveTimeout: PERIOD, keepAliveMaxTimeout: PERIOD })
   private readonly slots: LoadSlots
   private readonly busy = new Set<string>()
+  /** Owned servers whose slots for loads an earlier owner may have left. */
+  private readonly adopted = new Set<string>()
   private cancel = (): void => {}
 
   constructor (
@@ -58,14 +60,22 @@
 
   private visitAll (): void {
     const owned = this.owners.listOwned()
+    for (const server of this.adopted) if (!owned.includes(server)) this.forget(server)
     for (const instance of this.list.all) {
       const placement = this.configuration.value.placement?.[instance.pool]
       if (placement !== undefined && owned.includes(instance.name) && !this.busy.has(instance.name)) void this.visit(instance, placement)
     }
   }
 
+  private forget (server: string): void {
+    this.adopted.delete(server)
+    this.slots.drop(server)
+  }
+
   private async visit (instance: Instance, placement: Placement): Promise<void> {
     this.busy.add(instance.name)
+    if (!this.adopted.has(instance.name)) await this.slots.adopt(instance.name)
+    this.adopted.add(instance.name)
     const state = await this.readState(instance)
     if (state !== undefined) await this.bringNearer(instance, placement, state)
     this.busy.delete(instance.name)
--- a/test/ownership/orders.test.ts
+++ b/test/ownership/orders.test.ts
@@ -106,6 +106,10 @@
   t.deepEqual([await one.claim('a'), await other.claim('b'), await one.claim('c'), await one.claim('a')], [true, true, false, true])
   await other.release('b')
   t.deepEqual([await one.claim('c'), await other.claim('d')], [true, false])
+  const next = create()
+  await next.adopt('c')
+  await next.release('c')
+  t.true(await one.claim('e'))
   now = 1_500
   t.true(await other.claim('d'))
 })
