--- a/bench/run-slope-step.ts
+++ b/bench/run-slope-step.ts
@@ -39,7 +39,7 @@
   }
 }
 
-async function readUsage (urls: readonly string[], fleet: { control: (method: 'GET', path: string) => Promise<any> }): Promise<{ cpu: number, resident: number, heap: number, sent: Record<string, number>, calls: Record<string, number> }> {
+async function readUsage (urls: readonly string[], fleet: { control: (method: 'GET', path: string) => Promise<any> }): Promise<{ cpu: number, resident: number, heap: number, sent: Record<string, number>, calls: Record<string, number> & { byKind: Record<string, number> } }> {
   const samples = (await Promise.all(urls.map(readMetrics))).flat()
   const add = (name: string): number => samples.filter(sample => sample.name === name).reduce((sum, { value }) => sum + value, 0)
   const sent: Record<string, number> = {}
@@ -50,7 +50,7 @@
   return { cpu: add('process_cpu_seconds_total'), resident: add('process_resident_bytes'), heap: add('process_heap_bytes'), sent, calls: await fleet.control('GET', '/control/counts') }
 }
 
-function compareUsage (before: Usage, after: Usage, seconds: number, daemons: number): Pick<SlopeResult, 'core' | 'residentMb' | 'heapMb' | 'peerBytes' | 'platformReads' | 'platformWrites' | 'platformWatches'> {
+function compareUsage (before: Usage, after: Usage, seconds: number, daemons: number): Pick<SlopeResult, 'core' | 'residentMb' | 'heapMb' | 'peerBytes' | 'platformReads' | 'platformWrites' | 'platformWatches' | 'platformCalls'> {
   const rate = (call: string): number => ((after.calls[call] ?? 0) - (before.calls[call] ?? 0)) / seconds
   return {
     core: (after.cpu - before.cpu) / seconds / daemons,
@@ -59,6 +59,7 @@
     peerBytes: Object.fromEntries(Object.entries(after.sent).map(([type, bytes]) => [type, (bytes - (before.sent[type] ?? 0)) / seconds / daemons])),
     platformReads: rate('reads'),
     platformWrites: rate('writes'),
-    platformWatches: rate('watches')
+    platformWatches: rate('watches'),
+    platformCalls: Object.fromEntries(Object.entries(after.calls.byKind).map(([kind, count]) => [kind, (count - (before.calls.byKind[kind] ?? 0)) / seconds]))
   }
 }
