Idle looks for batch work are bounded over the fleet

Cause: each daemon without work listed the open jobs of each service every second; slopes gave 2.2 listings a second for a daemon with one model and two plain services, 840 a second at 380 daemons. Ruled out: a watch in each daemon (a waiting watch counts as a call, too). Change: the pause grows with the fleet, so that all daemons together look about five times a second for a service; submitted and freed work is told by frames as before.

--- a/src/batch/chunk-source.ts
+++ b/src/batch/chunk-source.ts
@@ -14,6 +14,7 @@
 import type { Job } from './job.js'
 import { JobWatch } from './job-watch.js'
 import type { SpoolEntry } from './spool-entry.js'
+import { planLookPause } from './plan-look-pause.js'
 import { WorkFinder } from './work-finder.js'
 
 const IDLE_PERIOD = 2_000
@@ -27,6 +28,8 @@
 @scoped(Lifecycle.ContainerScoped)
 export class ChunkSource implements Part, BatchSource {
   readonly extensions = [batchSourcePoint.of(this)]
+  /** Daemons of the fleet, kept up to date by whoever knows them. */
+  fleetSize = 1
   private readonly wanted = new Map<string, Wanted>()
   private readonly held = new HeldChunks()
   private readonly listeners = new Set<(service: string) => void>()
@@ -140,7 +143,7 @@
     wanted.looking = true
     while (this.needsMore(service, wanted)) {
       if (await this.claimMore(service)) continue
-      wanted.nextLook = this.clock.now() + IDLE_PERIOD / 2
+      wanted.nextLook = this.clock.now() + planLookPause(this.fleetSize)
       break
     }
     wanted.looking = false
--- a/src/batch/job-care.ts
+++ b/src/batch/job-care.ts
@@ -98,6 +98,7 @@
 
   private async recoverDead (): Promise<void> {
     const alive = this.members.all().map(({ instance }) => instance.name)
+    this.source.fleetSize = alive.length
     const gone = this.known.filter(name => !alive.includes(name))
     this.known = [...new Set([...this.known, ...alive])]
     for (const name of gone) {
