--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,11 +13,11 @@
 const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--fault NAME] [--line NAME]… [--site NAME] [--policy LETTERS] [--check]
   without --suite: policies and faults; --check exits 1 when a bound of bench/bounds.yaml is broken`
 
-function say (sentence: string): void {
+function tell (sentence: string): void {
   console.log(`bench: ${sentence}`)
 }
 
-async function main (): Promise<number> {
+async function runBench (): Promise<number> {
   const { values } = parseArgs({
     options: { suite: { type: 'string', multiple: true, default: ['policies', 'faults'] }, site: { type: 'string' }, policy: { type: 'string', default: 'abcde' }, line: { type: 'string', multiple: true }, fault: { type: 'string' }, check: { type: 'boolean', default: false }, help: { type: 'boolean', default: false } }
   })
@@ -28,18 +28,18 @@
   const chosen = sites.filter(({ name }) => values.site === undefined || values.site === name)
   const policies: PolicyReport[] = []
   const faults: FaultResult[] = []
-  if (values.suite.includes('policies')) for (const site of chosen) policies.push(await runPolicySuite(site, say, values.policy))
-  if (values.suite.includes('faults')) faults.push(...await runFaultSuite(chosen[0]!, say, values.fault))
+  if (values.suite.includes('policies')) for (const site of chosen) policies.push(await runPolicySuite(site, tell, values.policy))
+  if (values.suite.includes('faults')) faults.push(...await runFaultSuite(chosen[0]!, tell, values.fault))
   mkdirSync(OUT, { recursive: true })
-  if (values.suite.includes('slopes')) writeFileSync(`${OUT}/slopes.json`, JSON.stringify(await runSlopeSuite(say, values.line), null, 2))
+  if (values.suite.includes('slopes')) writeFileSync(`${OUT}/slopes.json`, JSON.stringify(await runSlopeSuite(tell, values.line), null, 2))
   writeFileSync(`${OUT}/report.json`, JSON.stringify({ policies, faults }, null, 2))
   writeFileSync(`${OUT}/report.html`, buildReportPage(policies, faults))
   const broken = checkBounds(policies, faults)
-  for (const line of broken) say(`bound broken: ${line}`)
+  for (const line of broken) tell(`bound broken: ${line}`)
   return values.check && broken.length > 0 ? 1 : 0
 }
 
-void main().then(code => process.exit(code), error => {
+void runBench().then(code => process.exit(code), error => {
   console.error(error)
   process.exit(1)
 })
--- a/bench/policy-model.ts
+++ b/bench/policy-model.ts
@@ -20,13 +20,13 @@
   steady: { burst: 60_000, quiet: 500, between: 400 }
 }
 
-function simulate (policy: BatchPolicy, workload: keyof typeof WORKLOADS | 'nothing', seed: number, newsDelay = 0): PolicyRun {
+function runModel (policy: BatchPolicy, workload: keyof typeof WORKLOADS | 'nothing', seed: number, newsDelay = 0): PolicyRun {
   const requests = workload === 'nothing' ? [] : createWorkload(new Random(seed), { ...WORKLOADS[workload], length: LENGTH })
   const admission = { policy, maxInFlight: MAX_IN_FLIGHT, betweenTokens: BETWEEN_TOKENS }
   return new PolicySimulation({ admission, engine: ENGINE, workload: requests, length: LENGTH, seed, newsDelay }).play()
 }
 
-function quantiles (values: readonly number[]): readonly number[] {
+function readQuantiles (values: readonly number[]): readonly number[] {
   const sorted = [...values].sort((a, b) => a - b)
   return [0.5, 0.95, 0.99, 0.999].map(quantile => sorted[Math.floor(quantile * sorted.length)] ?? 0)
 }
@@ -45,21 +45,21 @@
   return values.map((value, i) => `${value.toFixed(1)} (${(value / base[i]!).toFixed(3)})`).join(', ')
 }
 
-const alone = merge(SEEDS.map(seed => simulate({ type: 'forward' }, 'nothing', seed))).batchTokens / (LENGTH * SEEDS.length)
-console.log(`batch alone: ${(alone * 1_000).toFixed(0)} tokens/s; quantiles p50, p95, p99, p99.9 in ms, in brackets over those without batch`)
+const alone = merge(SEEDS.map(seed => runModel({ type: 'forward' }, 'nothing', seed))).batchTokens / (LENGTH * SEEDS.length)
+console.log(`batch alone: ${(alone * 1_000).toFixed(0)} tokens/s; readQuantiles p50, p95, p99, p99.9 in ms, in brackets over those without batch`)
 for (const workload of Object.keys(WORKLOADS) as Array<keyof typeof WORKLOADS>) {
-  const runs = POLICIES.map(policy => merge(SEEDS.map(seed => simulate(policy, workload, seed))))
+  const runs = POLICIES.map(policy => merge(SEEDS.map(seed => runModel(policy, workload, seed))))
   const base = runs[0]!
   console.log(`\n${workload}: ${base.firstToken.length} online requests, idle ${(100 * base.idle / LENGTH / SEEDS.length).toFixed(1)} %`)
   POLICIES.forEach((policy, i) => {
     const run = runs[i]!
-    console.log(`${policy.type}\n  first token ${show(quantiles(run.firstToken), quantiles(base.firstToken))}\n  between     ${show(quantiles(run.betweenTokens), quantiles(base.betweenTokens))}`)
+    console.log(`${policy.type}\n  first token ${show(readQuantiles(run.firstToken), readQuantiles(base.firstToken))}\n  between     ${show(readQuantiles(run.betweenTokens), readQuantiles(base.betweenTokens))}`)
     console.log(`  batch ${(run.batchTokens / LENGTH / SEEDS.length * 1_000).toFixed(0)} tokens/s, ${(100 * run.batchTokens / alone / base.idle).toFixed(1)} % of idle capacity, ${run.preemptions} preemptions`)
   })
 }
 
-const base = merge(SEEDS.map(seed => simulate({ type: 'none' }, 'bursts', seed)))
+const base = merge(SEEDS.map(seed => runModel({ type: 'none' }, 'bursts', seed)))
 for (const delay of NEWS_DELAYS) {
-  const run = merge(SEEDS.map(seed => simulate({ type: 'preempting' }, 'bursts', seed, delay)))
-  console.log(`\nbursts, preempting, news ${delay} ms late\n  first token ${show(quantiles(run.firstToken), quantiles(base.firstToken))}\n  between     ${show(quantiles(run.betweenTokens), quantiles(base.betweenTokens))}`)
+  const run = merge(SEEDS.map(seed => runModel({ type: 'preempting' }, 'bursts', seed, delay)))
+  console.log(`\nbursts, preempting, news ${delay} ms late\n  first token ${show(readQuantiles(run.firstToken), readQuantiles(base.firstToken))}\n  between     ${show(readQuantiles(run.betweenTokens), readQuantiles(base.betweenTokens))}`)
 }
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -2,10 +2,11 @@
 import { Fleet } from '../harness/fleet.js'
 import { mergeTimelines } from '../src/observe/merge-timelines.js'
 import { showTimeline } from '../src/observe/show-timeline.js'
-import { checkBatchWork, submitBatchWork } from './batch-work.js'
+import { checkBatchWork } from './check-batch-work.js'
 import { Caller } from './caller.js'
 import { Checks } from './checks.js'
 import { runOnlineWork } from './online-work.js'
+import { submitBatchWork } from './submit-batch-work.js'
 
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c']
 const DAEMONS = 6
@@ -32,7 +33,7 @@
   const callers = ['quay-desk', 'night-desk', 'school-kitchen'].map(name => new Caller(known, name))
   const job = await submitBatchWork(fleet, ITEMS)
   await runOnlineWork(callers, ONLINE_REQUESTS / 4, checks)
-  say('kills entry-2 and engine-1')
+  tell('kills entry-2 and engine-1')
   await fleet.kill('entry-2')
   await fleet.kill('engine-1')
   const { bookings } = await runOnlineWork(callers, ONLINE_REQUESTS, checks)
@@ -74,14 +75,14 @@
   console.log(showTimeline([...events.slice(0, 5), ...events.slice(-5)]))
 }
 
-function say (sentence: string): void {
+function tell (sentence: string): void {
   console.log(`demo: ${sentence}`)
 }
 
-async function main (): Promise<number> {
+async function runDemo (): Promise<number> {
   const start = Date.now()
   const checks = new Checks()
-  say(`starts a platform, ${ENGINES} engines, 2 services and ${DAEMONS} daemons`)
+  tell(`starts a platform, ${ENGINES} engines, 2 services and ${DAEMONS} daemons`)
   const fleet = await startFleet()
   // Ctrl-C ends what was started, too.
   process.once('SIGINT', () => { void fleet.stop().then(() => process.exit(130)) })
@@ -93,11 +94,11 @@
     await fleet.stop()
   }
   console.log(`\n${checks.show()}`)
-  say(`${checks.allHold ? 'every check holds' : 'some checks FAILED'}, ${((Date.now() - start) / 1_000).toFixed(1)} s`)
+  tell(`${checks.allHold ? 'every check holds' : 'some checks FAILED'}, ${((Date.now() - start) / 1_000).toFixed(1)} s`)
   return checks.allHold ? 0 : 1
 }
 
-void main().then(code => process.exit(code), error => {
+void runDemo().then(code => process.exit(code), error => {
   console.error(error)
   process.exit(1)
 })
--- a/demo/online-work.ts
+++ b/demo/online-work.ts
@@ -17,7 +17,7 @@
     await Promise.all(Array.from({ length: Math.min(group, count - start) }, async (_, i) => {
       const n = start + i
       const caller = callers[n % callers.length]!
-      if (n % 4 === 3) bookings.push({ slot: n, answers: await bookTwice(callers, n) })
+      if (n % 4 === 3) bookings.push({ slot: n, answers: await sendTwice(callers, n) })
       else failures.push(...await kinds[n % 4]!(caller, n))
     }))
   }
@@ -27,14 +27,14 @@
 
 async function askWhole (caller: Caller, n: number): Promise<string[]> {
   const prompt = `When is high tide on day ${n}?`
-  const { status, text, sends } = await caller.send('POST', '/v1/chat/completions', chatBody(prompt, false))
+  const { status, text, sends } = await caller.send('POST', '/v1/chat/completions', createChatBody(prompt, false))
   const expected = answerWords(prompt, 8).join(' ')
   return status === 200 && JSON.parse(text).choices[0].message.content === expected ? [] : [`whole ${n}: ${status} after ${sends} sends: ${text.slice(0, 120)}`]
 }
 
 async function askStream (caller: Caller, n: number): Promise<string[]> {
   const prompt = `Which berth is free on day ${n}?`
-  const { status, text, sends } = await caller.send('POST', '/v1/chat/completions', chatBody(prompt, true))
+  const { status, text, sends } = await caller.send('POST', '/v1/chat/completions', createChatBody(prompt, true))
   const got = text.split('\n').filter(line => line.startsWith('data: {')).map(line => JSON.parse(line.slice(6)).choices?.[0]?.delta?.content ?? '').join('')
   const whole = status === 200 && text.trimEnd().endsWith(END_OF_STREAM) && got === answerWords(prompt, 8).join(' ')
   return whole ? [] : [`stream ${n}: ${status} after ${sends} sends: ${text.slice(-120)}`]
@@ -46,7 +46,7 @@
 }
 
 /** Sends one booking twice at once under one key, through two callers' connections of the same caller. */
-async function bookTwice (callers: readonly Caller[], n: number): Promise<string[]> {
+async function sendTwice (callers: readonly Caller[], n: number): Promise<string[]> {
   const caller = callers[n % callers.length]!
   const send = async (): Promise<string> => {
     const { status, text } = await caller.send('POST', '/services/bookings/slots', { slot: n }, { 'idempotency-key': `booking-${n}` })
@@ -55,6 +55,6 @@
   return await Promise.all([send(), send()])
 }
 
-function chatBody (prompt: string, stream: boolean): unknown {
+function createChatBody (prompt: string, stream: boolean): unknown {
   return { model: 'berth-assistant', stream, max_tokens: 8, messages: [{ role: 'user', content: prompt }] }
 }
--- a/src/admission/account-fold.ts
+++ b/src/admission/account-fold.ts
@@ -9,7 +9,7 @@
 import type { ObjectStore } from '../platform/object-store.js'
 import { accountLimits } from './account-limits.js'
 import type { AccountPart } from './account-part.js'
-import { foldPart } from './fold-part.js'
+import { mergePart } from './merge-part.js'
 import { readAll } from './read-all.js'
 
 const PERIOD = 300_000
@@ -42,7 +42,7 @@
     const parts = (await readAll<AccountPart>(this.store, 'account')).unwrapOr([])
     for (const part of parts) {
       const { closed, flushedAt } = part.value
-      if (closed || this.clock.date() - flushedAt > accountLimits.foldAfter) await foldPart(this.store, part)
+      if (closed || this.clock.date() - flushedAt > accountLimits.foldAfter) await mergePart(this.store, part)
     }
   }
 }
--- a/src/admission/fold-part.ts
+++ b/src/admission/merge-part.ts
@@ -16,7 +16,7 @@
  * as the sums: whoever stops half way, or does it at the same time as another, adds nothing twice. Says whether it is
  * done; if not, a later call goes on.
  */
-export async function foldPart (store: ObjectStore, { name, version, value }: StoredObject<AccountPart>): Promise<boolean> {
+export async function mergePart (store: ObjectStore, { name, version, value }: StoredObject<AccountPart>): Promise<boolean> {
   const byShard = new Map<number, AccountRows>([[findShard(name), {}]])
   for (const [key, counts] of Object.entries(value.rows)) byShard.set(findShard(key), { ...byShard.get(findShard(key)), [key]: counts })
   for (const [shard, rows] of byShard) {
--- a/src/batch/caller-index.ts
+++ b/src/batch/caller-index.ts
@@ -19,22 +19,22 @@
   constructor (@inject(tokens.store) private readonly store: ObjectStore) {}
 
   async add (type: 'file' | 'job', owned: Owned): Promise<Result<void, StoreError>> {
-    return (await createObject(this.store, `caller-${type}`, nameEntry(owned), { id: owned.id })).map(() => undefined)
+    return (await createObject(this.store, `caller-${type}`, formatName(owned), { id: owned.id })).map(() => undefined)
   }
 
   async remove (type: 'file' | 'job', owned: Owned): Promise<Result<void, StoreError>> {
-    const read = await this.store.get(`caller-${type}`, nameEntry(owned))
+    const read = await this.store.get(`caller-${type}`, formatName(owned))
     if (read.err) return read.val.type === 'missing' ? Ok(undefined) : Err(read.val)
-    return await this.store.delete(`caller-${type}`, nameEntry(owned), read.val.version)
+    return await this.store.delete(`caller-${type}`, formatName(owned), read.val.version)
   }
 
   /** Ids of the caller's newest, after `after` where given; one more than `limit` when there are more. */
   async list (type: 'file' | 'job', caller: string, { after, limit }: { readonly after?: Owned, readonly limit: number }): Promise<Result<readonly string[], StoreError>> {
-    const found = await this.store.list<{ id: string }>(`caller-${type}`, { prefix: `${caller}~`, after: after && nameEntry(after), limit: limit + 1 })
+    const found = await this.store.list<{ id: string }>(`caller-${type}`, { prefix: `${caller}~`, after: after && formatName(after), limit: limit + 1 })
     return found.map(entries => entries.map(({ value }) => value.id))
   }
 }
 
-function nameEntry ({ id, caller, created }: Owned): string {
+function formatName ({ id, caller, created }: Owned): string {
   return `${caller}~${String(LAST_TIME - created).padStart(13, '0')}~${id}`
 }
--- a/src/batch/result-spool.ts
+++ b/src/batch/result-spool.ts
@@ -76,10 +76,10 @@
   private save (): void {
     const now = this.clock.now()
     const waiting = this.source.listUnsaved()
-    const names = new Set(waiting.map(nameEntry))
+    const names = new Set(waiting.map(formatName))
     for (const name of this.seen.keys()) if (!names.has(name)) this.seen.delete(name)
     for (const entry of waiting) {
-      const name = nameEntry(entry)
+      const name = formatName(entry)
       if (!this.seen.has(name)) this.seen.set(name, now)
       if (this.spooled.has(name) || now - this.seen.get(name)! < MIN_WAIT) continue
       appendFileSync(this.file!, encodeSpoolLine(entry))
@@ -98,7 +98,7 @@
   }
 }
 
-function nameEntry ({ chunk, item }: SpoolEntry): string {
+function formatName ({ chunk, item }: SpoolEntry): string {
   return `${chunk}/${item}`
 }
 
--- a/src/batch/show-job.ts
+++ b/src/batch/show-job.ts
@@ -22,19 +22,19 @@
     status: job.status,
     output_file_id: job.ended === undefined ? null : `${job.id}.output`,
     error_file_id: job.ended === undefined ? null : `${job.id}.errors`,
-    created_at: toSeconds(job.created),
-    in_progress_at: toSeconds(job.created),
-    expires_at: toSeconds(job.due),
-    cancelling_at: toSeconds(job.cancelled),
-    completed_at: job.status === 'completed' ? toSeconds(job.ended) : null,
-    cancelled_at: job.status === 'cancelled' ? toSeconds(job.ended) : null,
+    created_at: readSeconds(job.created),
+    in_progress_at: readSeconds(job.created),
+    expires_at: readSeconds(job.due),
+    cancelling_at: readSeconds(job.cancelled),
+    completed_at: job.status === 'completed' ? readSeconds(job.ended) : null,
+    cancelled_at: job.status === 'cancelled' ? readSeconds(job.ended) : null,
     request_counts: { total: job.items, ...counts },
-    estimated_completion_at: running && rest > 0 ? toSeconds(date + rest) : null,
+    estimated_completion_at: running && rest > 0 ? readSeconds(date + rest) : null,
     late: running && Math.max(date, date + rest) > job.due,
     metadata: job.metadata ?? null
   }
 }
 
-function toSeconds (time: number | undefined): number | null {
+function readSeconds (time: number | undefined): number | null {
   return time === undefined ? null : Math.floor(time / MS_PER_SECOND)
 }
--- a/src/batch/work-index.ts
+++ b/src/batch/work-index.ts
@@ -22,7 +22,7 @@
     for (const { service, sizes } of job.services) {
       const items = sizes.reduce((sum, size) => sum + size, 0)
       const entry: WorkEntry = { job: job.id, service, caller: job.caller, created: job.created, due: job.due, items }
-      const added = await createObject(this.store, 'work', nameEntry(entry), entry)
+      const added = await createObject(this.store, 'work', formatName(entry), entry)
       if (added.err) return added
     }
     return Ok(undefined)
@@ -35,12 +35,12 @@
 
   /** Takes out a job that has no more work for the service. */
   async remove (entry: Pick<WorkEntry, 'job' | 'service' | 'due'>): Promise<Result<void, StoreError>> {
-    const read = await this.store.get('work', nameEntry(entry))
+    const read = await this.store.get('work', formatName(entry))
     if (read.err) return read.val.type === 'missing' ? Ok(undefined) : Err(read.val)
-    return await this.store.delete('work', nameEntry(entry), read.val.version)
+    return await this.store.delete('work', formatName(entry), read.val.version)
   }
 }
 
-function nameEntry ({ service, due, job }: Pick<WorkEntry, 'job' | 'service' | 'due'>): string {
+function formatName ({ service, due, job }: Pick<WorkEntry, 'job' | 'service' | 'due'>): string {
   return `${service}~${String(due).padStart(TIME_DIGITS, '0')}~${job}`
 }
--- a/src/ownership/batch-admission.ts
+++ b/src/ownership/batch-admission.ts
@@ -39,24 +39,24 @@
 
 function applyEvent (state: BatchAdmissionState, event: BatchAdmissionEvent, now: number, options: BatchAdmissionOptions): BatchAdmissionState {
   switch (event.type) {
-    case 'online': return { ...state, online: event.count, ...raisePeak(state, event.count, now) }
+    case 'online': return { ...state, online: event.count, ...updatePeak(state, event.count, now) }
     case 'reported': return { ...state, reported: event.sequences }
     case 'started': return { ...state, streams: [...state.streams, { id: event.id, prefill: event.prefill, prefilled: false }] }
     case 'prefilled': return { ...state, streams: state.streams.map(stream => stream.id === event.id ? { ...stream, prefilled: true } : stream) }
     case 'ended': return { ...state, streams: state.streams.filter(({ id }) => id !== event.id) }
-    case 'observed': return adaptLimit(state, event.gap, now, options)
+    case 'observed': return updateLimit(state, event.gap, now, options)
     case 'tick': return state
     default: return failUnreachable(event)
   }
 }
 
-function raisePeak ({ peak, peakAt }: BatchAdmissionState, online: number, now: number): { peak: number, peakAt: number } {
+function updatePeak ({ peak, peakAt }: BatchAdmissionState, online: number, now: number): { peak: number, peakAt: number } {
   const decayed = peak * 0.5 ** ((now - peakAt) / PEAK_HALF_LIFE)
   return { peak: Math.max(online, decayed), peakAt: now }
 }
 
 /** Additive increase, multiplicative decrease (Chiu and Jain, 1989) of the streams on an idle server. */
-function adaptLimit (state: BatchAdmissionState, gap: number, now: number, { betweenTokens, maxInFlight }: BatchAdmissionOptions): BatchAdmissionState {
+function updateLimit (state: BatchAdmissionState, gap: number, now: number, { betweenTokens, maxInFlight }: BatchAdmissionOptions): BatchAdmissionState {
   if (now < state.limitChangedAt + LIMIT_PERIOD) return state
   if (gap > betweenTokens * TARGET_SHARE) return { ...state, limit: Math.max(1, state.limit * DECREASE), limitChangedAt: now }
   const full = state.streams.length + 1 >= state.limit
--- a/test/admission/account-parts.test.ts
+++ b/test/admission/account-parts.test.ts
@@ -5,7 +5,7 @@
 import type { AccountPart } from '../../src/admission/account-part.js'
 import { AccountWriter } from '../../src/admission/account-writer.js'
 import { Account } from '../../src/admission/account.js'
-import { foldPart } from '../../src/admission/fold-part.js'
+import { mergePart } from '../../src/admission/merge-part.js'
 import { mergeAccount } from '../../src/admission/merge-account.js'
 import type { MergedAccount } from '../../src/admission/merged-account.js'
 import { readAll } from '../../src/admission/read-all.js'
@@ -23,7 +23,7 @@
 }
 
 async function fold (store: MemoryStore): Promise<void> {
-  for (const part of (await readAll<AccountPart>(store, 'account')).unwrapOr([])) await foldPart(store, part)
+  for (const part of (await readAll<AccountPart>(store, 'account')).unwrapOr([])) await mergePart(store, part)
 }
 
 function sumAsked ({ rows }: MergedAccount): number {
--- /dev/null
+++ b/test/style/source.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava'
+import { readdirSync, readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import ts from 'typescript'
+
+const FOLDERS = ['src', 'stand-ins', 'harness', 'bench', 'demo']
+/** The package's public surface re-exports what embedders need from one place. */
+const PUBLIC_SURFACE = 'src/coordination/index.ts'
+const MAX_LINES = 300
+
+const files = FOLDERS.flatMap(folder => readdirSync(folder, { recursive: true, encoding: 'utf8' }).map(name => join(folder, name))).filter(name => name.endsWith('.ts'))
+const sources = files.map(file => ts.createSourceFile(file, readFileSync(file, 'utf8'), ts.ScriptTarget.ES2022, true))
+const verbs = new Set([...readFileSync('docs/VERBS.md', 'utf8').matchAll(/^\| ([a-z, ]+) \|/gm)].flatMap(([, list]) => list!.split(', ')))
+
+function listFunctionNames (source: ts.SourceFile): readonly string[] {
+  const names: string[] = []
+  const visit = (node: ts.Node): void => {
+    if (ts.isFunctionDeclaration(node) && node.name !== undefined) names.push(node.name.text)
+    ts.forEachChild(node, visit)
+  }
+  visit(source)
+  return names
+}
+
+function countExports (source: ts.SourceFile): number {
+  return source.statements.filter(statement => ts.isExportDeclaration(statement) || ts.isExportAssignment(statement) ||
+    (ts.canHaveModifiers(statement) && ts.getModifiers(statement)?.some(({ kind }) => kind === ts.SyntaxKind.ExportKeyword) === true)).length
+}
+
+test('one export a file', t => {
+  t.deepEqual(sources.filter(source => source.fileName !== PUBLIC_SURFACE && countExports(source) > 1).map(({ fileName }) => fileName), [])
+})
+
+test('a function\'s name begins with a verb of docs/VERBS.md', t => {
+  t.true(verbs.size > 50)
+  const wrong = sources.flatMap(source => listFunctionNames(source)
+    .filter(name => !verbs.has(/^[a-z]+/.exec(name)![0]))
+    .map(name => `${source.fileName}: ${name}`))
+  t.deepEqual(wrong, [])
+})
+
+test('no file grows large, and none carries a banner', t => {
+  t.deepEqual(sources.filter(source => source.text.split('\n').length > MAX_LINES).map(({ fileName }) => fileName), [])
+  t.deepEqual(sources.filter(source => /licen[cs]e|copyright/i.test(source.text.slice(0, 300))).map(({ fileName }) => fileName), [])
+})
