--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,13 +7,9 @@
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 const entries = { citronwheel: 'src/main.ts', demo: 'demo/main.ts', bench: 'bench/main.ts' }
 
-mkdirSync('dist', { recursive: true })
-await build({
-  entryPoints: entries,
+const common = {
   outdir: 'dist',
-  outExtension: { '.js': '.cjs' },
   bundle: true,
-  format: 'cjs',
   platform: 'node',
   target: 'node20',
   sourcemap: 'inline',
@@ -22,7 +18,12 @@
   alias: { 'ts-results': resolve('node_modules/ts-results/esm/index.js') },
   // An optional native speed-up of cbor-x, which works without it.
   external: ['cbor-extract']
-})
+}
+
+mkdirSync('dist', { recursive: true })
+await build({ ...common, entryPoints: entries, format: 'cjs', outExtension: { '.js': '.cjs' } })
+// What others embed: one module, without the daemon.
+await build({ ...common, entryPoints: { coordination: 'src/coordination/index.ts' }, format: 'esm', outExtension: { '.js': '.mjs' } })
 
 if (process.argv.includes('--binary')) buildBinary()
 
