Trials wait until every daemon has said what it has in flight

Ruled out: a longer fixed pause (every lost server would cost it to all that was in flight there). Change: a daemon that hears of suspects tells its holds and then that it is ready; trials begin when all are, or after 1 s. Conclusion: the race is closed but for a daemon that takes over a second to answer.

--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -37,7 +37,7 @@
 
   private state: QuarantineState = { inFlight: new Map(), suspects: new Map() }
   private exchanges = 0
-  private readonly listeners = new Set<() => void>()
+  private readonly listeners = new Set<(fingerprints: readonly string[]) => void>()
 
   constructor (
     @inject(Members) private readonly members: Members,
@@ -68,7 +68,7 @@
   }
 
   /** Calls `listener` when requests have become suspect, here or at another daemon. */
-  subscribe (listener: () => void): void {
+  subscribe (listener: (fingerprints: readonly string[]) => void): void {
     this.listeners.add(listener)
   }
 
@@ -115,7 +115,7 @@
   private apply (event: QuarantineEvent): readonly string[] {
     const { state, accused } = stepQuarantine(this.state, event, { now: this.clock.now(), keep: KEEP })
     this.state = state
-    if (accused.length > 0) for (const listener of this.listeners) listener()
+    if (accused.length > 0) for (const listener of this.listeners) listener(accused)
     return accused
   }
 
--- a/src/routing/step-trials.ts
+++ b/src/routing/step-trials.ts
@@ -5,47 +5,58 @@
 
 /** How long an ask holds, ms; askers repeat theirs several times in that time. */
 const ASK_HOLDS = 1_500
-/** How long an ask waits at least, ms, so that what else is in flight of the suspects has been heard of. */
-const SETTLE = 50
+/** How long an ask waits for daemons that aren't ready, ms; one that is gone or cut off never will be. */
+const READY_WAIT = 1_000
+/** How long it is kept which daemons are ready, ms. */
+const READY_KEPT = 600_000
+
+interface StepOptions { readonly now: number, /** All daemons that may have copies in flight. */ readonly daemons: readonly string[] }
 
 interface Grant { readonly id: string, readonly server: string }
 
 /**
  * Gives out trials: at most one suspect at a server at a time, and at most one request with the same fingerprint in
  * the whole fleet, so that a second loss has one suspect only. What was in flight when it became suspect counts like
- * a trial. Asks that are no longer repeated lapse, so that a daemon that is gone holds nobody up.
+ * a trial, and no trial begins before every daemon has told what it has in flight, or a second has passed. Asks that are no longer repeated lapse, so that a daemon that is gone holds nobody up.
  */
-export function stepTrials (state: TrialsState, event: TrialsEvent, now: number): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
+export function stepTrials (state: TrialsState, event: TrialsEvent, { now, daemons }: StepOptions): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
   const running = new Map([...state.running].filter(([, { until }]) => until > now))
   const waiting = state.waiting.filter(({ until }) => until > now)
+  const ready = new Map([...state.ready].filter(([, { until }]) => until > now))
   switch (event.type) {
     case 'done':
       running.delete(event.id)
-      return grant({ running, waiting: waiting.filter(({ id }) => id !== event.id) }, now)
+      return grant({ running, waiting: waiting.filter(({ id }) => id !== event.id), ready }, { now, daemons })
     case 'ask': {
       const { id, fingerprint, servers } = event
       const granted = running.get(id)
       if (granted !== undefined) {
         running.set(id, { ...granted, until: now + ASK_HOLDS })
-        return { state: { running, waiting }, grants: [{ id, server: granted.server }] }
+        return { state: { running, waiting, ready }, grants: [{ id, server: granted.server }] }
       }
       const known = waiting.find(other => other.id === id)
       const ask = { id, fingerprint, servers, since: known?.since ?? now, until: now + ASK_HOLDS }
-      return grant({ running, waiting: known === undefined ? [...waiting, ask] : waiting.map(other => other.id === id ? ask : other) }, now)
+      return grant({ running, waiting: known === undefined ? [...waiting, ask] : waiting.map(other => other.id === id ? ask : other), ready }, { now, daemons })
     }
     case 'hold': {
       const { id, fingerprint, server } = event
-      return { state: { running: running.set(id, { fingerprint, server, until: now + ASK_HOLDS }), waiting }, grants: [] }
+      return { state: { running: running.set(id, { fingerprint, server, until: now + ASK_HOLDS }), waiting, ready }, grants: [] }
     }
+    case 'ready':
+      for (const fingerprint of event.fingerprints) {
+        ready.set(fingerprint, { daemons: new Set([...ready.get(fingerprint)?.daemons ?? [], event.daemon]), until: now + READY_KEPT })
+      }
+      return grant({ running, waiting, ready }, { now, daemons })
     default: return failUnreachable(event)
   }
 }
 
-function grant (state: TrialsState, now: number): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
+function grant (state: TrialsState, { now, daemons }: StepOptions): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
   const running = new Map(state.running)
   const grants: Grant[] = []
   for (const { id, fingerprint, servers, since } of state.waiting) {
-    if (now - since < SETTLE) continue
+    const ready = state.ready.get(fingerprint)?.daemons
+    if (now - since < READY_WAIT && !daemons.every(daemon => ready?.has(daemon))) continue
     const taken = [...running.values()]
     if (taken.some(other => other.fingerprint === fingerprint)) continue
     const server = rankOwners(fingerprint, servers).find(name => !taken.some(other => other.server === name))
@@ -53,5 +64,5 @@
     running.set(id, { fingerprint, server, until: now + ASK_HOLDS })
     grants.push({ id, server })
   }
-  return { state: { running, waiting: state.waiting.filter(({ id }) => !running.has(id)) }, grants }
+  return { state: { ...state, running, waiting: state.waiting.filter(({ id }) => !running.has(id)) }, grants }
 }
--- a/src/routing/trials-state.ts
+++ b/src/routing/trials-state.ts
@@ -7,4 +7,6 @@
 export interface TrialsState {
   readonly running: ReadonlyMap<string, Running>
   readonly waiting: readonly Waiting[]
+  /** By fingerprint: the daemons that are ready. */
+  readonly ready: ReadonlyMap<string, { readonly daemons: ReadonlySet<string>, readonly until: number }>
 }
--- a/src/routing/trials.ts
+++ b/src/routing/trials.ts
@@ -32,11 +32,12 @@
   readonly extensions = [
     peerHandlerPoint.of({ type: 'trial-ask', handle: ({ id, fingerprint, servers }, from) => { this.hearAsk({ id: String(id), fingerprint: String(fingerprint), servers: (servers as unknown[]).map(String) }, from) } }),
     peerHandlerPoint.of({ type: 'trial-hold', handle: ({ id, fingerprint, server }) => { this.apply({ type: 'hold', id: String(id), fingerprint: String(fingerprint), server: String(server) }) } }),
+    peerHandlerPoint.of({ type: 'trial-ready', handle: ({ fingerprints }, from) => { this.apply({ type: 'ready', daemon: from, fingerprints: (fingerprints as unknown[]).map(String) }) } }),
     peerHandlerPoint.of({ type: 'trial-done', handle: ({ id }) => { this.apply({ type: 'done', id: String(id) }) } }),
     peerHandlerPoint.of({ type: 'trial', handle: ({ id, server }) => { this.asks.get(String(id))?.(server === undefined ? 'quarantined' : String(server)) } })
   ]
 
-  private state: TrialsState = { running: new Map(), waiting: [] }
+  private state: TrialsState = { running: new Map(), waiting: [], ready: new Map() }
   private cancel = (): void => {}
   private held: ReadonlySet<number> = new Set()
   private readonly granted = new Map<string, { readonly fingerprint: string, readonly server: string }>()
@@ -51,7 +52,12 @@
     @inject(tokens.clock) private readonly clock: Clock
   ) {
     // A moment later, when the exchanges that the lost server cut have ended.
-    quarantine.subscribe(() => { clock.after(1, () => this.tellHolds()) })
+    quarantine.subscribe(fingerprints => {
+      clock.after(1, () => {
+        this.tellHolds()
+        this.send({ type: 'trial-ready', fingerprints })
+      })
+    })
   }
 
   async start (): Promise<void> {
@@ -116,6 +122,7 @@
     const lead = rankOwners('trials', this.members.owners())[0] ?? this.settings.instance
     if (lead !== this.settings.instance) this.links.send(lead, message)
     else if (message.type === 'trial-done') this.apply({ type: 'done', id: String(message.id) })
+    else if (message.type === 'trial-ready') this.apply({ type: 'ready', daemon: lead, fingerprints: message.fingerprints as readonly string[] })
     else if (message.type === 'trial-hold') this.apply({ type: 'hold', id: String(message.id), fingerprint: String(message.fingerprint), server: String(message.server) })
     else this.hearAsk(message as unknown as { id: string, fingerprint: string, servers: readonly string[] }, lead)
   }
@@ -127,7 +134,7 @@
   }
 
   private apply (event: TrialsEvent): void {
-    const { state, grants } = stepTrials(this.state, event, this.clock.now())
+    const { state, grants } = stepTrials(this.state, event, { now: this.clock.now(), daemons: this.members.all().map(({ instance }) => instance.name) })
     const fingerprints = new Map([...state.running].map(([id, { fingerprint }]) => [id, fingerprint]))
     this.state = state
     for (const { id, server } of grants) {
--- a/test/routing/step-trials.test.ts
+++ b/test/routing/step-trials.test.ts
@@ -1,14 +1,18 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { stepTrials } from '../../src/routing/step-trials.js'
+import { stepTrials as step } from '../../src/routing/step-trials.js'
 import type { TrialsEvent } from '../../src/routing/trials-event.js'
 import type { TrialsState } from '../../src/routing/trials-state.js'
 
-const EMPTY: TrialsState = { running: new Map(), waiting: [] }
+const EMPTY: TrialsState = { running: new Map(), waiting: [], ready: new Map() }
 const SERVERS = ['x', 'y', 'z']
 
+function stepTrials (state: TrialsState, event: TrialsEvent, now: number, daemons: readonly string[] = []): ReturnType<typeof step> {
+  return step(state, event, { now, daemons })
+}
+
 const id = fc.constantFrom('1', '2', '3', '4', '5', '6')
-const step = fc.record({
+const timed = fc.record({
   pause: fc.integer({ min: 0, max: 400 }),
   event: fc.oneof(
     id.map((id): TrialsEvent => ({ type: 'ask', id, fingerprint: `f${Number(id) % 3}`, servers: SERVERS })),
@@ -17,7 +21,7 @@
 })
 
 test('in any order of asks no two suspects share a server and no fingerprint runs twice', t => {
-  t.notThrows(() => fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+  t.notThrows(() => fc.assert(fc.property(fc.array(timed, { maxLength: 60 }), steps => {
     let state = EMPTY
     let now = 0
     for (const { pause, event } of steps) {
@@ -48,3 +52,25 @@
   t.deepEqual(asked.grants, [])
   t.deepEqual(stepTrials(asked.state, { type: 'done', id: 'hold' }, 200).grants, [{ id: '1', server: 'x' }])
 })
+
+// A daemon has a copy of the suspect in flight, and its word of it is late. Were a trial given out meanwhile, the copy
+// and the trial could end a server each, with the first loss three in all.
+test('no trial is given before every daemon has told what it has in flight, or a second has passed', t => {
+  const daemons = ['a', 'b']
+  const ask: TrialsEvent = { type: 'ask', id: '1', fingerprint: 'f', servers: SERVERS }
+  const ready = (daemon: string): TrialsEvent => ({ type: 'ready', daemon, fingerprints: ['f'] })
+  const run = (...events: readonly (readonly [TrialsEvent, number])[]): number => {
+    let state = EMPTY
+    let grants = 0
+    for (const [event, now] of events) {
+      const next = stepTrials(state, event, now, daemons)
+      state = next.state
+      grants += next.grants.length
+    }
+    return grants
+  }
+  t.is(run([ask, 0], [ready('a'), 10], [ask, 900]), 0)
+  t.is(run([ask, 0], [ready('a'), 10], [ready('b'), 20]), 1)
+  t.is(run([ask, 0], [ready('a'), 10], [ask, 600], [ask, 1_000]), 1)
+  t.is(run([ask, 0], [ready('a'), 10], [{ type: 'hold', id: 'h', fingerprint: 'f', server: 'x' }, 15], [ready('b'), 20]), 0)
+})
