Slopes: tokens of an answer as a line of their own

Cause: the line of requests mixes what a request costs with what its tokens cost (8.7 ms of processor time a request of 16 tokens, on a busy machine); the target has 240 tokens a request. Change: a line that holds the rate and moves the tokens.

--- a/bench/run-slope-step.ts
+++ b/bench/run-slope-step.ts
@@ -27,7 +27,7 @@
     const before = await readUsage(urls, fleet)
     const start = Date.now()
     if (step.jobs > 0) await submitBacklog(fleet, { jobs: step.jobs, itemTokens: ITEM_TOKENS, seed: 1, itemsPerJob: step.itemsPerJob })
-    const arrivals = planArrivals({ seed: 1, duration: MEASURED, rate: step.rate, burst: { every: 0, length: 0, rate: 0 }, model: 'berth-assistant', streamed: 1, tokens: [8, 24], promptWords: [10, 40], callers: ['quay-desk-token'] })
+    const arrivals = planArrivals({ seed: 1, duration: MEASURED, rate: step.rate, burst: { every: 0, length: 0, rate: 0 }, model: 'berth-assistant', streamed: 1, tokens: [step.tokens, step.tokens], promptWords: [10, 40], callers: ['quay-desk-token'] })
     const load = summarizeLoad(await runLoad(arrivals, { urls: () => urls, model: 'berth-assistant' }))
     await new Promise(resolve => setTimeout(resolve, Math.max(0, start + MEASURED - Date.now())))
     const seconds = (Date.now() - start) / MS_PER_SECOND
--- a/bench/slope-step.ts
+++ b/bench/slope-step.ts
@@ -4,6 +4,8 @@
   readonly servers: number
   /** Online requests a second. */
   readonly rate: number
+  /** Tokens of each answer. */
+  readonly tokens: number
   /** Batch items, in jobs of `itemsPerJob`. */
   readonly jobs: number
   readonly itemsPerJob: number
