A suspect waits 150 ms for its trial, so that servers that end together are noticed first

Cause (found by the routing lane): half the servers end within milliseconds; a request cut by the first was tried at the second while that one was ending, two losses quarantined it, and its caller, who had done nothing, was refused. Ruled out: counting losses within a second as one event: a request that crashes its server fast would be tried a third time, and the promise is two servers. Change: a trial is given 150 ms after the first ask at the earliest.

--- a/src/routing/step-trials.ts
+++ b/src/routing/step-trials.ts
@@ -10,23 +10,31 @@
 /** How long it is kept which daemons are ready, ms. */
 const READY_KEPT = 600_000
 
-interface StepOptions { readonly now: number, /** All daemons that may have copies in flight. */ readonly daemons: readonly string[] }
+interface StepOptions {
+  readonly now: number
+  /** All daemons that may have copies in flight. */
+  readonly daemons: readonly string[]
+  /** Least time in ms from the first ask to the trial. */
+  readonly pause?: number
+}
 
 interface Grant { readonly id: string, readonly server: string }
 
 /**
  * Gives out trials: at most one suspect at a server at a time, and at most one request with the same fingerprint in
  * the whole fleet, so that a second loss has one suspect only. What was in flight when it became suspect counts like
- * a trial, and no trial begins before every daemon has told what it has in flight, or a second has passed. Asks that are no longer repeated lapse, so that a daemon that is gone holds nobody up.
+ * a trial, and no trial begins before every daemon has told what it has in flight, or a second has passed. Asks that
+ * are no longer repeated lapse, so that a daemon that is gone holds nobody up.
  */
-export function stepTrials (state: TrialsState, event: TrialsEvent, { now, daemons }: StepOptions): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
+export function stepTrials (state: TrialsState, event: TrialsEvent, options: StepOptions): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
+  const { now } = options
   const running = new Map([...state.running].filter(([, { until }]) => until > now))
   const waiting = state.waiting.filter(({ until }) => until > now)
   const ready = new Map([...state.ready].filter(([, { until }]) => until > now))
   switch (event.type) {
     case 'done':
       running.delete(event.id)
-      return grant({ running, waiting: waiting.filter(({ id }) => id !== event.id), ready }, { now, daemons })
+      return grant({ running, waiting: waiting.filter(({ id }) => id !== event.id), ready }, options)
     case 'ask': {
       const { id, fingerprint, servers } = event
       const granted = running.get(id)
@@ -36,7 +44,7 @@
       }
       const known = waiting.find(other => other.id === id)
       const ask = { id, fingerprint, servers, since: known?.since ?? now, until: now + ASK_HOLDS }
-      return grant({ running, waiting: known === undefined ? [...waiting, ask] : waiting.map(other => other.id === id ? ask : other), ready }, { now, daemons })
+      return grant({ running, waiting: known === undefined ? [...waiting, ask] : waiting.map(other => other.id === id ? ask : other), ready }, options)
     }
     case 'hold': {
       const { id, fingerprint, server } = event
@@ -46,15 +54,16 @@
       for (const fingerprint of event.fingerprints) {
         ready.set(fingerprint, { daemons: new Set([...ready.get(fingerprint)?.daemons ?? [], event.daemon]), until: now + READY_KEPT })
       }
-      return grant({ running, waiting, ready }, { now, daemons })
+      return grant({ running, waiting, ready }, options)
     default: return failUnreachable(event)
   }
 }
 
-function grant (state: TrialsState, { now, daemons }: StepOptions): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
+function grant (state: TrialsState, { now, daemons, pause = 0 }: StepOptions): { readonly state: TrialsState, readonly grants: readonly Grant[] } {
   const running = new Map(state.running)
   const grants: Grant[] = []
   for (const { id, fingerprint, servers, since } of state.waiting) {
+    if (now - since < pause) continue
     const ready = state.ready.get(fingerprint)?.daemons
     if (now - since < READY_WAIT && !daemons.every(daemon => ready?.has(daemon))) continue
     const taken = [...running.values()]
--- a/src/routing/trials.ts
+++ b/src/routing/trials.ts
@@ -17,6 +17,12 @@
 
 /** How often asks and holds are repeated, ms. */
 const ASK_PERIOD = 100
+/**
+ * How long a suspect waits for its trial, ms. Servers that end together, as when a rack fails, are noticed one after the
+ * other: a request cut by the first was tried at the second while that one was ending, and a request that had done
+ * nothing was quarantined, its caller refused for ten minutes. By then those that end within this time are known.
+ */
+const TRIAL_PAUSE = 150
 
 interface WaitOptions { readonly deadline: number, readonly signal?: AbortSignal }
 
@@ -134,7 +140,7 @@
   }
 
   private apply (event: TrialsEvent): void {
-    const { state, grants } = stepTrials(this.state, event, { now: this.clock.now(), daemons: this.members.all().map(({ instance }) => instance.name) })
+    const { state, grants } = stepTrials(this.state, event, { now: this.clock.now(), daemons: this.members.all().map(({ instance }) => instance.name), pause: TRIAL_PAUSE })
     const fingerprints = new Map([...state.running].map(([id, { fingerprint }]) => [id, fingerprint]))
     this.state = state
     for (const { id, server } of grants) {
--- a/test/routing/step-trials.test.ts
+++ b/test/routing/step-trials.test.ts
@@ -74,3 +74,15 @@
   t.is(run([ask, 0], [ready('a'), 10], [ask, 600], [ask, 1_000]), 1)
   t.is(run([ask, 0], [ready('a'), 10], [{ type: 'hold', id: 'h', fingerprint: 'f', server: 'x' }, 15], [ready('b'), 20]), 0)
 })
+
+// Two servers end together. Were the request that the first one cut tried at the second at once, two losses would be
+// held against it although it did nothing.
+test('no trial is given before the pause after the first ask, in which servers that end together are noticed', t => {
+  const ask: TrialsEvent = { type: 'ask', id: '1', fingerprint: 'f', servers: SERVERS }
+  const options = { daemons: [], pause: 150 }
+  const first = step(EMPTY, ask, { ...options, now: 0 })
+  t.deepEqual(first.grants, [])
+  const second = step(first.state, ask, { ...options, now: 149 })
+  t.deepEqual(second.grants, [])
+  t.is(step(second.state, ask, { ...options, now: 150 }).grants.length, 1)
+})
