--- a/src/ownership/dispatched-batch.ts
+++ b/src/ownership/dispatched-batch.ts
@@ -1,4 +1,5 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import { findService } from '../batch/find-service.js'
 import type { ItemResult } from '../batch/item-result.js'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import type { Clock } from '../kernel/clock.js'
@@ -7,8 +8,13 @@
 import type { BatchWork } from './batch-work.js'
 
 const ITEM_TIMEOUT = 60_000
+/** Requests that a server of a plain service may have in flight. */
+const PLAIN_LIMIT = 64
 
-/** Runs batch items that must not be closed half way: to their end, by the dispatcher, which knows how to run suspects alone. */
+/**
+ * Runs batch items to their end by the dispatcher, which knows how to run suspects alone: those of plain services, and
+ * those of models that must not be closed half way.
+ */
 @scoped(Lifecycle.ContainerScoped)
 export class DispatchedBatch {
   constructor (
@@ -19,8 +25,9 @@
 
   async run (work: BatchWork): Promise<void> {
     const { services, models } = this.configuration.value
-    const service = services[work.service]
-    if (service === undefined) return work.finish({ type: 'failed', cause: 'no-such-service', detail: `there is no ${work.service}` })
+    const target = findService(work.item, services)
+    if (typeof target === 'string') return work.finish({ type: 'failed', cause: 'no-such-service', detail: target })
+    const { service, path } = target
     const answer = await this.dispatcher.send({
       id: work.id,
       caller: work.caller,
@@ -28,12 +35,12 @@
       pool: service.pool,
       work: 'batch',
       method: 'POST',
-      path: work.item.url,
+      path,
       headers: { 'content-type': 'application/json' },
       body: Buffer.from(JSON.stringify({ ...work.item.body, stream: false })),
       idempotent: work.idempotent,
       deadline: this.clock.now() + ITEM_TIMEOUT,
-      limit: models[service.model ?? '']?.maxInFlight ?? Infinity,
+      limit: models[service.model ?? '']?.maxInFlight ?? PLAIN_LIMIT,
       signal: work.signal
     })
     if (answer.err) {
--- a/stand-ins/platform/platform.ts
+++ b/stand-ins/platform/platform.ts
@@ -109,7 +109,7 @@
     const body = await readBody(req, BODY_LIMIT)
     if (body.err) return sendJson(res, 413, { error: 'too large' })
     const { value, version, writeId } = JSON.parse(body.val.toString())
-    if (JSON.stringify(value).length > VALUE_LIMIT) return sendJson(res, 413, { error: `value over ${VALUE_LIMIT} bytes` })
+    if (Buffer.byteLength(JSON.stringify(value)) > VALUE_LIMIT) return sendJson(res, 413, { error: `value over ${VALUE_LIMIT} bytes` })
     const { kind, name } = readTarget(req)
     this.takeEffect(res, () => {
       const written = this.objects.write(kind, name, value, version, writeId)
