--- a/test/batch/fleet.test.ts
+++ b/test/batch/fleet.test.ts
@@ -5,34 +5,8 @@
 import { join } from 'node:path'
 import { PassThrough } from 'node:stream'
 import OpenAI from 'openai'
-import { Fleet } from '../../harness/fleet.js'
 import { runProgram } from '../../src/commands/run-program.js'
-
-const DOMAINS = ['domain-a', 'domain-b', 'domain-c']
-const MODEL = 'berth-assistant'
-const ITEMS = 200
-
-const lines = (count: number, tokens: number): string => Array.from({ length: count }, (_, n) => JSON.stringify({
-  custom_id: `draft-${n}`,
-  method: 'POST',
-  url: '/v1/chat/completions',
-  body: { model: MODEL, max_tokens: tokens, messages: [{ role: 'user', content: `Draft ${n}` }] }
-})).join('\n')
-
-async function startFleet (): Promise<Fleet> {
-  const fleet = await Fleet.start()
-  await Promise.all([
-    ...DOMAINS.map(async domain => await fleet.addServer(`engine-${domain}`, domain, { pool: 'charter-engines', kind: 'engine' })),
-    ...DOMAINS.map(async domain => await fleet.addDaemon(`entry-${domain}`, domain))
-  ])
-  await fleet.apply('demo/folder')
-  await fleet.waitForServers()
-  return fleet
-}
-
-function createClient (fleet: Fleet, daemon: number): OpenAI {
-  return new OpenAI({ baseURL: `${fleet.url(fleet.daemons[daemon]!)}/v1`, apiKey: 'quay-desk-token', maxRetries: 0 })
-}
+import { createClient, ITEMS, lines, startFleet } from './helpers/process-fleet.js'
 
 // What the caller sees: its job acknowledged, then the daemon that acknowledged it gone. The job is in the platform's
 // objects before the answer goes out, and what the dead daemon had claimed is taken over by another, so that the
@@ -55,35 +29,6 @@
   t.is(await read(), output)
 })
 
-// What the caller sees: all results, some of them `unknown`. Every other item is not to be repeated. A daemon is killed
-// while its items run; the started marks that it had made durable tell its successor which of them may have run. The
-// engines' own logs decide: no such item began twice.
-test('a daemon killed while non-idempotent items run: none begins twice', async t => {
-  const fleet = await startFleet()
-  t.teardown(async () => await fleet.stop())
-  const client = createClient(fleet, 1)
-  const text = lines(40, 60).split('\n').map((line, n) => n % 2 === 0 ? line : JSON.stringify({ ...JSON.parse(line), idempotent: false })).join('\n')
-  const file = await client.files.create({ purpose: 'batch', file: new File([text], 'drafts.jsonl') })
-  const job = await client.batches.create({ input_file_id: file.id, endpoint: '/v1/chat/completions', completion_window: '24h' })
-  const readRuns = async (): Promise<readonly string[]> => (await Promise.all(fleet.servers.map(async server => await fleet.readLog(server)))).flat().map(({ requestId }) => requestId)
-  await fleet.waitUntil(async () => (await readRuns()).filter(id => Number(id.split('draft-')[1]) % 2 === 1).length > 2)
-  const holding = await fleet.control('GET', '/objects/chunk/' + encodeURIComponent(`${job.id}.0`))
-  const holder = fleet.daemons.findIndex(({ instance }) => instance.name === holding.value.holder.instance)
-  fleet.daemons[holder]!.child.signal('SIGKILL')
-  await fleet.unregister(fleet.daemons[holder]!.instance.name)
-  const reader = createClient(fleet, holder === 1 ? 2 : 1)
-  await fleet.waitUntil(async () => (await reader.batches.retrieve(job.id)).status === 'completed')
-  const done = await reader.batches.retrieve(job.id)
-  const ids = (await Promise.all([done.output_file_id!, done.error_file_id!].map(async id => await (await reader.files.content(id)).text()))).join('').trim().split('\n').map(line => JSON.parse(line))
-  t.is(new Set(ids.map(({ custom_id: id }) => id)).size, 40)
-  const unknown = ids.filter(({ error }) => error?.code === 'unknown').length
-  t.log(`unknown: ${unknown} of 20`)
-  t.true(unknown <= 12)
-  const once = (await readRuns()).filter(id => Number(id.split('draft-')[1]) % 2 === 1)
-  t.is(new Set(once).size, once.length)
-  t.deepEqual(ids.filter(({ error }) => error !== null && error.code !== 'unknown'), [])
-})
-
 // What the caller sees: all results, each item run once, though the platform answers nobody for a while. Holders go on
 // with what they have claimed; results wait in memory and are recorded when the platform is back.
 test('the platform down while items run: they go on, and none runs twice', async t => {
