--- a/src/entry/keyed-claims.ts
+++ b/src/entry/keyed-claims.ts
@@ -17,10 +17,17 @@
 /** How long after its call a write can still take effect, ms. */
 const LATE_WRITE = 10_000
 
+/** What a claim ends as; `release`: nothing was sent, and the key is free again. */
 type Settlement = Exclude<KeyedClaim['outcome'], { readonly type: 'open' }> | 'release'
 
-/** `expected`: monotonic ms until which a claim that isn't there may still come to stand. */
-interface Unsettled { readonly name: string, readonly id: string, readonly settlement: Settlement, readonly expected?: number }
+/** A claim that this process created, and the version at which it was seen to stand. */
+interface StandingClaim { readonly name: string, readonly claim: KeyedClaim, readonly version: number }
+
+/**
+ * What is still to be recorded. A claim of version 0 was never seen to stand, and may come to stand until `expected`,
+ * in monotonic ms, because a slow write took effect late.
+ */
+interface Unsettled extends StandingClaim { readonly settlement: Settlement, readonly expected?: number }
 
 /**
  * The claims of keyed requests at the platform. A claim is created once and changed only under its id; what can't be
@@ -69,24 +76,27 @@
    * what stands now isn't ours, so that nothing is sent, and the caller gets the other claim's outcome. Without this a
    * key that was answered long ago was refused whenever the reply to the second claim was lost.
    */
-  async create (name: string, claim: KeyedClaim, version: number): Promise<Result<void, StoreError>> {
+  async create (name: string, claim: KeyedClaim, version: number): Promise<Result<StandingClaim, StoreError>> {
     const written = await this.store.put(KIND, name, claim, version, 'caller')
-    if (written.ok) return Ok(undefined)
+    if (written.ok) return Ok({ name, claim, version: written.val.version })
     if (written.val.type === 'unknown' || written.val.type === 'unavailable') {
       const read = await this.read(name)
-      if (read.ok && read.val.value.id === claim.id) return Ok(undefined)
+      if (read.ok && read.val.value.id === claim.id) return Ok({ name, claim, version: read.val.version })
       // Another claim stands at a version that ours wasn't based on: ours can't come to stand any more.
       if (read.ok && read.val.version !== version) return Err({ type: 'conflict', version: read.val.version })
-      this.addUnsettled({ name, id: claim.id, settlement: 'release', expected: this.clock.now() + LATE_WRITE })
+      this.addUnsettled({ name, claim, version: 0, settlement: 'release', expected: this.clock.now() + LATE_WRITE })
       if (read.ok) return Err({ type: 'conflict', version: read.val.version })
     }
     return Err(written.val)
   }
 
-  /** Records how it ended, or releases it because nothing was sent; now or, if the platform is down, later. Says which. */
-  async settle (name: string, id: string, settlement: Settlement): Promise<boolean> {
-    const settled = await this.settleNow({ name, id, settlement })
-    if (!settled) this.addUnsettled({ name, id, settlement })
+  /**
+   * Records how it ended, or releases it because nothing was sent; now or, if the platform is down, later. True only
+   * once that is on record, or the claim has been seen to be no longer this one.
+   */
+  async settle (claim: StandingClaim, settlement: Settlement): Promise<boolean> {
+    const settled = await this.settleNow({ ...claim, settlement })
+    if (!settled) this.addUnsettled({ ...claim, settlement })
     return settled
   }
 
@@ -106,17 +116,37 @@
     this.unsettled = this.unsettled.filter(entry => !settled.flat().includes(entry))
   }
 
-  /** Whether no more is to be done. A claim that is no longer of this id belongs to another request. */
-  private async settleNow ({ name, id, settlement, expected = 0 }: Unsettled): Promise<boolean> {
-    const read = await this.read(name)
-    if (read.err) return read.val.type === 'missing' && this.clock.now() >= expected
+  /** Whether no more is to be done. Where the claim is known to stand, no read is needed unless somebody changed it. */
+  private async settleNow (entry: Unsettled): Promise<boolean> {
+    if (entry.version === 0) return await this.settleAfterRead(entry)
+    const written = await this.write(entry)
+    if (written.ok) return true
+    return written.val.type === 'conflict' && await this.settleAfterRead({ ...entry, version: written.val.version })
+  }
+
+  /**
+   * Reads what stands and settles it, unless it belongs to another request by now.
+   *
+   * Safeguard: the platform gives old reads. One from before the claim was created says that it is missing, or shows
+   * an earlier one. Taken for settled, the claim stayed open; its holder forgot that it had sent, took it for one that
+   * it never sent, and ran the booking a second time. A read below the version that is known to stand tells
+   * nothing, and is repeated later.
+   */
+  private async settleAfterRead (entry: Unsettled): Promise<boolean> {
+    const read = await this.read(entry.name)
+    if (read.err) return read.val.type === 'missing' && entry.version === 0 && this.clock.now() >= (entry.expected ?? 0)
     const { version, value } = read.val
-    if (value.id !== id || value.outcome.type === 'answered') return true
+    if (version < entry.version) return false
+    if (value.id !== entry.claim.id || value.outcome.type === 'answered') return true
+    return (await this.write({ ...entry, version })).ok
+  }
+
+  private async write ({ name, claim, version, settlement }: Unsettled): Promise<Result<unknown, StoreError>> {
     const done: Result<unknown, StoreError> = settlement === 'release'
       ? await this.store.delete(KIND, name, version, 'caller')
-      : await this.store.put<KeyedClaim>(KIND, name, { ...value, outcome: settlement }, version, 'caller')
+      : await this.store.put<KeyedClaim>(KIND, name, { ...claim, outcome: settlement }, version, 'caller')
     if (done.err) this.metrics.count('keyed_settle_failures_total')
-    return done.ok
+    return done
   }
 }
 
--- a/src/entry/keyed-requests.ts
+++ b/src/entry/keyed-requests.ts
@@ -28,7 +28,8 @@
 const FIRST_POLL = 100
 const LAST_POLL = 1_000
 
-type Settlement = Parameters<KeyedClaims['settle']>[2]
+type Settlement = Parameters<KeyedClaims['settle']>[1]
+type StandingClaim = Parameters<KeyedClaims['settle']>[0]
 
 /** Runs requests that carry a key: each key of a caller at most once, whichever daemons it is sent through. */
 @scoped(Lifecycle.ContainerScoped)
@@ -96,41 +97,41 @@
     this.timeline.record({ part: 'entry', what: 'key claimed', request: request.id })
     // A process that stood still between its claim and here would send long after its caller was told the end.
     if (this.clock.now() >= request.deadline) {
-      await this.claims.settle(name, claim.id, 'release')
+      await this.claims.settle(created.val, 'release')
       return { type: 'refused', refusal: { cause: 'deadline', ran: 'not run', retryAfter: this.random.spread(RETRY_AFTER), detail: 'the deadline passed before it was sent' } }
     }
     this.sent.add(claim.id)
     const answer = await this.gate.send({ ...request, idempotent: false, signal: undefined })
-    return answer.ok ? await this.takeAnswer(name, claim.id, answer.val) : await this.takeRefusal(name, claim.id, answer.val)
+    return answer.ok ? await this.takeAnswer(created.val, answer.val) : await this.takeRefusal(created.val, answer.val)
   }
 
   /** Forgets that it was sent once that is on record. */
-  private async settle (name: string, id: string, settlement: Settlement): Promise<void> {
-    if (await this.claims.settle(name, id, settlement)) this.sent.delete(id)
+  private async settle (standing: StandingClaim, settlement: Settlement): Promise<void> {
+    if (await this.claims.settle(standing, settlement)) this.sent.delete(standing.claim.id)
   }
 
-  private async takeRefusal (name: string, id: string, refusal: Refusal): Promise<KeyedOutcome> {
+  private async takeRefusal (standing: StandingClaim, refusal: Refusal): Promise<KeyedOutcome> {
     if (refusal.ran === 'unknown') {
-      await this.settle(name, id, { type: 'unknown', cause: refusal.detail })
+      await this.settle(standing, { type: 'unknown', cause: refusal.detail })
       return { type: 'unknown', cause: refusal.detail }
     }
-    this.sent.delete(id)
-    await this.settle(name, id, 'release')
+    this.sent.delete(standing.claim.id)
+    await this.settle(standing, 'release')
     return { type: 'refused', refusal }
   }
 
   /** Records the answer, then gives it: one who asks again gets the same. One that is cut ends as unknown. */
-  private async takeAnswer (name: string, id: string, answer: ServerAnswer): Promise<KeyedOutcome> {
+  private async takeAnswer (standing: StandingClaim, answer: ServerAnswer): Promise<KeyedOutcome> {
     const collected = await readAnswer(answer, KEPT_BYTES)
     if (collected.type === 'cut') {
       const cause = 'its answer was cut'
-      await this.settle(name, id, { type: 'unknown', cause })
+      await this.settle(standing, { type: 'unknown', cause })
       return { type: 'unknown', cause }
     }
     const { status, headers: { 'content-type': type } } = answer
     const contentType = type === undefined ? undefined : String(type)
     const body = collected.type === 'whole' ? collected.body.toString('base64') : undefined
-    await this.settle(name, id, { type: 'answered', status, contentType, body })
+    await this.settle(standing, { type: 'answered', status, contentType, body })
     return { type: 'answered', status, contentType, body: collected.body, replayed: false }
   }
 
