--- a/bench/hunt/bring-trouble.ts
+++ b/bench/hunt/apply-trouble.ts
@@ -13,17 +13,17 @@
 type Node = Fleet['daemons'][number]
 
 /** Brings a trouble about; resolves once it is over. */
-export async function bringTrouble (hunt: HuntFleet, trouble: Trouble): Promise<void> {
+export async function applyTrouble (hunt: HuntFleet, trouble: Trouble): Promise<void> {
   const { fleet } = hunt
   switch (trouble.type) {
-    case 'daemon killed': return await kill(fleet, `entry-${trouble.daemon}`)
+    case 'daemon killed': return await endProcess(fleet, `entry-${trouble.daemon}`)
     case 'daemon replaced':
-      await kill(fleet, `entry-${trouble.daemon}`)
+      await endProcess(fleet, `entry-${trouble.daemon}`)
       return await hunt.addDaemon(trouble.daemon)
-    case 'daemon frozen': return await freeze(find(fleet.daemons, `entry-${trouble.daemon}`), trouble.lasting)
+    case 'daemon frozen': return await pauseProcess(find(fleet.daemons, `entry-${trouble.daemon}`), trouble.lasting)
     case 'daemon drained': return await drain(fleet, `entry-${trouble.daemon}`)
-    case 'engine killed': return await kill(fleet, `engine-${trouble.engine}`)
-    case 'engine frozen': return await freeze(find(fleet.servers, `engine-${trouble.engine}`), trouble.lasting)
+    case 'engine killed': return await endProcess(fleet, `engine-${trouble.engine}`)
+    case 'engine frozen': return await pauseProcess(find(fleet.servers, `engine-${trouble.engine}`), trouble.lasting)
     case 'engine cuts answers': return await setFaults(find(fleet.servers, `engine-${trouble.engine}`), { cutAfter: CUT_AFTER, share: 0.5 }, trouble.lasting)
     case 'open connections silent': return await setFaults(find(fleet.servers, `engine-${trouble.engine}`), { silenceOpen: 100 }, 0)
     case 'service silent': return await setFaults(find(fleet.servers, `booking-${trouble.service}`), { silence: true }, trouble.lasting)
@@ -40,7 +40,7 @@
   return nodes.findLast(({ instance }) => instance.name === name)!
 }
 
-async function kill (fleet: Fleet, name: string): Promise<void> {
+async function endProcess (fleet: Fleet, name: string): Promise<void> {
   const { child } = find([...fleet.daemons, ...fleet.servers], name)
   child.signal('SIGKILL')
   await child.waitForExit()
@@ -55,7 +55,7 @@
   await fleet.unregister(name)
 }
 
-async function freeze ({ child }: Node, lasting: number): Promise<void> {
+async function pauseProcess ({ child }: Node, lasting: number): Promise<void> {
   child.signal('SIGSTOP')
   await pause(lasting)
   child.signal('SIGCONT')
--- a/bench/hunt/hunt-caller.ts
+++ b/bench/hunt/hunt-caller.ts
@@ -8,6 +8,8 @@
 const SENDS = 10
 const LONGEST_PAUSE = 2_000
 const PAUSE = 100
+/** How long a caller keeps away from an address that gave no answer, ms, while it knows others. */
+const AVOID = 2_000
 const MS_PER_SECOND = 1_000
 const END_OF_STREAM = 'data: [DONE]'
 
@@ -25,25 +27,26 @@
 /** Sends online requests as callers do, again where that is allowed, and notes every sending. */
 export class HuntCaller {
   readonly sends: HuntSend[] = []
+  /** When each address last gave no answer. */
+  private readonly silent = new Map<string, number>()
 
   constructor (private readonly options: HuntCallerOptions) {}
 
   /** Sends the request until it is answered, it may not be sent again, or its caller has had enough. */
   async ask (kind: Kind, n: number): Promise<boolean> {
     for (let attempt = 0; attempt < SENDS; attempt++) {
-      const { send, retryAfter } = await this.send(kind, n, attempt)
+      const { send, reaskAfter } = await this.send(kind, n, attempt)
       this.sends.push(send)
       if (send.outcome === 'answered' || send.ran === 'ran') return true
       if (kind === 'booking' && send.ran === 'unknown' && send.status === 502) return true
-      await new Promise(resolve => setTimeout(resolve, Math.max(PAUSE, Math.min(LONGEST_PAUSE, retryAfter))))
+      await new Promise(resolve => setTimeout(resolve, Math.max(PAUSE, Math.min(LONGEST_PAUSE, reaskAfter))))
     }
     return false
   }
 
-  private async send (kind: Kind, n: number, attempt: number): Promise<{ readonly send: HuntSend, readonly retryAfter: number }> {
-    const { addresses, now, timeout } = this.options
-    const known = addresses()
-    const { daemon, url } = known[randomInt(known.length)]!
+  private async send (kind: Kind, n: number, attempt: number): Promise<{ readonly send: HuntSend, readonly reaskAfter: number }> {
+    const { now, timeout } = this.options
+    const { daemon, url } = this.chooseAddress()
     const name = `${kind}-${n}`
     const at = now()
     const base = { id: `${name}.${attempt}.${this.sends.length}.${randomInt(1e9)}`, request: name, daemon, at }
@@ -57,13 +60,22 @@
       })
       const text = await response.body.text()
       const send = { ...base, took: now() - at, status: response.statusCode }
-      if (response.statusCode >= 300) return { send: { ...send, outcome: 'refused', ran: readRan(text) }, retryAfter: Number(response.headers['retry-after'] ?? 0) * MS_PER_SECOND }
-      if (kind === 'stream' && !text.trimEnd().endsWith(END_OF_STREAM)) return { send: { ...send, outcome: 'cut' }, retryAfter: 0 }
-      return { send: { ...send, outcome: 'answered', wrong: findWrong(kind, n, text), ...kind === 'booking' && { text } }, retryAfter: 0 }
+      if (response.statusCode >= 300) return { send: { ...send, outcome: 'refused', ran: readRan(text) }, reaskAfter: Number(response.headers['retry-after'] ?? 0) * MS_PER_SECOND }
+      if (kind === 'stream' && !text.trimEnd().endsWith(END_OF_STREAM)) return { send: { ...send, outcome: 'cut' }, reaskAfter: 0 }
+      return { send: { ...send, outcome: 'answered', wrong: findWrong(kind, n, text), ...kind === 'booking' && { text } }, reaskAfter: 0 }
     } catch {
-      return { send: { ...base, took: now() - at, outcome: 'no answer' }, retryAfter: 0 }
+      this.silent.set(url, now())
+      return { send: { ...base, took: now() - at, outcome: 'no answer' }, reaskAfter: 0 }
     }
   }
+
+  private chooseAddress (): ReturnType<HuntCallerOptions['addresses']>[number] {
+    const { addresses, now } = this.options
+    const known = addresses()
+    const heard = known.filter(({ url }) => now() > (this.silent.get(url) ?? -Infinity) + AVOID)
+    const choice = heard.length > 0 ? heard : known
+    return choice[randomInt(choice.length)]!
+  }
 }
 
 function createRequest (kind: Kind, n: number): { readonly method: 'GET' | 'POST', readonly path: string, readonly headers?: Readonly<Record<string, string>>, readonly body?: unknown } {
--- a/bench/hunt/run-hunt.ts
+++ b/bench/hunt/run-hunt.ts
@@ -1,6 +1,6 @@
 import type { MergedAccount } from '../../src/admission/merged-account.js'
 import { AddressBook } from '../address-book.js'
-import { bringTrouble } from './bring-trouble.js'
+import { applyTrouble } from './apply-trouble.js'
 import { ConfigurationWatch } from './configuration-watch.js'
 import { HuntCaller } from './hunt-caller.js'
 import { HuntFleet } from './hunt-fleet.js'
@@ -43,12 +43,12 @@
       at(AGAIN_AT, async () => await jobs.submitAgain()),
       at(CANCEL_AT, async () => await jobs.cancel()),
       ...RACES.map(async (time, round) => await at(time, async () => await watch.race(round))),
-      ...troubles.map(async trouble => await at(trouble.at, async () => await bringTrouble(hunt, trouble)))
+      ...troubles.map(async trouble => await at(trouble.at, async () => await applyTrouble(hunt, trouble)))
     ])
     const over = now()
     const read = await jobs.readAll(over, over + huntSize.settle)
     const live = listLive(hunt, troubles)
-    const after = await tryAfter(caller)
+    const after = await askAfter(caller)
     await new Promise(resolve => setTimeout(resolve, Math.max(0, over + HEAL - now())))
     const account: MergedAccount = await fleet.operator('GET', live[0]!, '/operator/account')
     return {
@@ -84,7 +84,7 @@
   await Promise.all(asked)
 }
 
-async function tryAfter (caller: HuntCaller): Promise<readonly string[]> {
+async function askAfter (caller: HuntCaller): Promise<readonly string[]> {
   const worked = await Promise.all(KINDS.map(async (kind, n) => await caller.ask(kind, 1_000_000 + n)))
   return KINDS.filter((_, n) => !worked[n]).map(kind => `a ${kind} request was not answered`)
 }
