Slots for loads: one that two owners wrote in turn, or whose reply was lost, comes free

Both claim the load slot under the same server's name. The one that stays owner then meets a changed version when it frees the slot, and forgot it: the slot stayed taken for 30 s. The same came of a claim whose reply was lost (it went on to the second slot and held both), of a release that failed, and of an adoption that the platform didn't answer. Change: a claim without a reply is refused and found again by the server's name; a release that meets a conflict takes the slot as it is and frees it at the next visit, one that failed is tried again; an adoption that failed is tried again before anything is ordered; a slot lapses after 6 s in place of 30 s (a load claims it again every 3 s). A claim reads the slots by one listing in place of a read each. Ruled out: orders held up by the claim (confirm and take anew cost under 1 s in the traces); a slot of the paused owner itself (its successor adopts it, seen in the traces). Tests: test/ownership/load-slots.test.ts, virtual time. Seen failing on the old code, all four: the two-owners and the lost-reply test for the fault itself; the adoption test and the property also because adopt told nothing before.

--- a/src/ownership/load-slots.ts
+++ b/src/ownership/load-slots.ts
@@ -1,4 +1,5 @@
 import type { ObjectStore } from '../platform/object-store.js'
+import type { StoredObject } from '../platform/stored-object.js'
 
 const KIND = 'load-slot'
 
@@ -19,45 +20,52 @@
   readonly keep: number
 }
 
+type SlotObject = Pick<StoredObject<Slot>, 'name' | 'version' | 'value'>
+
+const FREE: Slot = { server: '', until: 0 }
+
 /**
  * Keeps loads over the whole fleet within the rate of the weight store: a load needs one of a fixed number of slots
  * at the platform. Without it, a change for a pool makes every server of it load at once, and all of them slowly. A
- * slot is claimed by a conditional update, so two never hold the same one.
+ * slot is claimed by a conditional update, so two never hold the same one. A slot that nobody claims again, because
+ * its holder is dead or lost track of it, is free after `keep` ms.
  */
 export class LoadSlots {
   private readonly held = new Map<string, { readonly name: string, readonly version: number, readonly until: number }>()
 
   constructor (private readonly options: LoadSlotsOptions) {}
 
-  /** Whether the server may load now. Asking again while it holds a slot keeps it. */
+  /**
+   * Whether the server may load now. Asking again while it holds a slot keeps it. A write without a reply may have
+   * taken a slot: trying the next one then takes two for one load. So it counts as refused, and the next call finds
+   * the slot by the server's name.
+   */
   async claim (server: string): Promise<boolean> {
-    const { store, count, date, keep } = this.options
+    const { store, date, keep } = this.options
     const mine = this.held.get(server)
     if (mine !== undefined && mine.until - date() > keep / 2) return true
-    const names = mine === undefined ? Array.from({ length: count }, (_, i) => String(i)) : [mine.name]
-    for (const name of names) {
-      const slot = await store.get<Slot>(KIND, name, 'background')
-      if (slot.err && slot.val.type !== 'missing') return false
-      if (slot.ok && slot.val.value.server !== server && slot.val.value.until > date()) continue
+    for (const { name, version } of await this.listOpen(server)) {
       const until = date() + keep
-      const written = await store.put<Slot>(KIND, name, { server, until }, slot.ok ? slot.val.version : 0, 'background')
-      if (written.err) continue
-      this.held.set(server, { name, version: written.val.version, until })
-      return true
+      const written = await store.put<Slot>(KIND, name, { server, until }, version, 'background')
+      if (written.ok) this.held.set(server, { name, version: written.val.version, until })
+      if (written.ok) return true
+      if (written.val.type !== 'conflict') break
     }
     this.held.delete(server)
     return false
   }
 
   /**
-   * Takes over the slot that an earlier owner of the server claimed for it. Without it the slot stays taken until its
-   * time runs out, although the load has long ended, and other servers wait for nothing.
+   * Takes over the slot that an earlier owner of the server claimed for it; says whether that is done. Without it the
+   * slot stays taken until its time runs out, although the load has long ended, and other servers wait for nothing.
    */
-  async adopt (server: string): Promise<void> {
-    for (let i = 0; i < this.options.count; i++) {
-      const slot = await this.options.store.get<Slot>(KIND, String(i), 'background')
-      if (slot.ok && slot.val.value.server === server) this.held.set(server, { name: String(i), version: slot.val.version, until: slot.val.value.until })
-    }
+  async adopt (server: string): Promise<boolean> {
+    const slots = await this.list()
+    if (slots === undefined) return false
+    const own = slots.find(({ value }) => value.server === server)
+    if (own === undefined) this.held.delete(server)
+    else this.held.set(server, { name: own.name, version: own.version, until: own.value.until })
+    return true
   }
 
   /** Forgets a server that has another owner now, who adopts its slot. */
@@ -65,11 +73,31 @@
     this.held.delete(server)
   }
 
-  /** Frees the server's slot, if it holds one. A lost reply is healed by the slot's time running out. */
+  /**
+   * Frees the server's slot, if it holds one; to be called again until the load has long ended. Two daemons that both
+   * believed to own the server have written its slot in turn: the one that stays meets a changed version, and a slot
+   * it forgot then kept every other server waiting. So it takes the slot as it is now and frees that the next time,
+   * as it does after a write that failed.
+   */
   async release (server: string): Promise<void> {
     const slot = this.held.get(server)
     if (slot === undefined) return
-    this.held.delete(server)
-    await this.options.store.put<Slot>(KIND, slot.name, { server: '', until: 0 }, slot.version, 'background')
+    const freed = await this.options.store.put<Slot>(KIND, slot.name, FREE, slot.version, 'background')
+    if (freed.ok) this.held.delete(server)
+    else if (freed.val.type === 'conflict') await this.adopt(server)
+  }
+
+  /** The slots that the server may claim: its own, or else those that are free. None while the platform is out. */
+  private async listOpen (server: string): Promise<readonly SlotObject[]> {
+    const slots = await this.list() ?? []
+    const own = slots.filter(({ value }) => value.server === server)
+    return own.length > 0 ? own : slots.filter(({ value }) => value.until <= this.options.date())
+  }
+
+  private async list (): Promise<readonly SlotObject[] | undefined> {
+    const found = await this.options.store.list<Slot>(KIND)
+    if (found.err) return undefined
+    const known = new Map(found.val.map(slot => [slot.name, slot]))
+    return Array.from({ length: this.options.count }, (_, i) => known.get(String(i)) ?? { name: String(i), version: 0, value: FREE })
   }
 }
--- a/src/ownership/server-orders.ts
+++ b/src/ownership/server-orders.ts
@@ -22,7 +22,8 @@
 const STATE_TIMEOUT = 400
 /** Loads over the fleet at once. */
 const LOADS_AT_ONCE = 2
-const SLOT_KEEP = 30_000
+/** A slot that is lost, with a daemon or a reply, stops other loads for at most this long; a load claims it anew before. */
+const SLOT_KEEP = 6_000
 
 /**
  * Brings the servers that this daemon owns to what the configuration wants of them: reads what each has, and orders
@@ -72,11 +73,14 @@
     this.slots.drop(server)
   }
 
+  private async adopt (server: string): Promise<boolean> {
+    if (!this.adopted.has(server) && await this.slots.adopt(server)) this.adopted.add(server)
+    return this.adopted.has(server)
+  }
+
   private async visit (instance: Instance, placement: Placement): Promise<void> {
     this.busy.add(instance.name)
-    if (!this.adopted.has(instance.name)) await this.slots.adopt(instance.name)
-    this.adopted.add(instance.name)
-    const state = await this.readState(instance)
+    const state = await this.adopt(instance.name) ? await this.readState(instance) : undefined
     if (state !== undefined) await this.bringNearer(instance, placement, state)
     this.busy.delete(instance.name)
   }
--- /dev/null
+++ b/test/ownership/load-slots.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { LoadSlots } from '../../src/ownership/load-slots.js'
+import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
+
+const KEEP = 6_000
+const LOST = { loseReply: { type: 'unknown', reason: 'no reply came' } } as const
+const OUT = { fail: { type: 'unavailable', reason: 'outage' } } as const
+
+class Fleet {
+  readonly store = new MemoryStore()
+  now = 1
+  readonly daemons = Array.from({ length: 3 }, () => this.create())
+
+  create (): LoadSlots {
+    return new LoadSlots({ store: this.store, date: () => this.now, count: 2, keep: KEEP })
+  }
+}
+
+// Two daemons believe for a moment that they own server a, as after a start or a pause, and both claim its slot. The
+// one that stays frees the slot when the load has ended. The other's write has changed its version: were the slot
+// forgotten then, it would look taken until its time runs out, and two such slots stop every load of the fleet.
+test('a slot that two owners wrote in turn comes free when the load has ended', async t => {
+  const fleet = new Fleet()
+  const [owner, other] = fleet.daemons
+  t.deepEqual([await owner!.claim('a'), await other!.claim('a')], [true, true])
+  other!.drop('a')
+  await owner!.release('a')
+  await owner!.release('a')
+  t.deepEqual([await other!.claim('b'), await other!.claim('c')], [true, true])
+})
+
+// The platform takes a claim and its reply is lost. Trying the next slot would hold both for one load, the first of
+// them with nobody who frees it.
+test('a claim whose reply is lost takes one slot', async t => {
+  const fleet = new Fleet()
+  const [owner, other] = fleet.daemons
+  fleet.store.fault = ({ call }) => call === 'put' ? LOST : 'none'
+  await owner!.claim('a')
+  fleet.store.fault = () => 'none'
+  t.deepEqual([await owner!.claim('a'), await other!.claim('b'), await other!.claim('c')], [true, true, false])
+})
+
+// The platform is out when the load has ended, or when a new owner looks for the slot of the one before.
+test('a slot is freed and adopted after an outage', async t => {
+  const fleet = new Fleet()
+  const [owner, next, other] = fleet.daemons
+  await owner!.claim('a')
+  await other!.claim('b')
+  fleet.store.fault = () => OUT
+  await owner!.release('a')
+  t.false(await next!.adopt('b'))
+  fleet.store.fault = () => 'none'
+  await owner!.release('a')
+  t.true(await next!.adopt('b'))
+  await next!.release('b')
+  t.deepEqual([await other!.claim('c'), await other!.claim('d')], [true, true])
+})
+
+// Any daemon may claim, free or forget for any server, with replies lost and outages. Then each server has one owner
+// again, which adopts, loads and frees. All have loaded within the time for which a lost slot is kept, and two visits each.
+test('whatever happened to the slots, every server loads within a bound', async t => {
+  const servers = ['a', 'b', 'c', 'd']
+  const step = fc.record({ daemon: fc.nat(2), server: fc.constantFrom(...servers), act: fc.constantFrom('claim' as const, 'release' as const, 'adopt' as const, 'drop' as const), fault: fc.constantFrom('none' as const, LOST, OUT), time: fc.nat(1_000) })
+  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 30 }), async steps => {
+    const fleet = new Fleet()
+    for (const { daemon, server, act, fault, time } of steps) {
+      fleet.store.fault = ({ call }) => call === 'put' || fault !== LOST ? fault : 'none'
+      await fleet.daemons[daemon]![act](server)
+      fleet.now += time
+    }
+    fleet.store.fault = () => 'none'
+    const owner = fleet.create()
+    for (const server of servers) if (!await owner.adopt(server)) return false
+    const left = new Set(servers)
+    for (const end = fleet.now + KEEP + 2_000; left.size > 0 && fleet.now < end; fleet.now += 500) {
+      for (const server of left) {
+        if (!await owner.claim(server)) continue
+        left.delete(server)
+        await owner.release(server)
+      }
+    }
+    return left.size === 0
+  }), { seed: 3, numRuns: 300 })
+  t.pass()
+})
