A dead daemon's chunk is taken over within seconds also by those that never knew it, and news isn't lost in a look

Two causes of a job that stands still after its holder was killed, both found on virtual time: - Daemons free what a member held that they remember and no longer see. The daemon first in rank lists the holders every 4 s and frees those that are no members at two looks in turn: one listing in 4 s for the whole fleet. - A look for work that had read the chunk as still held put it aside for 5 s and itself for 1 to 60 s (the pause grows with the fleet), although the news that it was freed came during the look.

--- a/src/batch/chunk-source.ts
+++ b/src/batch/chunk-source.ts
@@ -34,6 +34,8 @@
   private readonly held = new HeldChunks()
   private readonly listeners = new Set<(service: string) => void>()
   private draining = false
+  /** Counts what others said of new or freed work. */
+  private news = 0
   private cancelTimer = (): void => {}
 
   constructor (
@@ -102,6 +104,7 @@
 
   /** Looks for work of these services now, or of all, because somebody said that there is some. */
   lookAgain (services: readonly string[] = [...this.wanted.keys()]): void {
+    this.news++
     this.finder.forgetBusy()
     for (const service of services) {
       const wanted = this.wanted.get(service)
@@ -137,12 +140,21 @@
     return !this.draining && this.held.countReady(service) < slots && this.held.countWaiting() <= MAX_WAITING_BYTES
   }
 
-  /** One look at a time for each service; one that found nothing is repeated no sooner than after the idle period. */
+  /**
+   * One look at a time for each service; one that found nothing is repeated no sooner than after a pause. News that
+   * comes during a look is too late for what that look has read: it finds the freed chunk still held and puts it
+   * aside, so that the chunk waits out the pause, up to a minute in a large fleet. Such a look is repeated at once.
+   */
   private async look (service: string, wanted: Wanted): Promise<void> {
     if (wanted.looking || this.clock.now() < wanted.nextLook) return
     wanted.looking = true
     while (this.needsMore(service, wanted)) {
+      const { news } = this
       if (await this.claimMore(service)) continue
+      if (news !== this.news) {
+        this.finder.forgetBusy()
+        continue
+      }
       wanted.nextLook = this.clock.now() + planLookPause(this.fleetSize)
       break
     }
--- a/src/batch/job-care.ts
+++ b/src/batch/job-care.ts
@@ -18,6 +18,8 @@
 
 const PERIOD = 1_000
 const SETTLE_PERIOD = 1_000
+/** ms between two looks for holders that nobody remembers. */
+const HOLDERS_PERIOD = 4_000
 const CANCELLED = 'batch cancelled'
 const SUBMITTED = 'batch submitted'
 const FREED = 'batch freed'
@@ -33,6 +35,9 @@
 
   private readonly settling = new Set<string>()
   private known: readonly string[] = []
+  /** Holders that were no members at the last look. */
+  private strangers: readonly string[] = []
+  private nextLook = 0
   private cancelTimer = (): void => {}
 
   constructor (
@@ -101,13 +106,35 @@
     this.source.fleetSize = alive.length
     const gone = this.known.filter(name => !alive.includes(name))
     this.known = [...new Set([...this.known, ...alive])]
-    for (const name of gone) {
-      if (rankOwners(`holding/${name}`, this.members.owners())[0] !== this.holding.by.instance) continue
-      if (!await this.recovery.recover(name)) continue
-      this.known = this.known.filter(other => other !== name)
-      this.tellAll({ type: FREED })
-      this.source.lookAgain()
-    }
+    for (const name of gone) if (this.isFirst(`holding/${name}`)) await this.recover(name)
+    await this.recoverStrangers()
+  }
+
+  /**
+   * Frees what daemons hold that died before this one had heard of them, as when they had just started or this one
+   * has. Remembered members alone miss them, and a job stands still until their lease ends. One daemon of the fleet
+   * lists the holders; who is missing at two looks in turn isn't merely late in becoming known.
+   */
+  private async recoverStrangers (): Promise<void> {
+    if (!this.isFirst('holdings') || this.clock.now() < this.nextLook) return
+    this.nextLook = this.clock.now() + HOLDERS_PERIOD
+    const holders = await this.recovery.listHolders()
+    const alive = this.members.all().map(({ instance }) => instance.name)
+    const missing = holders.filter(name => !alive.includes(name))
+    const before = this.strangers
+    this.strangers = missing
+    for (const name of missing) if (before.includes(name)) await this.recover(name)
+  }
+
+  private isFirst (thing: string): boolean {
+    return rankOwners(thing, this.members.owners())[0] === this.holding.by.instance
+  }
+
+  private async recover (name: string): Promise<void> {
+    if (!await this.recovery.recover(name)) return
+    this.known = this.known.filter(other => other !== name)
+    this.tellAll({ type: FREED })
+    this.source.lookAgain()
   }
 }
 
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -6,6 +6,9 @@
 import type { Holding } from './holding.js'
 import { isHolder } from './is-holder.js'
 
+/** Holders that one listing gives; the others show once those are freed. */
+const MAX_HOLDERS = 500
+
 /** Frees what a dead daemon held: one read tells what that is. */
 @scoped(Lifecycle.ContainerScoped)
 export class Recovery {
@@ -14,6 +17,12 @@
     @inject(Timeline) private readonly timeline: Timeline
   ) {}
 
+  /** Instances that have written what they hold, whether they still run or not. */
+  async listHolders (): Promise<readonly string[]> {
+    const found = await this.store.list('holding', { limit: MAX_HOLDERS })
+    return found.map(objects => objects.map(({ name }) => name)).unwrapOr([])
+  }
+
   /**
    * Takes the claims of a daemon away; says whether that is done. Should the daemon live after all, its next write
    * to each chunk meets a changed version, so what is lost is the work it had in flight and no result.
--- a/test/batch/helpers/trial-store.ts
+++ b/test/batch/helpers/trial-store.ts
@@ -14,6 +14,8 @@
   oldReads = 0
   /** Until when this daemon alone gets no answer, in ms of the trial's clock. */
   cutUntil = -1
+  /** Time that each call takes, ms. */
+  delay = 0
 
   constructor (private readonly shared: MemoryStore, private readonly clock: TrialClock) {}
 
@@ -50,6 +52,7 @@
     await this.clock.waitThawed()
     if (this.clock.now() < this.cutUntil) return Err({ type: 'unavailable', reason: 'cut off' })
     const answer = await call()
+    if (this.delay > 0) await new Promise<void>(resolve => this.clock.after(this.delay, resolve))
     await this.clock.waitThawed()
     return answer
   }
--- /dev/null
+++ b/test/batch/takeover.test.ts
@@ -0,0 +1,64 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { Recovery } from '../../src/batch/recovery.js'
+import { Timeline } from '../../src/observe/timeline.js'
+import { createTrialJob } from './helpers/create-trial-job.js'
+import { Trial } from './helpers/trial.js'
+
+const STEP = 100
+
+/** Two looks for holders that nobody remembers, and a few calls to the platform: to free the chunk, to end a look, to claim it. */
+function findBound (call: number): number {
+  return 2 * 4_000 + 1_000 + 20 * call
+}
+
+async function measureTakeover (killAt: number, call: number): Promise<number> {
+  const trial = await new Trial({ runTime: 200 }).start(2)
+  await createTrialJob(trial.daemons[0]!, { count: 200, idempotent: i => i % 2 === 0 })
+  for (const { store } of trial.daemons) store.delay = call
+  await trial.clock.advance(killAt)
+  while (trial.runs.length === 0) await trial.clock.advance(STEP)
+  const holder = trial.runs[0]!.daemon
+  trial.kill(trial.daemons.findIndex(({ name }) => name === holder))
+  const killed = trial.clock.now()
+  const isTaken = (): boolean => trial.runs.some(({ daemon }) => daemon !== holder)
+  while (!isTaken() && trial.clock.now() < killed + 70_000) await trial.clock.advance(STEP)
+  return trial.clock.now() - killed
+}
+
+// What the caller sees: a job that stands still after a daemon was killed. Another daemon frees the chunk and looks for
+// work; a look that was on its way had read the chunk as held and put it aside. Whenever in the course of such looks
+// the holder dies, its chunk runs again as soon as the calls to the platform allow.
+test('a dead daemon\'s chunk is taken over within a bound, whenever it dies', async t => {
+  for (const call of [100, 130, 170, 210]) {
+    const times: number[] = []
+    for (let killAt = 0; killAt < 6_000; killAt += STEP) times.push(await measureTakeover(killAt, call))
+    t.log(`calls of ${call} ms: taken over after ${Math.min(...times)} to ${Math.max(...times)} ms`)
+    t.true(times.every(time => time <= findBound(call)))
+  }
+})
+
+// What the caller sees: the same, but the chunk was let go by a daemon that lives, which tells the others. The news may
+// come in the middle of another's look, which has read the chunk as held by then and puts it aside for five seconds.
+test('news of a freed chunk isn\'t lost on a daemon that is looking just then', async t => {
+  const call = 300
+  const times: number[] = []
+  for (let freedAt = 1_500; freedAt < 8_000; freedAt += STEP) {
+    const trial = await new Trial({ runTime: 200 }).start(2)
+    await createTrialJob(trial.daemons[0]!, { count: 200 })
+    await trial.clock.advance(1_000)
+    const other = trial.daemons.findIndex(({ name }) => name !== trial.runs[0]!.daemon)
+    const { clock, name } = trial.daemons[1 - other]!
+    clock.freeze()
+    trial.daemons[other]!.store.delay = call
+    await trial.clock.advance(freedAt)
+    const timeline = new Timeline(trial.clock, { instance: 'test' } as ConstructorParameters<typeof Timeline>[1])
+    t.true(await new Recovery(trial.store, timeline).recover(name))
+    trial.daemons[other]!.source.lookAgain()
+    const freed = trial.clock.now()
+    while (!trial.runs.some(({ daemon }) => daemon !== name) && trial.clock.now() < freed + 70_000) await trial.clock.advance(STEP)
+    times.push(trial.clock.now() - freed)
+  }
+  t.log(`claimed ${Math.min(...times)} to ${Math.max(...times)} ms after the news`)
+  t.true(Math.max(...times) <= 12 * call)
+})
