A daemon that gives up a server no longer crashes on the ends of its runs there

Cause of jobs that stood still, of ECONNRESET and of lost connections in process tests where daemons were killed, frozen or starved. When a server moves to another owner, its runs are stopped; the end of the first made room, so the admission that was just given up started the next item, for a server that the runner had struck off: `Cannot read properties of undefined (reading 'tell')` in onTokens, outside any request, and the daemon ended with all that it had in flight. Any move of a server with batch streams on it can bring it about: a daemon that joins, a suspect that comes back. Change: a server batch that is given up is closed and starts nothing. Ruled out: the caller's connections (15 s idle limit against 5 s told), the budget of platform calls.

--- a/src/ownership/batch-runner.ts
+++ b/src/ownership/batch-runner.ts
@@ -85,7 +85,7 @@
     for (const [server, batch] of this.batches) {
       if (owned.includes(server)) continue
       this.batches.delete(server)
-      batch.stopAll()
+      batch.close()
     }
     this.queue.keepOnly(owned)
   }
--- a/src/ownership/server-batch.ts
+++ b/src/ownership/server-batch.ts
@@ -18,6 +18,7 @@
   private state: BatchAdmissionState
   private readonly stops = new Map<string, () => void>()
   private readonly gaps: number[] = []
+  private closed = false
 
   constructor (private readonly options: ServerBatchOptions) {
     this.admission = options.admission
@@ -62,8 +63,18 @@
     for (const stop of this.stops.values()) stop()
   }
 
+  /**
+   * Stops all runs and starts none any more: the server has another owner. Each run that ends makes room, and without
+   * this the end of the first one starts the next item for a server that nobody here keeps account of; the daemon crashed
+   * on that, with all that it had in flight.
+   */
+  close (): void {
+    this.closed = true
+    this.stopAll()
+  }
+
   private start (count: number, prefill: number): void {
-    for (let i = 0, left = prefill; i < count && left > 0; i++) {
+    for (let i = 0, left = prefill; !this.closed && i < count && left > 0; i++) {
       const run = this.options.start(left, i === 0)
       if (run === undefined) return
       left -= run.prefill
