An owner orders only by the configuration accepted last

Change: before an order goes out, and before its proof is looked at for the last time, the manifest is read, and the order dropped unless the configuration it follows from is that one. One read an order. Ways weighed: waiting after a pause until a peer has told the version (a peer may lag as well), or the version in the claim's object (a write a change for each server).

--- a/src/ownership/server-orders.ts
+++ b/src/ownership/server-orders.ts
@@ -1,7 +1,8 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { Agent, request } from 'undici'
+import type { Configuration } from '../config/configuration.js'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
-import type { Placement } from '../config/placement.js'
+import { ConfigurationObjects } from '../config/configuration-objects.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -43,6 +44,7 @@
     @inject(ServerOwners) private readonly owners: ServerOwners,
     @inject(InstanceList) private readonly list: InstanceList,
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(ConfigurationObjects) private readonly objects: ConfigurationObjects,
     @inject(Timeline) private readonly timeline: Timeline,
     @inject(tokens.store) store: ObjectStore,
     @inject(tokens.clock) private readonly clock: Clock
@@ -63,8 +65,8 @@
     const owned = this.owners.listOwned()
     for (const server of this.adopted) if (!owned.includes(server)) this.forget(server)
     for (const instance of this.list.all) {
-      const placement = this.configuration.value.placement?.[instance.pool]
-      if (placement !== undefined && owned.includes(instance.name) && !this.busy.has(instance.name)) void this.visit(instance, placement)
+      const { value } = this.configuration
+      if (value.placement?.[instance.pool] !== undefined && owned.includes(instance.name) && !this.busy.has(instance.name)) void this.visit(instance, value)
     }
   }
 
@@ -78,15 +80,16 @@
     return this.adopted.has(server)
   }
 
-  private async visit (instance: Instance, placement: Placement): Promise<void> {
+  private async visit (instance: Instance, configuration: Configuration): Promise<void> {
     this.busy.add(instance.name)
     const state = await this.adopt(instance.name) ? await this.readState(instance) : undefined
-    if (state !== undefined) await this.bringNearer(instance, placement, state)
+    if (state !== undefined) await this.bringNearer(instance, configuration, state)
     this.busy.delete(instance.name)
   }
 
-  private async bringNearer (instance: Instance, placement: Placement, state: ServerState): Promise<void> {
+  private async bringNearer (instance: Instance, configuration: Configuration, state: ServerState): Promise<void> {
     const { name } = instance
+    const placement = configuration.placement![instance.pool]!
     const order = planOrder(placement, state)
     if (order === undefined) {
       if (state.models.some(({ state }) => state === 'loading')) await this.slots.claim(name)
@@ -94,10 +97,21 @@
       return
     }
     if (order.kind === 'load' && !await this.slots.claim(name)) return
-    const fencing = this.owners.getAuthority(name, placement.checksFencing)
     // The proof comes with the store's reply; the next visit finds it.
-    if (fencing === undefined) this.owners.confirm(name, placement.checksFencing)
-    else await this.send(instance, order, fencing)
+    if (this.owners.getAuthority(name, placement.checksFencing) === undefined) return this.owners.confirm(name, placement.checksFencing)
+    if (!await this.isCurrent(configuration)) return
+    const fencing = this.owners.getAuthority(name, placement.checksFencing)
+    if (fencing !== undefined) await this.send(instance, order, fencing)
+  }
+
+  /**
+   * Whether the configuration is the one accepted last. A daemon that was frozen claims its servers anew, under higher
+   * fencing numbers than anybody's, before it has heard what changed meanwhile; by its old configuration it then unloads
+   * what operators have ordered, and no server refuses that. One read of the platform an order rules it out.
+   */
+  private async isCurrent ({ version }: Configuration): Promise<boolean> {
+    const manifest = await this.objects.readManifest('background')
+    return manifest.ok && manifest.val.version === version
   }
 
   private async send (instance: Instance, order: ServerOrder, fencing: number): Promise<void> {
