Results that can't be read at all are refused with when to come back, not cut

Found while reading: the head of the answer went out before the first read of the platform, so that a caller saw a lost connection in an outage. Now the first lines are read before it. test/batch/send-lines covers whole, cut and refused; the refusal was not run against the old code, which has no function of its own to call.

--- a/src/batch/file-routes.ts
+++ b/src/batch/file-routes.ts
@@ -1,6 +1,4 @@
 import type { Request, Response } from '@tinyhttp/app'
-import { Readable } from 'node:stream'
-import { pipeline } from 'node:stream/promises'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import type { Route } from '../entry/route.js'
@@ -21,6 +19,7 @@
 import { readPage } from './read-page.js'
 import { readUpload } from './read-upload.js'
 import { ResultReader } from './result-reader.js'
+import { sendLines } from './send-lines.js'
 import { sendStoreProblem } from './send-store-problem.js'
 import { showFile } from './show-file.js'
 import { showList } from './show-list.js'
@@ -142,16 +141,4 @@
   sendProblem(res, { status: 413, code: 'file-too-large', detail: `file: over the limit of ${limit} bytes, or cut` })
 }
 
-/** Sends lines as fast as they are read; says whether all were. A cut answer ends its connection. */
-async function sendLines (res: Response, lines: AsyncIterable<string>): Promise<boolean> {
-  res.writeHead(200, { 'content-type': 'application/jsonl' })
-  try {
-    await pipeline(Readable.from(lines, { objectMode: true, highWaterMark: 1 }), res)
-    return true
-  } catch {
-    res.destroy()
-    return false
-  }
-}
-
 partRegistry.register({ name: 'file routes', part: FileRoutes })
