Shares over several daemons: a pool is split by what callers ask through each

Cause: each gate is fair among the requests that come to it, and each daemon has an even part of the servers' places. A caller that uses one daemon, beside one that uses all, competes in that part only.

Change: while requests wait anywhere for a pool, daemons tell one of them (rendezvous) what their callers ask; it splits the pool by weighted max-min (split-pool) and tells each its part and what to multiply shares by. Nothing while nobody waits. Period 100 ms a daemon, half a second at least, so that the one that splits sends the same bytes in any fleet. Ruled out: weights alone (the part of the places stays even), an owner's queue in front of all (a hop for each request).

--- /dev/null
+++ b/src/admission/demand-meter.ts
@@ -0,0 +1,31 @@
+import type { PoolDemand } from './pool-demand.js'
+
+/** Of what was newly asked in a period, what goes into the rate. */
+const GAIN = 0.3
+/** Callers told of; the others go by what is left of their daemon's part. */
+const MOST_CALLERS = 16
+
+interface Asked { share: number, count: number, rate: number }
+
+/** How many requests each caller sends through one daemon to one pool, refused ones too: what it would use. */
+export class DemandMeter {
+  private readonly callers = new Map<string, Asked>()
+
+  count (caller: string, share: number): void {
+    const asked = this.callers.get(caller) ?? { share, count: 0, rate: 0 }
+    asked.count++
+    asked.share = share
+    this.callers.set(caller, asked)
+  }
+
+  /** Ends a period of `period` ms; gives the places wanted by those who want most, each held for `hold` ms (Little's law). */
+  read (period: number, hold: number): PoolDemand {
+    for (const [caller, asked] of this.callers) {
+      asked.rate += (asked.count / period - asked.rate) * GAIN
+      asked.count = 0
+      if (asked.rate * hold < 0.01) this.callers.delete(caller)
+    }
+    const most = [...this.callers].sort(([, a], [, b]) => b.rate - a.rate).slice(0, MOST_CALLERS)
+    return new Map(most.map(([caller, { share, rate }]) => [caller, { share, places: rate * hold }]))
+  }
+}
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -12,6 +12,7 @@
 import type { ServerRequest } from '../routing/server-request.js'
 import { Servers } from '../routing/servers.js'
 import { Account } from './account.js'
+import { PoolShares } from './pool-shares.js'
 import { PoolQueue } from './pool-queue.js'
 import type { Refusal } from './refusal.js'
 
@@ -35,6 +36,7 @@
   constructor (
     @inject(Dispatcher) private readonly dispatcher: Dispatcher,
     @inject(Servers) servers: Servers,
+    @inject(PoolShares) private readonly shares: PoolShares,
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(Account) private readonly account: Account,
     @inject(Metrics) private readonly metrics: Metrics,
@@ -54,8 +56,12 @@
 
   async send (request: ServerRequest): Promise<Answer> {
     const queue = this.readQueue(request.pool)
-    const share = this.configuration.value.callers[request.caller]?.share ?? DEFAULT_SHARE
-    if (queue.size > 0 || !this.dispatcher.hasPlace(request)) {
+    const { pool, caller } = request
+    const own = this.configuration.value.callers[caller]?.share ?? DEFAULT_SHARE
+    const waits = queue.size > 0 || !this.dispatcher.hasPlace(request)
+    this.shares.count(pool, caller, { share: own, hold: queue.hold, waits })
+    const share = own * this.shares.getFactor(pool, caller)
+    if (waits) {
       if (!this.dispatcher.isOpen(request.pool)) return await this.dispatcher.send(request)
       return await this.wait(queue, share, request)
     }
--- a/src/admission/pool-queue.ts
+++ b/src/admission/pool-queue.ts
@@ -43,6 +43,11 @@
 
   constructor (private readonly options: PoolQueueOptions) {}
 
+  /** Expected time of a place, ms. */
+  get hold (): number {
+    return this.cost
+  }
+
   get size (): number {
     return this.state.waiting.length
   }
--- /dev/null
+++ b/src/admission/pool-shares.ts
@@ -0,0 +1,158 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Members } from '../peers/members.js'
+import { peerHandlerPoint } from '../peers/peer-handler-point.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import type { PeerMessage } from '../peers/peer-message.js'
+import { Servers } from '../routing/servers.js'
+import { DemandMeter } from './demand-meter.js'
+import type { PoolDemand } from './pool-demand.js'
+import type { PoolPart } from './pool-part.js'
+import { splitPool } from './split-pool.js'
+
+const SHORTEST_PERIOD = 500
+/** Added to the period for each daemon, ms, so that the one that splits sends the same bytes in any fleet. */
+const PERIOD_PER_DAEMON = 100
+/** Periods for which a part holds, and for which a pool counts as crowded, after the last word. */
+const HOLDS = 4
+
+interface PoolState {
+  readonly meter: DemandMeter
+  /** Expected time of a place, ms, as the gate knows it. */
+  hold: number
+  crowded: boolean
+  part?: PoolPart & { readonly until: number }
+}
+
+/** Another daemon's demand, at the one that splits the pool. */
+interface Told { readonly demand: PoolDemand, readonly at: number }
+
+interface Split { readonly told: Map<string, Told>, crowdedUntil: number }
+
+/**
+ * Makes shares hold over several daemons. Each gate is fair among the requests that come to it, and each daemon has an
+ * even part of the servers' places: callers that use one daemon only, beside one that uses all, got a third of their
+ * shares. While requests wait anywhere for a pool, each daemon tells one of them, by rendezvous, what its callers ask;
+ * that one splits the pool by it (`splitPool`) and tells each daemon its part. Nothing is told while nobody waits.
+ *
+ * Nothing here has to be right for a promise to hold: parts that lapse, or that two daemons split, cost fairness for a
+ * few periods, and a server's limit is exceeded by no more than the parts told twice.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class PoolShares implements Part {
+  readonly extensions = [
+    peerHandlerPoint.of({ type: 'pool-demand', handle: (message, from) => { this.hear(message, from) } }),
+    peerHandlerPoint.of({ type: 'pool-part', handle: message => { this.take(message) } })
+  ]
+
+  private readonly pools = new Map<string, PoolState>()
+  private readonly splits = new Map<string, Split>()
+  private last: number
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: PeerLinks,
+    @inject(Servers) private readonly servers: Servers,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.last = clock.now()
+  }
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(SHORTEST_PERIOD, () => { if (this.clock.now() - this.last >= this.readPeriod() - 1) this.tick() })
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  /** Notes a request that came to this daemon; `waits` where it found no place. */
+  count (pool: string, caller: string, { share, hold, waits }: { readonly share: number, readonly hold: number, readonly waits: boolean }): void {
+    const state = this.pools.get(pool) ?? { meter: new DemandMeter(), hold, crowded: false }
+    this.pools.set(pool, state)
+    state.meter.count(caller, share)
+    state.hold = hold
+    state.crowded ||= waits
+  }
+
+  /** What the caller's share is multiplied by at this daemon. */
+  getFactor (pool: string, caller: string): number {
+    const part = this.pools.get(pool)?.part
+    return part === undefined || part.until <= this.clock.now() ? 1 : part.factors.get(caller) ?? 1
+  }
+
+  private readPeriod (): number {
+    return Math.max(SHORTEST_PERIOD, PERIOD_PER_DAEMON * this.members.owners().length)
+  }
+
+  private tick (): void {
+    const now = this.clock.now()
+    const owners = this.members.owners()
+    for (const [pool, state] of this.pools) {
+      const demand = state.meter.read(now - this.last, state.hold)
+      if (state.part !== undefined && state.part.until <= now) {
+        state.part = undefined
+        this.servers.setFraction(pool, undefined)
+      }
+      if (owners.length > 1 && (state.crowded || state.part !== undefined)) this.tell(pool, demand, state.crowded)
+      state.crowded = false
+    }
+    this.last = now
+    for (const [pool, split] of this.splits) this.split(pool, split)
+  }
+
+  private tell (pool: string, demand: PoolDemand, crowded: boolean): void {
+    const message = { type: 'pool-demand', pool, crowded, demand: [...demand].map(([caller, { share, places }]) => [caller, share, Math.round(places * 100)]) }
+    const to = rankOwners(`shares/${pool}`, this.members.owners())[0]
+    if (to === this.settings.instance) this.hear(message, to)
+    else if (to !== undefined) this.links.send(to, message, `pool-demand ${pool}`)
+  }
+
+  private hear ({ pool, demand, crowded }: PeerMessage, from: string): void {
+    if (typeof pool !== 'string' || !Array.isArray(demand)) return
+    const now = this.clock.now()
+    const split = this.splits.get(pool) ?? { told: new Map<string, Told>(), crowdedUntil: now }
+    this.splits.set(pool, split)
+    const rows = demand as ReadonlyArray<readonly [string, number, number]>
+    split.told.set(from, { at: now, demand: new Map(rows.map(([caller, share, places]) => [caller, { share, places: places / 100 }])) })
+    if (crowded === true) split.crowdedUntil = now + HOLDS * this.readPeriod()
+  }
+
+  /** Until every daemon has told, its part stays the even one: what isn't known may be all that it has. */
+  private split (pool: string, { told, crowdedUntil }: Split): void {
+    const now = this.clock.now()
+    const owners = this.members.owners()
+    for (const [daemon, { at }] of told) if (now - at > HOLDS * this.readPeriod() || !owners.includes(daemon)) told.delete(daemon)
+    if (now >= crowdedUntil) {
+      this.splits.delete(pool)
+      return
+    }
+    const places = this.servers.countPlaces(pool)
+    const parts = places === undefined || told.size < owners.length ? undefined : splitPool(new Map([...told].map(([daemon, { demand }]) => [daemon, demand])), places)
+    for (const daemon of owners) {
+      const { fraction = 1 / owners.length, factors = new Map<string, number>() } = parts?.get(daemon) ?? {}
+      const message = { type: 'pool-part', pool, fraction, factors: [...factors].map(([caller, factor]) => [caller, Math.round(factor * 1_000)]) }
+      if (daemon === this.settings.instance) this.take(message)
+      else this.links.send(daemon, message, `pool-part ${pool}`)
+    }
+  }
+
+  private take ({ pool, fraction, factors }: PeerMessage): void {
+    if (typeof pool !== 'string' || typeof fraction !== 'number' || !Array.isArray(factors)) return
+    const state = this.pools.get(pool) ?? { meter: new DemandMeter(), hold: 0, crowded: false }
+    this.pools.set(pool, state)
+    const rows = factors as ReadonlyArray<readonly [string, number]>
+    // A caller that asks next to nothing here keeps a little of its share for when it asks again.
+    state.part = { fraction, until: this.clock.now() + HOLDS * this.readPeriod(), factors: new Map(rows.map(([caller, factor]) => [caller, Math.max(0.01, factor / 1_000)])) }
+    this.servers.setFraction(pool, fraction)
+  }
+}
+
+partRegistry.register({ name: 'pool shares', part: PoolShares, needs: ['servers', 'members', 'peer links'] })
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -4,11 +4,13 @@
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { InstanceList } from '../platform/instance-list.js'
 import type { BackendServer } from './backend-server.js'
 import { Members } from '../peers/members.js'
 import { markSent } from './mark-sent.js'
+import { hashRounding } from './hash-rounding.js'
 import { planPart } from './plan-part.js'
 import type { ServerHealth } from './server-health.js'
 import { ServerViews } from './server-views.js'
@@ -37,11 +39,14 @@
   private readonly limits = new Map<string, AdaptiveLimit>()
   private readonly others = new Map<string, { readonly count: number, readonly at: number }>()
   private readonly listeners = new Set<() => void>()
+  /** By pool: what this daemon may use of its servers, while that is told. */
+  private readonly fractions = new Map<string, number>()
 
   constructor (
     @inject(InstanceList) private readonly list: InstanceList,
     @inject(ServerViews) private readonly views: ServerViews,
     @inject(Members) private readonly members: Members,
+    @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
     views.subscribe(({ server, online }) => {
@@ -66,11 +71,23 @@
         leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
         inFlight,
         load: inFlight + (others ?? 0),
-        limit: Math.min(this.readLimit(name), planPart({ limit: view?.limit, others, daemons: this.daemons() }))
+        limit: Math.min(this.readLimit(name), planPart({ limit: view?.limit, others, daemons: this.daemons(), fraction: this.fractions.get(pool), rounding: hashRounding(name, this.settings.instance) }))
       }
     })
   }
 
+  /** What this daemon may use of the pool's servers; an even part where that is undefined. */
+  setFraction (pool: string, fraction: number | undefined): void {
+    if (fraction === undefined) this.fractions.delete(pool)
+    else this.fractions.set(pool, fraction)
+  }
+
+  /** Requests of all daemons that the pool's servers take at once; undefined while an owner hasn't said. */
+  countPlaces (pool: string): number | undefined {
+    const limits = this.list.all.filter(instance => instance.pool === pool && instance.state !== 'leaving').map(({ name }) => this.views.get(name)?.limit)
+    return limits.reduce<number | undefined>((sum, limit) => sum === undefined || limit === undefined ? undefined : sum + limit, 0)
+  }
+
   /** The pool of a server, where the instance list has it. */
   findPool (server: string): string | undefined {
     return this.list.all.find(({ name }) => name === server)?.pool
--- a/test/entry/shutdown.test.ts
+++ b/test/entry/shutdown.test.ts
@@ -7,10 +7,10 @@
 const ADDRESS_KEEP = 500
 const CALLERS = 6
 
-async function startFleet (t: ExecutionContext, size: number): Promise<Fleet> {
+async function startFleet (t: ExecutionContext, size: number, engines = 1): Promise<Fleet> {
   const fleet = await Fleet.start()
   t.teardown(async () => await fleet.stop())
-  await fleet.addServer('engine-0', 'domain-a', { pool: 'charter-engines', kind: 'engine', options: { stepBase: 30 } })
+  for (let i = 0; i < engines; i++) await fleet.addServer(`engine-${i}`, `domain-${i}`, { pool: 'charter-engines', kind: 'engine', options: { stepBase: 30 } })
   for (let i = 0; i < size; i++) await fleet.addDaemon(`entry-${i}`, `domain-${i}`)
   const configuration = readFolder('demo/folder').unwrap()
   await fleet.apply({ ...configuration, limits: { ...configuration.limits, addressKeep: ADDRESS_KEEP } })
@@ -28,11 +28,12 @@
   answers = 0
   readonly failures: string[] = []
   private running = true
-  private readonly agent = new Agent({ connections: 4 })
+  private readonly agent: Agent
   private readonly loops: Promise<void>[]
 
-  constructor (private readonly first: string) {
-    this.loops = Array.from({ length: CALLERS }, async (_, i) => await this.run(i))
+  constructor (private readonly first: string, callers = CALLERS, private readonly tokens = 4) {
+    this.agent = new Agent({ connections: Math.max(4, callers / 3) })
+    this.loops = Array.from({ length: callers }, async (_, i) => await this.run(i))
   }
 
   async stop (): Promise<void> {
@@ -60,7 +61,7 @@
         dispatcher: this.agent,
         reset: anew,
         headers: { authorization: 'Bearer quay-desk-token' },
-        body: JSON.stringify({ model: 'berth-assistant', stream: true, max_tokens: 4, messages: [{ role: 'user', content: 'tide?' }] })
+        body: JSON.stringify({ model: 'berth-assistant', stream: true, max_tokens: this.tokens, messages: [{ role: 'user', content: 'tide?' }] })
       })
       const text = await body.text()
       if (statusCode !== 200 || !text.endsWith('data: [DONE]\n\n')) this.failures.push(`${statusCode} ${text.slice(-80)}`)
@@ -87,6 +88,23 @@
   t.deepEqual(load.failures, [])
 })
 
+// The same with half of six, all engines full of longer streams: a daemon that leaves has many in flight, and what it
+// would have taken goes to the others, which are busy too.
+test('half of six daemons end one after another under full load of streams: no request fails', async t => {
+  const fleet = await startFleet(t, 6, 3)
+  const callers = 72
+  const load = new Load(fleet.url(fleet.daemons[5]!), callers, 24)
+  await fleet.waitUntil(async () => load.answers > 2 * callers)
+  for (const { child } of fleet.daemons.slice(0, 3)) {
+    child.signal('SIGTERM')
+    t.is(await child.waitForExit(), 0)
+  }
+  const before = load.answers
+  await fleet.waitUntil(async () => load.answers > before + callers)
+  await load.stop()
+  t.deepEqual(load.failures, [])
+})
+
 // A caller's stream is longer than everything else that a leaving daemon waits for; an idle connection stays open
 // beside it. The daemon must not end before the stream has, and must be gone from the addresses long before.
 test('a drained daemon finishes its longest stream, and is out of all addresses first', async t => {
