--- a/src/admission/demand-meter.ts
+++ b/src/admission/demand-meter.ts
@@ -5,27 +5,35 @@
 /** Callers told of; the others go by what is left of their daemon's part. */
 const MOST_CALLERS = 16
 
-interface Asked { share: number, count: number, rate: number }
+/** Places below which a caller asks for nothing. */
+const FORGOTTEN = 0.01
+
+interface Asked { share: number, count: number, rate: number, waiting: number }
 
 /** How many requests each caller sends through one daemon to one pool, refused ones too: what it would use. */
 export class DemandMeter {
   private readonly callers = new Map<string, Asked>()
 
   count (caller: string, share: number): void {
-    const asked = this.callers.get(caller) ?? { share, count: 0, rate: 0 }
+    const asked = this.callers.get(caller) ?? { share, count: 0, rate: 0, waiting: 0 }
     asked.count++
     asked.share = share
     this.callers.set(caller, asked)
   }
 
-  /** Ends a period of `period` ms; gives the places wanted by those who want most, each held for `hold` ms (Little's law). */
-  read (period: number, hold: number): PoolDemand {
+  /**
+   * Ends a period of `period` ms; gives the places wanted by those who want most: what they ask, each held for `hold` ms
+   * (Little's law), and what waits. Callers that send the next request once the last is answered ask for no more than
+   * they get, and would be given no more; what they have waiting shows that they want it.
+   */
+  read (period: number, hold: number, waiting: ReadonlyMap<string, number> = new Map()): PoolDemand {
     for (const [caller, asked] of this.callers) {
       asked.rate += (asked.count / period - asked.rate) * GAIN
+      asked.waiting += ((waiting.get(caller) ?? 0) - asked.waiting) * GAIN
       asked.count = 0
-      if (asked.rate * hold < 0.01) this.callers.delete(caller)
+      if (asked.rate * hold + asked.waiting < FORGOTTEN) this.callers.delete(caller)
     }
     const most = [...this.callers].sort(([, a], [, b]) => b.rate - a.rate).slice(0, MOST_CALLERS)
-    return new Map(most.map(([caller, { share, rate }]) => [caller, { share, places: rate * hold }]))
+    return new Map(most.map(([caller, { share, rate, waiting }]) => [caller, { share, places: rate * hold + waiting }]))
   }
 }
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -59,7 +59,7 @@
     const { pool, caller } = request
     const own = this.configuration.value.callers[caller]?.share ?? DEFAULT_SHARE
     const waits = queue.size > 0 || !this.dispatcher.hasPlace(request)
-    this.shares.count(pool, caller, { share: own, hold: queue.hold, waits })
+    this.shares.count(pool, caller, { share: own, queue, waits })
     const share = own * this.shares.getFactor(pool, caller)
     if (waits) {
       if (!this.dispatcher.isOpen(request.pool)) return await this.dispatcher.send(request)
--- a/src/admission/pool-queue.ts
+++ b/src/admission/pool-queue.ts
@@ -52,6 +52,13 @@
     return this.state.waiting.length
   }
 
+  /** By caller: requests that wait. */
+  countWaiting (): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>()
+    for (const { caller } of this.state.waiting) counts.set(caller, (counts.get(caller) ?? 0) + 1)
+    return counts
+  }
+
   /** Counts a request that is let in without a wait; gives back what its place is expected to cost. */
   admit (caller: string, share: number): number {
     this.inFlight++
--- a/src/admission/pool-shares.ts
+++ b/src/admission/pool-shares.ts
@@ -21,10 +21,19 @@
 /** Periods for which a part holds, and for which a pool counts as crowded, after the last word. */
 const HOLDS = 4
 
+/** Places that a daemon keeps of a pool though its callers ask for none now. */
+const LEAST_PLACES = 2
+
+interface DemandSource {
+  /** Expected time of a place, ms. */
+  readonly hold: number
+  /** By caller: requests that wait. */
+  countWaiting (): ReadonlyMap<string, number>
+}
+
 interface PoolState {
   readonly meter: DemandMeter
-  /** Expected time of a place, ms, as the gate knows it. */
-  hold: number
+  queue?: DemandSource
   crowded: boolean
   part?: PoolPart & { readonly until: number }
 }
@@ -74,11 +83,11 @@
   }
 
   /** Notes a request that came to this daemon; `waits` where it found no place. */
-  count (pool: string, caller: string, { share, hold, waits }: { readonly share: number, readonly hold: number, readonly waits: boolean }): void {
-    const state = this.pools.get(pool) ?? { meter: new DemandMeter(), hold, crowded: false }
+  count (pool: string, caller: string, { share, queue, waits }: { readonly share: number, readonly queue: DemandSource, readonly waits: boolean }): void {
+    const state = this.pools.get(pool) ?? { meter: new DemandMeter(), crowded: false }
     this.pools.set(pool, state)
     state.meter.count(caller, share)
-    state.hold = hold
+    state.queue = queue
     state.crowded ||= waits
   }
 
@@ -96,7 +105,7 @@
     const now = this.clock.now()
     const owners = this.members.owners()
     for (const [pool, state] of this.pools) {
-      const demand = state.meter.read(now - this.last, state.hold)
+      const demand = state.meter.read(now - this.last, state.queue?.hold ?? 0, state.queue?.countWaiting())
       if (state.part !== undefined && state.part.until <= now) {
         state.part = undefined
         this.servers.setFraction(pool, undefined)
@@ -108,9 +117,13 @@
     for (const [pool, split] of this.splits) this.split(pool, split)
   }
 
+  private findSplitter (pool: string): string | undefined {
+    return rankOwners(`shares/${pool}`, this.members.owners())[0]
+  }
+
   private tell (pool: string, demand: PoolDemand, crowded: boolean): void {
     const message = { type: 'pool-demand', pool, crowded, demand: [...demand].map(([caller, { share, places }]) => [caller, share, Math.round(places * 100)]) }
-    const to = rankOwners(`shares/${pool}`, this.members.owners())[0]
+    const to = this.findSplitter(pool)
     if (to === this.settings.instance) this.hear(message, to)
     else if (to !== undefined) this.links.send(to, message, `pool-demand ${pool}`)
   }
@@ -130,7 +143,7 @@
     const now = this.clock.now()
     const owners = this.members.owners()
     for (const [daemon, { at }] of told) if (now - at > HOLDS * this.readPeriod() || !owners.includes(daemon)) told.delete(daemon)
-    if (now >= crowdedUntil) {
+    if (now >= crowdedUntil || this.findSplitter(pool) !== this.settings.instance) {
       this.splits.delete(pool)
       return
     }
@@ -146,12 +159,12 @@
 
   private take ({ pool, fraction, factors }: PeerMessage): void {
     if (typeof pool !== 'string' || typeof fraction !== 'number' || !Array.isArray(factors)) return
-    const state = this.pools.get(pool) ?? { meter: new DemandMeter(), hold: 0, crowded: false }
+    const state = this.pools.get(pool) ?? { meter: new DemandMeter(), crowded: false }
     this.pools.set(pool, state)
     const rows = factors as ReadonlyArray<readonly [string, number]>
     // A caller that asks next to nothing here keeps a little of its share for when it asks again.
     state.part = { fraction, until: this.clock.now() + HOLDS * this.readPeriod(), factors: new Map(rows.map(([caller, factor]) => [caller, Math.max(0.01, factor / 1_000)])) }
-    this.servers.setFraction(pool, fraction)
+    this.servers.setFraction(pool, Math.max(fraction, LEAST_PLACES / (this.servers.countPlaces(pool) ?? Infinity)))
   }
 }
 
--- a/src/routing/plan-part.ts
+++ b/src/routing/plan-part.ts
@@ -18,6 +18,6 @@
  */
 export function planPart ({ limit, others, daemons, fraction, rounding = 0.5 }: PartOptions): number {
   if (limit === undefined) return Infinity
-  const part = fraction === undefined ? Math.ceil(limit / daemons) : Math.max(1, Math.floor(limit * fraction + rounding))
+  const part = fraction === undefined ? Math.ceil(limit / daemons) : Math.floor(limit * fraction + rounding)
   return Math.max(part, others === undefined ? 0 : limit - others)
 }
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -10,9 +10,9 @@
 import type { BackendServer } from './backend-server.js'
 import { Members } from '../peers/members.js'
 import { markSent } from './mark-sent.js'
-import { hashRounding } from './hash-rounding.js'
 import { planPart } from './plan-part.js'
 import type { ServerHealth } from './server-health.js'
+import { spreadRounding } from './spread-rounding.js'
 import { ServerViews } from './server-views.js'
 import { stepServerHealth } from './step-server-health.js'
 
@@ -59,7 +59,9 @@
   }
 
   inPool (pool: string): readonly BackendServer[] {
-    return this.list.all.filter(instance => instance.pool === pool).map(({ name, host, port, failureDomain, state }) => {
+    const fraction = this.fractions.get(pool)
+    const daemon = fraction === undefined ? 0 : [...this.members.owners()].sort().indexOf(this.settings.instance)
+    return this.list.all.filter(instance => instance.pool === pool).map(({ name, host, port, failureDomain, state }, server) => {
       const view = this.views.get(name)
       const inFlight = this.counts.get(name) ?? 0
       const others = this.countOthers(name)
@@ -71,7 +73,7 @@
         leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
         inFlight,
         load: inFlight + (others ?? 0),
-        limit: Math.min(this.readLimit(name), planPart({ limit: view?.limit, others, daemons: this.daemons(), fraction: this.fractions.get(pool), rounding: hashRounding(name, this.settings.instance) }))
+        limit: Math.min(this.readLimit(name), planPart({ limit: view?.limit, others, daemons: this.daemons(), fraction, rounding: spreadRounding({ server, daemon, daemons: this.daemons() }) }))
       }
     })
   }
--- a/test/admission/overload.test.ts
+++ b/test/admission/overload.test.ts
@@ -8,7 +8,7 @@
 const DAEMONS = 2
 const MODEL = 'berth-assistant'
 const MAX_IN_FLIGHT = 6
-const COUNTED = 300
+const COUNTED = 1_500
 
 interface Refused { readonly after: number, readonly ran: string, readonly retryAfter: number, readonly header: number }
 
@@ -41,6 +41,8 @@
   /** Answers a second over the next so many, the first few left out. */
   const measure = async (): Promise<number> => {
     const from = answered.length + COUNTED / 5
+    await fleet.waitUntil(async () => answered.length >= from)
+    refused.length = 0
     await fleet.waitUntil(async () => answered.length >= from + COUNTED)
     return COUNTED * 1_000 / (answered[from + COUNTED - 1]! - answered[from - 1]!)
   }
@@ -58,7 +60,6 @@
   busy = false
   await Promise.all(loops)
 
-  refused.length = 0
   const sends: Promise<void>[] = []
   const begin = performance.now()
   const send = setInterval(() => { while (sends.length < (performance.now() - begin) * 2 * peak / 1_000) sends.push(ask()) }, 5)
--- a/test/admission/shares-whole.test.ts
+++ b/test/admission/shares-whole.test.ts
@@ -8,8 +8,8 @@
 const DAEMONS = 3
 const TOKENS = 8
 const EACH = 24
-const WARM = 400
-const COUNTED = 1_200
+const WARM = 1_500
+const COUNTED = 2_400
 const CALLERS = { 'quay-desk': [0, 1, 2], 'night-desk': [1], 'school-kitchen': [2] }
 
 // Three callers of equal shares ask for more than there is, one through all three daemons and the others through one
--- a/test/helpers/simulate-gates.ts
+++ b/test/helpers/simulate-gates.ts
@@ -1,3 +1,4 @@
+import { DemandMeter } from '../../src/admission/demand-meter.js'
 import type { PoolPart } from '../../src/admission/pool-part.js'
 import { PoolQueue } from '../../src/admission/pool-queue.js'
 import { Random } from '../../src/kernel/random.js'
@@ -24,9 +25,6 @@
   readonly tellEvery?: number
 }
 
-/** Of what was newly asked in a period, what goes into the rate told. */
-const GAIN = 0.3
-
 /** Runs the gates of several daemons before common servers on virtual time; what is got is counted after a tenth. */
 export function simulateGates ({ callers, daemons, places, hold, duration, lag = 200, longestWait = 500, seed = 1, tellEvery }: Options): Readonly<Record<string, Got>> {
   const random = new Random(seed)
@@ -42,13 +40,9 @@
     events.splice(index, 0, { at, run })
   }
   let parts: ReadonlyMap<string, PoolPart> = new Map()
-  const rates = Array.from({ length: daemons }, () => new Map<string, { share: number, rate: number, count: number }>())
+  const meters = Array.from({ length: daemons }, () => new DemandMeter())
   const exchange = (period: number): void => {
-    const demands = new Map(rates.map((callers, daemon) => [String(daemon), new Map([...callers].map(([name, each]) => {
-      each.rate += (each.count * 1_000 / period - each.rate) * GAIN
-      each.count = 0
-      return [name, { share: each.share, places: each.rate * hold / 1_000 }]
-    }))]))
+    const demands = new Map(meters.map((meter, daemon) => [String(daemon), meter.read(period, queues[daemon]!.hold, queues[daemon]!.countWaiting())]))
     plan(now + lag / 2, () => {
       parts = splitPool(demands, places)
     })
@@ -77,9 +71,7 @@
   const arrive = (daemon: number, caller: SpreadCaller): void => {
     const { name } = caller
     const share = caller.share * (parts.get(String(daemon))?.factors.get(name) ?? 1)
-    const known = rates[daemon]!.get(name) ?? { share: caller.share, rate: 0, count: 0 }
-    known.count++
-    rates[daemon]!.set(name, known)
+    meters[daemon]!.count(name, caller.share)
     plan(now - Math.log(1 - random.next()) * 1_000 / caller.rates[daemon]!, () => arrive(daemon, caller))
     if (counts()) got[name]!.asked++
     const queue = queues[daemon]!
