--- a/src/admission/split-pool.ts
+++ b/src/admission/split-pool.ts
@@ -18,12 +18,12 @@
  * Source: max-min fairness, Bertsekas and Gallager, "Data Networks", 1992, section 6.5.
  */
 export function splitPool (demands: ReadonlyMap<string, PoolDemand>, places: number): ReadonlyMap<string, PoolPart> {
-  const asked = sumDemands(demands)
-  const granted = fillShares(asked, places)
+  const asked = mergeDemands(demands)
+  const granted = grantShares(asked, places)
   const total = new Map(asked.map(({ caller, places }) => [caller, places]))
   const spare = Math.max(0, places - [...granted.values()].reduce((sum, each) => sum + each, 0)) / demands.size
   return new Map([...demands].map(([daemon, demand]): [string, PoolPart] => {
-    const own = [...demand].filter(([, { places }]) => places > 0).map(([caller, asked]) => ({ caller, part: pad(asked.places) / total.get(caller)! }))
+    const own = [...demand].filter(([, { places }]) => places > 0).map(([caller, asked]) => ({ caller, part: estimateNeed(asked.places) / total.get(caller)! }))
     return [daemon, {
       fraction: (spare + own.reduce((sum, { caller, part }) => sum + granted.get(caller)! * part, 0)) / places,
       factors: new Map(own.map(({ caller, part }) => [caller, part * demands.size]))
@@ -31,20 +31,20 @@
   }))
 }
 
-function sumDemands (demands: ReadonlyMap<string, PoolDemand>): readonly Asked[] {
+function mergeDemands (demands: ReadonlyMap<string, PoolDemand>): readonly Asked[] {
   const sums = new Map<string, Asked>()
   for (const demand of demands.values()) {
-    for (const [caller, { share, places }] of demand) if (places > 0) sums.set(caller, { caller, share, places: pad(places) + (sums.get(caller)?.places ?? 0) })
+    for (const [caller, { share, places }] of demand) if (places > 0) sums.set(caller, { caller, share, places: estimateNeed(places) + (sums.get(caller)?.places ?? 0) })
   }
   return [...sums.values()]
 }
 
-function pad (places: number): number {
+function estimateNeed (places: number): number {
   return places + CLUMP * Math.sqrt(places)
 }
 
 /** Weighted max-min: the callers who ask for least by their share are served first, and leave the rest to the others. */
-function fillShares (asked: readonly Asked[], places: number): ReadonlyMap<string, number> {
+function grantShares (asked: readonly Asked[], places: number): ReadonlyMap<string, number> {
   const granted = new Map<string, number>()
   let left = places
   let shares = asked.reduce((sum, { share }) => sum + share, 0)
--- a/src/routing/step-quarantine.ts
+++ b/src/routing/step-quarantine.ts
@@ -31,25 +31,25 @@
       return { state: { ...state, inFlight: new Map(state.inFlight).set(exchange, { fingerprint, server, began: options.now }) }, accused: [] }
     }
     case 'ended': return { state: { ...state, inFlight: copyWithout(state.inFlight, event.exchange) }, accused: [] }
-    case 'lost': return lose(state, event, options)
+    case 'lost': return applyLoss(state, event, options)
     case 'accused': {
       const { fingerprints, server, ago = 0 } = event
-      return accuse(noteLoss(state, server, options.now - ago), fingerprints, { server, at: options.now - ago }, options)
+      return accuse(recordLoss(state, server, options.now - ago), fingerprints, { server, at: options.now - ago }, options)
     }
-    case 'passed': return { state: pass(state, event.fingerprint), accused: [] }
+    case 'passed': return { state: countPass(state, event.fingerprint), accused: [] }
     case 'released': return { state: { ...state, suspects: copyWithout(state.suspects, event.fingerprint) }, accused: [] }
     default: return failUnreachable(event)
   }
 }
 
-function lose (state: QuarantineState, { server, unsent, ago = 0 }: Extract<QuarantineEvent, { readonly type: 'lost' }>, options: StepOptions): Step {
-  const noted = noteLoss(state, server, options.now - ago)
+function applyLoss (state: QuarantineState, { server, unsent, ago = 0 }: Extract<QuarantineEvent, { readonly type: 'lost' }>, options: StepOptions): Step {
+  const noted = recordLoss(state, server, options.now - ago)
   const first = noted.lost.get(server)!
   const there = [...noted.inFlight].filter(([exchange, other]) => other.server === server && other.began <= first && unsent?.has(exchange) !== true)
   return accuse(noted, there.map(([, { fingerprint }]) => fingerprint), { server, at: first }, options)
 }
 
-function noteLoss (state: QuarantineState, server: string, at: number): QuarantineState {
+function recordLoss (state: QuarantineState, server: string, at: number): QuarantineState {
   const known = state.lost.get(server) ?? -Infinity
   if (at - known < SAME_LOSS) return state
   return { ...state, lost: new Map(state.lost).set(server, at) }
@@ -67,7 +67,7 @@
   return { state: { ...state, suspects }, accused }
 }
 
-function pass (state: QuarantineState, fingerprint: string): QuarantineState {
+function countPass (state: QuarantineState, fingerprint: string): QuarantineState {
   const suspect = state.suspects.get(fingerprint)
   if (suspect === undefined || suspect.losses.length === 0) return state
   const passes = suspect.passes + 1
