--- a/bench/write-callers.ts
+++ b/bench/write-callers.ts
@@ -6,13 +6,13 @@
 const FOLDER = 'bench/folder'
 const CALLERS_A_FILE = 500
 
-/** A copy of the bench's folder with `count` more callers in it, 500 a file. */
-export function writeCallers (count: number): string {
+/** A copy of the bench's folder with `count` more callers in it, `each` a file. */
+export function writeCallers (count: number, each = CALLERS_A_FILE): string {
   if (count === 0) return FOLDER
   const folder = mkdtempSync(join(tmpdir(), 'citronwheel-folder-'))
   cpSync(FOLDER, folder, { recursive: true })
-  for (let start = 0; start < count; start += CALLERS_A_FILE) {
-    const callers = Array.from({ length: Math.min(CALLERS_A_FILE, count - start) }, (_, i) => {
+  for (let start = 0; start < count; start += each) {
+    const callers = Array.from({ length: Math.min(each, count - start) }, (_, i) => {
       const name = `organisation-${start + i}`
       return [name, { share: 1, tokens: [createHash('sha256').update(`${name}-token`).digest('hex')] }]
     })
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,8 +12,13 @@
   bundle: true,
   platform: 'node',
   target: 'node20',
-  sourcemap: 'inline',
+  // V8 holds a program's text in its heap for as long as it runs: with maps and comments in it that was 10 MB a daemon.
+  // Names are kept, so that a stack says where it was; `node --enable-source-maps` says the line.
+  sourcemap: 'linked',
   sourcesContent: false,
+  minifyWhitespace: true,
+  legalComments: 'linked',
+  charset: 'ascii',
   logLevel: 'warning',
   alias: { 'ts-results': resolve('node_modules/ts-results/esm/index.js') },
   // An optional native speed-up of cbor-x, which works without it.
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -2,6 +2,7 @@
 import { readSettings } from '../config/read-settings.js'
 import { showFinding } from '../config/show-finding.js'
 import { EntryServer } from '../entry/entry-server.js'
+import { limitHeap } from '../kernel/limit-heap.js'
 import { Shutdown } from '../kernel/shutdown.js'
 import { createLog } from '../observe/create-log.js'
 import { PeerLinks } from '../peers/peer-links.js'
@@ -21,6 +22,7 @@
   settings = Option.String('--settings', { required: true, description: 'the YAML file of this daemon\'s settings' })
 
   async execute (): Promise<number> {
+    limitHeap()
     const read = readSettings(this.settings)
     if (read.err) {
       this.context.stderr.write(read.val.map(finding => showFinding(finding) + '\n').join(''))
--- a/src/config/acting-configuration.ts
+++ b/src/config/acting-configuration.ts
@@ -1,22 +1,24 @@
-import type { Result } from 'ts-results'
+import { Ok, type Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
 import { checkInSteps } from './check-in-steps.js'
-import type { CheckedFiles } from './checked-files.js'
+import { checkValues } from './check-values.js'
+import type { Configuration } from './configuration.js'
 import { ConfigurationHolder } from './configuration-holder.js'
-import type { Entry } from './entry.js'
 import type { Finding } from './finding.js'
 import type { PackedFile } from './packed-file.js'
-import { decodeFile } from './decode-file.js'
+import { mergeValues } from './merge-values.js'
+import { readFileValue } from './read-file-value.js'
 import { showFinding } from './show-finding.js'
+import type { ValueMap } from './value-map.js'
 
 /** Time after which work on files gives way to the loop, in ms. */
 const SLICE = 5
 const LOGGED_FINDINGS = 5
 
-type Decoded = ReturnType<typeof decodeFile>
+type Checked = Omit<Configuration, 'version'>
 
 /**
  * Turns the files of a version into the configuration that this daemon acts on. Files that haven't changed are neither
@@ -24,8 +26,8 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class ActingConfiguration {
-  private readonly decoded = new WeakMap<PackedFile, Decoded>()
-  private readonly known = new WeakMap<Entry, unknown>()
+  private readonly values = new WeakMap<PackedFile, ValueMap>()
+  private readonly known = new WeakMap<object, unknown>()
   private latest = 0
 
   constructor (
@@ -45,7 +47,7 @@
     const checked = await this.check(files)
     if (this.latest !== version) return
     if (checked.ok) {
-      this.holder.offer({ version, ...checked.val.configuration })
+      this.holder.offer({ version, ...checked.val })
       this.log.write('info', 'configuration', 'acts on a version', { version })
       return
     }
@@ -53,10 +55,33 @@
     this.log.write('error', 'configuration', 'can not read an accepted version', { version, findings: checked.val.slice(0, LOGGED_FINDINGS).map(showFinding) })
   }
 
-  /** Merges and checks files as `checkFiles` does, giving way to the loop every few ms. */
-  async check (files: readonly PackedFile[]): Promise<Result<CheckedFiles, readonly Finding[]>> {
-    const byName = new Map(files.map(file => [file[0], file]))
-    const steps = checkInSteps(new Map(files), { decode: name => this.decode(byName.get(name)!), known: this.known })
+  /**
+   * Merges and checks files as `checkFiles` does, giving way to the loop every few ms. Where something is wrong, all
+   * files are read anew with their places.
+   */
+  async check (files: readonly PackedFile[]): Promise<Result<Checked, readonly Finding[]>> {
+    const configuration = await this.runSteps(this.checkKnown(files))
+    if (configuration !== undefined) return Ok(configuration)
+    return (await this.runSteps(checkInSteps(new Map(files)))).map(({ configuration }) => configuration)
+  }
+
+  /**
+   * Keeps of each file its plain values alone: trees of entries with their places took 1.9 KB a caller, and were needed
+   * only where a finding had to say its place.
+   */
+  private * checkKnown (files: readonly PackedFile[]): Generator<void, Checked | undefined> {
+    const values: ValueMap[] = []
+    for (const file of [...files].sort(([a], [b]) => a < b ? -1 : 1)) {
+      const value = this.values.get(file) ?? readFileValue(...file)
+      if (value === undefined) return undefined
+      this.values.set(file, value)
+      values.push(value)
+      yield
+    }
+    return yield * checkValues(yield * mergeValues(values), this.known)
+  }
+
+  private async runSteps<T> (steps: Generator<void, T>): Promise<T> {
     for (let since = performance.now(); ;) {
       const step = steps.next()
       if (step.done === true) return step.value
@@ -65,10 +90,4 @@
       since = performance.now()
     }
   }
-
-  private decode (file: PackedFile): Decoded {
-    const result = this.decoded.get(file) ?? decodeFile(...file)
-    this.decoded.set(file, result)
-    return result
-  }
 }
--- a/src/config/check-entry.ts
+++ b/src/config/check-entry.ts
@@ -15,7 +15,7 @@
  * Checks an entry against its schema and gives its value with the defaults filled in. Everything that is wrong is
  * pushed to `findings`; the value is of use only when none was.
  */
-export function checkEntry (entry: Entry, schema: KeySchema, path: string, findings: Finding[], known: KnownValues = new WeakMap()): unknown {
+export function checkEntry (entry: Entry, schema: KeySchema, path: string, findings: Finding[]): unknown {
   const reject = (message: string, at = entry): undefined => {
     findings.push({ ...at.place, message: path === '' ? message : `${path}: ${message}` })
   }
@@ -25,15 +25,12 @@
     case 'boolean': return typeof readScalar(entry) === 'boolean' ? readScalar(entry) : reject('must be true or false')
     case 'choice': return schema.of.includes(readScalar(entry) as string) ? readScalar(entry) : reject(`must be ${schema.of.join(' or ')}`)
     case 'list': return checkList(entry, schema, path, findings, reject)
-    case 'map': return checkMap(entry, schema, path, findings, reject, known)
-    case 'object': return checkObject(entry, schema, path, findings, reject, known)
+    case 'map': return checkMap(entry, schema, path, findings, reject)
+    case 'object': return checkObject(entry, schema, path, findings, reject)
     default: return failUnreachable(schema)
   }
 }
 
-/** Values of the names of maps that were found right before, so that a folder checked again costs what has changed. */
-type KnownValues = WeakMap<Entry, unknown>
-
 type Reject = (message: string, at?: Entry) => undefined
 
 function readScalar (entry: Entry): unknown {
@@ -61,24 +58,18 @@
   return entry.items.map((item, i) => checkEntry(item, of, `${path}[${i}]`, findings))
 }
 
-function checkMap (entry: Entry, { of, maxKeys }: Schema<'map'>, path: string, findings: Finding[], reject: Reject, known: KnownValues): unknown {
+function checkMap (entry: Entry, { of, maxKeys }: Schema<'map'>, path: string, findings: Finding[], reject: Reject): unknown {
   if (entry.type !== 'map') return reject('must be a map of names')
   if (entry.keys.size > maxKeys) return reject(`${entry.keys.size} names, over the limit of ${maxKeys}`)
   const values: Array<[string, unknown]> = []
   for (const [key, value] of entry.keys) {
-    if (!known.has(value)) {
-      const before = findings.length
-      if (!KEY.test(key)) reject(`${JSON.stringify(key.slice(0, QUOTED))} is not a name: letters, digits, and . _ - after the first, at most 100`, value)
-      const checked = checkEntry(value, of, `${path}.${key}`, findings, known)
-      if (findings.length === before) known.set(value, checked)
-      else continue
-    }
-    values.push([key, known.get(value)])
+    if (!KEY.test(key)) reject(`${JSON.stringify(key.slice(0, QUOTED))} is not a name: letters, digits, and . _ - after the first, at most 100`, value)
+    values.push([key, checkEntry(value, of, `${path}.${key}`, findings)])
   }
   return Object.fromEntries(values)
 }
 
-function checkObject (entry: Entry, { keys }: Schema<'object'>, path: string, findings: Finding[], reject: Reject, known: KnownValues): unknown {
+function checkObject (entry: Entry, { keys }: Schema<'object'>, path: string, findings: Finding[], reject: Reject): unknown {
   if (entry.type !== 'map') return reject('must be a map of keys')
   for (const [key, value] of entry.keys) {
     if (Object.hasOwn(keys, key)) continue
@@ -88,7 +79,7 @@
   const values: Record<string, unknown> = {}
   for (const [key, schema] of Object.entries(keys)) {
     const value = entry.keys.get(key)
-    const checked = value === undefined ? readDefault(schema, values) : checkEntry(value, schema, path === '' ? key : `${path}.${key}`, findings, known)
+    const checked = value === undefined ? readDefault(schema, values) : checkEntry(value, schema, path === '' ? key : `${path}.${key}`, findings)
     if (value === undefined && checked === undefined && schema.optional !== true) reject(`needs the key ${key}`)
     if (checked !== undefined) values[key] = checked
   }
--- a/src/config/check-in-steps.ts
+++ b/src/config/check-in-steps.ts
@@ -8,12 +8,7 @@
 import type { Finding } from './finding.js'
 import { mergeEntries } from './merge-entries.js'
 import { decodeFile } from './decode-file.js'
-
-/** A file must fit in one object of the platform, beside others. */
-const MAX_FILE_BYTES = 250_000
-
-/** `known` keeps the values of entries that `decode` gave before, and makes a check after a small change cheap. */
-interface CheckOptions { readonly decode?: typeof decodeFile, readonly known?: WeakMap<Entry, unknown> }
+import { maxFileBytes } from './max-file-bytes.js'
 
 const EMPTY: Entry = { type: 'map', keys: new Map(), place: { file: '', line: 1, column: 1 }, replaced: [] }
 
@@ -21,19 +16,19 @@
  * The merge and check of `checkFiles`, with a pause after each part of the work: thousands of files taken at one go
  * would hold the loop, and its symptom would be a gap in every stream of the daemon at each change.
  */
-export function * checkInSteps (files: ReadonlyMap<string, string>, { decode = decodeFile, known }: CheckOptions = {}): Generator<void, Result<CheckedFiles, readonly Finding[]>> {
+export function * checkInSteps (files: ReadonlyMap<string, string>): Generator<void, Result<CheckedFiles, readonly Finding[]>> {
   const findings: Finding[] = []
   const roots: [Entry, ...Entry[]] = [EMPTY]
   for (const [file, text] of [...files].sort(([a], [b]) => a < b ? -1 : 1)) {
-    if (Buffer.byteLength(text) > MAX_FILE_BYTES) findings.push({ file, line: 1, column: 1, message: `over the limit of ${MAX_FILE_BYTES} bytes: split it` })
-    const parsed = decode(file, text)
+    if (Buffer.byteLength(text) > maxFileBytes) findings.push({ file, line: 1, column: 1, message: `over the limit of ${maxFileBytes} bytes: split it` })
+    const parsed = decodeFile(file, text)
     if (parsed.err) findings.push(...parsed.val)
     else if (parsed.val.type !== 'map') findings.push({ ...parsed.val.place, message: 'a file must be a map of keys' })
     else roots.push(parsed.val)
     yield
   }
   const root = yield * mergeEntries(roots)
-  const configuration = checkEntry(root, configurationSchema, '', findings, known) as Omit<Configuration, 'version'>
+  const configuration = checkEntry(root, configurationSchema, '', findings) as Omit<Configuration, 'version'>
   yield
   if (findings.length === 0) findings.push(...checkContradictions(configuration, root))
   return findings.length > 0 ? Err(orderFindings(findings)) : Ok({ configuration, root })
--- a/src/config/decode-file.ts
+++ b/src/config/decode-file.ts
@@ -28,11 +28,18 @@
     return { ...shared, type: 'scalar', value: isScalar(node) ? node.value : null }
   }
 
+  /**
+   * Looks for keys that stand twice itself: the parser compares each key with all before it, which took half of the
+   * time of a file of 500 callers and would take nine tenths of one of 2,500.
+   */
   private readKeys (pairs: ReadonlyArray<{ readonly key: unknown, readonly value: unknown }>): ReadonlyMap<string, Entry> {
     const keys = new Map<string, Entry>()
+    const seen = new Set<unknown>()
     for (const { key, value } of pairs as ReadonlyArray<{ key: ParsedNode, value: ParsedNode | null }>) {
-      if (isScalar(key)) keys.set(String(key.value), this.read(value, key.range[0]))
-      else this.add(key.range[0], 'a key must be a plain word')
+      if (!isScalar(key)) this.add(key.range[0], 'a key must be a plain word')
+      else if (seen.has(key.value)) this.add(key.range[0], 'Map keys must be unique')
+      else keys.set(String(key.value), this.read(value, key.range[0]))
+      if (isScalar(key)) seen.add(key.value)
     }
     return keys
   }
@@ -41,7 +48,7 @@
 /** Reads one YAML file; every error in it is a finding with its place. An empty file is an empty map. */
 export function decodeFile (file: string, text: string): Result<Entry, readonly Finding[]> {
   const lines = new LineCounter()
-  const document = parseDocument(text, { lineCounter: lines })
+  const document = parseDocument(text, { lineCounter: lines, uniqueKeys: false })
   const reader = new EntryReader(file, lines)
   for (const error of document.errors) reader.add(error.pos[0], error.message.split('\n')[0]!.replace(/ at line \d+, column \d+:?$/, ''))
   if (reader.findings.length > 0) return Err(reader.findings)
--- a/src/config/list-key-changes.ts
+++ b/src/config/list-key-changes.ts
@@ -1,5 +1,6 @@
 import type { Entry } from './entry.js'
 import type { KeyChange } from './key-change.js'
+import { readValue } from './read-value.js'
 
 /** Every merged key whose value differs between two folders, in the order of the keys. */
 export function listKeyChanges (before: Entry, after: Entry): readonly KeyChange[] {
@@ -19,11 +20,3 @@
   for (const [key, value] of entry.keys) indexLeaves(value, path === '' ? key : `${path}.${key}`, leaves)
   return leaves
 }
-
-function readValue (entry: Entry): unknown {
-  switch (entry.type) {
-    case 'scalar': return entry.value
-    case 'list': return entry.items.map(readValue)
-    case 'map': return Object.fromEntries([...entry.keys].map(([key, value]) => [key, readValue(value)]))
-  }
-}
--- /dev/null
+++ b/src/config/merge-values.ts
@@ -0,0 +1,28 @@
+import { isValueMap } from './is-value-map.js'
+import type { ValueMap } from './value-map.js'
+
+/** Maps merged between two pauses. */
+const STEP = 200
+
+/**
+ * Merges maps as `mergeEntries` does, the latest last: maps key by key, and anything else replaces what came before
+ * it. A value that one map alone has is given as it stands, so that it can be told to be the same as before.
+ */
+export function * mergeValues (maps: readonly ValueMap[]): Generator<void, ValueMap> {
+  const groups = new Map<string, unknown[]>()
+  for (const [i, map] of maps.entries()) {
+    for (const [key, value] of Object.entries(map)) {
+      const group = groups.get(key)
+      if (group === undefined) groups.set(key, [value])
+      else if (isValueMap(value)) group.push(value)
+      else groups.set(key, [value])
+    }
+    if (i % STEP === STEP - 1) yield
+  }
+  const merged: Array<[string, unknown]> = []
+  for (const [key, group] of groups) {
+    const maps = isValueMap(group[0]) ? group as ValueMap[] : group.slice(1) as ValueMap[]
+    merged.push([key, group.length === 1 ? group[0] : maps.length === 1 ? maps[0] : yield * mergeValues(maps)])
+  }
+  return Object.fromEntries(merged)
+}
--- /dev/null
+++ b/src/config/value-map.ts
@@ -0,0 +1,2 @@
+/** A map of YAML as a plain value, without the places of its keys. */
+export type ValueMap = Readonly<Record<string, unknown>>
