--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,7 +10,7 @@
 import { sites } from './sites.js'
 
 const OUT = 'bench/out'
-const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--fault NAME] [--line NAME]… [--site NAME] [--policy LETTERS] [--check]
+const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--fault NAME] [--line NAME]… [--size NUMBER]… [--runs NUMBER] [--site NAME] [--policy LETTERS] [--check]
   without --suite: policies and faults; --check exits 1 when a bound of bench/bounds.yaml is broken`
 
 function tell (sentence: string): void {
@@ -19,7 +19,7 @@
 
 async function runBench (): Promise<number> {
   const { values } = parseArgs({
-    options: { suite: { type: 'string', multiple: true, default: ['policies', 'faults'] }, site: { type: 'string' }, policy: { type: 'string', default: 'abcde' }, line: { type: 'string', multiple: true }, fault: { type: 'string' }, check: { type: 'boolean', default: false }, help: { type: 'boolean', default: false } }
+    options: { suite: { type: 'string', multiple: true, default: ['policies', 'faults'] }, site: { type: 'string' }, policy: { type: 'string', default: 'abcde' }, line: { type: 'string', multiple: true }, size: { type: 'string', multiple: true }, runs: { type: 'string', default: '1' }, fault: { type: 'string' }, check: { type: 'boolean', default: false }, help: { type: 'boolean', default: false } }
   })
   if (values.help) {
     console.log(USAGE)
@@ -31,7 +31,7 @@
   if (values.suite.includes('policies')) for (const site of chosen) policies.push(await runPolicySuite(site, tell, values.policy))
   if (values.suite.includes('faults')) faults.push(...await runFaultSuite(chosen[0]!, tell, values.fault))
   mkdirSync(OUT, { recursive: true })
-  if (values.suite.includes('slopes')) writeFileSync(`${OUT}/slopes.json`, JSON.stringify(await runSlopeSuite(tell, values.line), null, 2))
+  if (values.suite.includes('slopes')) writeFileSync(`${OUT}/slopes.json`, JSON.stringify(await runSlopeSuite(tell, { lines: values.line, sizes: values.size?.map(Number), runs: Number(values.runs) }), null, 2))
   writeFileSync(`${OUT}/report.json`, JSON.stringify({ policies, faults }, null, 2))
   writeFileSync(`${OUT}/report.html`, buildReportPage(policies, faults))
   const broken = checkBounds(policies, faults)
--- a/bench/slope-suite.ts
+++ b/bench/slope-suite.ts
@@ -15,12 +15,24 @@
   callers: [0, 1_700, 6_800].map(callers => ({ ...BASE, callers }))
 }
 
-/** Runs every step of the lines named, or of all. */
-export async function runSlopeSuite (say: (sentence: string) => void, lines = Object.keys(STEPS)): Promise<Readonly<Record<string, readonly SlopeResult[]>>> {
+/** What each line moves. */
+const MOVED: Readonly<Record<string, keyof SlopeStep>> = { daemons: 'daemons', servers: 'servers', requests: 'rate', tokens: 'tokens', jobs: 'jobs', items: 'itemsPerJob', callers: 'callers' }
+
+interface SlopeOptions {
+  readonly lines?: readonly string[]
+  /** Only the steps of these sizes of what their line moves; all where it is left out. */
+  readonly sizes?: readonly number[]
+  /** How often each step is run. */
+  readonly runs?: number
+}
+
+/** Runs the steps of the lines named, or of all. */
+export async function runSlopeSuite (say: (sentence: string) => void, { lines = Object.keys(STEPS), sizes, runs = 1 }: SlopeOptions = {}): Promise<Readonly<Record<string, readonly SlopeResult[]>>> {
   const results: Record<string, SlopeResult[]> = {}
   for (const line of lines) {
     results[line] = []
-    for (const step of STEPS[line] ?? []) {
+    const steps = (STEPS[line] ?? []).filter(step => sizes?.includes(step[MOVED[line]!]) ?? true)
+    for (const step of steps.flatMap(step => Array.from({ length: runs }, () => step))) {
       const result = await runSlopeStep(step)
       results[line].push(result)
       say(`slope of ${line}: ${JSON.stringify(result)}`)
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from 'ts-results'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import type { Clock } from '../kernel/clock.js'
+import { OnDemandTask } from '../kernel/on-demand-task.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Random } from '../kernel/random.js'
@@ -30,7 +31,7 @@
 @scoped(Lifecycle.ContainerScoped)
 export class Gate implements Part {
   private readonly queues = new Map<string, PoolQueue>()
-  private cancel = (): void => {}
+  private readonly look: OnDemandTask
 
   constructor (
     @inject(Dispatcher) private readonly dispatcher: Dispatcher,
@@ -42,14 +43,11 @@
     @inject(tokens.random) private readonly random: Random
   ) {
     servers.subscribe(() => this.letIn())
-  }
-
-  async start (): Promise<void> {
-    this.cancel = this.clock.every(LOOK_PERIOD, () => this.letIn())
+    this.look = new OnDemandTask({ clock, period: LOOK_PERIOD, run: () => this.letIn() })
   }
 
   async stop (): Promise<void> {
-    this.cancel()
+    this.look.stop()
   }
 
   async send (request: ServerRequest): Promise<Answer> {
@@ -78,6 +76,7 @@
       const start = (cost: number): void => settle(this.run(queue, share, request, cost))
       const hasPlace = (): boolean => this.dispatcher.hasPlace(request)
       const leave = queue.add({ caller, share, deadline, hasPlace, start, refuse }, asked)
+      this.look.wake()
       const limit = Math.min(this.configuration.value.limits.queueWait, deadline - asked)
       stops.push(this.clock.after(limit, () => {
         leave()
@@ -108,10 +107,12 @@
     return Ok({ ...answer.val, end })
   }
 
-  private letIn (): void {
+  /** Whether requests wait still. */
+  private letIn (): boolean {
     for (const queue of this.queues.values()) {
       while (queue.peek()?.hasPlace() === true) queue.take()
     }
+    return [...this.queues.values()].some(({ size }) => size > 0)
   }
 
   private refuse (cause: Refusal['cause'], retryAfter: number): Refusal {
--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -7,6 +7,6 @@
   date (): number
   /** Runs `task` once after `delay` ms; the function it gives back cancels it. */
   after (delay: number, task: () => void): () => void
-  /** Runs `task` every `period` ms; the function it gives back cancels it. */
+  /** Runs `task` every `period` ms, at times it may share with other tasks; the function it gives back cancels it. */
   every (period: number, task: () => void): () => void
 }
--- /dev/null
+++ b/src/kernel/periodic-tasks.ts
@@ -0,0 +1,57 @@
+import type { Clock } from './clock.js'
+
+interface Task { readonly period: number, readonly run: () => void, due: number }
+
+/** Timers may fire a little before the ms they were set for. */
+const EARLY = 1
+
+/**
+ * Runs all periodic tasks of a process from one timer, each at the multiples of its period, so that tasks of 100, 250
+ * and 500 ms wake the process together: a timer of its own for each woke an idle daemon 130 times a second, which
+ * cost more than the tasks did. A task that falls behind is run once, not once for each time it missed.
+ */
+export class PeriodicTasks {
+  private readonly tasks = new Set<Task>()
+  private armed = Infinity
+  private cancel = (): void => {}
+
+  constructor (private readonly clock: Pick<Clock, 'now' | 'after'>) {}
+
+  /** Runs `run` first after half a period at least; the function it gives back ends it. */
+  add (period: number, run: () => void): () => void {
+    const task: Task = { period, run, due: findDue(this.clock.now() + period / 2, period) }
+    this.tasks.add(task)
+    this.arm()
+    return () => this.remove(task)
+  }
+
+  private remove (task: Task): void {
+    this.tasks.delete(task)
+    if (this.tasks.size > 0) return
+    this.cancel()
+    this.armed = Infinity
+  }
+
+  private arm (): void {
+    const due = Math.min(...[...this.tasks].map(({ due }) => due))
+    if (due >= this.armed || due === Infinity) return
+    this.cancel()
+    this.armed = due
+    this.cancel = this.clock.after(Math.max(0, due - this.clock.now()), () => this.runDue())
+  }
+
+  /** The next wake-up is set before a task can throw: the others go on whatever one of them does. */
+  private runDue (): void {
+    const now = this.clock.now() + EARLY
+    const due = [...this.tasks].filter(task => task.due <= now)
+    for (const task of due) task.due = findDue(now, task.period)
+    this.armed = Infinity
+    this.arm()
+    for (const task of due) if (this.tasks.has(task)) task.run()
+  }
+}
+
+/** The first multiple of `period` after `time`. */
+function findDue (time: number, period: number): number {
+  return (Math.floor(time / period) + 1) * period
+}
--- a/src/kernel/system-clock.ts
+++ b/src/kernel/system-clock.ts
@@ -1,8 +1,11 @@
 import { performance } from 'node:perf_hooks'
 import type { Clock } from './clock.js'
+import { PeriodicTasks } from './periodic-tasks.js'
 
 /** The clock of the running process. Its timers keep the process alive. */
 export class SystemClock implements Clock {
+  private readonly tasks = new PeriodicTasks(this)
+
   now (): number {
     return performance.now()
   }
@@ -17,7 +20,6 @@
   }
 
   every (period: number, task: () => void): () => void {
-    const timer = setInterval(task, period)
-    return () => clearInterval(timer)
+    return this.tasks.add(period, task)
   }
 }
--- a/src/ownership/batch-runner.ts
+++ b/src/ownership/batch-runner.ts
@@ -1,6 +1,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import type { Clock } from '../kernel/clock.js'
 import { Extensions } from '../kernel/extensions.js'
+import { OnDemandTask } from '../kernel/on-demand-task.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
@@ -24,6 +25,8 @@
 
 const TICK_PERIOD = 50
 const WANT_PERIOD = 500
+/** How long after the last item was at hand it looks every tick for more, ms; after that at each `want`. */
+const LOOK_ON = 60_000
 
 /**
  * Runs batch items on the servers that this daemon owns: takes them from the batch source as admission allows, and
@@ -36,7 +39,9 @@
   private readonly policy: BatchPolicy
   private wanted = new Set<string>()
   private draining = false
-  private cancels: ReadonlyArray<() => void> = []
+  private lastWork = -Infinity
+  private readonly look: OnDemandTask
+  private cancel = (): void => {}
 
   constructor (
     @inject(ServerOwners) private readonly owners: ServerOwners,
@@ -53,15 +58,16 @@
     @inject(tokens.clock) private readonly clock: Clock
   ) {
     this.policy = readBatchPolicy(settings)
+    this.look = new OnDemandTask({ clock, period: TICK_PERIOD, run: () => this.tick() })
   }
 
   async start (): Promise<void> {
     this.owners.subscribe(() => this.update())
     this.online.subscribe(server => this.batches.get(server)?.tell({ type: 'online', count: this.online.count(server) }))
     this.watch.subscribe(server => this.batches.get(server)?.tell({ type: 'reported', sequences: this.watch.getReported(server) }))
-    for (const source of this.added.collect(batchSourcePoint)) source.subscribe(() => this.tick())
+    for (const source of this.added.collect(batchSourcePoint)) source.subscribe(() => this.handleNews())
     this.metrics.gauge('batch_streams', () => [...this.batches.values()].reduce((sum, batch) => sum + batch.count, 0))
-    this.cancels = [this.clock.every(TICK_PERIOD, () => this.tick()), this.clock.every(WANT_PERIOD, () => this.want())]
+    this.cancel = this.clock.every(WANT_PERIOD, () => this.want())
   }
 
   /** Gives everything back at once: another daemon goes on from the tokens there are. */
@@ -72,7 +78,8 @@
   }
 
   async stop (): Promise<void> {
-    for (const cancel of this.cancels) cancel()
+    this.cancel()
+    this.look.stop()
   }
 
   /** Batch runs under way at the server. */
@@ -90,15 +97,23 @@
     this.queue.keepOnly(owned)
   }
 
-  private tick (): void {
-    if (this.draining) return
+  private handleNews (): void {
+    if (this.tick()) this.look.wake()
+  }
+
+  /** Whether an item was at hand not long ago, so that another may be any moment. */
+  private tick (): boolean {
+    if (this.draining) return false
     for (const server of this.owners.listOwned()) this.open(server)?.tick()
+    if (this.running.size > 0) this.lastWork = this.clock.now()
+    return this.clock.now() < this.lastWork + LOOK_ON
   }
 
   /** Says what could run here, so that enough is claimed ahead. */
   private want (): void {
     if (this.draining) return
     this.update()
+    this.handleNews()
     const slots = new Map([...this.wanted].map(service => [service, 0]))
     for (const [server, batch] of this.batches) {
       const open = this.watch.getState(server) === 'open' ? batch.slots : 0
@@ -127,6 +142,7 @@
     if (this.draining || this.watch.getState(server) !== 'open') return undefined
     const work = this.queue.take(server)
     if (work === undefined) return undefined
+    this.lastWork = this.clock.now()
     const cost = estimatePrefill(work, this.settler.recent.isCached(work.id, server, this.clock.now()))
     if (cost > prefill && !first) {
       this.queue.hold(server, work)
--- a/src/ownership/server-watch.ts
+++ b/src/ownership/server-watch.ts
@@ -14,6 +14,8 @@
 
 const POLL_PERIOD = 500
 const POLL_TIMEOUT = 400
+/** Past several polls, so that each needn't connect anew; a connection gone silent is closed by the poll that times out on it. */
+const KEEP_ALIVE = 4 * POLL_PERIOD
 const HEALTHY: HealthState = { state: 'open', failures: 0 }
 
 /** What a poll of one server told. */
@@ -22,7 +24,7 @@
 /** Health and lagged load of the servers that this daemon owns, and of no others: polls are O(servers). */
 @scoped(Lifecycle.ContainerScoped)
 export class ServerWatch implements Part {
-  private readonly agent = new Agent({ connections: 1, keepAliveTimeout: POLL_PERIOD, keepAliveMaxTimeout: POLL_PERIOD })
+  private readonly agent = new Agent({ connections: 1, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE })
   private readonly known = new Map<string, Known>()
   private readonly listeners = new Set<(server: string) => void>()
   private cancel = (): void => {}
