--- /dev/null
+++ b/test/helpers/simulate-regions.ts
@@ -0,0 +1,128 @@
+import { createVersionState } from '../../src/coordination/create-version-state.js'
+import { rankOwners } from '../../src/coordination/rank-owners.js'
+import { stepVersion } from '../../src/coordination/step-version.js'
+import type { VersionEffect } from '../../src/coordination/version-effect.js'
+import type { VersionEvent } from '../../src/coordination/version-event.js'
+import type { VersionHead } from '../../src/coordination/version-head.js'
+import type { VersionState } from '../../src/coordination/version-state.js'
+import { Random } from '../../src/kernel/random.js'
+import { OwnerTable } from '../../src/ownership/owner-table.js'
+import { shortCodec } from '../../src/peers/short-codec.js'
+import { MemberSimulation } from './simulate-members.js'
+
+const TICK_EVERY = 300
+const TICK_PEERS = 2
+const SPREAD_PEERS = 4
+const WATCHERS = 2
+const WATCH_WAIT = 5_000
+const REGIONS = ['north', 'south']
+const options = { hash: (part: string) => part, size: (part: string) => part.length }
+
+interface Instance { readonly name: string, readonly region: string }
+interface Letter { readonly at: number, readonly to: string, readonly event: VersionEvent<string> }
+
+/** Two regions of daemons: the real membership, versions and owners of servers, on virtual time; the platform is in the north. */
+export class RegionTrial {
+  readonly members: MemberSimulation
+  readonly servers: readonly Instance[]
+  /** Versions acted on, by daemon, in their order. */
+  readonly acted = new Map<string, number[]>()
+  platform: VersionHead = { version: 1, parts: ['part-1'], body: {} }
+  /** Calls of the platform, failed ones left out. */
+  calls = 0
+  versionBytes = 0
+  cut = false
+  private readonly versions = new Map<string, VersionState<string>>()
+  private readonly tables = new Map<string, OwnerTable>()
+  private readonly watching = new Map<string, { readonly since: number, readonly version: number }>()
+  private readonly random = new Random(9)
+  private letters: Letter[] = []
+
+  constructor (size: number, servers: number) {
+    this.members = new MemberSimulation(size, { measure: true })
+    this.members.loses = (from, to) => this.cut && this.findRegion(from) !== this.findRegion(to)
+    this.servers = Array.from({ length: servers }, (_, i) => ({ name: `server-${i}`, region: REGIONS[i % 2]! }))
+    for (const name of this.members.names) {
+      this.versions.set(name, createVersionState())
+      this.tables.set(name, new OwnerTable())
+      this.acted.set(name, [])
+    }
+  }
+
+  findRegion (daemon: string): string {
+    return REGIONS[Number(daemon.split('-')[1]) % 2]!
+  }
+
+  run (time: number, onTick = (): void => {}): void {
+    this.members.run(time, () => {
+      this.deliver()
+      for (const name of this.members.names) {
+        this.watch(name)
+        if (this.members.now % TICK_EVERY === 0) this.step(name, { type: 'tick', peers: this.draw(name, TICK_PEERS) })
+        this.tables.get(name)!.update(this.servers, this.listSeen(name).map(name => ({ name, region: this.findRegion(name) })))
+      }
+      onTick()
+    })
+  }
+
+  /** Who owns `server`, as `daemon` sees it. */
+  findOwner (daemon: string, server: string): string | undefined {
+    return this.tables.get(daemon)!.find(server)
+  }
+
+  /** Daemons that `daemon` doesn't hold for dead. */
+  listSeen (daemon: string): readonly string[] {
+    return this.members.names.filter(name => name === daemon || ['alive', 'suspect'].includes(this.members.see(daemon, name)))
+  }
+
+  private watch (name: string): void {
+    const region = this.findRegion(name)
+    const near = this.listSeen(name).filter(other => this.findRegion(other) === region)
+    const known = this.watching.get(name)
+    if (!rankOwners(region, near).slice(0, WATCHERS).includes(name) || (this.cut && region !== REGIONS[0])) {
+      this.watching.delete(name)
+      return
+    }
+    if (known !== undefined && known.version === this.platform.version && this.members.now < known.since + WATCH_WAIT) return
+    this.calls++
+    this.watching.set(name, { since: this.members.now, version: this.platform.version })
+    this.step(name, { type: 'read head', head: this.platform })
+  }
+
+  private step (name: string, event: VersionEvent<string>): void {
+    const { state, effects } = stepVersion(this.versions.get(name)!, event, this.members.now, options)
+    this.versions.set(name, state)
+    for (const effect of effects) this.carryOut(name, effect)
+  }
+
+  private carryOut (name: string, effect: VersionEffect<string>): void {
+    switch (effect.type) {
+      case 'act': this.acted.get(name)!.push(effect.head.version); break
+      case 'read parts': this.readParts(name, effect.hashes); break
+      case 'send': this.send(name, effect.to, effect.message); break
+      case 'spread': for (const to of this.draw(name, SPREAD_PEERS)) this.send(name, to, effect.message)
+    }
+  }
+
+  private readParts (name: string, parts: readonly string[]): void {
+    if (this.cut && this.findRegion(name) !== REGIONS[0]) return
+    this.calls += parts.length
+    this.letters.push({ at: this.members.now + 1, to: name, event: { type: 'read parts', parts } })
+  }
+
+  private send (from: string, to: string, message: Extract<VersionEvent<string>, { type: 'message' }>['message']): void {
+    this.versionBytes += shortCodec.encode({ m: message }).length
+    if (!this.members.loses(from, to)) this.letters.push({ at: this.members.now + 1, to, event: { type: 'message', from, message } })
+  }
+
+  private deliver (): void {
+    const due = this.letters.filter(({ at }) => at <= this.members.now)
+    this.letters = this.letters.filter(letter => !due.includes(letter))
+    for (const { to, event } of due) this.step(to, event)
+  }
+
+  private draw (name: string, count: number): string[] {
+    const others = this.listSeen(name).filter(other => other !== name)
+    return Array.from({ length: Math.min(count, others.length) }, () => others.splice(this.random.below(others.length), 1)[0]!)
+  }
+}
