--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -28,7 +28,7 @@
 mkdirSync('dist', { recursive: true })
 await build({ ...common, entryPoints: entries, format: 'cjs', outExtension: { '.js': '.cjs' } })
 // What others embed: one module, without the daemon.
-await build({ ...common, entryPoints: { coordination: 'src/coordination/index.ts' }, format: 'esm', outExtension: { '.js': '.mjs' } })
+await build({ ...common, minifyWhitespace: false, entryPoints: { coordination: 'src/coordination/index.ts' }, format: 'esm', outExtension: { '.js': '.mjs' } })
 
 if (process.argv.includes('--binary')) buildBinary()
 
