An item that still prefills gives way to each online request; what KV export would save is measured

Ruled out: giving way late (streams over the share close at once). A stream within the share stayed although it was still prefilling, and the engine prefills in the order of arrival, so that the online prompt stood behind the whole of the batch prompt, or of a context that the owner took to be cached.

Change: of the streams within the share, those without a first token give way to each online request that begins.

The test was seen failing without the condition.

--- a/bench/policy-model.ts
+++ b/bench/policy-model.ts
@@ -36,8 +36,11 @@
     firstToken: runs.flatMap(run => run.firstToken),
     betweenTokens: runs.flatMap(run => run.betweenTokens),
     batchTokens: runs.reduce((sum, run) => sum + run.batchTokens, 0),
+    besideTokens: runs.reduce((sum, run) => sum + run.besideTokens, 0),
     idle: runs.reduce((sum, run) => sum + run.idle, 0),
-    preemptions: runs.reduce((sum, run) => sum + run.preemptions, 0)
+    preemptions: runs.reduce((sum, run) => sum + run.preemptions, 0),
+    resumes: runs.reduce((sum, run) => sum + run.resumes, 0),
+    prefilledAgain: runs.reduce((sum, run) => sum + run.prefilledAgain, 0)
   }
 }
 
--- a/bench/policy/policy-simulation.ts
+++ b/bench/policy/policy-simulation.ts
@@ -16,6 +16,7 @@
 const COALESCE_END = 20
 const TICK = 50
 const REPORT_PERIOD = 500
+const BLOCKS_APART = 1_000
 const ITEM_SIZES: ItemSizes = { prompt: { from: 100, spread: 400 }, answer: { from: 50, spread: 200 } }
 
 interface BatchItem { readonly id: string, readonly promptTokens: number, readonly words: readonly string[], readonly blocks: readonly number[], readonly done: number }
@@ -35,11 +36,13 @@
   /** ms by which news of online requests comes later than on a healthy link. */
   readonly newsDelay?: number
   readonly items?: ItemSizes
+  /** ms that exporting a stream's KV cache delays its end; the item is then imported where it goes on. No export when left out. */
+  readonly exportTime?: number
 }
 
 /** One server, its owner and endless batch work, on virtual time. */
 export class PolicySimulation {
-  readonly run: PolicyRun = { firstToken: [], betweenTokens: [], batchTokens: 0, idle: 0, preemptions: 0 }
+  readonly run: PolicyRun = { firstToken: [], betweenTokens: [], batchTokens: 0, besideTokens: 0, idle: 0, preemptions: 0, resumes: 0, prefilledAgain: 0 }
   private readonly schedule = new Schedule()
   private readonly batcher: Batcher
   private readonly random: Random
@@ -50,6 +53,7 @@
   private told = 0
   private idleSince = 0
   private items = 0
+  private asked = 0
   private readonly backlog: BatchItem[] = []
   private readonly streams = new Map<string, { readonly item: BatchItem, readonly sequence: Sequence }>()
   private readonly gaps: number[] = []
@@ -95,7 +99,7 @@
     if (this.online++ === 0) this.run.idle += asked - this.idleSince
     this.schedule.after(COALESCE_BEGIN + HOP + this.newsDelay, () => this.tellOnline())
     let last = asked
-    const sequence = createSequence({ contextTokens: promptTokens, words: new Array(answerTokens).fill('w'), blocks: [] }, (first, end) => {
+    const sequence = createSequence({ contextTokens: promptTokens, words: new Array(answerTokens).fill('w'), blocks: this.listBlocks(-(++this.asked), promptTokens + answerTokens) }, (first, end) => {
       const now = this.schedule.now
       if (first) this.run.firstToken.push(now + HOP - asked)
       else this.run.betweenTokens.push(now - last)
@@ -148,7 +152,8 @@
     this.run.preemptions++
     this.run.batchTokens += sequence.done - item.done
     this.backlog.push({ ...item, done: sequence.done })
-    this.schedule.after(HOP, () => { sequence.cancelled = true })
+    this.countResumed(sequence)
+    this.schedule.after(HOP + (this.options.exportTime ?? 0), () => { sequence.cancelled = true })
   }
 
   /** An item preempted here is still in the engine's cache, but for its last block. */
@@ -167,8 +172,9 @@
 
   private start (item: BatchItem, prefill: number): void {
     let last = 0
-    const sequence = createSequence({ contextTokens: item.promptTokens + item.done, words: item.words, blocks: item.blocks, done: item.done }, (first, end) => {
+    const sequence = createSequence({ contextTokens: item.promptTokens + item.done, words: item.words, blocks: item.blocks, done: item.done, imported: item.done > 0 && this.options.exportTime !== undefined }, (first, end) => {
       if (this.streams.get(item.id)?.sequence !== sequence) return
+      if (this.online > 0) this.run.besideTokens++
       if (!first) this.gaps.push(this.schedule.now - last)
       last = this.schedule.now
       if (first) this.schedule.after(HOP, () => this.tell({ type: 'prefilled', id: item.id }))
@@ -181,21 +187,32 @@
 
   private finish (item: BatchItem): void {
     this.run.batchTokens += item.words.length - item.done
+    this.countResumed(this.streams.get(item.id)!.sequence)
     this.streams.delete(item.id)
     this.schedule.after(HOP, () => this.tell({ type: 'ended', id: item.id }))
   }
 
+  private countResumed ({ resumed, prefilled }: Sequence): void {
+    if (resumed === 0) return
+    this.run.resumes++
+    this.run.prefilledAgain += prefilled
+  }
+
   private createItem (): BatchItem {
     const number = ++this.items
     const { prompt, answer } = this.options.items ?? ITEM_SIZES
     const promptTokens = prompt.from + this.random.below(prompt.spread)
     const words = new Array<string>(answer.from + this.random.below(answer.spread)).fill('w')
-    const blocks = Array.from({ length: Math.floor((promptTokens + words.length) / this.options.engine.blockTokens) }, (_, i) => number * 1_000 + i)
-    return { id: String(number), promptTokens, words, blocks, done: 0 }
+    return { id: String(number), promptTokens, words, blocks: this.listBlocks(number, promptTokens + words.length), done: 0 }
+  }
+
+  /** Blocks that nobody else has. */
+  private listBlocks (number: number, tokens: number): readonly number[] {
+    return Array.from({ length: Math.floor(tokens / this.options.engine.blockTokens) }, (_, i) => number * BLOCKS_APART + i)
   }
 }
 
-function createSequence ({ contextTokens, words, blocks, done = 0 }: Pick<Sequence, 'contextTokens' | 'words' | 'blocks'> & { readonly done?: number }, onToken: (first: boolean, last: boolean) => void): Sequence {
+function createSequence ({ contextTokens, words, blocks, done = 0, imported = false }: Pick<Sequence, 'contextTokens' | 'words' | 'blocks'> & { readonly done?: number, readonly imported?: boolean }, onToken: (first: boolean, last: boolean) => void): Sequence {
   let first = true
   return {
     id: '',
@@ -204,8 +221,9 @@
     blocks,
     resumed: done,
     done,
-    imported: false,
+    imported,
     prefillLeft: contextTokens,
+    prefilled: 0,
     cancelled: false,
     onToken: (_word, last) => {
       onToken(first, last)
--- a/bench/policy/simulate-site.ts
+++ b/bench/policy/simulate-site.ts
@@ -18,19 +18,24 @@
   /** Without it only batch work comes. */
   readonly online?: boolean
   readonly itemPrompt?: number
+  /** Tokens of KV cache of the server. */
+  readonly memoryTokens?: number
+  /** ms that exporting KV cache delays giving way; without it there is no export. */
+  readonly exportTime?: number
 }
 
 /** One of a site's servers on virtual time, with its part of the site's online load and the items of the bench. */
-export function simulateSite ({ plan, engines, itemTokens }: Site, policy: BatchPolicy, { length, seed, online = true, itemPrompt = ITEM_PROMPT }: SiteOptions): PolicyRun {
+export function simulateSite ({ plan, engines, itemTokens }: Site, policy: BatchPolicy, { length, seed, online = true, itemPrompt = ITEM_PROMPT, memoryTokens = engineOptions.memoryTokens, exportTime }: SiteOptions): PolicyRun {
   const { burst } = plan
   const part = { ...plan, seed, duration: length, rate: plan.rate / engines, burst: { ...burst, rate: burst.rate / engines } }
   const workload = planArrivals(part).map(({ at, prompt, tokens }) => ({ at, promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN), answerTokens: tokens }))
   return new PolicySimulation({
     admission: { policy, maxInFlight: MAX_IN_FLIGHT, betweenTokens: BETWEEN_TOKENS },
-    engine: { ...defaultParameters, ...engineOptions },
+    engine: { ...defaultParameters, ...engineOptions, memoryTokens },
     workload: online ? workload : [],
     length,
     seed,
+    exportTime,
     items: { prompt: { from: itemPrompt, spread: 1 }, answer: { from: itemTokens, spread: 1 } }
   }).play()
 }
--- a/src/ownership/batch-admission.ts
+++ b/src/ownership/batch-admission.ts
@@ -28,7 +28,7 @@
 export function stepBatchAdmission (state: BatchAdmissionState, event: BatchAdmissionEvent, now: number, options: BatchAdmissionOptions): Step {
   const next = applyEvent(state, event, now, options)
   if (event.type === 'started') return { state: next, effects: [] }
-  const effects = plan(next, event, now, options)
+  const effects = plan(next, event, now, { ...options, arrived: next.online > state.online })
   const preempted = new Set(effects.flatMap(effect => effect.type === 'preempt' ? [effect.id] : []))
   const starts = effects.some(({ type }) => type === 'start')
   return {
@@ -63,13 +63,13 @@
   return full ? { ...state, limit: Math.min(maxInFlight, state.limit + 1), limitChangedAt: now } : state
 }
 
-function plan (state: BatchAdmissionState, event: BatchAdmissionEvent, now: number, { policy, maxInFlight }: BatchAdmissionOptions): readonly BatchAdmissionEffect[] {
+function plan (state: BatchAdmissionState, event: BatchAdmissionEvent, now: number, { policy, maxInFlight, arrived }: BatchAdmissionOptions & { readonly arrived: boolean }): readonly BatchAdmissionEffect[] {
   switch (policy.type) {
     case 'none': return []
     case 'forward': return startUpTo(state, maxInFlight)
     case 'static': return startUpTo(state, policy.streams ?? Math.floor(maxInFlight / 2))
     case 'load reports': return event.type === 'reported' ? planByReport(state, maxInFlight) : []
-    case 'preempting': return planPreempting(state, now, maxInFlight)
+    case 'preempting': return planPreempting(state, now, { maxInFlight, arrived })
     default: return failUnreachable(policy)
   }
 }
--- a/src/ownership/plan-preempting.ts
+++ b/src/ownership/plan-preempting.ts
@@ -26,13 +26,16 @@
  *
  * With online requests in flight, the server is kept no busier than a share of what online alone brings it to at its
  * peaks: the steps of the tail are those it has without batch. The latest streams give way first, having the fewest
- * tokens to bring back.
+ * tokens to bring back. Of those within the share, one whose first token hasn't come gives way to each online request
+ * that `arrived`: the engine prefills in the order of arrival, and the symptom would be a first token late by all of a
+ * long batch prompt, or of a cached one that has been evicted.
  */
-export function planPreempting (state: BatchAdmissionState, now: number, maxInFlight: number): readonly BatchAdmissionEffect[] {
+export function planPreempting (state: BatchAdmissionState, now: number, { maxInFlight, arrived }: { readonly maxInFlight: number, readonly arrived: boolean }): readonly BatchAdmissionEffect[] {
   const { streams, online, limit, peak } = state
   const idle = online === 0
   const allowed = Math.floor(idle ? Math.min(limit, limitIdle(maxInFlight)) : Math.max(0, peak * PEAK_SHARE - online))
-  if (!idle && streams.length > allowed) return streams.slice(allowed).map(({ id }) => ({ type: 'preempt', id }))
+  const excess = idle ? [] : streams.filter(({ prefilled }, i) => i >= allowed || (arrived && !prefilled))
+  if (excess.length > 0) return excess.map(({ id }) => ({ type: 'preempt', id }))
   const count = allowed - streams.length
   if (count <= 0) return []
   const starting = streams.reduce((sum, { prefilled, prefill }) => sum + (prefilled ? 0 : prefill), 0)
--- a/stand-ins/engine/batcher.ts
+++ b/stand-ins/engine/batcher.ts
@@ -64,6 +64,7 @@
     for (const sequence of this.running) {
       const tokens = Math.min(left, sequence.prefillLeft)
       sequence.prefillLeft -= tokens
+      sequence.prefilled += tokens
       left -= tokens
       duration += tokens * (sequence.imported ? this.parameters.importPerToken : this.parameters.prefillPerToken)
     }
--- a/stand-ins/engine/engine-model.ts
+++ b/stand-ins/engine/engine-model.ts
@@ -99,6 +99,7 @@
       resumed: done,
       done,
       prefillLeft: contextTokens,
+      prefilled: 0,
       cancelled: false,
       onToken
     }
--- a/stand-ins/engine/sequence.ts
+++ b/stand-ins/engine/sequence.ts
@@ -14,6 +14,8 @@
   done: number
   /** Context tokens still to prefill; set when it is admitted. */
   prefillLeft: number
+  /** Context tokens that it prefilled or took in so far, because they weren't cached. */
+  prefilled: number
   cancelled: boolean
   /** Called at the end of the step that gave the token. */
   onToken (word: string, last: boolean): void
--- a/test/ownership/batch-admission.test.ts
+++ b/test/ownership/batch-admission.test.ts
@@ -54,6 +54,16 @@
   t.is(states.at(-1)!.streams.length, 0)
 })
 
+// A batch item with a long prompt has started beside online requests and still prefills when the next of these begins. The
+// engine prefills in the order of arrival, so that its caller would wait for the whole of that prompt: several steps.
+test('an item that still prefills gives way to an online request that begins, also where there is room for both', t => {
+  const before = [{ event: { type: 'online', count: 20 }, time: 1 }, { event: { type: 'online', count: 1 }, time: 100 }, { event: { type: 'tick' }, time: 1_000 }] as const
+  const next = { event: { type: 'online', count: 2 }, time: 1 } as const
+  t.deepEqual(play([...before, next]).map(({ streams }) => streams.length).slice(-2), [1, 0])
+  const states = play([...before, { event: { type: 'prefilled', id: '0' }, time: 1 }, next])
+  t.deepEqual(states.slice(-2).map(({ streams }) => streams.map(({ id }) => id)), [['0', '1'], ['0']])
+})
+
 // Online requests come in bursts to a server that is full of batch streams. Their first tokens wait for the step that
 // is running and, until batch has given way, share steps with it; what callers see is the tail of the time to first
 // token. A load report comes up to a second late, and a second is as long as a burst.
--- a/test/stand-ins/batcher.test.ts
+++ b/test/stand-ins/batcher.test.ts
@@ -5,7 +5,7 @@
 import type { Sequence } from '../../stand-ins/engine/sequence.js'
 
 function createSequence (contextTokens: number, words: number, more: Partial<Sequence> = {}): Sequence {
-  return { id: 's', contextTokens, blocks: [], imported: false, words: Array.from({ length: words }, () => 'w'), resumed: 0, done: 0, prefillLeft: 0, cancelled: false, onToken: () => {}, ...more }
+  return { id: 's', contextTokens, blocks: [], imported: false, words: Array.from({ length: words }, () => 'w'), resumed: 0, done: 0, prefillLeft: 0, prefilled: 0, cancelled: false, onToken: () => {}, ...more }
 }
 
 /** Total ms that one sequence takes alone. */
