--- a/src/ownership/plan-preempting.ts
+++ b/src/ownership/plan-preempting.ts
@@ -4,12 +4,13 @@
 
 /** Prompt tokens of batch that may wait or prefill in the engine at once while nothing online runs there. */
 const PREFILL_IDLE = 256
-/** The same for one start beside online requests; an item that the engine has cached stays within it. */
+/** The same for starts beside online requests, and how many there are at once; items that the engine has cached stay within it. */
 const PREFILL_BESIDE_ONLINE = 64
+const STARTS_BESIDE_ONLINE = 2
 /** Share of the online peak up to which batch may fill beside online requests. */
-const PEAK_SHARE = 0.7
+const PEAK_SHARE = 0.75
 /**
- * ms between two starts beside online requests, and ms more for each token that the last one had to prefill beyond one
+ * ms between starts beside online requests, and ms more for each token that the last one had to prefill beyond one
  * cache block: the engine prefills between the steps of online requests, and each of them gets its token late by that
  * much. Without the part for tokens, items with long prompts bring the symptom of slow steps all through a burst.
  */
@@ -41,5 +42,5 @@
   const starting = streams.reduce((sum, { prefilled, prefill }) => sum + (prefilled ? 0 : prefill), 0)
   if (idle) return starting < PREFILL_IDLE ? [{ type: 'start', count, prefill: PREFILL_IDLE - starting }] : []
   const paused = starting > 0 || now < state.lastStart + START_PAUSE + PAUSE_PER_TOKEN * Math.max(0, state.lastPrefill - FREE_TOKENS)
-  return paused ? [] : [{ type: 'start', count: 1, prefill: PREFILL_BESIDE_ONLINE }]
+  return paused ? [] : [{ type: 'start', count: Math.min(count, STARTS_BESIDE_ONLINE), prefill: PREFILL_BESIDE_ONLINE }]
 }
