Due times measured: jobs near their due beside a backlog, on virtual time, with a daemon and a server killed

What isn't in the model: claims that race, platform outages, items that fail, and daemons whose clocks differ. No process run.

--- a/bench/build-report-page.ts
+++ b/bench/build-report-page.ts
@@ -1,4 +1,6 @@
 import { escapeHtml } from '../src/observe/escape-html.js'
+import { drawDue } from './due/draw-due.js'
+import type { DueReport } from './due/due-report.js'
 import { drawBars } from './draw-bars.js'
 import type { FaultResult } from './fault-result.js'
 import type { PolicyReport } from './policy-report.js'
@@ -8,9 +10,9 @@
 const STYLE = 'body{font:14px system-ui,sans-serif;margin:2em;max-width:60em}td,th{padding:2px 10px;text-align:right;border-bottom:1px solid #ddd}td:first-child{text-align:left}text{font:12px system-ui,sans-serif}'
 
 /** The reports as one HTML page with plots, without scripts or outside files. */
-export function buildReportPage (policies: readonly PolicyReport[], faults: readonly FaultResult[]): string {
+export function buildReportPage ({ policies, faults, due }: { readonly policies: readonly PolicyReport[], readonly faults: readonly FaultResult[], readonly due: readonly DueReport[] }): string {
   return `<!doctype html><html lang="en"><meta charset="utf-8"><title>citronwheel bench</title><style>${STYLE}</style><h1>citronwheel bench</h1>` +
-    policies.map(showPolicies).join('') + (faults.length === 0 ? '' : showFaults(faults)) + '</html>\n'
+    policies.map(showPolicies).join('') + (faults.length === 0 ? '' : showFaults(faults)) + drawDue(due) + '</html>\n'
 }
 
 function showPolicies (report: PolicyReport): string {
--- /dev/null
+++ b/bench/due/due-simulation.ts
@@ -0,0 +1,176 @@
+import { estimateRest } from '../../src/batch/estimate-rest.js'
+import type { Job } from '../../src/batch/job.js'
+import { orderJobs } from '../../src/batch/order-jobs.js'
+import { RecentUse } from '../../src/batch/recent-use.js'
+import { failUnreachable } from '../../src/kernel/unreachable.js'
+import { Schedule } from '../policy/schedule.js'
+import type { DueJob } from './due-job.js'
+import type { DueOrder } from './due-order.js'
+import type { DueRun } from './due-run.js'
+
+const CHUNK = 200
+/** Jobs that one look reads, as in src/batch/work-finder. */
+const LOOKS = 6
+/** ms until the chunks of a dead daemon are taken over, and its servers have other owners. */
+const TAKE_OVER = 10_000
+const LOOK_AGAIN = 1_000
+
+interface Chunk { readonly job: JobState, readonly n: number, left: number }
+
+interface JobState {
+  readonly entry: DueJob
+  readonly free: Chunk[]
+  readonly finished: Record<string, { completed: number, failed: number, cancelled: number }>
+  done: number
+  ended?: number
+}
+
+interface Daemon {
+  servers: number
+  alive: boolean
+  chunk?: Chunk
+  /** When it last worked off items of its chunk. */
+  since: number
+  /** Distinguishes the planned end of a chunk from those that a fault has overtaken. */
+  plan: number
+  readonly use: RecentUse
+  readonly rest: Map<string, number>
+}
+
+interface DueOptions {
+  readonly order: DueOrder
+  readonly jobs: readonly DueJob[]
+  readonly daemons: number
+  readonly servers: number
+  /** Items that a server gives in a ms beside and between its online requests. */
+  readonly pace: number
+  /** ms at which the first daemon and a server of the second are killed; never when left out. */
+  readonly daemonKilled?: number
+  readonly serverKilled?: number
+}
+
+/** Daemons that claim chunks of jobs in an order, on virtual time, one chunk at a time each. */
+export class DueSimulation {
+  private readonly schedule = new Schedule()
+  private readonly jobs: JobState[] = []
+  private readonly daemons: Daemon[]
+
+  constructor (private readonly options: DueOptions) {
+    const { daemons, servers } = options
+    this.daemons = Array.from({ length: daemons }, (_, i) => ({
+      servers: Math.floor(servers / daemons) + (i < servers % daemons ? 1 : 0), alive: true, since: 0, plan: 0, use: new RecentUse(), rest: new Map()
+    }))
+  }
+
+  play (length: number): DueRun {
+    for (const job of this.options.jobs) this.schedule.after(job.created, () => this.submit(job))
+    for (const daemon of this.daemons) this.schedule.after(1, () => this.look(daemon))
+    const { daemonKilled, serverKilled } = this.options
+    if (daemonKilled !== undefined) this.schedule.after(daemonKilled, () => this.killDaemon(this.daemons[0]!))
+    if (serverKilled !== undefined) this.schedule.after(serverKilled, () => this.setServers(this.daemons[1]!, this.daemons[1]!.servers - 1))
+    this.schedule.run(length)
+    const near = this.jobs.filter(({ entry }) => entry.near)
+    return {
+      jobs: near.length,
+      onTime: near.filter(({ entry, ended }) => ended !== undefined && ended <= entry.due).length,
+      late: near.flatMap(({ entry, ended }) => ended !== undefined && ended > entry.due ? [ended - entry.due] : []),
+      backlogItems: this.jobs.reduce((sum, { entry, done }) => sum + (entry.near ? 0 : done), 0)
+    }
+  }
+
+  private submit (entry: DueJob): void {
+    const job: JobState = { entry, free: [], finished: {}, done: 0 }
+    for (let n = 0; n * CHUNK < entry.items; n++) job.free.push({ job, n, left: Math.min(CHUNK, entry.items - n * CHUNK) })
+    this.jobs.push(job)
+  }
+
+  /** Claims the first free chunk in order and plans its end. */
+  private look (daemon: Daemon): void {
+    if (!daemon.alive || daemon.chunk !== undefined) return
+    for (const job of this.order(daemon).slice(0, LOOKS)) {
+      daemon.rest.set(job.entry.job, estimateRest(showJob(job), this.schedule.now))
+      const chunk = job.free.shift()
+      if (chunk === undefined) continue
+      daemon.chunk = chunk
+      daemon.since = this.schedule.now
+      daemon.use.add(job.entry.caller, chunk.left, this.schedule.now)
+      daemon.use.add(job.entry.job, chunk.left, this.schedule.now)
+      return this.planEnd(daemon)
+    }
+    this.schedule.after(LOOK_AGAIN, () => this.look(daemon))
+  }
+
+  private order (daemon: Daemon): readonly JobState[] {
+    const open = this.jobs.filter(({ free }) => free.length > 0)
+    const byEntry = new Map(open.map(job => [job.entry.job, job]))
+    const entries = open.map(({ entry }) => entry)
+    const sort = (): readonly { readonly job: string }[] => {
+      switch (this.options.order) {
+        case 'first come': return [...entries].sort((a, b) => a.created - b.created)
+        case 'earliest due': return [...entries].sort((a, b) => a.due - b.due)
+        case 'ours': return this.orderByRules(daemon, entries, ({ job }) => daemon.rest.get(job) ?? 0)
+        case 'by pace': return this.orderByRules(daemon, entries, ({ job, items }) => (items - byEntry.get(job)!.done) / (this.options.pace * this.countServers()))
+        default: return failUnreachable(this.options.order)
+      }
+    }
+    return sort().map(({ job }) => byEntry.get(job)!)
+  }
+
+  private orderByRules (daemon: Daemon, entries: readonly DueJob[], estimate: Parameters<typeof orderJobs>[1]['estimate']): ReturnType<typeof orderJobs> {
+    return orderJobs(entries, { date: this.schedule.now, share: () => 1, used: name => daemon.use.get(name, this.schedule.now), estimate })
+  }
+
+  private countServers (): number {
+    return this.daemons.reduce((sum, { servers }) => sum + servers, 0)
+  }
+
+  private planEnd (daemon: Daemon): void {
+    const plan = ++daemon.plan
+    if (daemon.servers === 0) return
+    this.schedule.after(daemon.chunk!.left / (this.options.pace * daemon.servers), () => { if (daemon.plan === plan) this.finish(daemon) })
+  }
+
+  private finish (daemon: Daemon): void {
+    const { job, n } = daemon.chunk!
+    this.workOff(daemon)
+    daemon.chunk = undefined
+    job.finished[n] = { completed: Math.min(CHUNK, job.entry.items - n * CHUNK), failed: 0, cancelled: 0 }
+    if (job.done > job.entry.items - 0.5) job.ended = this.schedule.now
+    this.look(daemon)
+  }
+
+  private workOff (daemon: Daemon): void {
+    const { now } = this.schedule
+    const chunk = daemon.chunk
+    if (chunk !== undefined) {
+      const done = Math.min(chunk.left, (now - daemon.since) * this.options.pace * daemon.servers)
+      chunk.left -= done
+      chunk.job.done += done
+    }
+    daemon.since = now
+  }
+
+  private setServers (daemon: Daemon, servers: number): void {
+    this.workOff(daemon)
+    daemon.servers = servers
+    if (daemon.chunk !== undefined) this.planEnd(daemon)
+  }
+
+  /** Its chunk and its servers are taken over by the others after a while; results that were recorded stay. */
+  private killDaemon (daemon: Daemon): void {
+    const { chunk, servers } = daemon
+    this.setServers(daemon, 0)
+    daemon.alive = false
+    daemon.chunk = undefined
+    daemon.plan++
+    this.schedule.after(TAKE_OVER, () => {
+      if (chunk !== undefined) chunk.job.free.unshift(chunk)
+      const others = this.daemons.filter(({ alive }) => alive)
+      for (let i = 0; i < servers; i++) this.setServers(others[i % others.length]!, others[i % others.length]!.servers + 1)
+    })
+  }
+}
+
+function showJob ({ entry, finished }: JobState): Job {
+  return { id: entry.job, caller: entry.caller, file: '', endpoint: '', created: entry.created, due: entry.due, items: entry.items, services: [], status: 'in_progress', finished, acceptance: '' }
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,8 @@
 import { parseArgs } from 'node:util'
 import { buildReportPage } from './build-report-page.js'
 import { checkBounds } from './check-bounds.js'
+import type { DueReport } from './due/due-report.js'
+import { runDueSuite } from './due/due-suite.js'
 import { runFaultSuite } from './fault-suite.js'
 import type { FaultResult } from './fault-result.js'
 import { runPolicySuite } from './policy-suite.js'
@@ -11,7 +13,7 @@
 import { sites } from './sites.js'
 
 const OUT = 'bench/out'
-const USAGE = `npm run bench -- [--suite policies|faults|slopes]… [--fault NAME] [--line NAME]… [--site NAME] [--policy LETTERS] [--repeat N] [--check]
+const USAGE = `npm run bench -- [--suite policies|faults|slopes|due]… [--fault NAME] [--line NAME]… [--site NAME] [--policy LETTERS] [--repeat N] [--check]
   without --suite: policies and faults; --repeat runs the policies N times in turn and narrows the intervals;
   --check exits 1 when a bound of bench/bounds.yaml is broken`
 
@@ -30,12 +32,14 @@
   const chosen = sites.filter(({ name }) => values.site === undefined || values.site === name)
   const policies: PolicyReport[] = []
   const faults: FaultResult[] = []
+  const due: DueReport[] = []
   if (values.suite.includes('policies')) for (const site of chosen) policies.push(await runPolicySuite(site, tell, { letters: values.policy, repeats: Number(values.repeat) }))
   if (values.suite.includes('faults')) faults.push(...await runFaultSuite(chosen[0]!, tell, values.fault))
+  if (values.suite.includes('due')) due.push(...runDueSuite(tell))
   mkdirSync(OUT, { recursive: true })
   if (values.suite.includes('slopes')) writeFileSync(`${OUT}/slopes.json`, JSON.stringify(await runSlopeSuite(tell, values.line), null, 2))
-  writeFileSync(`${OUT}/report.json`, JSON.stringify({ policies, faults }, null, 2))
-  writeFileSync(`${OUT}/report.html`, buildReportPage(policies, faults))
+  writeFileSync(`${OUT}/report.json`, JSON.stringify({ policies, faults, due }, null, 2))
+  writeFileSync(`${OUT}/report.html`, buildReportPage({ policies, faults, due }))
   for (const report of policies) for (const line of showHarm(report)) tell(line)
   const broken = checkBounds(policies, faults)
   for (const line of broken) tell(`bound broken: ${line}`)
