Starts beside online requests 20 ms apart: one step after the last, not at the runner's next tick but one

At 50 ms a first token that comes after a step of 22 ms starts nothing, and the tick of 50 ms that follows is often too early too.

--- a/src/ownership/plan-preempting.ts
+++ b/src/ownership/plan-preempting.ts
@@ -14,7 +14,7 @@
  * cache block: the engine prefills between the steps of online requests, and each of them gets its token late by that
  * much. Without the part for tokens, items with long prompts bring the symptom of slow steps all through a burst.
  */
-const START_PAUSE = 50
+const START_PAUSE = 20
 const PAUSE_PER_TOKEN = 10
 const FREE_TOKENS = 16
 
