citronwheel report: who got what in a week, beside the one before, for managers

New in the account: times to first token and whole answer by service, as counts by hdr-histogram bucket, which are added and subtracted as counts are; server time got and entitled (max-min fair) in minutes in which requests waited; jobs on time, late and cancelled, counted by the run that the write which ends the job names. A request with a bad idempotency key was asked for and never given an outcome; it is refused now.

Seen failing: job counted by whoever sees it ended, 2 for 1 job (test/batch/account, lost replies).

--- a/bench/build-report-page.ts
+++ b/bench/build-report-page.ts
@@ -1,5 +1,5 @@
 import { escapeHtml } from '../src/observe/escape-html.js'
-import { drawBars } from './draw-bars.js'
+import { drawBars } from '../src/observe/draw-bars.js'
 import type { FaultResult } from './fault-result.js'
 import type { PolicyReport } from './policy-report.js'
 
--- a/src/admission/account-reader.ts
+++ b/src/admission/account-reader.ts
@@ -36,7 +36,7 @@
     const read = await readAll<AccountPart>(this.store, 'account')
     const days = await this.readDays(since, until)
     if (read.err || days === undefined) {
-      return { rows: this.account.read(), times: this.account.readTimes(), mayMiss: { asked: 0, runs: [] }, whole: false, silent: told.silent }
+      return { ...this.readOwn(since, until), mayMiss: { asked: 0, runs: [] }, whole: false, silent: told.silent }
     }
     const { parts, fresh } = mergeTold(Object.fromEntries(read.val.map(({ name, value }) => [name, value])), days, told.parts)
     return { ...mergeAccount({ parts, days, fresh, since, until, caller }), silent: told.silent }
@@ -47,6 +47,12 @@
     return until === undefined || until >= showDay(this.clock.date() - DAY)
   }
 
+  /** Counts of this daemon since its start. They are shown for today only, or a report by days would have them on each. */
+  private readOwn (since = '', until = '9'): Pick<MergedAccount, 'rows' | 'times'> {
+    const today = showDay(this.clock.date())
+    return since <= today && today <= until ? { rows: this.account.read(), times: this.account.readTimes() } : { rows: {}, times: {} }
+  }
+
   private async readDays (since: string | undefined, until: string | undefined): Promise<readonly AccountDay[] | undefined> {
     const prefixes = since === undefined ? [''] : listDays(since, until ?? showDay(this.clock.date() + DAY)).map(day => `${day}.`)
     const days: AccountDay[] = []
--- a/src/admission/account-writer.ts
+++ b/src/admission/account-writer.ts
@@ -74,7 +74,7 @@
     const own = this.build(turn ?? sample, turn !== undefined)
     const changed = { ...own, rows: filterChanged(own.rows, this.flushed.rows), times: filterChanged(own.times, this.flushed.times) }
     if (turn === undefined) return { [this.name]: changed }
-    const rest = { ...own, ...subtract(sample, turn), day: showDay(sample.date), flushedAt: sample.date, closed: false, sample: ++this.samples }
+    const rest = { ...own, ...findRest(sample, turn), day: showDay(sample.date), flushedAt: sample.date, closed: false, sample: ++this.samples }
     return { [this.name]: changed, [this.getName(this.number + 1)]: rest }
   }
 
@@ -93,7 +93,7 @@
 
   private build (sample: AccountSample, closed: boolean): AccountPart {
     const { askedOnline, date } = sample
-    const { rows, times } = subtract(sample, this.earlier)
+    const { rows, times } = findRest(sample, this.earlier)
     const time = Math.max(1, date - this.last.date)
     return {
       instance: this.options.instance,
@@ -138,6 +138,6 @@
   }
 }
 
-function subtract (sample: Partial<Counted>, earlier: Partial<Counted>): Counted {
+function findRest (sample: Partial<Counted>, earlier: Partial<Counted>): Counted {
   return { rows: addRows(sample.rows ?? {}, earlier.rows ?? {}, -1), times: addTimes(sample.times ?? {}, earlier.times ?? {}, -1) }
 }
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -12,6 +12,7 @@
 import type { ServerRequest } from '../routing/server-request.js'
 import { Servers } from '../routing/servers.js'
 import { Account } from './account.js'
+import { BusyShares } from './busy-shares.js'
 import { PoolQueue } from './pool-queue.js'
 import type { Refusal } from './refusal.js'
 
@@ -30,6 +31,7 @@
 @scoped(Lifecycle.ContainerScoped)
 export class Gate implements Part {
   private readonly queues = new Map<string, PoolQueue>()
+  private readonly shares = new Map<string, BusyShares>()
   private cancel = (): void => {}
 
   constructor (
@@ -45,11 +47,15 @@
   }
 
   async start (): Promise<void> {
-    this.cancel = this.clock.every(LOOK_PERIOD, () => this.letIn())
+    this.cancel = this.clock.every(LOOK_PERIOD, () => {
+      this.letIn()
+      this.countShares(this.clock.now())
+    })
   }
 
   async stop (): Promise<void> {
     this.cancel()
+    this.countShares(Infinity)
   }
 
   async send (request: ServerRequest): Promise<Answer> {
@@ -65,6 +71,7 @@
   private async wait (queue: PoolQueue, share: number, request: ServerRequest): Promise<Answer> {
     const asked = this.clock.now()
     const { caller, service, deadline, signal } = request
+    this.readShares(request.pool).recordWait({ caller, service, share })
     return await new Promise<Answer>(resolve => {
       const stops: (() => void)[] = []
       const settle = (answer: Answer | Promise<Answer>): void => {
@@ -94,7 +101,9 @@
     const settle = (): void => {
       if (settled) return
       settled = true
-      queue.settle(request.caller, share, { cost, time: this.clock.now() - begin })
+      const time = this.clock.now() - begin
+      queue.settle(request.caller, share, { cost, time })
+      this.readShares(request.pool).record({ caller: request.caller, service: request.service, share }, time)
     }
     const answer = await this.dispatcher.send(request)
     if (answer.err) {
@@ -114,10 +123,22 @@
     }
   }
 
+  private countShares (now: number): void {
+    for (const shares of this.shares.values()) {
+      for (const { caller, service, got, entitled } of shares.take(now)) this.account.count(caller, service, 'online', { type: 'shared', got, entitled })
+    }
+  }
+
   private refuse (cause: Refusal['cause'], retryAfter: number): Refusal {
     return { cause, ran: 'not run', retryAfter: this.random.spread(Math.max(LEAST_RETRY_AFTER, retryAfter)), detail: 'every server is busy and the request would not be let in soon enough' }
   }
 
+  private readShares (pool: string): BusyShares {
+    const known = this.shares.get(pool) ?? new BusyShares(this.clock.now())
+    this.shares.set(pool, known)
+    return known
+  }
+
   private readQueue (pool: string): PoolQueue {
     const known = this.queues.get(pool) ?? new PoolQueue({ longestWait: () => this.configuration.value.limits.queueWait })
     this.queues.set(pool, known)
--- a/src/batch/job-counter.ts
+++ b/src/batch/job-counter.ts
@@ -5,8 +5,8 @@
 import { tokens } from '../kernel/tokens.js'
 import type { StoreError } from '../platform/store-error.js'
 import type { Counts } from './counts.js'
-import { finishChunks } from './finish-chunks.js'
 import type { Job } from './job.js'
+import { JobEnds } from './job-ends.js'
 import { JobStore } from './job-store.js'
 import { listChunks } from './list-chunks.js'
 import { WorkIndex } from './work-index.js'
@@ -26,7 +26,8 @@
   constructor (
     @inject(JobStore) private readonly jobs: JobStore,
     @inject(WorkIndex) private readonly work: WorkIndex,
-    @inject(tokens.clock) private readonly clock: Clock
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(JobEnds) private readonly ends: JobEnds
   ) {}
 
   /** Resolves once the job has the counts, or is there no more. */
@@ -49,8 +50,9 @@
 
   private async write (id: string, finished: readonly Finished[]): Promise<Result<void, StoreError>> {
     const closed = new Map(finished.map(({ n, counts }) => [n, counts]))
-    const written = await this.jobs.update(id, job => finishChunks(job, closed, this.clock.date()))
+    const written = await this.jobs.update(id, job => this.ends.apply(job, closed))
     if (written.err) return written
+    this.ends.count(written.val)
     return await this.removeWork(written.val)
   }
 
--- a/src/batch/job-settler.ts
+++ b/src/batch/job-settler.ts
@@ -5,9 +5,9 @@
 import type { Chunk } from './chunk.js'
 import { closeChunk } from './close-chunk.js'
 import type { Counts } from './counts.js'
-import { finishChunks } from './finish-chunks.js'
 import { HoldingRecord } from './holding-record.js'
 import type { Job } from './job.js'
+import { JobEnds } from './job-ends.js'
 import { JobStore } from './job-store.js'
 import { listChunks } from './list-chunks.js'
 import { WorkIndex } from './work-index.js'
@@ -27,7 +27,8 @@
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(JobStore) private readonly jobs: JobStore,
     @inject(WorkIndex) private readonly work: WorkIndex,
-    @inject(HoldingRecord) private readonly holding: HoldingRecord
+    @inject(HoldingRecord) private readonly holding: HoldingRecord,
+    @inject(JobEnds) private readonly ends: JobEnds
   ) {}
 
   /** One pass; says whether the job has come to its end. */
@@ -38,8 +39,9 @@
       const counts = await this.close(job, n, items)
       if (counts !== undefined) closed.set(n, counts)
     }
-    const told = await this.jobs.update(job.id, job => finishChunks(job, closed, this.clock.date()))
+    const told = await this.jobs.update(job.id, job => this.ends.apply(job, closed))
     if (told.err || told.val.ended === undefined) return false
+    this.ends.count(told.val)
     for (const { service } of job.services) {
       const removed = await this.work.remove({ job: job.id, service, due: job.due })
       if (removed.err) return false
--- a/src/batch/job.ts
+++ b/src/batch/job.ts
@@ -20,6 +20,8 @@
   readonly finished: Readonly<Record<string, Counts>>
   /** Wall-clock ms at which its last item ended. */
   readonly ended?: number
+  /** The run of a daemon that ended it, which counts it for the account. */
+  readonly endedBy?: { readonly instance: string, readonly started: number }
   /** Wall-clock ms at which its results had first been read whole. */
   readonly read?: number
   /** Names the request that created it, so that a lost reply doesn't count its items twice. */
--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -10,6 +10,7 @@
 import { JobsSubmitCommand } from './jobs-submit.js'
 import { HistoryCommand } from './history.js'
 import { LoadCommand } from './load.js'
+import { ReportCommand } from './report.js'
 import { ServeCommand } from './serve.js'
 import { StandInEngineCommand } from './stand-in-engine.js'
 import { StandInPlatformCommand } from './stand-in-platform.js'
@@ -28,6 +29,7 @@
   StatusCommand,
   TimelineCommand,
   AccountCommand,
+  ReportCommand,
   LoadCommand,
   DrainCommand,
   JobsSubmitCommand,
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -24,6 +24,7 @@
 
 const PLAIN_LIMIT = 64
 const KEY_LENGTH = 255
+const STREAM_TYPE = 'text/event-stream'
 
 interface Target { readonly name: string, readonly service: Service, readonly path: string }
 
@@ -90,6 +91,7 @@
     const { limits, models } = this.configuration.value
     const gone = new AbortController()
     res.on('close', () => gone.abort())
+    const asked = this.clock.now()
     this.account.count(caller, name, 'online', { type: 'asked' })
     this.timeline.record({ part: 'entry', what: 'asked', request: id, detail: caller })
     const request: ServerRequest = {
@@ -108,40 +110,44 @@
       signal: gone.signal
     }
     const key = req.headers['idempotency-key']
-    if (key !== undefined) return await this.sendKeyed(res, request, String(key))
+    if (key !== undefined) return await this.sendKeyed(res, request, String(key), asked)
     const answer = await this.gate.send(request)
-    if (answer.ok) return await this.relay(answer.val, res, { id, caller, service: name })
+    if (answer.ok) return await this.relay(answer.val, res, { id, caller, service: name, asked })
     this.account.count(caller, name, 'online', { type: 'refused', cause: answer.val.cause })
     this.timeline.record({ part: 'entry', what: 'refused', request: id, detail: answer.val.cause })
     sendRefusal(res, answer.val)
   }
 
   /** A key marks the request as one that may not be repeated, whatever its service says. */
-  private async sendKeyed (res: Response, request: ServerRequest, key: string): Promise<void> {
+  private async sendKeyed (res: Response, request: ServerRequest, key: string, asked: number): Promise<void> {
     const { id, caller, service } = request
     if (key.length === 0 || key.length > KEY_LENGTH) {
+      this.account.count(caller, service, 'online', { type: 'refused', cause: 'bad key' })
       return sendProblem(res, { status: 400, code: 'bad-key', detail: `idempotency-key: must have 1 to ${KEY_LENGTH} characters`, more: { ran: 'not run' } })
     }
     const outcome = await this.keyed.send(request, key)
     const answered = outcome.type === 'answered'
-    this.account.count(caller, service, 'online', answered ? { type: 'answered', tokens: 0 } : { type: 'refused', cause: outcome.type === 'refused' ? outcome.refusal.cause : outcome.type })
+    this.account.count(caller, service, 'online', answered ? { type: 'answered', tokens: 0, whole: this.clock.now() - asked } : { type: 'refused', cause: outcome.type === 'refused' ? outcome.refusal.cause : outcome.type })
     this.timeline.record({ part: 'entry', what: outcome.type, request: id })
     res.setHeader('x-request-id', id)
     await sendKeyedOutcome(res, outcome)
   }
 
   /** A body that is cut destroys the caller's connection, so that it never looks whole. */
-  private async relay (answer: ServerAnswer, res: Response, { id, caller, service }: { readonly id: string, readonly caller: string, readonly service: string }): Promise<void> {
+  private async relay (answer: ServerAnswer, res: Response, { id, caller, service, asked }: { readonly id: string, readonly caller: string, readonly service: string, readonly asked: number }): Promise<void> {
     const { 'content-type': type, 'content-length': length } = answer.headers
     res.setHeader('x-request-id', id)
     if (type !== undefined) res.setHeader('content-type', type)
     if (length !== undefined) res.setHeader('content-length', length)
     res.writeHead(answer.status)
+    let first: number | undefined
+    if (String(type).startsWith(STREAM_TYPE)) answer.body.once('data', () => { first = this.clock.now() - asked })
     try {
       await pipeline(answer.body, res)
       answer.end(true)
       const failure = answer.findFailure?.()
-      this.account.count(caller, service, 'online', failure === undefined ? { type: 'answered', tokens: answer.countTokens?.() ?? 0 } : { type: 'failed', cause: failure })
+      const whole = this.clock.now() - asked
+      this.account.count(caller, service, 'online', failure === undefined ? { type: 'answered', tokens: answer.countTokens?.() ?? 0, first, whole } : { type: 'failed', cause: failure })
       this.timeline.record({ part: 'entry', what: failure ?? 'answered', request: id })
       if (failure !== undefined) res.req.socket.end()
     } catch {
--- a/bench/draw-bars.ts
+++ b/src/observe/draw-bars.ts
@@ -1,4 +1,4 @@
-import { escapeHtml } from '../src/observe/escape-html.js'
+import { escapeHtml } from './escape-html.js'
 
 const WIDTH = 640
 const LABEL = 190
--- /dev/null
+++ b/src/report/build-report.ts
@@ -0,0 +1,28 @@
+import { buildReportPart } from './build-report-part.js'
+import { findAdvice } from './find-advice.js'
+import type { Report } from './report.js'
+import type { ReportDay } from './report-day.js'
+import type { ReportLine } from './report-line.js'
+import type { ReportedCaller } from './reported-caller.js'
+
+interface ReportOptions {
+  readonly days: readonly ReportDay[]
+  /** As many days before. */
+  readonly before: readonly ReportDay[]
+  readonly callers: Readonly<Record<string, ReportedCaller>>
+}
+
+/** The report of a period beside the one before it. Teams and shares are those of the configuration now in force. */
+export function buildReport ({ days, before, callers }: ReportOptions): Report {
+  const parts = { now: buildReportPart(days, callers), before: buildReportPart(before, callers) }
+  return { ...parts, refusals: listRefusals(parts.now.total, parts.before.total) }
+}
+
+function listRefusals (now: ReportLine, before: ReportLine): Report['refusals'] {
+  const works = ['online', 'batch'] as const
+  const types = ['refused', 'failed'] as const
+  const found = works.flatMap(work => types.flatMap(type => Object.entries(now[work][type]).map(([cause, count]) => {
+    return { work, type, cause, count, before: before[work][type][cause] ?? 0, advice: findAdvice(cause) }
+  })))
+  return found.sort((a, b) => b.count - a.count || (a.cause < b.cause ? -1 : 1))
+}
--- /dev/null
+++ b/src/report/merge-lines.ts
@@ -0,0 +1,17 @@
+import type { AccountRows } from '../admission/account-rows.js'
+import { addCounts } from '../admission/add-counts.js'
+import { noCounts } from '../admission/no-counts.js'
+import type { ReportLine } from './report-line.js'
+import { splitKey } from './split-key.js'
+
+/** Adds rows up by the name that `findName` gives each, in the order of names. Each row is in exactly one line. */
+export function mergeLines (rows: AccountRows, findName: (caller: string, service: string) => string): readonly ReportLine[] {
+  const lines = new Map<string, ReportLine>()
+  for (const [key, counts] of Object.entries(rows)) {
+    const { caller, service, work } = splitKey(key)
+    const name = findName(caller, service)
+    const line = lines.get(name) ?? { name, online: noCounts, batch: noCounts }
+    lines.set(name, { ...line, [work]: addCounts(line[work], counts) })
+  }
+  return [...lines.values()].sort((a, b) => a.name < b.name ? -1 : 1)
+}
--- /dev/null
+++ b/src/report/split-key.ts
@@ -0,0 +1,6 @@
+/** The parts of a row's key, `caller/service/work`. */
+export function splitKey (key: string): { readonly caller: string, readonly service: string, readonly work: 'online' | 'batch' } {
+  const [caller = '', ...rest] = key.split('/')
+  const work = rest.pop() === 'batch' ? 'batch' : 'online'
+  return { caller, service: rest.join('/'), work }
+}
--- a/test/batch/account.test.ts
+++ b/test/batch/account.test.ts
@@ -17,6 +17,7 @@
   const rows = trial.daemons.flatMap(({ account }) => Object.values(account.read()))
   t.is(rows.reduce((sum, { answered }) => sum + answered, 0), ITEMS)
   t.is(rows.reduce((sum, { tokens }) => sum + tokens, 0), ITEMS)
+  t.is(rows.reduce((sum, { jobs }) => sum + (jobs['on time'] ?? 0), 0), 1)
 })
 
 async function countCalls (items: number, daemons: number, slots: number): Promise<{ readonly writes: number, readonly reads: number, readonly listings: number, readonly largest: number, readonly seconds: number }> {
--- a/test/batch/helpers/trial-daemon.ts
+++ b/test/batch/helpers/trial-daemon.ts
@@ -11,6 +11,7 @@
 import type { ItemResult } from '../../../src/batch/item-result.js'
 import { JobCare } from '../../../src/batch/job-care.js'
 import { JobCounter } from '../../../src/batch/job-counter.js'
+import { JobEnds } from '../../../src/batch/job-ends.js'
 import { JobSettler } from '../../../src/batch/job-settler.js'
 import { JobStore } from '../../../src/batch/job-store.js'
 import { JobWatch } from '../../../src/batch/job-watch.js'
@@ -87,10 +88,11 @@
     this.files = new FileStore(this.store, this.clock, index, expiries, configuration)
     this.jobs = new JobStore(this.store, this.clock, work, index, expiries, cancelled, configuration)
     this.watch = new JobWatch(this.jobs, cancelled, this.clock, this.pauses)
-    const counter = new JobCounter(this.jobs, work, this.clock)
+    const ends = new JobEnds(this.account, this.holding, this.clock)
+    const counter = new JobCounter(this.jobs, work, this.clock, ends)
     const claims = new ChunkClaims(this.store, this.clock, this.files, this.holding, counter, this.account, timeline)
     this.source = new ChunkSource(new WorkFinder(work, this.watch, this.holding, configuration, this.clock), claims, this.watch, this.holding, this.pauses, this.clock)
-    this.settler = new JobSettler(this.store, this.clock, this.jobs, work, this.holding)
+    this.settler = new JobSettler(this.store, this.clock, this.jobs, work, this.holding, ends)
     this.results = new ResultReader(this.store, this.files, this.clock)
     const recovery = new Recovery(this.store, timeline)
     this.spool = new ResultSpool(this.store, this.clock, settings, { write: () => {} }, this.holding, this.source)
