--- a/src/admission/account-flush.ts
+++ b/src/admission/account-flush.ts
@@ -4,8 +4,8 @@
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
+import { Members } from '../peers/members.js'
 import type { ObjectStore } from '../platform/object-store.js'
-import { accountLimits } from './account-limits.js'
 import type { AccountPart } from './account-part.js'
 import { Account } from './account.js'
 import { AccountWriter } from './account-writer.js'
@@ -34,11 +34,12 @@
     @inject(Account) private readonly account: Account,
     @inject(tokens.store) store: ObjectStore,
     @inject(tokens.settings) settings: Settings,
-    @inject(tokens.clock) private readonly clock: Clock
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(Members) private readonly members: Members
   ) {
     this.writer = new AccountWriter({ store, instance: settings.instance, started: clock.date() })
-    this.due = clock.now() + accountLimits.period
-    account.subscribe(() => { if (account.askedOnline - this.flushedAsked >= accountLimits.unflushed) this.begin() })
+    this.due = clock.now() + this.writer.due.period
+    account.subscribe(() => { if (account.askedOnline - this.flushedAsked >= this.writer.due.lead) this.begin() })
   }
 
   /** The run is known to the platform before it counts: one that was killed before its first flush would leave no trace. */
@@ -77,15 +78,16 @@
 
   private async write (closed: boolean): Promise<boolean> {
     this.running = true
+    this.writer.setDaemons(this.members.all().length)
     const sample = this.account.readSample(this.clock.date())
     const written = await this.writer.flush(sample, closed)
     this.running = false
     if (written) this.flushedAsked = sample.askedOnline
     const now = this.clock.now()
     this.retryAt = written ? 0 : now + CHECK_PERIOD
-    this.due = written ? now + accountLimits.period : this.retryAt
+    this.due = written ? now + this.writer.due.period : this.retryAt
     return written
   }
 }
 
-partRegistry.register({ name: 'account flush', part: AccountFlush })
+partRegistry.register({ name: 'account flush', part: AccountFlush, needs: ['members'] })
--- a/src/admission/account-limits.ts
+++ b/src/admission/account-limits.ts
@@ -1,9 +1,13 @@
 /** Bounds of what the account may miss and of what it keeps in the platform. Times in ms. */
 export const accountLimits = {
-  /** Longest time between two flushes while the platform answers. */
+  /** Time between two flushes while the platform answers, in a fleet of up to 60 daemons. */
   period: 10_000,
-  /** Online requests after which a flush doesn't wait for the period. */
+  /** Online requests after which a flush doesn't wait for the period, in a fleet of up to 60 daemons. */
   unflushed: 200,
+  /** Writes a second of all daemons together that longer periods hold to in a larger one. */
+  fleetWrites: 6,
+  /** Online requests a second of one daemon, with which such a period is still kept: the target's. */
+  leadRate: 25,
   /** What a flush may take: one call and the reading back of its reply. */
   flushTime: 5_000,
   /** Rows after which a part is closed and the next begun, so that an object stays under 1 MB. */
--- a/src/admission/account-part.ts
+++ b/src/admission/account-part.ts
@@ -16,6 +16,9 @@
   readonly sample: number
   /** Nothing will be added to it: the run has ended gracefully or goes on in another part. */
   readonly closed: boolean
+  /** When it is flushed next: after so many ms, or after so many online requests. */
+  readonly period: number
+  readonly lead: number
   /** Most online requests a second that were asked between two flushes. */
   readonly highestRate: number
   /** Longest time between two flushes, ms: what the platform's outages have cost. */
--- a/src/admission/account-writer.ts
+++ b/src/admission/account-writer.ts
@@ -5,6 +5,7 @@
 import { addRows } from './add-rows.js'
 import { addTimes } from './add-times.js'
 import { filterChanged } from './filter-changed.js'
+import { planFlush } from './plan-flush.js'
 import { showDay } from './show-day.js'
 
 const KIND = 'account'
@@ -36,6 +37,8 @@
   private earlier = none
   private flushed = none
   private last: { askedOnline: number, date: number }
+  private plan = planFlush(1)
+  private next = planFlush(1)
   private highestRate = 0
   private longestGap = 0
 
@@ -57,6 +60,16 @@
     if (this.isDayOver(sample.date)) this.turn = sample
   }
 
+  /** When the next flush is due: what the part that was written last says. */
+  get due (): Readonly<ReturnType<typeof planFlush>> {
+    return this.plan
+  }
+
+  /** Takes the number of daemons into account from the next flush on. */
+  setDaemons (daemons: number): void {
+    this.next = planFlush(daemons)
+  }
+
   /** Writes what has been counted; says whether it is in the platform. */
   async flush (sample: AccountSample, closed = false): Promise<boolean> {
     this.endDay(sample)
@@ -85,8 +98,8 @@
       if (written.val.type === 'conflict' || written.val.type === 'missing') await this.find(sample)
       return false
     }
-    const { rows, times, highestRate, longestGap } = part
-    Object.assign(this, { version: written.val.version, flushed: { rows, times }, last: sample, highestRate, longestGap })
+    const { rows, times, period, lead, highestRate, longestGap } = part
+    Object.assign(this, { version: written.val.version, flushed: { rows, times }, last: sample, plan: { period, lead }, highestRate, longestGap })
     if (part.closed) this.begin(sample)
     return true
   }
@@ -101,6 +114,7 @@
       day: this.day,
       flushedAt: date,
       sample: ++this.samples,
+      ...this.next,
       closed: closed || Object.keys(rows).length >= accountLimits.rows,
       highestRate: Math.max(this.highestRate, (askedOnline - this.last.askedOnline) * 1_000 / time),
       longestGap: Math.max(this.longestGap, time),
--- /dev/null
+++ b/test/helpers/measure-account.ts
@@ -0,0 +1,99 @@
+import { encode } from 'cbor-x'
+import { Ok, type Result } from 'ts-results'
+import { accountLimits } from '../../src/admission/account-limits.js'
+import type { AccountPart } from '../../src/admission/account-part.js'
+import type { AccountRows } from '../../src/admission/account-rows.js'
+import { AccountWriter } from '../../src/admission/account-writer.js'
+import { Account } from '../../src/admission/account.js'
+import { addRows } from '../../src/admission/add-rows.js'
+import { findShard } from '../../src/admission/find-shard.js'
+import type { ObjectStore } from '../../src/platform/object-store.js'
+
+/** How the account gets to the platform: parts rewritten, a part a flush, or told to a relay or a partner besides. */
+type Way = 'rewrite' | 'delta' | 'relay' | 'partner'
+
+interface MeasureOptions {
+  readonly way: Way
+  /** Time between flushes, ms, and requests that set one off. */
+  readonly period: number
+  readonly lead: number
+  /** Daemons that are run; figures are for `fleet` of them. */
+  readonly daemons?: number
+  readonly fleet?: number
+  /** Callers that ask at one daemon. */
+  readonly callers: number
+  readonly seconds?: number
+}
+
+/** Of the whole fleet, a second; what a kill at a random moment loses, in requests of the one daemon. */
+interface Measured { writes: number, bytes: number, peerBytes: number, lostMean: number, lostMost: number, folds: number }
+
+const RATE = 25
+const TELL = 10
+const DOMAINS = 6
+const START = Date.UTC(2026, 11, 2, 1)
+
+/** Runs daemons by the second, each with its own callers at the target's rate, and counts what their accounts write. */
+export async function measureAccount ({ way, period, lead, daemons = 19, fleet = 380, callers, seconds = 600 }: MeasureOptions): Promise<Measured> {
+  const sum: Measured = { writes: 0, bytes: 0, peerBytes: 0, lostMean: 0, lostMost: 0, folds: 0 }
+  const relayed: Record<number, Record<string, AccountRows[string]>> = {}
+  const store = countWrites(sum)
+  for (let d = 0; d < daemons; d++) {
+    const account = new Account()
+    const writer = new AccountWriter({ store, instance: `entry-${d}`, started: START })
+    let flushed = 0
+    let due = period
+    let told: AccountRows = {}
+    for (let second = 1; second <= seconds; second++) {
+      countSecond(account, callers, d, second)
+      sum.lostMean += (account.askedOnline - flushed) / daemons / seconds
+      sum.lostMost = Math.max(sum.lostMost, account.askedOnline - flushed)
+      if ((way === 'relay' || way === 'partner') && second % TELL === d % TELL) {
+        const rows = account.read()
+        const changed = addRows(rows, told, -1)
+        sum.peerBytes += encode({ type: 'account delta', rows: changed }).length
+        told = rows
+        for (const [key, counts] of Object.entries(changed)) (relayed[findShard(key)] ??= {})[key] = counts
+        if (way === 'relay') flushed = account.askedOnline
+      }
+      if (way === 'relay' || (second * 1_000 < due && account.askedOnline - flushed < lead)) continue
+      await writer.flush(account.readSample(START + second * 1_000), way === 'delta')
+      due = second * 1_000 + period
+      flushed = account.askedOnline
+    }
+  }
+  const scale = fleet / daemons / seconds
+  if (way === 'relay') addRelay(sum, relayed, callers)
+  return { ...sum, writes: way === 'relay' ? sum.writes : sum.writes * scale, bytes: way === 'relay' ? sum.bytes : sum.bytes * scale, peerBytes: sum.peerBytes * scale, folds: sum.folds * scale }
+}
+
+/** A relay a failure domain: each shard written every ten seconds, with the rows of a domain's callers. */
+function addRelay (sum: Measured, relayed: Readonly<Record<number, AccountRows>>, callers: number): void {
+  const rows = Object.values(relayed).flatMap(shard => Object.values(shard))
+  const rowBytes = rows.reduce((bytes, counts) => bytes + JSON.stringify(counts).length + 40, 0) / Math.max(1, rows.length)
+  const domainRows = 2 * Math.min(6_800, callers * 380 / DOMAINS)
+  Object.assign(sum, { writes: DOMAINS * accountLimits.shards / TELL, bytes: DOMAINS * domainRows * rowBytes / TELL })
+}
+
+function countSecond (account: Account, callers: number, daemon: number, second: number): void {
+  for (let i = 0; i < RATE; i++) {
+    // Spread as multiplication by a large prime spreads it; the same in each run.
+    const draw = ((daemon * 7_919 + second * RATE + i) * 2_654_435_761) % 4_294_967_296 / 4_294_967_296
+    const caller = `organisation-${Math.floor(draw * draw * callers)}`
+    const service = `model-${(i + second) % 2}`
+    account.count(caller, service, 'online', { type: 'asked' })
+    account.count(caller, service, 'online', { type: 'answered', tokens: 240, first: 100 + draw * 900, whole: 2_000 + draw * 9_000 })
+  }
+}
+
+function countWrites (sum: Measured): ObjectStore {
+  const store: Pick<ObjectStore, 'put'> = {
+    put: async (kind, name, value, version): Promise<Result<any, never>> => {
+      sum.writes++
+      sum.bytes += JSON.stringify(value).length
+      if ((value as AccountPart).closed) sum.folds++
+      return Ok({ kind, name, value, version: version + 1 })
+    }
+  }
+  return store as ObjectStore
+}
