--- a/bench/build-report-page.ts
+++ b/bench/build-report-page.ts
@@ -1,7 +1,7 @@
 import { escapeHtml } from '../src/observe/escape-html.js'
 import { drawDue } from './due/draw-due.js'
 import type { DueReport } from './due/due-report.js'
-import { drawBars } from './draw-bars.js'
+import { drawBars } from '../src/observe/draw-bars.js'
 import type { FaultResult } from './fault-result.js'
 import type { PolicyReport } from './policy-report.js'
 import { drawHarm } from './draw-harm.js'
--- a/bench/due/draw-due.ts
+++ b/bench/due/draw-due.ts
@@ -1,4 +1,4 @@
-import { drawBars } from '../draw-bars.js'
+import { drawBars } from '../../src/observe/draw-bars.js'
 import type { DueReport } from './due-report.js'
 
 const PERCENT = 100
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -13,6 +13,7 @@
 import type { ServerRequest } from '../routing/server-request.js'
 import { Servers } from '../routing/servers.js'
 import { Account } from './account.js'
+import { BusyShares } from './busy-shares.js'
 import { PoolShares } from './pool-shares.js'
 import { PoolQueue } from './pool-queue.js'
 import type { Refusal } from './refusal.js'
@@ -21,6 +22,8 @@
 const DEFAULT_SHARE = 1
 /** How often places that nothing told us of are looked for while requests wait, ms. */
 const LOOK_PERIOD = 20
+/** How often it is looked whether a busy minute has ended, ms. */
+const COUNT_PERIOD = 10_000
 
 type Answer = Result<ServerAnswer, Refusal>
 
@@ -32,7 +35,9 @@
 @scoped(Lifecycle.ContainerScoped)
 export class Gate implements Part {
   private readonly queues = new Map<string, PoolQueue>()
+  private readonly busy = new Map<string, BusyShares>()
   private readonly look: OnDemandTask
+  private cancel = (): void => {}
 
   constructor (
     @inject(Dispatcher) private readonly dispatcher: Dispatcher,
@@ -48,8 +53,14 @@
     this.look = new OnDemandTask({ clock, period: LOOK_PERIOD, run: () => this.letIn() })
   }
 
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(COUNT_PERIOD, () => this.countShares(this.clock.now()))
+  }
+
   async stop (): Promise<void> {
     this.look.stop()
+    this.cancel()
+    this.countShares(Infinity)
   }
 
   async send (request: ServerRequest): Promise<Answer> {
@@ -69,6 +80,7 @@
   private async wait (queue: PoolQueue, share: number, request: ServerRequest): Promise<Answer> {
     const asked = this.clock.now()
     const { caller, service, deadline, signal } = request
+    this.readBusy(request.pool).recordWait({ caller, service, share })
     return await new Promise<Answer>(resolve => {
       const stops: (() => void)[] = []
       const settle = (answer: Answer | Promise<Answer>): void => {
@@ -99,7 +111,9 @@
     const settle = (): void => {
       if (settled) return
       settled = true
-      queue.settle(request.caller, share, { cost, time: this.clock.now() - begin })
+      const time = this.clock.now() - begin
+      queue.settle(request.caller, share, { cost, time })
+      this.readBusy(request.pool).record({ caller: request.caller, service: request.service, share }, time)
     }
     const answer = await this.dispatcher.send(request)
     if (answer.err) {
@@ -121,10 +135,22 @@
     return [...this.queues.values()].some(({ size }) => size > 0)
   }
 
+  private countShares (now: number): void {
+    for (const shares of this.busy.values()) {
+      for (const { caller, service, got, entitled } of shares.take(now)) this.account.count(caller, service, 'online', { type: 'shared', got, entitled })
+    }
+  }
+
   private refuse (cause: Refusal['cause'], retryAfter: number): Refusal {
     return { cause, ran: 'not run', retryAfter: this.random.spread(Math.max(LEAST_RETRY_AFTER, retryAfter)), detail: 'every server is busy and the request would not be let in soon enough' }
   }
 
+  private readBusy (pool: string): BusyShares {
+    const known = this.busy.get(pool) ?? new BusyShares(this.clock.now())
+    this.busy.set(pool, known)
+    return known
+  }
+
   private readQueue (pool: string): PoolQueue {
     const known = this.queues.get(pool) ?? new PoolQueue({ longestWait: () => this.configuration.value.limits.queueWait })
     this.queues.set(pool, known)
