--- /dev/null
+++ b/test/batch/paused-holder.test.ts
@@ -0,0 +1,55 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { createClient, lines, startFleet } from './helpers/process-fleet.js'
+
+const COUNT = 400
+const TOKENS = 120
+
+// What the caller sees: results that never change, one an item. The holder of a chunk is frozen while its items run and
+// their results wait to be recorded. The others take its chunk over and run its items again; then it goes on, and records
+// late. The caller reads all the while: what it has read once must stay, byte for byte, whoever of the two was first.
+test('a holder that was frozen until others had its chunk changes no result', async t => {
+  const fleet = await startFleet()
+  t.teardown(async () => await fleet.stop())
+  const client = createClient(fleet, 1)
+  const file = await client.files.create({ purpose: 'batch', file: new File([lines(COUNT, TOKENS)], 'drafts.jsonl') })
+  const job = await client.batches.create({ input_file_id: file.id, endpoint: '/v1/chat/completions', completion_window: '24h' })
+  const countFinished = async (): Promise<number> => (await Promise.all(fleet.servers.map(async server => await fleet.readLog(server)))).flat().filter(({ outcome }) => outcome === 'finished').length
+  const readChunk = async (n: number): Promise<any> => (await fleet.control('GET', `/objects/chunk/${encodeURIComponent(`${job.id}.${n}`)}`).catch(() => undefined))?.value
+  await fleet.waitUntil(async () => await countFinished() > 5)
+  const holder = (await readChunk(0)).holder.instance as string
+  const frozen = fleet.daemons.find(({ instance }) => instance.name === holder)!
+  t.teardown(() => frozen.child.signal('SIGKILL'))
+  frozen.child.signal('SIGSTOP')
+  fleet.daemons.splice(fleet.daemons.indexOf(frozen), 1)
+
+  const seen = new Map<string, string>()
+  const read = async (daemon: number): Promise<void> => {
+    const reader = createClient(fleet, daemon)
+    const text = await (await reader.files.content(`${job.id}.output`)).text()
+    for (const line of text.split('\n').filter(line => line !== '')) {
+      const { custom_id: id } = JSON.parse(line)
+      t.is(seen.get(id) ?? line, line)
+      seen.set(id, line)
+    }
+  }
+  await fleet.waitUntil(async () => {
+    const chunk = await readChunk(0)
+    return chunk.holder?.instance !== holder && Object.keys(chunk.results).length > 10
+  })
+  await read(0)
+  const before = seen.size
+  frozen.child.signal('SIGCONT')
+  let known = 0
+  await fleet.waitUntil(async () => {
+    const { status } = await createClient(fleet, 0).batches.retrieve(job.id)
+    const results = Object.keys((await readChunk(0)).results).length
+    if (results !== known) await read(0)
+    known = results
+    return status === 'completed'
+  })
+  await read(0)
+  await read(1)
+  t.log(`${before} results read before the thaw, ${await countFinished()} runs ended for ${COUNT} items`)
+  t.is(seen.size, COUNT)
+})
