--- a/bench/policy/policy-simulation.ts
+++ b/bench/policy/policy-simulation.ts
@@ -1,45 +1,25 @@
 import { stepBatchAdmission } from '../../src/ownership/batch-admission.js'
 import type { BatchAdmissionEvent } from '../../src/ownership/batch-admission-event.js'
-import type { BatchAdmissionOptions } from '../../src/ownership/batch-admission-options.js'
 import type { BatchAdmissionState } from '../../src/ownership/batch-admission-state.js'
 import { createBatchAdmission } from '../../src/ownership/create-batch-admission.js'
 import { Random } from '../../src/kernel/random.js'
 import { Batcher } from '../../stand-ins/engine/batcher.js'
-import type { EngineParameters } from '../../stand-ins/engine/engine-parameters.js'
 import type { Sequence } from '../../stand-ins/engine/sequence.js'
+import type { BatchItem } from './batch-item.js'
+import { createSequence } from './create-sequence.js'
+import type { ItemSizes } from './item-sizes.js'
+import { listBlocks } from './list-blocks.js'
 import type { PolicyRun } from './policy-run.js'
 import { Schedule } from './schedule.js'
-import type { createWorkload } from './workload.js'
+import type { SimulationOptions } from './simulation-options.js'
 
 const HOP = 0.5
 const COALESCE_BEGIN = 3
 const COALESCE_END = 20
 const TICK = 50
 const REPORT_PERIOD = 500
-const BLOCKS_APART = 1_000
 const ITEM_SIZES: ItemSizes = { prompt: { from: 100, spread: 400 }, answer: { from: 50, spread: 200 } }
 
-interface BatchItem { readonly id: string, readonly promptTokens: number, readonly words: readonly string[], readonly blocks: readonly number[], readonly done: number }
-
-/** Tokens of batch items, uniform between `from` and `from + spread`. */
-interface ItemSizes {
-  readonly prompt: { readonly from: number, readonly spread: number }
-  readonly answer: { readonly from: number, readonly spread: number }
-}
-
-interface SimulationOptions {
-  readonly admission: BatchAdmissionOptions
-  readonly engine: EngineParameters
-  readonly workload: ReturnType<typeof createWorkload>
-  readonly length: number
-  readonly seed: number
-  /** ms by which news of online requests comes later than on a healthy link. */
-  readonly newsDelay?: number
-  readonly items?: ItemSizes
-  /** ms that exporting a stream's KV cache delays its end; the item is then imported where it goes on. No export when left out. */
-  readonly exportTime?: number
-}
-
 /** One server, its owner and endless batch work, on virtual time. */
 export class PolicySimulation {
   readonly run: PolicyRun = { firstToken: [], betweenTokens: [], batchTokens: 0, besideTokens: 0, idle: 0, preemptions: 0, resumes: 0, prefilledAgain: 0 }
@@ -99,7 +79,7 @@
     if (this.online++ === 0) this.run.idle += asked - this.idleSince
     this.schedule.after(COALESCE_BEGIN + HOP + this.newsDelay, () => this.tellOnline())
     let last = asked
-    const sequence = createSequence({ contextTokens: promptTokens, words: new Array(answerTokens).fill('w'), blocks: this.listBlocks(-(++this.asked), promptTokens + answerTokens) }, (first, end) => {
+    const sequence = createSequence({ contextTokens: promptTokens, words: new Array(answerTokens).fill('w'), blocks: listBlocks(-(++this.asked), promptTokens + answerTokens, this.options.engine) }, (first, end) => {
       const now = this.schedule.now
       if (first) this.run.firstToken.push(now + HOP - asked)
       else this.run.betweenTokens.push(now - last)
@@ -160,7 +140,7 @@
   private startSome (count: number, prefill: number): void {
     for (let i = 0, used = 0; i < count && used < prefill; i++) {
       const next = this.backlog.pop() ?? this.createItem()
-      const cost = next.done > 0 ? this.options.engine.blockTokens : next.promptTokens
+      const cost = this.estimateCost(next)
       if (i > 0 && used + cost > prefill) {
         this.backlog.push(next)
         return
@@ -170,9 +150,15 @@
     }
   }
 
+  private estimateCost ({ done, promptTokens }: BatchItem): number {
+    const { engine, elsewhere = false, exportTime } = this.options
+    if (done === 0) return promptTokens
+    return elsewhere && exportTime === undefined ? promptTokens + done : engine.blockTokens
+  }
+
   private start (item: BatchItem, prefill: number): void {
     let last = 0
-    const sequence = createSequence({ contextTokens: item.promptTokens + item.done, words: item.words, blocks: item.blocks, done: item.done, imported: item.done > 0 && this.options.exportTime !== undefined }, (first, end) => {
+    const sequence = createSequence({ contextTokens: item.promptTokens + item.done, words: item.words, blocks: item.done > 0 && this.options.elsewhere === true ? [] : item.blocks, done: item.done, imported: item.done > 0 && this.options.exportTime !== undefined }, (first, end) => {
       if (this.streams.get(item.id)?.sequence !== sequence) return
       if (this.online > 0) this.run.besideTokens++
       if (!first) this.gaps.push(this.schedule.now - last)
@@ -203,31 +189,6 @@
     const { prompt, answer } = this.options.items ?? ITEM_SIZES
     const promptTokens = prompt.from + this.random.below(prompt.spread)
     const words = new Array<string>(answer.from + this.random.below(answer.spread)).fill('w')
-    return { id: String(number), promptTokens, words, blocks: this.listBlocks(number, promptTokens + words.length), done: 0 }
-  }
-
-  /** Blocks that nobody else has. */
-  private listBlocks (number: number, tokens: number): readonly number[] {
-    return Array.from({ length: Math.floor(tokens / this.options.engine.blockTokens) }, (_, i) => number * BLOCKS_APART + i)
-  }
-}
-
-function createSequence ({ contextTokens, words, blocks, done = 0, imported = false }: Pick<Sequence, 'contextTokens' | 'words' | 'blocks'> & { readonly done?: number, readonly imported?: boolean }, onToken: (first: boolean, last: boolean) => void): Sequence {
-  let first = true
-  return {
-    id: '',
-    contextTokens,
-    words,
-    blocks,
-    resumed: done,
-    done,
-    imported,
-    prefillLeft: contextTokens,
-    prefilled: 0,
-    cancelled: false,
-    onToken: (_word, last) => {
-      onToken(first, last)
-      first = false
-    }
+    return { id: String(number), promptTokens, words, blocks: listBlocks(number, promptTokens + words.length, this.options.engine), done: 0 }
   }
 }
--- a/bench/policy/simulate-site.ts
+++ b/bench/policy/simulate-site.ts
@@ -22,10 +22,12 @@
   readonly memoryTokens?: number
   /** ms that exporting KV cache delays giving way; without it there is no export. */
   readonly exportTime?: number
+  /** Whether items that gave way go on at a server that doesn't have them in its cache. */
+  readonly elsewhere?: boolean
 }
 
 /** One of a site's servers on virtual time, with its part of the site's online load and the items of the bench. */
-export function simulateSite ({ plan, engines, itemTokens }: Site, policy: BatchPolicy, { length, seed, online = true, itemPrompt = ITEM_PROMPT, memoryTokens = engineOptions.memoryTokens, exportTime }: SiteOptions): PolicyRun {
+export function simulateSite ({ plan, engines, itemTokens }: Site, policy: BatchPolicy, { length, seed, online = true, itemPrompt = ITEM_PROMPT, memoryTokens = engineOptions.memoryTokens, exportTime, elsewhere }: SiteOptions): PolicyRun {
   const { burst } = plan
   const part = { ...plan, seed, duration: length, rate: plan.rate / engines, burst: { ...burst, rate: burst.rate / engines } }
   const workload = planArrivals(part).map(({ at, prompt, tokens }) => ({ at, promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN), answerTokens: tokens }))
@@ -36,6 +38,7 @@
     length,
     seed,
     exportTime,
+    elsewhere,
     items: { prompt: { from: itemPrompt, spread: 1 }, answer: { from: itemTokens, spread: 1 } }
   }).play()
 }
