--- a/bench/export-model.ts
+++ b/bench/export-model.ts
@@ -1,6 +1,6 @@
 import { engineOptions } from './engine-options.js'
 import { defaultParameters } from '../stand-ins/engine/default-parameters.js'
-import { simulateSite } from './policy/simulate-site.js'
+import { runSite } from './policy/run-site.js'
 import { sites } from './sites.js'
 
 const LENGTH = 400_000
@@ -18,10 +18,10 @@
   for (const itemPrompt of ITEM_PROMPTS) {
     for (const memory of MEMORY) {
       const memoryTokens = memory[itemPrompt as keyof typeof memory]
-      const base = SEEDS.map(seed => simulateSite(site, { type: 'none' }, { length: LENGTH, seed, memoryTokens }))
+      const base = SEEDS.map(seed => runSite(site, { type: 'none' }, { length: LENGTH, seed, memoryTokens }))
       for (const way of WAYS) {
         const { exportTime, elsewhere = false }: { readonly exportTime?: number, readonly elsewhere?: boolean } = way
-        const runs = SEEDS.map(seed => simulateSite(site, { type: 'preempting' }, { length: LENGTH, seed, itemPrompt, memoryTokens, exportTime, elsewhere }))
+        const runs = SEEDS.map(seed => runSite(site, { type: 'preempting' }, { length: LENGTH, seed, itemPrompt, memoryTokens, exportTime, elsewhere }))
         const add = (pick: 'batchTokens' | 'resumes' | 'prefilledAgain' | 'preemptions'): number => runs.reduce((sum, run) => sum + run[pick], 0)
         const tail = (quantile: number): string => (read(runs.flatMap(run => run.firstToken), quantile) / read(base.flatMap(run => run.firstToken), quantile)).toFixed(3)
         const cost = exportTime === undefined ? engineOptions.prefillPerToken : defaultParameters.importPerToken
--- a/bench/policy/simulate-site.ts
+++ b/bench/policy/run-site.ts
@@ -27,7 +27,7 @@
 }
 
 /** One of a site's servers on virtual time, with its part of the site's online load and the items of the bench. */
-export function simulateSite ({ plan, engines, itemTokens }: Site, policy: BatchPolicy, { length, seed, online = true, itemPrompt = ITEM_PROMPT, memoryTokens = engineOptions.memoryTokens, exportTime, elsewhere }: SiteOptions): PolicyRun {
+export function runSite ({ plan, engines, itemTokens }: Site, policy: BatchPolicy, { length, seed, online = true, itemPrompt = ITEM_PROMPT, memoryTokens = engineOptions.memoryTokens, exportTime, elsewhere }: SiteOptions): PolicyRun {
   const { burst } = plan
   const part = { ...plan, seed, duration: length, rate: plan.rate / engines, burst: { ...burst, rate: burst.rate / engines } }
   const workload = planArrivals(part).map(({ at, prompt, tokens }) => ({ at, promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN), answerTokens: tokens }))
--- a/bench/run-policy.ts
+++ b/bench/run-policy.ts
@@ -1,7 +1,7 @@
 import { planArrivals } from '../src/load/plan-arrivals.js'
 import { runLoad } from '../src/load/run-load.js'
 import { limitIdle } from '../src/ownership/limit-idle.js'
-import { accountIdle } from './account-idle.js'
+import { summarizeIdle } from './summarize-idle.js'
 import { startBenchFleet } from './bench-fleet.js'
 import type { Policy } from './policy.js'
 import type { PolicyRunResult } from './policy-run-result.js'
@@ -42,7 +42,7 @@
       outcomes,
       work,
       seconds,
-      idleAccounts: logs.map(log => accountIdle(log, { ...engineOptions, since, until, full: FULL, allowed: limitIdle(FULL) })),
+      idleAccounts: logs.map(log => summarizeIdle(log, { ...engineOptions, since, until, full: FULL, allowed: limitIdle(FULL) })),
       missedStarts: await countMissedStarts(fleet),
       idleShare: idle.reduce((sum, share) => sum + share, 0) / idle.length,
       batchRate: (work.batchTokens - work.wastedTokens) / seconds,
--- a/bench/account-idle.ts
+++ b/bench/summarize-idle.ts
@@ -21,7 +21,7 @@
  * Accounts for the idle time of one engine from its own log. Tokens of a run are taken to come evenly between its first
  * and its end, since the log has no times of the others.
  */
-export function accountIdle (runs: readonly RunRecord[], options: AccountOptions): IdleAccount {
+export function summarizeIdle (runs: readonly RunRecord[], options: AccountOptions): IdleAccount {
   const { since, until, full, allowed } = options
   const account = { idle: 0, possible: 0, given: 0, beside: 0, lateStart: 0, refill: 0, replacing: 0, headroom: 0 }
   const rate = (sequences: number): number => sequences === 0 ? 0 : sequences / (options.stepBase + options.stepPerSequence * (sequences - 1))
--- a/test/bench/account-idle.test.ts
+++ b/test/bench/summarize-idle.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { accountIdle } from '../../bench/account-idle.js'
+import { summarizeIdle } from '../../bench/summarize-idle.js'
 import type { RunRecord } from '../../stand-ins/engine/run-record.js'
 
 const OPTIONS = { since: 0, until: 1_000, stepBase: 10, stepPerSequence: 0, full: 2, allowed: 2 }
@@ -9,7 +9,7 @@
 }
 
 test('what is lost and what is given add up to what was possible', t => {
-  const account = accountIdle([run('load-1', 0, 200), run('item-1', 250, 1_000, 75), run('item-2', 300, 600, 30), run('item-3', 700, 1_000, 30)], OPTIONS)
+  const account = summarizeIdle([run('load-1', 0, 200), run('item-1', 250, 1_000, 75), run('item-2', 300, 600, 30), run('item-3', 700, 1_000, 30)], OPTIONS)
   t.is(account.idle, 800)
   t.is(account.possible, 160)
   t.is(account.given, 135)
@@ -21,7 +21,7 @@
 })
 
 test('slots left free are headroom, and tokens beside online requests are told apart', t => {
-  const account = accountIdle([run('item-1', 0, 1_000, 100), run('load-1', 500, 1_000)], { ...OPTIONS, allowed: 1 })
+  const account = summarizeIdle([run('item-1', 0, 1_000, 100), run('load-1', 500, 1_000)], { ...OPTIONS, allowed: 1 })
   t.is(account.given, 50)
   t.is(account.beside, 50)
   t.is(account.headroom, 50)
--- a/test/ownership/site-policy.test.ts
+++ b/test/ownership/site-policy.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { simulateSite } from '../../bench/policy/simulate-site.js'
+import { runSite } from '../../bench/policy/run-site.js'
 import { sites } from '../../bench/sites.js'
 import type { BatchPolicy } from '../../src/ownership/batch-policy.js'
 import { limitIdle } from '../../src/ownership/limit-idle.js'
@@ -12,7 +12,7 @@
 // and batch that fills it to the last slot keeps the next request waiting for a long step.
 for (const site of sites) {
   test(`${site.name}: batch takes at least 0.9 of what is idle, and online tails stay within the bounds`, t => {
-    const play = (policy: BatchPolicy, online = true): Array<ReturnType<typeof simulateSite>> => SEEDS.map(seed => simulateSite(site, policy, { length: LENGTH, seed, online }))
+    const play = (policy: BatchPolicy, online = true): Array<ReturnType<typeof runSite>> => SEEDS.map(seed => runSite(site, policy, { length: LENGTH, seed, online }))
     const [alone, none, ours] = [play({ type: 'forward' }, false), play({ type: 'none' }), play({ type: 'preempting' })]
     const ratio = (pick: 'firstToken' | 'betweenTokens', quantile: number): number => find(ours.flatMap(run => run[pick]), quantile) / find(none.flatMap(run => run[pick]), quantile)
     const add = (runs: typeof ours, pick: 'batchTokens' | 'idle'): number => runs.reduce((sum, run) => sum + run[pick], 0)
@@ -29,7 +29,7 @@
 // whose caller sees a gap; were they started as often as short ones, one gap in a hundred would be such.
 test('items with long prompts start so seldom beside online requests that the tail between tokens stays', t => {
   for (const site of sites) {
-    const [none, ours] = ([{ type: 'none' }, { type: 'preempting' }] as const).map(policy => simulateSite(site, policy, { length: LENGTH, seed: 1, itemPrompt: 300 }))
+    const [none, ours] = ([{ type: 'none' }, { type: 'preempting' }] as const).map(policy => runSite(site, policy, { length: LENGTH, seed: 1, itemPrompt: 300 }))
     const ratio = find(ours!.betweenTokens, 0.99) / find(none!.betweenTokens, 0.99)
     t.log(site.name, ratio)
     t.true(ratio <= 1.05)
