--- a/test/coordination/membership.test.ts
+++ b/test/coordination/membership.test.ts
@@ -138,3 +138,17 @@
     }
   }
 }
+
+// A failure domain of three goes dark, with a third of the members. Until all have dropped them their servers have owners that
+// don't answer; told as slowly as news of members that live, the last of the news came after half a minute at 380.
+test('a third of the members lost at once is dropped by all soon', t => {
+  const fleet = new MemberSimulation(150)
+  fleet.run(60_000)
+  const lost = fleet.names.slice(0, 50)
+  for (const name of lost) fleet.stopped.add(name)
+  const start = fleet.now
+  let dropped = 0
+  fleet.run(30_000, () => { if (dropped === 0 && lost.every(name => fleet.agree(name, 'dead'))) dropped = fleet.now - start })
+  t.log(`after ${dropped} ms`)
+  t.true(dropped > 0 && dropped <= 14_000, `${dropped} ms`)
+})
