Items that run apart keep the batch runner awake

Cause: since the runner's tick of 50 ms sleeps while there is no work, and only streams counted as work. A job of non-idempotent items, or of suspects, runs by the dispatcher, four at once: without streams beside it the runner took four items each 500 ms. Found while looking at test/ownership/poison-item, which failed once in a run with that fault in it (job not completed in 20 s, shared machine); whether this was its cause isn't shown yet.

Figures (test/ownership/apart-items.test.ts, virtual time, items of 10 ms): 8 of 40 done in 1.5 s before (seen failing), 40 now.

--- a/src/ownership/batch-runner.ts
+++ b/src/ownership/batch-runner.ts
@@ -105,7 +105,7 @@
   private tick (): boolean {
     if (this.draining) return false
     for (const server of this.owners.listOwned()) this.open(server)?.tick()
-    if (this.running.size > 0) this.lastWork = this.clock.now()
+    if (this.running.size > 0 || this.queue.isBusy) this.lastWork = this.clock.now()
     return this.clock.now() < this.lastWork + LOOK_ON
   }
 
--- a/src/ownership/work-queue.ts
+++ b/src/ownership/work-queue.ts
@@ -23,6 +23,11 @@
     @inject(Extensions) private readonly added: Extensions
   ) {}
 
+  /** Whether items are held or run by the dispatcher. */
+  get isBusy (): boolean {
+    return this.held.size > 0 || this.apart.size > 0
+  }
+
   /** Puts an item back to the front for its server. */
   hold (server: string, work: BatchWork): void {
     this.held.set(server, work)
