Callers too many to name are told as a sum

A daemon told of its 16 busiest callers only, so that the part of one with hundreds of small callers covered those 16: the others would have had what was lent. Found by reading. The rest is now a row of its own, by daemon.

--- a/src/admission/demand-meter.ts
+++ b/src/admission/demand-meter.ts
@@ -2,7 +2,7 @@
 
 /** Of what was newly asked in a period, what goes into the rate. */
 const GAIN = 0.3
-/** Callers told of; the others go by what is left of their daemon's part. */
+/** Callers told of by name; the others are summed. */
 const MOST_CALLERS = 16
 
 /** Places below which a caller asks for nothing. */
@@ -33,7 +33,10 @@
       asked.count = 0
       if (asked.rate * hold + asked.waiting < FORGOTTEN) this.callers.delete(caller)
     }
-    const most = [...this.callers].sort(([, a], [, b]) => b.rate - a.rate).slice(0, MOST_CALLERS)
-    return new Map(most.map(([caller, { share, rate, waiting }]) => [caller, { share, places: rate * hold + waiting }]))
+    const all = [...this.callers].map(([caller, { share, rate, waiting }]) => ({ caller, share, places: rate * hold + waiting }))
+    all.sort((a, b) => b.places - a.places)
+    const named = all.slice(0, MOST_CALLERS).map(({ caller, share, places }) => [caller, { share, places }] as const)
+    const rest = all.slice(MOST_CALLERS).reduce((sum, { share, places }) => ({ share: sum.share + share, places: sum.places + places }), { share: 0, places: 0 })
+    return new Map(rest.places > 0 ? [...named, ['', rest] as const] : named)
   }
 }
--- a/src/admission/split-pool.ts
+++ b/src/admission/split-pool.ts
@@ -7,7 +7,7 @@
  */
 const CLUMP = 1.5
 
-interface Asked { readonly caller: string, readonly share: number, readonly places: number }
+interface Asked { readonly key: string, readonly share: number, readonly places: number }
 
 /**
  * Splits a pool's places among daemons by what callers ask through each. First among callers, by weighted max-min: who
@@ -18,29 +18,34 @@
  * Source: max-min fairness, Bertsekas and Gallager, "Data Networks", 1992, section 6.5.
  */
 export function splitPool (demands: ReadonlyMap<string, PoolDemand>, places: number): ReadonlyMap<string, PoolPart> {
-  const asked = mergeDemands(demands)
-  const granted = grantShares(asked, places)
-  const total = new Map(asked.map(({ caller, places }) => [caller, places]))
+  const rows = listAsked(demands)
+  const asked = mergeAsked(rows)
+  const granted = grantShares([...asked.values()], places)
   const spare = Math.max(0, places - [...granted.values()].reduce((sum, each) => sum + each, 0)) / demands.size
-  return new Map([...demands].map(([daemon, demand]): [string, PoolPart] => {
-    const own = [...demand].filter(([, { places }]) => places > 0).map(([caller, asked]) => ({ caller, part: estimateNeed(asked.places) / total.get(caller)! }))
+  return new Map([...demands.keys()].map((daemon): [string, PoolPart] => {
+    const own = rows.filter(row => row.daemon === daemon).map(({ key, caller, places }) => ({ key, caller, part: places / asked.get(key)!.places }))
     return [daemon, {
-      fraction: (spare + own.reduce((sum, { caller, part }) => sum + granted.get(caller)! * part, 0)) / places,
-      factors: new Map(own.map(({ caller, part }) => [caller, part * demands.size]))
+      fraction: (spare + own.reduce((sum, { key, part }) => sum + granted.get(key)! * part, 0)) / places,
+      factors: new Map(own.filter(({ caller }) => caller !== '').map(({ caller, part }) => [caller, part * demands.size]))
     }]
   }))
 }
 
-function mergeDemands (demands: ReadonlyMap<string, PoolDemand>): readonly Asked[] {
-  const sums = new Map<string, Asked>()
-  for (const demand of demands.values()) {
-    for (const [caller, { share, places }] of demand) if (places > 0) sums.set(caller, { caller, share, places: estimateNeed(places) + (sums.get(caller)?.places ?? 0) })
-  }
-  return [...sums.values()]
+/** Those not named are held for others at each daemon, and each for one that uses all daemons alike. */
+function listAsked (demands: ReadonlyMap<string, PoolDemand>): readonly (Asked & { readonly daemon: string, readonly caller: string })[] {
+  return [...demands].flatMap(([daemon, demand]) => [...demand].filter(([, { places }]) => places > 0).map(([caller, { share, places }]) => ({
+    daemon,
+    caller,
+    key: caller === '' ? `\0${daemon}` : caller,
+    share: caller === '' ? share / demands.size : share,
+    places: caller === '' ? places : places + CLUMP * Math.sqrt(places)
+  })))
 }
 
-function estimateNeed (places: number): number {
-  return places + CLUMP * Math.sqrt(places)
+function mergeAsked (rows: readonly Asked[]): ReadonlyMap<string, Asked> {
+  const sums = new Map<string, Asked>()
+  for (const { key, share, places } of rows) sums.set(key, { key, share, places: places + (sums.get(key)?.places ?? 0) })
+  return sums
 }
 
 /** Weighted max-min: the callers who ask for least by their share are served first, and leave the rest to the others. */
@@ -48,9 +53,9 @@
   const granted = new Map<string, number>()
   let left = places
   let shares = asked.reduce((sum, { share }) => sum + share, 0)
-  for (const { caller, share, places: wants } of [...asked].sort((a, b) => a.places / a.share - b.places / b.share)) {
+  for (const { key, share, places: wants } of [...asked].sort((a, b) => a.places / a.share - b.places / b.share)) {
     const grant = Math.min(wants, left * share / shares)
-    granted.set(caller, grant)
+    granted.set(key, grant)
     left -= grant
     shares -= share
   }
--- a/test/admission/gates-model.test.ts
+++ b/test/admission/gates-model.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
+import { DemandMeter } from '../../src/admission/demand-meter.js'
 import { splitPool } from '../../src/admission/split-pool.js'
 import { simulateGates, type SpreadCaller } from '../helpers/simulate-gates.js'
 
@@ -48,7 +49,22 @@
   t.true(a!.held / (0.9 * FLEET.duration * FLEET.places) > 0.95)
 })
 
-const demand = fc.dictionary(fc.constantFrom('a', 'b', 'c'), fc.record({ share: fc.constant(1), places: fc.double({ min: 0, max: 100, noNaN: true }) }))
+// Hundreds of callers ask a little each through one daemon, more than it tells of by name, beside one that asks for ten
+// times the pool through two others. Were the unnamed left out, their daemon's part would be next to nothing.
+test('callers too many to name keep their places', t => {
+  const meter = new DemandMeter()
+  for (let period = 0; period < 20; period++) {
+    for (let i = 0; i < 200; i++) meter.count(`small ${i}`, 1)
+    meter.read(500, 20)
+  }
+  const many = meter.read(500, 20)
+  const heavy = new Map([['heavy', { share: 1, places: 200 }]])
+  t.is(many.size, 17)
+  const part = splitPool(new Map([['a', many], ['b', heavy], ['c', heavy]]), 40).get('a')!
+  t.true(part.fraction * 40 >= [...many.values()].reduce((sum, { places }) => sum + places, 0), String(part.fraction))
+})
+
+const demand = fc.dictionary(fc.constantFrom('a', 'b', 'c', ''), fc.record({ share: fc.constant(1), places: fc.double({ min: 0, max: 100, noNaN: true }) }))
 test('parts add up to the whole pool, whatever is asked', t => {
   t.notThrows(() => fc.assert(fc.property(fc.array(demand, { minLength: 1, maxLength: 6 }), fc.integer({ min: 1, max: 200 }), (demands, places) => {
     const parts = splitPool(new Map(demands.map((each, i) => [String(i), new Map(Object.entries(each))])), places)
