A request that is refused at once is not counted as waiting; the time line tells why, and what happened meanwhile

Cause: the queue may refuse a request while it is put in; its timer was set after that, settled it a second time when the longest wait had passed, and the account showed limits.queueWait of waiting for each (also gate_wait_ms twice). Found on the time line of a refused request: waited 0 ms, refused, waited 57 ms.

Change: no timer after a refusal at once.

--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -7,6 +7,7 @@
 import type { Random } from '../kernel/random.js'
 import { tokens } from '../kernel/tokens.js'
 import { Metrics } from '../observe/metrics.js'
+import { Timeline } from '../observe/timeline.js'
 import { Dispatcher } from '../routing/dispatcher.js'
 import type { ServerAnswer } from '../routing/server-answer.js'
 import type { ServerRequest } from '../routing/server-request.js'
@@ -40,6 +41,7 @@
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(Account) private readonly account: Account,
     @inject(Metrics) private readonly metrics: Metrics,
+    @inject(Timeline) private readonly timeline: Timeline,
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(tokens.random) private readonly random: Random
   ) {
@@ -68,23 +70,30 @@
     return await this.run(queue, share, request, queue.admit(request.caller, share))
   }
 
+  /**
+   * The queue may refuse at once, while the request is put in. Nothing waits then and no timer is set: it would settle
+   * the request once more when the longest wait has passed, and the account would show a wait that there wasn't.
+   */
   private async wait (queue: PoolQueue, share: number, request: ServerRequest): Promise<Answer> {
     const asked = this.clock.now()
-    const { caller, service, deadline, signal } = request
-    this.readShares(request.pool).recordWait({ caller, service, share })
+    const { id, caller, service, pool, deadline, signal } = request
+    const ahead = queue.size
+    this.readShares(pool).recordWait({ caller, service, share })
     return await new Promise<Answer>(resolve => {
       const stops: (() => void)[] = []
+      let settled = false
       const settle = (answer: Answer | Promise<Answer>): void => {
+        settled = true
         for (const stop of stops) stop()
-        const time = this.clock.now() - asked
-        this.account.count(caller, service, 'online', { type: 'waited', time })
-        this.metrics.observe('gate_wait_ms', time)
+        this.countWait(request, this.clock.now() - asked)
         resolve(answer)
       }
       const refuse = (cause: Refusal['cause'], retryAfter: number): void => settle(Err(this.refuse(cause, retryAfter)))
       const start = (cost: number): void => settle(this.run(queue, share, request, cost))
       const hasPlace = (): boolean => this.dispatcher.hasPlace(request)
       const leave = queue.add({ caller, share, deadline, hasPlace, start, refuse }, asked)
+      if (settled) return
+      this.timeline.record({ part: 'gate', what: 'waits', request: id, detail: `behind ${ahead} others for ${pool}` })
       const limit = Math.min(this.configuration.value.limits.queueWait, deadline - asked)
       stops.push(this.clock.after(limit, () => {
         leave()
@@ -94,6 +103,13 @@
     })
   }
 
+  private countWait ({ id, caller, service }: ServerRequest, time: number): void {
+    this.metrics.observe('gate_wait_ms', time)
+    if (Math.round(time) === 0) return
+    this.account.count(caller, service, 'online', { type: 'waited', time })
+    this.timeline.record({ part: 'gate', what: 'waited', request: id, detail: `${Math.round(time)} ms` })
+  }
+
   /** Sends it and, at its end, settles what its place has cost. */
   private async run (queue: PoolQueue, share: number, request: ServerRequest, cost: number): Promise<Answer> {
     const begin = this.clock.now()
--- a/src/batch/job-ends.ts
+++ b/src/batch/job-ends.ts
@@ -2,6 +2,7 @@
 import { Account } from '../admission/account.js'
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
+import { Timeline } from '../observe/timeline.js'
 import type { Counts } from './counts.js'
 import { finishChunks } from './finish-chunks.js'
 import { HoldingRecord } from './holding-record.js'
@@ -22,7 +23,8 @@
   constructor (
     @inject(Account) private readonly account: Account,
     @inject(HoldingRecord) private readonly holding: HoldingRecord,
-    @inject(tokens.clock) private readonly clock: Clock
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(Timeline) private readonly timeline: Timeline
   ) {}
 
   /** The job with the counts of closed chunks; where it ends with them, by this run. */
@@ -38,6 +40,7 @@
     this.counted.add(id)
     if (this.counted.size > MAX_COUNTED) this.counted.delete(this.counted.values().next().value!)
     const outcome = status === 'cancelled' ? 'cancelled' : ended > due ? 'late' : 'on time'
+    this.timeline.record({ part: 'batch', what: status, job: id, detail: `${outcome}, due ${new Date(due).toISOString()}` })
     this.account.count(caller, services[0]?.service ?? '', 'batch', { type: 'job', outcome })
   }
 }
--- a/src/batch/job-routes.ts
+++ b/src/batch/job-routes.ts
@@ -61,7 +61,7 @@
       const items = sizes.reduce((sum, size) => sum + size, 0)
       for (let i = 0; i < items; i++) this.account.count(job.caller, service, 'batch', { type: 'asked' })
     }
-    this.timeline.record({ part: 'batch', what: 'accepted', job: job.id, detail: job.caller })
+    this.timeline.record({ part: 'batch', what: 'accepted', job: job.id, detail: `${job.caller}, ${job.items} items, due ${new Date(job.due).toISOString()}` })
     this.care.announceSubmit(job.services.map(({ service }) => service))
   }
 
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -24,7 +24,10 @@
     const { started, chunks } = read.val.value
     for (const name of chunks) if (!await this.free(name, instance, started)) return false
     const deleted = await this.store.delete('holding', instance, read.val.version)
-    this.timeline.record({ part: 'batch', what: 'recovered', detail: `${chunks.length} chunks of ${instance}` })
+    for (const name of chunks) {
+      const dot = name.lastIndexOf('.')
+      this.timeline.record({ part: 'batch', what: 'recovered', job: name.slice(0, dot), detail: `chunk ${name.slice(dot + 1)} of ${instance}, which is gone` })
+    }
     return deleted.ok || deleted.val.type === 'conflict' || deleted.val.type === 'missing'
   }
 
--- a/src/commands/timeline.ts
+++ b/src/commands/timeline.ts
@@ -1,6 +1,7 @@
 import { Command, Option } from 'clipanion'
 import { writeFileSync } from 'node:fs'
 import { buildTimelinePage } from '../observe/build-timeline-page.js'
+import { filterAround } from '../observe/filter-around.js'
 import { mergeTimelines } from '../observe/merge-timelines.js'
 import { showTimeline } from '../observe/show-timeline.js'
 import type { TimelineEvent } from '../observe/timeline-event.js'
@@ -13,7 +14,7 @@
   static override usage = Command.Usage({
     category: 'Operators',
     description: 'show events over all processes in causal order',
-    details: 'Each daemon keeps its newest 20,000 events. Exit codes: 0 shown; 1 refused; 2 wrong usage; 3 no daemon answered.',
+    details: 'With --request or --job also what happened to servers and daemons meanwhile. Each daemon keeps its newest 20,000 events; those of a daemon that is gone are gone with it. Exit codes: 0 shown; 1 refused; 2 wrong usage; 3 no daemon answered.',
     examples: [
       ['What happened to one request', 'citronwheel timeline --request 79d05a4e --entry http://10.0.0.1:8080 --token TOKEN'],
       ['One job, as a page', 'citronwheel timeline --job batch-2091 --html job.html --entry http://10.0.0.1:8080 --token TOKEN']
@@ -25,14 +26,18 @@
   html = Option.String('--html', { description: 'write a self-contained HTML page to this file' })
 
   async execute (): Promise<number> {
-    const query = new URLSearchParams()
+    const query = new URLSearchParams({ around: 'yes' })
+    const isWhole = this.request === undefined && this.job === undefined
     if (this.request !== undefined) query.set('request', this.request)
     if (this.job !== undefined) query.set('job', this.job)
     const asked = await askMembers<{ events: TimelineEvent[] }>(this.client(), `/operator/timeline?${query}`, url => this.client(url))
-    const merged = asked.map(({ answers, silent }) => ({ events: mergeTimelines(answers.map(({ events }) => events)), silent }))
+    const merged = asked.map(({ answers, silent }) => {
+      const events = mergeTimelines(answers.map(({ events }) => events))
+      return { events: isWhole ? events : filterAround(events), silent }
+    })
     if (merged.ok && this.html !== undefined) writeFileSync(this.html, buildTimelinePage(this.request ?? this.job ?? 'time line', merged.val.events))
     return this.show(merged, ({ events, silent }) => [
-      showTimeline(events),
+      ...events.length === 0 ? ['no daemon that answered keeps an event of it'] : [showTimeline(events)],
       ...silent.map(name => `events of ${name} are missing: it does not answer`)
     ].join('\n'))
   }
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -90,10 +90,11 @@
     const id = String(req.headers['x-request-id'] ?? randomUUID())
     const { limits, models } = this.configuration.value
     const gone = new AbortController()
+    res.setHeader('x-request-id', id)
     res.on('close', () => gone.abort())
     const asked = this.clock.now()
     this.account.count(caller, name, 'online', { type: 'asked' })
-    this.timeline.record({ part: 'entry', what: 'asked', request: id, detail: caller })
+    this.timeline.record({ part: 'entry', what: 'asked', request: id, detail: `${caller} for ${name}` })
     const request: ServerRequest = {
       id,
       caller,
@@ -114,7 +115,8 @@
     const answer = await this.gate.send(request)
     if (answer.ok) return await this.relay(answer.val, res, { id, caller, service: name, asked })
     this.account.count(caller, name, 'online', { type: 'refused', cause: answer.val.cause })
-    this.timeline.record({ part: 'entry', what: 'refused', request: id, detail: answer.val.cause })
+    const { cause, ran, detail } = answer.val
+    this.timeline.record({ part: 'entry', what: 'refused', request: id, detail: `${cause}, ${ran}: ${detail}` })
     sendRefusal(res, answer.val)
   }
 
@@ -129,14 +131,12 @@
     const answered = outcome.type === 'answered'
     this.account.count(caller, service, 'online', answered ? { type: 'answered', tokens: 0, whole: this.clock.now() - asked } : { type: 'refused', cause: outcome.type === 'refused' ? outcome.refusal.cause : outcome.type })
     this.timeline.record({ part: 'entry', what: outcome.type, request: id })
-    res.setHeader('x-request-id', id)
     await sendKeyedOutcome(res, outcome)
   }
 
   /** A body that is cut destroys the caller's connection, so that it never looks whole. */
   private async relay (answer: ServerAnswer, res: Response, { id, caller, service, asked }: { readonly id: string, readonly caller: string, readonly service: string, readonly asked: number }): Promise<void> {
     const { 'content-type': type, 'content-length': length } = answer.headers
-    res.setHeader('x-request-id', id)
     if (type !== undefined) res.setHeader('content-type', type)
     if (length !== undefined) res.setHeader('content-length', length)
     res.writeHead(answer.status)
--- a/src/observe/observe-routes.ts
+++ b/src/observe/observe-routes.ts
@@ -33,8 +33,8 @@
   }
 
   private showTimeline (req: Request, res: Response): void {
-    const { request, job } = req.query as Record<string, string | undefined>
-    sendJson(res, 200, { events: this.timeline.find({ request, job }) })
+    const { request, job, around } = req.query as Record<string, string | undefined>
+    sendJson(res, 200, { events: this.timeline.find({ request, job, around: around !== undefined }) })
   }
 }
 
--- a/src/observe/timeline.ts
+++ b/src/observe/timeline.ts
@@ -37,8 +37,8 @@
     if (this.kept.length > KEPT_EVENTS) this.kept.splice(0, KEPT_EVENTS / 10)
   }
 
-  /** Kept events, oldest first, of one request or one job where given. */
-  find ({ request, job }: { readonly request?: string, readonly job?: string } = {}): readonly TimelineEvent[] {
-    return this.kept.filter(event => (request === undefined || event.request === request) && (job === undefined || event.job === job))
+  /** Kept events, oldest first, of one request or one job where given; with `around` also those of no request and no job. */
+  find ({ request, job, around = false }: { readonly request?: string, readonly job?: string, readonly around?: boolean } = {}): readonly TimelineEvent[] {
+    return this.kept.filter(event => (around && event.request === undefined && event.job === undefined) || ((request === undefined || event.request === request) && (job === undefined || event.job === job)))
   }
 }
--- a/test/batch/helpers/trial-daemon.ts
+++ b/test/batch/helpers/trial-daemon.ts
@@ -88,7 +88,7 @@
     this.files = new FileStore(this.store, this.clock, index, expiries, configuration)
     this.jobs = new JobStore(this.store, this.clock, work, index, expiries, cancelled, configuration)
     this.watch = new JobWatch(this.jobs, cancelled, this.clock, this.pauses)
-    const ends = new JobEnds(this.account, this.holding, this.clock)
+    const ends = new JobEnds(this.account, this.holding, this.clock, timeline)
     const counter = new JobCounter(this.jobs, work, this.clock, ends)
     const claims = new ChunkClaims(this.store, this.clock, this.files, this.holding, counter, this.account, timeline)
     this.source = new ChunkSource(new WorkFinder(work, this.watch, this.holding, configuration, this.clock), claims, this.watch, this.holding, this.pauses, this.clock)
--- a/test/observe/timeline.test.ts
+++ b/test/observe/timeline.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import 'reflect-metadata'
 import { buildTimelinePage } from '../../src/observe/build-timeline-page.js'
+import { filterAround } from '../../src/observe/filter-around.js'
 import { mergeTimelines } from '../../src/observe/merge-timelines.js'
 import { showTimeline } from '../../src/observe/show-timeline.js'
 import { Timeline } from '../../src/observe/timeline.js'
@@ -41,3 +42,25 @@
   t.false(/<script|src=|href=/.test(page))
   t.regex(showTimeline(timeline.find()), /\+0\.0 ms {2}entry-0 {2}entry: asked {2}request=r <script>/)
 })
+
+// A daemon is killed while it holds a chunk of a job, and tells nothing of it. Who reads the job's time line sees why it
+// stood still from what the others saw of that daemon and of servers meanwhile, and nothing of before and after.
+test('a job\'s time line has what happened to servers and daemons meanwhile', async t => {
+  const clock = new VirtualClock()
+  const timeline = createTimeline('entry-0', clock)
+  const record = async (event: Parameters<Timeline['record']>[0]): Promise<void> => {
+    timeline.record(event)
+    await clock.advance(1_000)
+  }
+  await record({ part: 'peers', what: 'suspect', detail: 'entry-8' })
+  await clock.advance(10_000)
+  await record({ part: 'batch', what: 'accepted', job: 'j' })
+  await record({ part: 'peers', what: 'dead', detail: 'entry-1' })
+  await record({ part: 'ownership', what: 'server down', server: 'engine-1' })
+  await record({ part: 'ownership', what: 'claimed', server: 'engine-2' })
+  await record({ part: 'entry', what: 'asked', request: 'r' })
+  await record({ part: 'batch', what: 'completed', job: 'j' })
+  await record({ part: 'peers', what: 'dead', detail: 'entry-9' })
+  t.deepEqual(filterAround(timeline.find({ job: 'j', around: true })).map(({ what }) => what), ['accepted', 'dead', 'server down', 'completed'])
+  t.deepEqual(filterAround(timeline.find({ job: 'k', around: true })), [])
+})
