--- a/test/admission/gate.test.ts
+++ b/test/admission/gate.test.ts
@@ -19,7 +19,8 @@
   const dispatcher = { hasPlace: () => false, isOpen: () => true }
   const configuration = { value: { callers: {}, limits: { queueWait: QUEUE_WAIT } } }
   const timeline = new Timeline(clock, { instance: 'entry-0' } as unknown as Settings)
-  const gate = new Gate(dispatcher as never, { subscribe: () => {} } as never, configuration as never, account, new Metrics(), timeline, clock, { spread: (time: number) => time } as never)
+  const shares = { count: () => {}, getFactor: () => 1 }
+  const gate = new Gate(dispatcher as never, { subscribe: () => {} } as never, shares as never, configuration as never, account, new Metrics(), timeline, clock, { spread: (time: number) => time } as never)
   const answer = await gate.send({ id: 'r', caller: 'desk', service: 'berth', pool: 'engines', deadline: 60_000 } as ServerRequest)
   t.true(answer.err && answer.val.cause === 'overloaded')
   await clock.advance(10 * QUEUE_WAIT)
