--- /dev/null
+++ b/test/batch/cancel-frozen.test.ts
@@ -0,0 +1,20 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { BOUND, checkStopped, startJob } from './helpers/cancel-trial.js'
+import { createClient } from './helpers/process-fleet.js'
+
+// What the caller sees: the same, while a holder is frozen. It hears of nothing, and goes on after the acknowledgement with
+// items that it took to be ready. It has to look at the job again before it starts any.
+test('a job cancelled while a holder is frozen: the holder begins nothing when it goes on', async t => {
+  const running = await startJob(t)
+  const { fleet, holder } = running
+  const frozen = fleet.daemons[holder]!
+  const other = (holder + 1) % 3
+  t.teardown(() => frozen.child.signal('SIGKILL'))
+  frozen.child.signal('SIGSTOP')
+  await createClient(fleet, other).batches.cancel(running.job)
+  const acknowledged = Date.now()
+  await fleet.waitUntil(async () => Date.now() > acknowledged + BOUND)
+  frozen.child.signal('SIGCONT')
+  await checkStopped(t, running, other, acknowledged)
+})
