A slot for loads waits for its owner's claim; a wait that fails tells what the fleet did

Cause, from the time lines of the slow runs: two things that add up. An owner claims a slot for loads before it may order: to servers that ignore fencing numbers that is 5.5 s after its claim, and as owners change while daemons find each other, both slots were held by owners that had to wait, and settled ones waited for them. And the machine: claims, visits and proofs came seconds late. Ruled out: a lost slot (all slots were free at the end of each run), an order that nobody gives (each was given), refused orders.

Change: the owner asks whether its claim has settled before it takes a slot.

--- a/src/ownership/server-orders.ts
+++ b/src/ownership/server-orders.ts
@@ -96,6 +96,8 @@
       else await this.slots.release(name)
       return
     }
+    // A slot that waits for its owner's claim to settle keeps settled owners of other servers from loading meanwhile.
+    if (!this.owners.isSettled(name, placement.checksFencing)) return
     if (order.kind === 'load' && !await this.slots.claim(name)) return
     // The proof comes with the store's reply; the next visit finds it.
     if (this.owners.getAuthority(name, placement.checksFencing) === undefined) return this.owners.confirm(name, placement.checksFencing)
--- a/src/ownership/server-owners.ts
+++ b/src/ownership/server-owners.ts
@@ -75,10 +75,15 @@
     return state?.type === 'held' ? state.version : 0
   }
 
+  /** Whether a fresh proof would allow an order now; to servers that ignore fencing numbers, not for 5.5 s after a claim. */
+  isSettled (server: string, checksFencing: boolean): boolean {
+    const state = this.claims.get(server)
+    return state?.type === 'held' && (checksFencing || isClaimSettled(state, this.clock.now(), this.options))
+  }
+
   /** Asks for a fresh proof of the claim where one is of use now; `getAuthority` tells later whether it came. */
   confirm (server: string, checksFencing: boolean): void {
-    const state = this.claims.get(server)
-    if (state !== undefined && (checksFencing || isClaimSettled(state, this.clock.now(), this.options))) this.tell(server, { type: 'confirm' })
+    if (this.isSettled(server, checksFencing)) this.tell(server, { type: 'confirm' })
   }
 
   /**
