A health check that the daemon itself gave up late says nothing of the server

Cause: a daemon that gets no processor for half a second gives its checks up late, with the answers unread; three in a row, of all its servers at once, and it refuses with "no server of the pool is open" while all servers are well. Ruled out: servers that left (none did), the platform's list (not asked).

Change: a check that ran into its timeout more than 200 ms after its time counts neither way. Test `ownership/late-checks`, seen failing with the rule switched off; `owner-parts` has the new event in its table.

--- a/src/ownership/server-watch.ts
+++ b/src/ownership/server-watch.ts
@@ -16,6 +16,8 @@
 
 const POLL_PERIOD = 500
 const POLL_TIMEOUT = 400
+/** A check that is given up this much after its time says more of this daemon than of the server, ms. */
+const LATE = 200
 /** Past several polls, so that each needn't connect anew; a connection gone silent is closed by the poll that times out on it. */
 const KEEP_ALIVE = 4 * POLL_PERIOD
 const HEALTHY: HealthState = { state: 'open', failures: 0 }
@@ -86,15 +88,25 @@
 
   private async poll (instance: Instance): Promise<void> {
     const { name, host, port } = instance
+    const asked = this.clock.now()
     const [health, load] = await Promise.all([this.ask(`http://${host}:${port}/health`), this.asksLoad ? this.ask(`http://${host}:${port}/load`) : undefined])
     const before = this.known.get(name) ?? { health: HEALTHY, sequences: 0 }
-    const next = stepHealth(before.health, health === undefined || health.status >= 500 ? 'failed' : 'passed')
+    const next = stepHealth(before.health, health === undefined ? this.checkSilence(asked) : health.status >= 500 ? 'failed' : 'passed')
     if (next.state !== before.health.state) this.timeline.record({ part: 'ownership', what: next.state === 'down' ? 'server down' : 'server up', server: name })
     const sequences = load?.status === 200 ? Number(load.body?.running ?? 0) + Number(load.body?.waiting ?? 0) : before.sequences
     this.known.set(name, { health: next, sequences })
     for (const listener of this.listeners) listener(name)
   }
 
+  /**
+   * A daemon that gets no processor for a while gives its checks up late, with the answers unread. Its servers, all of them
+   * at once, would be taken for down and callers refused, while every server is well. A check that was given up late says
+   * nothing; a server that is really silent is found by the first checks that are in time.
+   */
+  private checkSilence (asked: number): 'failed' | 'late' {
+    return this.clock.now() - asked > POLL_TIMEOUT + LATE ? 'late' : 'failed'
+  }
+
   private async ask (url: string): Promise<{ readonly status: number, readonly body: any } | undefined> {
     const abort = new AbortController()
     const cancel = this.clock.after(POLL_TIMEOUT, () => abort.abort())
--- /dev/null
+++ b/test/ownership/late-checks.test.ts
@@ -0,0 +1,68 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { ConfigurationHolder } from '../../src/config/configuration-holder.js'
+import type { Settings } from '../../src/kernel/settings.js'
+import { Timeline } from '../../src/observe/timeline.js'
+import type { ServerOwners } from '../../src/ownership/server-owners.js'
+import { ServerWatch } from '../../src/ownership/server-watch.js'
+import type { InstanceList } from '../../src/platform/instance-list.js'
+
+const TIMEOUT = 400
+
+/** A clock whose timers run when a test says so, as late as it likes. */
+class LateClock {
+  time = 0
+  tick = (): void => {}
+  private timers: (() => void)[] = []
+
+  now = (): number => this.time
+  date = (): number => this.time
+  every = (_: number, task: () => void): () => void => {
+    this.tick = task
+    return () => {}
+  }
+
+  after = (_: number, task: () => void): () => void => {
+    this.timers.push(task)
+    return () => { this.timers = this.timers.filter(other => other !== task) }
+  }
+
+  run (): void {
+    for (const task of this.timers.splice(0)) task()
+  }
+}
+
+// What callers would see: refusals for want of an open server, at a daemon that gets no processor for a while, with every
+// server well. Its checks are given up late, the answers unread. A server that is silent while the daemon runs is down.
+for (const [state, standstill] of [['open', 1_000], ['down', 0]] as const) {
+  test(`a server that is silent to a daemon that stands still for ${standstill} ms at each check is ${state}`, async t => {
+    let asked = 0
+    const server = createServer(() => { asked++ }).listen(0, '127.0.0.1')
+    t.teardown(() => server.close().closeAllConnections())
+    await once(server, 'listening')
+    const clock = new LateClock()
+    const settings = { instance: 'entry', batch: { policy: 'preempting' } } as unknown as Settings
+    const list = { all: [{ name: 'a', pool: 'engines', host: '127.0.0.1', port: (server.address() as AddressInfo).port, state: 'live' }] } as unknown as InstanceList
+    const owners = { listOwned: () => ['a'] } as unknown as ServerOwners
+    const watch = new ServerWatch(owners, list, { value: {} } as ConfigurationHolder, new Timeline(clock, settings), settings, clock)
+    t.teardown(async () => await watch.stop())
+    let polls = 0
+    watch.subscribe(() => { polls++ })
+    await watch.start()
+    for (let check = 1; check <= 4; check++) {
+      clock.tick()
+      await waitUntil(() => asked >= check)
+      clock.time += TIMEOUT + standstill
+      clock.run()
+      await waitUntil(() => polls >= check)
+    }
+    t.is(watch.getState('a'), state)
+  })
+}
+
+async function waitUntil (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise<void>(resolve => setImmediate(resolve))
+}
--- a/test/ownership/owner-parts.test.ts
+++ b/test/ownership/owner-parts.test.ts
@@ -39,8 +39,9 @@
 })
 
 test('a server is down after three failed checks in a row and open after one that passed', t => {
-  const run = (checks: string): string => [...checks].reduce<HealthState>((state, check) => stepHealth(state, check === '.' ? 'passed' : 'failed'), { state: 'open', failures: 0 }).state
-  for (const [checks, state] of [['xx', 'open'], ['xx.xx', 'open'], ['xxx', 'down'], ['xxxx.', 'open']] as const) t.is(run(checks), state, checks)
+  const events = { '.': 'passed', x: 'failed', l: 'late' } as const
+  const run = (checks: string): string => [...checks].reduce<HealthState>((state, check) => stepHealth(state, events[check as keyof typeof events]), { state: 'open', failures: 0 }).state
+  for (const [checks, state] of [['xx', 'open'], ['xx.xx', 'open'], ['xxx', 'down'], ['xxxx.', 'open'], ['llll', 'open'], ['xlxlx', 'down'], ['xxxl', 'down']] as const) t.is(run(checks), state, checks)
 })
 
 test('a streamed answer is put together as an unstreamed one, over two runs', t => {
