--- a/src/admission/account-questions.ts
+++ b/src/admission/account-questions.ts
@@ -1,18 +1,18 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import type { Clock } from '../kernel/clock.js'
+import type { Extension } from '../kernel/extension.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { listOthers } from '../peers/list-others.js'
+import { MemberQuestions } from '../peers/member-questions.js'
 import { Members } from '../peers/members.js'
-import { peerHandlerPoint } from '../peers/peer-handler-point.js'
 import { PeerLinks } from '../peers/peer-links.js'
 import type { PeerMessage } from '../peers/peer-message.js'
 import { AccountFlush } from './account-flush.js'
 import { accountLimits } from './account-limits.js'
 import type { AccountPart } from './account-part.js'
-import { askEach } from './ask-each.js'
 
 type Parts = Readonly<Record<string, AccountPart>>
 
@@ -34,62 +34,43 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class AccountQuestions implements Part {
-  readonly extensions = [
-    peerHandlerPoint.of({ type: QUESTION, handle: (message, from) => { void this.answer(message, from) } }),
-    peerHandlerPoint.of({ type: ANSWER, handle: (message, from) => this.hear(message, from) })
-  ]
-
-  private readonly waiting = new Map<number, { readonly from: string, readonly resolve: (parts: Parts | undefined) => void }>()
-  private questions = 0
+  readonly extensions: readonly Extension[]
+  private readonly questions: MemberQuestions<Parts>
 
   constructor (
     @inject(AccountFlush) private readonly flush: AccountFlush,
     @inject(Members) private readonly members: Members,
-    @inject(PeerLinks) private readonly links: PeerLinks,
+    @inject(PeerLinks) links: PeerLinks,
     @inject(tokens.settings) private readonly settings: Settings,
-    @inject(tokens.clock) private readonly clock: Clock
-  ) {}
+    @inject(tokens.clock) clock: Clock
+  ) {
+    this.questions = new MemberQuestions({ links, clock, question: QUESTION, answer: ANSWER, timeout: TIMEOUT, concurrency: CONCURRENCY, tell: async () => await this.tell(), read: readOwn })
+    this.extensions = this.questions.extensions
+  }
 
   async start (): Promise<void> {}
 
   async stop (): Promise<void> {
-    for (const { resolve } of this.waiting.values()) resolve(undefined)
+    this.questions.stop()
   }
 
   /** What every daemon has counted, this one among them. */
   async askAll (): Promise<Told> {
-    const others = listOthers(this.members.all(), this.settings.instance)
-    const { answers, silent } = await askEach(others, async name => await this.ask(name), CONCURRENCY)
-    return { parts: Object.assign({}, await this.flush.peek(), ...answers), silent }
-  }
-
-  private async ask (from: string): Promise<Parts | undefined> {
-    const id = this.questions++
-    return await new Promise(resolve => {
-      const settle = (parts: Parts | undefined): void => {
-        cancel()
-        this.waiting.delete(id)
-        resolve(parts)
-      }
-      const cancel = this.clock.after(TIMEOUT, () => settle(undefined))
-      this.waiting.set(id, { from, resolve: settle })
-      this.links.send(from, { type: QUESTION, id })
-    })
+    const { answers, silent } = await this.questions.ask(listOthers(this.members.all(), this.settings.instance))
+    return { parts: Object.assign({}, await this.flush.peek(), ...answers.values()), silent }
   }
 
-  /** Stays silent with more rows than a part may have, as after an outage: the frame would be over its limit and cost the link. */
-  private async answer ({ id }: PeerMessage, from: string): Promise<void> {
+  /** Silent with more rows than a part may have, as after an outage: the frame would be over its limit and cost the link. */
+  private async tell (): Promise<{ readonly parts: Parts } | undefined> {
     const parts = await this.flush.peek()
     const rows = Object.values(parts).reduce((sum, part) => sum + Object.keys(part.rows).length, 0)
-    if (rows <= accountLimits.rows) this.links.send(from, { type: ANSWER, id, parts })
+    return rows <= accountLimits.rows ? { parts } : undefined
   }
+}
 
-  /** Only a daemon itself can tell of its parts. */
-  private hear ({ id, parts }: PeerMessage, from: string): void {
-    const waiting = this.waiting.get(id as number)
-    if (waiting?.from !== from) return
-    waiting.resolve(Object.fromEntries(Object.entries(parts as Parts).filter(([, { instance }]) => instance === from)))
-  }
+/** Only a daemon itself can tell of its parts. */
+function readOwn ({ parts }: PeerMessage, from: string): Parts {
+  return Object.fromEntries(Object.entries(parts as Parts).filter(([, { instance }]) => instance === from))
 }
 
 partRegistry.register({ name: 'account questions', part: AccountQuestions, needs: ['account flush', 'members', 'peer links'] })
--- a/src/admission/ask-each.ts
+++ b/src/peers/ask-each.ts
@@ -10,6 +10,6 @@
       else answers.push(answer)
     }
   }
-  await Promise.all(Array.from({ length: concurrency }, run))
+  await Promise.all(Array.from({ length: Math.min(concurrency, names.length) }, run))
   return { answers, silent: silent.sort() }
 }
--- /dev/null
+++ b/src/peers/member-questions.ts
@@ -0,0 +1,84 @@
+import type { Clock } from '../kernel/clock.js'
+import type { Extension } from '../kernel/extension.js'
+import { askEach } from './ask-each.js'
+import { peerHandlerPoint } from './peer-handler-point.js'
+import type { PeerLinks } from './peer-links.js'
+import type { PeerMessage } from './peer-message.js'
+
+type Fields = Readonly<Record<string, unknown>>
+
+interface MemberQuestionsOptions<T> {
+  readonly links: Pick<PeerLinks, 'send'>
+  readonly clock: Clock
+  /** Types of the two messages. */
+  readonly question: string
+  readonly answer: string
+  /** How long each question may take, ms. */
+  readonly timeout: number
+  /** Questions under way at once. */
+  readonly concurrency?: number
+  /** The fields with which this daemon answers; undefined to stay silent. */
+  readonly tell: () => Promise<Fields | undefined>
+  /** What an answer says. */
+  readonly read: (message: PeerMessage, from: string) => T
+}
+
+interface Told<T> {
+  /** By daemon, in the order in which they came. */
+  readonly answers: ReadonlyMap<string, T>
+  /** Daemons that didn't answer in time. */
+  readonly silent: readonly string[]
+}
+
+/**
+ * A question that one daemon puts to others and that each answers for itself: an answer counts once, in time, and from
+ * the daemon that was asked. A part owns one and registers its `extensions`.
+ */
+export class MemberQuestions<T> {
+  readonly extensions: readonly Extension[]
+  private readonly waiting = new Map<number, { readonly from: string, readonly settle: (answer?: T) => void }>()
+  private asked = 0
+
+  constructor (private readonly options: MemberQuestionsOptions<T>) {
+    this.extensions = [
+      peerHandlerPoint.of({ type: options.question, handle: (message, from) => { void this.answer(message, from) } }),
+      peerHandlerPoint.of({ type: options.answer, handle: (message, from) => this.receive(message, from) })
+    ]
+  }
+
+  /** Asks each of `names` once; resolves when all have answered or had their time. */
+  async ask (names: readonly string[]): Promise<Told<T>> {
+    const { answers, silent } = await askEach(names, async name => await this.askOne(name), this.options.concurrency ?? names.length)
+    return { answers: new Map(answers), silent }
+  }
+
+  /** Takes those asked that haven't answered for silent. */
+  stop (): void {
+    for (const { settle } of this.waiting.values()) settle()
+  }
+
+  private async askOne (from: string): Promise<readonly [string, T] | undefined> {
+    const { clock, links, question: type, timeout } = this.options
+    const id = this.asked++
+    return await new Promise(resolve => {
+      const settle = (answer?: T): void => {
+        cancel()
+        this.waiting.delete(id)
+        resolve(answer === undefined ? undefined : [from, answer])
+      }
+      const cancel = clock.after(timeout, settle)
+      this.waiting.set(id, { from, settle })
+      links.send(from, { type, id })
+    })
+  }
+
+  private async answer ({ id }: PeerMessage, from: string): Promise<void> {
+    const fields = await this.options.tell()
+    if (fields !== undefined) this.options.links.send(from, { type: this.options.answer, id, ...fields })
+  }
+
+  private receive (message: PeerMessage, from: string): void {
+    const waiting = this.waiting.get(message.id as number)
+    if (waiting?.from === from) waiting.settle(this.options.read(message, from))
+  }
+}
