Shares: callers above theirs leave some of their part to the clumps of the others, and have it lent back

Cause (model on virtual time): the others' wait beside ten times a share isn't in the fair queue, where one gate of 48 places has a p99 of 41 ms and a gate of 8 by itself 171 against 244 beside one share. It is the time to the next free place of the daemon's part: 38 ms at 48 places a daemon, 75 at 24, 93 at 16, 168 at 8, 299 at 4. Where callers don't come alike through all daemons it is the part as well: max-min held a caller at three quarters of its share to its share, which a clump at one daemon exceeds, and what is lent there is with the heavy caller's daemon until a count 200 ms later. Even parts had 56 ms where the split had 226.

Ruled out: the lag of counts by itself (20 ms: 226 to 119 in one course, the others unmoved), smoothing, more room for clumps. Tried and reverted: a reserve (p99 worse, 1.5 % fewer answered), places left when borrowing (2.7 and 4.8 % fewer), places beyond the part (moves the wait into engines' queues, exceeds limits with the number of daemons).

Change: `grantClumps` in `splitPool`.

`shares-whole` is flaky on the busy machine, before (2 of 3 failed) and after (1 of 4): reported, not touched.

--- a/src/admission/split-pool.ts
+++ b/src/admission/split-pool.ts
@@ -7,7 +7,11 @@
  */
 const CLUMP = 1.5
 
-interface Asked { readonly key: string, readonly share: number, readonly places: number }
+/** Of what it is granted, the most that a caller that asks for more than its share leaves to the clumps of the others. */
+const LEFT = 0.5
+
+/** `mean` is what is asked for on average, `places` what is needed at times. */
+interface Asked { readonly key: string, readonly share: number, readonly mean: number, readonly places: number }
 
 /**
  * Splits a pool's places among daemons by what callers ask through each. First among callers, by weighted max-min: who
@@ -15,12 +19,16 @@
  * among daemons, in proportion to what it asks there. Even parts give a caller what its daemons happen to have: one that
  * uses a single daemon, and shares it, got a third of what it was entitled to.
  *
+ * A caller within its share may need more than the share for a moment at one daemon, and what is lent comes too late for
+ * that: counts of others are old by then. So it gets the places of its clumps from those who ask for more than their
+ * shares, who miss nothing: what isn't used of them is lent to them at once.
+ *
  * Source: max-min fairness, Bertsekas and Gallager, "Data Networks", 1992, section 6.5.
  */
 export function splitPool (demands: ReadonlyMap<string, PoolDemand>, places: number): ReadonlyMap<string, PoolPart> {
   const rows = listAsked(demands)
   const asked = mergeAsked(rows)
-  const granted = grantShares([...asked.values()], places)
+  const granted = grantClumps([...asked.values()], grantShares([...asked.values()], places))
   const spare = Math.max(0, places - [...granted.values()].reduce((sum, each) => sum + each, 0)) / demands.size
   return new Map([...demands.keys()].map((daemon): [string, PoolPart] => {
     const own = rows.filter(row => row.daemon === daemon).map(({ key, caller, places }) => ({ key, caller, part: places / asked.get(key)!.places }))
@@ -38,13 +46,17 @@
     caller,
     key: caller === '' ? `\0${daemon}` : caller,
     share: caller === '' ? share / demands.size : share,
+    mean: places,
     places: caller === '' ? places : places + CLUMP * Math.sqrt(places)
   })))
 }
 
 function mergeAsked (rows: readonly Asked[]): ReadonlyMap<string, Asked> {
   const sums = new Map<string, Asked>()
-  for (const { key, share, places } of rows) sums.set(key, { key, share, places: places + (sums.get(key)?.places ?? 0) })
+  for (const { key, share, mean, places } of rows) {
+    const sum = sums.get(key)
+    sums.set(key, { key, share, mean: mean + (sum?.mean ?? 0), places: places + (sum?.places ?? 0) })
+  }
   return sums
 }
 
@@ -61,3 +73,16 @@
   }
   return granted
 }
+
+/** Moves places from callers that ask for more than they are granted to those whose clumps go beyond theirs. */
+function grantClumps (asked: readonly Asked[], granted: ReadonlyMap<string, number>): ReadonlyMap<string, number> {
+  const rows = asked.map(({ key, mean, places }) => {
+    const own = granted.get(key)!
+    return mean > own ? { key, own, leaves: Math.min(LEFT * own, mean - own), lacks: 0 } : { key, own, leaves: 0, lacks: Math.max(0, places - own) }
+  })
+  const leaves = rows.reduce((sum, row) => sum + row.leaves, 0)
+  const lacks = rows.reduce((sum, row) => sum + row.lacks, 0)
+  const moved = Math.min(leaves, lacks)
+  if (moved === 0) return granted
+  return new Map(rows.map(row => [row.key, row.own + moved * (row.lacks / lacks - row.leaves / leaves)]))
+}
--- a/test/admission/gates-model.test.ts
+++ b/test/admission/gates-model.test.ts
@@ -44,6 +44,17 @@
   })
 }
 
+// It comes through one daemon and fills it; the others' requests come in clumps, and at each of their daemons find the
+// places lent away. Held to their shares for the moment of a clump they waited 70 ms at the 90th percentile and 225 at the 99th.
+test('a caller that sends ten times its share through one daemon hardly moves those who use all', t => {
+  const waits = SEEDS.flatMap(seed => {
+    const { a, b } = simulateGates({ ...FLEET, seed, callers: [{ name: 'heavy', share: 1, rates: through(0, 800) }, ...['a', 'b'].map(name => ({ name, share: 1, rates: all(60) }))] })
+    return [...a!.waits, ...b!.waits]
+  }).sort((x, y) => x - y)
+  const [p90, p99] = [0.9, 0.99].map(share => waits[Math.floor(waits.length * share)]!)
+  t.true(p90! < 40 && p99! < 150, `${p90} ${p99}`)
+})
+
 test('an idle share is lent over daemons', t => {
   const { a } = simulateGates({ ...FLEET, callers: [{ name: 'a', share: 1, rates: through(0, 400) }, { name: 'idle', share: 9, rates: through(1, 0.001) }] })
   t.true(a!.held / (0.9 * FLEET.duration * FLEET.places) > 0.95)
