The account counts a server's own errors as failures, and the tokens of what ran under a key

Change: `findAnswerEntry` decides for both ways; the outcome of a keyed request carries what its run tells of itself (none for a replay, whose tokens were counted with the run) and is counted once it was sent, since a long answer has named its tokens only then, and one whose caller left is `cut`. The report says what to do about `status-5..`.

Left: a replay of a stream that had broken off counts as answered; the record of the key doesn't say that it had.

--- a/src/entry/keyed-requests.ts
+++ b/src/entry/keyed-requests.ts
@@ -132,7 +132,7 @@
     const contentType = type === undefined ? undefined : String(type)
     const body = collected.type === 'whole' ? collected.body.toString('base64') : undefined
     await this.settle(standing, { type: 'answered', status, contentType, body })
-    return { type: 'answered', status, contentType, body: collected.body, replayed: false }
+    return { type: 'answered', status, contentType, body: collected.body, replayed: false, run: answer }
   }
 
   /** What a claim that stands comes to; else the version to take it at, or -1 to wait for it. */
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import { pipeline } from 'node:stream/promises'
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { AccountEntry } from '../admission/account-entry.js'
 import { Account } from '../admission/account.js'
 import { Gate } from '../admission/gate.js'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
@@ -15,6 +16,8 @@
 import { Timeline } from '../observe/timeline.js'
 import type { ServerAnswer } from '../routing/server-answer.js'
 import type { ServerRequest } from '../routing/server-request.js'
+import { findAnswerEntry } from './find-answer-entry.js'
+import type { KeyedOutcome } from './keyed-outcome.js'
 import { KeyedRequests } from './keyed-requests.js'
 import type { Route } from './route.js'
 import { routePoint } from './route-point.js'
@@ -128,10 +131,9 @@
       return sendProblem(res, { status: 400, code: 'bad-key', detail: `idempotency-key: must have 1 to ${KEY_LENGTH} characters`, more: { ran: 'not run' } })
     }
     const outcome = await this.keyed.send(request, key)
-    const answered = outcome.type === 'answered'
-    this.account.count(caller, service, 'online', answered ? { type: 'answered', tokens: 0, whole: this.clock.now() - asked } : { type: 'refused', cause: outcome.type === 'refused' ? outcome.refusal.cause : outcome.type })
-    this.timeline.record({ part: 'entry', what: outcome.type, request: id })
     await sendKeyedOutcome(res, outcome)
+    this.account.count(caller, service, 'online', findKeyedEntry(outcome, res, this.clock.now() - asked))
+    this.timeline.record({ part: 'entry', what: outcome.type, request: id })
   }
 
   /** A body that is cut destroys the caller's connection, so that it never looks whole. */
@@ -147,7 +149,7 @@
       answer.end(true)
       const failure = answer.findFailure?.()
       const whole = this.clock.now() - asked
-      this.account.count(caller, service, 'online', failure === undefined ? { type: 'answered', tokens: answer.countTokens?.() ?? 0, first, whole } : { type: 'failed', cause: failure })
+      this.account.count(caller, service, 'online', findAnswerEntry({ status: answer.status, failure, tokens: answer.countTokens?.() ?? 0, first, whole }))
       this.timeline.record({ part: 'entry', what: failure ?? 'answered', request: id })
       if (failure !== undefined) res.req.socket.end()
     } catch {
@@ -159,6 +161,14 @@
   }
 }
 
+/** Once it was sent: a long answer is still coming until then. The tokens of a run are counted with it, not with replays of its answer. */
+function findKeyedEntry (outcome: KeyedOutcome, res: Response, whole: number): AccountEntry {
+  if (outcome.type !== 'answered') return { type: 'refused', cause: outcome.type === 'refused' ? outcome.refusal.cause : outcome.type }
+  const { status, body, run } = outcome
+  const isCut = !Buffer.isBuffer(body) && !res.writableFinished
+  return findAnswerEntry({ status, failure: isCut ? 'cut' : run?.findFailure?.(), tokens: run?.countTokens?.() ?? 0, whole })
+}
+
 function readModel (body: Buffer): string | undefined {
   try {
     const { model } = JSON.parse(body.toString())
--- a/src/report/find-advice.ts
+++ b/src/report/find-advice.ts
@@ -20,5 +20,6 @@
 
 /** What to do about a cause; causes come from servers too, so there are others. */
 export function findAdvice (cause: string): string {
+  if (cause.startsWith('status-5')) return 'the server answered with this status, which says that it failed itself: ask those who run it'
   return ADVICE[cause] ?? 'not one of ours: read the results of the items or ask the server that gave it'
 }
