What a frozen holder had taken isn't sent at the thaw without a new look at its job

Issue: KNOWN-RED's only line, test/batch/cancel-frozen: an item began 5,115 ms after the acknowledgement (bound 5,000), 1 of 14 runs.

Seen: the code before this commit, cancel-frozen 8 copies at once at load 50 to 70, its check extended by the time lines of late items (trial copy, not kept): 12 of 48 runs failed, one late item each, 5,095 to 5,310 ms. 9 of 12 were sent (time line "sent") 29 to 130 ms before the acknowledgement, 3 of 12 at 5,007 to 5,022 ms, right after the thaw.

Causes: the age of the look was asked only when an item was taken (ChunkSource.take). After that 1. undici keeps a request until a connection stands, here new ones all the time since idle ones are closed after 0.5 s. Frozen in between, the kernel connects; at the thaw the connect callback writes before anything has noticed the pause (the 9). 2. WorkQueue holds an item for a server and starts it in a later turn without asking again (fits the 3; that they were held ones is inferred from the times, not logged). 3. By reading: JobWatch kept the answer of a look from before the pause; a failed look after it then made "unreachable" of it, for which items start for 60 s. Not seen in a run. Also open by reading: retries and waits for a place in routing/delivery. Ruled out: bytes in the kernel's buffers (they arrive during the freeze); taking items after the thaw (take notices the pause itself).

Change: BatchWork.mayStart, asked by the interceptor that marks a request as sent (undici calls it in the turn in which it writes); where it says no the request is aborted unwritten: send failure "withheld", not run, nothing held against the server, the item goes back to its queue. It asks the job's look and whether the chunk was read again since the pause. A look that a pause fell into is repeated.

Left: a freeze between the check and the write call in the same turn.

--- a/src/batch/chunk-claims.ts
+++ b/src/batch/chunk-claims.ts
@@ -26,6 +26,7 @@
   readonly n: number
   readonly service: string
   readonly items: number
+  readonly mayStart: () => boolean
   readonly onReady: () => void
   readonly onEnd: () => void
 }
--- a/src/batch/chunk-source.ts
+++ b/src/batch/chunk-source.ts
@@ -84,7 +84,7 @@
   take (service: string): BatchWork | undefined {
     if (this.draining || this.held.countWaiting() > MAX_WAITING_BYTES) return undefined
     for (const held of this.held.ofService(service)) {
-      if (!this.jobs.mayStart(held.options.job.id)) continue
+      if (!held.options.mayStart()) continue
       const work = held.take()
       if (work === undefined) continue
       this.finder.countUse(work.caller, work.job)
@@ -171,7 +171,9 @@
 
   private async claimChunk (job: Job, { n, service, items }: { readonly n: number, readonly service: string, readonly items: number }): Promise<boolean> {
     const name = `${job.id}.${n}`
-    const held = await this.claims.claim({ job, n, service, items, onReady: () => this.tell(service), onEnd: () => this.drop(name, job) })
+    const held = await this.claims.claim({
+      job, n, service, items, mayStart: () => this.jobs.mayStart(job.id), onReady: () => this.tell(service), onEnd: () => this.drop(name, job)
+    })
     if (!(held instanceof HeldChunk)) {
       this.finder.putAside(name)
       return false
--- a/src/batch/held-chunk.ts
+++ b/src/batch/held-chunk.ts
@@ -26,6 +26,8 @@
   readonly by: Incarnation
   readonly store: ObjectStore
   readonly clock: Clock
+  /** Whether items of the job may start now; notices a pause of the process before it answers. */
+  readonly mayStart: () => boolean
   /** Called when items have become ready after there were none. */
   readonly onReady: () => void
   /** Called once, when nothing of the chunk is left to run or to record here. */
@@ -94,6 +96,7 @@
       avoid: pending.avoid,
       idempotent: item.idempotent !== false,
       signal: stop.signal,
+      mayStart: () => this.options.mayStart() && !this.paused,
       finish: result => this.finish(pending.item, result),
       giveBack: (why, back) => this.takeBack(pending, why, back)
     }
--- a/src/batch/job-watch.ts
+++ b/src/batch/job-watch.ts
@@ -17,6 +17,8 @@
 export class JobWatch implements Part {
   private readonly checks = new Map<string, JobCheck>()
   private readonly listeners = new Set<(job: string) => void>()
+  /** Pauses of the process noticed so far. */
+  private paused = 0
   private cancelTimer = (): void => {}
 
   constructor (
@@ -26,6 +28,7 @@
     @inject(PauseWatch) private readonly pauses: PauseWatch
   ) {
     pauses.subscribe(() => {
+      this.paused++
       for (const job of [...this.checks.keys()]) {
         this.checks.set(job, { unreachable: false })
         void this.check(job)
@@ -61,10 +64,17 @@
     return check !== undefined && mayStart(check, this.clock.now())
   }
 
-  /** Looks at the job now, and from here on until it is removed; gives it back if it goes on. */
+  /**
+   * Looks at the job now, and from here on until it is removed; gives it back if it goes on. A look that a pause fell into
+   * is repeated. Its answer may be from before the pause; kept, and followed by a look that fails, it passed for one from
+   * before an outage, and the items of a job cancelled meanwhile went on for the 60 s that an outage is granted.
+   */
   async check (job: string): Promise<Job | undefined> {
+    const { paused } = this
     const seen = this.clock.now()
     const read = await this.jobs.read(job, 'background')
+    this.pauses.check()
+    if (paused !== this.paused) return await this.check(job)
     if (read.err && read.val.type !== 'missing') {
       this.checks.set(job, { ...this.checks.get(job), unreachable: true })
       return undefined
--- a/src/ownership/batch-run.ts
+++ b/src/ownership/batch-run.ts
@@ -53,7 +53,7 @@
     const request = this.buildRequest()
     const { sender, server } = this.options
     const opened = await sender.send(server, request, { body: request.body!, fingerprint: this.hash(), patience: FIRST_PATIENCE })
-    if (opened.err) return opened.val.why === 'unreachable' ? { type: 'unreachable' } : this.showStopped(opened.val.sent)
+    if (opened.err) return this.showUnopened(opened.val)
     const { exchange } = opened.val
     const failure = exchange.isStream() ? await this.readStream(opened.val) : undefined
     if (failure !== undefined) return await this.fail(opened.val, failure)
@@ -79,7 +79,8 @@
       idempotent: work.idempotent,
       deadline: now() + DEADLINE,
       limit: Infinity,
-      signal: AbortSignal.any([work.signal, this.abort.signal])
+      signal: AbortSignal.any([work.signal, this.abort.signal]),
+      mayStart: () => work.mayStart()
     }
   }
 
@@ -131,6 +132,10 @@
     return this.showStopped(true)
   }
 
+  private showUnopened ({ why, sent }: SendFailure): BatchOutcome {
+    return why === 'unreachable' || why === 'withheld' ? { type: why } : this.showStopped(sent)
+  }
+
   private showStopped (ran: boolean): BatchOutcome {
     return { type: 'stopped', ran, tokens: this.options.canResume ? this.answer.tokens : [] }
   }
--- a/src/ownership/batch-work.ts
+++ b/src/ownership/batch-work.ts
@@ -19,6 +19,8 @@
   readonly idempotent: boolean
   /** Aborted when the item's job has been cancelled or its claim lost: stop the run, then give back. */
   readonly signal: AbortSignal
+  /** Whether it may still begin. Asked in the very turn in which its first byte leaves: what was true when it was taken lapses. */
+  mayStart (): boolean
   finish (result: ItemResult): void
   /** `ran` tells whether the server can have run any of it; `tokens` are what it had given. */
   giveBack (why: 'gave way' | 'server failed' | 'aborted', options: { readonly ran: boolean, readonly tokens?: readonly string[], readonly server: string }): void
--- a/src/ownership/dispatched-batch.ts
+++ b/src/ownership/dispatched-batch.ts
@@ -41,7 +41,8 @@
       idempotent: work.idempotent,
       deadline: this.clock.now() + ITEM_TIMEOUT,
       limit: models[service.model ?? '']?.maxInFlight ?? PLAIN_LIMIT,
-      signal: work.signal
+      signal: work.signal,
+      mayStart: () => work.mayStart()
     })
     if (answer.err) {
       const { cause, ran, detail, retryAfter } = answer.val
--- a/src/ownership/run-settler.ts
+++ b/src/ownership/run-settler.ts
@@ -23,7 +23,8 @@
   /** `gaveWay` tells whether the run was closed for online requests. */
   settle (work: BatchWork, server: string, outcome: BatchOutcome, gaveWay: boolean): void {
     if (outcome.type === 'finished') return work.finish(outcome.result)
-    if (outcome.type === 'unreachable') return this.settleUnreachable(work, server)
+    if (outcome.type === 'unreachable') this.watch.markDown(server)
+    if (outcome.type !== 'stopped') return this.settleUnsent(work, server)
     const why = work.signal.aborted ? 'aborted' : gaveWay ? 'gave way' : 'server failed'
     if (why === 'gave way') {
       this.recent.record(work.id, server, this.clock.now())
@@ -34,12 +35,11 @@
   }
 
   /**
-   * A server whose process ended refuses each connection at once, and so would take and fail item after item until
-   * the next health checks; the symptom is a job whose items end as failed by a server that ran none of them. It
-   * counts as down until a check passes, and nothing was attempted.
+   * Nothing was attempted. A server whose process ended refuses each connection at once, and so would take and fail item
+   * after item until the next health checks; the symptom is a job whose items end as failed by a server that ran none of
+   * them. It therefore counts as down until a check passes.
    */
-  private settleUnreachable (work: BatchWork, server: string): void {
-    this.watch.markDown(server)
+  private settleUnsent (work: BatchWork, server: string): void {
     work.giveBack(work.signal.aborted ? 'aborted' : 'gave way', { ran: false, tokens: work.resumeFrom, server })
   }
 }
--- a/src/routing/exchange.ts
+++ b/src/routing/exchange.ts
@@ -11,6 +11,7 @@
   readonly headers: Readonly<Record<string, string>>
   readonly body: Buffer | null
   readonly signal?: AbortSignal
+  readonly mayStart?: () => boolean
 }
 
 /**
@@ -21,7 +22,7 @@
 export class Exchange {
   status = 0
   headers: Readonly<Record<string, string | string[] | undefined>> = {}
-  private readonly mark = { sent: false }
+  private readonly mark = { sent: false, mayStart: () => this.confirmStart() }
   private readonly abort = new AbortController()
   private body?: AsyncIterator<Buffer>
   private why: SendFailure['why'] = 'cut'
@@ -71,6 +72,12 @@
     this.abort.abort()
   }
 
+  private confirmStart (): boolean {
+    const may = this.options.mayStart?.() ?? true
+    if (!may) this.why = 'withheld'
+    return may
+  }
+
   private async watch<T> (patience: number, wait: () => Promise<T>): Promise<Result<T, SendFailure>> {
     const cancel = this.options.clock.after(patience, () => this.abandon('silent'))
     try {
--- a/src/routing/plan-retry.ts
+++ b/src/routing/plan-retry.ts
@@ -16,6 +16,7 @@
   if (now >= deadline) return giveUp('deadline', 'its deadline passed')
   switch (failure.why) {
     case 'abandoned': return giveUp('server failed', 'the caller went away')
+    case 'withheld': return giveUp('server failed', 'it may not begin any more')
     case 'unreachable':
     case 'cut':
     case 'silent': break
--- a/src/routing/sender.ts
+++ b/src/routing/sender.ts
@@ -52,7 +52,8 @@
       method: request.method,
       headers: { ...request.headers, 'x-request-id': request.id },
       body,
-      signal: request.signal
+      signal: request.signal,
+      mayStart: request.mayStart
     })
     const open = this.begin(server, request, exchange, fingerprint)
     this.timeline.record({ part: 'routing', what: 'sent', request: request.id, server: server.name })
@@ -89,7 +90,7 @@
     const fail = async (failure: SendFailure): Promise<void> => {
       if (ended) return
       this.timeline.record({ part: 'routing', what: 'send failed', request: request.id, server: server.name, detail: `${failure.why}: ${failure.detail}` })
-      if (failure.why === 'abandoned') return end('abandoned')
+      if (failure.why === 'abandoned' || failure.why === 'withheld') return end('abandoned')
       this.servers.observe(server.name, failure.why === 'unreachable' ? 'unreachable' : 'failed')
       if (failure.why === 'cut') await this.probe(server)
       end('failed')
--- a/src/routing/server-request.ts
+++ b/src/routing/server-request.ts
@@ -16,4 +16,6 @@
   /** Requests in flight above which a server isn't chosen. */
   readonly limit: number
   readonly signal?: AbortSignal
+  /** Whether it may still be sent, asked in the turn in which its first byte would leave; where it is absent it may. */
+  readonly mayStart?: () => boolean
 }
