An item held for a server that online requests fill goes to another one after a second

Cause, by reading: WorkQueue.keepOnly gives back what is held for servers that are down or another's. A server that stays open and full of online requests starts no batch, and the one item held for it waited for as long as they did, at the end of a job alone. Change: what has been held for 1 s is given back to the source's front; servers that admission lets start something take it. Items that wait because four run by the dispatcher are held anew each time they are tried, as before: no other server of this daemon may run them either.

No figure on a fleet: not measured how often it happens.

--- a/src/ownership/work-queue.ts
+++ b/src/ownership/work-queue.ts
@@ -1,5 +1,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
 import { Extensions } from '../kernel/extensions.js'
+import { tokens } from '../kernel/tokens.js'
 import { hashRequest } from '../routing/hash-request.js'
 import { Quarantine } from '../routing/quarantine.js'
 import { batchSourcePoint } from './batch-source-point.js'
@@ -9,18 +11,21 @@
 
 /** Items that run by the dispatcher at once. */
 const MAX_APART = 4
+/** How long an item is held for one server, ms. */
+const LONGEST_HOLD = 1_000
 
 /** Batch items on their way from the source to a server, those that can't be started now held by server. */
 @scoped(Lifecycle.ContainerScoped)
 export class WorkQueue {
-  private readonly held = new Map<string, BatchWork>()
+  private readonly held = new Map<string, { readonly work: BatchWork, readonly since: number }>()
   private readonly apart = new Set<Promise<void>>()
 
   constructor (
     @inject(ServedModels) private readonly models: ServedModels,
     @inject(Quarantine) private readonly quarantine: Quarantine,
     @inject(DispatchedBatch) private readonly dispatched: DispatchedBatch,
-    @inject(Extensions) private readonly added: Extensions
+    @inject(Extensions) private readonly added: Extensions,
+    @inject(tokens.clock) private readonly clock: Clock
   ) {}
 
   /** Whether items are held or run by the dispatcher. */
@@ -30,23 +35,25 @@
 
   /** Puts an item back to the front for its server. */
   hold (server: string, work: BatchWork): void {
-    this.held.set(server, work)
+    this.held.set(server, { work, since: this.clock.now() })
   }
 
   /** Gives back what is held and waits for what the dispatcher runs. */
   async drain (): Promise<void> {
-    for (const work of this.held.values()) this.giveBack(work)
+    for (const { work } of this.held.values()) this.giveBack(work)
     this.held.clear()
     await Promise.all(this.apart)
   }
 
   /**
    * Gives back what is held for other servers than these, which this daemon owns and which are open. Nothing starts at a
-   * server that is down; held for it, an item would be kept from all others, and its job would never end.
+   * server that is down; held for it, an item would be kept from all others, and its job would never end. One that is held for
+   * long has a server that online requests fill; the job's last item would wait for as long as they do.
    */
   keepOnly (servers: readonly string[]): void {
-    for (const [server, work] of this.held) {
-      if (servers.includes(server)) continue
+    const now = this.clock.now()
+    for (const [server, { work, since }] of this.held) {
+      if (servers.includes(server) && now < since + LONGEST_HOLD) continue
       this.held.delete(server)
       this.giveBack(work)
     }
@@ -68,7 +75,7 @@
   private takeAny (server: string): BatchWork | undefined {
     const held = this.held.get(server)
     this.held.delete(server)
-    if (held !== undefined) return held
+    if (held !== undefined) return held.work
     for (const source of this.added.collect(batchSourcePoint)) {
       for (const { service } of this.models.list(server)) {
         const work = source.take(service)
--- a/test/ownership/apart-items.test.ts
+++ b/test/ownership/apart-items.test.ts
@@ -25,7 +25,7 @@
   const watch = { subscribe: () => {}, getState: () => 'open', getReported: () => 0 }
   const online = { subscribe: () => {}, count: () => 0 }
   const metrics = { gauge: () => {}, count: () => {} }
-  const queue = new WorkQueue(models as never, { check: () => 'clear' } as never, dispatched as never, added as never)
+  const queue = new WorkQueue(models as never, { check: () => 'clear' } as never, dispatched as never, added as never, clock)
   const runner = new BatchRunner(owners as never, watch as never, online as never, {} as never, {} as never, models as never, queue, added as never, {} as never, metrics as never, {} as never, clock)
   await runner.start()
   await clock.advance(1_500)
