A run that a leaving daemon closes has its next tokens first, so that one that has just ended counts

Issue: test/batch/rolling, once 28 of 2,400 idempotent items ran twice (no result twice).

Seen: the code before, rolling's 1,800 items, its log extended by what ran whole twice (trial copy, not kept), four copies at once, load 50 to 100: 91 items in 20 runs, 7 runs with any, 19, 22, 16, 16, 10, 7 and 1. 4 further runs ended by the test's 20 s wait for the end. Cause: BatchRunner.drain (and ServerBatch.close, when a server changes its owner) closed every run at once. Sequences begun together end in one step of the engine, here within 1 ms of the SIGTERM; their last bytes were on their way, the runs were given back and ran again in full elsewhere. Ruled out: chunks freed as those of a dead daemon (no "recovered" in any time line kept; before the change only those of the daemons that were left). Results lost between the run and the chunk: after the change, where the leaving daemons' time lines were kept too, every one of these runs had ended there as "gave way".

Change: a run that is stopped without haste is closed right after its next tokens unless they are its last, or after 250 ms. Giving way to online requests stays at once. The 250 ms are waited out in two parts: a late loop ran the timer before it read what had come, and closed two runs that had ended 0 and 110 ms before (1 of 16 runs, time line).

A server doesn't confirm a cancelling, so a close can always come late; what is not to be repeated is marked and runs to its end.

--- a/src/ownership/batch-run.ts
+++ b/src/ownership/batch-run.ts
@@ -36,6 +36,7 @@
   private readonly abort = new AbortController()
   private readonly streamed: boolean
   private answer: BatchAnswer
+  private stopsAfterRead = false
 
   constructor (private readonly options: BatchRunOptions) {
     const { work, canResume } = options
@@ -44,9 +45,14 @@
     this.answer = { tokens: kept, resumed: kept.length, done: false }
   }
 
-  /** Closes the stream; `run` then resolves with what there is. */
-  stop (): void {
-    this.abort.abort()
+  /**
+   * Closes the stream; `run` then resolves with what there is. With `afterRead` it is closed right after the next tokens
+   * that aren't its last. A stream closed at any time may have ended at the server an instant before; its symptom is an
+   * item that ran whole and runs once more. After a read there is a whole step of the server until the next one.
+   */
+  stop ({ afterRead = false } = {}): void {
+    if (afterRead) this.stopsAfterRead = true
+    else this.abort.abort()
   }
 
   async run (): Promise<BatchOutcome> {
@@ -107,6 +113,7 @@
       if (this.answer.tokens.length === known) continue
       this.options.onTokens(last === undefined ? undefined : now - last)
       last = now
+      if (this.stopsAfterRead && this.answer.finish === undefined) this.stop()
     }
     return undefined
   }
--- a/src/ownership/batch-runner.ts
+++ b/src/ownership/batch-runner.ts
@@ -70,7 +70,7 @@
     this.cancel = this.clock.every(WANT_PERIOD, () => this.want())
   }
 
-  /** Gives everything back at once: another daemon goes on from the tokens there are. */
+  /** Gives everything back as soon as its next tokens have come; what ends with them counts. */
   async drain (): Promise<void> {
     this.draining = true
     for (const batch of this.batches.values()) batch.stopAll()
@@ -157,7 +157,7 @@
     return undefined
   }
 
-  private begin (server: string, work: BatchWork, prefill: number): { readonly id: string, readonly prefill: number, readonly stop: () => void } | undefined {
+  private begin (server: string, work: BatchWork, prefill: number): { readonly id: string, readonly prefill: number, readonly stop: (options: { readonly afterRead: boolean }) => void } | undefined {
     const target = this.servers.find(server)
     const model = this.models.list(server).find(({ service }) => service === work.service)?.model
     if (target === undefined || model === undefined) {
@@ -183,9 +183,9 @@
     return {
       id: work.id,
       prefill,
-      stop: () => {
+      stop: options => {
         gaveWay = true
-        run.stop()
+        run.stop(options)
       }
     }
   }
--- a/src/ownership/server-batch.ts
+++ b/src/ownership/server-batch.ts
@@ -5,18 +5,23 @@
 import type { BatchAdmissionState } from './batch-admission-state.js'
 import { createBatchAdmission } from './create-batch-admission.js'
 
+/** How long a run that is stopped without haste may wait for its next tokens, ms. */
+const LAST_READ = 250
+
+type Stop = (options: { readonly afterRead: boolean }) => void
+
 interface ServerBatchOptions {
   readonly admission: BatchAdmissionOptions
   readonly clock: Clock
   /** Starts one item if there is one whose prefill is within `prefill` tokens, or any where `first`. */
-  readonly start: (prefill: number, first: boolean) => { readonly id: string, readonly prefill: number, readonly stop: () => void } | undefined
+  readonly start: (prefill: number, first: boolean) => { readonly id: string, readonly prefill: number, readonly stop: Stop } | undefined
 }
 
 /** Batch work on one server that this daemon owns: the admission decisions and the runs that they start and stop. */
 export class ServerBatch {
   admission: BatchAdmissionOptions
   private state: BatchAdmissionState
-  private readonly stops = new Map<string, () => void>()
+  private readonly stops = new Map<string, Stop>()
   private readonly gaps: number[] = []
   private closed = false
 
@@ -39,7 +44,7 @@
     const { state, effects } = stepBatchAdmission(this.state, event, this.options.clock.now(), this.admission)
     this.state = state
     for (const effect of effects) {
-      if (effect.type === 'preempt') this.stops.get(effect.id)?.()
+      if (effect.type === 'preempt') this.stops.get(effect.id)?.({ afterRead: false })
       else this.start(effect.count, effect.prefill)
     }
   }
@@ -59,8 +64,18 @@
     this.tell({ type: 'ended', id })
   }
 
+  /**
+   * Stops each run right after its next tokens, or after 250 ms. Sequences that were begun together end in the same step:
+   * stopped at once in that instant, some 20 items that had ended ran again. The 250 ms are waited out in two parts,
+   * because a loop that is late runs timers before what has come in: in one, it closed runs that had ended long before.
+   */
   stopAll (): void {
-    for (const stop of this.stops.values()) stop()
+    const stopEach = (afterRead: boolean): void => {
+      for (const stop of this.stops.values()) stop({ afterRead })
+    }
+    stopEach(true)
+    const { clock } = this.options
+    clock.after(LAST_READ / 2, () => clock.after(LAST_READ / 2, () => stopEach(false)))
   }
 
   /**
