--- a/src/ownership/batch-run.ts
+++ b/src/ownership/batch-run.ts
@@ -36,6 +36,7 @@
   private readonly abort = new AbortController()
   private readonly streamed: boolean
   private answer: BatchAnswer
+  private stopsAfterRead = false
 
   constructor (private readonly options: BatchRunOptions) {
     const { work, canResume } = options
@@ -44,16 +45,21 @@
     this.answer = { tokens: kept, resumed: kept.length, done: false }
   }
 
-  /** Closes the stream; `run` then resolves with what there is. */
-  stop (): void {
-    this.abort.abort()
+  /**
+   * Closes the stream; `run` then resolves with what there is. With `afterRead` it is closed right after the next tokens
+   * that aren't its last. A stream closed at any time may have ended at the server an instant before; its symptom is an
+   * item that ran whole and runs once more. After a read there is a whole step of the server until the next one.
+   */
+  stop ({ afterRead = false } = {}): void {
+    if (afterRead) this.stopsAfterRead = true
+    else this.abort.abort()
   }
 
   async run (): Promise<BatchOutcome> {
     const request = this.buildRequest()
     const { sender, server } = this.options
     const opened = await sender.send(server, request, { body: request.body!, fingerprint: this.hash(), patience: FIRST_PATIENCE })
-    if (opened.err) return opened.val.why === 'unreachable' ? { type: 'unreachable' } : this.showStopped(opened.val.sent)
+    if (opened.err) return this.showUnopened(opened.val)
     const { exchange } = opened.val
     const failure = exchange.isStream() ? await this.readStream(opened.val) : undefined
     if (failure !== undefined) return await this.fail(opened.val, failure)
@@ -79,7 +85,8 @@
       idempotent: work.idempotent,
       deadline: now() + DEADLINE,
       limit: Infinity,
-      signal: AbortSignal.any([work.signal, this.abort.signal])
+      signal: AbortSignal.any([work.signal, this.abort.signal]),
+      mayStart: () => work.mayStart()
     }
   }
 
@@ -106,6 +113,7 @@
       if (this.answer.tokens.length === known) continue
       this.options.onTokens(last === undefined ? undefined : now - last)
       last = now
+      if (this.stopsAfterRead && this.answer.finish === undefined) this.stop()
     }
     return undefined
   }
@@ -131,6 +139,10 @@
     return this.showStopped(true)
   }
 
+  private showUnopened ({ why, sent }: SendFailure): BatchOutcome {
+    return why === 'unreachable' || why === 'withheld' ? { type: why } : this.showStopped(sent)
+  }
+
   private showStopped (ran: boolean): BatchOutcome {
     return { type: 'stopped', ran, tokens: this.options.canResume ? this.answer.tokens : [] }
   }
