--- a/bench/hunt/check-promises.ts
+++ b/bench/hunt/check-promises.ts
@@ -1,3 +1,4 @@
+import { findMixing } from './find-mixing.js'
 import type { HuntJob } from './hunt-job.js'
 import type { HuntRecord } from './hunt-record.js'
 import type { HuntSend } from './hunt-send.js'
@@ -9,9 +10,10 @@
 export function checkPromises (record: HuntRecord): readonly string[] {
   return [
     ...checkAnswers(record),
+    ...checkRuns(record),
     ...checkRefusals(record),
     ...checkBookings(record),
-    ...record.jobs.flatMap(job => checkJob(job, record.runs)),
+    ...record.jobs.flatMap(job => checkJob(job, record)),
     ...checkVersions(record),
     ...checkAccount(record),
     ...record.after.map(what => `after all was over: ${what}`)
@@ -30,6 +32,14 @@
   ]
 }
 
+/** A stream may go on at another server; an answer that isn't streamed is one run's. */
+function checkRuns ({ sends, engineRuns }: HuntRecord): readonly string[] {
+  return sends.flatMap(({ id, request, marked }) => {
+    const wrong = marked === undefined ? undefined : findMixing(marked, { id, runs: engineRuns, mayResume: request.startsWith('stream') })
+    return wrong === undefined ? [] : [`${id} was passed as whole: ${wrong}`]
+  })
+}
+
 function checkRefusals ({ sends, runs }: HuntRecord): readonly string[] {
   const ran = new Set(runs)
   return sends.filter(({ id, ran: said }) => said === 'not run' && ran.has(id)).map(({ id }) => `${id} was refused as not run, and ran`)
@@ -49,7 +59,7 @@
   ]
 }
 
-function checkJob (job: HuntJob, runs: readonly string[]): readonly string[] {
+function checkJob (job: HuntJob, { runs, engineRuns }: HuntRecord): readonly string[] {
   const { name, ids, ended, status, items, results, sameBytes, once, lateStarts } = job
   const seen = countEach(runs)
   const twice = once.filter(item => (seen.get(`${ids[0]}.${item}`) ?? 0) > 1)
@@ -58,12 +68,26 @@
     ...(ended ? [] : [`${name}: not ended, ${status}`]),
     ...(ended && (results.length !== items || new Set(results.map(({ item }) => item)).size !== items) ? [`${name}: ${results.length} results of ${items} items`] : []),
     ...results.filter(({ wrong }) => wrong !== undefined).map(({ item, wrong }) => `${name}: ${item}: ${wrong}`),
+    ...checkRecorded(job, engineRuns),
     ...(sameBytes ? [] : [`${name}: its results read differently the second time`]),
     ...twice.map(item => `${name}: ${item} may run once and ran ${seen.get(`${ids[0]}.${item}`)} times`),
     ...(lateStarts > 0 ? [`${name}: ${lateStarts} items began after its cancelling should have held`] : [])
   ]
 }
 
+/** What was read once stays as it was read, and what is recorded is of runs of its item, the last of them whole. */
+function checkRecorded ({ name, ids, results, seen }: HuntJob, runs: HuntRecord['engineRuns']): readonly string[] {
+  const there = new Set(results.map(({ item }) => item))
+  return [
+    ...results.flatMap(({ item, marked }) => {
+      const wrong = marked === undefined ? undefined : findMixing(marked, { id: `${ids[0]}.${item}`, runs, mayResume: true })
+      return wrong === undefined ? [] : [`${name}: ${item}: ${wrong}`]
+    }),
+    ...seen.filter(({ lines }) => lines.length > 1).map(({ item, lines }) => `${name}: ${item}: changed after it was read: ${lines.join(' then ')}`),
+    ...seen.filter(({ item }) => !there.has(item)).map(({ item }) => `${name}: ${item}: was read and is gone`)
+  ]
+}
+
 function checkVersions ({ versions, accepted, last }: HuntRecord): readonly string[] {
   const highest = Math.max(0, ...accepted)
   return [
--- /dev/null
+++ b/bench/hunt/find-mixing.ts
@@ -0,0 +1,43 @@
+import { hashTokens } from '../../stand-ins/engine/hash-tokens.js'
+import { splitMark } from '../../stand-ins/engine/split-mark.js'
+import type { EngineRun } from './engine-run.js'
+
+interface MixingOptions {
+  /** The request or item that the answer is for. */
+  readonly id: string
+  readonly runs: Readonly<Record<string, EngineRun>>
+  /** Whether the answer may go on from another run's tokens (docs/DECISIONS/streams). */
+  readonly mayResume: boolean
+}
+
+/**
+ * What is wrong with the runs that an answer's words are of; undefined where nothing is. Right is one run of this request
+ * that ended whole; or, where it may be resumed, one run after the other, each begun from exactly the tokens before its
+ * own, the last of them ended whole.
+ */
+export function findMixing (answer: string, { id, runs, mayResume }: MixingOptions): string | undefined {
+  const words = answer.split(' ')
+  const parts = splitRuns(words)
+  if (parts.length > 1 && !mayResume) return `it is of ${parts.length} runs: ${parts.map(({ run }) => run).join()}`
+  for (const { run, from } of parts) {
+    const wrong = run === undefined ? 'a word has no mark' : findWrongPart(words.slice(0, from), run, { id, runs })
+    if (wrong !== undefined) return wrong
+  }
+  const last = parts.at(-1)!.run!
+  return runs[last]!.outcome === 'finished' ? undefined : `${last} did not end whole`
+}
+
+function findWrongPart (before: readonly string[], run: string, { id, runs }: Omit<MixingOptions, 'mayResume'>): string | undefined {
+  const known = runs[run]
+  if (known === undefined) return `${run} is in no server's file`
+  if (known.id !== id) return `${run} ran ${known.id}`
+  if (known.resumed !== before.length) return `${run} was begun from token ${known.resumed} and follows ${before.length}`
+  return known.from === hashTokens([before.join(' ')]) ? undefined : `${run} was begun from other tokens than it follows`
+}
+
+/** The runs in the order of their words; `from` is the place of a part's first word. */
+function splitRuns (words: readonly string[]): ReadonlyArray<{ readonly run: string | undefined, readonly from: number }> {
+  return words
+    .map((word, from) => ({ run: splitMark(word).run, from }))
+    .filter(({ run }, n, all) => n === 0 || run !== all[n - 1]!.run)
+}
--- a/bench/hunt/hunt-caller.ts
+++ b/bench/hunt/hunt-caller.ts
@@ -1,6 +1,7 @@
 import { randomInt } from 'node:crypto'
 import { request } from 'undici'
 import { answerWords } from '../../stand-ins/engine/answer-words.js'
+import { dropMarks } from './drop-marks.js'
 import type { HuntSend } from './hunt-send.js'
 
 const MODEL = 'berth-assistant'
@@ -62,7 +63,7 @@
       const send = { ...base, took: now() - at, status: response.statusCode }
       if (response.statusCode >= 300) return { send: { ...send, outcome: 'refused', ran: readRan(text) }, reaskAfter: Number(response.headers['retry-after'] ?? 0) * MS_PER_SECOND }
       if (kind === 'stream' && !text.trimEnd().endsWith(END_OF_STREAM)) return { send: { ...send, outcome: 'cut' }, reaskAfter: 0 }
-      return { send: { ...send, outcome: 'answered', wrong: findWrong(kind, n, text), ...kind === 'booking' && { text } }, reaskAfter: 0 }
+      return { send: { ...send, outcome: 'answered', ...checkContent(kind, n, text) }, reaskAfter: 0 }
     } catch {
       this.silent.set(url, now())
       return { send: { ...base, took: now() - at, outcome: 'no answer' }, reaskAfter: 0 }
@@ -91,10 +92,16 @@
   return `Which berth is free on day ${n}?`
 }
 
-function findWrong (kind: Kind, n: number, text: string): string | undefined {
+/** What is wrong with an answer, and what of it the checks compare. */
+function checkContent (kind: Kind, n: number, text: string): Pick<HuntSend, 'wrong' | 'marked' | 'text'> {
   const got = readContent(kind, text)
-  const expected = kind === 'plain' ? `/day/${n}` : kind === 'booking' ? JSON.stringify({ slot: n }) : answerWords(writePrompt(n), TOKENS).join(' ')
-  return got === expected ? undefined : text.slice(0, 200)
+  const find = (got: string, expected: string): string | undefined => got === expected ? undefined : text.slice(0, 200)
+  switch (kind) {
+    case 'plain': return { wrong: find(got, `/day/${n}`) }
+    case 'booking': return { wrong: find(got, JSON.stringify({ slot: n })), text }
+    case 'whole':
+    case 'stream': return { wrong: find(dropMarks(got), answerWords(writePrompt(n), TOKENS).join(' ')), marked: got }
+  }
 }
 
 function readContent (kind: Kind, text: string): string {
--- a/bench/hunt/hunt-fleet.ts
+++ b/bench/hunt/hunt-fleet.ts
@@ -2,7 +2,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { Fleet } from '../../harness/fleet.js'
+import type { EngineRun } from './engine-run.js'
 import { huntSize } from './hunt-size.js'
+import { readRunFiles } from './read-run-files.js'
 
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c']
 const FOLDER = 'demo/folder'
@@ -30,12 +32,10 @@
     await this.fleet.addDaemon(`entry-${n}`, DOMAINS[n % DOMAINS.length]!, { log: { level: 'error', format: 'text' } })
   }
 
-  /** Ids of all runs, of servers that are gone too. */
-  listRuns (): readonly string[] {
-    return this.fleet.servers
-      .map(({ instance }) => join(this.folder, instance.name))
-      .filter(file => existsSync(file))
-      .flatMap(file => readFileSync(file, 'utf8').split('\n').filter(line => line !== ''))
+  /** All runs, those of servers that are gone too. */
+  listRuns (): { readonly ids: readonly string[], readonly engineRuns: Readonly<Record<string, EngineRun>> } {
+    const files = this.fleet.servers.map(({ instance }) => join(this.folder, instance.name)).filter(file => existsSync(file))
+    return readRunFiles(files.map(file => readFileSync(file, 'utf8')))
   }
 
   async stop (): Promise<void> {
@@ -45,6 +45,6 @@
 
   private async addServer (name: string, n: number, pool: string, kind: 'engine' | 'service'): Promise<void> {
     const runFile = join(this.folder, name)
-    await this.fleet.addServer(name, DOMAINS[n % DOMAINS.length]!, { pool, kind, options: kind === 'engine' ? { ...ENGINE, runFile } : { runFile } })
+    await this.fleet.addServer(name, DOMAINS[n % DOMAINS.length]!, { pool, kind, options: kind === 'engine' ? { ...ENGINE, runFile, runMark: name } : { runFile } })
   }
 }
--- a/bench/hunt/hunt-job.ts
+++ b/bench/hunt/hunt-job.ts
@@ -6,8 +6,11 @@
   readonly ended: boolean
   readonly status: string
   readonly items: number
-  /** Items that have a result, with what is wrong with it, or undefined. */
-  readonly results: ReadonlyArray<{ readonly item: string, readonly wrong?: string }>
+  /** Items that have a result, with what is wrong with it, or undefined, and the marked words of what completed. */
+  readonly results: ReadonlyArray<{ readonly item: string, readonly wrong?: string, readonly marked?: string }>
+  /** How often its results were read while it ran, and what was read then. */
+  readonly reads: number
+  readonly seen: ReadonlyArray<{ readonly item: string, readonly lines: readonly string[] }>
   readonly sameBytes: boolean
   /** Items that may run at most once. */
   readonly once: readonly string[]
--- a/bench/hunt/hunt-jobs.ts
+++ b/bench/hunt/hunt-jobs.ts
@@ -1,7 +1,9 @@
 import { CallerClient } from '../../harness/caller-client.js'
 import { answerWords } from '../../stand-ins/engine/answer-words.js'
-import type { HuntJob } from './hunt-job.js'
+import { dropMarks } from './drop-marks.js'
 import type { HuntFleet } from './hunt-fleet.js'
+import type { HuntJob } from './hunt-job.js'
+import { SeenResults } from './seen-results.js'
 
 const MODEL = 'berth-assistant'
 const TOKENS = 30
@@ -22,6 +24,8 @@
 /** The jobs of a hunt: submitted, sent again elsewhere, one of them cancelled, all of them read twice at the end. */
 export class HuntJobs {
   private readonly ids = new Map<string, string[]>()
+  private readonly seen = new Map(PLANS.map(({ name }) => [name, new SeenResults()]))
+  private readonly ended = new Set<string>()
   private cancelledAt: number | undefined
 
   constructor (private readonly hunt: HuntFleet, private readonly urls: () => readonly string[], private readonly now: () => number) {}
@@ -43,6 +47,20 @@
     if (status) this.cancelledAt = this.now()
   }
 
+  /** Reads the results of every job over and over, as one that can't wait for its end, until it has ended. */
+  async watchResults (): Promise<void> {
+    await Promise.all(PLANS.map(async ({ name }, turn) => {
+      for (let n = turn; !this.ended.has(name); n++) {
+        const results = await this.readOnce(this.ids.get(name)?.[0] ?? '', n)
+        if (!this.ended.has(name) && results !== undefined) {
+          this.seen.get(name)!.record(results)
+          this.seen.get(name)!.reads++
+        }
+        await pause()
+      }
+    }))
+  }
+
   /** Waits for every job to end, and reads what became of it. `over` is when the last trouble had ended. */
   async readAll (over: number, limit: number): Promise<readonly HuntJob[]> {
     const quiet = Math.max(over, this.cancelledAt ?? 0) + CANCEL_BOUND
@@ -63,7 +81,7 @@
 
   private countStarts (): number {
     const [id] = this.ids.get(PLANS.at(-1)!.name) ?? []
-    return this.hunt.listRuns().filter(run => run.startsWith(`${id}.`)).length
+    return this.hunt.listRuns().ids.filter(run => run.startsWith(`${id}.`)).length
   }
 
   private async read (plan: JobPlan, limit: number): Promise<HuntJob> {
@@ -77,14 +95,19 @@
       await pause()
     }
     const once = listItems(plan).filter(({ once }) => once).map(({ id }) => id)
+    this.ended.add(plan.name)
     const [first, again] = [await this.readResults(ids[0]!, 0), await this.readResults(ids[0]!, 1)]
+    const seen = this.seen.get(plan.name)!
+    seen.record(first)
     return {
       name: plan.name,
       ids,
       ended: status === 'completed' || status === 'cancelled',
       status,
       items: plan.items,
-      results: first.map(line => ({ item: line.custom_id, wrong: findWrong(line, listAllowed(once.includes(line.custom_id), status)) })),
+      results: first.map(line => ({ item: line.custom_id, wrong: findWrong(line, listAllowed(once.includes(line.custom_id), status)), marked: readContent(line) })),
+      reads: seen.reads,
+      seen: seen.list(),
       sameBytes: JSON.stringify(first) === JSON.stringify(again),
       once,
       lateStarts: 0
@@ -94,12 +117,18 @@
   private async readResults (id: string, turn: number): Promise<readonly any[]> {
     let lines: readonly any[] = []
     await this.ask(async client => {
-      lines = [...await client.readResults(id, 'output'), ...await client.readResults(id, 'errors')]
+      lines = await readLines(client, id)
       return true
     }, turn)
     return lines
   }
 
+  /** The results so far, by the daemon whose turn it is; undefined where it doesn't answer. */
+  private async readOnce (id: string, turn: number): Promise<readonly any[] | undefined> {
+    const urls = this.urls()
+    return await readLines(new CallerClient(urls[turn % urls.length]!, 'night-desk-token'), id).catch(() => undefined)
+  }
+
   /** Asks one entry address after the other until one does it; says whether any did. */
   private async ask (what: (client: CallerClient) => Promise<boolean>, turn = 0): Promise<boolean> {
     for (let attempt = 0; attempt < MOST_ASKS; attempt++) {
@@ -134,10 +163,18 @@
 /** What is wrong with a result; `allowed` are the causes by which this item may rightly have failed. */
 function findWrong ({ custom_id: item, response, error }: any, allowed: readonly string[]): string | undefined {
   if (error !== null) return allowed.includes(error.code) ? undefined : `${error.code}: ${error.message}`
-  const content = response.body.choices[0].message.content
+  const content = dropMarks(response.body.choices[0].message.content)
   return content === answerWords(`Draft of ${item}`, TOKENS).join(' ') ? undefined : `another's or a cut answer: ${content}`
 }
 
+function readContent ({ response, error }: any): string | undefined {
+  return error === null ? response.body.choices[0].message.content : undefined
+}
+
+async function readLines (client: CallerClient, id: string): Promise<readonly any[]> {
+  return [...await client.readResults(id, 'output'), ...await client.readResults(id, 'errors')]
+}
+
 async function pause (): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, POLL_PERIOD))
 }
--- a/bench/hunt/hunt-record.ts
+++ b/bench/hunt/hunt-record.ts
@@ -1,3 +1,4 @@
+import type { EngineRun } from './engine-run.js'
 import type { HuntJob } from './hunt-job.js'
 import type { HuntSend } from './hunt-send.js'
 
@@ -8,6 +9,8 @@
   readonly sends: readonly HuntSend[]
   /** Ids in the servers' own run files. */
   readonly runs: readonly string[]
+  /** The engines' runs by the mark that their words carry. */
+  readonly engineRuns: Readonly<Record<string, EngineRun>>
   readonly jobs: readonly HuntJob[]
   /** The configuration versions that each run of a daemon acted on, in the order seen. */
   readonly versions: ReadonlyArray<{ readonly daemon: string, readonly versions: readonly number[] }>
--- a/bench/hunt/hunt-send.ts
+++ b/bench/hunt/hunt-send.ts
@@ -11,6 +11,8 @@
   readonly ran?: 'not run' | 'unknown' | 'ran'
   /** What is wrong with an answer that was passed as whole. */
   readonly wrong?: string
+  /** The words of a model's answer with the marks of the runs that gave them. */
+  readonly marked?: string
   /** The answer of a booking, to be compared with later answers of its key. */
   readonly text?: string
 }
--- a/bench/hunt/main.ts
+++ b/bench/hunt/main.ts
@@ -32,9 +32,9 @@
   return planTroubles(seed).map(({ at, type, ...more }) => `${type} ${JSON.stringify(more)} at ${at} ms`).join(', ')
 }
 
-function showCounts ({ sends, runs }: Awaited<ReturnType<typeof runHunt>>): string {
+function showCounts ({ sends, runs, jobs }: Awaited<ReturnType<typeof runHunt>>): string {
   const counts = ['answered', 'refused', 'cut', 'no answer'].map(outcome => `${sends.filter(send => send.outcome === outcome).length} ${outcome}`)
-  return `${sends.length} sends (${counts.join(', ')}), ${runs.length} runs`
+  return `${sends.length} sends (${counts.join(', ')}), ${runs.length} runs, ${jobs.map(({ reads }) => reads).join(' + ')} readings of running jobs`
 }
 
 void runHunts().then(code => process.exit(code), error => {
--- a/bench/hunt/run-hunt.ts
+++ b/bench/hunt/run-hunt.ts
@@ -32,6 +32,7 @@
   const jobs = new HuntJobs(hunt, () => book.urls, now)
   try {
     await jobs.submitAll()
+    const reading = jobs.watchResults()
     const begun = now()
     const frozen = troubles.filter(trouble => trouble.type === 'daemon frozen').map(({ daemon, at, lasting }) => ({ daemon: `entry-${daemon}`, from: begun + at, to: begun + at + lasting }))
     const at = async (time: number, what: () => Promise<unknown>): Promise<void> => {
@@ -47,15 +48,18 @@
     ])
     const over = now()
     const read = await jobs.readAll(over, over + huntSize.settle)
+    await reading
     const live = listLive(hunt, troubles)
     const after = await askAfter(caller)
     await new Promise(resolve => setTimeout(resolve, Math.max(0, over + HEAL - now())))
     const account: MergedAccount = await fleet.operator('GET', live[0]!, '/operator/account')
+    const { ids, engineRuns } = hunt.listRuns()
     return {
       seed,
       deadline: DEADLINE,
       sends: caller.sends,
-      runs: hunt.listRuns(),
+      runs: ids,
+      engineRuns,
       jobs: read,
       versions: watch.versions,
       accepted: watch.accepted,
--- /dev/null
+++ b/bench/hunt/seen-results.ts
@@ -0,0 +1,19 @@
+/** Result lines of one job as readers got them while it ran: of each item the different lines, in the order seen. */
+export class SeenResults {
+  /** Readings that gave every line there was, of a job that had not ended. */
+  reads = 0
+  private readonly lines = new Map<string, string[]>()
+
+  record (results: readonly any[]): void {
+    for (const result of results) {
+      const line = JSON.stringify(result)
+      const seen = this.lines.get(result.custom_id)
+      if (seen === undefined) this.lines.set(result.custom_id, [line])
+      else if (seen.at(-1) !== line) seen.push(line)
+    }
+  }
+
+  list (): ReadonlyArray<{ readonly item: string, readonly lines: readonly string[] }> {
+    return [...this.lines].map(([item, lines]) => ({ item, lines }))
+  }
+}
--- a/harness/caller-client.ts
+++ b/harness/caller-client.ts
@@ -43,7 +43,8 @@
 
   /** The lines of a job's results or failures. */
   async readResults (job: string, which: 'output' | 'errors'): Promise<readonly any[]> {
-    const { text } = await this.call('GET', `/v1/files/${job}.${which}/content`)
+    const { status, text } = await this.call('GET', `/v1/files/${job}.${which}/content`)
+    if (status !== 200) throw new Error(`results: ${status} ${text}`)
     return text.split('\n').filter(line => line !== '').map(line => JSON.parse(line))
   }
 }
--- a/stand-ins/engine/engine-model.ts
+++ b/stand-ins/engine/engine-model.ts
@@ -1,5 +1,5 @@
-import { appendFileSync } from 'node:fs'
 import { Random } from '../../src/kernel/random.js'
+import { addMark } from './add-mark.js'
 import { answerWords } from './answer-words.js'
 import { Batcher } from './batcher.js'
 import { CacheEvents } from './cache-events.js'
@@ -10,6 +10,7 @@
 import { hashBlocks } from './hash-blocks.js'
 import { ModelSlots } from './model-slots.js'
 import { PrefixCache } from './prefix-cache.js'
+import { RunFile } from './run-file.js'
 import type { RunRecord } from './run-record.js'
 import type { Sequence } from './sequence.js'
 import { StepLoop } from './step-loop.js'
@@ -32,6 +33,7 @@
   report = { running: 0, waiting: 0 }
   private readonly batcher: Batcher
   private readonly active = new Map<string, { readonly prompt: string, readonly sequence: Sequence }>()
+  private readonly runFile: RunFile
   private readonly reporter: NodeJS.Timeout
 
   constructor (parameters: Partial<EngineParameters> = {}) {
@@ -41,6 +43,7 @@
     this.cacheEvents = new CacheEvents(this.parameters.cacheEventLag, this.parameters.cacheEventGaps, this.random)
     this.batcher = new Batcher(this.parameters, new PrefixCache(({ type, block }) => this.cacheEvents.record(type, block, Date.now())))
     this.loop = new StepLoop(this.batcher)
+    this.runFile = new RunFile(this.parameters.runFile)
     this.reporter = setInterval(() => {
       this.report = { running: this.batcher.running.length, waiting: this.batcher.waiting.length }
     }, this.parameters.loadLag)
@@ -50,7 +53,7 @@
     clearInterval(this.reporter)
   }
 
-  /** Words of the whole answer, those resumed from included. */
+  /** Words of the whole answer without marks, those resumed from included. */
   listWords ({ prompt, tokens }: Completion): readonly string[] {
     return answerWords(prompt, tokens)
   }
@@ -59,12 +62,13 @@
   start (completion: Completion, requestId: string, body: string, write: TokenWriter): Run {
     const record: RunRecord = { requestId, at: Date.now(), body, outcome: 'running', tokens: 0 }
     this.log.push(record)
-    if (this.parameters.runFile !== undefined) appendFileSync(this.parameters.runFile, `${requestId}\n`)
+    const run = this.parameters.runMark === undefined ? undefined : `${this.parameters.runMark}/${this.log.length}`
+    this.runFile.recordStart(requestId, run, completion.resumeFrom)
     const sequence = this.createSequence(completion, requestId, (word, last) => {
       record.firstTokenAt ??= Date.now()
       record.tokens!++
-      if (last) this.end(record, 'finished')
-      write(word, last)
+      if (last) this.end(record, run, 'finished')
+      write(addMark(word, run), last)
     })
     this.active.set(requestId, { prompt: completion.prompt, sequence })
     this.batcher.add(sequence)
@@ -72,7 +76,7 @@
     return {
       cancel: () => {
         sequence.cancelled = true
-        if (record.outcome === 'running') this.end(record, 'cancelled')
+        if (record.outcome === 'running') this.end(record, run, 'cancelled')
       }
     }
   }
@@ -105,7 +109,8 @@
     }
   }
 
-  private end (record: RunRecord, outcome: 'finished' | 'cancelled'): void {
+  private end (record: RunRecord, run: string | undefined, outcome: 'finished' | 'cancelled'): void {
+    this.runFile.recordEnd(run, outcome)
     record.outcome = outcome
     record.endedAt = Date.now()
     this.active.delete(record.requestId)
--- a/stand-ins/engine/engine-parameters.ts
+++ b/stand-ins/engine/engine-parameters.ts
@@ -39,6 +39,12 @@
   readonly weightBytesPerSecond: number
   /** File to which the id of each run is added as it starts; unlike the log it outlives the process. */
   readonly runFile?: string
+  /**
+   * Name by which each word of an answer carries its run, as `word@NAME/7`; off when absent, so that answers follow from
+   * their prompts alone and tests compare them whole. Engines sample, and two runs of one prompt differ: without marks an
+   * answer put together from two runs, or a recorded result that a later run's replaced, reads like a right one.
+   */
+  readonly runMark?: string
   /** Seeds the random choices: gaps in cache events, answers that a fault hits. */
   readonly seed: number
 }
--- a/stand-ins/engine/write-whole.ts
+++ b/stand-ins/engine/write-whole.ts
@@ -4,15 +4,16 @@
 import type { TokenWriter } from './token-writer.js'
 
 /** Answers with one body at the last token. A resumed answer holds the tokens after those it was resumed from. */
-export function writeWhole (res: ServerResponse, { id, model, chat, words, resumed, promptTokens }: AnswerShape): TokenWriter {
-  return (_word, last) => {
+export function writeWhole (res: ServerResponse, { id, model, chat, promptTokens }: AnswerShape): TokenWriter {
+  const given: string[] = []
+  return (word, last) => {
+    given.push(word)
     if (!last) return
-    const text = words.slice(resumed).join(' ')
+    const text = given.join(' ')
     const choice = chat
       ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
       : { index: 0, text, finish_reason: 'stop' }
-    const given = words.length - resumed
-    const usage = { prompt_tokens: promptTokens, completion_tokens: given, total_tokens: promptTokens + given }
+    const usage = { prompt_tokens: promptTokens, completion_tokens: given.length, total_tokens: promptTokens + given.length }
     sendJson(res, 200, { id, object: chat ? 'chat.completion' : 'text_completion', created: 0, model, choices: [choice], usage })
   }
 }
--- a/test/bench/hunt.test.ts
+++ b/test/bench/hunt.test.ts
@@ -1,17 +1,26 @@
 import test from 'ava'
 import { checkPromises } from '../../bench/hunt/check-promises.js'
+import type { EngineRun } from '../../bench/hunt/engine-run.js'
 import type { HuntJob } from '../../bench/hunt/hunt-job.js'
 import type { HuntRecord } from '../../bench/hunt/hunt-record.js'
 import type { HuntSend } from '../../bench/hunt/hunt-send.js'
 import { planTroubles } from '../../bench/hunt/plan-troubles.js'
+import { readRunFiles } from '../../bench/hunt/read-run-files.js'
+import { hashTokens } from '../../stand-ins/engine/hash-tokens.js'
 
 const send = (more: Partial<HuntSend>): HuntSend => ({ id: 'stream-1.0', request: 'stream-1', daemon: 'entry-0', at: 0, took: 10, outcome: 'answered', status: 200, ...more })
 const booking = (id: string, more: Partial<HuntSend> = {}): HuntSend => send({ id, request: 'booking-1', text: 'run 1', ...more })
-const job = (more: Partial<HuntJob>): HuntJob => ({ name: 'drafts', ids: ['j'], ended: true, status: 'completed', items: 1, results: [{ item: 'item-0' }], sameBytes: true, once: ['item-0'], lateStarts: 0, ...more })
+const job = (more: Partial<HuntJob>): HuntJob => ({ name: 'drafts', ids: ['j'], ended: true, status: 'completed', items: 1, results: [{ item: 'item-0' }], sameBytes: true, once: ['item-0'], lateStarts: 0, reads: 0, seen: [], ...more })
 const record = (more: Partial<HuntRecord>): HuntRecord => ({
-  seed: 1, deadline: 8_000, sends: [], runs: [], jobs: [], versions: [], accepted: [], last: [], frozen: [], account: { asked: 0, answered: 0, mayMiss: 100 }, after: [], ...more
+  seed: 1, deadline: 8_000, sends: [], runs: [], engineRuns: {}, jobs: [], versions: [], accepted: [], last: [], frozen: [], account: { asked: 0, answered: 0, mayMiss: 100 }, after: [], ...more
 })
 
+const run = (more: Partial<EngineRun> = {}): EngineRun => ({ id: 'stream-1.0', resumed: 0, from: hashTokens([]), outcome: 'finished', ...more })
+const resumed = (tokens: readonly string[], more: Partial<EngineRun> = {}): EngineRun => run({ resumed: tokens.length, from: hashTokens(tokens), ...more })
+const whole = (marked: string): HuntSend => send({ id: 'whole-1.0', request: 'whole-1', marked })
+const item = (marked: string): HuntJob => job({ results: [{ item: 'item-0', marked }] })
+const ofItem = { id: 'j.item-0' }
+
 const CASES: ReadonlyArray<readonly [string, Partial<HuntRecord>, string | undefined]> = [
   ['nothing went wrong', { sends: [send({})], runs: ['stream-1.0'], jobs: [job({})] }, undefined],
   ['another\'s answer', { sends: [send({ wrong: 'day 2' })] }, 'passed as whole'],
@@ -19,6 +28,22 @@
   ['an end that was late because the daemon stood still', { sends: [send({ took: 12_000 })], frozen: [{ daemon: 'entry-0', from: 5, to: 9_000 }] }, undefined],
   ['a request that nobody answered', { sends: [send({ outcome: 'no answer' })] }, 'neither an answer nor a refusal'],
   ['a refused request that ran', { sends: [send({ outcome: 'refused', ran: 'not run' })], runs: ['stream-1.0'] }, 'refused as not run, and ran'],
+  ['a stream of one run', { sends: [send({ marked: 'a@e/1 b@e/1' })], engineRuns: { 'e/1': run() } }, undefined],
+  ['a stream that went on at another server', { sends: [send({ marked: 'a@e/1 b@e/1 c@f/1' })], engineRuns: { 'e/1': run({ outcome: undefined }), 'f/1': resumed(['a@e/1', ' b@e/1']) } }, undefined],
+  ['a stream begun again in its middle', { sends: [send({ marked: 'a@e/1 b@f/1' })], engineRuns: { 'e/1': run({ outcome: 'cancelled' }), 'f/1': run() } }, 'begun from token 0 and follows 1'],
+  ['a stream that goes on after tokens nobody was shown', { sends: [send({ marked: 'a@e/1 b@f/1' })], engineRuns: { 'e/1': run(), 'f/1': resumed(['x@e/2']) } }, 'other tokens'],
+  ['a stream that goes on too late', { sends: [send({ marked: 'a@e/1 c@f/1' })], engineRuns: { 'e/1': run(), 'f/1': resumed(['a@e/1', ' b@e/1']) } }, 'begun from token 2 and follows 1'],
+  ['two runs that take turns', { sends: [send({ marked: 'a@e/1 b@f/1 c@e/1' })], engineRuns: { 'e/1': run(), 'f/1': resumed(['a@e/1']) } }, 'begun from token 0 and follows 2'],
+  ['a stream whose run was cut', { sends: [send({ marked: 'a@e/1' })], engineRuns: { 'e/1': run({ outcome: undefined }) } }, 'did not end whole'],
+  ['a stream of another\'s run', { sends: [send({ marked: 'a@e/1' })], engineRuns: { 'e/1': run({ id: 'stream-2.0' }) } }, 'ran stream-2.0'],
+  ['an answer of a run that no server had', { sends: [send({ marked: 'a@e/9' })], engineRuns: { 'e/1': run() } }, 'no server\'s file'],
+  ['a word of no run', { sends: [send({ marked: 'a@e/1 b' })], engineRuns: { 'e/1': run() } }, 'has no mark'],
+  ['a whole answer of two runs', { sends: [whole('a@e/1 b@f/1')], engineRuns: { 'e/1': run({ id: 'whole-1.0' }), 'f/1': resumed(['a@e/1'], { id: 'whole-1.0' }) } }, 'of 2 runs'],
+  ['a result of a run that was cancelled', { jobs: [item('a@e/1')], engineRuns: { 'e/1': run({ ...ofItem, outcome: 'cancelled' }) } }, 'did not end whole'],
+  ['a result of another item\'s run', { jobs: [item('a@e/1')], engineRuns: { 'e/1': run({ id: 'j.item-7' }) } }, 'ran j.item-7'],
+  ['a result that went on after giving way', { jobs: [item('a@e/1 b@f/1')], engineRuns: { 'e/1': run({ ...ofItem, outcome: 'cancelled' }), 'f/1': resumed(['a@e/1'], ofItem) } }, undefined],
+  ['a result replaced by a later run\'s', { jobs: [job({ seen: [{ item: 'item-0', lines: ['a@e/1', 'a@f/1'] }] })] }, 'changed after it was read'],
+  ['a result that was read and is gone', { jobs: [job({ seen: [{ item: 'item-0', lines: ['a'] }, { item: 'item-1', lines: ['b'] }] })] }, 'was read and is gone'],
   ['a booking that ran twice', { sends: [booking('a'), booking('b')], runs: ['a', 'b'] }, 'ran 2 times'],
   ['a booking answered in two ways', { sends: [booking('a'), booking('b', { text: 'run 2' })], runs: ['a'] }, 'answered in two ways'],
   ['a booking confirmed and never run', { sends: [booking('a')] }, 'confirmed and didn\'t run'],
@@ -52,3 +77,14 @@
     t.true(troubles.filter(trouble => 'engine' in trouble).length <= 2)
   }
 })
+
+// A killed engine leaves the starts of its runs without their ends; each still counts as a run, and none as whole.
+test('run files give every run by its mark, with its end where it had one', t => {
+  const line = (value: object): string => `${JSON.stringify(value)}\n`
+  const started = { type: 'started', id: 'j.item-0', resumed: 0, from: 'x' }
+  const engine = line({ ...started, run: 'e/1' }) + line({ ...started, run: 'e/2' }) + line({ type: 'ended', run: 'e/1', outcome: 'finished' })
+  t.deepEqual(readRunFiles([engine, 'booking-1.0\nbooking-1.1\n']), {
+    ids: ['j.item-0', 'j.item-0', 'booking-1.0', 'booking-1.1'],
+    engineRuns: { 'e/1': { id: 'j.item-0', resumed: 0, from: 'x', outcome: 'finished' }, 'e/2': { id: 'j.item-0', resumed: 0, from: 'x' } }
+  })
+})
--- a/test/stand-ins/engine.test.ts
+++ b/test/stand-ins/engine.test.ts
@@ -1,5 +1,10 @@
 import test, { type ExecutionContext } from 'ava'
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { request } from 'undici'
+import { findMixing } from '../../bench/hunt/find-mixing.js'
+import { readRunFiles } from '../../bench/hunt/read-run-files.js'
 import { Engine } from '../../stand-ins/engine/engine.js'
 import type { EngineParameters } from '../../stand-ins/engine/engine-parameters.js'
 
@@ -57,3 +62,22 @@
   t.is(events.length, Math.floor((PROMPT.length / 4 + 8) / 16))
   t.deepEqual((await call(`/cache-events?after=${events.length}`)).json.events, [])
 })
+
+test('with marks each word tells its run, a resumed one what it went on from, and the run file its end', async t => {
+  const folder = mkdtempSync(join(tmpdir(), 'citronwheel-engine-'))
+  t.teardown(() => rmSync(folder, { recursive: true }))
+  const runFile = join(folder, 'runs')
+  const call = await startEngine(t, { runMark: 'e', runFile })
+  const text = async (more?: object): Promise<string> => (await call('/v1/chat/completions', ask(more))).json.choices[0].message.content
+  const [first, second] = [await text(), await text()]
+  t.not(first, second)
+  t.is(first.replaceAll('@e/1', ''), second.replaceAll('@e/2', ''))
+  const words = first.split(' ').slice(0, 5).map((word, n) => n === 0 ? word : ` ${word}`)
+  const rest = await text({ resume_from: words })
+  const { ids, engineRuns } = readRunFiles([readFileSync(runFile, 'utf8')])
+  t.deepEqual(ids, ['r', 'r', 'r'])
+  const find = (answer: string, mayResume = true): string | undefined => findMixing(answer, { id: 'r', runs: engineRuns, mayResume })
+  t.is(find(first, false), undefined)
+  t.is(find(`${words.join('')} ${rest}`), undefined)
+  t.regex(find(`${second.split(' ').slice(0, 5).join(' ')} ${rest}`)!, /other tokens/)
+})
