--- a/bench/hunt/apply-trouble.ts
+++ b/bench/hunt/apply-trouble.ts
@@ -28,6 +28,10 @@
     case 'open connections silent': return await setFaults(find(fleet.servers, `engine-${trouble.engine}`), { silenceOpen: 100 }, 0)
     case 'service silent': return await setFaults(find(fleet.servers, `booking-${trouble.service}`), { silence: true }, trouble.lasting)
     case 'service cuts answers': return await setFaults(find(fleet.servers, `booking-${trouble.service}`), { cut: true }, trouble.lasting)
+    case 'regions parted':
+      fleet.setParted(true)
+      await pause(trouble.lasting)
+      return fleet.setParted(false)
     case 'platform':
       await fleet.setPlatformFaults(trouble.faults)
       await pause(trouble.lasting)
--- a/bench/hunt/check-promises.ts
+++ b/bench/hunt/check-promises.ts
@@ -83,7 +83,7 @@
       const wrong = marked === undefined ? undefined : findMixing(marked, { id: `${ids[0]}.${item}`, runs, mayResume: true })
       return wrong === undefined ? [] : [`${name}: ${item}: ${wrong}`]
     }),
-    ...seen.filter(({ lines }) => lines.length > 1).map(({ item, lines }) => `${name}: ${item}: changed after it was read: ${lines.join(' then ')}`),
+    ...seen.filter(({ lines }) => lines.length > 1).map(({ item, lines }) => `${name}: ${item}: changed after it was read, ${lines.length} ways`),
     ...seen.filter(({ item }) => !there.has(item)).map(({ item }) => `${name}: ${item}: was read and is gone`)
   ]
 }
--- a/bench/hunt/hunt-fleet.ts
+++ b/bench/hunt/hunt-fleet.ts
@@ -6,18 +6,23 @@
 import { huntSize } from './hunt-size.js'
 import { readRunFiles } from './read-run-files.js'
 
-const DOMAINS = ['domain-a', 'domain-b', 'domain-c']
+/** Where the n-th of a kind stands, in turn. */
+const ONE_REGION: readonly Place[] = ['a', 'b', 'c'].map(letter => ({ region: 'region-1', domain: `domain-${letter}` }))
+const TWO_REGIONS: readonly Place[] = ['a', 'c', 'b', 'd'].map((letter, n) => ({ region: `region-${n % 2 + 1}`, domain: `domain-${letter}` }))
 const FOLDER = 'demo/folder'
 /** Steps long enough that items and answers are in flight when something happens. */
 const ENGINE = { stepBase: 8, stepPerSequence: 0.3 }
 
+interface Place { readonly region: string, readonly domain: string }
+
 /** A fleet whose servers write down what they run in files, which outlive them. */
 export class HuntFleet {
-  private constructor (readonly fleet: Fleet, private readonly folder: string) {}
+  private constructor (readonly fleet: Fleet, private readonly folder: string, private readonly places: readonly Place[]) {}
 
-  static async start (deadline: number): Promise<HuntFleet> {
-    const fleet = await Fleet.start()
-    const hunt = new HuntFleet(fleet, mkdtempSync(join(tmpdir(), 'citronwheel-hunt-')))
+  /** With `canPart` the fleet lies in two regions whose daemons can be parted, else in one. */
+  static async start (deadline: number, { canPart = false } = {}): Promise<HuntFleet> {
+    const fleet = await Fleet.start({ canPart })
+    const hunt = new HuntFleet(fleet, mkdtempSync(join(tmpdir(), 'citronwheel-hunt-')), canPart ? TWO_REGIONS : ONE_REGION)
     await Promise.all([
       ...Array.from({ length: huntSize.engines }, async (_, i) => await hunt.addServer(`engine-${i}`, i, 'charter-engines', 'engine')),
       ...Array.from({ length: huntSize.services }, async (_, i) => await hunt.addServer(`booking-${i}`, i, 'booking-desk', 'service')),
@@ -29,7 +34,8 @@
   }
 
   async addDaemon (n: number): Promise<void> {
-    await this.fleet.addDaemon(`entry-${n}`, DOMAINS[n % DOMAINS.length]!, { log: { level: 'error', format: 'text' } })
+    const { region, domain } = this.choosePlace(n)
+    await this.fleet.addDaemon(`entry-${n}`, domain, { region, log: { level: 'error', format: 'text' } })
   }
 
   /** All runs, those of servers that are gone too. */
@@ -44,7 +50,12 @@
   }
 
   private async addServer (name: string, n: number, pool: string, kind: 'engine' | 'service'): Promise<void> {
+    const { region, domain } = this.choosePlace(n)
     const runFile = join(this.folder, name)
-    await this.fleet.addServer(name, DOMAINS[n % DOMAINS.length]!, { pool, kind, options: kind === 'engine' ? { ...ENGINE, runFile, runMark: name } : { runFile } })
+    await this.fleet.addServer(name, domain, { pool, kind, region, options: kind === 'engine' ? { ...ENGINE, runFile, runMark: name } : { runFile } })
+  }
+
+  private choosePlace (n: number): Place {
+    return this.places[n % this.places.length]!
   }
 }
--- a/bench/hunt/plan-troubles.ts
+++ b/bench/hunt/plan-troubles.ts
@@ -8,6 +8,9 @@
   'daemon killed', 'daemon replaced', 'daemon frozen', 'daemon drained', 'engine killed', 'engine frozen', 'engine cuts answers',
   'open connections silent', 'service silent', 'service cuts answers', 'platform', 'platform'
 ]
+/** From this seed on regions may be parted too; the seeds below keep the troubles that they had before. */
+const FIRST_PARTED = 100
+const PARTED_TYPES: typeof TYPES = [...TYPES, 'regions parted', 'regions parted', 'regions parted']
 const PLATFORM: readonly PlatformFaults[] = [
   { outage: 'refused' }, { outage: 'reset' }, { outage: 'silent' }, { slowness: 300 }, { lostReplies: 0.3 },
   { delayedWrites: { share: 0.3, delay: 1_500 } }, { oldReads: { share: 0.5, lag: 1_500 } }, { silentWatches: true }, { instanceLag: 5_000 }
@@ -19,9 +22,10 @@
 export function planTroubles (seed: number): readonly Trouble[] {
   const random = new Random(seed)
   const count = 2 + random.below(huntSize.mostTroubles - 1)
+  const types = seed < FIRST_PARTED ? TYPES : PARTED_TYPES
   const planned: Trouble[] = []
   while (planned.length < count) {
-    const trouble = planTrouble(TYPES[random.below(TYPES.length)]!, random)
+    const trouble = planTrouble(types[random.below(types.length)]!, random)
     if (isBearable(trouble, planned)) planned.push(trouble)
   }
   return planned.sort((a, b) => a.at - b.at)
@@ -41,18 +45,19 @@
     case 'engine cuts answers': return { type, at, lasting, engine: random.below(huntSize.engines) }
     case 'service silent':
     case 'service cuts answers': return { type, at, lasting, service: random.below(huntSize.services) }
+    case 'regions parted': return { type, at, lasting }
     case 'platform': return { type, at, lasting, faults: { ...PLATFORM[random.below(PLATFORM.length)], seed: random.below(1_000) } }
     default: return failUnreachable(type)
   }
 }
 
-/** One trouble a process, one at a time at the platform, and half of each kind stays. */
+/** One trouble a process, one at the platform and one between the regions, and half of each kind stays. */
 function isBearable (trouble: Trouble, planned: readonly Trouble[]): boolean {
   const isSame = (other: Trouble): boolean =>
     ('daemon' in trouble && 'daemon' in other && trouble.daemon === other.daemon) ||
     ('engine' in trouble && 'engine' in other && trouble.engine === other.engine) ||
     ('service' in trouble && 'service' in other && trouble.service === other.service) ||
-    (trouble.type === 'platform' && other.type === 'platform')
+    (trouble.type === other.type && (trouble.type === 'platform' || trouble.type === 'regions parted'))
   return !planned.some(isSame) &&
     planned.filter(other => 'daemon' in other).length < ('daemon' in trouble ? MOST_LOST.daemon : Infinity) &&
     planned.filter(other => 'engine' in other).length < ('engine' in trouble ? MOST_LOST.engine : Infinity)
--- a/bench/hunt/run-hunt.ts
+++ b/bench/hunt/run-hunt.ts
@@ -22,7 +22,7 @@
 /** Brings the troubles of a seed on a fleet under online and batch load; gives back all that was seen. */
 export async function runHunt (seed: number): Promise<HuntRecord> {
   const troubles = planTroubles(seed)
-  const hunt = await HuntFleet.start(DEADLINE)
+  const hunt = await HuntFleet.start(DEADLINE, { canPart: troubles.some(({ type }) => type === 'regions parted') })
   const { fleet } = hunt
   const began = performance.now()
   const now = (): number => performance.now() - began
--- a/bench/hunt/trouble.ts
+++ b/bench/hunt/trouble.ts
@@ -12,5 +12,6 @@
   | { readonly type: 'open connections silent', readonly engine: number }
   | { readonly type: 'service silent', readonly service: number, readonly lasting: number }
   | { readonly type: 'service cuts answers', readonly service: number, readonly lasting: number }
+  | { readonly type: 'regions parted', readonly lasting: number }
   | { readonly type: 'platform', readonly faults: PlatformFaults, readonly lasting: number }
 )
--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -8,8 +8,10 @@
 import type { RunRecord } from '../stand-ins/engine/run-record.js'
 import type { PlatformFaults } from '../stand-ins/platform/platform-faults.js'
 import { Child } from './child.js'
+import { Parting } from './parting.js'
 
 const HOST = '127.0.0.1'
+const REGION = 'region-1'
 const OPERATOR_TOKEN = 'operator-of-the-trial'
 const POLL_PERIOD = 20
 const READY_TIMEOUT = 20_000
@@ -17,19 +19,30 @@
 /** A running process and the instance it is registered as. */
 interface Node { readonly child: Child, instance: Instance }
 
-interface ServerOptions { readonly pool: string, readonly kind: 'engine' | 'service', readonly options?: Readonly<Record<string, unknown>> }
+interface ServerOptions { readonly pool: string, readonly kind: 'engine' | 'service', readonly region?: string, readonly options?: Readonly<Record<string, unknown>> }
+
+interface FleetOptions {
+  readonly platform?: Readonly<Record<string, unknown>>
+  /** Whether the daemons are reached by way of the harness, which can then part their regions. */
+  readonly canPart?: boolean
+}
 
 /** A whole fleet as separate processes on loopback: stand-in platform, backend servers and daemons. */
 export class Fleet {
   readonly operatorToken = OPERATOR_TOKEN
   readonly daemons: Node[] = []
   readonly servers: Node[] = []
+  private readonly parting: Parting | undefined
   private platform!: { readonly child: Child, readonly url: string }
   private readonly folder = mkdtempSync(join(tmpdir(), 'citronwheel-'))
 
+  private constructor (canPart: boolean) {
+    this.parting = canPart ? new Parting() : undefined
+  }
+
   /** Starts the platform only; daemons and servers are added to it. */
-  static async start ({ platform = {} }: { readonly platform?: Readonly<Record<string, unknown>> } = {}): Promise<Fleet> {
-    const fleet = new Fleet()
+  static async start ({ platform = {}, canPart = false }: FleetOptions = {}): Promise<Fleet> {
+    const fleet = new Fleet(canPart)
     const { child, ready } = await Child.start<{ listening: number }>(['stand-in', 'platform', '--options', JSON.stringify(platform)])
     fleet.platform = { child, url: `http://${HOST}:${ready.listening}` }
     return fleet
@@ -44,9 +57,9 @@
     return this.platform.url
   }
 
-  async addServer (name: string, failureDomain: string, { pool, kind, options = {} }: ServerOptions): Promise<Node> {
+  async addServer (name: string, failureDomain: string, { pool, kind, region = REGION, options = {} }: ServerOptions): Promise<Node> {
     const { child, ready } = await Child.start<{ listening: number }>(['stand-in', kind, '--options', JSON.stringify(options)])
-    const node: Node = { child, instance: { name, pool, host: HOST, port: ready.listening, failureDomain, region: 'region-1', state: 'live' } }
+    const node: Node = { child, instance: { name, pool, host: HOST, port: ready.listening, failureDomain, region, state: 'live' } }
     this.servers.push(node)
     await this.register(node.instance)
     return node
@@ -56,19 +69,22 @@
   async addEngines (names: readonly string[], failureDomain: string, { pool, options = {} }: Omit<ServerOptions, 'kind'>): Promise<void> {
     const { child, ready } = await Child.start<{ ports: readonly number[] }>(['stand-in', 'engine', '--count', String(names.length), '--options', JSON.stringify(options)])
     for (const [i, name] of names.entries()) {
-      const node: Node = { child, instance: { name, pool, host: HOST, port: ready.ports[i]!, failureDomain, region: 'region-1', state: 'live' } }
+      const node: Node = { child, instance: { name, pool, host: HOST, port: ready.ports[i]!, failureDomain, region: REGION, state: 'live' } }
       this.servers.push(node)
       await this.register(node.instance)
     }
   }
 
-  async addDaemon (name: string, failureDomain: string, more: Readonly<Record<string, unknown>> = {}): Promise<Node> {
+  /** `more` are settings beside those that every daemon of a trial has. */
+  async addDaemon (name: string, failureDomain: string, more: Readonly<Record<string, unknown>> & { readonly region?: string } = {}): Promise<Node> {
+    const { region = REGION } = more
     const file = join(this.folder, `${name}.yaml`)
     writeFileSync(file, JSON.stringify({
       instance: name,
       failureDomain,
-      region: 'region-1',
+      region,
       listen: { host: HOST, port: 0, peerPort: 0 },
+      ...this.parting !== undefined && { address: this.parting.host },
       platform: this.platform.url,
       peerKey: 'key-of-the-trial',
       operatorToken: OPERATOR_TOKEN,
@@ -76,12 +92,20 @@
       ...more
     }))
     const { child, ready } = await Child.start<{ listening: number, peerPort: number }>(['serve', '--settings', file])
-    const node: Node = { child, instance: { name, pool: 'entry', host: HOST, port: ready.listening, peerPort: ready.peerPort, failureDomain, region: 'region-1', state: 'live' } }
+    const { listening: port, peerPort } = ready
+    await this.relay(child, { name, region, port, peerPort })
+    const node: Node = { child, instance: { name, pool: 'entry', host: this.parting?.host ?? HOST, port, peerPort, failureDomain, region, state: 'live' } }
     this.daemons.push(node)
     await this.register(node.instance)
     return node
   }
 
+  /** Makes the links between daemons of different regions silent, or ends that. */
+  setParted (parted: boolean): void {
+    if (this.parting === undefined) throw new Error('this fleet was not started with canPart')
+    this.parting.setParted(parted)
+  }
+
   /** Kills a process outright and, as the platform would in time, takes it off the instance list. */
   async kill (name: string): Promise<void> {
     const node = [...this.daemons, ...this.servers].find(({ instance }) => instance.name === name)
@@ -170,11 +194,17 @@
 
   async stop (): Promise<void> {
     const children = [...this.daemons, ...this.servers].map(({ child }) => child).concat(this.platform.child)
+    this.parting?.close()
     for (const child of children) child.signal('SIGKILL')
     await Promise.all(children.map(async child => await child.waitForExit()))
     rmSync(this.folder, { recursive: true, force: true })
   }
 
+  private async relay (child: Child, daemon: Parameters<Parting['add']>[0]): Promise<void> {
+    await this.parting?.add(daemon)
+    void child.waitForExit().then(() => this.parting?.remove(daemon.name))
+  }
+
   private async call (method: 'GET' | 'PUT' | 'POST' | 'DELETE', url: string, body?: unknown, headers: Record<string, string> = {}): Promise<any> {
     const response = await request(url, { method, headers, body: body === undefined ? null : JSON.stringify(body) })
     const text = await response.body.text()
--- a/test/bench/hunt.test.ts
+++ b/test/bench/hunt.test.ts
@@ -75,6 +75,7 @@
     t.true(troubles.length >= 2 && troubles.length <= 4)
     t.true(troubles.filter(trouble => 'daemon' in trouble).length <= 2)
     t.true(troubles.filter(trouble => 'engine' in trouble).length <= 2)
+    t.true(troubles.filter(({ type }) => type === 'regions parted').length <= (seed < 100 ? 0 : 1))
   }
 })
 
