--- a/bench/hunt/hunt-jobs.ts
+++ b/bench/hunt/hunt-jobs.ts
@@ -13,6 +13,9 @@
 /** ms after the acknowledgement, and after the last trouble, from which no item of a cancelled job may start. */
 const CANCEL_BOUND = 6_000
 
+/** A job is cancelled once so many of its items have started; one of which none has started is stopped by doing nothing. */
+const STARTED_BEFORE_CANCEL = 100
+
 interface JobPlan { readonly name: string, readonly items: number, readonly everyOnce: number }
 
 const PLANS: readonly JobPlan[] = [
@@ -40,8 +43,9 @@
     await Promise.all(PLANS.map(async (plan, n) => await this.submit(plan, n + 1)))
   }
 
-  /** Asks for the last job to be cancelled until that is acknowledged. */
-  async cancel (): Promise<void> {
+  /** Asks for the last job to be cancelled until that is acknowledged; as soon as it is well under way, at `latest` at any rate. */
+  async cancel (latest: number): Promise<void> {
+    while (this.countStarts() < STARTED_BEFORE_CANCEL && this.now() < latest) await pause()
     const [id] = this.ids.get(PLANS.at(-1)!.name) ?? []
     const status = await this.ask(async client => (await client.call('POST', `/v1/batches/${id}/cancel`)).status < 300)
     if (status) this.cancelledAt = this.now()
--- a/bench/hunt/run-hunt.ts
+++ b/bench/hunt/run-hunt.ts
@@ -15,6 +15,7 @@
 const GAP = 40
 const AGAIN_AT = 2_000
 const CANCEL_AT = 4_000
+const CANCEL_LATEST = 14_000
 const RACES = [1_500, 5_500]
 const HEAL = 6_000
 const KINDS = ['stream', 'booking', 'whole', 'plain'] as const
@@ -42,7 +43,7 @@
     await Promise.all([
       ask(caller, now, begun + huntSize.load),
       at(AGAIN_AT, async () => await jobs.submitAgain()),
-      at(CANCEL_AT, async () => await jobs.cancel()),
+      at(CANCEL_AT, async () => await jobs.cancel(begun + CANCEL_LATEST)),
       ...RACES.map(async (time, round) => await at(time, async () => await watch.race(round))),
       ...troubles.map(async trouble => await at(trouble.at, async () => await applyTrouble(hunt, trouble)))
     ])
