--- a/bench/hunt/run-hunt.ts
+++ b/bench/hunt/run-hunt.ts
@@ -15,6 +15,7 @@
 const GAP = 40
 const AGAIN_AT = 2_000
 const CANCEL_AT = 4_000
+const CANCEL_LATEST = 14_000
 const RACES = [1_500, 5_500]
 const HEAL = 6_000
 const KINDS = ['stream', 'booking', 'whole', 'plain'] as const
@@ -22,7 +23,7 @@
 /** Brings the troubles of a seed on a fleet under online and batch load; gives back all that was seen. */
 export async function runHunt (seed: number): Promise<HuntRecord> {
   const troubles = planTroubles(seed)
-  const hunt = await HuntFleet.start(DEADLINE)
+  const hunt = await HuntFleet.start(DEADLINE, { canPart: troubles.some(({ type }) => type === 'regions parted') })
   const { fleet } = hunt
   const began = performance.now()
   const now = (): number => performance.now() - began
@@ -32,6 +33,7 @@
   const jobs = new HuntJobs(hunt, () => book.urls, now)
   try {
     await jobs.submitAll()
+    const reading = jobs.watchResults()
     const begun = now()
     const frozen = troubles.filter(trouble => trouble.type === 'daemon frozen').map(({ daemon, at, lasting }) => ({ daemon: `entry-${daemon}`, from: begun + at, to: begun + at + lasting }))
     const at = async (time: number, what: () => Promise<unknown>): Promise<void> => {
@@ -41,21 +43,24 @@
     await Promise.all([
       ask(caller, now, begun + huntSize.load),
       at(AGAIN_AT, async () => await jobs.submitAgain()),
-      at(CANCEL_AT, async () => await jobs.cancel()),
+      at(CANCEL_AT, async () => await jobs.cancel(begun + CANCEL_LATEST)),
       ...RACES.map(async (time, round) => await at(time, async () => await watch.race(round))),
       ...troubles.map(async trouble => await at(trouble.at, async () => await applyTrouble(hunt, trouble)))
     ])
     const over = now()
     const read = await jobs.readAll(over, over + huntSize.settle)
+    await reading
     const live = listLive(hunt, troubles)
     const after = await askAfter(caller)
     await new Promise(resolve => setTimeout(resolve, Math.max(0, over + HEAL - now())))
     const account: MergedAccount = await fleet.operator('GET', live[0]!, '/operator/account')
+    const { ids, engineRuns } = hunt.listRuns()
     return {
       seed,
       deadline: DEADLINE,
       sends: caller.sends,
-      runs: hunt.listRuns(),
+      runs: ids,
+      engineRuns,
       jobs: read,
       versions: watch.versions,
       accepted: watch.accepted,
