--- a/src/ownership/plan-preempting.ts
+++ b/src/ownership/plan-preempting.ts
@@ -2,8 +2,11 @@
 import type { BatchAdmissionState } from './batch-admission-state.js'
 import { limitIdle } from './limit-idle.js'
 
-/** Prompt tokens of batch that may wait or prefill in the engine at once while nothing online runs there. */
-const PREFILL_IDLE = 256
+/**
+ * Prompt tokens of batch that may wait or prefill in the engine at once while nothing online runs there. They lengthen the
+ * first steps of a refill, for which the next online request waits.
+ */
+const PREFILL_IDLE = 192
 /** The same for starts beside online requests, and how many there are at once; items that the engine has cached stay within it. */
 const PREFILL_BESIDE_ONLINE = 64
 const STARTS_BESIDE_ONLINE = 3
--- a/test/ownership/site-policy.test.ts
+++ b/test/ownership/site-policy.test.ts
@@ -7,6 +7,9 @@
 const LENGTH = 400_000
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8]
 
+/** What the policy reaches today and is not to lose unseen: share of idle capacity at least, median of the first token over that without batch at most. */
+const REACHED: Readonly<Record<string, { readonly ofIdle: number, readonly median: number }>> = { keelmoor: { ofIdle: 1.9, median: 1.1 }, clearplate: { ofIdle: 1.03, median: 1.122 } }
+
 // Each user's online load comes in bursts to a server that batch fills. Between bursts a request comes every few hundred ms,
 // so that the server is idle for less than a second at a time: batch that comes back slowly leaves most of it unused,
 // and batch that fills it to the last slot keeps the next request waiting for a long step.
@@ -17,11 +20,12 @@
     const ratio = (pick: 'firstToken' | 'betweenTokens', quantile: number): number => find(ours.flatMap(run => run[pick]), quantile) / find(none.flatMap(run => run[pick]), quantile)
     const add = (runs: typeof ours, pick: 'batchTokens' | 'idle'): number => runs.reduce((sum, run) => sum + run[pick], 0)
     const ofIdle = add(ours, 'batchTokens') / (add(alone, 'batchTokens') * add(none, 'idle') / LENGTH / SEEDS.length)
-    t.log(ratio('firstToken', 0.99), ratio('firstToken', 0.999), ratio('betweenTokens', 0.99), ofIdle)
+    t.log(ratio('firstToken', 0.5), ratio('firstToken', 0.99), ratio('firstToken', 0.999), ratio('betweenTokens', 0.99), ofIdle)
     t.true(ratio('firstToken', 0.99) <= 1.05)
     t.true(ratio('firstToken', 0.999) <= 1.1)
     t.true(ratio('betweenTokens', 0.99) <= 1.05)
-    t.true(ofIdle >= 0.9)
+    t.true(ofIdle >= 0.9 && ofIdle >= REACHED[site.name]!.ofIdle)
+    t.true(ratio('firstToken', 0.5) <= REACHED[site.name]!.median)
   })
 }
 
