--- a/test/admission/shares-whole.test.ts
+++ b/test/admission/shares-whole.test.ts
@@ -9,7 +9,7 @@
 /** A place is held for long enough that what a busy machine adds to an answer is little beside it. */
 const TOKENS = 60
 const EACH = 24
-const WARM = 360
+const WARM = 720
 const COUNTED = 720
 const CALLERS = { 'quay-desk': [0, 1, 2], 'night-desk': [1], 'school-kitchen': [2] }
 
