Trials begin with a fleet that has found itself: each server with one owner

Its time line: daemons that have just started each own all servers until they see each other; entry-a claimed the chunk 27 ms after entry-b had become the engine's owner, ran the items until its next look (200 ms), closed them as lost, and entry-b began them anew. The test took those for items that gave way. Ruled out: tokens not read yet (the engine had given 4 of each), a lost give-back.

Change: the first `apply` of a trial waits until each server has one owner; daemons tell theirs at `/operator/owned`, which operators can read too. What the fault costs in service is known and stays: items begun anew when an owner changes (DECISIONS/shutdown).

--- a/harness/fleet.ts
+++ b/harness/fleet.ts
@@ -155,6 +155,8 @@
       return known.every(other => other >= version)
     })
     await this.waitForServers()
+    // A fleet that still finds itself moves servers and their batch items about; trials begin with a whole one.
+    if (basedOn === 0) await this.waitForOwners()
     return version
   }
 
@@ -174,6 +176,15 @@
     })
   }
 
+  /** Waits until each server has one owner: daemons that have just started each own all of them until they see each other. */
+  async waitForOwners (): Promise<void> {
+    await this.waitForMembers()
+    await this.waitUntil(async () => {
+      const owned = await Promise.all(this.daemons.map(async daemon => (await this.operator('GET', daemon, '/operator/owned')).owned as readonly string[]))
+      return owned.flat().sort().join() === this.servers.map(({ instance }) => instance.name).sort().join()
+    })
+  }
+
   async operator (method: 'GET' | 'PUT' | 'POST', daemon: Node, path: string, body?: unknown): Promise<any> {
     return await this.call(method, this.url(daemon) + path, body, { authorization: `Bearer ${OPERATOR_TOKEN}` })
   }
--- /dev/null
+++ b/src/ownership/owner-routes.ts
@@ -0,0 +1,19 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Route } from '../entry/route.js'
+import { routePoint } from '../entry/route-point.js'
+import { sendJson } from '../http/send-json.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { ServerOwners } from './server-owners.js'
+
+/** Shows operators which servers this daemon owns now, as it sees it: two daemons may name one server while they find each other. */
+@scoped(Lifecycle.ContainerScoped)
+export class OwnerRoutes implements Part {
+  readonly extensions = ([
+    { method: 'get', path: '/operator/owned', access: 'operator', handle: (_req, res) => sendJson(res, 200, { owned: this.owners.listOwned() }) }
+  ] satisfies Route[]).map(route => routePoint.of(route))
+
+  constructor (@inject(ServerOwners) private readonly owners: ServerOwners) {}
+}
+
+partRegistry.register({ name: 'owner routes', part: OwnerRoutes, needs: ['server owners'] })
