A slot for loads is written anew before each load

Cause: a daemon went by the slot that it remembered for up to 3 s; another owner of the same server may have freed it meanwhile, and a third server load beside two others. Renewing while a load goes on stays one write in 3 s.

--- a/src/ownership/load-slots.ts
+++ b/src/ownership/load-slots.ts
@@ -1,4 +1,5 @@
 import type { ObjectStore } from '../platform/object-store.js'
+import type { StoreError } from '../platform/store-error.js'
 import type { StoredObject } from '../platform/stored-object.js'
 
 const KIND = 'load-slot'
@@ -36,25 +37,29 @@
   constructor (private readonly options: LoadSlotsOptions) {}
 
   /**
-   * Whether the server may load now. Asking again while it holds a slot keeps it. A write without a reply may have
-   * taken a slot: trying the next one then takes two for one load. So it counts as refused, and the next call finds
-   * the slot by the server's name.
+   * Whether the server may begin to load now. Asking again while it holds a slot keeps it, by a write each time: two
+   * daemons that both believe to own the server know of one slot, the other may have freed it, and a load that went by
+   * what this one remembers would be one too many. A write without a reply may have taken a slot: trying the next one
+   * then takes two for one load. So it counts as refused, and the next call finds the slot by the server's name.
    */
   async claim (server: string): Promise<boolean> {
-    const { store, date, keep } = this.options
     const mine = this.held.get(server)
-    if (mine !== undefined && mine.until - date() > keep / 2) return true
-    for (const { name, version } of await this.listOpen(server)) {
-      const until = date() + keep
-      const written = await store.put<Slot>(KIND, name, { server, until }, version, 'background')
-      if (written.ok) this.held.set(server, { name, version: written.val.version, until })
-      if (written.ok) return true
-      if (written.val.type !== 'conflict') break
+    if (mine !== undefined && await this.write(server, mine) === 'ok') return true
+    for (const slot of await this.listOpen(server)) {
+      const written = await this.write(server, slot)
+      if (written === 'ok') return true
+      if (written !== 'conflict') break
     }
     this.held.delete(server)
     return false
   }
 
+  /** Keeps the slot of a server that loads, with a write only when half of its time is over. */
+  async renew (server: string): Promise<void> {
+    const mine = this.held.get(server)
+    if (mine === undefined || mine.until - this.options.date() <= this.options.keep / 2) await this.claim(server)
+  }
+
   /**
    * Takes over the slot that an earlier owner of the server claimed for it; says whether that is done. Without it the
    * slot stays taken until its time runs out, although the load has long ended, and other servers wait for nothing.
@@ -87,6 +92,15 @@
     else if (freed.val.type === 'conflict') await this.adopt(server)
   }
 
+  private async write (server: string, { name, version }: Pick<SlotObject, 'name' | 'version'>): Promise<'ok' | StoreError['type']> {
+    const { store, date, keep } = this.options
+    const until = date() + keep
+    const written = await store.put<Slot>(KIND, name, { server, until }, version, 'background')
+    if (written.err) return written.val.type
+    this.held.set(server, { name, version: written.val.version, until })
+    return 'ok'
+  }
+
   /** The slots that the server may claim: its own, or else those that are free. None while the platform is out. */
   private async listOpen (server: string): Promise<readonly SlotObject[]> {
     const slots = await this.list() ?? []
--- a/src/ownership/server-orders.ts
+++ b/src/ownership/server-orders.ts
@@ -92,7 +92,7 @@
     const placement = configuration.placement![instance.pool]!
     const order = planOrder(placement, state)
     if (order === undefined) {
-      if (state.models.some(({ state }) => state === 'loading')) await this.slots.claim(name)
+      if (state.models.some(({ state }) => state === 'loading')) await this.slots.renew(name)
       else await this.slots.release(name)
       return
     }
--- a/test/ownership/load-slots.test.ts
+++ b/test/ownership/load-slots.test.ts
@@ -30,6 +30,19 @@
   t.deepEqual([await other!.claim('b'), await other!.claim('c')], [true, true])
 })
 
+// Two daemons believe for a moment that they own server a. One claims a slot for it, the other finds it loaded and frees
+// the slot, which others take. The first, ordered to load something else, must not go by what it remembers: three loads
+// would share what the weight store gives two.
+test('a slot that another owner freed is not held any more', async t => {
+  const fleet = new Fleet()
+  const [owner, other, third] = fleet.daemons
+  t.true(await owner!.claim('a'))
+  t.true(await other!.adopt('a'))
+  await other!.release('a')
+  t.deepEqual([await third!.claim('b'), await third!.claim('c')], [true, true])
+  t.false(await owner!.claim('a'))
+})
+
 // The platform takes a claim and its reply is lost. Trying the next slot would hold both for one load, the first of
 // them with nobody who frees it.
 test('a claim whose reply is lost takes one slot', async t => {
