Read again: one type for a started run, and no second wait for a fleet that has found itself

Cause: what starts a batch run was written out three times (\`ServerBatch\`, twice in \`BatchRunner\`), the last two grown apart in how \`stop\` is called; and since a trial's first \`apply\` waits until each server has one owner, seven trials waited once more for members or servers. Change: \`StartedRun\`; the second waits are gone (\`quarantine\`, \`report-whole\`, \`account-whole\`, \`shares-whole\`, \`regions-parted\`, \`keyed-whole\`, the batch trials). No assertion, bound or expectation changed. Ruled out: one wait for versions for \`apply\` and \`regions-parted\`: the trial asks for exactly its version, \`apply\` for that or a later one.

--- a/src/ownership/batch-runner.ts
+++ b/src/ownership/batch-runner.ts
@@ -21,6 +21,7 @@
 import { ServerBatch } from './server-batch.js'
 import { ServerOwners } from './server-owners.js'
 import { ServerWatch } from './server-watch.js'
+import type { StartedRun } from './started-run.js'
 import { WorkQueue } from './work-queue.js'
 
 const TICK_PERIOD = 50
@@ -138,7 +139,7 @@
     return batch
   }
 
-  private startOn (server: string, prefill: number): ReturnType<ConstructorParameters<typeof ServerBatch>[0]['start']> {
+  private startOn (server: string, prefill: number): StartedRun | undefined {
     if (this.draining || this.watch.getState(server) !== 'open') return this.miss('server not open')
     const work = this.queue.take(server)
     if (work === undefined) return this.miss('no item ready')
@@ -157,7 +158,7 @@
     return undefined
   }
 
-  private begin (server: string, work: BatchWork, prefill: number): { readonly id: string, readonly prefill: number, readonly stop: (options: { readonly afterRead: boolean }) => void } | undefined {
+  private begin (server: string, work: BatchWork, prefill: number): StartedRun | undefined {
     const target = this.servers.find(server)
     const model = this.models.list(server).find(({ service }) => service === work.service)?.model
     if (target === undefined || model === undefined) {
--- a/src/ownership/server-batch.ts
+++ b/src/ownership/server-batch.ts
@@ -5,24 +5,23 @@
 import type { BatchAdmissionOptions } from './batch-admission-options.js'
 import type { BatchAdmissionState } from './batch-admission-state.js'
 import { createBatchAdmission } from './create-batch-admission.js'
+import type { StartedRun } from './started-run.js'
 
 /** How long a run that is stopped without haste may wait for its next tokens, ms. */
 const LAST_READ = 250
 
-type Stop = (options: { readonly afterRead: boolean }) => void
-
 interface ServerBatchOptions {
   readonly admission: BatchAdmissionOptions
   readonly clock: Clock
   /** Starts one item if there is one whose prefill is within `prefill` tokens. */
-  readonly start: (prefill: number) => { readonly id: string, readonly prefill: number, readonly stop: Stop } | undefined
+  readonly start: (prefill: number) => StartedRun | undefined
 }
 
 /** Batch work on one server that this daemon owns: the admission decisions and the runs that they start and stop. */
 export class ServerBatch {
   admission: BatchAdmissionOptions
   private state: BatchAdmissionState
-  private readonly stops = new Map<string, Stop>()
+  private readonly stops = new Map<string, StartedRun['stop']>()
   private readonly gaps: number[] = []
   private closed = false
 
@@ -45,7 +44,7 @@
     const { state, effects } = stepBatchAdmission(this.state, event, this.options.clock.now(), this.admission)
     this.state = state
     for (const effect of effects) {
-      if (effect.type === 'preempt') this.stops.get(effect.id)?.({ afterRead: false })
+      if (effect.type === 'preempt') this.stops.get(effect.id)?.()
       else this.start(effect)
     }
   }
--- a/test/admission/account-whole.test.ts
+++ b/test/admission/account-whole.test.ts
@@ -21,7 +21,6 @@
   ])
   const configuration = readFolder('demo/folder').unwrap()
   await fleet.apply({ ...configuration, limits: { ...configuration.limits, addressKeep: 500 } })
-  await fleet.waitForMembers()
   for (const daemon of fleet.daemons) {
     const client = new CallerClient(fleet.url(daemon), 'quay-desk-token')
     await Promise.all(Array.from({ length: REQUESTS }, async (_, i) => t.is((await client.chat('berth-assistant', `Question ${i}`, { tokens: TOKENS, stream: i % 2 === 0 })).status, 200)))
--- a/test/admission/shares-whole.test.ts
+++ b/test/admission/shares-whole.test.ts
@@ -22,7 +22,6 @@
     ...Array.from({ length: ENGINES }, async (_, i) => await fleet.addServer(`engine-${i}`, `domain-${i}`, { pool: 'charter-engines', kind: 'engine' })),
     ...Array.from({ length: DAEMONS }, async (_, i) => await fleet.addDaemon(`entry-${i}`, `domain-${i}`))
   ])
-  await fleet.waitForMembers()
   const { version, ...configuration } = { version: 0, ...readFolder('demo/folder').unwrap() }
   await fleet.apply({ ...configuration, models: { 'charter-7b': { ...configuration.models['charter-7b']!, maxInFlight: 6 } } })
 
--- a/test/batch/helpers/process-fleet.ts
+++ b/test/batch/helpers/process-fleet.ts
@@ -19,7 +19,6 @@
     ...DOMAINS.map(async domain => await fleet.addDaemon(`entry-${domain}`, domain))
   ])
   await fleet.apply('demo/folder')
-  await fleet.waitForServers()
   return fleet
 }
 
--- a/test/entry/keyed-whole.test.ts
+++ b/test/entry/keyed-whole.test.ts
@@ -18,7 +18,6 @@
   await fleet.apply({ ...configuration, limits: { ...configuration.limits, deadline } })
   const [a, b] = fleet.daemons.map(daemon => new CallerClient(fleet.url(daemon), 'quay-desk-token'))
   const members = async (): Promise<number> => (await fleet.operator('GET', fleet.daemons[1]!, '/operator/status')).members.length
-  await fleet.waitUntil(async () => await members() === 2)
   const count = async (): Promise<number> => (await fleet.readLog(server)).length
   return { fleet, a: a!, b: b!, server, members, count }
 }
--- a/test/peers/regions-parted.test.ts
+++ b/test/peers/regions-parted.test.ts
@@ -15,7 +15,6 @@
   await Promise.all(REGIONS.slice(0, 2).map(async (region, n) => await fleet.addServer(`engine-${n}`, `domain-${n}`, { pool: 'charter-engines', kind: 'engine', region })))
   for (const [n, region] of REGIONS.entries()) await fleet.addDaemon(`entry-${n}`, `domain-${n}`, { region })
   const version = await fleet.apply('demo/folder')
-  await fleet.waitForMembers()
   const listAlive = async (daemon: typeof fleet.daemons[number]): Promise<string> => {
     const { members } = await fleet.operator('GET', daemon, '/operator/status') as { members: ReadonlyArray<{ instance: { name: string }, state: string }> }
     return members.filter(({ state }) => state === 'alive').map(({ instance }) => instance.name).sort().join()
--- a/test/report/report-whole.test.ts
+++ b/test/report/report-whole.test.ts
@@ -26,7 +26,6 @@
   ])
   const { callers, ...rest } = readFolder('demo/folder').unwrap()
   await fleet.apply({ ...rest, callers: { ...callers, 'quay-desk': { ...callers['quay-desk']!, team: 'keelmoor' } } })
-  await fleet.waitForMembers()
   for (const daemon of fleet.daemons) {
     const client = new CallerClient(fleet.url(daemon), 'quay-desk-token')
     await Promise.all(Array.from({ length: REQUESTS }, async (_, i) => t.is((await client.chat('berth-assistant', `Question ${i}`, { tokens: TOKENS, stream: i % 2 === 0 })).status, 200)))
--- a/test/routing/quarantine.test.ts
+++ b/test/routing/quarantine.test.ts
@@ -32,7 +32,6 @@
 test('a request that crashes servers ends two of them at most, and those beside it complete', async t => {
   const { fleet, callers, ended } = await startFleet()
   t.teardown(async () => await fleet.stop())
-  await fleet.waitForMembers()
   const prompts = Array.from({ length: 12 }, (_, i) => `Draft ${i}`)
   const bystanders = prompts.map(async (prompt, i) => await callers[i % DAEMONS]!.chat(MODEL, prompt, { stream: true, tokens: LONG }))
   await fleet.waitUntil(async () => (await Promise.all(fleet.servers.map(async server => (await fleet.readLog(server)).length))).reduce((sum, n) => sum + n, 0) === prompts.length)
