src/platform is src/store: what it holds is the client of the metadata store

Cause: the adapter for the users' machines gets a folder named platform/; two rooms of that name would mislead. Change: a rename and its imports; nothing else. tsc is clean.

--- a/src/admission/account-reader.ts
+++ b/src/admission/account-reader.ts
@@ -1,7 +1,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
-import type { ObjectStore } from '../platform/object-store.js'
+import type { ObjectStore } from '../store/object-store.js'
 import type { AccountDay } from './account-day.js'
 import type { AccountPart } from './account-part.js'
 import { AccountQuestions } from './account-questions.js'
--- a/src/admission/read-all.ts
+++ b/src/admission/read-all.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results'
-import type { ObjectStore } from '../platform/object-store.js'
-import type { StoreError } from '../platform/store-error.js'
-import type { StoredObject } from '../platform/stored-object.js'
+import type { ObjectStore } from '../store/object-store.js'
+import type { StoreError } from '../store/store-error.js'
+import type { StoredObject } from '../store/stored-object.js'
 
 /** Small: a page is parsed in one go, during which nothing else runs, and an object may have up to 1 MB. */
 const PAGE = 20
--- a/src/batch/caller-index.ts
+++ b/src/batch/caller-index.ts
@@ -1,8 +1,8 @@
 import { Err, Ok, type Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { tokens } from '../kernel/tokens.js'
-import type { ObjectStore } from '../platform/object-store.js'
-import type { StoreError } from '../platform/store-error.js'
+import type { ObjectStore } from '../store/object-store.js'
+import type { StoreError } from '../store/store-error.js'
 import { createObject } from './create-object.js'
 
 const LAST_TIME = 9_999_999_999_999
--- a/src/batch/cancelled-index.ts
+++ b/src/batch/cancelled-index.ts
@@ -2,8 +2,8 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
-import type { ObjectStore } from '../platform/object-store.js'
-import type { StoreError } from '../platform/store-error.js'
+import type { ObjectStore } from '../store/object-store.js'
+import type { StoreError } from '../store/store-error.js'
 import { createObject } from './create-object.js'
 
 /** Far above the 60 s for which items start without a look, and above what wall clocks differ by. */
--- a/src/batch/count-chunk.ts
+++ b/src/batch/count-chunk.ts
@@ -1,5 +1,5 @@
 import type { Account } from '../admission/account.js'
-import type { ObjectStore } from '../platform/object-store.js'
+import type { ObjectStore } from '../store/object-store.js'
 import type { Chunk } from './chunk.js'
 import type { ItemResult } from './item-result.js'
 import { readResults } from './read-results.js'
--- a/src/batch/create-object.ts
+++ b/src/batch/create-object.ts
@@ -1,6 +1,6 @@
 import { Ok, type Result } from 'ts-results'
-import type { ObjectStore } from '../platform/object-store.js'
-import type { StoreError } from '../platform/store-error.js'
+import type { ObjectStore } from '../store/object-store.js'
+import type { StoreError } from '../store/store-error.js'
 
 const MAX_TRIES = 3
 
--- a/src/batch/holding-record.ts
+++ b/src/batch/holding-record.ts
@@ -6,8 +6,8 @@
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
-import type { ObjectStore } from '../platform/object-store.js'
-import type { StoreError } from '../platform/store-error.js'
+import type { ObjectStore } from '../store/object-store.js'
+import type { StoreError } from '../store/store-error.js'
 import type { Holding } from './holding.js'
 
 const LEASE = 60_000
--- a/src/batch/job-settler.ts
+++ b/src/batch/job-settler.ts
@@ -1,7 +1,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
-import type { ObjectStore } from '../platform/object-store.js'
+import type { ObjectStore } from '../store/object-store.js'
 import type { Chunk } from './chunk.js'
 import { closeChunk } from './close-chunk.js'
 import type { Counts } from './counts.js'
--- a/src/batch/recovery.ts
+++ b/src/batch/recovery.ts
@@ -1,7 +1,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { tokens } from '../kernel/tokens.js'
 import { Timeline } from '../observe/timeline.js'
-import type { ObjectStore } from '../platform/object-store.js'
+import type { ObjectStore } from '../store/object-store.js'
 import type { Chunk } from './chunk.js'
 import type { Holding } from './holding.js'
 import { isHolder } from './is-holder.js'
--- a/src/batch/send-store-problem.ts
+++ b/src/batch/send-store-problem.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import { sendProblem } from '../entry/send-problem.js'
-import type { StoreError } from '../platform/store-error.js'
+import type { StoreError } from '../store/store-error.js'
 
 const RETRY_AFTER = 2_000
 
--- a/src/batch/spill-results.ts
+++ b/src/batch/spill-results.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { Ok, type Result } from 'ts-results'
-import type { ObjectStore } from '../platform/object-store.js'
-import type { StoreError } from '../platform/store-error.js'
+import type { ObjectStore } from '../store/object-store.js'
+import type { StoreError } from '../store/store-error.js'
 import type { Chunk } from './chunk.js'
 import type { ResultPart } from './result-part.js'
 
--- a/src/batch/update-object.ts
+++ b/src/batch/update-object.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results'
-import type { CallPriority } from '../platform/call-priority.js'
-import type { ObjectStore } from '../platform/object-store.js'
-import type { StoreError } from '../platform/store-error.js'
+import type { CallPriority } from '../store/call-priority.js'
+import type { ObjectStore } from '../store/object-store.js'
+import type { StoreError } from '../store/store-error.js'
 
 const MAX_TRIES = 20
 
--- a/src/commands/create-daemon.ts
+++ b/src/commands/create-daemon.ts
@@ -6,7 +6,7 @@
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
-import { HttpObjectStore } from '../platform/http-object-store.js'
+import { HttpObjectStore } from '../store/http-object-store.js'
 
 /** A daemon with its settings, clock and connection to the platform, ready to start. */
 export function createDaemon (settings: Settings, log: LogSink): Kernel {
--- a/src/coordination/lease-options.ts
+++ b/src/coordination/lease-options.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../kernel/clock.js'
-import type { ObjectStore } from '../platform/object-store.js'
+import type { ObjectStore } from '../store/object-store.js'
 
 /** What a lease is built from. */
 export interface LeaseOptions {
--- a/src/entry/keyed-index.ts
+++ b/src/entry/keyed-index.ts
@@ -6,7 +6,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { Members } from '../peers/members.js'
-import type { ObjectStore } from '../platform/object-store.js'
+import type { ObjectStore } from '../store/object-store.js'
 import type { KeyedClaim } from './keyed-claim.js'
 
 const KIND = 'keyed-day'
--- a/src/entry/operator-routes.ts
+++ b/src/entry/operator-routes.ts
@@ -8,7 +8,7 @@
 import { Shutdown } from '../kernel/shutdown.js'
 import { tokens } from '../kernel/tokens.js'
 import { Members } from '../peers/members.js'
-import { InstanceList } from '../platform/instance-list.js'
+import { InstanceList } from '../store/instance-list.js'
 import type { Route } from './route.js'
 import { routePoint } from './route-point.js'
 
--- a/src/kernel/tokens.ts
+++ b/src/kernel/tokens.ts
@@ -2,7 +2,7 @@
 import type { Clock } from './clock.js'
 import type { Random } from './random.js'
 import type { Settings } from './settings.js'
-import type { ObjectStore } from '../platform/object-store.js'
+import type { ObjectStore } from '../store/object-store.js'
 import type { LogSink } from '../observe/log-sink.js'
 
 /** Injection tokens of what isn't a class of its own: interfaces that a test replaces. */
--- a/src/ownership/server-owners.ts
+++ b/src/ownership/server-owners.ts
@@ -13,8 +13,8 @@
 import { tokens } from '../kernel/tokens.js'
 import { Timeline } from '../observe/timeline.js'
 import { Members } from '../peers/members.js'
-import { InstanceList } from '../platform/instance-list.js'
-import type { ObjectStore } from '../platform/object-store.js'
+import { InstanceList } from '../store/instance-list.js'
+import type { ObjectStore } from '../store/object-store.js'
 import { OwnerTable } from './owner-table.js'
 
 const REFRESH_PERIOD = 200
--- a/src/parts.ts
+++ b/src/parts.ts
@@ -1,6 +1,6 @@
 import './kernel/pause-watch.js'
-import './platform/instance-list.js'
-import './platform/instance-list-relay.js'
+import './store/instance-list.js'
+import './store/instance-list-relay.js'
 import './config/configuration-distribution.js'
 import './peers/peer-addresses.js'
 import './peers/peer-links.js'
--- a/src/peers/member.ts
+++ b/src/peers/member.ts
@@ -1,4 +1,4 @@
-import type { Instance } from '../platform/instance.js'
+import type { Instance } from '../store/instance.js'
 
 /** A daemon as this one sees it. */
 export interface Member {
--- a/src/peers/peer-addresses.ts
+++ b/src/peers/peer-addresses.ts
@@ -1,6 +1,6 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { partRegistry } from '../kernel/part-registry.js'
-import { InstanceList } from '../platform/instance-list.js'
+import { InstanceList } from '../store/instance-list.js'
 
 interface PeerAddress { readonly host: string, readonly port: number }
 
--- a/src/peers/read-instance.ts
+++ b/src/peers/read-instance.ts
@@ -1,5 +1,5 @@
 import type { MemberRecord } from '../coordination/member-record.js'
-import type { Instance } from '../platform/instance.js'
+import type { Instance } from '../store/instance.js'
 
 /** The pool of the instances that run daemons. */
 const ENTRY_POOL = 'entry'
--- a/stand-ins/platform/memory-store.ts
+++ b/stand-ins/platform/memory-store.ts
@@ -1,9 +1,9 @@
 import { Err, Ok, type Result } from 'ts-results'
-import type { Instance } from '../../src/platform/instance.js'
-import type { ObjectStore } from '../../src/platform/object-store.js'
-import type { StoreError } from '../../src/platform/store-error.js'
-import type { StoredObject } from '../../src/platform/stored-object.js'
-import type { WatchBatch } from '../../src/platform/watch-batch.js'
+import type { Instance } from '../../src/store/instance.js'
+import type { ObjectStore } from '../../src/store/object-store.js'
+import type { StoreError } from '../../src/store/store-error.js'
+import type { StoredObject } from '../../src/store/stored-object.js'
+import type { WatchBatch } from '../../src/store/watch-batch.js'
 import { ObjectTable } from './object-table.js'
 
 /** One call as a fault sees it. */
--- a/stand-ins/platform/object-table.ts
+++ b/stand-ins/platform/object-table.ts
@@ -1,4 +1,4 @@
-import type { StoredObject } from '../../src/platform/stored-object.js'
+import type { StoredObject } from '../../src/store/stored-object.js'
 
 interface Change { readonly kind: string, readonly name: string, readonly revision: number, readonly at: number, readonly object?: Row }
 
--- a/test/admission/account-fold.test.ts
+++ b/test/admission/account-fold.test.ts
@@ -8,7 +8,7 @@
 import { mergePart } from '../../src/admission/merge-part.js'
 import type { MergedAccount } from '../../src/admission/merged-account.js'
 import { readAll } from '../../src/admission/read-all.js'
-import type { ObjectStore } from '../../src/platform/object-store.js'
+import type { ObjectStore } from '../../src/store/object-store.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
 
 const START = Date.UTC(2026, 11, 2, 12)
--- a/test/batch/helpers/trial-store.ts
+++ b/test/batch/helpers/trial-store.ts
@@ -1,9 +1,9 @@
 import { Err, type Result } from 'ts-results'
 import { MemoryStore } from '../../../stand-ins/platform/memory-store.js'
-import type { ObjectStore } from '../../../src/platform/object-store.js'
-import type { StoreError } from '../../../src/platform/store-error.js'
-import type { StoredObject } from '../../../src/platform/stored-object.js'
-import type { WatchBatch } from '../../../src/platform/watch-batch.js'
+import type { ObjectStore } from '../../../src/store/object-store.js'
+import type { StoreError } from '../../../src/store/store-error.js'
+import type { StoredObject } from '../../../src/store/stored-object.js'
+import type { WatchBatch } from '../../../src/store/watch-batch.js'
 import type { TrialClock } from './trial-clock.js'
 
 /** One daemon's way to the shared store: nothing goes out or comes in while it is frozen; some reads are old. */
--- a/test/batch/job-watch.test.ts
+++ b/test/batch/job-watch.test.ts
@@ -4,7 +4,7 @@
 import type { Job } from '../../src/batch/job.js'
 import { JobWatch } from '../../src/batch/job-watch.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
-import type { StoreError } from '../../src/platform/store-error.js'
+import type { StoreError } from '../../src/store/store-error.js'
 import { VirtualClock } from '../helpers/virtual-clock.js'
 
 const JOB = 'job-1'
--- a/test/helpers/create-links.ts
+++ b/test/helpers/create-links.ts
@@ -8,7 +8,7 @@
 import { peerHandlerPoint } from '../../src/peers/peer-handler-point.js'
 import { PeerLinks } from '../../src/peers/peer-links.js'
 import type { PeerMessage } from '../../src/peers/peer-message.js'
-import { InstanceList } from '../../src/platform/instance-list.js'
+import { InstanceList } from '../../src/store/instance-list.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
 import type { VirtualClock } from './virtual-clock.js'
 
--- a/test/helpers/measure-account.ts
+++ b/test/helpers/measure-account.ts
@@ -7,7 +7,7 @@
 import { Account } from '../../src/admission/account.js'
 import { addRows } from '../../src/admission/add-rows.js'
 import { findShard } from '../../src/admission/find-shard.js'
-import type { ObjectStore } from '../../src/platform/object-store.js'
+import type { ObjectStore } from '../../src/store/object-store.js'
 
 /** How the account gets to the platform: parts rewritten, a part a flush, or told to a relay or a partner besides. */
 type Way = 'rewrite' | 'delta' | 'relay' | 'partner'
--- a/test/ownership/helpers/order-trial.ts
+++ b/test/ownership/helpers/order-trial.ts
@@ -8,7 +8,7 @@
 import { Timeline } from '../../../src/observe/timeline.js'
 import { ServerOrders } from '../../../src/ownership/server-orders.js'
 import type { ServerOwners } from '../../../src/ownership/server-owners.js'
-import type { InstanceList } from '../../../src/platform/instance-list.js'
+import type { InstanceList } from '../../../src/store/instance-list.js'
 import { MemoryStore } from '../../../stand-ins/platform/memory-store.js'
 import { VirtualClock } from '../../helpers/virtual-clock.js'
 
--- a/test/ownership/late-checks.test.ts
+++ b/test/ownership/late-checks.test.ts
@@ -8,7 +8,7 @@
 import { Timeline } from '../../src/observe/timeline.js'
 import type { ServerOwners } from '../../src/ownership/server-owners.js'
 import { ServerWatch } from '../../src/ownership/server-watch.js'
-import type { InstanceList } from '../../src/platform/instance-list.js'
+import type { InstanceList } from '../../src/store/instance-list.js'
 
 const TIMEOUT = 400
 
--- a/test/platform/circuit.test.ts
+++ b/test/store/circuit.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { Circuit } from '../../src/platform/circuit.js'
+import { Circuit } from '../../src/store/circuit.js'
 
 type Step = readonly [at: number, what: 'answer' | 'failure']
 
--- a/test/platform/faults.test.ts
+++ b/test/store/faults.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { listPages } from '../../src/platform/list-pages.js'
+import { listPages } from '../../src/store/list-pages.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
 import { FaultPlan } from '../../stand-ins/platform/fault-plan.js'
 import { Platform } from '../../stand-ins/platform/platform.js'
--- a/test/platform/instance-list.test.ts
+++ b/test/store/instance-list.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import 'reflect-metadata'
-import type { Instance } from '../../src/platform/instance.js'
-import { InstanceList } from '../../src/platform/instance-list.js'
+import type { Instance } from '../../src/store/instance.js'
+import { InstanceList } from '../../src/store/instance-list.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
 import { VirtualClock } from '../helpers/virtual-clock.js'
 
