--- a/src/config/configuration-schema.ts
+++ b/src/config/configuration-schema.ts
@@ -2,10 +2,13 @@
 import type { Configuration } from './configuration.js'
 import type { KeySchema } from './key-schema.js'
 import type { KeySchemas } from './key-schemas.js'
+import type { JobTerms } from './job-terms.js'
 import type { Limits } from './limits.js'
 import type { Model } from './model.js'
 import type { Placement } from './placement.js'
+import type { Route } from './route.js'
 import type { Service } from './service.js'
+import type { WeightedService } from './weighted-service.js'
 
 const SECOND = 1_000
 const MINUTE = 60 * SECOND
@@ -15,6 +18,9 @@
 const MAX_SERVICES = 1_000
 const MAX_TOKENS = 16
 const MAX_PLACED = 100
+const MAX_ROUTES = 20_000
+const MAX_SPLIT = 100
+const PATH_PREFIX = /^\/(.*\/)?$/
 const TOKEN_HASH = /^[0-9a-f]{64}$/
 
 const model: KeySchemas<Model> = {
@@ -53,12 +59,38 @@
   leaving: { type: 'list', maxItems: MAX_SERVICES, optional: true, of: { type: 'text', minLength: 1, doc: 'Name of an instance.' }, doc: 'Servers that are to get no new work.' }
 }
 
+const weightedService: KeySchemas<WeightedService> = {
+  service: { type: 'text', minLength: 1, doc: 'Name of the service.' },
+  weight: { type: 'number', unit: 'weight', whole: false, min: 0, max: 1_000_000, default: 1, doc: 'Its part of the sum of all weights of the route.' }
+}
+
+const jobTerms: KeySchemas<JobTerms> = {
+  dueAfter: { type: 'number', unit: 'ms', whole: false, min: 1, max: 30 * DAY, doc: 'From the first submission of a job until all results are due.' },
+  giveUpAfter: { type: 'number', unit: 'ms', whole: false, min: 0, max: 30 * DAY, default: 0, doc: 'From the first submission until an item may be given up; 0 where it may not.' },
+  maxWaitingTokens: { type: 'number', unit: 'tokens', whole: true, min: 0, max: 1_000_000_000_000, default: 0, doc: 'Tokens of unfinished items that all callers together may have; 0 for no limit.' }
+}
+
+const route: KeySchemas<Route> = {
+  host: { type: 'text', minLength: 1, doc: 'Value of the `Host` header.' },
+  pathPrefix: { type: 'text', pattern: PATH_PREFIX, doc: 'Beginning of the path; it begins and ends with a slash. The longest that fits is taken.' },
+  services: { type: 'list', maxItems: MAX_SPLIT, of: { type: 'object', keys: weightedService, doc: 'One service.' }, doc: 'Services that its requests are split over.' },
+  streamed: { type: 'boolean', default: false, doc: 'Whether its answers are streams of events.' },
+  idempotent: { type: 'boolean', default: false, doc: 'Whether a request may run more than once.' },
+  resumable: { type: 'boolean', default: false, doc: 'Whether a stream may go on at another server after the last event that was relayed.' },
+  attempts: { type: 'number', unit: 'servers', whole: true, min: 1, max: 100, default: 2, doc: 'Servers that may run one request.' },
+  timeout: { type: 'number', unit: 'ms', whole: false, min: 0, max: DAY, default: 0, doc: 'Longest time that a caller is kept waiting for a whole answer; 0 for no limit of its own.' },
+  target: { type: 'number', unit: 'ms', whole: false, min: 1, max: DAY, default: SECOND, doc: 'Target for the answer, or for the first event of a stream.' },
+  priority: { type: 'number', unit: 'rank', whole: true, min: 0, max: 1_000, default: 0, doc: '0 is the highest.' },
+  jobs: { type: 'object', optional: true, keys: jobTerms, doc: 'Terms of the jobs it takes.' }
+}
+
 const configuration: KeySchemas<Omit<Configuration, 'version'>> = {
   services: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: service, doc: 'One service.' }, doc: 'Services that callers name.' },
   models: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: model, doc: 'One model.' }, doc: 'Models that engines serve.' },
   callers: { type: 'map', maxKeys: MAX_CALLERS, of: { type: 'object', keys: caller, doc: 'One caller.' }, doc: 'Who may ask, and for how much of the fleet.' },
   limits: { type: 'object', keys: limits, doc: 'Limits that hold for every caller.' },
-  placement: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: placement, doc: 'One pool.' }, doc: 'What the servers of each pool are to have loaded.' }
+  placement: { type: 'map', maxKeys: MAX_SERVICES, of: { type: 'object', keys: placement, doc: 'One pool.' }, doc: 'What the servers of each pool are to have loaded.' },
+  routes: { type: 'map', maxKeys: MAX_ROUTES, of: { type: 'object', keys: route, doc: 'One route.' }, doc: 'Where requests by host and path go.' }
 }
 
 /** Every key of the operators' folder. */
--- /dev/null
+++ b/src/config/find-route.ts
@@ -0,0 +1,16 @@
+import type { Route } from './route.js'
+
+/**
+ * The route of the host whose path prefix is the longest that begins `path`; undefined where there is none.
+ *
+ * @example
+ * findRoute(Object.values(configuration.routes ?? {}), 'desk.example', '/berths/7')
+ */
+export function findRoute (routes: readonly Route[], host: string, path: string): Route | undefined {
+  let best: Route | undefined
+  for (const route of routes) {
+    if (route.host !== host || !path.startsWith(route.pathPrefix)) continue
+    if (best === undefined || route.pathPrefix.length > best.pathPrefix.length) best = route
+  }
+  return best
+}
--- /dev/null
+++ b/src/entry/address-lookup.ts
@@ -0,0 +1,97 @@
+import { App } from '@tinyhttp/app'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import { FleetWatch } from '../fleet/fleet-watch.js'
+import { createAppServer } from '../http/create-app-server.js'
+import { listen } from '../http/listen.js'
+import { sendJson } from '../http/send-json.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Metrics } from '../observe/metrics.js'
+import type { Member } from '../peers/member.js'
+import { Members } from '../peers/members.js'
+import type { DoorDialect } from './door-dialect.js'
+import type { Endpoint } from './endpoint.js'
+import type { RoutedSettings } from './routed-settings.js'
+
+const NOT_FOUND = 404
+const NOT_READY = 503
+
+/** Tells callers which daemons to use, the platform whether this one is ready, and engineers its metrics. */
+@scoped(Lifecycle.ContainerScoped)
+export class AddressLookup implements Part {
+  private readonly servers: Server[] = []
+  private leaving = false
+
+  constructor (
+    @inject(tokens.routed) private readonly settings: RoutedSettings,
+    @inject(tokens.settings) private readonly own: Settings,
+    @inject(tokens.door) private readonly dialect: DoorDialect,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(FleetWatch) private readonly fleet: FleetWatch,
+    @inject(Members) private readonly members: Members,
+    @inject(Metrics) private readonly metrics: Metrics
+  ) {}
+
+  async start (): Promise<void> {
+    const { readiness, addresses, metrics } = this.settings
+    await this.serve(readiness, (req, res) => this.answerReadiness(req, res))
+    await this.serve(addresses, (req, res) => this.answerAddresses(req, res))
+    await this.serve(metrics, (_req, res) => void res.end(this.metrics.write()))
+    this.configuration.subscribe(() => this.updateReady())
+    this.fleet.subscribe(() => this.updateReady())
+    this.updateReady()
+  }
+
+  /** Not ready from here on, while requests are served to the end. */
+  async drain (): Promise<void> {
+    this.leaving = true
+  }
+
+  async stop (): Promise<void> {
+    for (const server of this.servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+
+  private get isReady (): boolean {
+    return !this.leaving && this.configuration.value.version > 0 && this.fleet.knowsServers
+  }
+
+  private updateReady (): void {
+    if (this.members.self.ready !== this.isReady) this.members.update({ ready: this.isReady })
+  }
+
+  private async serve ({ host, port }: Endpoint, handle: (req: IncomingMessage, res: ServerResponse) => void): Promise<void> {
+    const app = new App()
+    app.use((req, res) => handle(req, res))
+    const server = createAppServer(app)
+    this.servers.push(server)
+    await listen(server, host, port)
+  }
+
+  private answerReadiness (req: IncomingMessage, res: ServerResponse): void {
+    if (!this.dialect.isReadiness(req)) return sendJson(res, NOT_FOUND, {})
+    sendJson(res, this.isReady ? 200 : NOT_READY, {})
+  }
+
+  private answerAddresses (req: IncomingMessage, res: ServerResponse): void {
+    const question = this.dialect.readAddressQuestion(req)
+    if (question === undefined) return sendJson(res, NOT_FOUND, {})
+    const open = this.members.all().filter(member => this.isOpen(member)).map(({ instance }) => `${instance.host}:${instance.port}`)
+    if (open.length === 0) return sendJson(res, NOT_READY, {})
+    sendJson(res, 200, this.dialect.showAddresses(open, this.settings.addressKeep))
+  }
+
+  /** A member that has spoken itself, is ready and doesn't leave. */
+  private isOpen ({ instance, state, ready, run }: Member): boolean {
+    if (instance.name === this.own.instance) return this.isReady
+    return run > 0 && ready && state === 'alive' && instance.port > 0
+  }
+}
+
+partRegistry.register({ name: 'address lookup', part: AddressLookup, needs: ['members', 'fleet watch', 'routed entry'] })
--- a/src/entry/caller-connections.ts
+++ b/src/entry/caller-connections.ts
@@ -16,6 +16,13 @@
   JSON.stringify({ type: 'urn:citronwheel:too-many-connections', title: 'too-many-connections', status: 503, detail: `connections: this address has ${MAX_PER_ADDRESS} open already`, ran: 'not run' })
 ].join('\r\n').replace('\r\n{', '\r\n\r\n{')
 
+interface ConnectionOptions {
+  /** How long callers are told that an idle connection stays usable, s. */
+  readonly keepAlive?: number
+  /** While closing: how long a connection must have been idle, ms; past what callers were told where it is left out. */
+  readonly closeIdleAfter?: number
+}
+
 /**
  * The callers' connections of one HTTP server, and their end without a race.
  *
@@ -28,7 +35,7 @@
   private readonly table = new ConnectionTable<Socket>()
   private closing = false
 
-  constructor (private readonly server: Server, private readonly clock: Clock) {
+  constructor (private readonly server: Server, private readonly clock: Clock, private readonly options: ConnectionOptions = {}) {
     server.on('connection', (socket: Socket) => this.add(socket))
   }
 
@@ -41,7 +48,7 @@
     const { socket } = req
     if (!this.table.begin(socket)) return false
     if (this.closing) res.setHeader('connection', 'close')
-    else res.setHeader('keep-alive', `timeout=${KEEP_ALIVE}`)
+    else res.setHeader('keep-alive', `timeout=${this.options.keepAlive ?? KEEP_ALIVE}`)
     res.once('close', () => this.table.end(socket, this.clock.now()))
     return true
   }
@@ -57,7 +64,7 @@
     // The close of an HTTP server would end idle connections at once, which is the race; the one below it does not.
     NetServer.prototype.close.call(this.server)
     while (this.table.size > 0) {
-      for (const socket of this.table.listIdle(this.clock.now(), KEEP_ALIVE * MS_PER_SECOND + KEEP_ALIVE_SLACK)) socket.destroy()
+      for (const socket of this.table.listIdle(this.clock.now(), this.options.closeIdleAfter ?? KEEP_ALIVE * MS_PER_SECOND + KEEP_ALIVE_SLACK)) socket.destroy()
       await new Promise<void>(resolve => { this.clock.after(CLOSE_PERIOD, resolve) })
     }
   }
--- /dev/null
+++ b/src/entry/endpoint.ts
@@ -0,0 +1,5 @@
+/** An address to listen on. */
+export interface Endpoint {
+  readonly host: string
+  readonly port: number
+}
--- /dev/null
+++ b/src/entry/routed-entry.ts
@@ -0,0 +1,158 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { App } from '@tinyhttp/app'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { chooseService } from '../config/choose-service.js'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import { findRoute } from '../config/find-route.js'
+import type { Route } from '../config/route.js'
+import { createAppServer } from '../http/create-app-server.js'
+import { listen } from '../http/listen.js'
+import { readBody } from '../http/read-body.js'
+import { sendJson } from '../http/send-json.js'
+import { Jobs } from '../jobs/jobs.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { Metrics } from '../observe/metrics.js'
+import { Members } from '../peers/members.js'
+import { Forwarder } from '../routing/forwarder.js'
+import { CallerConnections } from './caller-connections.js'
+import type { DoorDialect } from './door-dialect.js'
+import { ResponseSink } from './response-sink.js'
+import type { RoutedSettings } from './routed-settings.js'
+import { sendRoutedRefusal } from './send-routed-refusal.js'
+
+const HEADERS_TIMEOUT = 10_000
+const TIMEOUT_CHECK = 1_000
+const MAX_HEADER_BYTES = 65_536
+/** How long callers are told that an idle connection stays usable, s, and how long it does, ms: longer than they keep any. */
+const KEEP_ALIVE = 20
+const KEEP_ALIVE_TIMEOUT = 30_000
+/** Some callers keep an answer of the addresses for three times as long as they were told. */
+const KEPT_TIMES = 3
+/** For the way of an answer to its caller, ms. */
+const TRAVEL = 300
+/** A connection idle for this long while closing has no request on its way, ms: several round trips to callers. */
+const CLOSE_IDLE_AFTER = 400
+/** Left of the time to end for what is still being answered, ms. */
+const END_MARGIN = 700
+const NOT_READY_RETRY = 300
+/** Below this share of the longest time that callers of a route give, one has tried before. */
+const RETURNING_SHARE = 0.97
+const DEFAULT_DEADLINE = 60_000
+
+/** The door for requests by host and path: finds their route and passes them on, or answers what can't be. */
+@scoped(Lifecycle.ContainerScoped)
+export class RoutedEntry implements Part {
+  private readonly server: Server
+  private readonly connections: CallerConnections
+  /** By route: the longest time that a caller has given, ms. */
+  private readonly longest = new Map<Route, number>()
+
+  constructor (
+    @inject(tokens.routed) private readonly settings: RoutedSettings,
+    @inject(tokens.door) private readonly dialect: DoorDialect,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Forwarder) private readonly forwarder: Forwarder,
+    @inject(Jobs) private readonly jobs: Jobs,
+    @inject(Members) private readonly members: Members,
+    @inject(Metrics) metrics: Metrics
+  ) {
+    const app = new App()
+    app.use((req, res) => { void this.handle(req, res) })
+    this.server = createAppServer(app, { headersTimeout: HEADERS_TIMEOUT, connectionsCheckingInterval: TIMEOUT_CHECK, keepAliveTimeout: KEEP_ALIVE_TIMEOUT, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 })
+    this.connections = new CallerConnections(this.server, clock, { keepAlive: KEEP_ALIVE, closeIdleAfter: CLOSE_IDLE_AFTER })
+    this.server.on('clientError', (_error, socket) => socket.destroy())
+    metrics.gauge('entry_connections', () => this.connections.size)
+  }
+
+  async start (): Promise<void> {
+    const { requests } = this.settings
+    await listen(this.server, requests.host, requests.port)
+    this.members.update({ port: requests.port })
+  }
+
+  /**
+   * Tells the others that this daemon leaves, and serves on until no kept answer of the addresses names it; then ends each
+   * connection with its last answer. Whatever still runs shortly before the process would be killed is cut then.
+   */
+  async drain (): Promise<void> {
+    const { addressKeep, shutdownTime } = this.settings
+    const end = this.clock.now() + shutdownTime - END_MARGIN
+    void this.members.leave()
+    await this.pause(KEPT_TIMES * addressKeep + TRAVEL)
+    this.log.write('info', 'entry', 'closes its connections', { connections: this.connections.size })
+    await Promise.race([this.connections.close(), this.pause(end - this.clock.now())])
+  }
+
+  private async pause (time: number): Promise<void> {
+    await new Promise<void>(resolve => this.clock.after(Math.max(0, time), resolve))
+  }
+
+  private async handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (!this.connections.begin(req, res)) return void res.destroy()
+    const arrived = this.clock.now()
+    try {
+      await this.serve(req, res, arrived)
+    } catch (error) {
+      this.log.write('error', 'entry', 'a request failed', { path: req.url, error: (error as Error).stack })
+      if (res.headersSent) res.destroy()
+      else sendRoutedRefusal(res, { cause: 'server failed', ran: 'unknown', retryAfter: 0, detail: 'an error of ours; its cause is in the log' })
+    }
+  }
+
+  private async serve (req: IncomingMessage, res: ServerResponse, arrived: number): Promise<void> {
+    const { version, routes = {}, limits } = this.configuration.value
+    if (version === 0) return this.refuseUnready(req, res)
+    const call = this.dialect.readJobCall(req)
+    if (call !== undefined) return await this.jobs.answer(call, res)
+    const head = this.dialect.readHead(req)
+    const route = findRoute(Object.values(routes), head.host, head.path)
+    if (route === undefined) {
+      this.log.write('info', 'entry', 'found no route', { request: head.id, host: head.host, path: head.path, configuration: version })
+      req.resume()
+      return sendJson(res, 404, { cause: 'no route', detail: 'no route takes this host and path' })
+    }
+    const gone = new AbortController()
+    res.once('close', () => { if (!res.writableFinished) gone.abort() })
+    const body = await readBody(req, limits.bodyBytes)
+    if (body.err) return body.val === 'cut' ? void res.destroy() : sendJson(res, 413, { cause: 'body too large', detail: `over ${limits.bodyBytes} bytes` })
+    if (route.jobs !== undefined) return await this.jobs.submit({ id: head.id, route, path: head.path, body: body.val, arrived }, res)
+    const left = Math.min(head.left ?? DEFAULT_DEADLINE, route.timeout > 0 ? route.timeout : Infinity)
+    const service = chooseService(route.services, this.forwarder.random)
+    if (service === undefined) return sendRoutedRefusal(res, { cause: 'no server', ran: 'not run', retryAfter: NOT_READY_RETRY, detail: 'the route names no service' })
+    await this.forwarder.forward({
+      id: head.id,
+      route,
+      method: req.method!,
+      path: req.url!,
+      headers: head.headers,
+      body: body.val.length === 0 ? undefined : body.val,
+      resumeAfter: head.resumeAfter,
+      key: head.key,
+      arrived,
+      deadline: arrived + left,
+      returning: this.isReturning(route, head.left),
+      signal: gone.signal
+    }, service, new ResponseSink(res))
+  }
+
+  /** A caller that comes again has less time left than the route's callers begin with. */
+  private isReturning (route: Route, left: number | undefined): boolean {
+    if (left === undefined) return false
+    const longest = Math.max(left, this.longest.get(route) ?? 0)
+    this.longest.set(route, longest)
+    return left < longest * RETURNING_SHARE
+  }
+
+  private refuseUnready (req: IncomingMessage, res: ServerResponse): void {
+    req.resume()
+    sendRoutedRefusal(res, { cause: 'platform', ran: 'not run', retryAfter: NOT_READY_RETRY, detail: 'this daemon knows no configuration yet' })
+  }
+}
+
+partRegistry.register({ name: 'routed entry', part: RoutedEntry, needs: ['forwarder', 'jobs', 'members', 'fleet watch'] })
--- /dev/null
+++ b/src/fleet/answer-evacuation.ts
@@ -0,0 +1,33 @@
+import type { Clock } from '../kernel/clock.js'
+import type { Random } from '../kernel/random.js'
+import type { LogSink } from '../observe/log-sink.js'
+import type { ObjectStore } from '../store/object-store.js'
+
+const KIND = 'evacuations'
+/** One watch, ms: orders to empty an instance are rare and give it seconds. */
+const WAIT = 25_000
+const RETRY = 500
+
+interface EvacuationOptions {
+  readonly store: ObjectStore
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: LogSink
+  /** Name of this instance. */
+  readonly instance: string
+}
+
+/**
+ * Watches for the order to empty this instance and answers that it is empty: what must last lies in the store, and
+ * nothing on the disk would be missed. Ends when `signal` does.
+ */
+export async function answerEvacuation ({ store, clock, random, log, instance }: EvacuationOptions, signal: AbortSignal): Promise<void> {
+  for (let cursor = -1; !signal.aborted;) {
+    const batch = await store.watch(KIND, cursor, WAIT)
+    const isAsked = batch.ok && batch.val.changed.some(({ name }) => name === instance)
+    const isAnswered = !isAsked || (await store.putStatus(KIND, instance, { state: 'done' })).ok
+    if (isAsked) log.write('info', 'fleet', 'was asked to be emptied', { answered: isAnswered })
+    if (batch.ok && isAnswered) cursor = batch.val.revision
+    else await new Promise<void>(resolve => clock.after(random.spread(RETRY, 0.5), resolve))
+  }
+}
--- /dev/null
+++ b/src/fleet/fleet-watch.ts
@@ -0,0 +1,202 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Configuration } from '../config/configuration.js'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Random } from '../kernel/random.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { listOthers } from '../peers/list-others.js'
+import { Members } from '../peers/members.js'
+import { peerHandlerPoint } from '../peers/peer-handler-point.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import type { PeerMessage } from '../peers/peer-message.js'
+import type { Instance } from '../store/instance.js'
+import { InstanceList } from '../store/instance-list.js'
+import type { ObjectStore } from '../store/object-store.js'
+import type { StoreError } from '../store/store-error.js'
+import { StoreMirror } from '../store/store-mirror.js'
+import type { WatchBatch } from '../store/watch-batch.js'
+import { DaemonDirectory } from './daemon-directory.js'
+import { followKind } from './follow-kind.js'
+import { isWatcher } from './is-watcher.js'
+import { planRemoval } from './plan-removal.js'
+
+const CONFIGURATION = 'configuration'
+const INSTANCES = 'instances'
+/** Silence of all watchers after which a daemon watches for itself, ms: a watch and its answer's way. */
+const SILENCE = 6_000
+const CHECK_PERIOD = 500
+
+/**
+ * What this daemon knows of the configuration and of the backend servers, from the store and from its peers.
+ *
+ * A few daemons of each failure domain watch the store and tell all others what changed: a watch in each would grow the
+ * calls with the fleet. A daemon whose watchers have fallen silent watches for itself; one that can't reach the store
+ * lives on what the others tell it.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class FleetWatch implements Part {
+  readonly extensions = [
+    peerHandlerPoint.of({ type: 'fleet news', handle: message => this.hear(message) }),
+    peerHandlerPoint.of({ type: 'fleet ask', handle: (_message, from) => this.answer(from) })
+  ]
+
+  private readonly configurations = new StoreMirror<Configuration>()
+  private readonly instances = new StoreMirror<Instance>()
+  /** Servers whose entries have gone and that are used on for a while: until when, monotonic ms. */
+  private readonly held = new Map<string, { readonly instance: Instance, readonly until: number }>()
+  private readonly ended = new AbortController()
+  private away = false
+  private backAt = -Infinity
+  private heardAt = -Infinity
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(tokens.store) private readonly store: ObjectStore,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.random) private readonly random: Random,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(InstanceList) private readonly list: InstanceList,
+    @inject(ConfigurationHolder) private readonly holder: ConfigurationHolder,
+    @inject(DaemonDirectory) private readonly daemons: DaemonDirectory,
+    @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: PeerLinks
+  ) {
+    list.polled = false
+  }
+
+  async start (): Promise<void> {
+    this.daemons.subscribe(() => this.publish())
+    void this.follow(CONFIGURATION, this.configurations)
+    void this.follow(INSTANCES, this.instances)
+    this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+    this.ended.abort()
+  }
+
+  /** Whether the backend servers are known, from the store or from another daemon. */
+  get knowsServers (): boolean {
+    return this.instances.cursor >= 0 || this.instances.list().size > 0
+  }
+
+  /** `listener` runs when the servers have changed. */
+  subscribe (listener: () => void): void {
+    this.list.subscribe(listener)
+  }
+
+  /** Whether the last call to the store was answered. */
+  get reachesStore (): boolean {
+    return !this.away
+  }
+
+  private async follow<T> (kind: string, mirror: StoreMirror<T>): Promise<void> {
+    await followKind<T>({
+      store: this.store,
+      clock: this.clock,
+      random: this.random,
+      kind,
+      getCursor: () => mirror.cursor,
+      wants: () => mirror.cursor < 0 || this.watches(),
+      onBatch: batch => this.takeBatch(kind, mirror, batch),
+      onFailure: error => this.noteFailure(kind, error)
+    }, this.ended.signal)
+  }
+
+  private watches (): boolean {
+    const { instance: name, failureDomain } = this.settings
+    return isWatcher(this.members.all(), { name, failureDomain }) || this.clock.now() > this.heardAt + SILENCE
+  }
+
+  private takeBatch<T> (kind: string, mirror: StoreMirror<T>, batch: WatchBatch<T>): void {
+    if (this.away) {
+      this.backAt = this.clock.now()
+      this.log.write('info', 'fleet', 'the store answers again', { kind, revision: batch.revision })
+    }
+    this.away = false
+    const before = this.instances.list()
+    const names = mirror.apply(batch)
+    this.tell(kind, names.length === 0 ? { revision: batch.revision, changed: [], deleted: [] } : pickNames(mirror.copy(kind), names, batch.revision))
+    if (names.length > 0 || !this.list.known) this.use(kind, names, before)
+  }
+
+  private noteFailure (kind: string, error: StoreError): void {
+    if (!this.away) this.log.write('warn', 'fleet', 'the store does not answer', { kind, error: error.type, reason: 'reason' in error ? error.reason : undefined })
+    this.away = true
+    if (this.holder.value.version === 0 || !this.list.known) this.ask()
+  }
+
+  /** News of another daemon, which may be a watcher's or an answer to a question. */
+  private hear ({ kind, batch }: PeerMessage): void {
+    const news = batch as WatchBatch<any>
+    if (!Array.isArray(news?.changed) || !Array.isArray(news.deleted)) return
+    this.heardAt = this.clock.now()
+    const before = this.instances.list()
+    const names = (kind === CONFIGURATION ? this.configurations : this.instances).merge(news)
+    if (names.length > 0) this.use(String(kind), names, before)
+  }
+
+  private use (kind: string, names: readonly string[], before: ReadonlyMap<string, Instance>): void {
+    if (kind === CONFIGURATION) return this.useConfiguration()
+    const now = this.clock.now()
+    const present = this.instances.list()
+    for (const name of names) {
+      const instance = before.get(name)
+      const until = instance === undefined || present.has(name) ? undefined : planRemoval(now, { away: this.away, backAt: this.backAt })
+      if (until !== undefined) this.held.set(name, { instance: instance!, until })
+      this.log.write('info', 'fleet', 'a server changed', { server: name, state: present.get(name)?.state ?? (until === undefined ? 'gone' : 'held') })
+    }
+    this.publish()
+  }
+
+  private useConfiguration (): void {
+    for (const configuration of this.configurations.list().values()) {
+      if (this.holder.offer(configuration)) this.log.write('info', 'fleet', 'a configuration is in force', { version: configuration.version, routes: Object.keys(configuration.routes ?? {}).length })
+    }
+  }
+
+  private publish (): void {
+    const present = this.instances.list()
+    for (const name of [...this.held.keys()]) if (present.has(name)) this.held.delete(name)
+    const held = [...this.held.values()].map(({ instance }) => instance)
+    if (this.instances.cursor >= 0 || present.size > 0 || this.daemons.all.length > 0) this.list.replace([...present.values(), ...held, ...this.daemons.all])
+  }
+
+  private check (): void {
+    const now = this.clock.now()
+    const over = [...this.held].filter(([, { until }]) => now >= until).map(([name]) => name)
+    for (const name of over) this.held.delete(name)
+    if (over.length > 0) this.publish()
+    if (this.away) this.ask()
+  }
+
+  private tell<T> (kind: string, batch: WatchBatch<T>): void {
+    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: 'fleet news', kind, batch })
+  }
+
+  /** One daemon at random: the next question goes to another. */
+  private ask (): void {
+    const others = listOthers(this.members.all(), this.settings.instance)
+    if (others.length > 0) this.links.send(others[this.random.below(others.length)]!, { type: 'fleet ask' })
+  }
+
+  private answer (from: string): void {
+    for (const [kind, mirror] of [[CONFIGURATION, this.configurations], [INSTANCES, this.instances]] as const) {
+      this.links.send(from, { type: 'fleet news', kind, batch: mirror.copy(kind) })
+    }
+  }
+}
+
+function pickNames<T> (all: WatchBatch<T>, names: readonly string[], revision: number): WatchBatch<T> {
+  const changed = all.changed.filter(({ name }) => names.includes(name))
+  const present = new Set(changed.map(({ name }) => name))
+  return { revision, changed, deleted: names.filter(name => !present.has(name)) }
+}
+
+partRegistry.register({ name: 'fleet watch', part: FleetWatch, needs: ['members', 'peer links', 'instance list', 'daemon directory'] })
--- /dev/null
+++ b/src/jobs/item-result.ts
@@ -0,0 +1,7 @@
+/** How an item ended. Its place among the results of its job never changes. */
+export interface ItemResult {
+  readonly id: string
+  readonly state: 'completed' | 'failed'
+  /** The data of all events in order, joined by line feeds. */
+  readonly text: string
+}
--- /dev/null
+++ b/src/jobs/item-run.ts
@@ -0,0 +1,123 @@
+import type { Clock } from '../kernel/clock.js'
+import { EventCutter } from '../routing/event-cutter.js'
+import type { OpenExchange } from '../routing/open-exchange.js'
+import type { Sender } from '../routing/sender.js'
+import type { ServerDialect } from '../routing/server-dialect.js'
+import type { Servers } from '../routing/servers.js'
+import { stepEventProgress } from '../routing/step-event-progress.js'
+import type { ItemOutcome } from './item-outcome.js'
+import type { ItemState } from './item-state.js'
+
+/** Longest silence before the first event and between two, ms; a slow server takes a few hundred. */
+const FIRST_PATIENCE = 1_500
+const BETWEEN_PATIENCE = 1_000
+const DEADLINE = 600_000
+const IMPOSSIBLE = 422
+const SERVER_ERROR = 500
+const REDIRECTED = 300
+
+interface ItemRunOptions {
+  readonly state: ItemState
+  readonly host: string
+  readonly pool: string
+  readonly server: string
+  /** Whether it may still begin, asked as its first byte leaves. */
+  readonly mayStart: () => boolean
+  readonly clock: Clock
+  readonly sender: Sender
+  readonly servers: Servers
+  readonly dialect: ServerDialect
+}
+
+/** One run of an item on one server, which goes on behind the last event of the run before and can be stopped at any time. */
+export class ItemRun {
+  private readonly abort = new AbortController()
+
+  constructor (private readonly options: ItemRunOptions) {}
+
+  get server (): string {
+    return this.options.server
+  }
+
+  stop (): void {
+    this.abort.abort()
+  }
+
+  async run (): Promise<ItemOutcome> {
+    const { state: { item, last }, host, pool, server, clock, sender, servers, dialect, mayStart } = this.options
+    const target = servers.find(server)
+    if (target === undefined) return { type: 'lost', detail: 'the server has gone' }
+    const headers = Object.fromEntries(Object.entries(item.headers).map(([name, value]) => [name.toLowerCase(), value]))
+    const body = Buffer.from(item.body, 'base64')
+    const opened = await sender.send(target, {
+      id: item.id,
+      caller: host,
+      service: pool,
+      pool,
+      work: 'batch',
+      method: 'POST',
+      path: item.path,
+      headers: { ...headers, host, ...dialect.buildHeaders({ instance: server, resumeAfter: last === undefined ? undefined : String(last) }) },
+      body,
+      idempotent: true,
+      deadline: clock.now() + DEADLINE,
+      limit: Infinity,
+      signal: this.abort.signal,
+      mayStart
+    }, { body, fingerprint: item.id, patience: FIRST_PATIENCE })
+    if (opened.err) return this.showLoss(opened.val.detail)
+    return await this.read(opened.val)
+  }
+
+  private async read (open: OpenExchange): Promise<ItemOutcome> {
+    const { status, headers } = open.exchange
+    const { dialect, state: { item } } = this.options
+    const id = dialect.readRequestId(headers)
+    if (id !== undefined && id !== item.id) return this.fail(open, `the answer belongs to ${id}`)
+    if (status < REDIRECTED && open.exchange.isStream()) return await this.readEvents(open)
+    const isNotRun = dialect.isNotRun(status, headers)
+    const whole = await this.drain(open)
+    open.end(whole ? 'answered' : 'abandoned')
+    if (isNotRun) return { type: 'refused' }
+    if (status === IMPOSSIBLE) return { type: 'impossible' }
+    return status === SERVER_ERROR ? { type: 'failed' } : { type: 'lost', detail: `status ${status}` }
+  }
+
+  private async drain (open: OpenExchange): Promise<boolean> {
+    for (;;) {
+      const bytes = await open.exchange.read(BETWEEN_PATIENCE)
+      if (bytes.err) return false
+      if (bytes.val === undefined) return true
+    }
+  }
+
+  private async readEvents (open: OpenExchange): Promise<ItemOutcome> {
+    const { state } = this.options
+    const cutter = new EventCutter()
+    for (let patience = FIRST_PATIENCE; ; patience = BETWEEN_PATIENCE) {
+      const bytes = await open.exchange.read(patience)
+      if (bytes.err) return this.fail(open, bytes.val.detail)
+      if (bytes.val === undefined) break
+      for (const { id, data } of cutter.push(bytes.val)) {
+        const step = stepEventProgress({ last: state.last }, id)
+        if (step.type === 'gap') return this.fail(open, `event ${id} after ${state.last}`)
+        if (step.type === 'known') continue
+        state.last = step.progress.last
+        state.texts.push(data)
+        state.losses = 0
+      }
+    }
+    if (!cutter.isClean) return this.fail(open, 'it ended within an event')
+    open.end('answered')
+    return { type: 'completed' }
+  }
+
+  private fail (open: OpenExchange, detail: string): ItemOutcome {
+    void open.fail({ why: this.abort.signal.aborted ? 'abandoned' : 'cut', sent: true, detail })
+    return this.showLoss(detail)
+  }
+
+  private showLoss (detail: string): ItemOutcome {
+    return this.abort.signal.aborted ? { type: 'stopped' } : { type: 'lost', detail }
+  }
+}
--- /dev/null
+++ b/src/jobs/job-book.ts
@@ -0,0 +1,71 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { listOthers } from '../peers/list-others.js'
+import { Members } from '../peers/members.js'
+import { peerHandlerPoint } from '../peers/peer-handler-point.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import type { PeerMessage } from '../peers/peer-message.js'
+import type { KnownJob } from './known-job.js'
+
+const MESSAGE = 'job'
+
+/** The jobs of all daemons as far as told. Whoever owns a job tells the others of it when it is accepted and as it goes on. */
+@scoped(Lifecycle.ContainerScoped)
+export class JobBook {
+  readonly extensions = [peerHandlerPoint.of({ type: MESSAGE, handle: message => this.hear(message) })]
+  private readonly jobs = new Map<string, KnownJob>()
+  private readonly listeners = new Set<(job: KnownJob) => void>()
+
+  constructor (
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: PeerLinks
+  ) {}
+
+  get (id: string): KnownJob | undefined {
+    return this.jobs.get(id)
+  }
+
+  list (): readonly KnownJob[] {
+    return [...this.jobs.values()]
+  }
+
+  /** `listener` hears of each job that another daemon told of. */
+  subscribe (listener: (job: KnownJob) => void): void {
+    this.listeners.add(listener)
+  }
+
+  /** Takes what this daemon knows first and tells the others. */
+  tell (job: KnownJob): void {
+    this.jobs.set(job.id, job)
+    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: MESSAGE, job }, `${MESSAGE} ${job.id}`)
+  }
+
+  /** Takes what the store says, unless more is known. */
+  learn (job: KnownJob): void {
+    if (!this.jobs.has(job.id)) this.jobs.set(job.id, job)
+  }
+
+  forget (id: string): void {
+    this.jobs.delete(id)
+  }
+
+  /** Tokens of unfinished items of the jobs that `isOn` says are on a route. */
+  countWaiting (isOn: (job: KnownJob) => boolean): number {
+    return this.list().reduce((sum, job) => sum + (!job.closed && isOn(job) ? job.tokensLeft : 0), 0)
+  }
+
+  /** What was closed stays so, whatever an owner says that hasn't heard. */
+  private hear ({ job }: PeerMessage): void {
+    const told = job as KnownJob
+    if (typeof told?.id !== 'string' || typeof told.owner !== 'string') return
+    const known = this.jobs.get(told.id)
+    const next = known?.closed === true ? { ...told, closed: true } : told
+    this.jobs.set(told.id, next)
+    for (const listener of this.listeners) listener(next)
+  }
+}
+
+partRegistry.register({ name: 'job book', part: JobBook, needs: ['members', 'peer links'] })
--- /dev/null
+++ b/src/jobs/job-owner.ts
@@ -0,0 +1,233 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Ok, type Result } from 'ts-results'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { Members } from '../peers/members.js'
+import type { StoreError } from '../store/store-error.js'
+import { JobBook } from './job-book.js'
+import type { JobHead } from './job-head.js'
+import type { JobItem } from './job-item.js'
+import { JobRecords } from './job-records.js'
+import { JobRunner } from './job-runner.js'
+import type { KnownJob } from './known-job.js'
+import { OwnedJob } from './owned-job.js'
+import { splitBySize } from './split-by-size.js'
+
+const CHECK_PERIOD = 250
+/** Least time between two segments of one job, ms: callers read about twice a second, and each segment is a write. */
+const STORE_PERIOD = 400
+/** Between a failed write of results and the next, ms. */
+const RETRY = 300
+/** Bytes of results in one segment. */
+const SEGMENT_BYTES = 500_000
+/** After its start a daemon that hears nobody takes itself for alone, ms. */
+const ALONE_AFTER = 3_000
+/** How long a shutdown waits for results to be stored, ms. */
+const STORE_WAIT = 1_500
+
+/**
+ * The jobs that this daemon owns: those it accepted, and those whose owner has ended. Who takes over follows by rank; that
+ * two may do so for a while costs runs and breaks nothing, because segments of results are created once.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class JobOwner implements Part {
+  private readonly owned = new Map<string, OwnedJob>()
+  private readonly adopting = new Set<string>()
+  private readonly storing = new Set<string>()
+  private readonly storedAt = new Map<string, number>()
+  private readonly startedAt: number
+  private draining = false
+  private listed = false
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(JobRecords) private readonly records: JobRecords,
+    @inject(JobRunner) private readonly runner: JobRunner,
+    @inject(JobBook) private readonly book: JobBook,
+    @inject(Members) private readonly members: Members,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.startedAt = clock.now()
+  }
+
+  async start (): Promise<void> {
+    this.runner.subscribe(job => { void this.store(job) })
+    this.book.subscribe(job => this.handleNews(job))
+    this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
+    void this.listHeads()
+  }
+
+  /** Stores what there is and lets go of every job, so that others take them over at once. */
+  async drain (): Promise<void> {
+    this.draining = true
+    const end = this.clock.now() + STORE_WAIT
+    while (this.clock.now() < end && [...this.owned.values()].some(({ pending }) => pending.length > 0)) {
+      for (const job of this.owned.values()) void this.store(job)
+      await new Promise<void>(resolve => this.clock.after(RETRY / 3, resolve))
+    }
+    for (const job of [...this.owned.values()]) {
+      this.runner.remove(job)
+      this.owned.delete(job.id)
+      this.book.tell({ ...this.show(job), owner: '', run: 0 })
+      job.wake()
+    }
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  find (id: string): OwnedJob | undefined {
+    return this.owned.get(id)
+  }
+
+  /** Accepts a job: once this is `Ok` it is kept. `conflict` says that it was accepted before. */
+  async accept (id: string, job: Pick<JobHead, 'host' | 'path'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
+    const { instance: owner } = this.settings
+    const head = { ...job, submittedAt: this.clock.date(), total: items.length, tokens: items.reduce((sum, { tokens }) => sum + tokens, 0), owner, run: this.members.run }
+    const created = await this.records.create(id, head, items)
+    if (created.ok) this.own(new OwnedJob({ id, head: { ...head, parts: 0 }, items, segments: [], acceptedAt: this.clock.now() }))
+    return created
+  }
+
+  /** Takes over a job whose head is stored. */
+  async adopt (id: string): Promise<Result<OwnedJob | undefined, StoreError>> {
+    const known = this.owned.get(id)
+    if (known !== undefined || this.adopting.has(id) || this.draining) return Ok(known)
+    this.adopting.add(id)
+    try {
+      return await this.load(id)
+    } finally {
+      this.adopting.delete(id)
+    }
+  }
+
+  /** Its caller has ended it: nothing of it runs from here on. */
+  end (id: string): void {
+    const job = this.owned.get(id)
+    if (job === undefined) return
+    job.ended = true
+    this.close(job)
+  }
+
+  /** Whether the daemon that owns the job is alive, in the same life. */
+  isOwnerAlive ({ owner, run }: Pick<KnownJob, 'owner' | 'run'>): boolean {
+    return this.members.all().some(member => member.instance.name === owner && member.run === run && member.state !== 'leaving')
+  }
+
+  private async load (id: string): Promise<Result<OwnedJob | undefined, StoreError>> {
+    const head = await this.records.readHead(id)
+    if (head.err) return head
+    const [items, segments, ended] = await Promise.all([this.records.readItems(id, head.val), this.records.readSegments(id), this.records.isEnded(id)])
+    if (items.err) return items
+    if (segments.err) return segments
+    if (ended.err) return ended
+    const age = Math.max(0, this.clock.date() - head.val.submittedAt)
+    const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age })
+    job.ended = ended.val
+    this.log.write('info', 'jobs', 'took a job over', { job: id, from: head.val.owner, age, results: job.readPage(0).next, of: head.val.total, ended: job.ended })
+    this.own(job)
+    if (job.ended || job.isDone) this.close(job)
+    return Ok(job)
+  }
+
+  private own (job: OwnedJob): void {
+    if (this.draining) return
+    this.owned.set(job.id, job)
+    this.runner.add(job)
+    this.book.tell(this.show(job))
+  }
+
+  private close (job: OwnedJob): void {
+    this.runner.remove(job)
+    this.book.tell(this.show(job))
+    job.wake()
+  }
+
+  private show (job: OwnedJob): KnownJob {
+    const { id, head: { host, path, submittedAt } } = job
+    return { id, host, path, submittedAt, owner: this.settings.instance, run: this.members.run, tokensLeft: job.ended ? 0 : job.tokensLeft, closed: job.ended || job.isDone }
+  }
+
+  /** Stores pending results as the next segment; one at a time for each job, and not too often. */
+  private async store (job: OwnedJob): Promise<void> {
+    if (this.storing.has(job.id) || job.pending.length === 0 || job.ended) return
+    this.storing.add(job.id)
+    const pause = (this.storedAt.get(job.id) ?? -Infinity) + STORE_PERIOD - this.clock.now()
+    const isLast = job.items.every(({ phase }) => phase === 'ended')
+    if (pause > 0 && !isLast && !this.draining) await this.pause(pause)
+    this.storedAt.set(job.id, this.clock.now())
+    const stored = await this.storeSegment(job)
+    if (!stored) await this.pause(RETRY)
+    this.storing.delete(job.id)
+    if (this.owned.has(job.id)) void this.store(job)
+  }
+
+  private async storeSegment (job: OwnedJob): Promise<boolean> {
+    const [results = []] = splitBySize(job.pending, ({ text }) => text.length, SEGMENT_BYTES)
+    const created = await this.records.createSegment(job.id, job.segments, results)
+    if (created.ok) this.take(job, results)
+    else if (created.val.type === 'conflict') return await this.takeOther(job)
+    else this.log.write('warn', 'jobs', 'results could not be stored yet', { job: job.id, error: created.val.type, waiting: job.pending.length })
+    return created.ok
+  }
+
+  /** Another daemon has created the segment, or this one has and never heard so. */
+  private async takeOther (job: OwnedJob): Promise<boolean> {
+    const read = await this.records.readSegment(job.id, job.segments)
+    if (read.ok) this.take(job, read.val)
+    return read.ok
+  }
+
+  private take (job: OwnedJob, results: ReadonlyArray<{ readonly id: string, readonly state: 'completed' | 'failed', readonly text: string }>): void {
+    job.addSegment(results)
+    if (!this.owned.has(job.id)) return
+    if (job.isDone) this.close(job)
+    else this.book.tell(this.show(job))
+  }
+
+  private async pause (time: number): Promise<void> {
+    await new Promise<void>(resolve => this.clock.after(time, resolve))
+  }
+
+  /** Another daemon says that it owns what this one owns: both know by rank which of them keeps it. */
+  private handleNews (told: KnownJob): void {
+    const { instance } = this.settings
+    const job = this.owned.get(told.id)
+    if (job === undefined || told.owner === instance || told.owner === '') return
+    if (rankOwners(told.id, [instance, told.owner])[0] === instance) return this.book.tell(this.show(job))
+    this.runner.remove(job)
+    this.owned.delete(told.id)
+    job.wake()
+  }
+
+  /** Jobs of an earlier life of the fleet are known by the store alone. */
+  private async listHeads (): Promise<void> {
+    while (!this.listed) {
+      const heads = await this.records.listHeads()
+      if (heads.ok) {
+        for (const [id, { host, path, submittedAt, owner, run, tokens }] of heads.val) this.book.learn({ id, host, path, submittedAt, owner, run, tokensLeft: tokens, closed: false })
+        this.listed = true
+      } else await this.pause(RETRY)
+    }
+  }
+
+  private check (): void {
+    if (this.draining) return
+    const alive = this.members.owners()
+    const names = alive.length > 0 ? alive : this.clock.now() > this.startedAt + ALONE_AFTER ? [this.settings.instance] : []
+    for (const job of this.book.list()) {
+      if (job.closed || this.owned.has(job.id) || this.isOwnerAlive(job)) continue
+      if (rankOwners(job.id, names)[0] === this.settings.instance) void this.adopt(job.id)
+    }
+  }
+}
+
+partRegistry.register({ name: 'job owner', part: JobOwner, needs: ['job runner', 'members', 'peer links'] })
--- /dev/null
+++ b/src/jobs/job-reader.ts
@@ -0,0 +1,156 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Err, Ok, type Result } from 'ts-results'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import { MemberCalls } from '../peers/member-calls.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import { JobBook } from './job-book.js'
+import { JobOwner } from './job-owner.js'
+import { JobRecords } from './job-records.js'
+import { OwnedJob } from './owned-job.js'
+import type { OwnerAnswer } from './owner-answer.js'
+import type { OwnerQuestion } from './owner-question.js'
+import type { ResultsPage } from './results-page.js'
+
+/** Beyond the time that a read may wait at the owner, ms: the way there and back. */
+const CALL_SLACK = 300
+/** Jobs whose stored results are kept at hand, which never change once stored. */
+const MAX_CACHED = 100
+const MAX_WAIT = 1_000
+
+type Failure = 'missing' | 'unsure'
+
+/** Results and bodies of jobs, wherever they are owned: from the owner, or from the store where that one can't be asked. */
+@scoped(Lifecycle.ContainerScoped)
+export class JobReader implements Part {
+  readonly extensions
+  private readonly calls: MemberCalls<OwnerQuestion, OwnerAnswer>
+  private readonly cached = new Map<string, OwnedJob>()
+
+  constructor (
+    @inject(JobOwner) private readonly owner: JobOwner,
+    @inject(JobBook) private readonly book: JobBook,
+    @inject(JobRecords) private readonly records: JobRecords,
+    @inject(PeerLinks) links: PeerLinks,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.calls = new MemberCalls({ links, clock, name: 'job', handle: async question => await this.answer(question) })
+    this.extensions = this.calls.extensions
+  }
+
+  /** Results from position `after` on; waits up to `wait` ms for one where there is none. */
+  async readResults (job: string, after: number, wait: number): Promise<Result<ResultsPage, Failure>> {
+    const own = await this.readOwn(job, after, Math.min(wait, MAX_WAIT))
+    if (own !== undefined) return Ok(own)
+    const told = await this.ask(job, { type: 'read', job, after, wait: Math.min(wait, MAX_WAIT) }, wait)
+    if (told?.type === 'page') return Ok(told.page)
+    const stored = await this.readStored(job)
+    return stored.ok ? Ok(stored.val.readPage(after)) : stored
+  }
+
+  /** The body of an item, in base64. */
+  async readBody (job: string, item: string): Promise<Result<string, Failure>> {
+    const own = this.owner.find(job)
+    const known = own === undefined ? await this.ask(job, { type: 'body', job, item }, 0) : undefined
+    if (own !== undefined || known?.type === 'body') {
+      const body = own === undefined ? (known as { readonly body?: string }).body : own.find(item)?.body
+      return body === undefined ? Err('missing') : Ok(body)
+    }
+    const head = await this.records.readHead(job)
+    if (head.err) return Err(head.val.type === 'missing' ? 'missing' : 'unsure')
+    const items = await this.records.readItems(job, head.val)
+    if (items.err) return Err('unsure')
+    const found = items.val.find(({ id }) => id === item)
+    return found === undefined ? Err('missing') : Ok(found.body)
+  }
+
+  /** Sees to it that the job stops, at whoever owns it; resolves once that one knows, or has had some tries. */
+  async tellEnd (job: string): Promise<void> {
+    this.owner.end(job)
+    const known = this.book.get(job)
+    if (known !== undefined && !known.closed) this.book.tell({ ...known, closed: true })
+    for (let tries = 0; tries < 4; tries++) {
+      if (this.owner.find(job) !== undefined) return
+      if (await this.ask(job, { type: 'end', job }, CALL_SLACK) !== undefined) return
+    }
+  }
+
+  /** Sees to it that somebody runs a job that is stored and whose owner may not know of it. */
+  async tellCare (job: string): Promise<void> {
+    const head = await this.records.readHead(job)
+    if (head.err || this.owner.find(job) !== undefined) return
+    const { host, path, submittedAt, owner, run, tokens } = head.val
+    this.book.learn({ id: job, host, path, submittedAt, owner, run, tokensLeft: tokens, closed: false })
+    if (this.owner.isOwnerAlive(head.val)) await this.ask(job, { type: 'care', job }, CALL_SLACK)
+  }
+
+  private async readOwn (id: string, after: number, wait: number): Promise<ResultsPage | undefined> {
+    const job = this.owner.find(id)
+    if (job === undefined) return undefined
+    const page = job.readPage(after)
+    if (page.results.length > 0 || wait <= 0 || job.isDone || job.ended) return page
+    await this.waitForNews(job, wait)
+    return job.readPage(after)
+  }
+
+  private async waitForNews (job: OwnedJob, wait: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        stop()
+        cancel()
+        resolve()
+      }
+      const stop = job.subscribe(end)
+      const cancel = this.clock.after(wait, end)
+    })
+  }
+
+  private async ask (job: string, question: OwnerQuestion, wait: number): Promise<OwnerAnswer | undefined> {
+    const known = this.book.get(job)
+    if (known === undefined || known.owner === '' || !this.owner.isOwnerAlive(known)) return undefined
+    return await this.calls.call(known.owner, question, wait + CALL_SLACK)
+  }
+
+  private async answer (question: OwnerQuestion): Promise<OwnerAnswer | undefined> {
+    switch (question.type) {
+      case 'read': {
+        const page = await this.readOwn(question.job, question.after, question.wait)
+        return page === undefined ? undefined : { type: 'page', page }
+      }
+      case 'body': {
+        const job = this.owner.find(question.job)
+        return job === undefined ? undefined : { type: 'body', body: job.find(question.item)?.body }
+      }
+      case 'end': {
+        this.owner.end(question.job)
+        return { type: 'done' }
+      }
+      case 'care': {
+        await this.owner.adopt(question.job)
+        return { type: 'done' }
+      }
+    }
+  }
+
+  /** The stored results; those read before are kept, and only what came after is read. */
+  private async readStored (id: string): Promise<Result<OwnedJob, Failure>> {
+    let job = this.cached.get(id)
+    if (job === undefined) {
+      const head = await this.records.readHead(id)
+      if (head.err) return Err(head.val.type === 'missing' ? 'missing' : 'unsure')
+      job = new OwnedJob({ id, head: head.val, items: [], segments: [], acceptedAt: 0 })
+      this.cached.set(id, job)
+      if (this.cached.size > MAX_CACHED) this.cached.delete(this.cached.keys().next().value!)
+    }
+    if (job.isDone) return Ok(job)
+    const from = job.segments
+    const segments = await this.records.readSegments(id, from)
+    if (segments.err) return Err('unsure')
+    for (const segment of segments.val.slice(job.segments - from)) job.addSegment(segment)
+    return Ok(job)
+  }
+}
+
+partRegistry.register({ name: 'job reader', part: JobReader, needs: ['job owner', 'job book', 'peer links'] })
--- /dev/null
+++ b/src/jobs/job-records.ts
@@ -0,0 +1,93 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Err, Ok, type Result } from 'ts-results'
+import { tokens } from '../kernel/tokens.js'
+import type { ObjectStore } from '../store/object-store.js'
+import { listPages } from '../store/list-pages.js'
+import type { StoreError } from '../store/store-error.js'
+import type { ItemResult } from './item-result.js'
+import type { JobHead } from './job-head.js'
+import type { JobItem } from './job-item.js'
+import { splitBySize } from './split-by-size.js'
+
+const HEADS = 'jobs'
+const ITEMS = 'job-items'
+const RESULTS = 'job-results'
+const ENDS = 'job-ends'
+/** Bytes of items or results in one object, which may hold a megabyte; JSON may lengthen a text by a quarter and more. */
+const OBJECT_BYTES = 600_000
+/** About what the rest of an item adds to its body. */
+const ITEM_OVERHEAD = 600
+
+/**
+ * Jobs as the store keeps them. Every object is created once and never changed, so that no write needs to know what was
+ * there: the items first, then the head that makes them a job; results as numbered segments, each created by whoever has
+ * read all before it; the end as an object of its own. Two daemons that run one job can't both create a segment.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class JobRecords {
+  constructor (@inject(tokens.store) private readonly store: ObjectStore) {}
+
+  /** `conflict` says that a job of this id is there already. */
+  async create (id: string, head: Omit<JobHead, 'parts'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
+    const parts = splitBySize(items, ({ body }) => body.length + ITEM_OVERHEAD, OBJECT_BYTES)
+    const written = await Promise.all(parts.map(async (part, i) => await this.createOnce(ITEMS, `${id}.${i}`, part)))
+    const failed = written.find(result => result.err && result.val.type !== 'conflict')
+    if (failed?.err === true) return failed
+    return await this.createOnce(HEADS, id, { ...head, parts: parts.length } satisfies JobHead)
+  }
+
+  async readHead (id: string): Promise<Result<JobHead, StoreError>> {
+    return (await this.store.get<JobHead>(HEADS, id, 'caller')).map(({ value }) => value)
+  }
+
+  async readItems (id: string, { parts }: JobHead): Promise<Result<readonly JobItem[], StoreError>> {
+    const read = await Promise.all(Array.from({ length: parts }, async (_, i) => await this.store.get<readonly JobItem[]>(ITEMS, `${id}.${i}`, 'caller')))
+    const failed = read.find(result => result.err)
+    if (failed?.err === true) return failed
+    return Ok(read.flatMap(result => result.unwrap().value))
+  }
+
+  /** The results of one segment; `missing` behind the last. */
+  async readSegment (id: string, segment: number): Promise<Result<readonly ItemResult[], StoreError>> {
+    return (await this.store.get<readonly ItemResult[]>(RESULTS, `${id}.${segment}`, 'caller')).map(({ value }) => value)
+  }
+
+  /** Every result from segment `first` on. */
+  async readSegments (id: string, first = 0): Promise<Result<ReadonlyArray<readonly ItemResult[]>, StoreError>> {
+    const segments: Array<readonly ItemResult[]> = []
+    for (;;) {
+      const segment = await this.readSegment(id, first + segments.length)
+      if (segment.ok) segments.push(segment.val)
+      else return segment.val.type === 'missing' ? Ok(segments) : Err(segment.val)
+    }
+  }
+
+  /** `conflict` says that another daemon has created it. */
+  async createSegment (id: string, segment: number, results: readonly ItemResult[]): Promise<Result<void, StoreError>> {
+    return await this.createOnce(RESULTS, `${id}.${segment}`, results)
+  }
+
+  async end (id: string): Promise<Result<void, StoreError>> {
+    const ended = await this.createOnce(ENDS, id, true)
+    return ended.err && ended.val.type === 'conflict' ? Ok(undefined) : ended
+  }
+
+  async isEnded (id: string): Promise<Result<boolean, StoreError>> {
+    const end = await this.store.get(ENDS, id, 'caller')
+    if (end.ok) return Ok(true)
+    return end.val.type === 'missing' ? Ok(false) : end
+  }
+
+  async listHeads (): Promise<Result<ReadonlyMap<string, JobHead>, StoreError>> {
+    const heads = new Map<string, JobHead>()
+    for await (const page of listPages<JobHead>(this.store, HEADS)) {
+      if (page.err) return page
+      for (const { name, value } of page.val) heads.set(name, value)
+    }
+    return Ok(heads)
+  }
+
+  private async createOnce (kind: string, name: string, value: unknown): Promise<Result<void, StoreError>> {
+    return (await this.store.put(kind, name, value, 0, 'caller')).map(() => undefined)
+  }
+}
--- /dev/null
+++ b/src/jobs/job-runner.ts
@@ -0,0 +1,183 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import { chooseService } from '../config/choose-service.js'
+import { findRoute } from '../config/find-route.js'
+import type { Route } from '../config/route.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Random } from '../kernel/random.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { Metrics } from '../observe/metrics.js'
+import { planBatch } from '../placement/plan-batch.js'
+import { ServerLoads } from '../placement/server-loads.js'
+import { Sender } from '../routing/sender.js'
+import type { ServerDialect } from '../routing/server-dialect.js'
+import { Servers } from '../routing/servers.js'
+import type { ItemOutcome } from './item-outcome.js'
+import { ItemRun } from './item-run.js'
+import type { ItemState } from './item-state.js'
+import { orderItems } from './order-items.js'
+import type { OwnedJob } from './owned-job.js'
+
+/** How often idle slots are looked for, ms: a few steps of an engine. */
+const START_PERIOD = 25
+/** Items that one daemon starts in one look: others see the same slots, and hear of these some ms later. */
+const STARTS = 2
+/** Pause of an item after a run that came to nothing, ms; it doubles with each in a row. */
+const FIRST_PAUSE = 50
+const LONGEST_PAUSE = 1_000
+/** Past the time from which an item may be given up, ms, for clocks that differ. */
+const GIVE_UP_MARGIN = 3_000
+
+interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly run: ItemRun }
+
+/** Runs the items of the jobs that this daemon owns on slots that online requests leave, and stops them when they are needed. */
+@scoped(Lifecycle.ContainerScoped)
+export class JobRunner implements Part {
+  private readonly jobs = new Set<OwnedJob>()
+  private readonly running = new Set<Running>()
+  private readonly listeners = new Set<(job: OwnedJob) => void>()
+  private draining = false
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(ServerLoads) private readonly loads: ServerLoads,
+    @inject(Sender) private readonly sender: Sender,
+    @inject(Servers) private readonly servers: Servers,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(Metrics) private readonly metrics: Metrics,
+    @inject(tokens.servers) private readonly dialect: ServerDialect,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.random) private readonly random: Random
+  ) {
+    metrics.gauge('batch_items_running', () => this.running.size)
+  }
+
+  async start (): Promise<void> {
+    this.loads.subscribe(() => this.giveWay())
+    this.cancel = this.clock.every(START_PERIOD, () => this.startItems())
+  }
+
+  /** Stops every item; where each got to is lost with this process. */
+  async drain (): Promise<void> {
+    this.draining = true
+    for (const { run } of this.running) run.stop()
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  /** `listener` hears of each job that has a new result to be stored. */
+  subscribe (listener: (job: OwnedJob) => void): void {
+    this.listeners.add(listener)
+  }
+
+  add (job: OwnedJob): void {
+    this.jobs.add(job)
+  }
+
+  /** Stops what runs of the job and starts nothing of it any more. */
+  remove (job: OwnedJob): void {
+    this.jobs.delete(job)
+    for (const running of this.running) if (running.job === job) running.run.stop()
+  }
+
+  /** Stops the newest items where online requests need their slots: the others have more to read again. */
+  private giveWay (): void {
+    for (const place of this.loads.listOwnBatch()) {
+      const { stop } = planBatch(place, this.loads.countBatchBefore(place.server))
+      if (stop === 0) continue
+      const here = [...this.running].filter(({ run, state }) => run.server === place.server && state.phase === 'running')
+      for (const { run, state } of here.slice(-stop)) {
+        state.phase = 'waiting'
+        run.stop()
+      }
+    }
+  }
+
+  private startItems (): void {
+    if (this.draining) return
+    const now = this.clock.now()
+    const routes = Object.values(this.configuration.value.routes ?? {})
+    const waiting: Array<{ job: OwnedJob, state: ItemState, route: Route, due: number }> = []
+    for (const job of this.jobs) {
+      const route = findRoute(routes, job.head.host, job.head.path)
+      for (const state of job.items) {
+        if (this.giveUp(job, state, route, now)) continue
+        const isFree = state.phase === 'waiting' && now >= state.notBefore && ![...this.running].some(running => running.state === state)
+        if (isFree && route?.jobs !== undefined) waiting.push({ job, state, route, due: job.acceptedAt + route.jobs.dueAfter })
+      }
+    }
+    for (const { job, state, route } of orderItems(waiting, now).slice(0, STARTS)) if (!this.startItem(job, state, route)) return
+  }
+
+  /** An item whose route has gone, or whose time is over, ends without having been done. */
+  private giveUp (job: OwnedJob, state: ItemState, route: Route | undefined, now: number): boolean {
+    if (state.phase === 'ended') return true
+    const after = route?.jobs?.giveUpAfter ?? 0
+    const isOver = route === undefined || (after > 0 && now > job.acceptedAt + after + GIVE_UP_MARGIN)
+    if (!isOver) return false
+    this.finish(job, state, 'failed', route === undefined ? 'its route has gone' : 'its time is over')
+    for (const running of this.running) if (running.state === state) running.run.stop()
+    return true
+  }
+
+  private startItem (job: OwnedJob, state: ItemState, route: Route): boolean {
+    const pool = chooseService(route.services, this.random)
+    if (pool === undefined) return false
+    const free = this.loads.listPlaces(pool).map(place => ({ server: place.server, start: planBatch(place, 0).start })).filter(({ start }) => start > 0)
+    const most = Math.max(...free.map(({ start }) => start))
+    const best = free.filter(({ start }) => start === most)
+    const chosen = best[this.random.below(best.length)]
+    if (chosen === undefined) return false
+    const run = new ItemRun({ state, host: job.head.host, pool, server: chosen.server, mayStart: () => !job.ended && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, dialect: this.dialect })
+    const running = { job, state, run }
+    state.phase = 'running'
+    this.running.add(running)
+    void run.run().then(outcome => {
+      this.running.delete(running)
+      this.settle(running, route, outcome)
+    })
+    return true
+  }
+
+  private settle ({ job, state, run }: Running, route: Route, outcome: ItemOutcome): void {
+    this.metrics.count('batch_runs_total', { outcome: outcome.type })
+    if (state.phase === 'ended') return
+    state.phase = 'waiting'
+    switch (outcome.type) {
+      case 'completed': return this.finish(job, state, 'completed', state.texts.join('\n'))
+      case 'impossible': return this.finish(job, state, 'failed', '')
+      case 'stopped': return
+      case 'refused': return this.loads.markFull(run.server)
+      case 'failed': {
+        state.failures++
+        if (state.failures >= route.attempts) return this.finish(job, state, 'failed', '')
+        return this.pause(state)
+      }
+      case 'lost': {
+        this.log.write('info', 'jobs', 'a run of an item came to nothing', { request: state.item.id, job: job.id, server: run.server, detail: outcome.detail, events: state.last })
+        return this.pause(state)
+      }
+      default: return failUnreachable(outcome)
+    }
+  }
+
+  private pause (state: ItemState): void {
+    state.notBefore = this.clock.now() + this.random.spread(Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** state.losses++))
+  }
+
+  private finish (job: OwnedJob, state: ItemState, result: 'completed' | 'failed', text: string): void {
+    if (job.ended || !this.jobs.has(job)) return
+    job.finish(state, { id: state.item.id, state: result, text: result === 'completed' ? text : '' })
+    this.log.write('info', 'jobs', 'an item ended', { request: state.item.id, job: job.id, result, events: state.last, failures: state.failures, after: Math.round(this.clock.now() - job.acceptedAt), detail: result === 'failed' ? text : undefined })
+    for (const listener of this.listeners) listener(job)
+  }
+}
+
+partRegistry.register({ name: 'job runner', part: JobRunner, needs: ['server loads', 'servers'] })
--- /dev/null
+++ b/src/jobs/jobs.ts
@@ -0,0 +1,156 @@
+import type { ServerResponse } from 'node:http'
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../config/configuration-holder.js'
+import type { Route } from '../config/route.js'
+import type { DoorDialect } from '../entry/door-dialect.js'
+import { sendRoutedRefusal } from '../entry/send-routed-refusal.js'
+import { sendJson } from '../http/send-json.js'
+import type { Clock } from '../kernel/clock.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Random } from '../kernel/random.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { Metrics } from '../observe/metrics.js'
+import { JobBook } from './job-book.js'
+import type { JobCall } from './job-call.js'
+import type { JobItem } from './job-item.js'
+import { JobOwner } from './job-owner.js'
+import { JobReader } from './job-reader.js'
+import { JobRecords } from './job-records.js'
+
+const ACCEPTED = 202
+const BAD_REQUEST = 400
+const NOT_FOUND = 404
+const TOO_MANY = 429
+/** Come back after this where the store couldn't take a job, ms. */
+const STORE_RETRY = 800
+/** Come back after this where no more tokens may wait, s: about what some items take to end. */
+const FULL_RETRY = 2
+
+interface Submission {
+  readonly id: string
+  readonly route: Route
+  readonly path: string
+  readonly body: Buffer
+  readonly arrived: number
+}
+
+/** The jobs' side of the door: takes them in, and answers what their callers ask of them. */
+@scoped(Lifecycle.ContainerScoped)
+export class Jobs {
+  /** Tokens of jobs that are being accepted here. */
+  private readonly accepting = new Map<string, { readonly host: string, readonly path: string, readonly tokens: number }>()
+
+  constructor (
+    @inject(tokens.door) private readonly dialect: DoorDialect,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.random) private readonly random: Random,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(Metrics) private readonly metrics: Metrics,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
+    @inject(JobBook) private readonly book: JobBook,
+    @inject(JobOwner) private readonly owner: JobOwner,
+    @inject(JobReader) private readonly reader: JobReader,
+    @inject(JobRecords) private readonly records: JobRecords
+  ) {}
+
+  async submit ({ id, route, path, body, arrived }: Submission, res: ServerResponse): Promise<void> {
+    const items = this.dialect.readItems(body)
+    if (items === undefined || id === '') return sendJson(res, BAD_REQUEST, { cause: 'bad job', detail: 'items: must be 1 to 200 with an id, a path and a body each' })
+    if (this.book.get(id) !== undefined) return this.confirm(id, res, 'known')
+    const size = items.reduce((sum, item) => sum + item.tokens, 0)
+    if (!this.fits(route, size)) return await this.refuseFull(id, size, res)
+    this.accepting.set(id, { host: route.host, path, tokens: size })
+    const accepted = await this.owner.accept(id, { host: route.host, path }, items)
+    this.accepting.delete(id)
+    this.metrics.observe('job_accept_ms', this.clock.now() - arrived)
+    if (accepted.ok) return this.confirm(id, res, 'accepted', items)
+    switch (accepted.val.type) {
+      case 'conflict': {
+        void this.reader.tellCare(id)
+        return this.confirm(id, res, 'stored before')
+      }
+      case 'limited':
+      case 'unavailable': return this.refuse(id, res, 'not run', accepted.val.type)
+      case 'unknown':
+      case 'missing':
+      case 'invalid': return this.refuse(id, res, 'unknown', accepted.val.type)
+      default: return failUnreachable(accepted.val)
+    }
+  }
+
+  async answer (call: JobCall, res: ServerResponse): Promise<void> {
+    switch (call.type) {
+      case 'read': return await this.read(call, res)
+      case 'read item': return await this.readItem(call, res)
+      case 'end': return await this.end(call, res)
+      default: return failUnreachable(call)
+    }
+  }
+
+  private async read ({ job, after, wait }: Extract<JobCall, { type: 'read' }>, res: ServerResponse): Promise<void> {
+    const page = await this.reader.readResults(job, after, wait)
+    if (page.ok) sendJson(res, 200, this.dialect.showResults(page.val))
+    else this.answerFailure(page.val, job, res)
+  }
+
+  private async readItem ({ job, item }: Extract<JobCall, { type: 'read item' }>, res: ServerResponse): Promise<void> {
+    const body = await this.reader.readBody(job, item)
+    if (body.err) return this.answerFailure(body.val, job, res)
+    const bytes = Buffer.from(body.val, 'base64')
+    res.writeHead(200, { 'content-type': 'application/octet-stream', 'content-length': bytes.length })
+    res.end(bytes)
+  }
+
+  /** Answered once the end is stored: whoever takes the job over later reads it. */
+  private async end ({ job }: Extract<JobCall, { type: 'end' }>, res: ServerResponse): Promise<void> {
+    if (this.book.get(job) === undefined) {
+      const head = await this.records.readHead(job)
+      if (head.err) return this.answerFailure(head.val.type === 'missing' ? 'missing' : 'unsure', job, res)
+    }
+    const ended = await this.records.end(job)
+    if (ended.err) return this.answerFailure('unsure', job, res)
+    this.log.write('info', 'jobs', 'a job was ended', { job })
+    void this.reader.tellEnd(job)
+    sendJson(res, 200, {})
+  }
+
+  private answerFailure (failure: 'missing' | 'unsure', job: string, res: ServerResponse): void {
+    this.log.write('info', 'jobs', 'could not answer for a job', { job, failure })
+    if (failure === 'missing') return sendJson(res, NOT_FOUND, { cause: 'no such job or item' })
+    sendRoutedRefusal(res, { cause: 'platform', ran: 'not run', retryAfter: this.random.spread(STORE_RETRY, 0.5), detail: 'the store does not answer' })
+  }
+
+  private fits ({ host, pathPrefix, jobs }: Route, size: number): boolean {
+    const most = jobs?.maxWaitingTokens ?? 0
+    if (most === 0) return true
+    const isOn = (job: { readonly host: string, readonly path: string }): boolean => job.host === host && job.path.startsWith(pathPrefix)
+    const accepting = [...this.accepting.values()].reduce((sum, job) => sum + (isOn(job) ? job.tokens : 0), 0)
+    return this.book.countWaiting(isOn) + accepting + size <= most
+  }
+
+  /** A job that was accepted before and comes again to a daemon that hasn't heard of it is no new one. */
+  private async refuseFull (id: string, size: number, res: ServerResponse): Promise<void> {
+    const head = await this.records.readHead(id)
+    if (head.ok) return this.confirm(id, res, 'stored before')
+    if (head.val.type !== 'missing') return this.refuse(id, res, 'unknown', head.val.type)
+    this.log.write('info', 'jobs', 'refused a job', { request: id, cause: 'too many tokens wait', tokens: size })
+    this.metrics.count('jobs_total', { outcome: 'full' })
+    sendJson(res, TOO_MANY, { cause: 'too many tokens wait' }, { 'retry-after': this.random.spread(FULL_RETRY).toFixed(3) })
+  }
+
+  private refuse (id: string, res: ServerResponse, ran: 'not run' | 'unknown', error: string): void {
+    this.log.write('warn', 'jobs', 'could not accept a job', { request: id, error, ran })
+    this.metrics.count('jobs_total', { outcome: error })
+    sendRoutedRefusal(res, { cause: 'platform', ran, retryAfter: this.random.spread(STORE_RETRY, 0.5), detail: 'the store does not answer' })
+  }
+
+  private confirm (id: string, res: ServerResponse, how: string, items: readonly JobItem[] = []): void {
+    this.log.write('info', 'jobs', 'confirmed a job', { request: id, how, items: items.length, configuration: this.configuration.value.version })
+    this.metrics.count('jobs_total', { outcome: how })
+    sendJson(res, ACCEPTED, {})
+  }
+}
+
+partRegistry.register({ name: 'jobs', part: Jobs, needs: ['job reader', 'job owner'] })
--- /dev/null
+++ b/src/jobs/owned-job.ts
@@ -0,0 +1,99 @@
+import type { ItemResult } from './item-result.js'
+import type { ItemState } from './item-state.js'
+import type { JobHead } from './job-head.js'
+import type { JobItem } from './job-item.js'
+import type { ResultsPage } from './results-page.js'
+
+/** Bytes of results in one answer. */
+const PAGE_BYTES = 500_000
+
+interface OwnedJobOptions {
+  readonly id: string
+  readonly head: JobHead
+  readonly items: readonly JobItem[]
+  readonly segments: ReadonlyArray<readonly ItemResult[]>
+  /** Monotonic ms of its acceptance. */
+  readonly acceptedAt: number
+}
+
+/** A job that this daemon runs: its items, and the results that are stored or wait to be. */
+export class OwnedJob {
+  readonly id: string
+  readonly head: JobHead
+  readonly acceptedAt: number
+  readonly items: readonly ItemState[]
+  /** Set when its caller ended it: nothing of it runs any more. */
+  ended = false
+  /** Results that aren't stored yet. */
+  readonly pending: ItemResult[] = []
+  /** Stored segments of results. */
+  segments: number
+  private readonly results: ItemResult[]
+  private readonly listed: Set<string>
+  private readonly readers = new Set<() => void>()
+
+  constructor ({ id, head, items, segments, acceptedAt }: OwnedJobOptions) {
+    this.id = id
+    this.head = head
+    this.acceptedAt = acceptedAt
+    this.segments = segments.length
+    this.results = segments.flat()
+    this.listed = new Set(this.results.map(result => result.id))
+    this.items = items.map(item => ({ item, last: undefined, texts: [], failures: 0, losses: 0, notBefore: 0, phase: this.listed.has(item.id) ? 'ended' : 'waiting' }))
+  }
+
+  get isDone (): boolean {
+    return this.results.length >= this.head.total
+  }
+
+  get tokensLeft (): number {
+    return this.items.reduce((sum, { item, phase }) => sum + (phase === 'ended' ? 0 : item.tokens), 0)
+  }
+
+  find (item: string): JobItem | undefined {
+    return this.items.find(({ item: { id } }) => id === item)?.item
+  }
+
+  /** Ends an item with its result, which is shown once it is stored. */
+  finish (state: ItemState, result: ItemResult): void {
+    if (state.phase === 'ended') return
+    state.phase = 'ended'
+    state.texts.length = 0
+    this.pending.push(result)
+  }
+
+  /** Takes a segment that is stored, by this daemon or another; results that it has aren't stored again. */
+  addSegment (results: readonly ItemResult[]): void {
+    this.segments++
+    for (const result of results) {
+      this.results.push(result)
+      this.listed.add(result.id)
+      const state = this.items.find(({ item }) => item.id === result.id)
+      if (state !== undefined) state.phase = 'ended'
+    }
+    const left = this.pending.filter(({ id }) => !this.listed.has(id))
+    this.pending.splice(0, this.pending.length, ...left)
+    this.wake()
+  }
+
+  readPage (after: number): ResultsPage {
+    const results: ItemResult[] = []
+    let size = 0
+    for (const result of this.results.slice(after)) {
+      size += result.text.length
+      if (results.length > 0 && size > PAGE_BYTES) break
+      results.push(result)
+    }
+    return { total: this.head.total, results, next: after + results.length }
+  }
+
+  /** Calls `listener` at the next change of its results; the function it gives back ends that. */
+  subscribe (listener: () => void): () => void {
+    this.readers.add(listener)
+    return () => this.readers.delete(listener)
+  }
+
+  wake (): void {
+    for (const reader of [...this.readers]) reader()
+  }
+}
--- a/src/kernel/tokens.ts
+++ b/src/kernel/tokens.ts
@@ -1,4 +1,7 @@
 import type { InjectionToken } from 'tsyringe'
+import type { DoorDialect } from '../entry/door-dialect.js'
+import type { RoutedSettings } from '../entry/routed-settings.js'
+import type { ServerDialect } from '../routing/server-dialect.js'
 import type { Clock } from './clock.js'
 import type { Random } from './random.js'
 import type { Settings } from './settings.js'
@@ -11,5 +14,9 @@
   random: Symbol('random') as InjectionToken<Random>,
   settings: Symbol('settings') as InjectionToken<Settings>,
   store: Symbol('store') as InjectionToken<ObjectStore>,
-  log: Symbol('log') as InjectionToken<LogSink>
+  log: Symbol('log') as InjectionToken<LogSink>,
+  /** How callers speak to the door for requests by host and path, how its servers are spoken to, and where it listens. */
+  door: Symbol('door') as InjectionToken<DoorDialect>,
+  servers: Symbol('servers') as InjectionToken<ServerDialect>,
+  routed: Symbol('routed') as InjectionToken<RoutedSettings>
 }
--- /dev/null
+++ b/src/peers/member-calls.ts
@@ -0,0 +1,50 @@
+import type { Clock } from '../kernel/clock.js'
+import type { Extension } from '../kernel/extension.js'
+import { peerHandlerPoint } from './peer-handler-point.js'
+import type { PeerLinks } from './peer-links.js'
+
+interface MemberCallsOptions<Question, Answer> {
+  readonly links: Pick<PeerLinks, 'send'>
+  readonly clock: Clock
+  /** Names the pair of messages. */
+  readonly name: string
+  /** Answers another daemon's call; undefined where this one can't. */
+  readonly handle: (question: Question, from: string) => Promise<Answer | undefined>
+}
+
+/**
+ * Calls to single daemons, each with a question of its own and one answer. A call ends undefined where no answer came in
+ * time. A part owns one for each kind of call and registers its `extensions`.
+ */
+export class MemberCalls<Question, Answer> {
+  readonly extensions: readonly Extension[]
+  private readonly waiting = new Map<number, (answer: Answer | undefined) => void>()
+  private calls = 0
+
+  constructor (private readonly options: MemberCallsOptions<Question, Answer>) {
+    this.extensions = [
+      peerHandlerPoint.of({ type: `${options.name} call`, handle: ({ n, question }, from) => { void this.answer(n, question as Question, from) } }),
+      peerHandlerPoint.of({ type: `${options.name} answer`, handle: ({ n, answer }) => this.waiting.get(n as number)?.(answer as Answer | undefined) })
+    ]
+  }
+
+  async call (to: string, question: Question, timeout: number): Promise<Answer | undefined> {
+    const { clock, links, name } = this.options
+    const n = this.calls++
+    return await new Promise(resolve => {
+      const settle = (answer: Answer | undefined): void => {
+        cancel()
+        this.waiting.delete(n)
+        resolve(answer)
+      }
+      const cancel = clock.after(timeout, () => settle(undefined))
+      this.waiting.set(n, settle)
+      links.send(to, { type: `${name} call`, n, question })
+    })
+  }
+
+  private async answer (n: unknown, question: Question, from: string): Promise<void> {
+    const answer = await this.options.handle(question, from)
+    this.options.links.send(from, { type: `${this.options.name} answer`, n, answer })
+  }
+}
--- /dev/null
+++ b/src/placement/place-request.ts
@@ -0,0 +1,20 @@
+import type { Refusal } from '../admission/refusal.js'
+
+/** An online request that wants a slot at a server of the pool. Times in monotonic ms. */
+export interface PlaceRequest {
+  readonly pool: string
+  readonly key?: string
+  /** Servers to use only where no other one has a place. */
+  readonly avoided: readonly string[]
+  readonly arrived: number
+  readonly deadline: number
+  /** Target for the answer, or the first event, ms from `arrived`. */
+  readonly target: number
+  readonly priority: number
+  /** Whether its caller was refused before. */
+  readonly returning: boolean
+  readonly signal: AbortSignal
+  /** Begins the request; it must be counted at the server before this returns. */
+  readonly start: (server: string) => void
+  readonly refuse: (refusal: Refusal) => void
+}
--- /dev/null
+++ b/src/placement/plan-wait.ts
@@ -0,0 +1,45 @@
+/** What is known of a request that finds every slot taken, and of the queue before it. Times in ms. */
+interface WaitState {
+  /** Requests that are served before it. */
+  readonly ahead: number
+  /** Mean time between two slots that come free for this daemon. */
+  readonly interval: number
+  /** Since it came. */
+  readonly waited: number
+  /** Target for its first event. */
+  readonly target: number
+  /** Until its deadline. */
+  readonly left: number
+  /** Whether its caller has been refused before and comes for the last time. */
+  readonly returning: boolean
+}
+
+type Plan = { readonly type: 'wait', readonly recheckAfter: number } | { readonly type: 'refuse', readonly retryAfter: number }
+
+/** Share of the target within which a refusal still lets the caller come again and be served in time. */
+const EARLY = 0.2
+/** Share of the target that the first event takes once the request is sent. */
+const FIRST_EVENT = 0.35
+/** A return waits for its slot to this share of the time that it has left; then nothing useful could come of it. */
+const RETURN_PATIENCE = 0.6
+/** A refused caller comes back after this many targets, spread by its daemon: about half of a short burst. */
+const BACK_AFTER = 3
+
+/**
+ * Whether a request that finds no slot waits or is refused at once.
+ *
+ * Load pattern: bursts of a few seconds that ask for more slots than there are. A queue that takes everything makes all
+ * of the burst late; a refusal while its caller can still come back in time moves that request into the lull behind the
+ * burst. So a first try that can't begin in time is refused at once, or as soon as that shows, while it is early; past
+ * that it waits, since a late answer is better than none. A caller that comes back has no further try: it goes first and
+ * is refused only where its deadline leaves no room.
+ */
+export function planWait ({ ahead, interval, waited, target, left, returning }: WaitState): Plan {
+  const expected = (ahead + 1) * interval
+  const retryAfter = Math.max(BACK_AFTER * target, expected)
+  if (returning) return expected > left * RETURN_PATIENCE ? { type: 'refuse', retryAfter } : { type: 'wait', recheckAfter: Infinity }
+  const budget = target * (1 - FIRST_EVENT) - waited
+  const early = EARLY * target
+  if (waited <= early && expected > budget) return { type: 'refuse', retryAfter }
+  return { type: 'wait', recheckAfter: waited < early ? early - waited : Infinity }
+}
--- /dev/null
+++ b/src/placement/server-loads.ts
@@ -0,0 +1,159 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { listOthers } from '../peers/list-others.js'
+import { Members } from '../peers/members.js'
+import { peerHandlerPoint } from '../peers/peer-handler-point.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import type { PeerMessage } from '../peers/peer-message.js'
+import { exchangeObserverPoint } from '../routing/exchange-observer-point.js'
+import { Servers } from '../routing/servers.js'
+import { InstanceList } from '../store/instance-list.js'
+import type { LoadCounts } from './load-counts.js'
+import type { Place } from './place.js'
+
+const MESSAGE = 'server loads'
+/** How long counts wait for more before they are told, ms a daemon of the fleet: all tell all, so that bounds the messages. */
+const DELAY_PER_DAEMON = 1.5
+const MIN_DELAY = 4
+const MAX_DELAY = 120
+const CHECK_PERIOD = 500
+/** Counts that haven't changed are told again after this, ms, for what was lost with a connection. */
+const REPEAT = 1_000
+/** Counts of a daemon that hasn't been heard for this long are dropped, ms. */
+const FORGET = 3_000
+/** Slots of a server whose entry names none. */
+const DEFAULT_SLOTS = 8
+/** How long a server that said it is full isn't chosen, ms: a few steps of its engine. */
+const FULL_FOR = 40
+
+interface Told { readonly at: number, readonly counts: ReadonlyMap<string, LoadCounts> }
+
+/**
+ * How many requests all daemons have in flight at each backend server. Each daemon tells the others its own counts as
+ * they change, some ms later at the most; engines report their load too late to place by it.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class ServerLoads implements Part {
+  readonly extensions = [
+    peerHandlerPoint.of({ type: MESSAGE, handle: (message, from) => this.hear(message, from) }),
+    exchangeObserverPoint.of({
+      onBegin: ({ work }, server) => this.count(server, work, 1),
+      onEnd: ({ work }, server) => this.count(server, work, -1)
+    })
+  ]
+
+  private readonly own = new Map<string, { online: number, batch: number }>()
+  private readonly told = new Map<string, Told>()
+  private readonly fullUntil = new Map<string, number>()
+  private readonly listeners = new Set<() => void>()
+  private toldAt = -Infinity
+  private pending = false
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(InstanceList) private readonly list: InstanceList,
+    @inject(Servers) private readonly servers: Servers,
+    @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: PeerLinks
+  ) {}
+
+  async start (): Promise<void> {
+    this.list.subscribe(() => this.notify())
+    this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  /** Servers of the pool that take requests: not leaving, not ejected after failures, not just found full. */
+  listPlaces (pool: string): readonly Place[] {
+    const now = this.clock.now()
+    return this.servers.inPool(pool)
+      .filter(({ name, leaving, inFlight, limit }) => !leaving && inFlight < limit && now >= (this.fullUntil.get(name) ?? 0))
+      .map(({ name, failureDomain }) => this.buildPlace(name, failureDomain))
+  }
+
+  /** All servers of all pools that this daemon runs batch on, whatever their state. */
+  listOwnBatch (): readonly Place[] {
+    return [...this.own].filter(([, { batch }]) => batch > 0).map(([server]) => this.buildPlace(server, ''))
+  }
+
+  /** Batch items of the daemons that stop theirs at the server before this one does. */
+  countBatchBefore (server: string): number {
+    const { instance } = this.settings
+    return [...this.told].reduce((sum, [daemon, { counts }]) => sum + (daemon < instance ? counts.get(server)?.batch ?? 0 : 0), 0)
+  }
+
+  /** Notes that the server refused a request as full. */
+  markFull (server: string): void {
+    this.fullUntil.set(server, this.clock.now() + FULL_FOR)
+    this.clock.after(FULL_FOR, () => this.notify())
+  }
+
+  /** `listener` runs after each change of a count or of the servers. */
+  subscribe (listener: () => void): void {
+    this.listeners.add(listener)
+  }
+
+  private buildPlace (server: string, failureDomain: string): Place {
+    const own = this.own.get(server) ?? { online: 0, batch: 0 }
+    let { online, batch } = own
+    for (const { counts } of this.told.values()) {
+      online += counts.get(server)?.online ?? 0
+      batch += counts.get(server)?.batch ?? 0
+    }
+    const slots = this.list.find(server)?.slots ?? DEFAULT_SLOTS
+    return { server, failureDomain, slots, online, batch, ownBatch: own.batch }
+  }
+
+  private count (server: string, work: 'online' | 'batch', by: number): void {
+    const counts = this.own.get(server) ?? { online: 0, batch: 0 }
+    counts[work] += by
+    if (counts.online === 0 && counts.batch === 0) this.own.delete(server)
+    else this.own.set(server, counts)
+    this.scheduleTell()
+    this.notify()
+  }
+
+  private scheduleTell (): void {
+    if (this.pending) return
+    this.pending = true
+    const delay = Math.min(MAX_DELAY, Math.max(MIN_DELAY, DELAY_PER_DAEMON * this.members.all().length))
+    this.clock.after(delay, () => this.tell())
+  }
+
+  private tell (): void {
+    this.pending = false
+    this.toldAt = this.clock.now()
+    const counts = [...this.own].map(([server, { online, batch }]) => [server, online, batch])
+    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: MESSAGE, counts }, MESSAGE)
+  }
+
+  private hear ({ counts }: PeerMessage, from: string): void {
+    if (!Array.isArray(counts)) return
+    const read = counts.filter(Array.isArray).map(([server, online, batch]): [string, LoadCounts] => [String(server), { online: Number(online), batch: Number(batch) }])
+    this.told.set(from, { at: this.clock.now(), counts: new Map(read) })
+    this.notify()
+  }
+
+  private check (): void {
+    const now = this.clock.now()
+    for (const [daemon, { at }] of this.told) if (now > at + FORGET) this.told.delete(daemon)
+    for (const [server, until] of this.fullUntil) if (now > until) this.fullUntil.delete(server)
+    if (now > this.toldAt + REPEAT) this.tell()
+    this.notify()
+  }
+
+  private notify (): void {
+    for (const listener of this.listeners) listener()
+  }
+}
+
+partRegistry.register({ name: 'server loads', part: ServerLoads, needs: ['servers', 'peer links', 'members', 'instance list'] })
--- /dev/null
+++ b/src/routing/forwarder.ts
@@ -0,0 +1,40 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Random } from '../kernel/random.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { Metrics } from '../observe/metrics.js'
+import { PlaceQueue } from '../placement/place-queue.js'
+import { ServerLoads } from '../placement/server-loads.js'
+import type { AnswerSink } from './answer-sink.js'
+import { Forwarding } from './forwarding.js'
+import { Quarantine } from './quarantine.js'
+import type { RoutedRequest } from './routed-request.js'
+import { Sender } from './sender.js'
+import type { ServerDialect } from './server-dialect.js'
+import { Servers } from './servers.js'
+
+/** Passes routed requests on to the servers of a service. */
+@scoped(Lifecycle.ContainerScoped)
+export class Forwarder {
+  constructor (
+    @inject(tokens.clock) readonly clock: Clock,
+    @inject(tokens.random) readonly random: Random,
+    @inject(tokens.log) readonly log: LogSink,
+    @inject(tokens.servers) readonly dialect: ServerDialect,
+    @inject(Metrics) readonly metrics: Metrics,
+    @inject(Sender) readonly sender: Sender,
+    @inject(Servers) readonly servers: Servers,
+    @inject(Quarantine) readonly quarantine: Quarantine,
+    @inject(PlaceQueue) readonly queue: PlaceQueue,
+    @inject(ServerLoads) readonly loads: ServerLoads
+  ) {}
+
+  /** Resolves when the caller has its final answer. */
+  async forward (request: RoutedRequest, service: string, sink: AnswerSink): Promise<void> {
+    await new Forwarding(request, service, sink, this).run()
+  }
+}
+
+partRegistry.register({ name: 'forwarder', part: Forwarder, needs: ['servers', 'quarantine', 'place queue'] })
--- /dev/null
+++ b/src/routing/forwarding.ts
@@ -0,0 +1,270 @@
+import type { Result } from 'ts-results'
+import type { Refusal } from '../admission/refusal.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Random } from '../kernel/random.js'
+import type { LogSink } from '../observe/log-sink.js'
+import type { Metrics } from '../observe/metrics.js'
+import type { PlaceQueue } from '../placement/place-queue.js'
+import type { ServerLoads } from '../placement/server-loads.js'
+import type { AnswerSink } from './answer-sink.js'
+import { EventCutter } from './event-cutter.js'
+import { hashRequest } from './hash-request.js'
+import type { OpenExchange } from './open-exchange.js'
+import { planResend } from './plan-resend.js'
+import type { Quarantine } from './quarantine.js'
+import type { RoutedRequest } from './routed-request.js'
+import type { SendFailure } from './send-failure.js'
+import type { Sender } from './sender.js'
+import type { ServerDialect } from './server-dialect.js'
+import type { Servers } from './servers.js'
+import { stepEventProgress } from './step-event-progress.js'
+
+/** Longest wait for the first byte and between two, ms, while another server may take the request over. */
+const FIRST_PATIENCE = 900
+const BETWEEN_PATIENCE = 600
+/** Come back after this where what was sent to came to nothing and none of it ran, ms. */
+const RETRY_AFTER = 500
+/** Statuses by which a server says that its own run failed. */
+const SERVER_ERROR = 500
+const REDIRECTED = 300
+
+/** What all forwardings of one daemon share. */
+interface ForwardingTools {
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: LogSink
+  readonly metrics: Metrics
+  readonly dialect: ServerDialect
+  readonly sender: Sender
+  readonly servers: Servers
+  readonly quarantine: Quarantine
+  readonly queue: PlaceQueue
+  readonly loads: ServerLoads
+}
+
+type Opened = Result<OpenExchange, SendFailure>
+
+/**
+ * One request on its way to the servers of a service and its answer on its way back: which failures are followed by
+ * another send, what the caller sees of several runs, and what it is told where there is none.
+ */
+export class Forwarding {
+  private readonly tried: string[] = []
+  private readonly fingerprint: string
+  private readonly abort = new AbortController()
+  private timedOut = false
+  /** Sends whose outcome may be a run. */
+  private runs = 0
+  /** Whether the answer to the caller has begun. */
+  private begun = false
+  private last: number | undefined
+
+  constructor (private readonly request: RoutedRequest, private readonly service: string, private readonly sink: AnswerSink, private readonly tools: ForwardingTools) {
+    this.fingerprint = hashRequest({ caller: request.route.host, service, path: request.path, body: request.body })
+  }
+
+  /** Resolves when the caller has its final answer. */
+  async run (): Promise<void> {
+    const { request, tools: { clock } } = this
+    const onGone = (): void => this.abort.abort()
+    request.signal.addEventListener('abort', onGone, { once: true })
+    const cancel = clock.after(Math.max(0, request.deadline - clock.now()), () => {
+      this.timedOut = true
+      this.abort.abort()
+    })
+    try {
+      await this.send()
+    } finally {
+      cancel()
+      request.signal.removeEventListener('abort', onGone)
+    }
+  }
+
+  private async send (): Promise<void> {
+    for (;;) {
+      if (this.tools.quarantine.check(this.fingerprint) === 'quarantined') return this.finish(this.refuse('quarantined', 'the servers that ran this request ended'))
+      const placed = await this.takePlace()
+      if ('cause' in placed) return this.finish(placed)
+      const sentAt = this.tools.clock.now()
+      const opened = await placed.opened
+      const failure = opened.err ? opened.val : await this.relay(opened.val)
+      if (failure === undefined) return this.tools.queue.recordStay(this.service, this.tools.clock.now() - sentAt)
+      if (!this.plan(failure, placed.server)) return
+    }
+  }
+
+  /** Waits for a slot; the send begins in the turn in which it is given. */
+  private async takePlace (): Promise<{ readonly server: string, readonly opened: Promise<Opened> } | Refusal> {
+    const { request, tools } = this
+    return await new Promise(resolve => {
+      tools.queue.request({
+        pool: this.service,
+        key: request.key,
+        avoided: this.tried,
+        arrived: request.arrived,
+        deadline: request.deadline,
+        target: request.route.target,
+        priority: request.route.priority,
+        returning: request.returning || this.tried.length > 0,
+        signal: this.abort.signal,
+        start: server => resolve({ server, opened: this.open(server) }),
+        refuse: refusal => resolve(refusal)
+      })
+    })
+  }
+
+  private async open (server: string): Promise<Opened> {
+    const { request, tools: { dialect, sender, servers, clock } } = this
+    const target = servers.find(server)!
+    const resumeAfter = this.last === undefined ? request.resumeAfter : String(this.last)
+    return await sender.send(target, {
+      id: request.id,
+      caller: request.route.host,
+      service: this.service,
+      pool: this.service,
+      work: 'online',
+      method: request.method,
+      path: request.path,
+      headers: { ...request.headers as Record<string, string>, ...dialect.buildHeaders({ instance: server, left: request.deadline - clock.now(), resumeAfter }) },
+      body: request.body,
+      idempotent: request.route.idempotent,
+      deadline: request.deadline,
+      limit: Infinity,
+      signal: this.abort.signal
+    }, { body: request.body ?? null, fingerprint: this.fingerprint, patience: this.getPatience(FIRST_PATIENCE) })
+  }
+
+  /** A server that says nothing is given up only where another one may take over; silence alone is no reason otherwise. */
+  private getPatience (usual: number): number {
+    const { request: { route, deadline }, tools: { clock } } = this
+    const left = Math.max(1, deadline - clock.now())
+    return route.idempotent && this.runs + 1 < route.attempts ? Math.min(usual, left) : left
+  }
+
+  private async relay (open: OpenExchange): Promise<SendFailure | undefined> {
+    const { exchange: { status, headers } } = open
+    const { dialect } = this.tools
+    const id = dialect.readRequestId(headers)
+    if (id !== undefined && id !== this.request.id) return await this.fail(open, { why: 'cut', sent: true, detail: `the answer belongs to ${id}` })
+    if (dialect.isNotRun(status, headers)) return await this.passOver(open)
+    if (status >= REDIRECTED || !open.exchange.isStream()) return await this.relayWhole(open)
+    return await this.relayEvents(open)
+  }
+
+  /** The server refused: another one may take it. */
+  private async passOver (open: OpenExchange): Promise<SendFailure | undefined> {
+    const { status } = open.exchange
+    const body = await this.readAll(open)
+    if (status < SERVER_ERROR && status !== 421 && status !== 429) {
+      if (body !== undefined) this.sink.answer(status, open.exchange.headers, body)
+      open.end('answered')
+      return body === undefined ? await this.fail(open, { why: 'cut', sent: false, detail: 'its refusal broke off' }) : undefined
+    }
+    this.tools.loads.markFull(open.server.name)
+    open.end(body === undefined ? 'abandoned' : 'answered')
+    return { why: 'withheld', sent: false, detail: `status ${status}, not run` }
+  }
+
+  private async relayWhole (open: OpenExchange): Promise<SendFailure | undefined> {
+    const { status, headers } = open.exchange
+    const body = await this.readAll(open)
+    if (body === undefined) return await this.fail(open, { why: 'cut', sent: true, detail: 'the answer broke off' })
+    open.end('answered')
+    if (status >= SERVER_ERROR && this.mayRepeat(true)) {
+      this.tools.servers.observe(open.server.name, 'failed')
+      return { why: 'cut', sent: true, detail: `status ${status}` }
+    }
+    // What is left of a stream that has begun can't be told by a status.
+    if (this.begun) return { why: 'cut', sent: true, detail: `status ${status} to a resumed stream` }
+    this.sink.answer(status, headers, body)
+    this.count('answered')
+    return undefined
+  }
+
+  private async readAll (open: OpenExchange): Promise<Buffer | undefined> {
+    const parts: Buffer[] = []
+    for (;;) {
+      const bytes = await open.exchange.read(this.getPatience(BETWEEN_PATIENCE))
+      if (bytes.err) return undefined
+      if (bytes.val === undefined) return Buffer.concat(parts)
+      parts.push(bytes.val)
+    }
+  }
+
+  private async relayEvents (open: OpenExchange): Promise<SendFailure | undefined> {
+    const cutter = new EventCutter()
+    for (;;) {
+      const bytes = await open.exchange.read(this.getPatience(this.last === undefined ? FIRST_PATIENCE : BETWEEN_PATIENCE))
+      if (bytes.err) return await this.fail(open, bytes.val)
+      if (bytes.val === undefined) return await this.endEvents(open, cutter)
+      const relayed: Buffer[] = []
+      for (const { bytes: event, id } of cutter.push(bytes.val)) {
+        const step = stepEventProgress({ last: this.last }, id)
+        if (step.type === 'gap') return await this.fail(open, { why: 'cut', sent: true, detail: `event ${id} after ${this.last}` })
+        if (step.type === 'known') continue
+        this.last = step.progress.last
+        relayed.push(event)
+      }
+      if (relayed.length === 0) continue
+      if (!this.begun) this.begin(open)
+      await this.sink.write(relayed.length === 1 ? relayed[0]! : Buffer.concat(relayed))
+    }
+  }
+
+  private begin ({ exchange: { status, headers } }: OpenExchange): void {
+    this.begun = true
+    this.tools.metrics.observe('first_event_ms', this.tools.clock.now() - this.request.arrived)
+    this.sink.begin(status, headers)
+  }
+
+  private async endEvents (open: OpenExchange, cutter: EventCutter): Promise<SendFailure | undefined> {
+    if (!cutter.isClean) return await this.fail(open, { why: 'cut', sent: true, detail: 'it ended within an event' })
+    open.end('answered')
+    if (!this.begun) this.begin(open)
+    this.sink.end()
+    this.count('answered')
+    return undefined
+  }
+
+  private async fail (open: OpenExchange, failure: SendFailure): Promise<SendFailure> {
+    void open.fail(failure)
+    return { ...failure, sent: true }
+  }
+
+  /** Whether another server may run it too. */
+  private mayRepeat (ran: boolean): boolean {
+    return this.request.route.idempotent && this.runs + Number(ran) < this.request.route.attempts && !this.abort.signal.aborted
+  }
+
+  /** Takes in a failed send; says whether another one follows. Otherwise the caller has its final answer. */
+  private plan (failure: SendFailure, server: string): boolean {
+    const { clock, log } = this.tools
+    if (failure.sent) this.runs++
+    this.tried.push(server)
+    const { route } = this.request
+    const plan = planResend(failure, { idempotent: route.idempotent, resumable: route.resumable, begun: this.begun, runs: this.runs, attempts: route.attempts, sends: this.tried.length, gone: this.abort.signal.aborted })
+    log.write('info', 'routing', 'a send came to nothing', { request: this.request.id, server, why: failure.why, detail: failure.detail, sent: failure.sent, runs: this.runs, after: Math.round(clock.now() - this.request.arrived), next: plan })
+    if (plan === 'send') return true
+    this.finish(this.refuse(this.timedOut ? 'deadline' : 'server failed', failure.detail))
+    return false
+  }
+
+  private refuse (cause: Refusal['cause'], detail: string): Refusal {
+    return { cause, ran: this.runs > 0 ? 'unknown' : 'not run', retryAfter: this.tools.random.spread(RETRY_AFTER, 0.5), detail }
+  }
+
+  /** Gives the final answer where no server gave it. */
+  private finish (refusal: Refusal): void {
+    const { log, clock } = this.tools
+    const gone = this.request.signal.aborted
+    const outcome = gone ? 'caller left' : this.timedOut ? 'deadline' : refusal.cause
+    log.write('info', 'routing', 'gave a request up', { request: this.request.id, cause: outcome, ran: this.runs > 0 ? 'unknown' : 'not run', begun: this.begun, waited: Math.round(clock.now() - this.request.arrived), tried: this.tried, detail: refusal.detail })
+    this.count(outcome)
+    if (this.begun) this.sink.cut()
+    else if (!gone) this.sink.refuse({ ...refusal, cause: this.timedOut ? 'deadline' : refusal.cause, ran: this.runs > 0 ? 'unknown' : 'not run' })
+  }
+
+  private count (outcome: string): void {
+    this.tools.metrics.count('requests_total', { outcome })
+  }
+}
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -18,6 +18,11 @@
 
 /** How long an idle connection is kept for reuse, ms. */
 const KEEP_ALIVE = 500
+/**
+ * How long a new connection to a server may take, ms: many round trips within a region. A server that has gone dark answers
+ * nothing; what waits for its connection was not sent, and goes to another one.
+ */
+const CONNECT_TIMEOUT = 400
 /** How long an owner's count of the other daemons' requests is gone by, ms. */
 const COUNT_HOLDS = 1_000
 
@@ -159,7 +164,7 @@
 }
 
 function createAgent (connections: number): Agent {
-  return new Agent({ connections, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining: 1 })
+  return new Agent({ connections, connect: { timeout: CONNECT_TIMEOUT }, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining: 1 })
 }
 
 partRegistry.register({ name: 'servers', part: Servers, needs: ['instance list', 'members'] })
--- a/src/store/call-gate.ts
+++ b/src/store/call-gate.ts
@@ -83,7 +83,7 @@
   }
 
   private chooseBudget ({ type }: ApiCall): CallBudget {
-    return type === 'put' || type === 'delete' ? this.budgets.writes : this.budgets.reads
+    return type === 'put' || type === 'put status' || type === 'delete' ? this.budgets.writes : this.budgets.reads
   }
 
   /** A watch that isn't answered says nothing of the platform: it may be that watch alone that is silent. */
--- a/src/store/instance-list.ts
+++ b/src/store/instance-list.ts
@@ -24,6 +24,8 @@
   all: readonly Instance[] = []
   /** Whether the platform, or a daemon that has read it, has been heard since the start. */
   known = false
+  /** Whether the list is polled here; not where another part follows it and calls `replace`. */
+  polled = true
   /** Whether this daemon is one of those that read the platform's list. */
   reads = true
   /** Tells two lists apart. */
@@ -42,6 +44,7 @@
   }
 
   async start (): Promise<void> {
+    if (!this.polled) return
     await this.read()
     this.cancel = this.clock.every(POLL_PERIOD, () => {
       if (this.reads || this.clock.now() - this.heardAt >= SILENCE) void this.read()
@@ -52,13 +55,17 @@
     this.cancel()
   }
 
+  find (instance: string): Instance | undefined {
+    return this.all.find(({ name }) => name === instance)
+  }
+
   subscribe (listener: () => void): void {
     this.listeners.add(listener)
   }
 
   /** Takes the list of a daemon that has it, unless this one reads the platform itself and has done so. */
   offer (instances: readonly Instance[]): void {
-    if (!this.reads || !this.known) this.take(instances)
+    if (!this.reads || !this.known) this.replace(instances)
   }
 
   /** Notes that a daemon which reads the list has the same one. */
@@ -68,10 +75,11 @@
 
   private async read (): Promise<void> {
     const instances = await this.store.listInstances()
-    if (instances.ok) this.take(instances.val)
+    if (instances.ok) this.replace(instances.val)
   }
 
-  private take (instances: readonly Instance[]): void {
+  /** Takes a list that is newer than the one held. */
+  replace (instances: readonly Instance[]): void {
     this.confirm()
     this.known = true
     this.all = instances
--- a/src/store/instance.ts
+++ b/src/store/instance.ts
@@ -9,4 +9,6 @@
   readonly failureDomain: string
   readonly region: string
   readonly state: 'live' | 'leaving'
+  /** Requests that a backend server runs at once, where the platform tells. */
+  readonly slots?: number
 }
--- a/src/store/object-store.ts
+++ b/src/store/object-store.ts
@@ -10,6 +10,8 @@
   get<T> (kind: string, name: string, priority?: CallPriority): Promise<Result<StoredObject<T>, StoreError>>
   /** Writes if the object's version is `version`; 0 means that it must not exist yet. */
   put<T> (kind: string, name: string, value: T, version: number, priority?: CallPriority): Promise<Result<StoredObject<T>, StoreError>>
+  /** Replaces what is said of the state of an object that another system wrote, whatever its version. */
+  putStatus (kind: string, name: string, status: unknown): Promise<Result<void, StoreError>>
   /** Deletes if the object's version is `version`. */
   delete (kind: string, name: string, version: number, priority?: CallPriority): Promise<Result<void, StoreError>>
   /** Objects of `kind` whose names begin with `prefix`, in the order of names, at most `limit`, after `after`. */
--- /dev/null
+++ b/src/store/plain-dialect.ts
@@ -0,0 +1,26 @@
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { ApiCall } from './api-call.js'
+import type { HttpCall } from './http-call.js'
+import type { StoreDialect } from './store-dialect.js'
+
+/** The object API as the product's own manifest describes it: one exchange a call. */
+export const plainDialect: StoreDialect = {
+  send: async (call, exchange) => await exchange(buildHttpCall(call))
+}
+
+function buildHttpCall (call: ApiCall): HttpCall {
+  switch (call.type) {
+    case 'get': return { method: 'GET', path: showPath(call) }
+    case 'put': return { method: 'PUT', path: showPath(call), body: { value: call.value, version: call.version, writeId: call.writeId } }
+    case 'put status': return { method: 'PUT', path: `${showPath(call)}/status`, body: call.status }
+    case 'delete': return { method: 'DELETE', path: `${showPath(call)}?version=${call.version}` }
+    case 'list': return { method: 'GET', path: `/objects/${call.kind}?${new URLSearchParams({ prefix: call.prefix, after: call.after, limit: String(call.limit) })}` }
+    case 'watch': return { method: 'GET', path: `/watch/${call.kind}?revision=${call.revision}&wait=${call.wait}` }
+    case 'instances': return { method: 'GET', path: '/instances' }
+    default: return failUnreachable(call)
+  }
+}
+
+function showPath ({ kind, name }: { readonly kind: string, readonly name: string }): string {
+  return `/objects/${kind}/${encodeURIComponent(name)}`
+}
--- a/src/store/platform-client.ts
+++ b/src/store/platform-client.ts
@@ -68,6 +68,11 @@
     return answer.status === CONFLICT ? await this.settlePut(call, answer.body.version, priority) : readResult(answer)
   }
 
+  async putStatus (kind: string, name: string, status: unknown): Promise<Result<void, StoreError>> {
+    const { answer } = await this.sendWrite({ type: 'put status', kind, name, status }, 'operator')
+    return readResult(answer).map(() => undefined)
+  }
+
   /** After a lost reply an object that is gone counts as deleted, whoever deleted it. */
   async delete (kind: string, name: string, version: number, priority: CallPriority = 'background'): Promise<Result<void, StoreError>> {
     const { answer, lost } = await this.sendWrite({ type: 'delete', kind, name, version }, priority)
--- a/src/store/watch-batch.ts
+++ b/src/store/watch-batch.ts
@@ -5,4 +5,6 @@
   readonly revision: number
   readonly changed: readonly StoredObject<T>[]
   readonly deleted: readonly string[]
+  /** Whether it holds all there is: what it doesn't name is gone. */
+  readonly whole?: boolean
 }
--- a/stand-ins/platform/memory-store.ts
+++ b/stand-ins/platform/memory-store.ts
@@ -23,6 +23,8 @@
  * store.fault = ({ call }) => call === 'put' ? { fail: { type: 'unavailable', reason: 'outage' } } : 'none'
  */
 export class MemoryStore implements ObjectStore {
+  /** What was said of the state of objects, by `KIND/NAME`. */
+  readonly statuses = new Map<string, unknown>()
   readonly objects = new ObjectTable(() => this.age)
   readonly calls: StoreCall[] = []
   instances: readonly Instance[] = []
@@ -54,6 +56,11 @@
     })
   }
 
+  async putStatus (kind: string, name: string, status: unknown): Promise<Result<void, StoreError>> {
+    this.statuses.set(`${kind}/${name}`, status)
+    return Ok(undefined)
+  }
+
   async delete (kind: string, name: string, version: number): Promise<Result<void, StoreError>> {
     return await this.call({ call: 'delete', kind, name }, () => {
       if (this.objects.remove(kind, name, version)) return Ok(undefined)
--- a/test/batch/helpers/trial-store.ts
+++ b/test/batch/helpers/trial-store.ts
@@ -32,6 +32,10 @@
     return await this.pass(async () => await this.shared.put(kind, name, value, version))
   }
 
+  async putStatus (kind: string, name: string, status: unknown): Promise<Result<void, StoreError>> {
+    return await this.pass(async () => await this.shared.putStatus(kind, name, status))
+  }
+
   async delete (kind: string, name: string, version: number): Promise<Result<void, StoreError>> {
     return await this.pass(async () => await this.shared.delete(kind, name, version))
   }
