--- a/src/entry/address-lookup.ts
+++ b/src/entry/address-lookup.ts
@@ -40,7 +40,7 @@
     const { readiness, addresses, metrics } = this.settings
     await this.serve(readiness, (req, res) => this.answerReadiness(req, res))
     await this.serve(addresses, (req, res) => this.answerAddresses(req, res))
-    await this.serve(metrics, (_req, res) => void res.end(this.metrics.write()))
+    await this.serve(metrics, (_req, res) => { res.end(this.metrics.write()) })
     this.configuration.subscribe(() => this.updateReady())
     this.fleet.subscribe(() => this.updateReady())
     this.updateReady()
--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -94,7 +94,10 @@
   }
 
   private async handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    if (!this.connections.begin(req, res)) return void res.destroy()
+    if (!this.connections.begin(req, res)) {
+      res.destroy()
+      return
+    }
     const arrived = this.clock.now()
     try {
       await this.serve(req, res, arrived)
@@ -120,7 +123,11 @@
     const gone = new AbortController()
     res.once('close', () => { if (!res.writableFinished) gone.abort() })
     const body = await readBody(req, limits.bodyBytes)
-    if (body.err) return body.val === 'cut' ? void res.destroy() : sendJson(res, 413, { cause: 'body too large', detail: `over ${limits.bodyBytes} bytes` })
+    if (body.err) {
+      if (body.val === 'cut') res.destroy()
+      else sendJson(res, 413, { cause: 'body too large', detail: `over ${limits.bodyBytes} bytes` })
+      return
+    }
     if (route.jobs !== undefined) return await this.jobs.submit({ id: head.id, route, path: head.path, body: body.val, arrived }, res)
     const left = Math.min(head.left ?? DEFAULT_DEADLINE, route.timeout > 0 ? route.timeout : Infinity)
     const service = chooseService(route.services, this.forwarder.random)
