--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -133,22 +133,23 @@
   }
 
   /** News of another daemon, which may be a watcher's or an answer to a question. */
-  private hear ({ kind, batch }: PeerMessage): void {
+  private hear ({ kind, batch, sure }: PeerMessage): void {
     const news = batch as WatchBatch<any>
     if (!Array.isArray(news?.changed) || !Array.isArray(news.deleted)) return
     this.heardAt = this.clock.now()
     const before = this.instances.list()
     const names = (kind === CONFIGURATION ? this.configurations : this.instances).merge(news)
-    if (names.length > 0) this.use(String(kind), names, before)
+    const doubted = kind === INSTANCES && sure === true ? news.deleted.filter(name => this.held.delete(name)) : []
+    if (names.length > 0 || doubted.length > 0) this.use(String(kind), [...names, ...doubted], before, sure === true)
   }
 
-  private use (kind: string, names: readonly string[], before: ReadonlyMap<string, Instance>): void {
+  private use (kind: string, names: readonly string[], before: ReadonlyMap<string, Instance>, sure = false): void {
     if (kind === CONFIGURATION) return this.useConfiguration()
     const now = this.clock.now()
     const present = this.instances.list()
     for (const name of names) {
       const instance = before.get(name)
-      const until = instance === undefined || present.has(name) ? undefined : planRemoval(now, { away: this.away, backAt: this.backAt })
+      const until = instance === undefined || present.has(name) ? undefined : sure ? undefined : planRemoval(now, { away: this.away, backAt: this.backAt })
       if (until !== undefined) this.held.set(name, { instance: instance!, until })
       this.log.write('info', 'fleet', 'a server changed', { server: name, state: present.get(name)?.state ?? (until === undefined ? 'gone' : 'held') })
     }
@@ -176,8 +177,13 @@
     if (this.away) this.ask()
   }
 
+  /**
+   * A daemon for which the store has been there all the time knows that what went has gone; one that was turned away by the
+   * store alone takes its word, and doesn't go on using a server that has left.
+   */
   private tell<T> (kind: string, batch: WatchBatch<T>): void {
-    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: 'fleet news', kind, batch })
+    const sure = planRemoval(this.clock.now(), { away: this.away, backAt: this.backAt }) === undefined
+    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: 'fleet news', kind, batch, sure })
   }
 
   /** One daemon at random: the next question goes to another. */
--- a/src/fleet/plan-removal.ts
+++ b/src/fleet/plan-removal.ts
@@ -16,5 +16,6 @@
  * Holding them for that long is enough, because one that isn't back by then has gone.
  */
 export function planRemoval (now: number, { away, backAt }: StoreReach): number | undefined {
-  return away || now < backAt + BACK_WITHIN ? now + BACK_WITHIN : undefined
+  if (away) return now + BACK_WITHIN
+  return now < backAt + BACK_WITHIN ? backAt + BACK_WITHIN : undefined
 }
--- a/src/store/call-gate.ts
+++ b/src/store/call-gate.ts
@@ -31,11 +31,11 @@
   private readonly waiting: Record<CallPriority, number> = { caller: 0, operator: 0, background: 0 }
   private cancelProbe = (): void => {}
 
-  constructor (private readonly transport: ApiTransport, { clock, random, metrics }: { readonly clock: Clock, readonly random: Random, readonly metrics: Metrics }) {
+  constructor (private readonly transport: ApiTransport, { clock, random, metrics, lastProbe }: { readonly clock: Clock, readonly random: Random, readonly metrics: Metrics, readonly lastProbe?: number }) {
     this.clock = clock
     this.random = random
     this.metrics = metrics
-    this.circuit = new Circuit(clock.now())
+    this.circuit = new Circuit(clock.now(), { lastProbe })
     metrics.gauge('platform_out', () => Number(this.out))
     for (const [call, budget] of Object.entries(this.budgets)) metrics.gauge('platform_call_rate', () => budget.readRate(clock.now()), { call })
   }
--- a/src/store/circuit.ts
+++ b/src/store/circuit.ts
@@ -6,6 +6,7 @@
   /** Two of them are enough when nothing has been answered for this long. */
   readonly silence?: number
   readonly firstProbe?: number
+  /** Longest pause between two probes: what a daemon knows is as old as that when the platform is back. */
   readonly lastProbe?: number
 }
 
--- a/src/store/platform-client.ts
+++ b/src/store/platform-client.ts
@@ -27,6 +27,8 @@
   readonly clock?: Clock
   readonly random?: Random
   readonly metrics?: Metrics
+  /** Longest pause between two probes of a store that doesn't answer, ms. */
+  readonly lastProbe?: number
   /** Ids of writes; unique in the fleet for ever. */
   readonly createId?: () => string
 }
@@ -49,11 +51,11 @@
   private readonly createId: () => string
   private readonly gate: CallGate
 
-  constructor (private readonly transport: ApiTransport, { clock = new SystemClock(), random = new Random(Date.now()), metrics = new Metrics(), createId = randomUUID }: PlatformClientOptions = {}) {
+  constructor (private readonly transport: ApiTransport, { clock = new SystemClock(), random = new Random(Date.now()), metrics = new Metrics(), createId = randomUUID, lastProbe }: PlatformClientOptions = {}) {
     this.clock = clock
     this.random = random
     this.createId = createId
-    this.gate = new CallGate(transport, { clock, random, metrics })
+    this.gate = new CallGate(transport, { clock, random, metrics, lastProbe })
   }
 
   async get<T> (kind: string, name: string, priority: CallPriority = 'background'): Promise<Result<StoredObject<T>, StoreError>> {
