--- /dev/null
+++ b/test/placement/plan-wait.test.ts
@@ -0,0 +1,27 @@
+import test from 'ava'
+import { planWait } from '../../src/placement/plan-wait.js'
+
+const base = { ahead: 0, interval: 50, waited: 0, target: 300, left: 5_000, returning: false }
+
+const cases: ReadonlyArray<readonly [string, Partial<typeof base>, 'wait' | 'refuse']> = [
+  ['a slot is expected in time', { ahead: 2 }, 'wait'],
+  ['too many are ahead: refused at once, while it can still come back in time', { ahead: 4 }, 'refuse'],
+  ['slots come free too slowly', { interval: 400 }, 'refuse'],
+  ['it has waited too long for an early refusal: late is better than none', { ahead: 4, waited: 80 }, 'wait'],
+  ['a caller that comes back has no further try', { ahead: 20, returning: true }, 'wait'],
+  ['unless its time has no room for it', { ahead: 80, returning: true }, 'refuse']
+]
+
+for (const [name, state, type] of cases) {
+  test(name, t => { t.is(planWait({ ...base, ...state }).type, type) })
+}
+
+test('what waits early is looked at again before a refusal would be late', t => {
+  t.deepEqual(planWait({ ...base, waited: 10 }), { type: 'wait', recheckAfter: 50 })
+  t.deepEqual(planWait({ ...base, waited: 100 }), { type: 'wait', recheckAfter: Infinity })
+})
+
+test('a refused caller is told to come back when there may be room', t => {
+  const refusal = planWait({ ...base, ahead: 40 })
+  t.deepEqual(refusal, { type: 'refuse', retryAfter: 41 * 50 })
+})
--- /dev/null
+++ b/test/store/store-mirror.test.ts
@@ -0,0 +1,38 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { StoreMirror } from '../../src/store/store-mirror.js'
+
+const put = (name: string, version: number, value = version): { kind: string, name: string, version: number, value: number } => ({ kind: 'k', name, version, value })
+
+// News of one object comes from the store and from several daemons, late, twice and in any order. A server that has left
+// must not come back by news that is older than its going.
+test('news in any order and any number leads to the newest state', t => {
+  const news = [
+    { revision: 1, changed: [put('a', 1)], deleted: [] },
+    { revision: 2, changed: [put('b', 2)], deleted: [] },
+    { revision: 3, changed: [put('a', 3)], deleted: [] },
+    { revision: 4, changed: [], deleted: ['b'] },
+    { revision: 5, changed: [put('c', 5)], deleted: [] }
+  ]
+  fc.assert(fc.property(fc.shuffledSubarray([...news, ...news], { minLength: 10 }), order => {
+    const mirror = new StoreMirror<number>()
+    for (const batch of order) mirror.merge(batch)
+    return JSON.stringify([...mirror.list()].sort()) === '[["a",3],["c",5]]'
+  }))
+  t.pass()
+})
+
+test('a whole batch removes what it does not name, but nothing newer', t => {
+  const mirror = new StoreMirror<number>()
+  mirror.apply({ revision: 4, changed: [put('a', 1), put('b', 4)], deleted: [], whole: true })
+  mirror.merge({ revision: 9, changed: [put('c', 9)], deleted: [] })
+  t.deepEqual(mirror.apply({ revision: 6, changed: [put('b', 4)], deleted: [], whole: true }), ['a'])
+  t.deepEqual([...mirror.list().keys()], ['b', 'c'])
+  t.is(mirror.cursor, 6)
+})
+
+test('a value that can not be read is held and names nothing', t => {
+  const mirror = new StoreMirror<number>()
+  mirror.apply({ revision: 2, changed: [{ kind: 'k', name: 'a', version: 2, value: undefined as unknown as number }], deleted: [] })
+  t.is(mirror.list().size, 0)
+})
