--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -122,7 +122,7 @@
     this.away = false
     const before = this.instances.list()
     const names = mirror.apply(batch)
-    this.tell(kind, names.length === 0 ? { revision: batch.revision, changed: [], deleted: [] } : pickNames(mirror.copy(kind), names, batch.revision))
+    this.tell(kind, names.length === 0 ? { revision: batch.revision, changed: [], deleted: [] } : filterNames(mirror.copy(kind), names, batch.revision))
     if (names.length > 0 || !this.list.known) this.use(kind, names, before)
   }
 
@@ -199,7 +199,7 @@
   }
 }
 
-function pickNames<T> (all: WatchBatch<T>, names: readonly string[], revision: number): WatchBatch<T> {
+function filterNames<T> (all: WatchBatch<T>, names: readonly string[], revision: number): WatchBatch<T> {
   const changed = all.changed.filter(({ name }) => names.includes(name))
   const present = new Set(changed.map(({ name }) => name))
   return { revision, changed, deleted: names.filter(name => !present.has(name)) }
--- a/src/placement/choose-place.ts
+++ b/src/placement/choose-place.ts
@@ -27,9 +27,9 @@
   const others = takes.filter(({ server }) => !avoided.includes(server))
   const open = others.length > 0 ? others : takes
   const idle = open.filter(place => getFree(place) > 0)
-  if (idle.length > 0) return findHolder(idle, key) ?? pickMost(idle, getFree, random)
+  if (idle.length > 0) return findHolder(idle, key) ?? chooseMost(idle, getFree, random)
   const own = open.filter(({ ownBatch }) => ownBatch > 0)
-  return pickMost(own.length > 0 ? own : open, ({ slots, online }) => slots - online, random)
+  return chooseMost(own.length > 0 ? own : open, ({ slots, online }) => slots - online, random)
 }
 
 function getFree ({ slots, online, batch }: Place): number {
@@ -43,7 +43,7 @@
   return holder !== undefined && getFree(holder) >= KEY_ROOM ? holder : undefined
 }
 
-function pickMost (places: readonly Place[], measure: (place: Place) => number, random: Random): Place | undefined {
+function chooseMost (places: readonly Place[], measure: (place: Place) => number, random: Random): Place | undefined {
   const most = Math.max(...places.map(measure))
   const best = places.filter(place => measure(place) === most)
   return best[random.below(best.length)]
--- a/src/placement/plan-batch.ts
+++ b/src/placement/plan-batch.ts
@@ -1,7 +1,7 @@
 import type { Place } from './place.js'
 
 /** What this daemon does with batch on one server. */
-export interface BatchPlan {
+interface BatchPlan {
   /** Items of this daemon to stop. */
   readonly stop: number
   /** Items that it may start. */
--- /dev/null
+++ b/test/jobs/job-owner.test.ts
@@ -0,0 +1,131 @@
+import 'reflect-metadata'
+import test from 'ava'
+import fc from 'fast-check'
+import type { ItemResult } from '../../src/jobs/item-result.js'
+import type { JobBook } from '../../src/jobs/job-book.js'
+import type { JobItem } from '../../src/jobs/job-item.js'
+import { JobOwner } from '../../src/jobs/job-owner.js'
+import { JobRecords } from '../../src/jobs/job-records.js'
+import type { JobRunner } from '../../src/jobs/job-runner.js'
+import type { KnownJob } from '../../src/jobs/known-job.js'
+import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import type { Settings } from '../../src/kernel/settings.js'
+import type { Members } from '../../src/peers/members.js'
+import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
+import { VirtualClock } from '../helpers/virtual-clock.js'
+
+const ITEMS: readonly JobItem[] = ['a', 'b', 'c', 'd', 'e', 'f'].map(id => ({ id, path: `/jobs/${id}`, headers: {}, body: 'eA==', tokens: 10 }))
+
+/** One daemon's owner of jobs, with a runner that runs nothing: a test says which items end. */
+class Daemon {
+  readonly owner: JobOwner
+  readonly told: KnownJob[] = []
+  private onResult: (job: OwnedJob) => void = () => {}
+
+  constructor (name: string, store: MemoryStore, clock: VirtualClock, members: { alive: string[] }) {
+    const runner = { subscribe: (listener: (job: OwnedJob) => void) => { this.onResult = listener }, add: () => {}, remove: () => {} }
+    const known = new Map<string, KnownJob>()
+    const book = { subscribe: () => {}, tell: (job: KnownJob) => { known.set(job.id, job); this.told.push(job) }, learn: (job: KnownJob) => { if (!known.has(job.id)) known.set(job.id, job) }, list: () => [...known.values()] }
+    const all = { run: 1, all: () => members.alive.map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })), owners: () => members.alive }
+    const settings = { instance: name } as unknown as Settings
+    this.owner = new JobOwner(new JobRecords(store), runner as unknown as JobRunner, book as unknown as JobBook, all as unknown as Members, settings, { write: () => {} }, clock)
+    void this.owner.start()
+  }
+
+  /** An item has ended here, with a text that says where. */
+  finish (id: string, item: string, text: string): void {
+    const job = this.owner.find(id)
+    const state = job?.items.find(other => other.item.id === item)
+    if (job === undefined || state === undefined || state.phase === 'ended') return
+    job.finish(state, { id: item, state: 'completed', text })
+    this.onResult(job)
+  }
+}
+
+async function readStored (store: MemoryStore): Promise<readonly ItemResult[]> {
+  return (await new JobRecords(store).readSegments('j')).unwrap().flat()
+}
+
+test('an accepted job is stored whole before it is accepted, and a second one of its id is no new one', async t => {
+  const [store, clock] = [new MemoryStore(), new VirtualClock()]
+  const daemon = new Daemon('d1', store, clock, { alive: ['d1'] })
+  t.true((await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)).ok)
+  const head = (await new JobRecords(store).readHead('j')).unwrap()
+  t.deepEqual((await new JobRecords(store).readItems('j', head)).unwrap(), ITEMS)
+  t.is((await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)).val?.type, 'conflict')
+})
+
+// The daemon that accepted a job ends with some results stored. Another one takes the job over: callers read on at the same
+// positions, and what was stored isn't run again.
+test('another daemon takes over the job of one that has ended, behind its stored results', async t => {
+  const [store, clock, members] = [new MemoryStore(), new VirtualClock(), { alive: ['d1', 'd2'] }]
+  const first = new Daemon('d1', store, clock, members)
+  await first.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+  for (const id of ['c', 'a']) first.finish('j', id, 'by d1')
+  await clock.advance(1_000)
+  members.alive = ['d2']
+  const second = new Daemon('d2', store, clock, members)
+  await clock.advance(1_000)
+  const job = second.owner.find('j')!
+  t.deepEqual(job.readPage(0).results.map(({ id }) => id), ['c', 'a'])
+  t.deepEqual(job.items.filter(({ phase }) => phase === 'waiting').map(({ item }) => item.id), ['b', 'd', 'e', 'f'])
+  for (const id of ['b', 'd', 'e', 'f']) second.finish('j', id, 'by d2')
+  await clock.advance(2_000)
+  t.true(job.isDone)
+  t.is(second.told.at(-1)?.closed, true)
+})
+
+test('a job that was ended is not run by whoever takes it over', async t => {
+  const [store, clock, members] = [new MemoryStore(), new VirtualClock(), { alive: ['d1', 'd2'] }]
+  await new Daemon('d1', store, clock, members).owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+  await new JobRecords(store).end('j')
+  members.alive = ['d2']
+  const second = new Daemon('d2', store, clock, members)
+  await clock.advance(1_000)
+  t.is(second.owner.find('j')?.ended, true)
+  t.is(second.told.at(-1)?.closed, true)
+})
+
+// Two daemons run one job, each believing that the other has ended. Writes of results are lost before or after they took
+// effect, or land later. A caller that reads through either must never see a position change or an item twice.
+test('two owners of one job: positions stay, and each item stands once', async t => {
+  const step = fc.oneof(
+    fc.record({ type: fc.constant('finish' as const), daemon: fc.integer({ min: 0, max: 1 }), item: fc.integer({ min: 0, max: ITEMS.length - 1 }) }),
+    fc.record({ type: fc.constant('fault' as const), fault: fc.constantFrom('none', 'fail', 'lose', 'later') }),
+    fc.record({ type: fc.constant('land' as const) }),
+    fc.record({ type: fc.constant('time' as const), ms: fc.integer({ min: 10, max: 900 }) })
+  )
+  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 30 }), async steps => {
+    const [store, clock] = [new MemoryStore(), new VirtualClock()]
+    const daemons = [new Daemon('d1', store, clock, { alive: ['d1'] }), new Daemon('d2', store, clock, { alive: ['d2'] })]
+    await daemons[0]!.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+    await daemons[1]!.owner.adopt('j')
+    const seen: string[] = []
+    const check = (): void => {
+      for (const { owner } of daemons) {
+        owner.find('j')!.readPage(0).results.forEach(({ id, text }, i) => {
+          seen[i] ??= `${id} ${text}`
+          if (seen[i] !== `${id} ${text}`) throw new Error(`position ${i} was ${seen[i]} and is ${id} ${text}`)
+        })
+      }
+      if (new Set(seen.map(result => result.split(' ')[0])).size < seen.length) throw new Error(`an item twice: ${seen.join()}`)
+    }
+    for (const next of steps) {
+      switch (next.type) {
+        case 'finish': daemons[next.daemon]!.finish('j', ITEMS[next.item]!.id, `by ${next.daemon}`); break
+        case 'fault': store.fault = ({ call }) => call !== 'put' || next.fault === 'none' ? 'none' : next.fault === 'fail' ? { fail: { type: 'unavailable', reason: '' } } : next.fault === 'lose' ? { loseReply: { type: 'unknown', reason: '' } } : { landLater: { type: 'unknown', reason: '' } }; break
+        case 'land': store.runDelayed(); break
+        case 'time': await clock.advance(next.ms)
+      }
+      check()
+    }
+    store.fault = () => 'none'
+    store.runDelayed()
+    for (const { id } of ITEMS) daemons[0]!.finish('j', id, 'at last')
+    await clock.advance(10_000)
+    check()
+    const stored = await readStored(store)
+    if (new Set(stored.map(({ id }) => id)).size !== stored.length || stored.length !== ITEMS.length) throw new Error(`stored: ${stored.map(({ id }) => id).join()}`)
+  }), { numRuns: 150 })
+  t.pass()
+})
--- a/test/routing/event-stream.test.ts
+++ b/test/routing/event-stream.test.ts
@@ -19,7 +19,7 @@
 
 // A server breaks off in the middle of an event and another one goes on behind the last whole one. Joined anywhere else,
 // the caller would see an event twice, or one too few, in an answer that ends as whole.
-const steps: ReadonlyArray<readonly [number | undefined, number | undefined, string]> = [
+const steps: ReadonlyArray<readonly [number | undefined, number | undefined, ReturnType<typeof stepEventProgress>['type']]> = [
   [undefined, 1, 'relay'], [undefined, 5, 'relay'], [4, 5, 'relay'], [4, 4, 'known'], [4, 1, 'known'], [4, 6, 'gap'], [4, undefined, 'relay']
 ]
 
--- a/test/style/source.test.ts
+++ b/test/style/source.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path'
 import ts from 'typescript'
 
-const FOLDERS = ['src', 'stand-ins', 'harness', 'bench', 'demo']
+const FOLDERS = ['src', 'platform', 'stand-ins', 'harness', 'bench', 'demo']
 /** The package's public surface re-exports what embedders need from one place. */
 const PUBLIC_SURFACE = 'src/coordination/index.ts'
 const MAX_LINES = 300
