No accepted job is left without an owner

Change: a leaving daemon tells of such a job as one without an owner; after the end of a daemon one other reads the store's jobs; jobs without an owner are told again each second, and what a receiver knows goes first; an owner that hears it is taken for none, or for a dead one, says so. Tests: two, red before.

--- a/src/jobs/job-book.ts
+++ b/src/jobs/job-book.ts
@@ -10,11 +10,16 @@
 import type { KnownJob } from './known-job.js'
 
 const MESSAGE = 'job'
+const SEEN_MESSAGE = 'job seen'
 
 /** The jobs of all daemons as far as told. Whoever owns a job tells the others of it when it is accepted and as it goes on. */
 @scoped(Lifecycle.ContainerScoped)
 export class JobBook {
-  readonly extensions = [peerHandlerPoint.of({ type: MESSAGE, handle: message => this.hear(message) })]
+  readonly extensions = [
+    peerHandlerPoint.of({ type: MESSAGE, handle: message => this.hear(message) }),
+    peerHandlerPoint.of({ type: SEEN_MESSAGE, handle: message => this.hearSeen(message) })
+  ]
+
   private readonly jobs = new Map<string, KnownJob>()
   private readonly listeners = new Set<(job: KnownJob) => void>()
 
@@ -43,6 +48,11 @@
     for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: MESSAGE, job }, `${MESSAGE} ${job.id}`)
   }
 
+  /** Tells the others of a job that this daemon doesn't own, which they may not know of; what they know goes first. */
+  tellSeen (job: KnownJob): void {
+    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: SEEN_MESSAGE, job }, `${SEEN_MESSAGE} ${job.id}`)
+  }
+
   /** Takes what the store says, unless more is known. */
   learn (job: KnownJob): void {
     if (!this.jobs.has(job.id)) this.jobs.set(job.id, job)
@@ -57,6 +67,14 @@
     return this.list().reduce((sum, job) => sum + (!job.closed && isOn(job) ? job.tokensLeft : 0), 0)
   }
 
+  /** Listeners hear it in any case: an owner then says that it is one. */
+  private hearSeen ({ job }: PeerMessage): void {
+    const told = job as KnownJob
+    if (typeof told?.id !== 'string') return
+    this.learn(told)
+    for (const listener of this.listeners) listener(told)
+  }
+
   /** What was closed stays so, whatever an owner says that hasn't heard. */
   private hear ({ job }: PeerMessage): void {
     const told = job as KnownJob
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -27,6 +27,8 @@
 const SEGMENT_BYTES = 500_000
 /** After its start a daemon that hears nobody takes itself for alone, ms. */
 const ALONE_AFTER = 3_000
+/** How often jobs that nobody owns are told of, ms. */
+const TELL_PERIOD = 1_000
 /** How long a shutdown waits for results to be stored, ms. */
 const STORE_WAIT = 1_500
 
@@ -42,7 +44,9 @@
   private readonly storedAt = new Map<string, number>()
   private readonly startedAt: number
   private draining = false
-  private listed = false
+  /** Daemons that were alive at the last look, by name and life. */
+  private alive: ReadonlySet<string> = new Set()
+  private toldAt = -Infinity
   private cancel = (): void => {}
 
   constructor (
@@ -75,7 +79,7 @@
     for (const job of [...this.owned.values()]) {
       this.runner.remove(job)
       this.owned.delete(job.id)
-      this.book.tell({ ...this.show(job), owner: '', run: 0 })
+      this.book.tell(this.showReleased(job))
       job.wake()
     }
   }
@@ -138,8 +142,9 @@
     return Ok(job)
   }
 
+  /** One that leaves accepts jobs to its end, for others to run: they hear at once that nobody owns it. */
   private own (job: OwnedJob): void {
-    if (this.draining) return
+    if (this.draining) return this.book.tell(this.showReleased(job))
     this.owned.set(job.id, job)
     this.runner.add(job)
     this.book.tell(this.show(job))
@@ -156,6 +161,10 @@
     return { id, host, path, submittedAt, owner: this.settings.instance, run: this.members.run, tokensLeft: job.ended ? 0 : job.tokensLeft, closed: job.ended || job.isDone }
   }
 
+  private showReleased (job: OwnedJob): KnownJob {
+    return { ...this.show(job), owner: '', run: 0 }
+  }
+
   /** Stores pending results as the next segment; one at a time for each job, and not too often. */
   private async store (job: OwnedJob): Promise<void> {
     if (this.storing.has(job.id) || job.pending.length === 0 || job.ended) return
@@ -197,36 +206,59 @@
     await new Promise<void>(resolve => this.clock.after(time, resolve))
   }
 
-  /** Another daemon says that it owns what this one owns: both know by rank which of them keeps it. */
+  /**
+   * Another daemon says that it owns what this one owns: both know by rank which of them keeps it. One that takes it for
+   * without an owner, or for that of a daemon that has ended, is told better.
+   */
   private handleNews (told: KnownJob): void {
     const { instance } = this.settings
     const job = this.owned.get(told.id)
-    if (job === undefined || told.owner === instance || told.owner === '') return
-    if (rankOwners(told.id, [instance, told.owner])[0] === instance) return this.book.tell(this.show(job))
+    if (job === undefined || (told.owner === instance && told.run === this.members.run)) return
+    const isTheirs = this.isOwnerAlive(told) && told.owner !== instance && rankOwners(told.id, [instance, told.owner])[0] !== instance
+    if (!isTheirs) return this.book.tell(this.show(job))
     this.runner.remove(job)
     this.owned.delete(told.id)
     job.wake()
   }
 
-  /** Jobs of an earlier life of the fleet are known by the store alone. */
+  /** Jobs of an earlier life of the fleet, or of a daemon that ended before its word of them was out, are known by the store alone. */
   private async listHeads (): Promise<void> {
-    while (!this.listed) {
+    for (;;) {
       const heads = await this.records.listHeads()
       if (heads.ok) {
         for (const [id, { host, path, submittedAt, owner, run, tokens }] of heads.val) this.book.learn({ id, host, path, submittedAt, owner, run, tokensLeft: tokens, closed: false })
-        this.listed = true
-      } else await this.pause(RETRY)
+        return
+      }
+      await this.pause(RETRY)
     }
   }
 
   private check (): void {
     if (this.draining) return
-    const alive = this.members.owners()
-    const names = alive.length > 0 ? alive : this.clock.now() > this.startedAt + ALONE_AFTER ? [this.settings.instance] : []
-    for (const job of this.book.list()) {
-      if (job.closed || this.owned.has(job.id) || this.isOwnerAlive(job)) continue
-      if (rankOwners(job.id, names)[0] === this.settings.instance) void this.adopt(job.id)
-    }
+    const owners = this.members.owners()
+    const names = owners.length > 0 ? owners : this.clock.now() > this.startedAt + ALONE_AFTER ? [this.settings.instance] : []
+    this.checkEnded(names)
+    const orphans = this.book.list().filter(job => !job.closed && !this.owned.has(job.id) && !this.isOwnerAlive(job))
+    for (const { id } of orphans) if (rankOwners(id, names)[0] === this.settings.instance) void this.adopt(id)
+    this.tellOrphans(orphans)
+  }
+
+  /**
+   * A daemon may end right after it has accepted a job, before anybody has heard of it: its caller has the word that the job
+   * is kept, and nobody runs it. One daemon reads the store after each such end.
+   */
+  private checkEnded (names: readonly string[]): void {
+    const alive = new Set(this.members.all().filter(({ state }) => state !== 'leaving').map(({ instance, run }) => `${instance.name} ${run}`))
+    const ended = [...this.alive].filter(life => !alive.has(life))
+    this.alive = alive
+    if (ended.some(life => rankOwners(life, names)[0] === this.settings.instance)) void this.listHeads()
+  }
+
+  /** Whoever is to take a job over may not know of it. */
+  private tellOrphans (orphans: readonly KnownJob[]): void {
+    if (orphans.length === 0 || this.clock.now() < this.toldAt + TELL_PERIOD) return
+    this.toldAt = this.clock.now()
+    for (const job of orphans) this.book.tellSeen(job)
   }
 }
 
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -25,7 +25,7 @@
   constructor (name: string, store: MemoryStore, clock: VirtualClock, members: { alive: string[] }) {
     const runner = { subscribe: (listener: (job: OwnedJob) => void) => { this.onResult = listener }, add: () => {}, remove: () => {} }
     const known = new Map<string, KnownJob>()
-    const book = { subscribe: () => {}, tell: (job: KnownJob) => { known.set(job.id, job); this.told.push(job) }, learn: (job: KnownJob) => { if (!known.has(job.id)) known.set(job.id, job) }, list: () => [...known.values()] }
+    const book = { subscribe: () => {}, tell: (job: KnownJob) => { known.set(job.id, job); this.told.push(job) }, tellSeen: () => {}, learn: (job: KnownJob) => { if (!known.has(job.id)) known.set(job.id, job) }, list: () => [...known.values()] }
     const all = { run: 1, all: () => members.alive.map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })), owners: () => members.alive }
     const settings = { instance: name } as unknown as Settings
     this.owner = new JobOwner(new JobRecords(store), runner as unknown as JobRunner, book as unknown as JobBook, all as unknown as Members, settings, { write: () => {} }, clock)
@@ -129,3 +129,25 @@
   }), { numRuns: 150 })
   t.pass()
 })
+
+// A daemon is told to end, and a caller that still has its address submits a job there. It is confirmed, so that it is kept;
+// the daemon ends, and the others had listed the store's jobs long before.
+test('a job that a leaving daemon accepts is told to the others as without an owner', async t => {
+  const [store, clock] = [new MemoryStore(), new VirtualClock()]
+  const daemon = new Daemon('d1', store, clock, { alive: ['d1', 'd2'] })
+  await daemon.owner.drain()
+  t.true((await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)).ok)
+  t.is(daemon.owner.find('j'), undefined)
+  t.like(daemon.told.at(-1), { id: 'j', owner: '', tokensLeft: 60, closed: false })
+})
+
+// A daemon accepts a job and loses power before its word of it is out. Nobody else has heard of the job.
+test('a job whose owner ended unheard is found in the store', async t => {
+  const [store, clock, members] = [new MemoryStore(), new VirtualClock(), { alive: ['d1', 'd2'] }]
+  const second = new Daemon('d2', store, clock, members)
+  await clock.advance(1_000)
+  await new Daemon('d1', store, clock, members).owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+  members.alive = ['d2']
+  await clock.advance(1_000)
+  t.is(second.owner.find('j')?.items.length, 6)
+})
