The queue before the servers: those that can be in time first, told waiting counts, and an end while time is left

Change: order by who can still be in time; the interval between slots is the fleet's, with what others have waiting told beside the counts; a slot that another daemon's request leaves is that one's for some ms; a wait that would use up the time is given up early.

--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -154,7 +154,10 @@
       case 'completed': return this.finish(job, state, 'completed', state.texts.join('\n'))
       case 'impossible': return this.finish(job, state, 'failed', '')
       case 'stopped': return
-      case 'refused': return this.loads.markFull(run.server)
+      case 'refused': {
+        this.log.write('info', 'jobs', 'a server refused an item', { request: state.item.id, job: job.id, server: run.server })
+        return this.loads.markFull(run.server)
+      }
       case 'failed': {
         state.failures++
         if (state.failures >= route.attempts) return this.finish(job, state, 'failed', '')
--- /dev/null
+++ b/src/placement/compare-waiting.ts
@@ -0,0 +1,23 @@
+/** A waiting request as its turn is decided. Times in ms. */
+interface Waiting {
+  readonly arrived: number
+  /** Target for its first event, from `arrived`. */
+  readonly target: number
+  readonly priority: number
+  /** Whether its caller has been refused before and comes for the last time. */
+  readonly returning: boolean
+}
+
+/** Share of the target that the first event takes once a request is sent. */
+const FIRST_EVENT = 0.35
+
+/**
+ * Which of two waiting requests goes first; negative for `a`. Those that can still be in time go before those that can't:
+ * with more requests than slots, a queue in the order of arrival makes every request late, while the late ones lose little
+ * by waiting on. Among those in time, callers that come back go first, having no further try, then the more urgent, then
+ * the earlier.
+ */
+export function compareWaiting (a: Waiting, b: Waiting, now: number): number {
+  const isLate = ({ arrived, target }: Waiting): boolean => now - arrived > target * (1 - FIRST_EVENT)
+  return Number(isLate(a)) - Number(isLate(b)) || Number(b.returning) - Number(a.returning) || a.priority - b.priority || a.arrived - b.arrived
+}
--- a/src/placement/place-queue.ts
+++ b/src/placement/place-queue.ts
@@ -6,8 +6,8 @@
 import type { Random } from '../kernel/random.js'
 import { tokens } from '../kernel/tokens.js'
 import { Metrics } from '../observe/metrics.js'
-import { Members } from '../peers/members.js'
 import { choosePlace } from './choose-place.js'
+import { compareWaiting } from './compare-waiting.js'
 import type { Place } from './place.js'
 import type { PlaceRequest } from './place-request.js'
 import { planWait } from './plan-wait.js'
@@ -19,6 +19,8 @@
 const STAY_WEIGHT = 0.05
 /** Come back after this where no server is open, ms: the time in which a server starts or its entry comes back. */
 const NO_SERVER_RETRY = 600
+/** About how long a slot that another daemon's request left is left to that one, ms: news of it travels for some ms. */
+const TOLD_DELAY = 20
 /** A refused caller's pause is spread by this share either way, so that a burst doesn't come back as one. */
 const SPREAD = 0.5
 
@@ -36,10 +38,10 @@
   private readonly queues = new Map<string, Waiting[]>()
   private readonly stays = new Map<string, number>()
   private draining = false
+  private pending = false
 
   constructor (
     @inject(ServerLoads) private readonly loads: ServerLoads,
-    @inject(Members) private readonly members: Members,
     @inject(Metrics) private readonly metrics: Metrics,
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(tokens.random) private readonly random: Random
@@ -48,7 +50,7 @@
   }
 
   async start (): Promise<void> {
-    this.loads.subscribe(() => this.giveAll())
+    this.loads.subscribe(origin => origin === 'own' ? this.giveAll() : this.giveSoon())
   }
 
   /** Calls `start` with a server at once or when a slot comes free, or `refuse` when that can't be in time. */
@@ -79,12 +81,13 @@
       }
     }
     request.signal.addEventListener('abort', onAbort, { once: true })
-    queue.splice(findPosition(queue, waiting), 0, waiting)
+    queue.push(waiting)
+    this.loads.setWaiting(request.pool, queue.length)
     const plan = (): void => {
       const refusal = this.plan(waiting)
       if (refusal === undefined) return
       if (typeof refusal !== 'number') return this.drop(waiting, refusal)
-      if (refusal < Infinity) cancel = this.clock.after(refusal, plan)
+      cancel = this.clock.after(refusal, plan)
     }
     plan()
   }
@@ -96,7 +99,7 @@
     if (places.length === 0 && !waiting.returning) return this.refuse('no server', NO_SERVER_RETRY, 'no server of the pool is open')
     const now = this.clock.now()
     const plan = planWait({
-      ahead: queue.indexOf(waiting),
+      ahead: queue.filter(other => other !== waiting && compareWaiting(other, waiting, now) < 0).length + this.loads.countWaitingElsewhere(waiting.pool),
       interval: this.estimateInterval(waiting.pool, places),
       waited: now - waiting.arrived,
       target: waiting.target,
@@ -106,11 +109,10 @@
     return plan.type === 'wait' ? plan.recheckAfter : this.refuse('overloaded', plan.retryAfter, `every slot is taken and ${queue.length - 1} wait`)
   }
 
-  /** Each daemon gets about as many of the slots that come free as any other. */
+  /** Mean time between two slots of all servers that come free, ms. */
   private estimateInterval (pool: string, places: readonly Place[]): number {
     const slots = places.reduce((sum, place) => sum + place.slots, 0)
-    const daemons = Math.max(1, this.members.all().length)
-    return (this.stays.get(pool) ?? FIRST_STAY) * daemons / Math.max(1, slots)
+    return (this.stays.get(pool) ?? FIRST_STAY) / Math.max(1, slots)
   }
 
   private refuse (cause: Refusal['cause'], retryAfter: number, detail: string): Refusal {
@@ -122,6 +124,7 @@
     const index = queue.indexOf(waiting)
     if (index < 0) return
     queue.splice(index, 1)
+    this.loads.setWaiting(waiting.pool, queue.length)
     waiting.settle()
     waiting.refuse(refusal)
   }
@@ -138,11 +141,27 @@
     this.draining = false
   }
 
+  /**
+   * All daemons hear of a slot that another one's request left, and would all fill it at once; the engine then queues what is
+   * too much, in no order of ours. The daemon whose request ended goes first, the others one by one, as their chance wants.
+   */
+  private giveSoon (): void {
+    if (this.pending || [...this.queues.values()].every(({ length }) => length === 0)) return
+    this.pending = true
+    this.clock.after(TOLD_DELAY * (0.2 + this.random.next()), () => {
+      this.pending = false
+      this.giveAll()
+    })
+  }
+
   private give (queue: Waiting[]): void {
     while (queue.length > 0) {
-      const place = this.choose(queue[0]!)
+      const now = this.clock.now()
+      const waiting = queue.reduce((first, other) => compareWaiting(other, first, now) < 0 ? other : first)
+      const place = this.choose(waiting)
       if (place === undefined) return
-      const waiting = queue.shift()!
+      queue.splice(queue.indexOf(waiting), 1)
+      this.loads.setWaiting(waiting.pool, queue.length)
       waiting.settle()
       this.metrics.observe('placement_wait_ms', this.clock.now() - waiting.since)
       waiting.start(place.server)
@@ -150,10 +169,4 @@
   }
 }
 
-/** Behind all that go before it: returning callers, then lower ranks, then earlier ones. */
-function findPosition (queue: readonly Waiting[], { returning, priority }: PlaceRequest): number {
-  const index = queue.findIndex(other => (returning && !other.returning) || (returning === other.returning && priority < other.priority))
-  return index < 0 ? queue.length : index
-}
-
 partRegistry.register({ name: 'place queue', part: PlaceQueue, needs: ['server loads'] })
--- a/src/placement/plan-wait.ts
+++ b/src/placement/plan-wait.ts
@@ -20,8 +20,12 @@
 const EARLY = 0.2
 /** Share of the target that the first event takes once the request is sent. */
 const FIRST_EVENT = 0.35
-/** A return waits for its slot to this share of the time that it has left; then nothing useful could come of it. */
-const RETURN_PATIENCE = 0.6
+/** A wait that is expected to take more than this share of the time left is given up: nothing useful could come of it. */
+const PATIENCE = 0.5
+/** A request that has waited for this share of all its time is given up, while its caller has time for something else. */
+const LONGEST_WAIT = 0.4
+/** Between two looks at a request that is late, ms. */
+const RECHECK = 250
 /** A refused caller comes back after this many targets, spread by its daemon: about half of a short burst. */
 const BACK_AFTER = 3
 
@@ -31,15 +35,15 @@
  * Load pattern: bursts of a few seconds that ask for more slots than there are. A queue that takes everything makes all
  * of the burst late; a refusal while its caller can still come back in time moves that request into the lull behind the
  * burst. So a first try that can't begin in time is refused at once, or as soon as that shows, while it is early; past
- * that it waits, since a late answer is better than none. A caller that comes back has no further try: it goes first and
- * is refused only where its deadline leaves no room.
+ * that it waits, since a late answer is better than none. A caller that comes back has no further try and isn't refused
+ * early. Where the overload lasts and the wait would use up the time, each is told so while it has time left.
  */
 export function planWait ({ ahead, interval, waited, target, left, returning }: WaitState): Plan {
   const expected = (ahead + 1) * interval
-  const retryAfter = Math.max(BACK_AFTER * target, expected)
-  if (returning) return expected > left * RETURN_PATIENCE ? { type: 'refuse', retryAfter } : { type: 'wait', recheckAfter: Infinity }
-  const budget = target * (1 - FIRST_EVENT) - waited
+  const refusal: Plan = { type: 'refuse', retryAfter: Math.max(BACK_AFTER * target, expected) }
+  if (expected > left * PATIENCE || waited > (waited + left) * LONGEST_WAIT) return refusal
   const early = EARLY * target
-  if (waited <= early && expected > budget) return { type: 'refuse', retryAfter }
-  return { type: 'wait', recheckAfter: waited < early ? early - waited : Infinity }
+  const isHopeless = expected > target * (1 - FIRST_EVENT) - waited
+  if (!returning && waited <= early && isHopeless) return refusal
+  return { type: 'wait', recheckAfter: waited < early ? early - waited : RECHECK }
 }
--- a/src/placement/server-loads.ts
+++ b/src/placement/server-loads.ts
@@ -30,7 +30,10 @@
 /** How long a server that said it is full isn't chosen, ms: a few steps of its engine. */
 const FULL_FOR = 40
 
-interface Told { readonly at: number, readonly counts: ReadonlyMap<string, LoadCounts> }
+interface Told { readonly at: number, readonly counts: ReadonlyMap<string, LoadCounts>, readonly waiting: ReadonlyMap<string, number> }
+
+/** Whether a change of the counts is of this daemon's own requests, or was told. */
+type Origin = 'own' | 'told'
 
 /**
  * How many requests all daemons have in flight at each backend server. Each daemon tells the others its own counts as
@@ -49,7 +52,9 @@
   private readonly own = new Map<string, { online: number, batch: number }>()
   private readonly told = new Map<string, Told>()
   private readonly fullUntil = new Map<string, number>()
-  private readonly listeners = new Set<() => void>()
+  private readonly listeners = new Set<(origin: Origin) => void>()
+  /** By pool: requests of this daemon that wait for a slot. */
+  private readonly waiting = new Map<string, number>()
   private toldAt = -Infinity
   private pending = false
   private cancel = (): void => {}
@@ -64,7 +69,7 @@
   ) {}
 
   async start (): Promise<void> {
-    this.list.subscribe(() => this.notify())
+    this.list.subscribe(() => this.notify('told'))
     this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
   }
 
@@ -94,11 +99,23 @@
   /** Notes that the server refused a request as full. */
   markFull (server: string): void {
     this.fullUntil.set(server, this.clock.now() + FULL_FOR)
-    this.clock.after(FULL_FOR, () => this.notify())
+    this.clock.after(FULL_FOR, () => this.notify('told'))
+  }
+
+  /** Notes how many requests of this daemon wait for a slot of the pool. */
+  setWaiting (pool: string, count: number): void {
+    if ((this.waiting.get(pool) ?? 0) === count) return
+    this.waiting.set(pool, count)
+    this.scheduleTell()
+  }
+
+  /** Requests that wait at the other daemons for a slot of the pool. */
+  countWaitingElsewhere (pool: string): number {
+    return [...this.told.values()].reduce((sum, { waiting }) => sum + (waiting.get(pool) ?? 0), 0)
   }
 
   /** `listener` runs after each change of a count or of the servers. */
-  subscribe (listener: () => void): void {
+  subscribe (listener: (origin: Origin) => void): void {
     this.listeners.add(listener)
   }
 
@@ -119,7 +136,7 @@
     if (counts.online === 0 && counts.batch === 0) this.own.delete(server)
     else this.own.set(server, counts)
     this.scheduleTell()
-    this.notify()
+    this.notify('own')
   }
 
   private scheduleTell (): void {
@@ -133,14 +150,16 @@
     this.pending = false
     this.toldAt = this.clock.now()
     const counts = [...this.own].map(([server, { online, batch }]) => [server, online, batch])
-    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: MESSAGE, counts }, MESSAGE)
+    const waiting = [...this.waiting].filter(([, count]) => count > 0)
+    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: MESSAGE, counts, waiting }, MESSAGE)
   }
 
-  private hear ({ counts }: PeerMessage, from: string): void {
+  private hear ({ counts, waiting }: PeerMessage, from: string): void {
     if (!Array.isArray(counts)) return
     const read = counts.filter(Array.isArray).map(([server, online, batch]): [string, LoadCounts] => [String(server), { online: Number(online), batch: Number(batch) }])
-    this.told.set(from, { at: this.clock.now(), counts: new Map(read) })
-    this.notify()
+    const queued = Array.isArray(waiting) ? waiting.map(([pool, count]): [string, number] => [String(pool), Number(count)]) : []
+    this.told.set(from, { at: this.clock.now(), counts: new Map(read), waiting: new Map(queued) })
+    this.notify('told')
   }
 
   private check (): void {
@@ -148,11 +167,11 @@
     for (const [daemon, { at }] of this.told) if (now > at + FORGET) this.told.delete(daemon)
     for (const [server, until] of this.fullUntil) if (now > until) this.fullUntil.delete(server)
     if (now > this.toldAt + REPEAT) this.tell()
-    this.notify()
+    this.notify('told')
   }
 
-  private notify (): void {
-    for (const listener of this.listeners) listener()
+  private notify (origin: Origin): void {
+    for (const listener of this.listeners) listener(origin)
   }
 }
 
