Progress of items is handed over, jobs are stored in one round trip, callers' store calls time out early

Change: a leaving daemon sends the taker how far each item has come; items and head are written at once, and a job counts only with all of them; a caller's call times out after 250 ms and twice that each further time. Tests: two, red before.

--- a/src/jobs/job-head.ts
+++ b/src/jobs/job-head.ts
@@ -1,4 +1,4 @@
-/** What is stored of a job beside its items and results; written last, so that a job whose head is there is whole. */
+/** What is stored of a job beside its items and results. */
 export interface JobHead {
   readonly host: string
   /** The path that it was submitted to, which selects its route whenever an item is run. */
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -8,8 +8,12 @@
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
 import { Members } from '../peers/members.js'
+import { peerHandlerPoint } from '../peers/peer-handler-point.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import type { PeerMessage } from '../peers/peer-message.js'
 import type { StoreError } from '../store/store-error.js'
 import { JobBook } from './job-book.js'
+import type { ItemProgress } from './item-progress.js'
 import type { JobHead } from './job-head.js'
 import type { JobItem } from './job-item.js'
 import { JobRecords } from './job-records.js'
@@ -18,6 +22,7 @@
 import { OwnedJob } from './owned-job.js'
 import { splitBySize } from './split-by-size.js'
 
+const PROGRESS_MESSAGE = 'job progress'
 const CHECK_PERIOD = 250
 /** Least time between two segments of one job, ms: callers read about twice a second, and each segment is a write. */
 const STORE_PERIOD = 400
@@ -27,6 +32,8 @@
 const SEGMENT_BYTES = 500_000
 /** After its start a daemon that hears nobody takes itself for alone, ms. */
 const ALONE_AFTER = 3_000
+/** Before a job that could not be read is tried again, ms: its store is away, or its items were never stored. */
+const ADOPT_PAUSE = 1_000
 /** How often jobs that nobody owns are told of, ms. */
 const TELL_PERIOD = 1_000
 /** How long a shutdown waits for results to be stored, ms. */
@@ -38,7 +45,12 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class JobOwner implements Part {
+  readonly extensions = [peerHandlerPoint.of({ type: PROGRESS_MESSAGE, handle: message => this.takeProgress(message) })]
   private readonly owned = new Map<string, OwnedJob>()
+  /** By job: how far its items had come at the daemon that let go of it, until it is taken over here. */
+  private readonly handed = new Map<string, readonly ItemProgress[]>()
+  /** By job that could not be taken over: when to try again, monotonic ms. */
+  private readonly adoptAfter = new Map<string, number>()
   private readonly adopting = new Set<string>()
   private readonly storing = new Set<string>()
   private readonly storedAt = new Map<string, number>()
@@ -54,6 +66,7 @@
     @inject(JobRunner) private readonly runner: JobRunner,
     @inject(JobBook) private readonly book: JobBook,
     @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: Pick<PeerLinks, 'send'>,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
@@ -79,11 +92,32 @@
     for (const job of [...this.owned.values()]) {
       this.runner.remove(job)
       this.owned.delete(job.id)
+      this.handOver(job)
       this.book.tell(this.showReleased(job))
       job.wake()
     }
   }
 
+  /**
+   * Tells the daemon that will take the job over how far its items have come. Without that, instances that are restarted in
+   * turn make an item of some seconds begin anew at each, and a job of a quarter of a minute comes late.
+   */
+  private handOver (job: OwnedJob): void {
+    const [next] = rankOwners(job.id, this.members.owners().filter(name => name !== this.settings.instance))
+    if (next === undefined) return
+    for (const progress of splitBySize(job.copyProgress(), ({ texts }) => texts.reduce((sum, text) => sum + text.length, 0), SEGMENT_BYTES)) {
+      this.links.send(next, { type: PROGRESS_MESSAGE, job: job.id, progress })
+    }
+  }
+
+  private takeProgress ({ job, progress }: PeerMessage): void {
+    if (!Array.isArray(progress)) return
+    const id = String(job)
+    const owned = this.owned.get(id)
+    if (owned !== undefined) owned.useProgress(progress as readonly ItemProgress[])
+    else this.handed.set(id, [...this.handed.get(id) ?? [], ...progress as readonly ItemProgress[]])
+  }
+
   async stop (): Promise<void> {
     this.cancel()
   }
@@ -107,7 +141,10 @@
     if (known !== undefined || this.adopting.has(id) || this.draining) return Ok(known)
     this.adopting.add(id)
     try {
-      return await this.load(id)
+      const loaded = await this.load(id)
+      if (loaded.err) this.adoptAfter.set(id, this.clock.now() + ADOPT_PAUSE)
+      else this.adoptAfter.delete(id)
+      return loaded
     } finally {
       this.adopting.delete(id)
     }
@@ -136,6 +173,8 @@
     const age = Math.max(0, this.clock.date() - head.val.submittedAt)
     const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age })
     job.ended = ended.val
+    job.useProgress(this.handed.get(id) ?? [])
+    this.handed.delete(id)
     this.log.write('info', 'jobs', 'took a job over', { job: id, from: head.val.owner, age, results: job.readPage(0).next, of: head.val.total, ended: job.ended })
     this.own(job)
     if (job.ended || job.isDone) this.close(job)
@@ -239,7 +278,9 @@
     const names = owners.length > 0 ? owners : this.clock.now() > this.startedAt + ALONE_AFTER ? [this.settings.instance] : []
     this.checkEnded(names)
     const orphans = this.book.list().filter(job => !job.closed && !this.owned.has(job.id) && !this.isOwnerAlive(job))
-    for (const { id } of orphans) if (rankOwners(id, names)[0] === this.settings.instance) void this.adopt(id)
+    for (const { id } of orphans) {
+      if (this.clock.now() >= (this.adoptAfter.get(id) ?? 0) && rankOwners(id, names)[0] === this.settings.instance) void this.adopt(id)
+    }
     this.tellOrphans(orphans)
   }
 
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -20,7 +20,7 @@
 
 /**
  * Jobs as the store keeps them. Every object is created once and never changed, so that no write needs to know what was
- * there: the items first, then the head that makes them a job; results as numbered segments, each created by whoever has
+ * there: items and head at once, which are a job once all are there; results as numbered segments, each created by whoever has
  * read all before it; the end as an object of its own. Two daemons that run one job can't both create a segment.
  */
 @scoped(Lifecycle.ContainerScoped)
@@ -30,10 +30,12 @@
   /** `conflict` says that a job of this id is there already. */
   async create (id: string, head: Omit<JobHead, 'parts'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
     const parts = splitBySize(items, ({ body }) => body.length + ITEM_OVERHEAD, OBJECT_BYTES)
-    const written = await Promise.all(parts.map(async (part, i) => await this.createOnce(ITEMS, `${id}.${i}`, part)))
-    const failed = written.find(result => result.err && result.val.type !== 'conflict')
-    if (failed?.err === true) return failed
-    return await this.createOnce(HEADS, id, { ...head, parts: parts.length } satisfies JobHead)
+    const [written, ...stored] = await Promise.all([
+      this.createOnce(HEADS, id, { ...head, parts: parts.length } satisfies JobHead),
+      ...parts.map(async (part, i) => await this.createOnce(ITEMS, `${id}.${i}`, part))
+    ])
+    const failed = stored.filter(result => result.err && result.val.type !== 'conflict')
+    return failed.find(result => result.err && result.val.type === 'unknown') ?? failed[0] ?? written
   }
 
   async readHead (id: string): Promise<Result<JobHead, StoreError>> {
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -1,3 +1,4 @@
+import type { ItemProgress } from './item-progress.js'
 import type { ItemResult } from './item-result.js'
 import type { ItemState } from './item-state.js'
 import type { JobHead } from './job-head.js'
@@ -54,6 +55,22 @@
     return this.items.find(({ item: { id } }) => id === item)?.item
   }
 
+  /** What runs of its items have come to that aren't finished. */
+  copyProgress (): readonly ItemProgress[] {
+    return this.items.flatMap(({ item: { id }, last, texts, failures, phase }) => last === undefined || phase === 'ended' ? [] : [{ id, last, texts: [...texts], failures }])
+  }
+
+  /** Goes on from where another daemon got to; an item that has come further here stays. */
+  useProgress (progress: readonly ItemProgress[]): void {
+    for (const { id, last, texts, failures } of progress) {
+      const state = this.items.find(({ item }) => item.id === id)
+      if (state === undefined || state.phase !== 'waiting' || (state.last ?? -1) >= last) continue
+      state.last = last
+      state.texts.splice(0, state.texts.length, ...texts)
+      state.failures = Math.max(state.failures, failures)
+    }
+  }
+
   /** Ends an item with its result, which is shown once it is stored. */
   finish (state: ItemState, result: ItemResult): void {
     if (state.phase === 'ended') return
--- a/src/store/platform-client.ts
+++ b/src/store/platform-client.ts
@@ -19,6 +19,12 @@
 const CALL_TIMEOUT = 2_000
 const WATCH_SLACK = 1_000
 const MAX_SENDS = 3
+/**
+ * For a caller's call: the first timeout, which doubles with each sending. A caller waits for some hundred ms, and a reply
+ * that was lost would take all of that and more; a store that is merely slow answers a later sending.
+ */
+const CALLER_TIMEOUT = 250
+const CALLER_SENDS = 4
 const RESEND_PAUSE = 100
 const CONFLICT = 409
 const FOUND = 300
@@ -104,22 +110,24 @@
 
   /** A read without an answer is sent once more. */
   private async read<T> (call: ApiCall, priority: CallPriority): Promise<Result<T, StoreError>> {
-    const answer = await this.gate.send(call, priority, CALL_TIMEOUT)
+    const isCaller = priority === 'caller'
+    const answer = await this.gate.send(call, priority, isCaller ? 2 * CALLER_TIMEOUT : CALL_TIMEOUT)
     if (answer.type !== 'no answer') return readResult<T>(answer)
-    await this.pause()
+    if (!isCaller) await this.pause()
     return readResult<T>(await this.gate.send(call, priority, CALL_TIMEOUT))
   }
 
   /** Sends a write until it is answered; `lost` says that an earlier sending may have taken effect. */
   private async sendWrite (call: ApiCall, priority: CallPriority): Promise<{ readonly answer: ApiAnswer, readonly lost: boolean }> {
     let lost = false
+    const isCaller = priority === 'caller'
     for (let sends = 1; ; sends++) {
-      const answer = await this.gate.send(call, priority, CALL_TIMEOUT)
+      const answer = await this.gate.send(call, priority, isCaller ? CALLER_TIMEOUT * 2 ** (sends - 1) : CALL_TIMEOUT)
       const again = answer.type === 'no answer' || (lost && answer.type !== 'answered')
       if (!again) return { answer, lost }
       lost = true
-      if (sends >= MAX_SENDS || this.gate.out) return { answer, lost }
-      await this.pause()
+      if (sends >= (isCaller ? CALLER_SENDS : MAX_SENDS) || this.gate.out) return { answer, lost }
+      if (!isCaller) await this.pause()
     }
   }
 
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -11,6 +11,8 @@
 import type { OwnedJob } from '../../src/jobs/owned-job.js'
 import type { Settings } from '../../src/kernel/settings.js'
 import type { Members } from '../../src/peers/members.js'
+import type { PeerHandler } from '../../src/peers/peer-handler.js'
+import type { PeerMessage } from '../../src/peers/peer-message.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
 import { VirtualClock } from '../helpers/virtual-clock.js'
 
@@ -20,6 +22,7 @@
 class Daemon {
   readonly owner: JobOwner
   readonly told: KnownJob[] = []
+  readonly sent: Array<{ readonly to: string, readonly message: PeerMessage }> = []
   private onResult: (job: OwnedJob) => void = () => {}
 
   constructor (name: string, store: MemoryStore, clock: VirtualClock, members: { alive: string[] }) {
@@ -28,7 +31,7 @@
     const book = { subscribe: () => {}, tell: (job: KnownJob) => { known.set(job.id, job); this.told.push(job) }, tellSeen: () => {}, learn: (job: KnownJob) => { if (!known.has(job.id)) known.set(job.id, job) }, list: () => [...known.values()] }
     const all = { run: 1, all: () => members.alive.map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })), owners: () => members.alive }
     const settings = { instance: name } as unknown as Settings
-    this.owner = new JobOwner(new JobRecords(store), runner as unknown as JobRunner, book as unknown as JobBook, all as unknown as Members, settings, { write: () => {} }, clock)
+    this.owner = new JobOwner(new JobRecords(store), runner as unknown as JobRunner, book as unknown as JobBook, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, settings, { write: () => {} }, clock)
     void this.owner.start()
   }
 
@@ -151,3 +154,33 @@
   await clock.advance(1_000)
   t.is(second.owner.find('j')?.items.length, 6)
 })
+
+// Instances are restarted in turn, each while it runs an item of some seconds. Were the item to begin anew at each, it would
+// never end while that goes on.
+test('a daemon that leaves hands over how far its items have come', async t => {
+  const [store, clock, members] = [new MemoryStore(), new VirtualClock(), { alive: ['d1', 'd2'] }]
+  const [first, second] = [new Daemon('d1', store, clock, members), new Daemon('d2', store, clock, members)]
+  await first.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+  const state = first.owner.find('j')!.items[1]!
+  Object.assign(state, { last: 3, failures: 1 })
+  state.texts.push('1', '2', '3')
+  await first.owner.drain()
+  t.deepEqual(first.sent.map(({ to }) => to), ['d2'])
+  members.alive = ['d2']
+  for (const { handle } of second.owner.extensions.map(({ value }) => value as PeerHandler)) handle(first.sent[0]!.message, 'd1')
+  await second.owner.adopt('j')
+  t.like(second.owner.find('j')!.items[1], { last: 3, texts: ['1', '2', '3'], failures: 1, phase: 'waiting' })
+})
+
+// The items and the head are written at once, and one part fails. A job without its items must never count as accepted,
+// though its head is there: whoever sends it again finds the head, and must not take it for a whole job.
+test('a job whose items were not stored is accepted only once they are', async t => {
+  const [store, clock] = [new MemoryStore(), new VirtualClock()]
+  const daemon = new Daemon('d1', store, clock, { alive: ['d1'] })
+  store.fault = ({ call, kind }) => call === 'put' && kind === 'job-items' ? { fail: { type: 'unavailable', reason: '' } } : 'none'
+  t.is((await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)).val?.type, 'unavailable')
+  t.is((await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)).val?.type, 'unavailable')
+  store.fault = () => 'none'
+  t.is((await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)).val?.type, 'conflict')
+  t.is((await daemon.owner.adopt('j')).unwrap()?.items.length, 6)
+})
