The new path over real processes: stand-ins of the users' store and engines, a fleet on loopback, five trials

Streams resumed and cut, a job that outlives its daemon, refusals while the store is away and over the cap, an end that cuts nothing, a log that nobody reads.

--- a/harness/child.ts
+++ b/harness/child.ts
@@ -16,8 +16,8 @@
   private readonly process: ChildProcess
   private readonly exit: Promise<number>
 
-  private constructor ([program, ...words]: readonly string[]) {
-    this.process = spawn(program!, words, { stdio: ['ignore', 'pipe', 'pipe'] })
+  private constructor ([program, ...words]: readonly string[], env: Readonly<Record<string, string>>) {
+    this.process = spawn(program!, words, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...env } })
     running.add(this.process)
     this.process.stderr!.on('data', text => { this.errors += text })
     this.exit = once(this.process, 'exit').then(([code, signal]) => {
@@ -27,8 +27,8 @@
   }
 
   /** Starts it and waits for the line in which it says where it listens. */
-  static async start<T> (args: readonly string[], { program = BUNDLE }: { readonly program?: readonly string[] } = {}): Promise<{ readonly child: Child, readonly ready: T }> {
-    const child = new Child([...program, ...args])
+  static async start<T> (args: readonly string[], { program = BUNDLE, env = {} }: { readonly program?: readonly string[], readonly env?: Readonly<Record<string, string>> } = {}): Promise<{ readonly child: Child, readonly ready: T }> {
+    const child = new Child([...program, ...args], env)
     const lines = createInterface({ input: child.process.stdout! })
     const line = await Promise.race([
       once(lines, 'line').then(([line]) => line as string),
@@ -37,6 +37,12 @@
     return { child, ready: JSON.parse(line) }
   }
 
+  /** Reads nothing more of what it writes to standard output. */
+  pauseOutput (): void {
+    this.process.stdout!.removeAllListeners('data')
+    this.process.stdout!.pause()
+  }
+
   signal (signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
     this.process.kill(signal)
   }
--- /dev/null
+++ b/harness/machines-fleet.ts
@@ -0,0 +1,107 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { request } from 'undici'
+import { listen } from '../src/http/listen.js'
+import { EventEngine } from '../stand-ins/machines/event-engine.js'
+import { ObjectApi } from '../stand-ins/machines/object-api.js'
+import { Child } from './child.js'
+
+const PROGRAM = [process.execPath, 'target/citronwheel.cjs']
+const WAIT = 20_000
+const LOOK = 20
+
+interface Ports { readonly front: number, readonly readiness: number, readonly control: number, readonly directory: number, readonly metrics: number }
+
+/** One daemon of the fleet, running or not. */
+interface FleetDaemon { readonly ports: Ports, readonly settings: string, child?: Child }
+
+/** The store, engines and daemons of the users' machines on loopback: the daemons are processes, the others stand in here. */
+export class MachinesFleet {
+  readonly store = new ObjectApi()
+  readonly engines: EventEngine[] = []
+  readonly daemons: FleetDaemon[] = []
+  private readonly folder = mkdtempSync(join(tmpdir(), 'citronwheel-'))
+
+  async start ({ daemons, engines }: { readonly daemons: number, readonly engines: readonly EventEngine[] }): Promise<void> {
+    await this.store.start()
+    for (const engine of engines) await this.addEngine(engine)
+    for (let i = 0; i < daemons; i++) await this.addDaemon(i)
+    for (const daemon of this.daemons) await this.startDaemon(daemon)
+  }
+
+  async stop (): Promise<void> {
+    for (const { child } of this.daemons) child?.signal('SIGKILL')
+    await Promise.all(this.daemons.map(async ({ child }) => await child?.waitForExit()))
+    for (const engine of this.engines) engine.stop()
+    this.store.stop()
+    rmSync(this.folder, { recursive: true })
+  }
+
+  /** Starts the process and waits until it is ready. */
+  async startDaemon (daemon: FleetDaemon): Promise<void> {
+    daemon.child = (await Child.start(['entry'], { program: PROGRAM, env: { CITRONWHEEL_BOOT: daemon.settings } })).child
+    await this.waitUntil('a daemon is ready', async () => await this.isReady(daemon))
+  }
+
+  async isReady ({ ports }: FleetDaemon): Promise<boolean> {
+    const answer = await request(`http://127.0.0.1:${ports.readiness}/api/ready`).catch(() => undefined)
+    await answer?.body.dump()
+    return answer?.statusCode === 200
+  }
+
+  /** Addresses that a daemon names to callers. */
+  async listAddresses ({ ports }: FleetDaemon): Promise<readonly string[]> {
+    const answer = await request(`http://127.0.0.1:${ports.directory}/api/lookup?name=desk.example&zone=a`)
+    const body = await answer.body.json() as { readonly addrs?: readonly string[] }
+    return body.addrs ?? []
+  }
+
+  /** Resolves once `check` holds; fails with `what` after 20 s. */
+  async waitUntil (what: string, check: () => Promise<boolean> | boolean): Promise<void> {
+    const end = Date.now() + WAIT
+    while (!await check()) {
+      if (Date.now() > end) throw new Error(`never came about: ${what}`)
+      await new Promise(resolve => setTimeout(resolve, LOOK))
+    }
+  }
+
+  private async addEngine (engine: EventEngine): Promise<void> {
+    await engine.start()
+    this.engines.push(engine)
+    this.store.put('servers', engine.id, { service: 'helm', addr: `127.0.0.1:${engine.port}`, zone: 'a', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, seq: 1 })
+  }
+
+  private async addDaemon (index: number): Promise<void> {
+    const [front, readiness, control, directory, metrics] = await findPorts(5)
+    const ports = { front, readiness, control, directory, metrics } as Ports
+    const settings = join(this.folder, `daemon-${index}.toml`)
+    writeFileSync(settings, `node = "edge-${index}"
+ip = "127.0.0.1"
+zone = "a"
+region = "north"
+internal_ports = [${metrics}, ${metrics! + 1}]
+seeds = []
+[listen]
+front = "127.0.0.1:${front}"
+readiness = "127.0.0.1:${readiness}"
+control = "127.0.0.1:${control}"
+directory = "127.0.0.1:${directory}"
+[bounds]
+grace_s = 8
+status_s = 120
+ttl_max_s = 5
+[platform]
+addr = "127.0.0.1:${this.store.port}"
+`)
+    this.daemons.push({ ports, settings })
+  }
+}
+
+async function findPorts (count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  const ports = await Promise.all(servers.map(async server => await listen(server, '127.0.0.1', 0)))
+  for (const server of servers) server.close()
+  return ports
+}
--- /dev/null
+++ b/stand-ins/machines/event-engine.ts
@@ -0,0 +1,95 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { listen } from '../../src/http/listen.js'
+import { readBody } from '../../src/http/read-body.js'
+import { sendJson } from '../../src/http/send-json.js'
+
+const MAX_BODY = 2_000_000
+/** A path that ends so can never be done. */
+const IMPOSSIBLE = /\/impossible$/
+
+/** One run of a request as the engine saw it. */
+interface EngineRun {
+  readonly id: string
+  readonly path: string
+  readonly resumedAfter: number | undefined
+  /** Events that it sent. */
+  events: number
+  outcome: 'running' | 'whole' | 'closed' | 'broken'
+}
+
+interface EventEngineOptions {
+  readonly id: string
+  /** Requests that run at once; more are refused unrun. */
+  readonly slots?: number
+  readonly events?: number
+  /** Between two events, ms. */
+  readonly pause?: number
+}
+
+/** A model server of the users' machines: streams of numbered events, resume, expected instances, and runs that break off. */
+export class EventEngine {
+  port = 0
+  readonly runs: EngineRun[] = []
+  /** The next runs of so many break off after this many events. */
+  breaks: number[] = []
+  private readonly server: Server = createServer((req, res) => { void this.handle(req, res) })
+  private running = 0
+
+  constructor (private readonly options: EventEngineOptions) {}
+
+  get id (): string {
+    return this.options.id
+  }
+
+  async start (port = 0): Promise<void> {
+    this.port = await listen(this.server, '127.0.0.1', port)
+  }
+
+  /** Ends as a process that crashes: every connection is reset. */
+  stop (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  /** The data of event `n` of a request. */
+  static writeText (path: string, n: number): string {
+    return `${path} piece ${n}`
+  }
+
+  private async handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { id, slots = 8 } = this.options
+    const body = await readBody(req, MAX_BODY)
+    const { 'x-request-id': request, 'x-expect-instance': expected, 'last-event-id': resume } = req.headers
+    if (body.err) return
+    if (expected !== undefined && expected !== id) return sendJson(res, 421, {}, { 'x-instance-id': id })
+    if (this.running >= slots) return sendJson(res, 503, {}, { 'x-not-executed': '1' })
+    if (IMPOSSIBLE.test(req.url!)) return sendJson(res, 422, {}, { 'x-request-id': String(request) })
+    const run: EngineRun = { id: String(request), path: req.url!, resumedAfter: resume === undefined ? undefined : Number(resume), events: 0, outcome: 'running' }
+    this.runs.push(run)
+    this.running++
+    res.on('close', () => {
+      this.running--
+      if (run.outcome === 'running') run.outcome = 'closed'
+    })
+    res.writeHead(200, { 'content-type': 'text/event-stream', 'x-request-id': run.id, 'x-response-stamp': `stamp-${id}` })
+    await this.stream(run, res)
+  }
+
+  private async stream (run: EngineRun, res: ServerResponse): Promise<void> {
+    const { events = 6, pause = 10 } = this.options
+    const breakAfter = this.breaks.shift()
+    for (let n = (run.resumedAfter ?? 0) + 1; n <= events; n++) {
+      await new Promise(resolve => setTimeout(resolve, pause))
+      if (run.outcome !== 'running') return
+      if (run.events === breakAfter) {
+        run.outcome = 'broken'
+        res.write(`id: ${n}\nda`, () => res.destroy())
+        return
+      }
+      res.write(`id: ${n}\ndata: ${EventEngine.writeText(run.path, n)}\n\n`)
+      run.events++
+    }
+    run.outcome = 'whole'
+    res.end()
+  }
+}
--- /dev/null
+++ b/stand-ins/machines/object-api.ts
@@ -0,0 +1,109 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { listen } from '../../src/http/listen.js'
+import { readBody } from '../../src/http/read-body.js'
+import { sendJson } from '../../src/http/send-json.js'
+import type { StoredObject } from '../../src/store/stored-object.js'
+import { ObjectTable } from '../platform/object-table.js'
+
+const MAX_BODY = 2_000_000
+const PAGE = 500
+const PATH = /^\/api\/objects\/([^/]+)(?:\/([^/]+))?(\/status)?$/
+
+/** How the store treats calls at present. */
+interface ObjectApiFaults {
+  /** `busy` answers 503, `limited` 429, `silent` not at all. */
+  down?: 'busy' | 'limited' | 'silent'
+  /** Whether writes take effect and are never answered. */
+  losesReplies?: boolean
+  /** Watches from before this revision are told that their history is gone. */
+  historyFrom?: number
+}
+
+interface Target { readonly kind: string, readonly name: string | undefined, readonly isStatus: boolean, readonly query: URLSearchParams }
+
+/** The users' store of objects, as their page describes it: revisions, watches, pages, 409, 410, and faults. */
+export class ObjectApi {
+  faults: ObjectApiFaults = {}
+  port = 0
+  readonly statuses = new Map<string, unknown>()
+  readonly objects = new ObjectTable()
+  private readonly server: Server = createServer((req, res) => { void this.handle(req, res) })
+
+  async start (): Promise<void> {
+    this.port = await listen(this.server, '127.0.0.1', 0)
+  }
+
+  stop (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  /** Writes as another system does, whatever is there. */
+  put (kind: string, name: string, spec: unknown): void {
+    this.objects.write(kind, name, spec, this.objects.read(kind, name)?.version ?? 0)
+  }
+
+  remove (kind: string, name: string): void {
+    this.objects.remove(kind, name, this.objects.read(kind, name)?.version ?? 0)
+  }
+
+  private async handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url!, 'http://store')
+    const [, kind, name, status] = PATH.exec(url.pathname) ?? []
+    const body = await readBody(req, MAX_BODY)
+    if (this.faults.down === 'silent') return
+    if (this.faults.down !== undefined) return sendJson(res, this.faults.down === 'busy' ? 503 : 429, {})
+    if (kind === undefined || body.err) return sendJson(res, 400, {})
+    const target = { kind, name: name === undefined ? undefined : decodeURIComponent(name), isStatus: status !== undefined, query: url.searchParams }
+    if (req.method === 'GET') return await this.read(target, res)
+    const [code, answer] = this.write(req.method!, target, body.val.length === 0 ? {} : JSON.parse(body.val.toString()))
+    if (this.faults.losesReplies !== true) sendJson(res, code, answer)
+  }
+
+  private async read ({ kind, name, query }: Target, res: ServerResponse): Promise<void> {
+    if (name !== undefined) {
+      const object = this.objects.read(kind, name)
+      return sendJson(res, object === undefined ? 404 : 200, object === undefined ? {} : showObject(object))
+    }
+    if (query.has('watch')) return await this.watch(kind, Number(query.get('watch')), Number(query.get('wait_ms')), res)
+    const items = this.objects.list(kind, '', query.get('after') ?? '', PAGE + 1)
+    sendJson(res, 200, { items: items.slice(0, PAGE).map(showObject), more_pages: items.length > PAGE, current_rev: this.objects.revision })
+  }
+
+  private async watch (kind: string, revision: number, wait: number, res: ServerResponse): Promise<void> {
+    if (revision < (this.faults.historyFrom ?? 0)) return sendJson(res, 410, {})
+    const end = Date.now() + wait
+    for (;;) {
+      const { changed, deleted } = this.objects.changesSince(kind, revision)
+      if (changed.length + deleted.length > 0 || Date.now() >= end || this.faults.down !== undefined) {
+        const events = [...changed.map(object => ({ tombstone: false, object: showObject(object) })), ...deleted.map(name => ({ tombstone: true, object: { metadata: { name } } }))]
+        return sendJson(res, 200, { events, current_rev: this.objects.revision })
+      }
+      await new Promise(resolve => setTimeout(resolve, 10))
+    }
+  }
+
+  private write (method: string, { kind, name, isStatus, query }: Target, body: any): readonly [number, unknown] {
+    const key = name ?? String(body.metadata?.name)
+    const present = this.objects.read(kind, key)
+    if (method === 'POST') return present === undefined ? [201, this.create(kind, key, body.spec, 0)] : [409, showObject(present)]
+    if (present === undefined) return [404, {}]
+    if (isStatus) {
+      this.statuses.set(`${kind}/${key}`, body.status)
+      return [200, showObject(present)]
+    }
+    const expected = Number(body.metadata?.revision ?? query.get('revision') ?? present.version)
+    if (expected !== present.version) return [409, showObject(present)]
+    if (method === 'PUT') return [200, this.create(kind, key, body.spec, present.version)]
+    this.objects.remove(kind, key, present.version)
+    return [200, showObject(present)]
+  }
+
+  private create (kind: string, name: string, spec: unknown, version: number): unknown {
+    return showObject(this.objects.write(kind, name, spec, version) as StoredObject)
+  }
+}
+
+function showObject ({ name, version, value }: StoredObject): unknown {
+  return { metadata: { name, revision: version, created: 1, finalizers: [], deleting: false }, spec: value, status: null }
+}
--- /dev/null
+++ b/test/whole/machines.test.ts
@@ -0,0 +1,160 @@
+import test from 'ava'
+import { once } from 'node:events'
+import { request } from 'undici'
+import { MachinesFleet } from '../../harness/machines-fleet.js'
+import { EventEngine } from '../../stand-ins/machines/event-engine.js'
+
+const HOST = 'desk.example'
+
+function createConfiguration (version: number, more: object = {}): unknown {
+  const route = { host: HOST, timeout_ms: 5_000, slo_ms: 300, priority: 0, service: 'helm', attempts: 2 }
+  return {
+    version,
+    routes: [
+      { ...route, name: 'quotes', path_prefix: '/quotes/', kind: 'streaming', resumable: true },
+      { ...route, name: 'berths', path_prefix: '/berths/', kind: 'streaming', resumable: false, attempts: 1 },
+      { ...route, name: 'drafts', path_prefix: '/drafts/', kind: 'batch', run_aim_ms: 18_000, max_wait_s: 60, cap: 1_000, attempts: 3 }
+    ],
+    services: [{ name: 'helm' }],
+    limits: { max_body_bytes: 4_194_304 },
+    ...more
+  }
+}
+
+async function startFleet (daemons: number, engines: readonly EventEngine[]): Promise<MachinesFleet> {
+  const fleet = new MachinesFleet()
+  const started = fleet.start({ daemons, engines })
+  await fleet.waitUntil('the store runs', () => fleet.store.port > 0)
+  fleet.store.put('config', 'main', createConfiguration(1))
+  await started
+  await fleet.waitUntil('all daemons know one another', async () => (await Promise.all(fleet.daemons.map(async daemon => await fleet.listAddresses(daemon)))).every(addresses => addresses.length === daemons))
+  return fleet
+}
+
+interface Answer { readonly status: number, readonly headers: Record<string, string | string[] | undefined>, readonly text: string }
+
+async function call (port: number, path: string, { method = 'POST', id = path, body, headers = {} }: { method?: string, id?: string, body?: unknown, headers?: Record<string, string> } = {}): Promise<Answer> {
+  const answer = await request(`http://127.0.0.1:${port}${path}`, {
+    method: method as 'POST', headers: { host: HOST, 'x-request-id': id, 'x-deadline-ms': '5000', ...headers }, body: body === undefined ? null : JSON.stringify(body)
+  })
+  return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() }
+}
+
+const writeStream = (path: string, events: number): string => Array.from({ length: events }, (_, i) => `id: ${i + 1}\ndata: ${EventEngine.writeText(path, i + 1)}\n\n`).join('')
+
+// A caller reads a stream; its server breaks off in the middle of an event. The stream goes on at the other server behind the
+// last whole event, under the first server's head, and the caller sees nothing of it. A stream that may not be resumed is cut.
+test('streams: whole, resumed where they may be, and cut where they may not', async t => {
+  const engines = ['i-1', 'i-2'].map(id => new EventEngine({ id }))
+  const fleet = await startFleet(1, engines)
+  const { front } = fleet.daemons[0]!.ports
+  try {
+    t.like(await call(front, '/quotes/1'), { status: 200, text: writeStream('/quotes/1', 6) })
+    for (const engine of engines) engine.breaks = [3]
+    const resumed = await call(front, '/quotes/2')
+    t.like(resumed, { status: 200, text: writeStream('/quotes/2', 6) })
+    const runs = engines.flatMap(({ id, runs }) => runs.filter(({ path }) => path === '/quotes/2').map(run => ({ ...run, server: id })))
+    t.deepEqual(runs.map(({ resumedAfter }) => resumedAfter).sort(), [3, undefined])
+    t.is(resumed.headers['x-response-stamp'], `stamp-${runs.find(({ resumedAfter }) => resumedAfter === undefined)!.server}`)
+    for (const engine of engines) engine.breaks = [3]
+    await t.throwsAsync(call(front, '/berths/1'))
+    t.is(engines.flatMap(({ runs }) => runs).filter(({ path }) => path === '/berths/1').length, 1)
+    t.is((await call(front, '/nowhere/1')).status, 404)
+  } finally {
+    await fleet.stop()
+  }
+})
+
+// A job is accepted, and the daemon that has it is killed while its items run. Its caller goes on reading at the other one:
+// the results that it has seen stay where they were, the rest follow, and an item that can't be done ends as such.
+test('a job outlives the daemon that accepted it', async t => {
+  const engines = ['i-1', 'i-2'].map(id => new EventEngine({ id, events: 20, pause: 25 }))
+  const fleet = await startFleet(2, engines)
+  const [first, second] = fleet.daemons as [typeof fleet.daemons[0], typeof fleet.daemons[0]]
+  try {
+    const items = ['a', 'b', 'c', 'impossible'].map(id => ({ id, path: `/drafts/${id}`, headers: { 'X-Model': 'm' }, body: 'eA==', tokens: 10 }))
+    t.is((await call(first.ports.front, '/drafts/', { id: 'job-1', body: { items } })).status, 202)
+    t.is((await call(second.ports.front, '/drafts/', { id: 'job-1', body: { items } })).status, 202)
+    t.is((await call(second.ports.front, '/api/items/job-1?id=b', { method: 'GET' })).text, 'x')
+    const read = async (port: number, after = 0): Promise<any> => JSON.parse((await call(port, `/api/lots/job-1?after=${after}`, { method: 'GET', headers: { 'x-wait-ms': '1000' } })).text)
+    let page = { results: [] as Array<{ id: string, state: string, text: string }> }
+    await fleet.waitUntil('a result is there', async () => (page = await read(second.ports.front)).results.length > 0)
+    t.deepEqual(page.results[0], { id: 'impossible', state: 'errored', text: '' })
+    first.child!.signal('SIGKILL')
+    await first.child!.waitForExit()
+    const seen = page.results
+    await fleet.waitUntil('all results are there', async () => (page = await read(second.ports.front)).results.length === 4)
+    t.deepEqual(page.results.slice(0, seen.length), seen)
+    const whole = (id: string): string => Array.from({ length: 20 }, (_, i) => EventEngine.writeText(`/drafts/${id}`, i + 1)).join('\n')
+    t.deepEqual([...page.results].sort((a, b) => a.id < b.id ? -1 : 1).slice(0, 3), ['a', 'b', 'c'].map(id => ({ id, state: 'completed', text: whole(id) })))
+  } finally {
+    await fleet.stop()
+  }
+})
+
+// The store refuses calls while a job comes: the caller is told that nothing of it runs, and when to come back. A job that
+// doesn't fit under the cap is refused as well, and one that was ended stops and is not found to have lost its results.
+test('jobs: refused while the store is away or too many tokens wait, and ended', async t => {
+  const engine = new EventEngine({ id: 'i-1', events: 200, pause: 50 })
+  const fleet = await startFleet(1, [engine])
+  const { front } = fleet.daemons[0]!.ports
+  const job = (id: string, tokens = 10): [string, { id: string, body: object }] => ['/drafts/', { id, body: { items: [{ id: `${id}-1`, path: `/drafts/${id}`, headers: {}, body: 'eA==', tokens }] } }]
+  try {
+    fleet.store.faults = { down: 'busy' }
+    const refused = await call(front, ...job('early'))
+    t.is(refused.status, 503)
+    t.true(Number(refused.headers['retry-after']) > 0)
+    fleet.store.faults = {}
+    await fleet.waitUntil('jobs are accepted again', async () => (await call(front, ...job('later'))).status === 202)
+    t.is((await call(front, ...job('large', 995))).status, 429)
+    await fleet.waitUntil('its item runs', () => engine.runs.some(({ path }) => path === '/drafts/later'))
+    t.is((await call(front, '/api/lots/later', { method: 'DELETE' })).status, 200)
+    await fleet.waitUntil('its item is stopped', () => engine.runs.every(({ outcome }) => outcome !== 'running'))
+    t.is((await call(front, '/api/lots/later', { method: 'GET' })).status, 200)
+    t.is((await call(front, '/api/lots/never', { method: 'GET' })).status, 404)
+  } finally {
+    await fleet.stop()
+  }
+})
+
+// The platform stops a daemon: it is no longer named at once, serves on for as long as callers may keep its address, cuts no
+// stream, and ends in time. A change of the configuration and a server that leaves are in force at the one that stays.
+test('a daemon that is told to end cuts nothing, and the other goes on by what the store says', async t => {
+  const engines = ['i-1', 'i-2'].map(id => new EventEngine({ id, events: 100, pause: 20 }))
+  const fleet = await startFleet(2, engines)
+  const [first, second] = fleet.daemons as [typeof fleet.daemons[0], typeof fleet.daemons[0]]
+  try {
+    const streams = [call(first.ports.front, '/quotes/1'), call(first.ports.front, '/berths/2')]
+    await fleet.waitUntil('both run', () => engines.flatMap(({ runs }) => runs).length === 2)
+    first.child!.signal('SIGTERM')
+    await fleet.waitUntil('it is no longer ready', async () => !await fleet.isReady(first))
+    await fleet.waitUntil('it is no longer named', async () => (await fleet.listAddresses(second)).length === 1)
+    t.deepEqual((await Promise.all(streams)).map(({ text }) => text), [writeStream('/quotes/1', 100), writeStream('/berths/2', 100)])
+    t.is(await first.child!.waitForExit(), 0)
+    fleet.store.put('config', 'main', createConfiguration(2, { routes: [] }))
+    await fleet.waitUntil('the routes are gone', async () => (await call(second.ports.front, '/quotes/2')).status === 404)
+    fleet.store.put('config', 'main', createConfiguration(3))
+    fleet.store.remove('servers', 'i-1')
+    await fleet.waitUntil('the routes are back', async () => (await call(second.ports.front, '/quotes/3', { id: 'probe' })).status === 200)
+    const before = engines[0]!.runs.length
+    await Promise.all(Array.from({ length: 6 }, async (_, i) => await call(second.ports.front, `/quotes/after-${i}`)))
+    t.is(engines[0]!.runs.length, before)
+  } finally {
+    await fleet.stop()
+  }
+})
+
+// Nobody reads a daemon's log: the pipe fills. It must go on serving, as writing to a full pipe would stop its loop.
+test('a reader of the log that stops reading costs no request', async t => {
+  const fleet = await startFleet(1, [new EventEngine({ id: 'i-1', events: 1, pause: 1 })])
+  const { child, ports } = fleet.daemons[0]!
+  try {
+    child!.pauseOutput()
+    for (let i = 0; i < 1_500; i++) await call(ports.front, `/nowhere/${'x'.repeat(400)}`)
+    const answered = call(ports.front, '/quotes/1')
+    const late = once(AbortSignal.timeout(5_000), 'abort')
+    t.is(await Promise.race([answered.then(({ status }) => status), late.then(() => 'late')]), 200)
+  } finally {
+    await fleet.stop()
+  }
+})
