--- a/harness/machines-fleet.ts
+++ b/harness/machines-fleet.ts
@@ -6,16 +6,18 @@
 import { listen } from '../src/http/listen.js'
 import { EventEngine } from '../stand-ins/machines/event-engine.js'
 import { ObjectApi } from '../stand-ins/machines/object-api.js'
+import { askAddresses } from '../stand-ins/machines/ask-addresses.js'
+import type { DaemonPorts } from '../stand-ins/machines/daemon-ports.js'
+import { registerEngine } from '../stand-ins/machines/register-engine.js'
+import { writeSettings } from '../stand-ins/machines/write-settings.js'
 import { Child } from './child.js'
 
 const PROGRAM = [process.execPath, 'target/citronwheel.cjs']
 const WAIT = 20_000
 const LOOK = 20
 
-interface Ports { readonly front: number, readonly readiness: number, readonly control: number, readonly directory: number, readonly metrics: number }
-
 /** One daemon of the fleet, running or not. */
-interface FleetDaemon { readonly ports: Ports, readonly settings: string, child?: Child }
+interface FleetDaemon { readonly ports: DaemonPorts, readonly settings: string, child?: Child }
 
 /** The store, engines and daemons of the users' machines on loopback: the daemons are processes, the others stand in here. */
 export class MachinesFleet {
@@ -53,9 +55,7 @@
 
   /** Addresses that a daemon names to callers. */
   async listAddresses ({ ports }: FleetDaemon): Promise<readonly string[]> {
-    const answer = await request(`http://127.0.0.1:${ports.directory}/api/lookup?name=desk.example&zone=a`)
-    const body = await answer.body.json() as { readonly addrs?: readonly string[] }
-    return body.addrs ?? []
+    return await askAddresses(ports.directory)
   }
 
   /** Resolves once `check` holds; fails with `what` after 20 s. */
@@ -70,31 +70,14 @@
   private async addEngine (engine: EventEngine): Promise<void> {
     await engine.start()
     this.engines.push(engine)
-    this.store.put('servers', engine.id, { service: 'helm', addr: `127.0.0.1:${engine.port}`, zone: 'a', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, seq: 1 })
+    registerEngine(this.store, engine)
   }
 
   private async addDaemon (index: number): Promise<void> {
     const [front, readiness, control, directory, metrics] = await findPorts(5)
-    const ports = { front, readiness, control, directory, metrics } as Ports
+    const ports = { front, readiness, control, directory, metrics } as DaemonPorts
     const settings = join(this.folder, `daemon-${index}.toml`)
-    writeFileSync(settings, `node = "edge-${index}"
-ip = "127.0.0.1"
-zone = "a"
-region = "north"
-internal_ports = [${metrics}, ${metrics! + 1}]
-seeds = []
-[listen]
-front = "127.0.0.1:${front}"
-readiness = "127.0.0.1:${readiness}"
-control = "127.0.0.1:${control}"
-directory = "127.0.0.1:${directory}"
-[bounds]
-grace_s = 8
-status_s = 120
-ttl_max_s = 5
-[platform]
-addr = "127.0.0.1:${this.store.port}"
-`)
+    writeFileSync(settings, writeSettings({ name: `edge-${index}`, ports, store: this.store.port }))
     this.daemons.push({ ports, settings })
   }
 }
--- /dev/null
+++ b/src/jobs/job-adoption.ts
@@ -0,0 +1,102 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { Members } from '../peers/members.js'
+import { JobBook } from './job-book.js'
+import { JobOwner } from './job-owner.js'
+import { JobRecords } from './job-records.js'
+import type { KnownJob } from './known-job.js'
+
+const CHECK_PERIOD = 250
+/** Between a failed read of the store's jobs and the next, ms. */
+const RETRY = 300
+/** After its start a daemon that hears nobody takes itself for alone, ms. */
+const ALONE_AFTER = 3_000
+/** Before a job that could not be read is tried again, ms: its store is away, or its items were never stored. */
+const ADOPT_PAUSE = 1_000
+/** How often jobs that nobody owns are told of, ms. */
+const TELL_PERIOD = 1_000
+
+/** Finds jobs whose owner has ended, and takes over those that fall to this daemon by rank. */
+@scoped(Lifecycle.ContainerScoped)
+export class JobAdoption implements Part {
+  private readonly startedAt: number
+  /** By job that could not be taken over: when to try again, monotonic ms. */
+  private readonly adoptAfter = new Map<string, number>()
+  /** Daemons that were alive at the last look, by name and life. */
+  private alive: ReadonlySet<string> = new Set()
+  private toldAt = -Infinity
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(JobOwner) private readonly owner: JobOwner,
+    @inject(JobBook) private readonly book: JobBook,
+    @inject(JobRecords) private readonly records: JobRecords,
+    @inject(Members) private readonly members: Members,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.startedAt = clock.now()
+  }
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
+    void this.listHeads()
+  }
+
+  async drain (): Promise<void> {
+    this.cancel()
+  }
+
+  /** Jobs of an earlier life of the fleet, or of a daemon that ended before its word of them was out, are known by the store alone. */
+  private async listHeads (): Promise<void> {
+    for (;;) {
+      const heads = await this.records.listHeads()
+      if (heads.ok) {
+        for (const [id, { host, path, submittedAt, owner, run, tokens }] of heads.val) this.book.learn({ id, host, path, submittedAt, owner, run, tokensLeft: tokens, closed: false })
+        return
+      }
+      await new Promise<void>(resolve => this.clock.after(RETRY, resolve))
+    }
+  }
+
+  private check (): void {
+    const owners = this.members.owners()
+    const names = owners.length > 0 ? owners : this.clock.now() > this.startedAt + ALONE_AFTER ? [this.settings.instance] : []
+    this.checkEnded(names)
+    const orphans = this.book.list().filter(job => !job.closed && this.owner.find(job.id) === undefined && !this.owner.isOwnerAlive(job))
+    for (const { id } of orphans) if (rankOwners(id, names)[0] === this.settings.instance) void this.adopt(id)
+    this.tellOrphans(orphans)
+  }
+
+  private async adopt (id: string): Promise<void> {
+    if (this.clock.now() < (this.adoptAfter.get(id) ?? 0)) return
+    const adopted = await this.owner.adopt(id)
+    if (adopted.err) this.adoptAfter.set(id, this.clock.now() + ADOPT_PAUSE)
+    else this.adoptAfter.delete(id)
+  }
+
+  /**
+   * A daemon may end right after it has accepted a job, before anybody has heard of it: its caller has the word that the job
+   * is kept, and nobody runs it. One daemon reads the store after each such end.
+   */
+  private checkEnded (names: readonly string[]): void {
+    const alive = new Set(this.members.all().filter(({ state }) => state !== 'leaving').map(({ instance, run }) => `${instance.name} ${run}`))
+    const ended = [...this.alive].filter(life => !alive.has(life))
+    this.alive = alive
+    if (ended.some(life => rankOwners(life, names)[0] === this.settings.instance)) void this.listHeads()
+  }
+
+  /** Whoever is to take a job over may not know of it. */
+  private tellOrphans (orphans: readonly KnownJob[]): void {
+    if (orphans.length === 0 || this.clock.now() < this.toldAt + TELL_PERIOD) return
+    this.toldAt = this.clock.now()
+    for (const job of orphans) this.book.tellSeen(job)
+  }
+}
+
+partRegistry.register({ name: 'job adoption', part: JobAdoption, needs: ['job owner', 'members'] })
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -23,19 +23,12 @@
 import { splitBySize } from './split-by-size.js'
 
 const PROGRESS_MESSAGE = 'job progress'
-const CHECK_PERIOD = 250
 /** Least time between two segments of one job, ms: callers read about twice a second, and each segment is a write. */
 const STORE_PERIOD = 400
 /** Between a failed write of results and the next, ms. */
 const RETRY = 300
 /** Bytes of results in one segment. */
 const SEGMENT_BYTES = 500_000
-/** After its start a daemon that hears nobody takes itself for alone, ms. */
-const ALONE_AFTER = 3_000
-/** Before a job that could not be read is tried again, ms: its store is away, or its items were never stored. */
-const ADOPT_PAUSE = 1_000
-/** How often jobs that nobody owns are told of, ms. */
-const TELL_PERIOD = 1_000
 /** How long a shutdown waits for results to be stored, ms. */
 const STORE_WAIT = 1_500
 
@@ -49,17 +42,10 @@
   private readonly owned = new Map<string, OwnedJob>()
   /** By job: how far its items had come at the daemon that let go of it, until it is taken over here. */
   private readonly handed = new Map<string, readonly ItemProgress[]>()
-  /** By job that could not be taken over: when to try again, monotonic ms. */
-  private readonly adoptAfter = new Map<string, number>()
   private readonly adopting = new Set<string>()
   private readonly storing = new Set<string>()
   private readonly storedAt = new Map<string, number>()
-  private readonly startedAt: number
   private draining = false
-  /** Daemons that were alive at the last look, by name and life. */
-  private alive: ReadonlySet<string> = new Set()
-  private toldAt = -Infinity
-  private cancel = (): void => {}
 
   constructor (
     @inject(JobRecords) private readonly records: JobRecords,
@@ -70,15 +56,11 @@
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
-  ) {
-    this.startedAt = clock.now()
-  }
+  ) {}
 
   async start (): Promise<void> {
     this.runner.subscribe(job => { void this.store(job) })
     this.book.subscribe(job => this.handleNews(job))
-    this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
-    void this.listHeads()
   }
 
   /** Stores what there is and lets go of every job, so that others take them over at once. */
@@ -118,10 +100,6 @@
     else this.handed.set(id, [...this.handed.get(id) ?? [], ...progress as readonly ItemProgress[]])
   }
 
-  async stop (): Promise<void> {
-    this.cancel()
-  }
-
   find (id: string): OwnedJob | undefined {
     return this.owned.get(id)
   }
@@ -141,10 +119,7 @@
     if (known !== undefined || this.adopting.has(id) || this.draining) return Ok(known)
     this.adopting.add(id)
     try {
-      const loaded = await this.load(id)
-      if (loaded.err) this.adoptAfter.set(id, this.clock.now() + ADOPT_PAUSE)
-      else this.adoptAfter.delete(id)
-      return loaded
+      return await this.load(id)
     } finally {
       this.adopting.delete(id)
     }
@@ -259,48 +234,6 @@
     this.owned.delete(told.id)
     job.wake()
   }
-
-  /** Jobs of an earlier life of the fleet, or of a daemon that ended before its word of them was out, are known by the store alone. */
-  private async listHeads (): Promise<void> {
-    for (;;) {
-      const heads = await this.records.listHeads()
-      if (heads.ok) {
-        for (const [id, { host, path, submittedAt, owner, run, tokens }] of heads.val) this.book.learn({ id, host, path, submittedAt, owner, run, tokensLeft: tokens, closed: false })
-        return
-      }
-      await this.pause(RETRY)
-    }
-  }
-
-  private check (): void {
-    if (this.draining) return
-    const owners = this.members.owners()
-    const names = owners.length > 0 ? owners : this.clock.now() > this.startedAt + ALONE_AFTER ? [this.settings.instance] : []
-    this.checkEnded(names)
-    const orphans = this.book.list().filter(job => !job.closed && !this.owned.has(job.id) && !this.isOwnerAlive(job))
-    for (const { id } of orphans) {
-      if (this.clock.now() >= (this.adoptAfter.get(id) ?? 0) && rankOwners(id, names)[0] === this.settings.instance) void this.adopt(id)
-    }
-    this.tellOrphans(orphans)
-  }
-
-  /**
-   * A daemon may end right after it has accepted a job, before anybody has heard of it: its caller has the word that the job
-   * is kept, and nobody runs it. One daemon reads the store after each such end.
-   */
-  private checkEnded (names: readonly string[]): void {
-    const alive = new Set(this.members.all().filter(({ state }) => state !== 'leaving').map(({ instance, run }) => `${instance.name} ${run}`))
-    const ended = [...this.alive].filter(life => !alive.has(life))
-    this.alive = alive
-    if (ended.some(life => rankOwners(life, names)[0] === this.settings.instance)) void this.listHeads()
-  }
-
-  /** Whoever is to take a job over may not know of it. */
-  private tellOrphans (orphans: readonly KnownJob[]): void {
-    if (orphans.length === 0 || this.clock.now() < this.toldAt + TELL_PERIOD) return
-    this.toldAt = this.clock.now()
-    for (const job of orphans) this.book.tellSeen(job)
-  }
 }
 
 partRegistry.register({ name: 'job owner', part: JobOwner, needs: ['job runner', 'members', 'peer links'] })
--- /dev/null
+++ b/stand-ins/machines/write-settings.ts
@@ -0,0 +1,30 @@
+import type { DaemonPorts } from './daemon-ports.js'
+
+interface SettingsOptions {
+  readonly name: string
+  readonly ports: DaemonPorts
+  /** Port of the store. */
+  readonly store: number
+}
+
+/** A daemon's settings file as the users' platform writes it, for loopback. */
+export function writeSettings ({ name, ports, store }: SettingsOptions): string {
+  return `node = "${name}"
+ip = "127.0.0.1"
+zone = "a"
+region = "north"
+internal_ports = [${ports.metrics}, ${ports.metrics + 1}]
+seeds = []
+[listen]
+front = "127.0.0.1:${ports.front}"
+readiness = "127.0.0.1:${ports.readiness}"
+control = "127.0.0.1:${ports.control}"
+directory = "127.0.0.1:${ports.directory}"
+[bounds]
+grace_s = 8
+status_s = 120
+ttl_max_s = 5
+[platform]
+addr = "127.0.0.1:${store}"
+`
+}
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -4,6 +4,7 @@
 import type { ItemResult } from '../../src/jobs/item-result.js'
 import type { JobBook } from '../../src/jobs/job-book.js'
 import type { JobItem } from '../../src/jobs/job-item.js'
+import { JobAdoption } from '../../src/jobs/job-adoption.js'
 import { JobOwner } from '../../src/jobs/job-owner.js'
 import { JobRecords } from '../../src/jobs/job-records.js'
 import type { JobRunner } from '../../src/jobs/job-runner.js'
@@ -31,8 +32,10 @@
     const book = { subscribe: () => {}, tell: (job: KnownJob) => { known.set(job.id, job); this.told.push(job) }, tellSeen: () => {}, learn: (job: KnownJob) => { if (!known.has(job.id)) known.set(job.id, job) }, list: () => [...known.values()] }
     const all = { run: 1, all: () => members.alive.map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })), owners: () => members.alive }
     const settings = { instance: name } as unknown as Settings
-    this.owner = new JobOwner(new JobRecords(store), runner as unknown as JobRunner, book as unknown as JobBook, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, settings, { write: () => {} }, clock)
+    const records = new JobRecords(store)
+    this.owner = new JobOwner(records, runner as unknown as JobRunner, book as unknown as JobBook, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, settings, { write: () => {} }, clock)
     void this.owner.start()
+    void new JobAdoption(this.owner, book as unknown as JobBook, records, all as unknown as Members, settings, clock).start()
   }
 
   /** An item has ended here, with a text that says where. */
