--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -29,6 +29,8 @@
 const RETRY = 300
 /** Bytes of results in one segment. */
 const SEGMENT_BYTES = 500_000
+/** Least time between two words of how much of a job is left, ms. */
+const PROGRESS_PERIOD = 2_000
 /** How long a shutdown waits for results to be stored, ms. */
 const STORE_WAIT = 1_500
 
@@ -45,6 +47,7 @@
   private readonly adopting = new Set<string>()
   private readonly storing = new Set<string>()
   private readonly storedAt = new Map<string, number>()
+  private readonly progressAt = new Map<string, number>()
   private draining = false
 
   constructor (
@@ -213,7 +216,15 @@
     job.addSegment(results)
     if (!this.owned.has(job.id)) return
     if (job.isDone) this.close(job)
-    else this.book.tell(this.show(job))
+    else this.tellProgress(job)
+  }
+
+  /** How much of it is left matters to what may wait on its route, and to nobody at once. */
+  private tellProgress (job: OwnedJob): void {
+    const now = this.clock.now()
+    if (now < (this.progressAt.get(job.id) ?? -Infinity) + PROGRESS_PERIOD) return
+    this.progressAt.set(job.id, now)
+    this.book.tell(this.show(job))
   }
 
   private async pause (time: number): Promise<void> {
--- a/src/placement/place-queue.ts
+++ b/src/placement/place-queue.ts
@@ -21,6 +21,8 @@
 const NO_SERVER_RETRY = 600
 /** About how long a slot that another daemon's request left is left to that one, ms: news of it travels for some ms. */
 const TOLD_DELAY = 20
+/** Servers drawn for a choice where counts come by way of hubs and are some 100 ms old. */
+const SAMPLE = 3
 /** A refused caller's pause is spread by this share either way, so that a burst doesn't come back as one. */
 const SPREAD = 0.5
 
@@ -130,7 +132,7 @@
   }
 
   private choose ({ pool, key, avoided }: PlaceRequest): Place | undefined {
-    return choosePlace(this.loads.listPlaces(pool), { random: this.random, key, avoided })
+    return choosePlace(this.loads.listPlaces(pool), { random: this.random, key, avoided, sample: this.loads.isDirect ? undefined : SAMPLE })
   }
 
   /** A request that starts changes the counts, which calls this again: only the outer call gives. */
--- a/src/placement/server-loads.ts
+++ b/src/placement/server-loads.ts
@@ -4,18 +4,14 @@
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
-import { listOthers } from '../peers/list-others.js'
 import { Members } from '../peers/members.js'
-import { peerHandlerPoint } from '../peers/peer-handler-point.js'
-import { PeerLinks } from '../peers/peer-links.js'
-import type { PeerMessage } from '../peers/peer-message.js'
 import { exchangeObserverPoint } from '../routing/exchange-observer-point.js'
 import { Servers } from '../routing/servers.js'
 import { InstanceList } from '../store/instance-list.js'
-import type { LoadCounts } from './load-counts.js'
+import { LoadSpread } from './load-spread.js'
+import { LoadTable } from './load-table.js'
 import type { Place } from './place.js'
 
-const MESSAGE = 'server loads'
 /** How long counts wait for more before they are told, ms a daemon of the fleet: all tell all, so that bounds the messages. */
 const DELAY_PER_DAEMON = 1.5
 const MIN_DELAY = 4
@@ -30,19 +26,16 @@
 /** How long a server that said it is full isn't chosen, ms: a few steps of its engine. */
 const FULL_FOR = 40
 
-interface Told { readonly at: number, readonly counts: ReadonlyMap<string, LoadCounts>, readonly waiting: ReadonlyMap<string, number> }
-
 /** Whether a change of the counts is of this daemon's own requests, or was told. */
 type Origin = 'own' | 'told'
 
 /**
- * How many requests all daemons have in flight at each backend server. Each daemon tells the others its own counts as
- * they change, some ms later at the most; engines report their load too late to place by it.
+ * How many requests all daemons have in flight at each backend server. Each daemon tells its own counts as they change, and
+ * hears the others' some ms later; engines report their load too late to place by it.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class ServerLoads implements Part {
   readonly extensions = [
-    peerHandlerPoint.of({ type: MESSAGE, handle: (message, from) => this.hear(message, from) }),
     exchangeObserverPoint.of({
       onBegin: ({ work }, server) => this.count(server, work, 1),
       onEnd: ({ work }, server) => this.count(server, work, -1)
@@ -50,7 +43,7 @@
   ]
 
   private readonly own = new Map<string, { online: number, batch: number }>()
-  private readonly told = new Map<string, Told>()
+  private readonly others = new LoadTable()
   private readonly fullUntil = new Map<string, number>()
   private readonly listeners = new Set<(origin: Origin) => void>()
   /** By pool: requests of this daemon that wait for a slot. */
@@ -65,11 +58,15 @@
     @inject(InstanceList) private readonly list: InstanceList,
     @inject(Servers) private readonly servers: Servers,
     @inject(Members) private readonly members: Members,
-    @inject(PeerLinks) private readonly links: PeerLinks
+    @inject(LoadSpread) private readonly spread: LoadSpread
   ) {}
 
   async start (): Promise<void> {
     this.list.subscribe(() => this.notify('told'))
+    this.spread.subscribe(rows => {
+      for (const [daemon, row] of rows) this.others.put(daemon, row, this.clock.now())
+      this.notify('told')
+    })
     this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
   }
 
@@ -77,6 +74,11 @@
     this.cancel()
   }
 
+  /** Whether counts come straight from each daemon, some ms old. */
+  get isDirect (): boolean {
+    return this.spread.isDirect
+  }
+
   /** Servers of the pool that take requests: not leaving, not ejected after failures, not just found full. */
   listPlaces (pool: string): readonly Place[] {
     const now = this.clock.now()
@@ -92,8 +94,7 @@
 
   /** Batch items of the daemons that stop theirs at the server before this one does. */
   countBatchBefore (server: string): number {
-    const { instance } = this.settings
-    return [...this.told].reduce((sum, [daemon, { counts }]) => sum + (daemon < instance ? counts.get(server)?.batch ?? 0 : 0), 0)
+    return this.others.countBatchBefore(server, this.settings.instance)
   }
 
   /** Notes that the server refused a request as full. */
@@ -111,7 +112,7 @@
 
   /** Requests that wait at the other daemons for a slot of the pool. */
   countWaitingElsewhere (pool: string): number {
-    return [...this.told.values()].reduce((sum, { waiting }) => sum + (waiting.get(pool) ?? 0), 0)
+    return this.others.countWaiting(pool)
   }
 
   /** `listener` runs after each change of a count or of the servers. */
@@ -121,13 +122,9 @@
 
   private buildPlace (server: string, failureDomain: string): Place {
     const own = this.own.get(server) ?? { online: 0, batch: 0 }
-    let { online, batch } = own
-    for (const { counts } of this.told.values()) {
-      online += counts.get(server)?.online ?? 0
-      batch += counts.get(server)?.batch ?? 0
-    }
+    const others = this.others.find(server)
     const slots = this.list.find(server)?.slots ?? DEFAULT_SLOTS
-    return { server, failureDomain, slots, online, batch, ownBatch: own.batch }
+    return { server, failureDomain, slots, online: own.online + others.online, batch: own.batch + others.batch, ownBatch: own.batch }
   }
 
   private count (server: string, work: 'online' | 'batch', by: number): void {
@@ -149,22 +146,15 @@
   private tell (): void {
     this.pending = false
     this.toldAt = this.clock.now()
-    const counts = [...this.own].map(([server, { online, batch }]) => [server, online, batch])
-    const waiting = [...this.waiting].filter(([, count]) => count > 0)
-    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: MESSAGE, counts, waiting }, MESSAGE)
-  }
-
-  private hear ({ counts, waiting }: PeerMessage, from: string): void {
-    if (!Array.isArray(counts)) return
-    const read = counts.filter(Array.isArray).map(([server, online, batch]): [string, LoadCounts] => [String(server), { online: Number(online), batch: Number(batch) }])
-    const queued = Array.isArray(waiting) ? waiting.map(([pool, count]): [string, number] => [String(pool), Number(count)]) : []
-    this.told.set(from, { at: this.clock.now(), counts: new Map(read), waiting: new Map(queued) })
-    this.notify('told')
+    this.spread.send({
+      counts: [...this.own].map(([server, { online, batch }]) => [server, online, batch]),
+      waiting: [...this.waiting].filter(([, count]) => count > 0)
+    })
   }
 
   private check (): void {
     const now = this.clock.now()
-    for (const [daemon, { at }] of this.told) if (now > at + FORGET) this.told.delete(daemon)
+    this.others.dropBefore(now - FORGET)
     for (const [server, until] of this.fullUntil) if (now > until) this.fullUntil.delete(server)
     if (now > this.toldAt + REPEAT) this.tell()
     this.notify('told')
@@ -175,4 +165,4 @@
   }
 }
 
-partRegistry.register({ name: 'server loads', part: ServerLoads, needs: ['servers', 'peer links', 'members', 'instance list'] })
+partRegistry.register({ name: 'server loads', part: ServerLoads, needs: ['servers', 'load spread', 'members', 'instance list'] })
--- /dev/null
+++ b/test/placement/load-table.test.ts
@@ -0,0 +1,37 @@
+import test from 'ava'
+import fc from 'fast-check'
+import type { LoadRow } from '../../src/placement/load-row.js'
+import { LoadTable } from '../../src/placement/load-table.js'
+
+const row = fc.record({
+  counts: fc.uniqueArray(fc.tuple(fc.constantFrom('s1', 's2', 's3'), fc.nat(5), fc.nat(5)), { selector: ([server]) => server }),
+  waiting: fc.uniqueArray(fc.tuple(fc.constantFrom('p1', 'p2'), fc.nat(4)), { selector: ([pool]) => pool })
+})
+
+test('the sums are those of the rows that are held, whatever came and went', t => {
+  fc.assert(fc.property(fc.array(fc.record({ daemon: fc.constantFrom('a', 'b', 'c'), row, at: fc.nat(100), drop: fc.option(fc.nat(100)) })), steps => {
+    const table = new LoadTable()
+    const held = new Map<string, { row: LoadRow, at: number }>()
+    for (const { daemon, row, at, drop } of steps) {
+      table.put(daemon, row, at)
+      held.set(daemon, { row, at })
+      if (drop === null) continue
+      table.dropBefore(drop)
+      for (const [name, { at }] of held) if (at < drop) held.delete(name)
+    }
+    const rows = [...held.values()].flatMap(({ row }) => row.counts)
+    const waiting = [...held.values()].flatMap(({ row }) => row.waiting)
+    return ['s1', 's2', 's3'].every(server => {
+      const sum = (index: 1 | 2): number => rows.reduce((total, counts) => total + (counts[0] === server ? counts[index] : 0), 0)
+      return table.find(server).online === sum(1) && table.find(server).batch === sum(2)
+    }) && ['p1', 'p2'].every(pool => table.countWaiting(pool) === waiting.reduce((total, [name, count]) => total + (name === pool ? count : 0), 0))
+  }))
+  t.pass()
+})
+
+test('batch of the daemons that stop theirs before', t => {
+  const table = new LoadTable()
+  for (const [daemon, batch] of [['a', 2], ['b', 3], ['d', 5]] as const) table.put(daemon, { counts: [['s', 1, batch], ['other', 0, 9]], waiting: [] }, 0)
+  t.is(table.countBatchBefore('s', 'c'), 5)
+  t.is(table.countBatchBefore('s', 'a'), 0)
+})
