--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -8,6 +8,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
+import { isSmallFleet } from '../peers/is-small-fleet.js'
 import { listOthers } from '../peers/list-others.js'
 import { Members } from '../peers/members.js'
 import { peerHandlerPoint } from '../peers/peer-handler-point.js'
@@ -179,11 +180,15 @@
 
   /**
    * A daemon for which the store has been there all the time knows that what went has gone; one that was turned away by the
-   * store alone takes its word, and doesn't go on using a server that has left.
+   * store alone takes its word, and doesn't go on using a server that has left. In a larger fleet each failure domain's
+   * watchers tell their own.
    */
   private tell<T> (kind: string, batch: WatchBatch<T>): void {
     const sure = planRemoval(this.clock.now(), { away: this.away, backAt: this.backAt }) === undefined
-    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: 'fleet news', kind, batch, sure })
+    const { instance, failureDomain } = this.settings
+    const members = this.members.all()
+    const told = isSmallFleet(members) ? members : members.filter(member => member.instance.failureDomain === failureDomain)
+    for (const name of listOthers(told, instance)) this.links.send(name, { type: 'fleet news', kind, batch, sure })
   }
 
   /** One daemon at random: the next question goes to another. */
--- a/src/jobs/job-book.ts
+++ b/src/jobs/job-book.ts
@@ -1,11 +1,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { partRegistry } from '../kernel/part-registry.js'
-import type { Settings } from '../kernel/settings.js'
-import { tokens } from '../kernel/tokens.js'
-import { listOthers } from '../peers/list-others.js'
-import { Members } from '../peers/members.js'
+import { FleetCast } from '../peers/fleet-cast.js'
 import { peerHandlerPoint } from '../peers/peer-handler-point.js'
-import { PeerLinks } from '../peers/peer-links.js'
 import type { PeerMessage } from '../peers/peer-message.js'
 import type { KnownJob } from './known-job.js'
 
@@ -23,11 +19,7 @@
   private readonly jobs = new Map<string, KnownJob>()
   private readonly listeners = new Set<(job: KnownJob) => void>()
 
-  constructor (
-    @inject(tokens.settings) private readonly settings: Settings,
-    @inject(Members) private readonly members: Members,
-    @inject(PeerLinks) private readonly links: PeerLinks
-  ) {}
+  constructor (@inject(FleetCast) private readonly cast: FleetCast) {}
 
   get (id: string): KnownJob | undefined {
     return this.jobs.get(id)
@@ -45,12 +37,12 @@
   /** Takes what this daemon knows first and tells the others. */
   tell (job: KnownJob): void {
     this.jobs.set(job.id, job)
-    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: MESSAGE, job }, `${MESSAGE} ${job.id}`)
+    this.cast.cast({ type: MESSAGE, job }, `${MESSAGE} ${job.id}`)
   }
 
   /** Tells the others of a job that this daemon doesn't own, which they may not know of; what they know goes first. */
   tellSeen (job: KnownJob): void {
-    for (const name of listOthers(this.members.all(), this.settings.instance)) this.links.send(name, { type: SEEN_MESSAGE, job }, `${SEEN_MESSAGE} ${job.id}`)
+    this.cast.cast({ type: SEEN_MESSAGE, job }, `${SEEN_MESSAGE} ${job.id}`)
   }
 
   /** Takes what the store says, unless more is known. */
@@ -86,4 +78,4 @@
   }
 }
 
-partRegistry.register({ name: 'job book', part: JobBook, needs: ['members', 'peer links'] })
+partRegistry.register({ name: 'job book', part: JobBook, needs: ['fleet cast'] })
--- /dev/null
+++ b/src/peers/fleet-cast.ts
@@ -0,0 +1,63 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Extensions } from '../kernel/extensions.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { findHub } from './find-hub.js'
+import { isSmallFleet } from './is-small-fleet.js'
+import { listHubs } from './list-hubs.js'
+import { listOthers } from './list-others.js'
+import { Members } from './members.js'
+import { peerHandlerPoint } from './peer-handler-point.js'
+import { PeerLinks } from './peer-links.js'
+import type { PeerMessage } from './peer-message.js'
+
+const CAST = 'cast'
+
+/**
+ * Tells all daemons something. A small fleet is told directly. In a larger one the message goes to the hub of the sender's
+ * failure domain, from there to the other hubs, and from each hub to its domain: a daemon then needs links with a few and
+ * not with all. What is cast may be lost with a hub; whoever needs it surely has another way to it.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class FleetCast implements Part {
+  readonly extensions = [peerHandlerPoint.of({ type: CAST, handle: ({ m, relayed }, from) => this.passOn(m as PeerMessage, relayed === true, from) })]
+
+  constructor (
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(Members) private readonly members: Members,
+    @inject(PeerLinks) private readonly links: PeerLinks,
+    @inject(Extensions) private readonly added: Extensions
+  ) {}
+
+  /** While a message waits for a slow peer, a newer one of its topic takes its place. */
+  cast (message: PeerMessage, topic: string): void {
+    const members = this.members.all()
+    const { instance, failureDomain } = this.settings
+    if (isSmallFleet(members)) return this.sendAll(listOthers(members, instance), message, topic)
+    const hub = findHub(members, failureDomain)
+    if (hub === instance) this.passOn(message, false, instance)
+    else if (hub !== undefined) this.links.send(hub, { type: CAST, m: message }, `${CAST} ${topic}`)
+  }
+
+  private passOn (message: PeerMessage, relayed: boolean, from: string): void {
+    if (typeof message?.type !== 'string') return
+    const members = this.members.all()
+    const { instance, failureDomain } = this.settings
+    if (from !== instance) this.handle(message, from)
+    if (!relayed) for (const hub of listHubs(members, failureDomain)) this.links.send(hub, { type: CAST, m: message, relayed: true })
+    const near = members.filter(({ instance: other }) => other.failureDomain === failureDomain)
+    this.sendAll(listOthers(near, instance).filter(name => name !== from), message)
+  }
+
+  private sendAll (names: readonly string[], message: PeerMessage, topic?: string): void {
+    for (const name of names) this.links.send(name, message, topic)
+  }
+
+  private handle (message: PeerMessage, from: string): void {
+    for (const handler of this.added.collect(peerHandlerPoint)) if (handler.type === message.type) handler.handle(message, from)
+  }
+}
+
+partRegistry.register({ name: 'fleet cast', part: FleetCast, needs: ['members', 'peer links'] })
--- a/src/placement/load-spread.ts
+++ b/src/placement/load-spread.ts
@@ -4,19 +4,18 @@
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
+import { findHub } from '../peers/find-hub.js'
+import { isSmallFleet } from '../peers/is-small-fleet.js'
+import { listHubs } from '../peers/list-hubs.js'
 import { listOthers } from '../peers/list-others.js'
-import type { Member } from '../peers/member.js'
 import { Members } from '../peers/members.js'
 import { peerHandlerPoint } from '../peers/peer-handler-point.js'
 import { PeerLinks } from '../peers/peer-links.js'
 import type { PeerMessage } from '../peers/peer-message.js'
-import { findHub } from './find-hub.js'
 import type { LoadRow } from './load-row.js'
 
 const ROW_MESSAGE = 'server loads'
 const ROWS_MESSAGE = 'load rows'
-/** Daemons up to which each tells all others itself: with more, the messages of all grow with the square of their number. */
-const DIRECT_MAX = 12
 /** How often a hub passes on what it heard, ms. */
 const HUB_PERIOD = 80
 /** How often a hub passes on all it knows, for what was lost, ms. */
@@ -63,7 +62,7 @@
 
   /** Daemons that are told of each change, directly or by way of a hub. */
   get isDirect (): boolean {
-    return this.members.all().length <= DIRECT_MAX
+    return isSmallFleet(this.members.all())
   }
 
   /** Tells this daemon's own row. */
@@ -108,11 +107,4 @@
   }
 }
 
-/** The hubs of the other failure domains. */
-function listHubs (members: readonly Member[], failureDomain: string): readonly string[] {
-  const others = new Set(members.map(({ instance }) => instance.failureDomain))
-  others.delete(failureDomain)
-  return [...others].flatMap(domain => findHub(members, domain) ?? [])
-}
-
 partRegistry.register({ name: 'load spread', part: LoadSpread, needs: ['members', 'peer links'] })
