--- a/src/fleet/follow-kind.ts
+++ b/src/fleet/follow-kind.ts
@@ -12,6 +12,8 @@
 const WAIT = 4_000
 /** Between a failed watch and the next, ms; short, as a daemon that hears nothing acts on what is old. */
 const RETRY = 250
+/** How often a daemon that leaves watching to others asks itself whether it still may, ms. */
+const LOOK = 1_000
 
 interface FollowOptions<T> {
   readonly store: ObjectStore
@@ -34,7 +36,7 @@
     if (batch?.ok === true) options.onBatch(batch.val)
     else {
       if (batch !== undefined) options.onFailure(batch.val)
-      await new Promise<void>(resolve => clock.after(random.spread(RETRY, 0.4), resolve))
+      await new Promise<void>(resolve => clock.after(random.spread(batch === undefined ? LOOK : RETRY, 0.4), resolve))
     }
   }
 }
--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -11,7 +11,7 @@
 import { JobRecords } from './job-records.js'
 import type { KnownJob } from './known-job.js'
 
-const CHECK_PERIOD = 250
+const CHECK_PERIOD = 500
 /** Between a failed read of the store's jobs and the next, ms. */
 const RETRY = 300
 /** After its start a daemon that hears nobody takes itself for alone, ms. */
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -22,8 +22,10 @@
 import { orderItems } from './order-items.js'
 import type { OwnedJob } from './owned-job.js'
 
-/** How often idle slots are looked for, ms: a few steps of an engine. */
+/** How often idle slots are looked for while items wait, ms: a few steps of an engine. */
 const START_PERIOD = 25
+/** How often it is looked whether items are to be given up while none waits, ms. */
+const IDLE_PERIOD = 500
 /** Items that one daemon starts in one look: others see the same slots, and hear of these some ms later. */
 const STARTS = 2
 /** Pause of an item after a run that came to nothing, ms; it doubles with each in a row. */
@@ -41,6 +43,7 @@
   private readonly running = new Set<Running>()
   private readonly listeners = new Set<(job: OwnedJob) => void>()
   private draining = false
+  private looking = false
   private cancel = (): void => {}
 
   constructor (
@@ -59,7 +62,7 @@
 
   async start (): Promise<void> {
     this.loads.subscribe(() => this.giveWay())
-    this.cancel = this.clock.every(START_PERIOD, () => this.startItems())
+    this.cancel = this.clock.every(IDLE_PERIOD, () => this.wake())
   }
 
   /** Stops every item; where each got to is lost with this process. */
@@ -79,6 +82,7 @@
 
   add (job: OwnedJob): void {
     this.jobs.add(job)
+    this.wake()
   }
 
   /** Stops what runs of the job and starts nothing of it any more. */
@@ -100,8 +104,19 @@
     }
   }
 
-  private startItems (): void {
-    if (this.draining) return
+  /** Looks for slots at once, and again and again while items wait: a daemon without any has nothing to wake for. */
+  private wake (): void {
+    if (this.looking || this.jobs.size === 0) return
+    this.looking = true
+    this.clock.after(START_PERIOD, () => {
+      this.looking = false
+      if (this.startItems()) this.wake()
+    })
+  }
+
+  /** Whether any item waits still. */
+  private startItems (): boolean {
+    if (this.draining) return false
     const now = this.clock.now()
     const routes = Object.values(this.configuration.value.routes ?? {})
     const waiting: Array<{ job: OwnedJob, state: ItemState, route: Route, due: number }> = []
@@ -113,7 +128,8 @@
         if (isFree && route?.jobs !== undefined) waiting.push({ job, state, route, due: job.acceptedAt + route.jobs.dueAfter })
       }
     }
-    for (const { job, state, route } of orderItems(waiting, now).slice(0, STARTS)) if (!this.startItem(job, state, route)) return
+    for (const { job, state, route } of orderItems(waiting, now).slice(0, STARTS)) if (!this.startItem(job, state, route)) break
+    return waiting.length > 0
   }
 
   /** An item whose route has gone, or whose time is over, ends without having been done. */
@@ -148,6 +164,7 @@
 
   private settle ({ job, state, run }: Running, route: Route, outcome: ItemOutcome): void {
     this.metrics.count('batch_runs_total', { outcome: outcome.type })
+    this.wake()
     if (state.phase === 'ended') return
     state.phase = 'waiting'
     switch (outcome.type) {
--- a/src/placement/load-spread.ts
+++ b/src/placement/load-spread.ts
@@ -17,7 +17,7 @@
 const ROW_MESSAGE = 'server loads'
 const ROWS_MESSAGE = 'load rows'
 /** How often a hub passes on what it heard, ms. */
-const HUB_PERIOD = 80
+const HUB_PERIOD = 100
 /** How often a hub passes on all it knows, for what was lost, ms. */
 const WHOLE_PERIOD = 1_000
 
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -177,7 +177,7 @@
     // What is left of a stream that has begun can't be told by a status.
     if (this.begun) return { why: 'cut', sent: true, detail: `status ${status} to a resumed stream` }
     this.sink.answer(status, headers, body)
-    this.count('answered')
+    this.noteAnswer(open)
     return undefined
   }
 
@@ -222,7 +222,7 @@
     open.end('answered')
     if (!this.begun) this.begin(open)
     this.sink.end()
-    this.count('answered')
+    this.noteAnswer(open)
     return undefined
   }
 
@@ -258,12 +258,19 @@
     const { log, clock } = this.tools
     const gone = this.request.signal.aborted
     const outcome = gone ? 'caller left' : this.timedOut ? 'deadline' : refusal.cause
-    log.write('info', 'routing', 'gave a request up', { request: this.request.id, cause: outcome, ran: this.runs > 0 ? 'unknown' : 'not run', begun: this.begun, waited: Math.round(clock.now() - this.request.arrived), tried: this.tried, detail: refusal.detail })
+    log.write('warn', 'routing', 'gave a request up', { request: this.request.id, cause: outcome, ran: this.runs > 0 ? 'unknown' : 'not run', begun: this.begun, waited: Math.round(clock.now() - this.request.arrived), tried: this.tried, detail: refusal.detail })
     this.count(outcome)
     if (this.begun) this.sink.cut()
     else if (!gone) this.sink.refuse({ ...refusal, cause: this.timedOut ? 'deadline' : refusal.cause, ran: this.runs > 0 ? 'unknown' : 'not run' })
   }
 
+  private noteAnswer ({ server, exchange: { status }, sentAt }: OpenExchange): void {
+    const { log, clock } = this.tools
+    const { id, arrived } = this.request
+    log.write('info', 'routing', 'answered a request', { request: id, service: this.service, server: server.name, status, tried: this.tried.length, sentAfter: Math.round(sentAt - arrived), after: Math.round(clock.now() - arrived), events: this.last })
+    this.count('answered')
+  }
+
   private count (outcome: string): void {
     this.tools.metrics.count('requests_total', { outcome })
   }
