--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -24,6 +24,11 @@
 
 /** How often idle slots are looked for while items wait, ms: a few steps of an engine. */
 const START_PERIOD = 25
+/**
+ * The same where counts come by way of hubs, ms: longer than they take. Looking sooner, all daemons filled the slots that
+ * they saw free some 100 ms ago, and stopped most of those items again; their symptom was six connections a request.
+ */
+const FAR_START_PERIOD = 300
 /** How often it is looked whether items are to be given up while none waits, ms. */
 const IDLE_PERIOD = 500
 /** Items that one daemon starts in one look: others see the same slots, and hear of these some ms later. */
@@ -108,7 +113,7 @@
   private wake (): void {
     if (this.looking || this.jobs.size === 0) return
     this.looking = true
-    this.clock.after(START_PERIOD, () => {
+    this.clock.after(this.loads.isDirect ? START_PERIOD : this.random.spread(FAR_START_PERIOD), () => {
       this.looking = false
       if (this.startItems()) this.wake()
     })
@@ -147,8 +152,9 @@
     const pool = chooseService(route.services, this.random)
     if (pool === undefined) return false
     const free = this.loads.listPlaces(pool).map(place => ({ server: place.server, start: planBatch(place, 0).start })).filter(({ start }) => start > 0)
-    const most = Math.max(...free.map(({ start }) => start))
-    const best = free.filter(({ start }) => start === most)
+    // With older counts the emptiest server would be the choice of every daemon.
+    const most = this.loads.isDirect ? Math.max(...free.map(({ start }) => start)) : 1
+    const best = free.filter(({ start }) => start >= most)
     const chosen = best[this.random.below(best.length)]
     if (chosen === undefined) return false
     const run = new ItemRun({ state, host: job.head.host, pool, server: chosen.server, mayStart: () => !job.ended && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, dialect: this.dialect })
