--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -57,7 +57,7 @@
     for (;;) {
       const heads = await this.records.listHeads()
       if (heads.ok) {
-        for (const [id, { host, path, submittedAt, owner, run, tokens }] of heads.val) this.book.learn({ id, host, path, submittedAt, owner, run, tokensLeft: tokens, closed: false })
+        for (const [id, { host, path, submittedAt, owner, run, tokens }] of heads.val) this.book.learn({ id, host, path, submittedAt, owner, run, tokensLeft: tokens, stored: false, closed: false })
         return
       }
       await new Promise<void>(resolve => this.clock.after(RETRY, resolve))
--- a/src/jobs/job-book.ts
+++ b/src/jobs/job-book.ts
@@ -7,13 +7,15 @@
 
 const MESSAGE = 'job'
 const SEEN_MESSAGE = 'job seen'
+const GONE_MESSAGE = 'job gone'
 
 /** The jobs of all daemons as far as told. Whoever owns a job tells the others of it when it is accepted and as it goes on. */
 @scoped(Lifecycle.ContainerScoped)
 export class JobBook {
   readonly extensions = [
     peerHandlerPoint.of({ type: MESSAGE, handle: message => this.hear(message) }),
-    peerHandlerPoint.of({ type: SEEN_MESSAGE, handle: message => this.hearSeen(message) })
+    peerHandlerPoint.of({ type: SEEN_MESSAGE, handle: message => this.hearSeen(message) }),
+    peerHandlerPoint.of({ type: GONE_MESSAGE, handle: ({ id }) => { this.jobs.delete(String(id)) } })
   ]
 
   private readonly jobs = new Map<string, KnownJob>()
@@ -50,8 +52,10 @@
     if (!this.jobs.has(job.id)) this.jobs.set(job.id, job)
   }
 
+  /** Drops a job that is no longer stored, here and at the others. */
   forget (id: string): void {
     this.jobs.delete(id)
+    this.cast.cast({ type: GONE_MESSAGE, id }, `${GONE_MESSAGE} ${id}`)
   }
 
   /** Tokens of unfinished items of the jobs that `isOn` says are on a route. */
--- /dev/null
+++ b/src/jobs/job-cleaner.ts
@@ -0,0 +1,65 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { RoutedSettings } from '../entry/routed-settings.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { Members } from '../peers/members.js'
+import { JobBook } from './job-book.js'
+import { JobOwner } from './job-owner.js'
+import { JobRecords } from './job-records.js'
+
+const PERIOD = 10_000
+/** Past the time for which results must stay, ms, for clocks that differ and jobs that were sent before they were accepted. */
+const MARGIN = 60_000
+
+/** Removes jobs whose results have stayed as long as was promised: one at a time, by the daemon that owns or ranks first for it. */
+@scoped(Lifecycle.ContainerScoped)
+export class JobCleaner implements Part {
+  private busy = false
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(JobBook) private readonly book: JobBook,
+    @inject(JobOwner) private readonly owner: JobOwner,
+    @inject(JobRecords) private readonly records: JobRecords,
+    @inject(Members) private readonly members: Members,
+    @inject(tokens.routed) private readonly routed: Pick<RoutedSettings, 'resultKeep'>,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(PERIOD, () => { void this.clean() })
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  private async clean (): Promise<void> {
+    if (this.busy) return
+    this.busy = true
+    const before = this.clock.date() - this.routed.resultKeep - MARGIN
+    const names = this.members.owners()
+    const over = this.book.list().filter(({ submittedAt, closed, stored }) => submittedAt < before && (closed || !stored))
+    for (const { id } of over) {
+      if (this.owner.find(id) !== undefined || rankOwners(id, names)[0] === this.settings.instance) await this.remove(id)
+    }
+    this.busy = false
+  }
+
+  private async remove (id: string): Promise<void> {
+    const removed = await this.records.remove(id)
+    if (removed.err && removed.val.type !== 'missing') return this.log.write('warn', 'jobs', 'a job could not be removed yet', { job: id, error: removed.val.type })
+    this.owner.forget(id)
+    this.book.forget(id)
+    this.log.write('info', 'jobs', 'removed a job', { job: id })
+  }
+}
+
+partRegistry.register({ name: 'job cleaner', part: JobCleaner, needs: ['job owner', 'members'] })
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -136,6 +136,13 @@
     this.close(job)
   }
 
+  /** Holds nothing of a job any more, which is no longer stored. */
+  forget (id: string): void {
+    const job = this.owned.get(id)
+    if (job !== undefined) this.runner.remove(job)
+    for (const known of [this.owned, this.handed, this.storedAt, this.progressAt]) known.delete(id)
+  }
+
   /** Whether the daemon that owns the job is alive, in the same life. */
   isOwnerAlive ({ owner, run }: Pick<KnownJob, 'owner' | 'run'>): boolean {
     return this.members.all().some(member => member.instance.name === owner && member.run === run && member.state !== 'leaving')
@@ -175,7 +182,7 @@
 
   private show (job: OwnedJob): KnownJob {
     const { id, head: { host, path, submittedAt } } = job
-    return { id, host, path, submittedAt, owner: this.settings.instance, run: this.members.run, tokensLeft: job.ended ? 0 : job.tokensLeft, closed: job.ended || job.isDone }
+    return { id, host, path, submittedAt, owner: this.settings.instance, run: this.members.run, tokensLeft: job.ended ? 0 : job.tokensLeft, stored: true, closed: job.ended || job.isDone }
   }
 
   private showReleased (job: OwnedJob): KnownJob {
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -82,7 +82,7 @@
     const head = await this.records.readHead(job)
     if (head.err || this.owner.find(job) !== undefined) return
     const { host, path, submittedAt, owner, run, tokens } = head.val
-    this.book.learn({ id: job, host, path, submittedAt, owner, run, tokensLeft: tokens, closed: false })
+    this.book.learn({ id: job, host, path, submittedAt, owner, run, tokensLeft: tokens, stored: true, closed: false })
     if (this.owner.isOwnerAlive(head.val)) await this.ask(job, { type: 'care', job }, CALL_SLACK)
   }
 
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -89,6 +89,31 @@
     return Ok(heads)
   }
 
+  /**
+   * Removes all that is stored of a job, its head last: a removal that breaks off is found by the head and goes on. `missing`
+   * where there is no such job.
+   */
+  async remove (id: string): Promise<Result<void, StoreError>> {
+    const head = await this.readHead(id)
+    if (head.err) return head
+    for (let segment = 0; ; segment++) {
+      const removed = await this.removeOne(RESULTS, `${id}.${segment}`)
+      if (removed.err && removed.val.type === 'missing') break
+      if (removed.err) return removed
+    }
+    const rest: ReadonlyArray<readonly [string, string]> = [...Array.from({ length: head.val.parts }, (_, i): [string, string] => [ITEMS, `${id}.${i}`]), [ENDS, id], [HEADS, id]]
+    for (const [kind, name] of rest) {
+      const removed = await this.removeOne(kind, name)
+      if (removed.err && removed.val.type !== 'missing') return removed
+    }
+    return Ok(undefined)
+  }
+
+  private async removeOne (kind: string, name: string): Promise<Result<void, StoreError>> {
+    const object = await this.store.get(kind, name, 'background')
+    return object.err ? object : await this.store.delete(kind, name, object.val.version, 'background')
+  }
+
   private async createOnce (kind: string, name: string, value: unknown): Promise<Result<void, StoreError>> {
     return (await this.store.put(kind, name, value, 0, 'caller')).map(() => undefined)
   }
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -58,9 +58,9 @@
   async submit ({ id, route, path, body, arrived }: Submission, res: ServerResponse): Promise<void> {
     const items = this.dialect.readItems(body)
     if (items === undefined || id === '') return sendJson(res, BAD_REQUEST, { cause: 'bad job', detail: 'items: must be 1 to 200 with an id, a path and a body each' })
-    if (this.book.get(id) !== undefined) return this.confirm(id, res, 'known')
+    if (this.book.get(id)?.stored === true) return this.confirm(id, res, 'known')
     const size = items.reduce((sum, item) => sum + item.tokens, 0)
-    if (!this.fits(route, size)) return await this.refuseFull(id, size, res)
+    if (!this.fits(route, size) && !await this.isStored(id)) return this.refuseFull(id, size, res)
     this.accepting.set(id, { host: route.host, path, tokens: size })
     const accepted = await this.owner.accept(id, { host: route.host, path }, items)
     this.accepting.delete(id)
@@ -130,12 +130,14 @@
     return this.book.countWaiting(isOn) + accepting + size <= most
   }
 
-  /** A job that was accepted before and comes again to a daemon that hasn't heard of it is no new one. */
-  private async refuseFull (id: string, size: number, res: ServerResponse): Promise<void> {
+  /** A job that was accepted before and comes again to a daemon that hasn't heard of it is no new one; what isn't known may be. */
+  private async isStored (id: string): Promise<boolean> {
     const head = await this.records.readHead(id)
-    if (head.ok) return this.confirm(id, res, 'stored before')
-    if (head.val.type !== 'missing') return this.refuse(id, res, 'unknown', head.val.type)
-    this.log.write('info', 'jobs', 'refused a job', { request: id, cause: 'too many tokens wait', tokens: size })
+    return head.ok || head.val.type !== 'missing'
+  }
+
+  private refuseFull (id: string, size: number, res: ServerResponse): void {
+    this.log.write('warn', 'jobs', 'refused a job', { request: id, cause: 'too many tokens wait', tokens: size })
     this.metrics.count('jobs_total', { outcome: 'full' })
     sendJson(res, TOO_MANY, { cause: 'too many tokens wait' }, { 'retry-after': this.random.spread(FULL_RETRY).toFixed(3) })
   }
--- a/src/jobs/known-job.ts
+++ b/src/jobs/known-job.ts
@@ -8,6 +8,8 @@
   readonly run: number
   /** Tokens of its items that aren't finished. */
   readonly tokensLeft: number
+  /** Whether its items are known to be stored; of a job that is known by its head alone they may be missing. */
+  readonly stored: boolean
   /** Whether nothing of it is left to do: every item has its result, or it was ended. */
   readonly closed: boolean
 }
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -27,6 +27,9 @@
 /** Statuses by which a server says that its own run failed. */
 const SERVER_ERROR = 500
 const REDIRECTED = 300
+/** Statuses below that by which a server refuses what another one may take. */
+const MISDIRECTED = 421
+const TOO_MANY = 429
 
 /** What all forwardings of one daemon share. */
 interface ForwardingTools {
@@ -155,7 +158,7 @@
   private async passOver (open: OpenExchange): Promise<SendFailure | undefined> {
     const { status } = open.exchange
     const body = await this.readAll(open)
-    if (status < SERVER_ERROR && status !== 421 && status !== 429) {
+    if (!this.begun && status < SERVER_ERROR && status !== MISDIRECTED && status !== TOO_MANY) {
       if (body !== undefined) this.sink.answer(status, open.exchange.headers, body)
       open.end('answered')
       return body === undefined ? await this.fail(open, { why: 'cut', sent: false, detail: 'its refusal broke off' }) : undefined
--- a/stand-ins/machines/object-api.ts
+++ b/stand-ins/machines/object-api.ts
@@ -13,6 +13,8 @@
 interface ObjectApiFaults {
   /** `busy` answers 503, `limited` 429, `silent` not at all. */
   down?: 'busy' | 'limited' | 'silent'
+  /** A kind of object that alone is answered 503. */
+  refuses?: string
   /** Whether writes take effect and are never answered. */
   losesReplies?: boolean
   /** Watches from before this revision are told that their history is gone. */
@@ -53,6 +55,7 @@
     const body = await readBody(req, MAX_BODY)
     if (this.faults.down === 'silent') return
     if (this.faults.down !== undefined) return sendJson(res, this.faults.down === 'busy' ? 503 : 429, {})
+    if (kind === this.faults.refuses) return sendJson(res, 503, {})
     if (kind === undefined || body.err) return sendJson(res, 400, {})
     const target = { kind, name: name === undefined ? undefined : decodeURIComponent(name), isStatus: status !== undefined, query: url.searchParams }
     if (req.method === 'GET') return await this.read(target, res)
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -187,3 +187,19 @@
   t.is((await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)).val?.type, 'conflict')
   t.is((await daemon.owner.adopt('j')).unwrap()?.items.length, 6)
 })
+
+test('a job is removed whole, and a removal that broke off goes on', async t => {
+  const [store, clock] = [new MemoryStore(), new VirtualClock()]
+  const records = new JobRecords(store)
+  const daemon = new Daemon('d1', store, clock, { alive: ['d1'] })
+  await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+  daemon.finish('j', 'a', 'text')
+  await clock.advance(1_000)
+  await records.end('j')
+  store.fault = ({ call, kind }) => call === 'delete' && kind === 'job-items' ? { fail: { type: 'unavailable', reason: '' } } : 'none'
+  t.is((await records.remove('j')).val?.type, 'unavailable')
+  store.fault = () => 'none'
+  t.true((await records.remove('j')).ok)
+  t.deepEqual(['jobs', 'job-items', 'job-results', 'job-ends'].map(kind => store.objects.list(kind, '', '', 10).length), [0, 0, 0, 0])
+  t.is((await records.remove('j')).val?.type, 'missing')
+})
