--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -16,6 +16,7 @@
 import { Sender } from '../routing/sender.js'
 import type { ServerDialect } from '../routing/server-dialect.js'
 import { Servers } from '../routing/servers.js'
+import { findEnd } from './find-end.js'
 import type { ItemOutcome } from './item-outcome.js'
 import { ItemRun } from './item-run.js'
 import type { ItemState } from './item-state.js'
@@ -36,8 +37,7 @@
 /** Pause of an item after a run that came to nothing, ms; it doubles with each in a row. */
 const FIRST_PAUSE = 50
 const LONGEST_PAUSE = 1_000
-/** Past the time from which an item may be given up, ms, for clocks that differ. */
-const GIVE_UP_MARGIN = 3_000
+
 
 interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly run: ItemRun }
 
@@ -47,6 +47,8 @@
   private readonly jobs = new Set<OwnedJob>()
   private readonly running = new Set<Running>()
   private readonly listeners = new Set<(job: OwnedJob) => void>()
+  /** By job whose route isn't in the configuration: since when. */
+  private readonly routeMissedAt = new WeakMap<OwnedJob, number>()
   private draining = false
   private looking = false
   private cancel = (): void => {}
@@ -127,6 +129,7 @@
     const waiting: Array<{ job: OwnedJob, state: ItemState, route: Route, due: number }> = []
     for (const job of this.jobs) {
       const route = findRoute(routes, job.head.host, job.head.path)
+      this.noteRoute(job, route, now)
       for (const state of job.items) {
         if (this.giveUp(job, state, route, now)) continue
         const isFree = state.phase === 'waiting' && now >= state.notBefore && ![...this.running].some(running => running.state === state)
@@ -140,14 +143,19 @@
   /** An item whose route has gone, or whose time is over, ends without having been done. */
   private giveUp (job: OwnedJob, state: ItemState, route: Route | undefined, now: number): boolean {
     if (state.phase === 'ended') return true
-    const after = route?.jobs?.giveUpAfter ?? 0
-    const isOver = route === undefined || (after > 0 && now > job.acceptedAt + after + GIVE_UP_MARGIN)
-    if (!isOver) return false
-    this.finish(job, state, 'failed', route === undefined ? 'its route has gone' : 'its time is over')
+    const cause = findEnd({ route, routeMissedAt: this.routeMissedAt.get(job), acceptedAt: job.acceptedAt, now })
+    if (cause === undefined) return false
+    this.finish(job, state, 'failed', cause)
     for (const running of this.running) if (running.state === state) running.run.stop()
     return true
   }
 
+  /** A daemon that knows no configuration yet knows nothing of routes either. */
+  private noteRoute (job: OwnedJob, route: Route | undefined, now: number): void {
+    if (route !== undefined || this.configuration.value.version === 0) this.routeMissedAt.delete(job)
+    else if (!this.routeMissedAt.has(job)) this.routeMissedAt.set(job, now)
+  }
+
   private startItem (job: OwnedJob, state: ItemState, route: Route): boolean {
     const pool = chooseService(route.services, this.random)
     if (pool === undefined) return false
