--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -38,7 +38,6 @@
 const FIRST_PAUSE = 50
 const LONGEST_PAUSE = 1_000
 
-
 interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly run: ItemRun }
 
 /** Runs the items of the jobs that this daemon owns on slots that online requests leave, and stops them when they are needed. */
