--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -27,7 +27,7 @@
 
 const CONFIGURATION = 'configuration'
 const INSTANCES = 'instances'
-/** Silence of all watchers after which a daemon watches for itself, ms: a watch and its answer's way. */
+/** Silence of all watchers after which a daemon watches for itself, ms: one watch, a retry, and the way of the news. */
 const SILENCE = 6_000
 const CHECK_PERIOD = 500
 
--- a/src/placement/load-spread.ts
+++ b/src/placement/load-spread.ts
@@ -23,8 +23,8 @@
 
 /**
  * Brings each daemon's load counts to all others. A small fleet tells directly. In a larger one each daemon tells the hub of
- * its failure domain, which passes on what changed to its domain and to the other hubs: 71 daemons then send some 1,500
- * messages a second in place of 35,000, and counts are some 100 ms older.
+ * its failure domain, which passes on what changed to its domain and to the other hubs: 71 daemons with ten
+ * changes each a second then send some 1,600 messages in place of 49,700, and counts are some 100 ms older.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class LoadSpread implements Part {
