Two owners of one job find each other after a pause, and neither answers behind the store

Cause: an owner that stood still, or was cut off, went on with what it knew. Ruled out: positions that differ (segments are created once), a lost write. Change: JobContest. An owner that wakes, or whose predecessor is alive again, tells of the job twice a second until no other claim comes for 3 s; by rank one gives way and sends how far its items came; meanwhile each reads the store before it answers. PauseWatch compares the time of day too, since a suspended machine's steady clock stands still.

--- /dev/null
+++ b/src/jobs/job-contest.ts
@@ -0,0 +1,90 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { rankOwners } from '../coordination/rank-owners.js'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { JobBook } from './job-book.js'
+import { JobOwner } from './job-owner.js'
+import type { KnownJob } from './known-job.js'
+import type { OwnedJob } from './owned-job.js'
+
+/** How long a job counts as one that another daemon may own too, after the last sign of it, ms: several tells and their answers. */
+const DOUBT = 3_000
+/** How often the others are told of such a job, ms. */
+const TELL_PERIOD = 500
+
+/**
+ * Two daemons that own one job find each other, and one gives way. An owner that stood still, or was cut off, goes on with what
+ * it believed, while another has taken its jobs over: each shows its callers results that the other doesn't know, and both run
+ * the same items for as long as nobody tells them. So an owner that wakes tells of its jobs, an owner whose predecessor is back
+ * does too, both until no other claim is heard; by rank one keeps the job. Meanwhile each reads the store before it answers.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class JobContest implements Part {
+  /** Jobs whose former owner was alive at the last look. */
+  private readonly returned = new WeakSet<OwnedJob>()
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(JobOwner) private readonly owner: JobOwner,
+    @inject(JobBook) private readonly book: JobBook,
+    @inject(PauseWatch) private readonly pauses: PauseWatch,
+    @inject(tokens.settings) private readonly settings: Settings,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  async start (): Promise<void> {
+    this.pauses.subscribe(() => { for (const job of this.owner.list()) this.doubt(job) })
+    this.book.subscribe(told => this.handleNews(told))
+    this.cancel = this.clock.every(TELL_PERIOD, () => this.check())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  private check (): void {
+    this.pauses.check()
+    const now = this.clock.now()
+    for (const job of this.owner.list()) {
+      if (this.isFormerBack(job)) this.doubt(job)
+      if (now < job.doubtfulUntil) this.book.tell(this.owner.show(job))
+    }
+  }
+
+  private isFormerBack (job: OwnedJob): boolean {
+    const wasBack = this.returned.has(job)
+    const isBack = job.former !== undefined && this.owner.isOwnerAlive(job.former)
+    if (isBack) this.returned.add(job)
+    else this.returned.delete(job)
+    return isBack && !wasBack
+  }
+
+  private doubt (job: OwnedJob): void {
+    job.doubtfulUntil = this.clock.now() + DOUBT
+  }
+
+  /**
+   * Another daemon says that it owns what this one owns: both know by rank which of them keeps it. One that takes it for
+   * without an owner, or for that of a daemon that has ended, is told better.
+   */
+  private handleNews (told: KnownJob): void {
+    const { instance } = this.settings
+    const job = this.owner.find(told.id)
+    if (job === undefined) return
+    const isAlive = this.owner.isOwnerAlive(told)
+    if (told.owner === instance && isAlive) return
+    if (told.owner !== '' && told.owner !== instance) this.doubt(job)
+    if (!isAlive) return this.book.tell(this.owner.show(job))
+    if (rankOwners(told.id, [instance, told.owner])[0] === instance) return
+    this.log.write('info', 'jobs', 'gave a job to its other owner', { job: job.id, to: told.owner, results: job.readPage(0).next, of: job.head.total })
+    this.owner.giveWay(job, told.owner)
+  }
+}
+
+partRegistry.register({ name: 'job contest', part: JobContest, needs: ['job owner', 'pause watch'] })
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -62,7 +62,7 @@
 
   async start (): Promise<void> {
     this.runner.subscribe(job => { void this.store(job) })
-    this.book.subscribe(job => this.handleNews(job))
+    this.book.subscribe(({ id, closed }) => { if (closed) this.handed.delete(id) })
   }
 
   /** Stores what there is and lets go of every job, so that others take them over at once. */
@@ -88,9 +88,12 @@
    */
   private handOver (job: OwnedJob): void {
     const [next] = rankOwners(job.id, this.members.owners().filter(name => name !== this.settings.instance))
-    if (next === undefined) return
+    if (next !== undefined) this.sendProgress(job, next)
+  }
+
+  private sendProgress (job: OwnedJob, to: string): void {
     for (const progress of splitBySize(job.copyProgress(), ({ texts }) => texts.reduce((sum, text) => sum + text.length, 0), SEGMENT_BYTES)) {
-      this.links.send(next, { type: PROGRESS_MESSAGE, job: job.id, progress })
+      this.links.send(to, { type: PROGRESS_MESSAGE, job: job.id, progress })
     }
   }
 
@@ -106,6 +109,31 @@
     return this.owned.get(id)
   }
 
+  list (): readonly OwnedJob[] {
+    return [...this.owned.values()]
+  }
+
+  /** Lets go of a job that another daemon runs, and tells it how far the items have come here. */
+  giveWay (job: OwnedJob, to: string): void {
+    this.runner.remove(job)
+    this.owned.delete(job.id)
+    this.sendProgress(job, to)
+    job.wake()
+  }
+
+  /**
+   * Whether what is known here of a job's results can't be behind what callers have read. Where another daemon may own the job
+   * too, the store is asked first: without that, an owner that stood still lists nothing where the other one's results were read.
+   */
+  async prove (job: OwnedJob): Promise<boolean> {
+    if (this.clock.now() >= job.doubtfulUntil) return true
+    const from = job.segments
+    const segments = await this.records.readSegments(job.id, from)
+    if (segments.err) return false
+    segments.val.forEach((results, i) => this.take(job, from + i, results))
+    return true
+  }
+
   /** Accepts a job: once this is `Ok` it is kept. `conflict` says that it was accepted before. */
   async accept (id: string, job: Pick<JobHead, 'host' | 'path'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
     const { instance: owner } = this.settings
@@ -156,7 +184,7 @@
     if (segments.err) return segments
     if (ended.err) return ended
     const age = Math.max(0, this.clock.date() - head.val.submittedAt)
-    const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age })
+    const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, former: this.book.get(id) ?? head.val })
     job.ended = ended.val
     job.useProgress(this.handed.get(id) ?? [])
     this.handed.delete(id)
@@ -180,7 +208,8 @@
     job.wake()
   }
 
-  private show (job: OwnedJob): KnownJob {
+  /** What the others are told of a job that this daemon owns. */
+  show (job: OwnedJob): KnownJob {
     const { id, head: { host, path, submittedAt } } = job
     return { id, host, path, submittedAt, owner: this.settings.instance, run: this.members.run, tokensLeft: job.ended ? 0 : job.tokensLeft, stored: true, closed: job.ended || job.isDone }
   }
@@ -205,22 +234,23 @@
 
   private async storeSegment (job: OwnedJob): Promise<boolean> {
     const [results = []] = splitBySize(job.pending, ({ text }) => text.length, SEGMENT_BYTES)
-    const created = await this.records.createSegment(job.id, job.segments, results)
-    if (created.ok) this.take(job, results)
-    else if (created.val.type === 'conflict') return await this.takeOther(job)
+    const { segments } = job
+    const created = await this.records.createSegment(job.id, segments, results)
+    if (created.ok) this.take(job, segments, results)
+    else if (created.val.type === 'conflict') return await this.takeOther(job, segments)
     else this.log.write('warn', 'jobs', 'results could not be stored yet', { job: job.id, error: created.val.type, waiting: job.pending.length })
     return created.ok
   }
 
   /** Another daemon has created the segment, or this one has and never heard so. */
-  private async takeOther (job: OwnedJob): Promise<boolean> {
-    const read = await this.records.readSegment(job.id, job.segments)
-    if (read.ok) this.take(job, read.val)
+  private async takeOther (job: OwnedJob, segment: number): Promise<boolean> {
+    const read = await this.records.readSegment(job.id, segment)
+    if (read.ok) this.take(job, segment, read.val)
     return read.ok
   }
 
-  private take (job: OwnedJob, results: readonly ListedResult[]): void {
-    job.addSegment(results)
+  private take (job: OwnedJob, segment: number, results: readonly ListedResult[]): void {
+    job.addSegment(segment, results)
     if (!this.owned.has(job.id)) return
     if (job.isDone) this.close(job)
     else this.tellProgress(job)
@@ -233,22 +263,6 @@
     job.toldAt = now
     this.book.tell(this.show(job))
   }
-
-  /**
-   * Another daemon says that it owns what this one owns: both know by rank which of them keeps it. One that takes it for
-   * without an owner, or for that of a daemon that has ended, is told better.
-   */
-  private handleNews (told: KnownJob): void {
-    const { instance } = this.settings
-    if (told.closed) this.handed.delete(told.id)
-    const job = this.owned.get(told.id)
-    if (job === undefined || (told.owner === instance && told.run === this.members.run)) return
-    const isTheirs = this.isOwnerAlive(told) && told.owner !== instance && rankOwners(told.id, [instance, told.owner])[0] !== instance
-    if (!isTheirs) return this.book.tell(this.show(job))
-    this.runner.remove(job)
-    this.owned.delete(told.id)
-    job.wake()
-  }
 }
 
 partRegistry.register({ name: 'job owner', part: JobOwner, needs: ['job runner', 'members', 'peer links'] })
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -53,7 +53,7 @@
   async readResults (job: string, after: number, wait: number): Promise<Result<ResultsPage, Failure>> {
     const own = await this.readOwn(job, after, Math.min(wait, MAX_WAIT))
     if (own !== undefined) return Ok(own)
-    const told = await this.ask(job, { type: 'read', job, after, wait: Math.min(wait, MAX_WAIT) }, wait)
+    const told = this.owner.find(job) === undefined ? await this.ask(job, { type: 'read', job, after, wait: Math.min(wait, MAX_WAIT) }, wait) : undefined
     if (told?.type === 'page') return Ok(told.page)
     const stored = await this.readStored(job)
     return stored.ok ? Ok(stored.val.readPage(after)) : stored
@@ -101,9 +101,10 @@
     return await this.ask(job, { type: 'care', job }, CALL_SLACK) !== undefined
   }
 
+  /** What this daemon knows of a job that it owns, where that can't be behind what was read elsewhere. */
   private async readOwn (id: string, after: number, wait: number): Promise<ResultsPage | undefined> {
     const job = this.owner.find(id)
-    if (job === undefined) return undefined
+    if (job === undefined || !await this.owner.prove(job)) return undefined
     const page = job.readPage(after)
     if (page.results.length > 0 || wait <= 0 || job.isDone || job.ended) return page
     await waitForNext(this.clock, listener => job.subscribe(listener), wait)
@@ -151,7 +152,7 @@
     const from = job.segments
     const segments = await this.records.readSegments(id, from)
     if (segments.err) return Err('unsure')
-    for (const segment of segments.val.slice(job.segments - from)) job.addSegment(segment)
+    segments.val.forEach((results, i) => job.addSegment(from + i, results))
     return Ok(job)
   }
 }
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -3,6 +3,7 @@
 import type { ItemState } from './item-state.js'
 import type { JobHead } from './job-head.js'
 import type { JobItem } from './job-item.js'
+import type { KnownJob } from './known-job.js'
 import type { ResultsPage } from './results-page.js'
 
 /** Bytes of results in one answer. */
@@ -15,6 +16,8 @@
   readonly segments: ReadonlyArray<readonly ListedResult[]>
   /** Monotonic ms of its acceptance. */
   readonly acceptedAt: number
+  /** From whom it was taken over, in the life in which that one had it. */
+  readonly former?: Pick<KnownJob, 'owner' | 'run'>
 }
 
 /** A job that this daemon runs: its items, and the results that are stored or wait to be. */
@@ -22,6 +25,7 @@
   readonly id: string
   readonly head: JobHead
   readonly acceptedAt: number
+  readonly former: Pick<KnownJob, 'owner' | 'run'> | undefined
   readonly items: readonly ItemState[]
   /** Set when its caller ended it: nothing of it runs any more. */
   ended = false
@@ -30,6 +34,8 @@
   storedAt = -Infinity
   /** Monotonic ms at which the others were last told how much of it is left. */
   toldAt = -Infinity
+  /** Until when another daemon may own it too and have stored results that aren't known here, monotonic ms. */
+  doubtfulUntil = -Infinity
   /** Results that aren't stored yet. */
   readonly pending: ListedResult[] = []
   /** Stored segments of results. */
@@ -38,10 +44,11 @@
   private readonly listed: Set<string>
   private readonly readers = new Set<() => void>()
 
-  constructor ({ id, head, items, segments, acceptedAt }: OwnedJobOptions) {
+  constructor ({ id, head, items, segments, acceptedAt, former }: OwnedJobOptions) {
     this.id = id
     this.head = head
     this.acceptedAt = acceptedAt
+    this.former = former
     this.segments = segments.length
     this.results = segments.flat()
     this.listed = new Set(this.results.map(result => result.id))
@@ -84,8 +91,12 @@
     this.pending.push(result)
   }
 
-  /** Takes a segment that is stored, by this daemon or another; results that it has aren't stored again. */
-  addSegment (results: readonly ListedResult[]): void {
+  /**
+   * Takes the stored segment of number `segment`, created by this daemon or another; results that it has aren't stored again. One that
+   * is known already changes nothing: two reads that overlap would list its results twice.
+   */
+  addSegment (segment: number, results: readonly ListedResult[]): void {
+    if (segment !== this.segments) return
     this.segments++
     for (const result of results) {
       this.results.push(result)
--- a/src/kernel/pause-watch.ts
+++ b/src/kernel/pause-watch.ts
@@ -12,20 +12,25 @@
  * Notices that the process stood still. A daemon that was frozen past its leases goes on, when it thaws, with
  * what it believed before; its symptom is a second holder acting on what others took over meanwhile. Parts call
  * `check` before they act on a belief that can lapse: a gap between ticks longer than any wait of a healthy loop
- * tells them first, because `check` itself compares the clock and doesn't rely on a timer having run.
+ * tells them first, because `check` itself compares the clocks and doesn't rely on a timer having run. The steady clock of a
+ * suspended machine stands still, so the time of day is compared too; one that is set forward looks like a pause, which costs a
+ * look at what was believed and no more.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class PauseWatch implements Part {
   private last: number
+  private lastDate: number
   private cancel = (): void => {}
   private readonly listeners = new Set<(gap: number) => void>()
 
   constructor (@inject(tokens.clock) private readonly clock: Clock) {
     this.last = clock.now()
+    this.lastDate = clock.date()
   }
 
   async start (): Promise<void> {
     this.last = this.clock.now()
+    this.lastDate = this.clock.date()
     this.cancel = this.clock.every(TICK_PERIOD, () => this.check())
   }
 
@@ -35,9 +40,10 @@
 
   /** Tells the listeners, before it returns, if the process has stood still since the last check. */
   check (): void {
-    const now = this.clock.now()
-    const gap = now - this.last
+    const [now, date] = [this.clock.now(), this.clock.date()]
+    const gap = Math.max(now - this.last, date - this.lastDate)
     this.last = now
+    this.lastDate = date
     if (gap > PAUSE) for (const listener of this.listeners) listener(gap)
   }
 
--- /dev/null
+++ b/test/helpers/pausable-clock.ts
@@ -0,0 +1,54 @@
+import type { Clock } from '../../src/kernel/clock.js'
+import type { VirtualClock } from './virtual-clock.js'
+
+/** The clock of one process of several on virtual time, which can stand still: what falls due meanwhile runs when it goes on. */
+export class PausableClock implements Clock {
+  private readonly held: Array<() => void> = []
+  private pausedAt: number | undefined
+  /** Time that the steady clock didn't count, ms. */
+  private missed = 0
+
+  constructor (private readonly clock: VirtualClock) {}
+
+  get isPaused (): boolean {
+    return this.pausedAt !== undefined
+  }
+
+  now (): number {
+    return this.clock.now() - this.missed
+  }
+
+  date (): number {
+    return this.clock.date()
+  }
+
+  after (delay: number, task: () => void): () => void {
+    let cancelled = false
+    const cancel = this.clock.after(delay, () => this.run(() => { if (!cancelled) task() }))
+    return () => {
+      cancelled = true
+      cancel()
+    }
+  }
+
+  every (period: number, task: () => void): () => void {
+    return this.clock.every(period, () => { if (!this.isPaused) task() })
+  }
+
+  /** Runs `task` now, or when the process goes on. */
+  run (task: () => void): void {
+    if (this.isPaused) this.held.push(task)
+    else task()
+  }
+
+  pause (): void {
+    this.pausedAt = this.clock.now()
+  }
+
+  /** Goes on; `counted` says whether the steady clock went on meanwhile, as for a stopped process but not for a suspended machine. */
+  resume (counted: boolean): void {
+    if (!counted) this.missed += this.clock.now() - (this.pausedAt ?? this.clock.now())
+    this.pausedAt = undefined
+    for (const task of this.held.splice(0)) task()
+  }
+}
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -29,7 +29,7 @@
   constructor (name: string, store: MemoryStore, clock: VirtualClock, members: { alive: string[] }) {
     const runner = { subscribe: (listener: (job: OwnedJob) => void) => { this.onResult = listener }, add: () => {}, remove: () => {} }
     const known = new Map<string, KnownJob>()
-    const book = { subscribe: () => {}, tell: (job: KnownJob) => { known.set(job.id, job); this.told.push(job) }, tellSeen: () => {}, learn: (job: KnownJob) => { if (!known.has(job.id)) known.set(job.id, job) }, list: () => [...known.values()] }
+    const book = { subscribe: () => {}, get: (id: string) => known.get(id), tell: (job: KnownJob) => { known.set(job.id, job); this.told.push(job) }, tellSeen: () => {}, learn: (job: KnownJob) => { if (!known.has(job.id)) known.set(job.id, job) }, list: () => [...known.values()] }
     const all = { run: 1, all: () => members.alive.map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })), owners: () => members.alive }
     const settings = { instance: name } as unknown as Settings
     const records = new JobRecords(store)
