The next in rank gives slots as soon as a broker is silent

Cause: a broker that ended without a word is named by membership for 2.5 s more. Sends left within 4 ms: the wait was in the engines. Ruled out: waits of ours in that span (sentAfter median 4 ms up to 4.6 s). Change: a broker that doesn't answer in 100 ms is passed over until it says anything; it is probed twice a second. All daemons find that out within moments and tell their rows to the next in rank. It gives batch only if it holds itself for the broker too: asked by one daemon alone it doesn't know what the others run. Tried first: asking the silent broker again after 500 ms, doubled. Each such try took the rows from the successor: over slots by up to 6 again after 0.5 s.

--- a/src/placement/slot-answer.ts
+++ b/src/placement/slot-answer.ts
@@ -10,3 +10,5 @@
   | { readonly type: 'batch', readonly g: number, readonly server: string, readonly pool: string }
   /** One batch item of the daemon at the server is to stop. */
   | { readonly type: 'revoke', readonly g: number, readonly server: string }
+  /** The broker is there. */
+  | { readonly type: 'here' }
--- a/src/placement/slot-asker.ts
+++ b/src/placement/slot-asker.ts
@@ -6,6 +6,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { failUnreachable } from '../kernel/unreachable.js'
+import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
 import { peerHandlerPoint } from '../peers/peer-handler-point.js'
 import { PeerLinks } from '../peers/peer-links.js'
@@ -24,13 +25,13 @@
 const ANSWER = 'slot answer'
 const WITHDRAW = 'slot withdraw'
 const ROW = 'slot row'
+const PROBE = 'slot probe'
 /** How long a broker may take to say anything, ms: a round trip is one or two, and its loop may be busy for some ten. */
 const ANSWER_WITHIN = 100
-/**
- * How long a broker that didn't answer isn't asked, ms: membership takes some seconds to name another, in which each request would wait
- * for the answer of one that has ended.
- */
-const SILENT_FOR = 500
+/** How often a broker that is passed over is asked whether it is there, ms. */
+const PROBE_PERIOD = 500
+/** Brokers that one request asks, one after the other. */
+const MAX_BROKERS = 2
 /** How often a request that is queued at its broker asks again, ms, in case the broker ended. */
 const ASK_AGAIN = 1_000
 
@@ -38,6 +39,8 @@
   readonly request: PlaceRequest
   readonly group: number
   readonly broker: string
+  /** Brokers that were asked before. */
+  readonly passed: number
   readonly fallBack: () => void
   cancel: () => void
   readonly settle: () => void
@@ -51,8 +54,11 @@
 }
 
 /**
- * Asks the brokers for slots, and answers for the groups whose broker this daemon is. Where a broker says nothing
- * in time, a request falls back to this daemon's own choice: worse placed is better than late.
+ * Asks the brokers for slots, and answers for the groups whose broker this daemon is. Where a broker says nothing in time, the
+ * next in rank is asked in its place: all daemons notice within moments of each other and tell it what they have in flight.
+ * Where each placed by itself instead until membership named another, the engines of a loaded pool got more than their slots for
+ * seconds and half of the first events came late. A request that finds no broker at all falls back to this daemon's own
+ * choice: worse placed is better than late.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class SlotAsker implements Part {
@@ -60,6 +66,7 @@
     peerHandlerPoint.of({ type: ASK, handle: ({ ask }, from) => this.broker.ask(from, ask as SlotAsk) }),
     peerHandlerPoint.of({ type: WITHDRAW, handle: ({ n }, from) => this.broker.cancelAsk(from, Number(n)) }),
     peerHandlerPoint.of({ type: ROW, handle: ({ row, seen }, from) => this.takeRow(from, row, seen) }),
+    peerHandlerPoint.of({ type: PROBE, handle: (_, from) => this.sendAnswer(from, { type: 'here' }) }),
     peerHandlerPoint.of({ type: ANSWER, handle: ({ answer }, from) => this.handleAnswer(from, answer as SlotAnswer) }),
     // A broker knows of what it granted; of ends it must hear.
     exchangeObserverPoint.of({ onBegin: () => {}, onEnd: () => this.rows.tellSoon() })
@@ -67,8 +74,6 @@
 
   private readonly rows: SlotRows
   private readonly pending = new Map<number, Pending>()
-  /** Brokers that didn't answer: until when they aren't asked. */
-  private readonly silentUntil = new Map<string, number>()
   /** By pool and group: slots that were left when its broker last answered. */
   private readonly free = new Map<string, number>()
   private readonly listeners = new Set<BatchListener>()
@@ -82,7 +87,8 @@
     @inject(ServerLoads) private readonly loads: ServerLoads,
     @inject(SlotMap) private readonly map: SlotMap,
     @inject(SlotBroker) private readonly broker: SlotBroker,
-    @inject(Metrics) private readonly metrics: Metrics
+    @inject(Metrics) private readonly metrics: Metrics,
+    @inject(tokens.log) private readonly log: LogSink
   ) {
     broker.setSend((daemon, answer) => this.sendAnswer(daemon, answer))
     this.rows = new SlotRows({ clock, loads, map, send: (to, row, seen) => this.sendTo(to, { type: ROW, row, seen }) })
@@ -103,7 +109,7 @@
 
   /** Asks for a slot for an online request; `fallBack` runs where no broker can be asked. */
   ask (request: PlaceRequest, fallBack: () => void): void {
-    this.askGroup(this.chooseGroup(request.pool), request, fallBack)
+    this.askGroup(this.chooseGroup(request.pool), request, fallBack, 0)
   }
 
   /** The freer of two groups drawn at random, as far as their brokers have told; one that hasn't is tried. */
@@ -114,10 +120,10 @@
     return getFree(second) > getFree(first) ? second : first
   }
 
-  private askGroup (group: number, request: PlaceRequest, fallBack: () => void): void {
+  private askGroup (group: number, request: PlaceRequest, fallBack: () => void, passed: number): void {
     const { pool, signal } = request
     const broker = this.map.findBroker(pool, group)
-    if (broker === undefined || this.clock.now() < (this.silentUntil.get(broker) ?? 0)) return fallBack()
+    if (broker === undefined || passed >= MAX_BROKERS) return fallBack()
     const n = ++this.lastN
     const onAbort = (): void => this.cancelPending(n)
     signal.addEventListener('abort', onAbort, { once: true })
@@ -126,7 +132,7 @@
       this.pending.delete(n)
       signal.removeEventListener('abort', onAbort)
     }
-    this.pending.set(n, { request, group, broker, fallBack, cancel: () => {}, settle })
+    this.pending.set(n, { request, group, broker, passed, fallBack, cancel: () => {}, settle })
     this.sendAsk(n)
   }
 
@@ -152,12 +158,29 @@
     if (pending === undefined) return
     pending.settle()
     this.metrics.count('slot_asks_total', { outcome: 'unanswered' })
-    this.silentUntil.set(pending.broker, this.clock.now() + SILENT_FOR)
     this.sendTo(pending.broker, { type: WITHDRAW, n })
-    pending.fallBack()
+    this.passOver(pending.broker)
+    this.askGroup(pending.group, pending.request, pending.fallBack, pending.passed + 1)
     this.rows.tellSoon()
   }
 
+  private passOver (broker: string): void {
+    if (this.map.isSilent(broker)) return
+    this.map.setSilent(broker, true)
+    this.log.write('warn', 'slots', 'passes a silent broker over', { broker })
+    this.probe(broker)
+  }
+
+  /** Asked anything else, a broker that ended would keep each request waiting and get the rows that its successor needs. */
+  private probe (broker: string): void {
+    this.clock.after(PROBE_PERIOD, () => {
+      if (!this.map.isSilent(broker)) return
+      if (!this.map.isOwner(broker)) return this.map.setSilent(broker, false)
+      this.sendTo(broker, { type: PROBE })
+      this.probe(broker)
+    })
+  }
+
   private cancelPending (n: number): void {
     const pending = this.pending.get(n)
     if (pending === undefined) return
@@ -167,7 +190,7 @@
   }
 
   private handleAnswer (from: string, answer: SlotAnswer): void {
-    this.silentUntil.delete(from)
+    if (this.map.isSilent(from)) this.map.setSilent(from, false)
     switch (answer?.type) {
       case 'grant': return this.takeGrant(from, answer)
       case 'queued': {
@@ -189,6 +212,7 @@
         for (const listener of this.listeners) listener.onRevoke(answer.server)
         return this.rows.tellSoon()
       }
+      case 'here':
       case undefined: return
       default: return failUnreachable(answer)
     }
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -3,6 +3,7 @@
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Random } from '../kernel/random.js'
+import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { Metrics } from '../observe/metrics.js'
 import { Members } from '../peers/members.js'
@@ -52,6 +53,7 @@
   private cancel = (): void => {}
 
   constructor (
+    @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance'>,
     @inject(ServerLoads) private readonly loads: ServerLoads,
     @inject(Members) private readonly members: Members,
     @inject(SlotMap) private readonly map: SlotMap,
@@ -193,8 +195,9 @@
     return this.listPlaces(pool, group).reduce((sum, { slots, online }) => sum + Math.max(0, slots - online), 0)
   }
 
+  /** A daemon that is asked in place of the broker by one alone doesn't know what the others run, and would give their slots to batch. */
   private giveBatch (daemon: string, { pool, group, queue }: GroupState, { count, avoided }: BatchAsk): void {
-    if (queue.length > 0) return
+    if (queue.length > 0 || this.map.findBroker(pool, group) !== this.settings.instance) return
     for (let given = 0; given < count; given++) {
       const places = this.listPlaces(pool, group).map(place => ({ server: place.server, start: planBatch(place).start })).filter(({ server, start }) => start > 0 && !avoided.includes(server))
       const most = Math.max(...places.map(({ start }) => start))
--- a/src/placement/slot-map.ts
+++ b/src/placement/slot-map.ts
@@ -11,6 +11,8 @@
   private readonly counts = new Map<string, number>()
   private readonly groups = new Map<string, number>()
   private readonly brokers = new Map<string, string | undefined>()
+  /** Brokers that didn't answer. */
+  private readonly silent = new Set<string>()
 
   constructor (
     @inject(Members) private readonly members: Members,
@@ -35,9 +37,26 @@
     return findOnce(this.groups, server, () => slotGroups.find(server, this.countGroups(pool)))
   }
 
-  /** The daemon that gives the slots of a group; undefined while this one knows no daemon for sure. */
+  /** The daemon that gives the slots of a group; undefined while this one knows no daemon for sure, or none that answers. */
   findBroker (pool: string, group: number): string | undefined {
-    return findOnce(this.brokers, `${pool} ${group}`, () => slotGroups.findBroker(pool, group, this.members.owners()))
+    return findOnce(this.brokers, `${pool} ${group}`, () => slotGroups.findBroker(pool, group, this.members.owners().filter(name => !this.silent.has(name))))
+  }
+
+  /** Goes by the next in rank for the groups of a broker that doesn't answer, or by that broker again. */
+  setSilent (broker: string, isSilent: boolean): void {
+    if (isSilent) this.silent.add(broker)
+    else this.silent.delete(broker)
+    this.brokers.clear()
+  }
+
+  /** Whether a broker is passed over. */
+  isSilent (broker: string): boolean {
+    return this.silent.has(broker)
+  }
+
+  /** Whether the daemon may be a broker, by what membership knows. */
+  isOwner (daemon: string): boolean {
+    return this.members.owners().includes(daemon)
   }
 
   /** The broker of a server's group; undefined where the server isn't known any more. */
