Items with least left go first among those due at once, and those that come late in any case go last

Cause: items of one job have one due time, so that 10 of them advanced a little each; a stop took the newest. Change: order by due time, then by what is left (tokens, events for each token and time between events as observed); an item that can't be in time goes behind those that can; the last of that order is stopped.

--- /dev/null
+++ b/src/jobs/job-notes.ts
@@ -0,0 +1,62 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { countUnnoted } from './count-unnoted.js'
+import type { ItemProgress } from './item-progress.js'
+import { JobOwner } from './job-owner.js'
+import { JobRecords } from './job-records.js'
+import type { OwnedJob } from './owned-job.js'
+import { splitBySize } from './split-by-size.js'
+
+const CHECK_PERIOD = 500
+/** Events of a job that may be lost with its daemon. A lower figure loses less and writes more often. */
+const NOTE_EVENTS = 500
+/** Bytes of texts in one note, which is one object of the store. */
+const NOTE_BYTES = 500_000
+
+interface Note { readonly version: number, readonly progress: readonly ItemProgress[], readonly writing: boolean }
+
+const NONE: Note = { version: 0, progress: [], writing: false }
+
+/**
+ * Notes in the store how far the items of this daemon's jobs have come. Where all daemons end at once nobody is left to hand
+ * progress to: every item in flight would begin anew, and with slots as scarce as they are then its whole job comes late.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class JobNotes implements Part {
+  private readonly notes = new WeakMap<OwnedJob, Note>()
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(JobOwner) private readonly owner: JobOwner,
+    @inject(JobRecords) private readonly records: JobRecords,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {}
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(CHECK_PERIOD, () => { for (const job of this.owner.list()) void this.check(job) })
+  }
+
+  async drain (): Promise<void> {
+    this.cancel()
+  }
+
+  private async check (job: OwnedJob): Promise<void> {
+    const note = this.notes.get(job) ?? NONE
+    if (note.writing || job.isDone || job.ended || countUnnoted(job.items, note.progress) < NOTE_EVENTS) return
+    this.notes.set(job, { ...note, writing: true })
+    const [progress = []] = splitBySize(job.copyProgress(), ({ texts }) => texts.reduce((sum, text) => sum + text.length, 0), NOTE_BYTES)
+    const written = await this.records.writeProgress(job.id, progress, note.version)
+    if (written.ok) return void this.notes.set(job, { version: written.val, progress, writing: false })
+    // Another owner's note stands: the next one replaces it.
+    const version = written.val.type === 'conflict' ? written.val.version : note.version
+    this.notes.set(job, { ...note, version, writing: false })
+    this.log.write('info', 'jobs', 'the progress of a job could not be noted', { job: job.id, error: written.val.type })
+  }
+}
+
+partRegistry.register({ name: 'job notes', part: JobNotes, needs: ['job owner'] })
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -179,16 +179,18 @@
   private async load (id: string): Promise<Result<OwnedJob | undefined, StoreError>> {
     const head = await this.records.readHead(id)
     if (head.err) return head
-    const [items, segments, ended] = await Promise.all([this.records.readItems(id, head.val), this.records.readSegments(id), this.records.isEnded(id)])
+    const [items, segments, ended, noted] = await Promise.all([this.records.readItems(id, head.val), this.records.readSegments(id), this.records.isEnded(id), this.records.readProgress(id)])
     if (items.err) return items
     if (segments.err) return segments
     if (ended.err) return ended
+    if (noted.err) return noted
     const age = Math.max(0, this.clock.date() - head.val.submittedAt)
     const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, former: this.book.get(id) ?? head.val })
     job.ended = ended.val
+    job.useProgress(noted.val)
     job.useProgress(this.handed.get(id) ?? [])
     this.handed.delete(id)
-    this.log.write('info', 'jobs', 'took a job over', { job: id, from: head.val.owner, age, results: job.readPage(0).next, of: head.val.total, ended: job.ended })
+    this.log.write('info', 'jobs', 'took a job over', { job: id, from: head.val.owner, age, results: job.readPage(0).next, of: head.val.total, events: job.countEvents(), ended: job.ended })
     this.own(job)
     if (job.ended || job.isDone) this.close(job)
     return Ok(job)
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -5,6 +5,7 @@
 import { listPages } from '../store/list-pages.js'
 import type { StoreError } from '../store/store-error.js'
 import type { ListedResult } from './listed-result.js'
+import type { ItemProgress } from './item-progress.js'
 import type { JobHead } from './job-head.js'
 import type { JobItem } from './job-item.js'
 import { splitBySize } from './split-by-size.js'
@@ -13,6 +14,7 @@
 const ITEMS = 'job-items'
 const RESULTS = 'job-results'
 const ENDS = 'job-ends'
+const PROGRESS = 'job-progress'
 /** Bytes of items or results in one object, which may hold a megabyte; JSON may lengthen a text by a quarter and more. */
 const OBJECT_BYTES = 600_000
 /** About what the rest of an item adds to its body. */
@@ -21,7 +23,8 @@
 /**
  * Jobs as the store keeps them. Every object is created once and never changed, so that no write needs to know what was
  * there: items and head at once, which are a job once all are there; results as numbered segments, each created by whoever has
- * read all before it; the end as an object of its own. Two daemons that run one job can't both create a segment.
+ * read all before it; the end as an object of its own. Two daemons that run one job can't both create a segment. Only the
+ * note of how far its items have come is replaced; whichever stands is true, since any server goes on behind any event.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class JobRecords {
@@ -69,6 +72,18 @@
     return await this.createOnce(RESULTS, `${id}.${segment}`, results)
   }
 
+  /** Replaces the note of a job's progress; `version` is that of the note known, 0 for none. Gives the new one's. */
+  async writeProgress (id: string, progress: readonly ItemProgress[], version: number): Promise<Result<number, StoreError>> {
+    return (await this.store.put(PROGRESS, id, progress, version, 'background')).map(written => written.version)
+  }
+
+  /** How far the job's items had come when it was last noted. */
+  async readProgress (id: string): Promise<Result<readonly ItemProgress[], StoreError>> {
+    const read = await this.store.get<readonly ItemProgress[]>(PROGRESS, id, 'caller')
+    if (read.ok) return Ok(read.val.value)
+    return read.val.type === 'missing' ? Ok([]) : read
+  }
+
   async end (id: string): Promise<Result<void, StoreError>> {
     const ended = await this.createOnce(ENDS, id, true)
     return ended.err && ended.val.type === 'conflict' ? Ok(undefined) : ended
@@ -101,7 +116,7 @@
       if (removed.err && removed.val.type === 'missing') break
       if (removed.err) return removed
     }
-    const rest: ReadonlyArray<readonly [string, string]> = [...Array.from({ length: head.val.parts }, (_, i): [string, string] => [ITEMS, `${id}.${i}`]), [ENDS, id], [HEADS, id]]
+    const rest: ReadonlyArray<readonly [string, string]> = [...Array.from({ length: head.val.parts }, (_, i): [string, string] => [ITEMS, `${id}.${i}`]), [PROGRESS, id], [ENDS, id], [HEADS, id]]
     for (const [kind, name] of rest) {
       const removed = await this.removeOne(kind, name)
       if (removed.err && removed.val.type !== 'missing') return removed
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -17,6 +17,7 @@
 import { Servers } from '../routing/servers.js'
 import { findEnd } from './find-end.js'
 import type { ItemOutcome } from './item-outcome.js'
+import { ItemPace } from './item-pace.js'
 import { ItemRun } from './item-run.js'
 import type { ItemState } from './item-state.js'
 import { orderItems } from './order-items.js'
@@ -34,10 +35,10 @@
 /** Slots that are asked for at once from a broker. */
 const ASKED = 4
 
-/** An item that could start, and when its job is due, monotonic ms. */
-interface WaitingItem { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly due: number }
+/** An item with its job's route; when the job is due, monotonic ms, and how much longer the item would run, ms. */
+interface RunnableItem { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly due: number, readonly remaining: number }
 
-interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly run: ItemRun }
+interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly run: ItemRun }
 
 /** Runs the items of the jobs that this daemon owns on slots that online requests leave, and stops them when they are needed. */
 @scoped(Lifecycle.ContainerScoped)
@@ -56,6 +57,7 @@
     @inject(Sender) private readonly sender: Sender,
     @inject(Servers) private readonly servers: Servers,
     @inject(ConfigurationHolder) configuration: ConfigurationHolder,
+    @inject(ItemPace) private readonly pace: ItemPace,
     @inject(Metrics) private readonly metrics: Metrics,
     @inject(tokens.servers) private readonly dialect: ServerDialect,
     @inject(tokens.log) private readonly log: LogSink,
@@ -67,7 +69,7 @@
   }
 
   async start (): Promise<void> {
-    this.asker.subscribe({ onGrant: (pool, server) => this.useGrant(pool, server), onRevoke: server => this.stopNewest(server) })
+    this.asker.subscribe({ onGrant: (pool, server) => this.useGrant(pool, server), onRevoke: server => this.stopLast(server) })
     this.cancel = this.clock.every(IDLE_PERIOD, () => this.wake())
   }
 
@@ -97,12 +99,17 @@
     for (const running of this.running) if (running.job === job) running.run.stop()
   }
 
-  /** Stops the newest item at a server whose slot is needed: the others have more to read again. */
-  private stopNewest (server: string): void {
-    const newest = [...this.running].filter(({ run, state }) => run.server === server && state.phase === 'running').at(-1)
-    if (newest === undefined) return
-    newest.state.phase = 'waiting'
-    newest.run.stop()
+  /** Stops the item at a server, whose slot is needed, that would be the last to start. */
+  private stopLast (server: string): void {
+    const there = [...this.running].filter(({ run, state }) => run.server === server && state.phase === 'running')
+    const last = orderItems(there.map(running => ({ ...this.weigh(running), running })), this.clock.now()).at(-1)
+    if (last === undefined) return
+    last.state.phase = 'waiting'
+    last.running.run.stop()
+  }
+
+  private weigh ({ job, state, route }: Pick<RunnableItem, 'job' | 'state' | 'route'>): RunnableItem {
+    return { job, state, route, due: job.acceptedAt + (route.jobs?.dueAfter ?? Infinity), remaining: this.pace.estimateRemaining(state) }
   }
 
   /** Looks for slots at once, and again and again while items wait: a daemon without any has nothing to wake for. */
@@ -127,16 +134,16 @@
   }
 
   /** Items that could start now, in the order in which they should. */
-  private listWaiting (): readonly WaitingItem[] {
+  private listWaiting (): readonly RunnableItem[] {
     const now = this.clock.now()
     const busy = new Set([...this.running].map(({ state }) => state))
-    const waiting: WaitingItem[] = []
+    const waiting: RunnableItem[] = []
     for (const job of this.jobs) {
       const route = this.routes.find(job)
       for (const state of job.items) {
         if (this.giveUp(job, state, route, now)) continue
         const isFree = state.phase === 'waiting' && now >= state.notBefore && !busy.has(state)
-        if (isFree && route?.jobs !== undefined) waiting.push({ job, state, route, due: job.acceptedAt + route.jobs.dueAfter })
+        if (isFree && route?.jobs !== undefined) waiting.push(this.weigh({ job, state, route }))
       }
     }
     return orderItems(waiting, now)
@@ -159,18 +166,20 @@
     return true
   }
 
-  private startItem ({ job, state, route }: WaitingItem, pool: string, server: string): void {
+  private startItem ({ job, state, route }: RunnableItem, pool: string, server: string): void {
     const run = new ItemRun({ state, host: job.head.host, pool, server, mayStart: () => !job.ended && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, dialect: this.dialect })
-    const running = { job, state, run }
+    const running = { job, state, route, run }
+    const [startedAt, events] = [this.clock.now(), state.last ?? 0]
     state.phase = 'running'
     this.running.add(running)
     void run.run().then(outcome => {
       this.running.delete(running)
-      this.settle(running, route, outcome)
+      this.pace.recordRun((state.last ?? 0) - events, this.clock.now() - startedAt)
+      this.settle(running, outcome)
     })
   }
 
-  private settle ({ job, state, run }: Running, route: Route, outcome: ItemOutcome): void {
+  private settle ({ job, state, route, run }: Running, outcome: ItemOutcome): void {
     this.metrics.count('batch_runs_total', { outcome: outcome.type })
     this.wake()
     if (state.phase === 'ended') return
@@ -202,6 +211,7 @@
 
   private finish (job: OwnedJob, state: ItemState, result: 'completed' | 'failed', text: string): void {
     if (job.ended || !this.jobs.has(job)) return
+    if (result === 'completed') this.pace.recordEnd(state)
     job.finish(state, { id: state.item.id, state: result, text: result === 'completed' ? text : '' })
     this.log.write('info', 'jobs', 'an item ended', { request: state.item.id, job: job.id, result, events: state.last, failures: state.failures, after: Math.round(this.clock.now() - job.acceptedAt), detail: result === 'failed' ? text : undefined })
     for (const listener of this.listeners) listener(job)
--- a/src/jobs/order-items.ts
+++ b/src/jobs/order-items.ts
@@ -1,11 +1,24 @@
-/** An item that could run now, with the monotonic ms by which its job is due. */
-interface Due { readonly due: number }
+/** An item that could run now. Times in ms. */
+interface Runnable {
+  /** When its job is due, monotonic. */
+  readonly due: number
+  /** How much longer it would run. */
+  readonly remaining: number
+}
 
 /**
- * The order in which waiting items start: the earliest due first among those that can still be in time, then those that
- * are late. A late item is worth little whenever it ends; run first, as plain deadline order would have it, a backlog
- * makes each job after it late too.
+ * The order in which waiting items start, and from whose end running ones are stopped.
+ *
+ * Load pattern: slots that come and go with waves of online requests, for more items than there are slots. Those that can still
+ * be in time go first, the earliest due before the others, and of those due at once the one with least left: where all items of
+ * a job advance a little each, none has ended when its daemon does or when the job is due. Then the late ones, least
+ * left first; a late item is worth little whenever it ends, and run first a backlog makes each job after it late too.
  */
-export function orderItems<T extends Due> (items: readonly T[], now: number): readonly T[] {
-  return [...items].sort((a, b) => Number(a.due < now) - Number(b.due < now) || a.due - b.due)
+export function orderItems<T extends Runnable> (items: readonly T[], now: number): readonly T[] {
+  const isLate = ({ due, remaining }: T): boolean => now + remaining > due
+  return [...items].sort((a, b) => {
+    const late = Number(isLate(a)) - Number(isLate(b))
+    if (late !== 0) return late
+    return isLate(a) ? a.remaining - b.remaining : a.due - b.due || a.remaining - b.remaining
+  })
 }
