How far items have come is noted in the store

Cause: what an item had done was lost with its daemon. Tests jobs/job-notes: all daemons end; a note that fails is written again.

--- a/src/jobs/job-notes.ts
+++ b/src/jobs/job-notes.ts
@@ -51,7 +51,10 @@
     this.notes.set(job, { ...note, writing: true })
     const [progress = []] = splitBySize(job.copyProgress(), ({ texts }) => texts.reduce((sum, text) => sum + text.length, 0), NOTE_BYTES)
     const written = await this.records.writeProgress(job.id, progress, note.version)
-    if (written.ok) return void this.notes.set(job, { version: written.val, progress, writing: false })
+    if (written.ok) {
+      this.notes.set(job, { version: written.val, progress, writing: false })
+      return
+    }
     // Another owner's note stands: the next one replaces it.
     const version = written.val.type === 'conflict' ? written.val.version : note.version
     this.notes.set(job, { ...note, version, writing: false })
--- /dev/null
+++ b/test/jobs/job-notes.test.ts
@@ -0,0 +1,82 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { countUnnoted } from '../../src/jobs/count-unnoted.js'
+import type { JobBook } from '../../src/jobs/job-book.js'
+import type { JobItem } from '../../src/jobs/job-item.js'
+import { JobNotes } from '../../src/jobs/job-notes.js'
+import { JobOwner } from '../../src/jobs/job-owner.js'
+import { JobRecords } from '../../src/jobs/job-records.js'
+import type { JobRunner } from '../../src/jobs/job-runner.js'
+import type { Settings } from '../../src/kernel/settings.js'
+import type { Members } from '../../src/peers/members.js'
+import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
+import { VirtualClock } from '../helpers/virtual-clock.js'
+
+const ITEMS: readonly JobItem[] = ['a', 'b', 'c'].map(id => ({ id, path: `/jobs/${id}`, headers: {}, body: 'eA==', tokens: 10 }))
+
+interface Daemon { readonly owner: JobOwner, advance: (item: string, events: number) => void }
+
+async function createDaemon (name: string, store: MemoryStore, clock: VirtualClock): Promise<Daemon> {
+  const members = { run: 1, all: () => [], owners: () => [name] } as unknown as Members
+  const book = { subscribe: () => {}, tell: () => {}, get: () => undefined } as unknown as JobBook
+  const runner = { subscribe: () => {}, add: () => {}, remove: () => {} } as unknown as JobRunner
+  const records = new JobRecords(store)
+  const owner = new JobOwner(records, runner, book, members, { send: () => {} }, { instance: name } as unknown as Settings, { write: () => {} }, clock)
+  await new JobNotes(owner, records, { write: () => {} }, clock).start()
+  const advance = (item: string, events: number): void => {
+    const state = owner.find('j')!.items.find(other => other.item.id === item)!
+    for (let n = 0; n < events; n++) state.texts.push(`${item}${(state.last ?? 0) + n + 1}`)
+    state.last = (state.last ?? 0) + events
+  }
+  return { owner, advance }
+}
+
+// Items have run for some seconds when all daemons end at once. Whoever takes the job over goes on behind the events that were
+// noted last, with their texts; callers see whole texts.
+test('all daemons end: items go on from the last note', async t => {
+  const [store, clock] = [new MemoryStore(), new VirtualClock()]
+  const first = await createDaemon('d1', store, clock)
+  await first.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+  first.advance('a', 300)
+  first.advance('b', 250)
+  await clock.advance(1_000)
+  first.advance('b', 40)
+  await clock.advance(1_000)
+  const second = await createDaemon('d2', store, clock)
+  const job = (await second.owner.adopt('j')).unwrap()!
+  t.deepEqual(job.items.map(({ last }) => last), [300, 250, undefined])
+  t.deepEqual(job.items[1]!.texts.slice(-1), ['b250'])
+  second.advance('c', 600)
+  await clock.advance(1_000)
+  t.deepEqual((await new JobRecords(store).readProgress('j')).unwrap().map(({ id, last }) => [id, last]), [['a', 300], ['b', 250], ['c', 600]])
+})
+
+// The store is away for a while, and another owner's note has come meanwhile: the next note replaces that one.
+test('a note that fails is written again', async t => {
+  const [store, clock] = [new MemoryStore(), new VirtualClock()]
+  const daemon = await createDaemon('d1', store, clock)
+  await daemon.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+  daemon.advance('a', 700)
+  store.fault = ({ kind }) => kind === 'job-progress' ? { fail: { type: 'unavailable', reason: 'outage' } } : 'none'
+  await clock.advance(2_000)
+  await new JobRecords(store).writeProgress('j', [{ id: 'b', last: 1, texts: ['b1'], failures: 0 }], 0)
+  store.fault = () => 'none'
+  await new JobRecords(store).writeProgress('j', [{ id: 'b', last: 1, texts: ['b1'], failures: 0 }], 0)
+  await clock.advance(2_000)
+  t.deepEqual((await new JobRecords(store).readProgress('j')).unwrap().map(({ id, last }) => [id, last]), [['a', 700]])
+})
+
+interface Case { readonly name: string, readonly last?: number, readonly phase: 'waiting' | 'ended', readonly noted: number, readonly unnoted: number }
+
+const cases: readonly Case[] = [
+  { name: 'an item that never ran', phase: 'waiting', noted: 0, unnoted: 0 },
+  { name: 'one that ran on behind its note', last: 90, phase: 'waiting', noted: 60, unnoted: 30 },
+  { name: 'one that ended', last: 90, phase: 'ended', noted: 0, unnoted: 0 },
+  { name: 'a note of another owner that came further', last: 10, phase: 'waiting', noted: 60, unnoted: 0 }
+]
+
+for (const { name, last, phase, noted, unnoted } of cases) {
+  test(`events that would be lost: ${name}`, t => {
+    t.is(countUnnoted([{ item: ITEMS[0]!, last, phase }], [{ id: 'a', last: noted, texts: [], failures: 0 }]), unnoted)
+  })
+}
