A caller late since a first try that met nobody goes behind those that can be in time

Half of the first callers came from a try that had met nobody and were late on arrival; as callers that come back they went first. Change: the time that a caller has left tells when it first asked. Where no refusal of this queue lies between, its target counts from there, and it goes with the late ones. A caller that comes back is no longer given up for having waited long; any request is, once its wait would leave no time for the answer itself.

--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -139,18 +139,18 @@
       resumeAfter: head.resumeAfter,
       key: head.key,
       arrived,
+      asked: arrived - this.estimateElapsed(route, head.left),
       deadline: arrived + left,
-      returning: this.isReturning(route, head.left),
       signal: gone.signal
     }, service, new ResponseSink(res))
   }
 
-  /** A caller that comes again has less time left than the route's callers begin with. */
-  private isReturning (route: Route, left: number | undefined): boolean {
-    if (left === undefined) return false
+  /** How long ago a caller first asked, ms: one that comes again has less time left than the route's callers begin with. */
+  private estimateElapsed (route: Route, left: number | undefined): number {
+    if (left === undefined) return 0
     const longest = Math.max(left, this.longest.get(route) ?? 0)
     this.longest.set(route, longest)
-    return left < longest * RETURNING_SHARE
+    return left < longest * RETURNING_SHARE ? longest - left : 0
   }
 
   private refuseUnready (req: IncomingMessage, res: ServerResponse): void {
--- a/src/placement/place-request.ts
+++ b/src/placement/place-request.ts
@@ -11,7 +11,9 @@
   /** Target for the answer, or the first event, ms from `arrived`. */
   readonly target: number
   readonly priority: number
-  /** Whether its caller was refused before. */
+  /** When its caller first asked. */
+  readonly asked: number
+  /** Whether it was tried before, by its caller or here. */
   readonly returning: boolean
   readonly signal: AbortSignal
   /** Begins the request; it must be counted at the server before this returns. */
--- a/src/placement/plan-wait.ts
+++ b/src/placement/plan-wait.ts
@@ -6,13 +6,15 @@
   readonly ahead: number
   /** Mean time between two slots that come free for this daemon. */
   readonly interval: number
-  /** Since it came. */
+  /** How long requests keep their slots. */
+  readonly stay: number
+  /** Since its target counts. */
   readonly waited: number
   /** Target for its first event. */
   readonly target: number
   /** Until its deadline. */
   readonly left: number
-  /** Whether its caller has been refused before and comes for the last time. */
+  /** Whether it was tried before and its caller comes for the last time. */
   readonly returning: boolean
 }
 
@@ -20,7 +22,7 @@
 
 /** Share of the target within which a refusal still lets the caller come again and be served in time. */
 const EARLY = 0.2
-/** A wait that is expected to take more than this share of the time left is given up: nothing useful could come of it. */
+/** A wait that is expected to take more than this share of the time that its answer leaves is given up: nothing useful could come of it. */
 const PATIENCE = 0.5
 /** A request that has waited for this share of all its time is given up, while its caller has time for something else. */
 const LONGEST_WAIT = 0.4
@@ -36,12 +38,13 @@
  * of the burst late; a refusal while its caller can still come back in time moves that request into the lull behind the
  * burst. So a first try that can't begin in time is refused at once, or as soon as that shows, while it is early; past
  * that it waits, since a late answer is better than none. A caller that comes back has no further try and isn't refused
- * early. Where the overload lasts and the wait would use up the time, each is told so while it has time left.
+ * early, nor for having waited long. Where the wait would leave no time for the answer itself, each is told so at once.
  */
-export function planWait ({ ahead, interval, waited, target, left, returning }: WaitState): Plan {
+export function planWait ({ ahead, interval, stay, waited, target, left, returning }: WaitState): Plan {
   const expected = (ahead + 1) * interval
   const refusal: Plan = { type: 'refuse', retryAfter: Math.max(BACK_AFTER * target, expected) }
-  if (expected > left * PATIENCE || waited > (waited + left) * LONGEST_WAIT) return refusal
+  if (expected > (left - stay) * PATIENCE) return refusal
+  if (!returning && waited > (waited + left) * LONGEST_WAIT) return refusal
   const early = EARLY * target
   const isHopeless = expected > target * (1 - firstEventShare) - waited
   if (!returning && waited <= early && isHopeless) return refusal
--- a/src/placement/slot-ask.ts
+++ b/src/placement/slot-ask.ts
@@ -9,6 +9,8 @@
     readonly key?: string
     readonly avoided: readonly string[]
     readonly waited: number
+    /** Since its caller first asked. */
+    readonly sinceAsked: number
     readonly left: number
     readonly target: number
     readonly priority: number
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -157,7 +157,7 @@
     for (const { queue } of this.groups.values()) if (queue.length > 0) queue.giveAll()
   }
 
-  private giveOnline (daemon: string, state: GroupState, { n, waited, left, ...ask }: OnlineAsk): void {
+  private giveOnline (daemon: string, state: GroupState, { n, waited, sinceAsked, left, ...ask }: OnlineAsk): void {
     const { queue } = state
     const key = `${daemon} ${n}`
     // Asked again, because the answer didn't come: what was given lapses.
@@ -175,6 +175,7 @@
     queue.request({
       ...ask,
       arrived: now - waited,
+      asked: now - sinceAsked,
       deadline: now + left,
       signal: abort.signal,
       start: server => {
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -25,6 +25,8 @@
 
 interface Waiting extends PlaceRequest {
   readonly since: number
+  /** From when its target counts. */
+  readonly begun: number
   readonly settle: () => void
 }
 
@@ -35,6 +37,8 @@
 export class SlotQueue {
   private readonly queue: Waiting[] = []
   private giving = false
+  /** When a caller was last refused here: one that first asked before that may be that one, whose target begins anew. */
+  private refusedAt = -Infinity
 
   constructor (private readonly options: SlotQueueOptions) {}
 
@@ -63,6 +67,7 @@
     const waiting: Waiting = {
       ...request,
       since: this.options.clock.now(),
+      begun: request.asked > this.refusedAt ? request.asked : request.arrived,
       settle: () => {
         cancel()
         request.signal.removeEventListener('abort', onAbort)
@@ -87,7 +92,8 @@
     const plan = planWait({
       ahead: this.queue.filter(other => other !== waiting && compareWaiting(other, waiting, now) < 0).length,
       interval: this.estimateInterval(places),
-      waited: now - waiting.arrived,
+      stay: this.options.getStay(),
+      waited: now - waiting.begun,
       target: waiting.target,
       left: waiting.deadline - now,
       returning: waiting.returning
@@ -102,6 +108,7 @@
   }
 
   private refuse (cause: Refusal['cause'], retryAfter: number, detail: string): Refusal {
+    this.refusedAt = this.options.clock.now()
     return { cause, ran: 'not run', retryAfter: this.options.random.spread(retryAfter, SPREAD), detail }
   }
 
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -109,7 +109,8 @@
         deadline: request.deadline,
         target: request.route.target,
         priority: request.route.priority,
-        returning: request.returning || this.tried.length > 0,
+        asked: request.asked,
+        returning: request.asked < request.arrived || this.tried.length > 0,
         signal: this.abort.signal,
         start: server => resolve({ server, opened: this.open(server) }),
         refuse: refusal => resolve(refusal)
--- a/src/routing/routed-request.ts
+++ b/src/routing/routed-request.ts
@@ -17,8 +17,8 @@
   readonly arrived: number
   /** By which it must be answered: the caller's own, or its route's. */
   readonly deadline: number
-  /** Whether the caller has tried before and been refused. */
-  readonly returning: boolean
+  /** When its caller first asked, as far as the time that it gives tells; `arrived` for a first try. */
+  readonly asked: number
   /** Aborted when the caller leaves. */
   readonly signal: AbortSignal
 }
--- a/test/placement/plan-wait.test.ts
+++ b/test/placement/plan-wait.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { planWait } from '../../src/placement/plan-wait.js'
 
-const base = { ahead: 0, interval: 50, waited: 0, target: 300, left: 5_000, returning: false }
+const base = { ahead: 0, interval: 50, stay: 800, waited: 0, target: 300, left: 5_000, returning: false }
 
 const cases: ReadonlyArray<readonly [string, Partial<typeof base>, 'wait' | 'refuse']> = [
   ['a slot is expected in time', { ahead: 2 }, 'wait'],
@@ -10,6 +10,8 @@
   ['it has waited too long for an early refusal: late is better than none', { ahead: 4, waited: 80 }, 'wait'],
   ['a caller that comes back has no further try', { ahead: 20, returning: true }, 'wait'],
   ['unless its time has no room for it', { ahead: 80, returning: true }, 'refuse'],
+  ['its time has no room for the answer itself', { returning: true, left: 850 }, 'refuse'],
+  ['one that comes back waits on', { returning: true, waited: 2_100, left: 2_900 }, 'wait'],
   ['it has waited for long: told while it has time for something else', { waited: 2_100, left: 2_900 }, 'refuse']
 ]
 
--- a/test/placement/slot-broker.test.ts
+++ b/test/placement/slot-broker.test.ts
@@ -17,6 +17,7 @@
     deadline: arrived + 5_000,
     target: 300,
     priority: 0,
+    asked: arrived,
     returning: false,
     signal,
     start: server => {
