A slot for batch goes to the daemon whose item is most urgent

Cause: a free slot went to whichever daemon asked first; daemons own jobs of different ages, so that an item with much time ran while another daemon's came late. Test: slot-broker, a slot that comes free goes to the item that is due first.

--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -11,6 +11,7 @@
 import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
 import { ServerLoads } from '../placement/server-loads.js'
+import { orderBatch } from '../placement/order-batch.js'
 import { SlotAsker } from '../placement/slot-asker.js'
 import { Sender } from '../routing/sender.js'
 import type { ServerDialect } from '../routing/server-dialect.js'
@@ -20,7 +21,6 @@
 import { ItemPace } from './item-pace.js'
 import { ItemRun } from './item-run.js'
 import type { ItemState } from './item-state.js'
-import { orderItems } from './order-items.js'
 import { RouteFinder } from './route-finder.js'
 import type { OwnedJob } from './owned-job.js'
 
@@ -102,7 +102,7 @@
   /** Stops the item at a server, whose slot is needed, that would be the last to start. */
   private stopLast (server: string): void {
     const there = [...this.running].filter(({ run, state }) => run.server === server && state.phase === 'running')
-    const last = orderItems(there.map(running => ({ ...this.weigh(running), running })), this.clock.now()).at(-1)
+    const last = orderBatch(there.map(running => ({ ...this.weigh(running), running })), this.clock.now()).at(-1)
     if (last === undefined) return
     last.state.phase = 'waiting'
     last.running.run.stop()
@@ -129,7 +129,8 @@
     const first = waiting[0]
     if (first === undefined) return false
     const pool = chooseService(first.route.services, this.random)
-    if (pool !== undefined) this.asker.askBatch(pool, Math.min(ASKED, waiting.length))
+    const { due, remaining } = first
+    if (pool !== undefined) this.asker.askBatch(pool, { count: Math.min(ASKED, waiting.length), due, remaining })
     return true
   }
 
@@ -146,7 +147,7 @@
         if (isFree && route?.jobs !== undefined) waiting.push(this.weigh({ job, state, route }))
       }
     }
-    return orderItems(waiting, now)
+    return orderBatch(waiting, now)
   }
 
   /** A broker gives a slot to the first item that may run there; one that is left goes back with the next word to the broker. */
--- a/src/jobs/order-items.ts
+++ b/src/placement/order-batch.ts
@@ -1,4 +1,4 @@
-/** An item that could run now. Times in ms. */
+/** An item, or the first of a daemon's, that could run now. Times in ms. */
 interface Runnable {
   /** When its job is due, monotonic. */
   readonly due: number
@@ -14,7 +14,7 @@
  * a job advance a little each, none has ended when its daemon does or when the job is due. Then the late ones, least
  * left first; a late item is worth little whenever it ends, and run first a backlog makes each job after it late too.
  */
-export function orderItems<T extends Runnable> (items: readonly T[], now: number): readonly T[] {
+export function orderBatch<T extends Runnable> (items: readonly T[], now: number): readonly T[] {
   const isLate = ({ due, remaining }: T): boolean => now + remaining > due
   return [...items].sort((a, b) => {
     const late = Number(isLate(a)) - Number(isLate(b))
--- a/src/placement/slot-ask.ts
+++ b/src/placement/slot-ask.ts
@@ -16,4 +16,4 @@
     readonly priority: number
     readonly returning: boolean
   }
-  | { readonly work: 'batch', readonly pool: string, readonly group: number, readonly avoided: readonly string[], readonly count: number }
+  | { readonly work: 'batch', readonly pool: string, readonly group: number, readonly avoided: readonly string[], readonly count: number, readonly dueIn: number, readonly remaining: number }
--- a/src/placement/slot-asker.ts
+++ b/src/placement/slot-asker.ts
@@ -12,6 +12,7 @@
 import { PeerLinks } from '../peers/peer-links.js'
 import type { PeerMessage } from '../peers/peer-message.js'
 import { exchangeObserverPoint } from '../routing/exchange-observer-point.js'
+import type { BatchBid } from './batch-bid.js'
 import type { LoadRow } from './load-row.js'
 import type { PlaceRequest } from './place-request.js'
 import { ServerLoads } from './server-loads.js'
@@ -137,10 +138,11 @@
   }
 
   /** Asks for slots for batch items; none may come. */
-  askBatch (pool: string, count: number): void {
+  askBatch (pool: string, { count, due, remaining }: BatchBid): void {
     const group = this.chooseGroup(pool)
     const broker = this.map.findBroker(pool, group)
-    if (broker !== undefined) this.sendTo(broker, { type: ASK, ask: { work: 'batch', pool, group, avoided: this.loads.listClosed(pool), count } satisfies SlotAsk })
+    const ask: SlotAsk = { work: 'batch', pool, group, avoided: this.loads.listClosed(pool), count, dueIn: due - this.clock.now(), remaining }
+    if (broker !== undefined) this.sendTo(broker, { type: ASK, ask })
   }
 
   private sendAsk (n: number): void {
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -7,6 +7,7 @@
 import { tokens } from '../kernel/tokens.js'
 import { Metrics } from '../observe/metrics.js'
 import { Members } from '../peers/members.js'
+import { BatchBids } from './batch-bids.js'
 import type { LoadRow } from './load-row.js'
 import { planBatch } from './plan-batch.js'
 import { ServerLoads } from './server-loads.js'
@@ -21,7 +22,6 @@
 /** How often what has grown old is dropped, and slots are looked for that a server's return or a lapsed grant freed, ms. */
 const CHECK_PERIOD = 500
 
-type BatchAsk = Extract<SlotAsk, { work: 'batch' }>
 type OnlineAsk = Extract<SlotAsk, { work: 'online' }>
 type Send = (daemon: string, answer: SlotAnswer) => void
 
@@ -29,6 +29,7 @@
   readonly pool: string
   readonly group: number
   readonly queue: SlotQueue
+  readonly bids: BatchBids
 }
 
 /**
@@ -85,8 +86,11 @@
   ask (daemon: string, ask: SlotAsk): void {
     this.noteRun(daemon)
     const state = this.findState(ask.pool, ask.group)
-    if (ask.work === 'batch') return this.giveBatch(daemon, state, ask)
-    this.giveOnline(daemon, state, ask)
+    if (ask.work === 'online') return this.giveOnline(daemon, state, ask)
+    const now = this.clock.now()
+    const { count, avoided, dueIn, remaining } = ask
+    state.bids.put({ daemon, count, avoided, due: now + dueIn, remaining, at: now })
+    this.giveBatch(state)
   }
 
   /** The daemon doesn't want the slot any more. */
@@ -113,6 +117,7 @@
       if (runs.get(daemon) === run) continue
       this.runs.delete(daemon)
       this.ledger.drop(daemon)
+      for (const { bids } of this.groups.values()) bids.drop(daemon)
       for (const [key, abort] of this.waiting) if (key.startsWith(`${daemon} `)) abort.abort()
     }
     this.giveAll()
@@ -142,7 +147,7 @@
       metrics: this.metrics
     })
     this.metrics.gauge('slots_waiting', () => queue.length, { pool, group: String(group) })
-    const state = { pool, group, queue }
+    const state = { pool, group, queue, bids: new BatchBids() }
     this.groups.set(key, state)
     return state
   }
@@ -154,7 +159,10 @@
   }
 
   private giveAll (): void {
-    for (const { queue } of this.groups.values()) if (queue.length > 0) queue.giveAll()
+    for (const state of this.groups.values()) {
+      if (state.queue.length > 0) state.queue.giveAll()
+      this.giveBatch(state)
+    }
   }
 
   private giveOnline (daemon: string, state: GroupState, { n, waited, sinceAsked, left, ...ask }: OnlineAsk): void {
@@ -197,19 +205,27 @@
   }
 
   /** A daemon that is asked in place of the broker by one alone doesn't know what the others run, and would give their slots to batch. */
-  private giveBatch (daemon: string, { pool, group, queue }: GroupState, { count, avoided }: BatchAsk): void {
+  private giveBatch ({ pool, group, queue, bids }: GroupState): void {
     if (queue.length > 0 || this.map.findBroker(pool, group) !== this.settings.instance) return
-    for (let given = 0; given < count; given++) {
-      const places = this.listPlaces(pool, group).map(place => ({ server: place.server, start: planBatch(place).start })).filter(({ server, start }) => start > 0 && !avoided.includes(server))
-      const most = Math.max(...places.map(({ start }) => start))
-      const best = places.filter(({ start }) => start === most)
-      const chosen = best[this.random.below(best.length)]
-      if (chosen === undefined) return
-      const g = this.ledger.record(daemon, { at: this.clock.now(), server: chosen.server, online: 0, batch: 1 })
-      this.send(daemon, { type: 'batch', g, server: chosen.server, pool })
+    for (const { daemon, count, avoided } of bids.list(this.clock.now())) {
+      for (let given = 0; given < count; given++) {
+        const server = this.chooseIdle(pool, group, avoided)
+        if (server === undefined) break
+        bids.use(daemon)
+        const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 0, batch: 1 })
+        this.send(daemon, { type: 'batch', g, server, pool })
+      }
     }
   }
 
+  /** A server with most slots that batch may take. */
+  private chooseIdle (pool: string, group: number, avoided: readonly string[]): string | undefined {
+    const places = this.listPlaces(pool, group).map(place => ({ server: place.server, start: planBatch(place).start })).filter(({ server, start }) => start > 0 && !avoided.includes(server))
+    const most = Math.max(...places.map(({ start }) => start))
+    const best = places.filter(({ start }) => start === most)
+    return best[this.random.below(best.length)]?.server
+  }
+
   /** Stops as many batch items as there are too many requests at the server, each time of the daemon with most. */
   private releaseExcess (server: string): void {
     const { stop } = planBatch({ slots: this.loads.countSlots(server), ...this.ledger.find(server) })
--- a/test/jobs/order-items.test.ts
+++ b/test/placement/order-batch.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { Random } from '../../src/kernel/random.js'
-import { orderItems } from '../../src/jobs/order-items.js'
+import { orderBatch } from '../../src/placement/order-batch.js'
 
 interface Case { readonly name: string, readonly items: ReadonlyArray<{ readonly id: string, readonly due: number, readonly remaining: number }>, readonly order: string }
 
@@ -12,7 +12,7 @@
 ]
 
 for (const { name, items, order } of cases) {
-  test(name, t => { t.is(orderItems(items, 1_000).map(({ id }) => id).join(' '), order) })
+  test(name, t => { t.is(orderBatch(items, 1_000).map(({ id }) => id).join(' '), order) })
 }
 
 interface Item { readonly due: number, readonly work: number, done: number, endedAt?: number }
@@ -49,7 +49,7 @@
   return { inTime: due.filter(({ due, endedAt }) => endedAt !== undefined && endedAt <= due).length, of: due.length }
 }
 
-const byRemaining: Order = (items, now) => orderItems(items.map(item => ({ item, due: item.due, remaining: Math.max(STEP, 5_300 - item.done) })), now).map(({ item }) => item)
+const byRemaining: Order = (items, now) => orderBatch(items.map(item => ({ item, due: item.due, remaining: Math.max(STEP, 5_300 - item.done) })), now).map(({ item }) => item)
 const byDue: Order = items => [...items].sort((a, b) => a.due - b.due)
 
 // Online requests come in waves, so that batch has 46 slots for 3 s and 4 for 2.2 s; each job of 10 items is due after 18 s, and in the
--- a/test/placement/slot-broker.test.ts
+++ b/test/placement/slot-broker.test.ts
@@ -71,7 +71,7 @@
     })
   }
   for (let round = 0; round < 10; round++) {
-    for (const { asker } of fleet.daemons.values()) asker.askBatch('p', 4)
+    for (const { asker } of fleet.daemons.values()) asker.askBatch('p', { count: 4, due: clock.now() + 9_000, remaining: 1_000 })
     await clock.advance(20)
   }
   t.is(ends.length, 6 * 6)
@@ -174,3 +174,24 @@
   await clock.advance(10)
   t.is(broker.waits, 0)
 })
+
+// Every slot is taken, and two daemons want one for batch: the first has asked for long and has much time, the other's item is due
+// soon. When a slot comes free the urgent one gets it, before either asks again.
+test('a slot that comes free goes to the daemon whose item is due first', async t => {
+  const clock = new VirtualClock()
+  const fleet = new SlotFleet({ daemons: 4, servers: 1, slots: 4, clock })
+  await fleet.start()
+  const granted: string[] = []
+  for (const [daemon, { asker }] of fleet.daemons) asker.subscribe({ onGrant: () => granted.push(daemon), onRevoke: () => {} })
+  const ends = Array.from({ length: 4 }, () => fleet.begin('d0', 's0', 'online'))
+  await clock.advance(1_100)
+  fleet.daemons.get('d1')!.asker.askBatch('p', { count: 4, due: clock.now() + 15_000, remaining: 1_000 })
+  await clock.advance(10)
+  fleet.daemons.get('d2')!.asker.askBatch('p', { count: 4, due: clock.now() + 3_000, remaining: 1_000 })
+  await clock.advance(10)
+  t.deepEqual(granted, [])
+  for (const end of ends.slice(0, 2)) end()
+  await clock.advance(20)
+  t.is(granted[0], 'd2')
+  t.true(granted.every(daemon => daemon === 'd2'))
+})
