A daemon listens before its program is loaded, and its first callers wait for what it must know

Change: the loader listens at the door first; connections wait unread, and the HTTP server takes over the listening handle and them. Requests wait until the configuration and the servers are known, for the first 0.6 s of a process; after that one that knows nothing refuses at once, as before. A caller that leaves meanwhile is seen to have left.

--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -6,9 +6,11 @@
 import { findRoute } from '../config/find-route.js'
 import type { Route } from '../config/route.js'
 import { createAppServer } from '../http/create-app-server.js'
+import type { EarlyServer } from '../http/early-server.js'
 import { listen } from '../http/listen.js'
 import { readBody } from '../http/read-body.js'
 import { sendJson } from '../http/send-json.js'
+import { takeOver } from '../http/take-over.js'
 import { Jobs } from '../jobs/jobs.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
@@ -18,12 +20,14 @@
 import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
 import { Members } from '../peers/members.js'
+import { FleetWatch } from '../fleet/fleet-watch.js'
 import { Forwarder } from '../routing/forwarder.js'
 import { CallerConnections } from './caller-connections.js'
 import type { DoorDialect } from './door-dialect.js'
 import { ResponseSink } from './response-sink.js'
 import type { RoutedSettings } from './routed-settings.js'
 import { sendRoutedRefusal } from './send-routed-refusal.js'
+import { StartWait } from './start-wait.js'
 
 const HEADERS_TIMEOUT = 10_000
 const TIMEOUT_CHECK = 1_000
@@ -49,11 +53,13 @@
 export class RoutedEntry implements Part {
   private readonly server: Server
   private readonly connections: CallerConnections
+  private readonly startWait: StartWait
   /** By route, for as long as its configuration is held: the longest time that a caller has given, ms. */
   private readonly longest = new WeakMap<Route, number>()
 
   constructor (
     @inject(tokens.routed) private readonly settings: RoutedSettings,
+    @inject(tokens.early) private readonly early: EarlyServer | undefined,
     @inject(tokens.door) private readonly dialect: DoorDialect,
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(tokens.log) private readonly log: LogSink,
@@ -61,6 +67,7 @@
     @inject(Forwarder) private readonly forwarder: Forwarder,
     @inject(Jobs) private readonly jobs: Jobs,
     @inject(Members) private readonly members: Members,
+    @inject(FleetWatch) fleet: FleetWatch,
     @inject(Metrics) metrics: Metrics
   ) {
     const app = new App()
@@ -68,12 +75,21 @@
     this.server = createAppServer(app, { headersTimeout: HEADERS_TIMEOUT, connectionsCheckingInterval: TIMEOUT_CHECK, keepAliveTimeout: KEEP_ALIVE_TIMEOUT, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 })
     this.connections = new CallerConnections(this.server, clock, { keepAlive: KEEP_ALIVE, closeIdleAfter: CLOSE_IDLE_AFTER })
     this.server.on('clientError', (_error, socket) => socket.destroy())
+    this.startWait = new StartWait({
+      clock,
+      isKnown: () => configuration.value.version > 0 && fleet.knowsServers,
+      subscribe: listener => {
+        const stops = [configuration.subscribe(listener), fleet.subscribe(listener)]
+        return () => { for (const stop of stops) stop() }
+      }
+    })
     metrics.gauge('entry_connections', () => this.connections.size)
   }
 
   async start (): Promise<void> {
     const { requests } = this.settings
-    await listen(this.server, requests.host, requests.port)
+    if (this.early === undefined) await listen(this.server, requests.host, requests.port)
+    else await takeOver(this.server, this.early)
     this.members.update({ port: requests.port })
   }
 
@@ -106,8 +122,10 @@
   }
 
   private async serve (req: IncomingMessage, res: ServerResponse, arrived: number): Promise<void> {
+    const gone = new AbortController()
+    res.once('close', () => { if (!res.writableFinished) gone.abort() })
+    if (!await this.startWait.wait() && this.configuration.value.version === 0) return this.refuseUnready(req, res)
     const { version, routes = {}, limits } = this.configuration.value
-    if (version === 0) return this.refuseUnready(req, res)
     const call = this.dialect.readJobCall(req)
     if (call !== undefined) return await this.jobs.answer(call, res)
     const head = this.dialect.readHead(req)
@@ -117,8 +135,6 @@
       req.resume()
       return sendJson(res, 404, { cause: 'no route', detail: 'no route takes this host and path' })
     }
-    const gone = new AbortController()
-    res.once('close', () => { if (!res.writableFinished) gone.abort() })
     const body = await readBody(req, limits.bodyBytes)
     if (body.err) {
       if (body.val === 'cut') res.destroy()
--- /dev/null
+++ b/src/entry/start-wait.ts
@@ -0,0 +1,40 @@
+import type { Clock } from '../kernel/clock.js'
+import { waitForNext } from '../kernel/wait-for-next.js'
+
+/**
+ * How long after its start a daemon lets requests wait for what it must know, ms. The store answers within some ten, and one that
+ * doesn't by then is away for longer than callers can wait.
+ */
+const KNOWN_WITHIN = 600
+
+interface StartWaitOptions {
+  readonly clock: Clock
+  readonly isKnown: () => boolean
+  /** Calls `listener` whenever that may have changed; the function it gives back ends that. */
+  readonly subscribe: (listener: () => void) => () => void
+}
+
+/**
+ * Lets the first requests of a process wait until it knows its configuration and the backend servers.
+ *
+ * Load pattern: all daemons ended, and a second's callers come at once to processes that have just started. Refused for what the
+ * store will have told in a moment, they lose their last try; later, while the store is away, they are told at once.
+ */
+export class StartWait {
+  private readonly until: number
+
+  constructor (private readonly options: StartWaitOptions) {
+    this.until = options.clock.now() + KNOWN_WITHIN
+  }
+
+  /** Resolves once all is known, true, or once waiting is of no use, false. */
+  async wait (): Promise<boolean> {
+    const { clock, isKnown, subscribe } = this.options
+    while (!isKnown()) {
+      const left = this.until - clock.now()
+      if (left <= 0) return false
+      await waitForNext(clock, subscribe, left)
+    }
+    return true
+  }
+}
--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -87,9 +87,9 @@
     return this.instances.cursor >= 0 || this.instances.list().size > 0
   }
 
-  /** `listener` runs when the servers have changed. */
-  subscribe (listener: () => void): void {
-    this.list.subscribe(listener)
+  /** `listener` runs when the servers have changed; the function it gives back ends that. */
+  subscribe (listener: () => void): () => void {
+    return this.list.subscribe(listener)
   }
 
   private async follow<T> (kind: string, mirror: StoreMirror<T>): Promise<void> {
--- a/src/kernel/tokens.ts
+++ b/src/kernel/tokens.ts
@@ -1,6 +1,7 @@
 import type { InjectionToken } from 'tsyringe'
 import type { DoorDialect } from '../entry/door-dialect.js'
 import type { RoutedSettings } from '../entry/routed-settings.js'
+import type { EarlyServer } from '../http/early-server.js'
 import type { ServerDialect } from '../routing/server-dialect.js'
 import type { Clock } from './clock.js'
 import type { Random } from './random.js'
@@ -21,5 +22,7 @@
   /** How callers speak to the door for requests by host and path, how its servers are spoken to, and where it listens. */
   door: Symbol('door') as InjectionToken<DoorDialect>,
   servers: Symbol('servers') as InjectionToken<ServerDialect>,
-  routed: Symbol('routed') as InjectionToken<RoutedSettings>
+  routed: Symbol('routed') as InjectionToken<RoutedSettings>,
+  /** What listens at that door already, where anything does. */
+  early: Symbol('early') as InjectionToken<EarlyServer | undefined>
 }
--- a/src/store/instance-list.ts
+++ b/src/store/instance-list.ts
@@ -60,8 +60,9 @@
     return this.all.find(({ name }) => name === instance)
   }
 
-  subscribe (listener: () => void): void {
+  subscribe (listener: () => void): () => void {
     this.listeners.add(listener)
+    return () => this.listeners.delete(listener)
   }
 
   /** Takes the list of a daemon that has it, unless this one reads the platform itself and has done so. */
--- /dev/null
+++ b/test/entry/start-wait.test.ts
@@ -0,0 +1,37 @@
+import test from 'ava'
+import { StartWait } from '../../src/entry/start-wait.js'
+import { VirtualClock } from '../helpers/virtual-clock.js'
+
+interface Case { readonly name: string, readonly knownAt: number, readonly comesAt: number, readonly outcome: { readonly known: boolean, readonly at: number } }
+
+const cases: readonly Case[] = [
+  { name: 'the store answers in a moment: the caller waits for it', knownAt: 90, comesAt: 10, outcome: { known: true, at: 90 } },
+  { name: 'all is known: no wait', knownAt: 90, comesAt: 200, outcome: { known: true, at: 200 } },
+  { name: 'the store is away: the caller is told within the time of a start', knownAt: Infinity, comesAt: 100, outcome: { known: false, at: 600 } },
+  { name: 'it is away for longer: the caller is told at once', knownAt: Infinity, comesAt: 2_000, outcome: { known: false, at: 2_000 } }
+]
+
+// All daemons have started anew, and their callers come before the store has told them anything.
+for (const { name, knownAt, comesAt, outcome } of cases) {
+  test(name, async t => {
+    const clock = new VirtualClock()
+    const listeners = new Set<() => void>()
+    let known = false
+    const subscribe = (listener: () => void): () => void => {
+      listeners.add(listener)
+      return () => listeners.delete(listener)
+    }
+    const wait = new StartWait({ clock, isKnown: () => known, subscribe })
+    if (knownAt < Infinity) {
+      clock.after(knownAt, () => {
+        known = true
+        for (const listener of [...listeners]) listener()
+      })
+    }
+    let seen: unknown
+    clock.after(comesAt, () => { void wait.wait().then(known => { seen = { known, at: clock.now() } }) })
+    await clock.advance(5_000)
+    t.deepEqual(seen, outcome)
+    t.is(listeners.size, 0)
+  })
+}
