A process that has ended is dropped by membership at once

Cause: by silence alone a killed daemon is dropped after 2.5 s. So long callers are sent to it, its jobs rest, and the brokers hold its slots for taken though its connections to the servers are closed. Change: a peer that closes a link in use is tried at its address; one that refuses connections has ended, and membership takes it for dead in the incarnation known before the try, so that one that started anew isn't meant. Silence says nothing, as before. Tests: peers/is-ended (real sockets), coordination/membership.

--- a/src/coordination/membership-event.ts
+++ b/src/coordination/membership-event.ts
@@ -9,6 +9,8 @@
   | { readonly type: 'listed', readonly members: readonly { readonly name: string, readonly data: Readonly<Record<string, string | number>> }[] }
   /** This process stood still; `incarnation` is above all it had before. */
   | { readonly type: 'paused', readonly incarnation: number }
+  /** The process of a member has ended for certain, that which was of `incarnation`: its address refuses connections. */
+  | { readonly type: 'ended', readonly name: string, readonly incarnation: number }
   /** This member has news of itself. */
   | { readonly type: 'updated', readonly data: Readonly<Record<string, string | number>> }
   | { readonly type: 'leave' }
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -45,6 +45,7 @@
     case 'message': return handleMessage(state, event.from, event.message, context)
     case 'listed': return takeList(state, event.members, context)
     case 'paused': return dropBeliefs(state, event.incarnation, context)
+    case 'ended': return buildStep(dropEnded(state, event, context))
     case 'updated': return updateSelf(state, { data: event.data }, context)
     case 'leave': return updateSelf(state, { leaving: true }, context)
     case 'end': return updateSelf(state, { status: 'dead' }, context)
@@ -97,6 +98,13 @@
   return { state: next, effects: chooseSome(listOthers(next, ['alive']), JOIN_FANOUT, random).map(to => sendState(next, to, true)) }
 }
 
+/** Whoever has started anew meanwhile has another incarnation, of which the end says nothing. */
+function dropEnded (state: MembershipState, { name, incarnation }: Extract<MembershipEvent, { type: 'ended' }>, { now }: Context): MembershipState {
+  const record = state.members.get(name)
+  if (name === state.self || record === undefined || record.status === 'dead' || record.incarnation !== incarnation) return state
+  return setRecord(state, { ...record, status: 'dead', since: now })
+}
+
 function handleMessage (state: MembershipState, from: string, message: MembershipMessage, context: Context): Step {
   const merged = mergeRecords(state, message.u, context.now)
   switch (message.type) {
--- a/src/peers/link-watch.ts
+++ b/src/peers/link-watch.ts
@@ -38,6 +38,11 @@
     return true
   }
 
+  /** How long nothing has come or gone. */
+  countIdle (now: number): number {
+    return now - this.used
+  }
+
   check (now: number): 'open' | 'silent' | 'idle' {
     if (this.pinged !== undefined && now - this.pinged >= this.options.answerWithin) return 'silent'
     return now - this.used >= this.options.idleAfter ? 'idle' : 'open'
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -41,6 +41,11 @@
     return this.session.peer
   }
 
+  /** How long nothing has come or gone, ms. */
+  get idleFor (): number {
+    return this.watch.countIdle(this.listener.now())
+  }
+
   open (): void {
     this.socket.write(this.session.open())
   }
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -14,6 +14,7 @@
 import { tokens } from '../kernel/tokens.js'
 import { Timeline } from '../observe/timeline.js'
 import { InstanceList } from '../store/instance-list.js'
+import { isEnded } from './is-ended.js'
 import type { Member } from './member.js'
 import { PeerAddresses } from './peer-addresses.js'
 import { peerHandlerPoint } from './peer-handler-point.js'
@@ -69,6 +70,7 @@
     this.state = createMembership({ name: this.settings.instance, incarnation: this.run, data: this.readSelf(), now: this.clock.now() })
     this.pauses.subscribe(() => this.step({ type: 'paused', incarnation: Math.max(this.clock.date(), this.record.incarnation + 1) }))
     this.list.subscribe(() => this.takeList())
+    this.links.subscribeEnds(peer => { void this.checkEnded(peer) })
     this.takeList()
     this.cancel = this.clock.every(TICK_PERIOD, () => {
       this.pauses.check()
@@ -143,6 +145,16 @@
     })
   }
 
+  /**
+   * Finds out at once that a process has ended. By silence alone that takes some seconds, in which callers are sent to it, its jobs
+   * rest, and its slots at servers count as taken though its connections to them are closed.
+   */
+  private async checkEnded (name: string): Promise<void> {
+    const { incarnation, status, data } = this.state.members.get(name) ?? {}
+    if (incarnation === undefined || status === 'dead' || data === undefined) return
+    if (await isEnded(String(data.host), Number(data.peerPort))) this.step({ type: 'ended', name, incarnation })
+  }
+
   private listUnaware (): readonly string[] {
     return [...this.unaware].filter(name => this.state.members.get(name)?.status === 'alive')
   }
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -22,6 +22,10 @@
 const HANDSHAKE_TIMEOUT = 2_000
 /** Connections whose peer hasn't proved itself yet. */
 const MAX_UNPROVEN = 512
+/** A link on which something came or went within this was in use, ms. */
+const IN_USE = 5_000
+/** Why this daemon itself closes a link. */
+const OWN_REASONS: readonly string[] = ['idle', 'silent', 'shut down', 'no handshake']
 
 /**
  * Frames between daemons over TCP. One link serves both directions; it is opened when first needed and closed when
@@ -36,6 +40,7 @@
   private readonly sending = new Map<string, Link>()
   private readonly unproven = new Map<Link, number>()
   private readonly all = new Set<Link>()
+  private readonly endListeners = new Set<(peer: string) => void>()
   private cancel = (): void => {}
 
   constructor (
@@ -74,6 +79,11 @@
     link?.send(message, topic)
   }
 
+  /** `listener` hears of each peer that closed a link which was in use. */
+  subscribeEnds (listener: (peer: string) => void): void {
+    this.endListeners.add(listener)
+  }
+
   /**
    * The session over which `to` is told things now, if it has proved itself: another one than before means that what
    * was sent last may be lost.
@@ -145,6 +155,7 @@
     this.all.delete(link)
     this.unproven.delete(link)
     for (const [peer, known] of this.sending) if (known === link) this.sending.delete(peer)
+    if (link.peer !== undefined && link.idleFor < IN_USE && !OWN_REASONS.includes(reason)) for (const listener of this.endListeners) listener(link.peer)
     if (reason === 'silent') this.metrics.count('peer_links_silent_total')
     const usual = reason === 'idle' || reason === 'closed by the peer' || reason === 'shut down'
     this.log.write(usual ? 'debug' : 'warn', 'peers', 'closed a connection', { peer: link.peer, reason })
--- a/test/coordination/membership.test.ts
+++ b/test/coordination/membership.test.ts
@@ -50,6 +50,20 @@
   t.true(fleet.agree('entry-1', 'dead'))
 })
 
+// A process ends without a word, and its address refuses connections. One that found that out tells the others, who need no
+// suspicion; the same process started anew is not taken for dead by word of its earlier life.
+test('a member whose process has ended is dead at once, and one that started anew is not', t => {
+  const fleet = settle()
+  const { incarnation } = fleet.states.get('entry-0')!.members.get('entry-1')!
+  fleet.stopped.add('entry-1')
+  fleet.step('entry-0', { type: 'ended', name: 'entry-1', incarnation })
+  t.is(fleet.states.get('entry-0')!.members.get('entry-1')!.status, 'dead')
+  fleet.run(1_500)
+  t.true(fleet.agree('entry-1', 'dead'))
+  fleet.step('entry-0', { type: 'ended', name: 'entry-2', incarnation: incarnation - 1 })
+  t.is(fleet.states.get('entry-0')!.members.get('entry-2')!.status, 'alive')
+})
+
 test('a restarted member replaces its earlier run', t => {
   const fleet = settle()
   fleet.stopped.add('entry-2')
--- /dev/null
+++ b/test/peers/is-ended.test.ts
@@ -0,0 +1,23 @@
+import test from 'ava'
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { isEnded } from '../../src/peers/is-ended.js'
+
+async function open (onSocket: (socket: Socket) => void): Promise<{ readonly server: Server, readonly port: number }> {
+  const server = createServer(onSocket)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return { server, port: (server.address() as AddressInfo).port }
+}
+
+// A process lives and takes a connection without a word; another has ended, so that its address refuses; a third is just ending: it
+// takes connections and closes them unread, and refuses them a moment later.
+test('a process that takes connections lives, one whose address refuses them has ended', async t => {
+  const { server, port } = await open(() => {})
+  t.false(await isEnded('127.0.0.1', port))
+  server.close()
+  const ending = await open(socket => socket.destroy())
+  setTimeout(() => ending.server.close(), 50)
+  t.true(await isEnded('127.0.0.1', ending.port))
+  t.true(await isEnded('127.0.0.1', port))
+})
