Items of a daemon that is gone without a word give way to nobody

The engines went on with its items, since nothing closed its connections; the broker gave their slots to online requests and told the daemon that was gone to stop them, until membership dropped it at 5.7 s. Ruled out: a silent broker, waits of ours before 4.8 s (sentAfter median 5 ms). Change: a daemon that doesn't confirm in 100 ms what it was told of batch is silent; its items count as online ones, and other daemons' items are stopped in their place. Test: slot-broker, items of a daemon that is gone; before, each server had one more than its slots.

--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -153,9 +153,10 @@
   }
 
   private listPlaces (pool: string, group: number): readonly ServerPlace[] {
+    const silent = this.ledger.listSilent(this.clock.now())
     return this.loads.listPlaces(pool)
       .filter(({ server }) => this.map.findGroup(pool, server) === group)
-      .map(place => ({ ...place, ...this.ledger.find(place.server), ownBatch: 0 }))
+      .map(place => ({ ...place, ...this.ledger.find(place.server, silent), ownBatch: 0 }))
   }
 
   private giveAll (): void {
@@ -228,9 +229,10 @@
 
   /** Stops as many batch items as there are too many requests at the server, each time of the daemon with most. */
   private releaseExcess (server: string): void {
-    const { stop } = planBatch({ slots: this.loads.countSlots(server), ...this.ledger.find(server) })
+    const silent = this.ledger.listSilent(this.clock.now())
+    const { stop } = planBatch({ slots: this.loads.countSlots(server), ...this.ledger.find(server, silent) })
     for (let stopped = 0; stopped < stop; stopped++) {
-      const daemon = this.ledger.findBatch(server)
+      const daemon = this.ledger.findBatch(server, silent)
       if (daemon === undefined) return
       const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 0, batch: -1 })
       this.send(daemon, { type: 'revoke', g, server })
--- a/src/placement/slot-ledger.ts
+++ b/src/placement/slot-ledger.ts
@@ -7,9 +7,17 @@
 /** A grant that its daemon's rows haven't confirmed for this long was lost, ms: they come once a second at least. */
 const GRANT_KEPT = 2_500
 
+/**
+ * How long a daemon may take to confirm that it was given a slot for batch or has to give one back, ms: it tells so within five, and its
+ * loop may be busy for some ten.
+ */
+const CONFIRM_WITHIN = 100
+
 /** A change that a daemon was told to make at a server, until its own row shows it. */
 interface Told { readonly n: number, readonly at: number, readonly server: string, readonly online: number, readonly batch: number }
 
+const NOBODY: ReadonlySet<string> = new Set()
+
 /**
  * What each daemon has in flight at the servers of a broker: its last row, and what it was told since. Changes are
  * numbered for each daemon and a row says up to which it holds, so that a slot is neither counted twice nor forgotten
@@ -54,21 +62,41 @@
     this.rows.dropBefore(now - ROW_KEPT)
   }
 
-  /** What all daemons have at the server. */
-  find (server: string): LoadCounts {
+  /** Daemons that haven't confirmed in time what they were told of batch. */
+  listSilent (now: number): ReadonlySet<string> {
+    const isLate = ({ at, batch }: Told): boolean => batch !== 0 && now >= at + CONFIRM_WITHIN
+    return new Set([...this.told].filter(([, changes]) => changes.some(isLate)).map(([daemon]) => daemon))
+  }
+
+  /**
+   * What all daemons have at the server. Items of a silent daemon give way to nobody and count as if they were online: where an
+   * instance was gone without a word, requests were given the slots of its items, and waited in the engines until those had ended.
+   */
+  find (server: string, silent: ReadonlySet<string> = NOBODY): LoadCounts {
     const { online, batch } = this.rows.find(server)
-    return { online, batch: Math.max(0, batch) }
+    if (silent.size === 0) return { online, batch: Math.max(0, batch) }
+    const theirs = this.rows.listBatch(server).filter(([name]) => silent.has(readDaemon(name)))
+    const told = theirs.reduce((sum, [, count]) => sum + count, 0)
+    // What it was told to stop runs on.
+    const fixed = theirs.reduce((sum, [, count]) => sum + Math.max(0, count), 0)
+    return { online: online + fixed, batch: Math.max(0, batch - told) }
   }
 
-  /** The daemon with most batch items at the server, where any has one. */
-  findBatch (server: string): string | undefined {
+  /** The daemon with most batch items at the server, of those that aren't silent. */
+  findBatch (server: string, silent: ReadonlySet<string> = NOBODY): string | undefined {
+    const counts = [...this.countBatch(server)].filter(([daemon]) => !silent.has(daemon))
+    const [daemon, most] = counts.reduce((first, other) => other[1] > first[1] ? other : first, ['', 0])
+    return most > 0 ? daemon : undefined
+  }
+
+  /** By daemon: its batch items at the server. */
+  private countBatch (server: string): ReadonlyMap<string, number> {
     const counts = new Map<string, number>()
     for (const [name, batch] of this.rows.listBatch(server)) {
-      const daemon = name.slice(name.indexOf(' ') + 1)
+      const daemon = readDaemon(name)
       counts.set(daemon, (counts.get(daemon) ?? 0) + batch)
     }
-    const [daemon, most] = [...counts].reduce((first, other) => other[1] > first[1] ? other : first, ['', 0])
-    return most > 0 ? daemon : undefined
+    return counts
   }
 
   private showTold (daemon: string, now: number): void {
@@ -76,3 +104,8 @@
     this.rows.put(`told ${daemon}`, counts, now)
   }
 }
+
+/** The daemon of a row's name. */
+function readDaemon (name: string): string {
+  return name.slice(name.indexOf(' ') + 1)
+}
--- a/test/placement/slot-broker.test.ts
+++ b/test/placement/slot-broker.test.ts
@@ -195,3 +195,34 @@
   t.is(granted[0], 'd2')
   t.true(granted.every(daemon => daemon === 'd2'))
 })
+
+// A daemon that runs items on half of the slots is gone without a word: no power. The engines go on with them, and nobody can stop them.
+// Online requests come, are given some of those slots and tell the dead daemon to give way; from a tenth of a second on they get
+// slots of the other daemon's items instead.
+test('items of a daemon that is gone without a word give way to nobody', async t => {
+  const clock = new VirtualClock()
+  const fleet = new SlotFleet({ daemons: 5, servers: 4, slots: 8, clock })
+  await fleet.start()
+  const broker = slotGroups.findBroker('p', 0, [...fleet.daemons.keys()])!
+  const [gone, other, asker] = [...fleet.daemons.keys()].filter(name => name !== broker) as [string, string, string]
+  const ends = new Map<string, Array<() => void>>()
+  for (const daemon of [gone, other]) {
+    for (let n = 0; n < 16; n++) {
+      const server = `s${n % 4}`
+      ends.set(`${daemon} ${server}`, [...ends.get(`${daemon} ${server}`) ?? [], fleet.begin(daemon, server, 'batch')])
+    }
+    fleet.daemons.get(daemon)!.asker.subscribe({ onGrant: () => {}, onRevoke: server => ends.get(`${daemon} ${server}`)!.pop()?.() })
+  }
+  await clock.advance(1_100)
+  fleet.kill(gone)
+  const first: Outcome[] = []
+  for (let n = 0; n < 4; n++) ask(fleet, clock, asker, 600, first)
+  await clock.advance(120)
+  for (const running of fleet.running.values()) running.most = 0
+  const outcomes: Outcome[] = []
+  for (let n = 0; n < 6; n++) ask(fleet, clock, asker, 600, outcomes)
+  await clock.advance(50)
+  t.is(outcomes.filter(({ server }) => server !== undefined).length, 6)
+  t.true([...fleet.running.values()].every(({ most }) => most <= 9), JSON.stringify([...fleet.running]))
+  t.true([...fleet.running.values()].every(({ online, batch }) => online + batch <= 8), JSON.stringify([...fleet.running]))
+})
