A daemon that only a list names, and nobody has heard, owns nothing after a second

Change: a member known from a list only counts for a second. Jobs are looked at as soon as the store's are known. Test: peers/list-owner-names.

--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -60,7 +60,7 @@
       const heads = await this.records.listHeads()
       if (heads.ok) {
         for (const [id, head] of heads.val) this.book.learn(readKnownJob(id, head, { stored: false }))
-        return
+        return this.check()
       }
       await pauseFor(this.clock, RETRY)
     }
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -17,6 +17,7 @@
 import { isEnded } from './is-ended.js'
 import type { Member } from './member.js'
 import { PeerAddresses } from './peer-addresses.js'
+import { listOwnerNames } from './list-owner-names.js'
 import { peerHandlerPoint } from './peer-handler-point.js'
 import { PeerLinks } from './peer-links.js'
 import { readInstance } from './read-instance.js'
@@ -48,6 +49,7 @@
   private port = 0
   private ready = false
   private cancel = (): void => {}
+  private lastOwners = ''
   private leaveSequence = Infinity
   /** Members that may not know yet that this one leaves. */
   private unaware = new Set<string>()
@@ -75,6 +77,7 @@
     this.cancel = this.clock.every(TICK_PERIOD, () => {
       this.pauses.check()
       this.step({ type: 'tick' })
+      this.checkOwners()
     })
   }
 
@@ -100,9 +103,7 @@
   owners (region?: string): readonly string[] {
     this.pauses.check()
     if (!this.state.settled) return []
-    return this.all()
-      .filter(({ state, instance }) => state !== 'leaving' && (region === undefined || instance.region === region))
-      .map(({ instance }) => instance.name)
+    return listOwnerNames(this.state.members.values(), { self: this.settings.instance, now: this.clock.now(), region })
   }
 
   /** `listener` is called after each change; the function it gives back ends that. */
@@ -155,6 +156,14 @@
     if (await isEnded(String(data.host), Number(data.peerPort))) this.step({ type: 'ended', name, incarnation })
   }
 
+  /** One that a list named stops to count as time passes, without a change of its record. */
+  private checkOwners (): void {
+    const owners = this.owners().join()
+    const changed = owners !== this.lastOwners
+    this.lastOwners = owners
+    if (changed) for (const listener of this.listeners) listener()
+  }
+
   private listUnaware (): readonly string[] {
     return [...this.unaware].filter(name => this.state.members.get(name)?.status === 'alive')
   }
--- /dev/null
+++ b/test/peers/list-owner-names.test.ts
@@ -0,0 +1,26 @@
+import test from 'ava'
+import type { MemberRecord } from '../../src/coordination/member-record.js'
+import { listOwnerNames } from '../../src/peers/list-owner-names.js'
+
+const base: MemberRecord = { name: 'd1', incarnation: 5, status: 'alive', leaving: false, data: { region: 'r' }, since: 0 }
+
+interface Case { readonly name: string, readonly record: Partial<MemberRecord>, readonly counts: boolean }
+
+const cases: readonly Case[] = [
+  { name: 'alive', record: {}, counts: true },
+  { name: 'suspect: it may refute', record: { status: 'suspect' }, counts: true },
+  { name: 'dead', record: { status: 'dead' }, counts: false },
+  { name: 'leaving', record: { leaving: true }, counts: false },
+  { name: 'listed a moment ago', record: { incarnation: 0, since: 9_500 }, counts: true },
+  { name: 'listed, and not heard since', record: { incarnation: 0, since: 8_900 }, counts: false },
+  { name: 'of another region', record: { data: { region: 's' } }, counts: false },
+  { name: 'itself, whatever the list says', record: { name: 'd0', incarnation: 0 }, counts: true }
+]
+
+// All daemons have started anew, and the store still names one that was removed. What falls to it by rank must not wait until its silence
+// has shown that it is gone.
+for (const { name, record, counts } of cases) {
+  test(`who may own: ${name}`, t => {
+    t.is(listOwnerNames([{ ...base, ...record }], { self: 'd0', now: 10_000, region: 'r' }).length, counts ? 1 : 0)
+  })
+}
