--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -212,7 +212,7 @@
   await clock.advance(1_000)
   await records.end('j')
   store.fault = ({ call, kind }) => call === 'delete' && kind === 'job-items' ? { fail: { type: 'unavailable', reason: '' } } : 'none'
-  t.is((await records.remove('j')).val?.type, 'unknown')
+  t.is((await records.remove('j')).val?.type, 'unavailable')
   store.fault = () => 'none'
   t.true((await records.remove('j')).ok)
   t.deepEqual(['jobs', 'job-items', 'job-results', 'job-ends'].map(kind => store.objects.list(kind, '', '', 10).length), [0, 0, 0, 0])
