After an outage a daemon's calls begin with its share of what the platform serves

Cause: a daemon began again with 2 writes a second whatever the fleet. Test: store/plan-restart-rate.

--- a/src/entry/routed-settings.ts
+++ b/src/entry/routed-settings.ts
@@ -13,6 +13,8 @@
   readonly addressKeep: number
   /** From the signal to end until the process is killed. */
   readonly shutdownTime: number
+  /** Calls a second that the store serves to all daemons together. */
+  readonly storeRates: { readonly reads: number, readonly writes: number }
   /** From the submission of a job until its results may be removed. */
   readonly resultKeep: number
 }
--- a/src/store/call-budget.ts
+++ b/src/store/call-budget.ts
@@ -11,8 +11,6 @@
   readonly growth?: number
   /** What the rate is multiplied with when the platform refuses a call, at most once a second. */
   readonly cut?: number
-  /** Rate right after an outage; it doubles each second until it is back. */
-  readonly restartRate?: number
 }
 
 /** Share of the burst that calls of a priority leave to those before them. */
@@ -35,19 +33,19 @@
   private wanted = false
   private cutAt = -Infinity
   private restartedAt = -Infinity
+  private restartRate = Infinity
   private pausedUntil = -Infinity
   private readonly options: Required<CallBudgetOptions>
 
-  constructor ({ rate, minRate = 0.5, maxRate = 2_000, growth = 1, cut = 0.7, restartRate = 1 }: CallBudgetOptions) {
-    this.options = { rate, minRate, maxRate, growth, cut, restartRate }
+  constructor ({ rate, minRate = 0.5, maxRate = 2_000, growth = 1, cut = 0.7 }: CallBudgetOptions) {
+    this.options = { rate, minRate, maxRate, growth, cut }
     this.rate = rate
     this.tokens = this.readBurst(-Infinity)
   }
 
   /** The rate in force at `now`, in calls a second. */
   readRate (now: number): number {
-    const { restartRate } = this.options
-    return Math.min(this.rate, restartRate * 2 ** ((now - this.restartedAt) / MS_PER_SECOND))
+    return Math.min(this.rate, this.restartRate * 2 ** ((now - this.restartedAt) / MS_PER_SECOND))
   }
 
   /** Takes a call out of the budget and gives 0, or the ms after which to ask again. */
@@ -74,9 +72,10 @@
     else this.rate = Math.max(this.options.minRate, this.rate * this.options.cut)
   }
 
-  /** The platform answers again after an outage. */
-  onRestart (now: number): void {
+  /** The platform answers again after an outage: calls begin with `rate` a second, which doubles each second until it is back. */
+  onRestart (now: number, rate: number): void {
     this.restartedAt = now
+    this.restartRate = rate
     this.at = now
     this.tokens = Math.min(this.tokens, 1)
   }
--- a/src/store/call-gate.ts
+++ b/src/store/call-gate.ts
@@ -8,10 +8,14 @@
 import { CallBudget } from './call-budget.js'
 import type { CallPriority } from './call-priority.js'
 import { Circuit } from './circuit.js'
-
-/** Calls a second that a daemon begins with, and with which it begins again after an outage. */
-const READS = { rate: 200, restartRate: 4 }
-const WRITES = { rate: 60, restartRate: 2 }
+import { planRestartRate } from './plan-restart-rate.js'
+
+/** Calls a second that a daemon begins with. */
+const READS = { rate: 200 }
+const WRITES = { rate: 60 }
+/** Calls a second with which a daemon begins again after an outage at the least. */
+const LEAST_READS = 4
+const LEAST_WRITES = 2
 const PROBE_TIMEOUT = 1_000
 const PROBE: ApiCall = { type: 'get', kind: 'configuration', name: 'manifest' }
 const SPREAD = 0.5
@@ -24,6 +28,9 @@
 const LATE = 500
 const OUT: ApiAnswer = { type: 'not sent', reason: 'the platform is out' }
 
+/** What the platform serves to all daemons together, calls a second. */
+interface FleetRates { readonly reads: number, readonly writes: number }
+
 type Relay = (call: ApiCall, timeout: number) => Promise<ApiAnswer | undefined>
 
 /** Lets calls through to the platform within the budget, and refuses them at once while the platform is out. */
@@ -36,11 +43,14 @@
   private readonly waiting: Record<CallPriority, number> = { caller: 0, operator: 0, background: 0 }
   private cancelProbe = (): void => {}
   private relay: Relay | undefined
+  private readonly fleetRates: FleetRates | undefined
+  private countDaemons = (): number => 1
 
-  constructor (private readonly transport: ApiTransport, { clock, random, metrics, lastProbe }: { readonly clock: Clock, readonly random: Random, readonly metrics: Metrics, readonly lastProbe?: number }) {
+  constructor (private readonly transport: ApiTransport, { clock, random, metrics, lastProbe, fleetRates }: { readonly clock: Clock, readonly random: Random, readonly metrics: Metrics, readonly lastProbe?: number, readonly fleetRates?: FleetRates }) {
     this.clock = clock
     this.random = random
     this.metrics = metrics
+    this.fleetRates = fleetRates
     this.circuit = new Circuit(clock.now(), { lastProbe })
     metrics.gauge('platform_out', () => Number(this.out))
     for (const [call, budget] of Object.entries(this.budgets)) metrics.gauge('platform_call_rate', () => budget.readRate(clock.now()), { call })
@@ -51,6 +61,11 @@
     return this.circuit.open
   }
 
+  /** How many daemons share what the platform serves. */
+  useFleet (count: () => number): void {
+    this.countDaemons = count
+  }
+
   /** Another way to the platform; it gives undefined where it leads nowhere. */
   useRelay (relay: Relay): void {
     this.relay = relay
@@ -118,7 +133,9 @@
 
   private beginAgain (now: number): void {
     this.cancelProbe()
-    for (const budget of Object.values(this.budgets)) budget.onRestart(now)
+    const daemons = this.countDaemons()
+    this.budgets.reads.onRestart(now, planRestartRate({ least: LEAST_READS, fleetRate: this.fleetRates?.reads, daemons }))
+    this.budgets.writes.onRestart(now, planRestartRate({ least: LEAST_WRITES, fleetRate: this.fleetRates?.writes, daemons }))
   }
 
   private startProbe (): void {
--- a/src/store/platform-client.ts
+++ b/src/store/platform-client.ts
@@ -38,6 +38,8 @@
   readonly callerTimeout?: number
   /** Longest pause between two probes of a store that doesn't answer, ms. */
   readonly lastProbe?: number
+  /** What the platform serves to all daemons together, calls a second, where that is known. */
+  readonly fleetRates?: { readonly reads: number, readonly writes: number }
   /** Ids of writes; unique in the fleet for ever. */
   readonly createId?: () => string
 }
@@ -61,12 +63,12 @@
   private readonly gate: CallGate
   private readonly callerTimeout: number | undefined
 
-  constructor (private readonly transport: ApiTransport, { clock = new SystemClock(), random = new Random(Date.now()), metrics = new Metrics(), createId = randomUUID, lastProbe, callerTimeout }: PlatformClientOptions = {}) {
+  constructor (private readonly transport: ApiTransport, { clock = new SystemClock(), random = new Random(Date.now()), metrics = new Metrics(), createId = randomUUID, lastProbe, callerTimeout, fleetRates }: PlatformClientOptions = {}) {
     this.clock = clock
     this.random = random
     this.createId = createId
     this.callerTimeout = callerTimeout
-    this.gate = new CallGate(transport, { clock, random, metrics, lastProbe })
+    this.gate = new CallGate(transport, { clock, random, metrics, lastProbe, fleetRates })
   }
 
   /** Another way to the platform for callers' calls: by a peer that sends them with `sendDirect`. */
@@ -74,6 +76,11 @@
     this.gate.useRelay(relay)
   }
 
+  /** How many daemons share what the platform serves. */
+  useFleet (count: () => number): void {
+    this.gate.useFleet(count)
+  }
+
   /** Sends another daemon's call once, straight to the platform. */
   async sendDirect (call: ApiCall, timeout: number): Promise<ApiAnswer> {
     return await this.gate.sendDirect(call, 'caller', timeout)
--- a/src/store/store-relay.ts
+++ b/src/store/store-relay.ts
@@ -40,7 +40,7 @@
   private loggedAt = -Infinity
 
   constructor (
-    @inject(tokens.storeClient) private readonly store: Pick<PlatformClient, 'useRelay' | 'sendDirect'>,
+    @inject(tokens.storeClient) private readonly store: Pick<PlatformClient, 'useRelay' | 'useFleet' | 'sendDirect'>,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(tokens.random) private readonly random: Random,
@@ -54,6 +54,7 @@
   }
 
   async start (): Promise<void> {
+    this.store.useFleet(() => this.members.all().length)
     this.store.useRelay(async (call, timeout) => await this.send(call, timeout))
   }
 
