--- a/scripts/bundle-machines.mjs
+++ b/scripts/bundle-machines.mjs
@@ -5,7 +5,7 @@
 import { createCodeCache } from './create-code-cache.mjs'
 
 /** Whole packages of which the daemon uses one part, and that part: the rest is code that a restarted daemon
- * would load before it serves anybody. With the code cache, loading went from 230 to 90 ms of processor time beyond Node's own. */
+ * would load before it serves anybody. */
 const parts = {
   undici: 'scripts/undici-core.cjs',
   'node:http2': 'scripts/no-http2.cjs',
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -173,6 +173,7 @@
     const [startedAt, events] = [this.clock.now(), state.last ?? 0]
     state.phase = 'running'
     this.running.add(running)
+    this.log.write('info', 'jobs', 'started an item', { request: state.item.id, job: job.id, server, events: state.last })
     void run.run().then(outcome => {
       this.running.delete(running)
       this.pace.recordRun((state.last ?? 0) - events, this.clock.now() - startedAt)
@@ -188,7 +189,7 @@
     switch (outcome.type) {
       case 'completed': return this.finish(job, state, 'completed', state.texts.join('\n'))
       case 'impossible': return this.finish(job, state, 'failed', '')
-      case 'stopped': return
+      case 'stopped': return this.log.write('info', 'jobs', 'stopped an item', { request: state.item.id, job: job.id, server: run.server, events: state.last })
       case 'refused': {
         this.log.write('info', 'jobs', 'a server refused an item', { request: state.item.id, job: job.id, server: run.server })
         return this.loads.markFull(run.server)
--- a/src/placement/first-event-share.ts
+++ b/src/placement/first-event-share.ts
@@ -1,2 +1,2 @@
-/** Share of a request's target that its first event takes once it is sent: about 100 of 300 ms, measured on a calm day. */
+/** Share of a request's target that its first event takes once it is sent to a server with a free slot. */
 export const firstEventShare = 0.35
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -34,9 +34,8 @@
 
 /**
  * Gives the slots of the server groups that fall to this daemon, to all daemons. Where each placed by the counts that the others
- * told it, those were 12 ms old in a fleet of eight and 100 ms and more in one of 71, in which a burst brings two requests for
- * each server; what was too much waited in the engines, in no order of ours. One that gives out each slot knows them
- * all, and has one queue for its group.
+ * told it, those were old by the time in which a burst brings two requests for each server; what was too much waited in the engines, in
+ * no order of ours. One that gives out each slot knows them all, and has one queue for its group.
  *
  * Two daemons may hold themselves for the broker of a group while membership spreads; servers then get more than they have slots
  * for, as with told counts, until it has. A broker that ended is replaced by the next in rank, which learns from the
--- a/src/placement/stay-times.ts
+++ b/src/placement/stay-times.ts
@@ -1,11 +1,11 @@
 import { Lifecycle, scoped } from 'tsyringe'
 
-/** Time that a request keeps its slot, ms, before any was measured. */
+/** Time that a request keeps its slot, ms, before any has ended. */
 const FIRST_STAY = 800
-/** Weight of the newest measured stay. */
+/** Weight of the newest stay. */
 const WEIGHT = 0.05
 
-/** How long requests of each pool keep their slots, as measured here. */
+/** How long requests of each pool keep their slots, by those that this daemon sent. */
 @scoped(Lifecycle.ContainerScoped)
 export class StayTimes {
   private readonly means = new Map<string, number>()
