--- a/src/jobs/job-notes.ts
+++ b/src/jobs/job-notes.ts
@@ -9,13 +9,11 @@
 import { JobOwner } from './job-owner.js'
 import { JobRecords } from './job-records.js'
 import type { OwnedJob } from './owned-job.js'
-import { splitBySize } from './split-by-size.js'
+import { splitProgress } from './split-progress.js'
 
 const CHECK_PERIOD = 500
 /** Events of a job that may be lost with its daemon. A lower figure loses less and writes more often. */
 const NOTE_EVENTS = 500
-/** Bytes of texts in one note, which is one object of the store. */
-const NOTE_BYTES = 500_000
 
 interface Note { readonly version: number, readonly progress: readonly ItemProgress[], readonly writing: boolean }
 
@@ -49,7 +47,8 @@
     const note = this.notes.get(job) ?? NONE
     if (note.writing || job.isDone || job.ended || countUnnoted(job.items, note.progress) < NOTE_EVENTS) return
     this.notes.set(job, { ...note, writing: true })
-    const [progress = []] = splitBySize(job.copyProgress(), ({ texts }) => texts.reduce((sum, text) => sum + text.length, 0), NOTE_BYTES)
+    // A job with more is noted in part; what isn't is run again.
+    const [progress = []] = splitProgress(job.copyProgress())
     const written = await this.records.writeProgress(job.id, progress, note.version)
     if (written.ok) {
       this.notes.set(job, { version: written.val, progress, writing: false })
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -22,19 +22,15 @@
 import type { KnownJob } from './known-job.js'
 import type { ListedResult } from './listed-result.js'
 import { OwnedJob } from './owned-job.js'
-import { splitBySize } from './split-by-size.js'
+import { ResultWriter } from './result-writer.js'
+import { splitProgress } from './split-progress.js'
 
 const PROGRESS_MESSAGE = 'job progress'
-/** Least time between two segments of one job, ms: callers read about twice a second, and each segment is a write. */
-const STORE_PERIOD = 400
-/** Between a failed write of results and the next, ms. */
-const RETRY = 300
-/** Bytes of results in one segment. */
-const SEGMENT_BYTES = 500_000
 /** Least time between two words of how much of a job is left, ms. */
 const PROGRESS_PERIOD = 2_000
-/** How long a shutdown waits for results to be stored, ms. */
+/** How long a shutdown waits for results to be stored, and how often it looks, ms. */
 const STORE_WAIT = 1_500
+const STORE_CHECK = 100
 
 /**
  * The jobs that this daemon owns: those it accepted, and those whose owner has ended. Who takes over follows by rank; that
@@ -47,6 +43,7 @@
   /** By job: how far its items had come at the daemon that let go of it, until it is taken over here. */
   private readonly handed = new Map<string, readonly ItemProgress[]>()
   private readonly adopting = new Set<string>()
+  private readonly writer: ResultWriter
   private draining = false
 
   constructor (
@@ -58,10 +55,19 @@
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
-  ) {}
+  ) {
+    this.writer = new ResultWriter({
+      records,
+      clock,
+      log,
+      isDraining: () => this.draining,
+      isOwned: job => this.owned.get(job.id) === job,
+      onStored: job => this.handleStored(job)
+    })
+  }
 
   async start (): Promise<void> {
-    this.runner.subscribe(job => { void this.store(job) })
+    this.runner.subscribe(job => { void this.writer.store(job) })
     this.book.subscribe(({ id, closed }) => { if (closed) this.handed.delete(id) })
   }
 
@@ -70,8 +76,8 @@
     this.draining = true
     const end = this.clock.now() + STORE_WAIT
     while (this.clock.now() < end && [...this.owned.values()].some(({ pending }) => pending.length > 0)) {
-      for (const job of this.owned.values()) void this.store(job)
-      await pauseFor(this.clock, RETRY / 3)
+      for (const job of this.owned.values()) void this.writer.store(job)
+      await pauseFor(this.clock, STORE_CHECK)
     }
     for (const job of [...this.owned.values()]) {
       this.runner.remove(job)
@@ -92,9 +98,7 @@
   }
 
   private sendProgress (job: OwnedJob, to: string): void {
-    for (const progress of splitBySize(job.copyProgress(), ({ texts }) => texts.reduce((sum, text) => sum + text.length, 0), SEGMENT_BYTES)) {
-      this.links.send(to, { type: PROGRESS_MESSAGE, job: job.id, progress })
-    }
+    for (const progress of splitProgress(job.copyProgress())) this.links.send(to, { type: PROGRESS_MESSAGE, job: job.id, progress })
   }
 
   private takeProgress ({ job, progress }: PeerMessage): void {
@@ -126,12 +130,7 @@
    * too, the store is asked first: without that, an owner that stood still lists nothing where the other one's results were read.
    */
   async prove (job: OwnedJob): Promise<boolean> {
-    if (this.clock.now() >= job.doubtfulUntil) return true
-    const from = job.segments
-    const segments = await this.records.readSegments(job.id, from)
-    if (segments.err) return false
-    segments.val.forEach((results, i) => this.take(job, from + i, results))
-    return true
+    return this.clock.now() >= job.doubtfulUntil || await this.writer.readNew(job)
   }
 
   /** Accepts a job: once this is `Ok` it is kept. `conflict` says that it was accepted before. */
@@ -232,40 +231,7 @@
     return { ...this.show(job), owner: '', run: 0 }
   }
 
-  /** Stores pending results as the next segment; one at a time for each job, and not too often. */
-  private async store (job: OwnedJob): Promise<void> {
-    if (job.isStoring || job.pending.length === 0 || job.ended) return
-    job.isStoring = true
-    const pause = job.storedAt + STORE_PERIOD - this.clock.now()
-    const isLast = job.items.every(({ phase }) => phase === 'ended')
-    if (pause > 0 && !isLast && !this.draining) await pauseFor(this.clock, pause)
-    job.storedAt = this.clock.now()
-    const stored = await this.storeSegment(job)
-    if (!stored) await pauseFor(this.clock, RETRY)
-    job.isStoring = false
-    if (this.owned.has(job.id)) void this.store(job)
-  }
-
-  private async storeSegment (job: OwnedJob): Promise<boolean> {
-    const [results = []] = splitBySize(job.pending, ({ text }) => text.length, SEGMENT_BYTES)
-    const { segments } = job
-    const created = await this.records.createSegment(job.id, segments, results)
-    if (created.ok) this.take(job, segments, results)
-    else if (created.val.type === 'conflict') return await this.takeOther(job, segments)
-    else this.log.write('warn', 'jobs', 'results could not be stored yet', { job: job.id, error: created.val.type, waiting: job.pending.length })
-    return created.ok
-  }
-
-  /** Another daemon has created the segment, or this one has and never heard so. */
-  private async takeOther (job: OwnedJob, segment: number): Promise<boolean> {
-    const read = await this.records.readSegment(job.id, segment)
-    if (read.ok) this.take(job, segment, read.val)
-    return read.ok
-  }
-
-  private take (job: OwnedJob, segment: number, results: readonly ListedResult[]): void {
-    job.addSegment(segment, results)
-    if (!this.owned.has(job.id)) return
+  private handleStored (job: OwnedJob): void {
     if (job.isDone) this.close(job)
     else this.tellProgress(job)
   }
