A late request begins before its caller leaves

Change: a route says how long its callers bear silence; a request that must begin by then begins, from 0.9 s before it on, whatever the share, and one that comes for the last time isn't refused as long as its turn can come. Test: slot-queue, the crowd: nobody refused, all begun before their callers leave.

--- a/src/config/configuration-schema.ts
+++ b/src/config/configuration-schema.ts
@@ -80,6 +80,7 @@
   attempts: { type: 'number', unit: 'servers', whole: true, min: 1, max: 100, default: 2, doc: 'Servers that may run one request.' },
   timeout: { type: 'number', unit: 'ms', whole: false, min: 0, max: DAY, default: 0, doc: 'Longest time that a caller is kept waiting for a whole answer; 0 for no limit of its own.' },
   target: { type: 'number', unit: 'ms', whole: false, min: 1, max: DAY, default: SECOND, doc: 'Target for the answer, or for the first event of a stream.' },
+  silence: { type: 'number', unit: 'ms', whole: false, min: 1, max: DAY, optional: true, doc: 'How long callers of a stream wait without an event before they leave; for as long as they say where it is left out.' },
   priority: { type: 'number', unit: 'rank', whole: true, min: 0, max: 1_000, default: 0, doc: '0 is the highest.' },
   jobs: { type: 'object', optional: true, keys: jobTerms, doc: 'Terms of the jobs it takes.' }
 }
--- a/src/config/route.ts
+++ b/src/config/route.ts
@@ -19,6 +19,8 @@
   readonly timeout: number
   /** Target for the answer, or for the first event of a stream. */
   readonly target: number
+  /** How long callers of a stream wait without an event before they leave; they wait for as long as they say where it is left out. */
+  readonly silence?: number
   /** 0 is the highest. */
   readonly priority: number
   /** Terms of the jobs it takes; absent where it takes single requests. */
--- a/src/peers/is-ended.ts
+++ b/src/peers/is-ended.ts
@@ -16,14 +16,14 @@
  */
 export async function isEnded (host: string, port: number): Promise<boolean> {
   for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
-    const outcome = await tryConnection(host, port)
+    const outcome = await askAddress(host, port)
     if (outcome !== 'closed') return outcome === 'refused'
     await new Promise(resolve => setTimeout(resolve, PAUSE))
   }
   return false
 }
 
-async function tryConnection (host: string, port: number): Promise<Outcome> {
+async function askAddress (host: string, port: number): Promise<Outcome> {
   return await new Promise(resolve => {
     const socket = connect({ host, port, timeout: TIMEOUT })
     const settle = (outcome: Outcome): void => {
--- a/src/placement/place-request.ts
+++ b/src/placement/place-request.ts
@@ -8,6 +8,8 @@
   readonly avoided: readonly string[]
   readonly arrived: number
   readonly deadline: number
+  /** After this its caller has left before a first event can come. */
+  readonly beginBy: number
   /** Target for the answer, or the first event, ms from `arrived`. */
   readonly target: number
   readonly priority: number
--- a/src/placement/plan-wait.ts
+++ b/src/placement/plan-wait.ts
@@ -14,6 +14,8 @@
   readonly target: number
   /** Until its deadline. */
   readonly left: number
+  /** Until its caller has left before a first event could come. */
+  readonly beginWithin: number
   /** Whether it was tried before and its caller comes for the last time. */
   readonly returning: boolean
 }
@@ -22,7 +24,7 @@
 
 /** Share of the target within which a refusal still lets the caller come again and be served in time. */
 const EARLY = 0.2
-/** A wait that is expected to take more than this share of the time that its answer leaves is given up: nothing useful could come of it. */
+/** A wait that is expected to take more than this share of the time that its answer and its caller leave is given up: nothing useful could come of it. */
 const PATIENCE = 0.5
 /** A request that has waited for this share of all its time is given up, while its caller has time for something else. */
 const LONGEST_WAIT = 0.4
@@ -40,10 +42,10 @@
  * that it waits, since a late answer is better than none. A caller that comes back has no further try and isn't refused
  * early, nor for having waited long. Where the wait would leave no time for the answer itself, each is told so at once.
  */
-export function planWait ({ ahead, interval, stay, waited, target, left, returning }: WaitState): Plan {
+export function planWait ({ ahead, interval, stay, waited, target, left, beginWithin, returning }: WaitState): Plan {
   const expected = (ahead + 1) * interval
   const refusal: Plan = { type: 'refuse', retryAfter: Math.max(BACK_AFTER * target, expected) }
-  if (expected > (left - stay) * PATIENCE) return refusal
+  if (expected > (left - stay) * PATIENCE || expected > beginWithin * (returning ? 1 : PATIENCE)) return refusal
   if (!returning && waited > (waited + left) * LONGEST_WAIT) return refusal
   const early = EARLY * target
   const isHopeless = expected > target * (1 - firstEventShare) - waited
--- a/src/placement/slot-ask.ts
+++ b/src/placement/slot-ask.ts
@@ -12,6 +12,8 @@
     /** Since its caller first asked. */
     readonly sinceAsked: number
     readonly left: number
+    /** Until it must have begun. */
+    readonly beginWithin: number
     readonly target: number
     readonly priority: number
     readonly returning: boolean
--- a/src/placement/slot-asker.ts
+++ b/src/placement/slot-asker.ts
@@ -148,10 +148,10 @@
   private sendAsk (n: number): void {
     const pending = this.pending.get(n)
     if (pending === undefined) return
-    const { request: { pool, key, avoided, arrived, asked, deadline, target, priority, returning }, group, broker } = pending
+    const { request: { pool, key, avoided, arrived, asked, deadline, beginBy, target, priority, returning }, group, broker } = pending
     const now = this.clock.now()
     pending.cancel = this.clock.after(ANSWER_WITHIN, () => this.giveUp(n))
-    const ask: SlotAsk = { work: 'online', n, pool, group, avoided: [...avoided, ...this.loads.listClosed(pool)], waited: now - arrived, sinceAsked: now - asked, left: deadline - now, target, priority, returning, ...key !== undefined && { key } }
+    const ask: SlotAsk = { work: 'online', n, pool, group, avoided: [...avoided, ...this.loads.listClosed(pool)], waited: now - arrived, sinceAsked: now - asked, left: deadline - now, beginWithin: beginBy - now, target, priority, returning, ...key !== undefined && { key } }
     this.sendTo(broker, { type: ASK, ask })
   }
 
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -165,7 +165,7 @@
     }
   }
 
-  private giveOnline (daemon: string, state: GroupState, { n, waited, sinceAsked, left, ...ask }: OnlineAsk): void {
+  private giveOnline (daemon: string, state: GroupState, { n, waited, sinceAsked, left, beginWithin, ...ask }: OnlineAsk): void {
     const { queue } = state
     const key = `${daemon} ${n}`
     // Asked again, because the answer didn't come: what was given lapses.
@@ -185,6 +185,7 @@
       arrived: now - waited,
       asked: now - sinceAsked,
       deadline: now + left,
+      beginBy: now + beginWithin,
       signal: abort.signal,
       start: server => {
         const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 1, batch: 0 })
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -14,6 +14,8 @@
 const NO_SERVER_RETRY = 600
 /** A refused caller's pause is spread by this share either way, so that a burst doesn't come back as one. */
 const SPREAD = 0.5
+/** How long before its caller leaves a late request may begin in any case, ms: some are found only when the next slot comes free. */
+const PRESSED = 900
 /** How often it is looked whether a late request may begin, ms. */
 const LATE_PERIOD = 30
 
@@ -108,6 +110,7 @@
       waited: now - waiting.begun,
       target: waiting.target,
       left: waiting.deadline - now,
+      beginWithin: waiting.beginBy - now,
       returning: waiting.returning
     })
     return plan.type === 'wait' ? plan.recheckAfter : this.refuse('overloaded', plan.retryAfter, `every slot is taken and ${this.queue.length - 1} wait`)
@@ -161,7 +164,7 @@
       const now = clock.now()
       const waiting = this.queue.reduce((first, other) => compareWaiting(other, first, now) < 0 ? other : first)
       const late = isLate(waiting, now)
-      if (late && !this.mayBeginLate(now)) return this.giveSoon()
+      if (late && now < waiting.beginBy - PRESSED && !this.mayBeginLate(now)) return this.giveSoon()
       const place = this.choose(waiting)
       if (place === undefined) return
       if (late) this.lateShare.use()
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -4,6 +4,7 @@
 import type { Random } from '../kernel/random.js'
 import type { LogSink } from '../observe/log-sink.js'
 import type { Metrics } from '../observe/metrics.js'
+import { firstEventShare } from '../placement/first-event-share.js'
 import type { PlaceQueue } from '../placement/place-queue.js'
 import type { ServerLoads } from '../placement/server-loads.js'
 import type { AnswerSink } from './answer-sink.js'
@@ -99,7 +100,7 @@
 
   /** Waits for a slot; the send begins in the turn in which it is given. */
   private async takePlace (): Promise<{ readonly server: string, readonly opened: Promise<Opened> } | Refusal> {
-    const { request, tools } = this
+    const { request, request: { route }, tools } = this
     return await new Promise(resolve => {
       tools.queue.request({
         pool: this.service,
@@ -107,8 +108,9 @@
         avoided: this.tried,
         arrived: request.arrived,
         deadline: request.deadline,
-        target: request.route.target,
-        priority: request.route.priority,
+        beginBy: request.arrived + (route.silence ?? Infinity) - route.target * firstEventShare,
+        target: route.target,
+        priority: route.priority,
         asked: request.asked,
         returning: request.asked < request.arrived || this.tried.length > 0,
         signal: this.abort.signal,
--- a/test/placement/plan-wait.test.ts
+++ b/test/placement/plan-wait.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { planWait } from '../../src/placement/plan-wait.js'
 
-const base = { ahead: 0, interval: 50, stay: 800, waited: 0, target: 300, left: 5_000, returning: false }
+const base = { ahead: 0, interval: 50, stay: 800, waited: 0, target: 300, left: 5_000, beginWithin: Infinity, returning: false }
 
 const cases: ReadonlyArray<readonly [string, Partial<typeof base>, 'wait' | 'refuse']> = [
   ['a slot is expected in time', { ahead: 2 }, 'wait'],
@@ -12,6 +12,8 @@
   ['unless its time has no room for it', { ahead: 80, returning: true }, 'refuse'],
   ['its time has no room for the answer itself', { returning: true, left: 850 }, 'refuse'],
   ['one that comes back waits on', { returning: true, waited: 2_100, left: 2_900 }, 'wait'],
+  ['its caller leaves before its turn', { ahead: 9, returning: true, beginWithin: 400 }, 'refuse'],
+  ['its caller, who has no further try, leaves right behind it', { ahead: 9, returning: true, beginWithin: 600 }, 'wait'],
   ['it has waited for long: told while it has time for something else', { waited: 2_100, left: 2_900 }, 'refuse']
 ]
 
--- a/test/placement/slot-broker.test.ts
+++ b/test/placement/slot-broker.test.ts
@@ -15,6 +15,7 @@
     avoided: [],
     arrived,
     deadline: arrived + 5_000,
+    beginBy: Infinity,
     target: 300,
     priority: 0,
     asked: arrived,
--- a/test/placement/slot-queue.test.ts
+++ b/test/placement/slot-queue.test.ts
@@ -10,6 +10,8 @@
 const TARGET = 300
 /** What a first event takes once its request is sent, ms. */
 const FIRST_EVENT = 100
+/** After this without a first event a caller leaves, ms. */
+const SILENCE = 2_000
 
 interface Seen { readonly late: boolean, readonly begunAfter?: number, readonly refused?: boolean }
 
@@ -41,6 +43,7 @@
       arrived,
       asked: arrived - (known ? since : 0),
       deadline: arrived + 5_000 - since,
+      beginBy: arrived + SILENCE - FIRST_EVENT,
       target: TARGET,
       priority: 0,
       returning: late,
@@ -81,6 +84,7 @@
   t.true(countInTime(after) >= 0.9 * fresh)
   t.true(countInTime(before) < countInTime(after))
   t.is(after.filter(({ late, refused }) => late && refused).length, 0)
+  t.true(after.every(({ begunAfter = 0 }) => begunAfter <= SILENCE - FIRST_EVENT))
 })
 
 /** What became of the requests of an overload in which each refused caller comes again once, when it is told to. */
@@ -103,6 +107,7 @@
       arrived,
       asked: first,
       deadline,
+      beginBy: arrived + SILENCE - FIRST_EVENT,
       target: TARGET,
       priority: 0,
       returning,
