--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -43,7 +43,9 @@
 const CLOSE_IDLE_AFTER = 400
 /** Left of the time to end for what is still being answered, ms. */
 const END_MARGIN = 700
-const NOT_READY_RETRY = 300
+const NO_SERVICE_RETRY = 300
+/** Callers that come to a daemon that knows nothing yet are spread by this share either way. */
+const NOT_READY_SPREAD = 0.3
 /** Below this share of the longest time that callers of a route give, one has tried before. */
 const RETURNING_SHARE = 0.97
 const DEFAULT_DEADLINE = 60_000
@@ -144,7 +146,7 @@
     if (route.jobs !== undefined) return await this.jobs.submit({ id: head.id, route, path: head.path, body: body.val, arrived }, res)
     const left = Math.min(head.left ?? DEFAULT_DEADLINE, route.timeout > 0 ? route.timeout : Infinity)
     const service = chooseService(route.services, this.forwarder.random)
-    if (service === undefined) return sendRoutedRefusal(res, { cause: 'no server', ran: 'not run', retryAfter: NOT_READY_RETRY, detail: 'the route names no service' })
+    if (service === undefined) return sendRoutedRefusal(res, { cause: 'no server', ran: 'not run', retryAfter: NO_SERVICE_RETRY, detail: 'the route names no service' })
     await this.forwarder.forward({
       id: head.id,
       route,
@@ -171,7 +173,7 @@
 
   private refuseUnready (req: IncomingMessage, res: ServerResponse): void {
     req.resume()
-    sendRoutedRefusal(res, { cause: 'platform', ran: 'not run', retryAfter: NOT_READY_RETRY, detail: 'this daemon knows no configuration yet' })
+    sendRoutedRefusal(res, { cause: 'platform', ran: 'not run', retryAfter: this.forwarder.random.spread(this.startWait.retryAfter, NOT_READY_SPREAD), detail: 'this daemon knows no configuration yet' })
   }
 }
 
--- a/src/entry/start-wait.ts
+++ b/src/entry/start-wait.ts
@@ -6,6 +6,9 @@
  * doesn't by then is away for longer than callers can wait.
  */
 const KNOWN_WITHIN = 600
+/** Bounds of what callers are told to wait, ms: the store may answer in a moment, and callers have no more than some seconds. */
+const FIRST_RETRY = 300
+const LAST_RETRY = 2_000
 
 interface StartWaitOptions {
   readonly clock: Clock
@@ -21,10 +24,20 @@
  * store will have told in a moment, they lose their last try; later, while the store is away, they are told at once.
  */
 export class StartWait {
+  private readonly startedAt: number
   private readonly until: number
 
   constructor (private readonly options: StartWaitOptions) {
-    this.until = options.clock.now() + KNOWN_WITHIN
+    this.startedAt = options.clock.now()
+    this.until = this.startedAt + KNOWN_WITHIN
+  }
+
+  /**
+   * When a caller that is refused should come again, ms: a store that has been away for long will be for a while yet, and a caller sent
+   * back to it at once has used up its tries.
+   */
+  get retryAfter (): number {
+    return Math.min(LAST_RETRY, Math.max(FIRST_RETRY, this.options.clock.now() - this.startedAt))
   }
 
   /** Resolves once all is known, true, or once waiting is of no use, false. */
--- a/test/entry/start-wait.test.ts
+++ b/test/entry/start-wait.test.ts
@@ -35,3 +35,13 @@
     t.is(listeners.size, 0)
   })
 }
+
+// The store is away while all daemons start anew: a caller that is told to come back in a moment meets the same and has no further try.
+for (const [after, retryAfter] of [[10, 300], [700, 700], [5_000, 2_000]] as const) {
+  test(`${after} ms after the start callers are told to come back in ${retryAfter}`, async t => {
+    const clock = new VirtualClock()
+    const wait = new StartWait({ clock, isKnown: () => false, subscribe: () => () => {} })
+    await clock.advance(after)
+    t.is(wait.retryAfter, retryAfter)
+  })
+}
