--- a/src/jobs/job-notes.ts
+++ b/src/jobs/job-notes.ts
@@ -14,10 +14,18 @@
 const CHECK_PERIOD = 500
 /** Events of a job that may be lost with its daemon. A lower figure loses less and writes more often. */
 const NOTE_EVENTS = 500
+/** Least time between two notes of one job, ms, so that calls don't grow with what runs of it at once. */
+const NOTE_PERIOD = 2_000
 
-interface Note { readonly version: number, readonly progress: readonly ItemProgress[], readonly writing: boolean }
+interface Note {
+  readonly version: number
+  readonly progress: readonly ItemProgress[]
+  /** Monotonic ms at which it was last begun. */
+  readonly at: number
+  readonly writing: boolean
+}
 
-const NONE: Note = { version: 0, progress: [], writing: false }
+const NONE: Note = { version: 0, progress: [], at: -Infinity, writing: false }
 
 /**
  * Notes in the store how far the items of this daemon's jobs have come. Where all daemons end at once nobody is left to hand
@@ -45,18 +53,20 @@
 
   private async check (job: OwnedJob): Promise<void> {
     const note = this.notes.get(job) ?? NONE
-    if (note.writing || job.isDone || job.ended || countUnnoted(job.items, note.progress) < NOTE_EVENTS) return
-    this.notes.set(job, { ...note, writing: true })
+    const now = this.clock.now()
+    if (note.writing || now < note.at + NOTE_PERIOD || job.isDone || job.ended) return
+    if (countUnnoted(job.items, note.progress) < NOTE_EVENTS) return
+    this.notes.set(job, { ...note, at: now, writing: true })
     // A job with more is noted in part; what isn't is run again.
     const [progress = []] = splitProgress(job.copyProgress())
     const written = await this.records.writeProgress(job.id, progress, note.version)
     if (written.ok) {
-      this.notes.set(job, { version: written.val, progress, writing: false })
+      this.notes.set(job, { version: written.val, progress, at: now, writing: false })
       return
     }
-    // Another owner's note stands: the next one replaces it.
-    const version = written.val.type === 'conflict' ? written.val.version : note.version
-    this.notes.set(job, { ...note, version, writing: false })
+    // Another owner's note stands: the next one replaces it, at once.
+    const next = written.val.type === 'conflict' ? { version: written.val.version } : { at: now }
+    this.notes.set(job, { ...note, ...next, writing: false })
     this.log.write('info', 'jobs', 'the progress of a job could not be noted', { job: job.id, error: written.val.type })
   }
 }
