A job that is ended while it is taken over stops

The one that takes a job over reads whether it has ended; an end that is stored right behind that read is told to the old owner, four times in a moment, and to all as 'closed', which the new owner didn't heed. An owner that stood still while its job was ended didn't learn of it either. Ruled out: an end that was answered before it was stored. Change: an owner that hears 'closed', that finds the job closed when it has taken it over, or that begins to doubt its job asks the store; the daemon that took the end tells the owner for 3 s, whoever that becomes.

--- a/src/jobs/job-contest.ts
+++ b/src/jobs/job-contest.ts
@@ -67,7 +67,10 @@
 
   /** A job whose results are all known can't be behind another owner. */
   private doubt (job: OwnedJob): void {
-    if (!job.isDone) job.doubtfulUntil = this.clock.now() + DOUBT
+    if (job.isDone) return
+    const now = this.clock.now()
+    if (now >= job.doubtfulUntil) void this.owner.checkEnd(job.id)
+    job.doubtfulUntil = now + DOUBT
   }
 
   /**
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -31,6 +31,9 @@
 /** How long a shutdown waits for results to be stored, and how often it looks, ms. */
 const STORE_WAIT = 1_500
 const STORE_CHECK = 100
+/** How often, and how long apart, ms, the store is asked whether a job has ended. */
+const END_TRIES = 20
+const END_PAUSE = 300
 
 /**
  * The jobs that this daemon owns: those it accepted, and those whose owner has ended. Who takes over follows by rank; that
@@ -68,7 +71,7 @@
 
   async start (): Promise<void> {
     this.runner.subscribe(job => { void this.writer.store(job) })
-    this.book.subscribe(({ id, closed }) => { if (closed) this.handed.delete(id) })
+    this.book.subscribe(({ id, closed }) => { if (closed) this.handleClosed(id) })
   }
 
   /** Stores what there is and lets go of every job, so that others take them over at once. */
@@ -162,6 +165,24 @@
     this.close(job)
   }
 
+  /**
+   * Ends a job if the store says that its caller has ended it. The word of that may have gone to an owner that was gone, or have come while the
+   * job was being taken over; without this its items run on, seconds after their caller was told that nothing does.
+   */
+  async checkEnd (id: string): Promise<void> {
+    for (let tries = 0; tries < END_TRIES && this.isRunning(id); tries++) {
+      const ended = await this.records.isEnded(id)
+      if (ended.ok && ended.val) return this.end(id)
+      if (ended.ok) return
+      await pauseFor(this.clock, END_PAUSE)
+    }
+  }
+
+  private isRunning (id: string): boolean {
+    const job = this.owned.get(id)
+    return job !== undefined && !job.ended && !job.isDone
+  }
+
   /** Holds nothing of a job any more, which is no longer stored. */
   forget (id: string): void {
     const job = this.owned.get(id)
@@ -193,8 +214,10 @@
     job.useProgress(this.handed.get(id) ?? [])
     this.handed.delete(id)
     this.log.write('info', 'jobs', 'took a job over', { job: id, from: head.val.owner, age, results: job.readPage(0).next, of: head.val.total, events: job.countEvents(), ended: job.ended })
+    const isClosed = this.book.get(id)?.closed === true
     this.own(job)
     if (job.ended || job.isDone) this.close(job)
+    else if (isClosed) void this.checkEnd(id)
     return Ok(job)
   }
 
@@ -231,6 +254,12 @@
     return { ...this.show(job), owner: '', run: 0 }
   }
 
+  /** Another daemon says that the job is closed; only its end, or all of its results, make that so. */
+  private handleClosed (id: string): void {
+    this.handed.delete(id)
+    if (this.isRunning(id)) void this.checkEnd(id)
+  }
+
   private handleStored (job: OwnedJob): void {
     if (job.isDone) this.close(job)
     else this.tellProgress(job)
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -27,6 +27,9 @@
 /** How often, and between two times how long, ms, it is tried that a stored job is run: longer than a store is away in most outages. */
 const CARE_TRIES = 120
 const CARE_PAUSE = 500
+/** How often, and how long apart, ms, the owner of an ended job is told: one that takes it over is known by then. */
+const END_TRIES = 10
+const END_PAUSE = 300
 
 type Failure = 'missing' | 'unsure'
 
@@ -71,14 +74,15 @@
     return items.ok ? readFound(items.val.find(({ id }) => id === item)?.body) : Err('unsure')
   }
 
-  /** Sees to it that the job stops, at whoever owns it; resolves once that one knows, or has had some tries. */
+  /** Sees to it that the job stops, at whoever owns it or takes it over; resolves once that one knows, or has had some tries. */
   async tellEnd (job: string): Promise<void> {
     this.owner.end(job)
     const known = this.book.get(job)
     if (known !== undefined && !known.closed) this.book.tell({ ...known, closed: true })
-    for (let tries = 0; tries < 4; tries++) {
+    for (let tries = 0; tries < END_TRIES; tries++) {
       if (this.owner.find(job) !== undefined) return
       if (await this.ask(job, { type: 'end', job }, CALL_SLACK) !== undefined) return
+      await pauseFor(this.clock, END_PAUSE)
     }
   }
 
--- /dev/null
+++ b/test/helpers/job-fleet.ts
@@ -0,0 +1,103 @@
+import type { Settings } from '../../src/kernel/settings.js'
+import { PauseWatch } from '../../src/kernel/pause-watch.js'
+import { JobAdoption } from '../../src/jobs/job-adoption.js'
+import { JobBook } from '../../src/jobs/job-book.js'
+import { JobContest } from '../../src/jobs/job-contest.js'
+import type { JobItem } from '../../src/jobs/job-item.js'
+import { JobOwner } from '../../src/jobs/job-owner.js'
+import { JobReader } from '../../src/jobs/job-reader.js'
+import { JobRecords } from '../../src/jobs/job-records.js'
+import type { JobRunner } from '../../src/jobs/job-runner.js'
+import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import type { FleetCast } from '../../src/peers/fleet-cast.js'
+import type { Members } from '../../src/peers/members.js'
+import type { PeerHandler } from '../../src/peers/peer-handler.js'
+import type { PeerLinks } from '../../src/peers/peer-links.js'
+import type { PeerMessage } from '../../src/peers/peer-message.js'
+import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
+import { PausableClock } from './pausable-clock.js'
+import { VirtualClock } from './virtual-clock.js'
+
+/** What the job of the fleet consists of. */
+const ITEMS: readonly JobItem[] = ['a', 'b', 'c', 'd', 'e', 'f'].map(id => ({ id, path: `/jobs/${id}`, headers: {}, body: 'eA==', tokens: 10 }))
+const NAMES = ['d1', 'd2', 'd3', 'd4', 'd5']
+/** How long membership takes to find a silent daemon dead, and to find it back, ms. */
+const DEAD_AFTER = 2_500
+const BACK_AFTER = 500
+interface Daemon { readonly name: string, readonly clock: PausableClock, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, finish: (item: string) => void }
+
+/** Daemons with their books, owners and readers, on virtual time; what is sent to one that is held for dead is lost. */
+export class JobFleet {
+  static readonly items = ITEMS
+  static readonly names = NAMES
+
+  readonly time = new VirtualClock()
+  readonly store = new MemoryStore()
+  readonly daemons = new Map<string, Daemon>()
+  private readonly dead = new Set<string>()
+  private readonly handlers = new Map<string, PeerHandler[]>()
+
+  async start (): Promise<void> {
+    for (const name of NAMES) this.daemons.set(name, this.createDaemon(name))
+    await this.time.advance(100)
+  }
+
+  async pause (name: string, pause: number, counted: boolean): Promise<void> {
+    const { clock } = this.daemons.get(name)!
+    if (clock.isPaused) return
+    clock.pause()
+    this.time.after(DEAD_AFTER, () => { if (clock.isPaused) this.dead.add(name) })
+    this.time.after(pause, () => {
+      clock.resume(counted)
+      this.time.after(BACK_AFTER, () => { if (!clock.isPaused) this.dead.delete(name) })
+    })
+  }
+
+  private alive (): readonly string[] {
+    return NAMES.filter(name => !this.dead.has(name))
+  }
+
+  private post (from: string, to: string, message: PeerMessage): void {
+    if (this.dead.has(to) || this.dead.has(from)) return
+    this.time.after(1, () => this.daemons.get(to)!.clock.run(() => this.dispatch(to, message, from)))
+  }
+
+  private dispatch (to: string, message: PeerMessage, from: string): void {
+    for (const handler of this.handlers.get(to)!) if (handler.type === message.type) handler.handle(message, from)
+  }
+
+  private createDaemon (name: string): Daemon {
+    const clock = new PausableClock(this.time)
+    const members = {
+      run: 1,
+      all: () => this.alive().map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })),
+      owners: () => this.alive(),
+      subscribe: () => () => {}
+    } as unknown as Members
+    const links = { send: (to: string, message: PeerMessage) => this.post(name, to, message) } as unknown as PeerLinks
+    const cast = { cast: (message: PeerMessage) => { for (const other of this.alive()) if (other !== name) this.post(name, other, message) } } as unknown as FleetCast
+    let onResult: (job: OwnedJob) => void = () => {}
+    const runner = { subscribe: (listener: (job: OwnedJob) => void) => { onResult = listener }, add: () => {}, remove: () => {} } as unknown as JobRunner
+    const book = new JobBook(cast)
+    const records = new JobRecords(this.store)
+    const settings = { instance: name } as unknown as Settings
+    const pauses = new PauseWatch(clock)
+    const owner = new JobOwner(records, runner, book, members, links, settings, { write: () => {} }, clock)
+    const contest = new JobContest(owner, book, pauses, settings, { write: () => {} }, clock)
+    const adoption = new JobAdoption(owner, book, records, members, settings, clock)
+    const reader = new JobReader(owner, book, records, links, settings, clock)
+    this.handlers.set(name, [...book.extensions, ...owner.extensions, ...reader.extensions].map(({ value }) => value as PeerHandler))
+    void pauses.start()
+    void owner.start()
+    void contest.start()
+    void adoption.start()
+    const finish = (item: string): void => {
+      const job = owner.find('j')
+      const state = job?.items.find(other => other.item.id === item)
+      if (job === undefined || state === undefined || state.phase === 'ended' || clock.isPaused) return
+      job.finish(state, { id: item, state: 'completed', text: `by ${name}` })
+      onResult(job)
+    }
+    return { name, clock, records, owner, reader, finish }
+  }
+}
