Late requests wait only for slots that those in time are about to take

The share went by arrivals times stay, which is more than ran. Change: late requests begin while more slots are free than those in time are about to take: what comes times the stay, after two seconds no more than ran at once.

--- a/src/placement/late-share.ts
+++ b/src/placement/late-share.ts
@@ -1,13 +1,14 @@
 /** Time over which arrivals are averaged, ms: a wave of online requests is felt within it. */
 const WINDOW = 300
-/** Share of the slots' turnover that late requests get in any case: they are few, and wait for no more than the end of their time. */
-const LEAST_SHARE = 0.05
-/** Late requests that may begin at once. */
-const BURST = 2
-const MS_PER_SECOND = 1_000
+/** How long a queue that was quiet for as long goes by what comes, ms, before what runs shows how many slots that takes. */
+const RAMP = 2_000
+/** How fast the most that ran at once is forgotten, ms. */
+const PEAK_FOR = 2_000
 
-interface Turnover {
+interface Occupancy {
   readonly slots: number
+  /** Slots that online requests have. */
+  readonly online: number
   /** Mean time that a request keeps its slot, ms. */
   readonly stay: number
 }
@@ -17,51 +18,58 @@
  *
  * Load pattern: all daemons ended and are back in the middle of a wave. Everybody who met nobody comes again at once, late already, and
  * finds every slot free; given them all, they keep those for the most of a second, and all who come meanwhile are late as well. A
- * late request loses nothing by waiting for the end of the wave. So late ones begin no faster than what is left of the slots'
- * turnover beside the requests that come in time.
+ * late request loses nothing by waiting for the end of the wave. So slots that those in time will take in a moment are kept for
+ * them. Where slots stay free, as behind daemons that are short of processor time, late requests begin at once.
  */
 export class LateShare {
   private fresh = 0
-  private readonly startedAt: number
-  private decayedAt: number
-  private refilledAt: number
-  private tokens = 0
+  /** Since when requests come without a long pause, and when the last one was dealt with. */
+  private startedAt = -Infinity
+  private seenAt = -Infinity
+  /** Most requests in time that ran at once, as of `peakAt`. */
+  private peak = 0
+  private decayedAt = 0
+  private peakAt = 0
+  /** When late requests began that may still run. */
+  private begun: readonly number[] = []
 
-  /** `now`: monotonic ms. */
-  constructor (now: number) {
-    this.startedAt = now
-    this.decayedAt = now
-    this.refilledAt = now
-  }
-
-  /** Notes a request that can be in time. */
+  /** Notes a request that can be in time. Times are monotonic ms. */
   recordFresh (now: number): void {
+    this.noteUse(now)
     this.decay(now)
     this.fresh++
   }
 
   /** Whether a late request may begin now; `use` says that it does. */
-  mayBegin (now: number, turnover: Turnover): boolean {
-    this.refill(now, turnover)
-    return this.tokens >= 1
+  mayBegin (now: number, { slots, online, stay }: Occupancy): boolean {
+    this.noteUse(now)
+    this.begun = this.begun.filter(at => now < at + stay)
+    const running = Math.max(0, online - this.begun.length)
+    this.keepPeak(now, running)
+    const expected = this.estimateDemand(now, stay)
+    return slots - online > Math.max(0, expected - running)
   }
 
-  use (): void {
-    this.tokens--
+  use (now: number): void {
+    this.begun = [...this.begun, now]
   }
 
-  /** Of requests that can be in time, a second. Until a window is over nothing is known, and it counts as the most. */
-  private estimateRate (now: number): number {
-    return now < this.startedAt + WINDOW ? Infinity : this.fresh * MS_PER_SECOND / WINDOW
+  private noteUse (now: number): void {
+    if (now > this.seenAt + RAMP) this.startedAt = now
+    this.seenAt = now
   }
 
-  private refill (now: number, { slots, stay }: Turnover): void {
-    const passed = now - this.refilledAt
-    this.refilledAt = now
+  /** Slots that requests in time will have at once. Until a window is over nothing is known of them. */
+  private estimateDemand (now: number, stay: number): number {
+    if (now < this.startedAt + WINDOW) return Infinity
     this.decay(now)
-    const most = slots * MS_PER_SECOND / Math.max(1, stay)
-    const rate = Math.max(LEAST_SHARE * most, most - this.estimateRate(now))
-    this.tokens = Math.min(BURST, this.tokens + rate * passed / MS_PER_SECOND)
+    const arriving = this.fresh / WINDOW * stay
+    return now < this.startedAt + RAMP ? arriving : Math.min(arriving, this.peak)
+  }
+
+  private keepPeak (now: number, running: number): void {
+    this.peak = Math.max(running, this.peak * Math.exp(-(now - this.peakAt) / PEAK_FOR))
+    this.peakAt = now
   }
 
   private decay (now: number): void {
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -44,13 +44,11 @@
   private readonly queue: Waiting[] = []
   private giving = false
   private givingSoon = false
-  private readonly lateShare: LateShare
+  private readonly lateShare = new LateShare()
   /** When a caller was last refused here: one that first asked before that may be that one, whose target begins anew. */
   private refusedAt = -Infinity
 
-  constructor (private readonly options: SlotQueueOptions) {
-    this.lateShare = new LateShare(options.clock.now())
-  }
+  constructor (private readonly options: SlotQueueOptions) {}
 
   get length (): number {
     return this.queue.length
@@ -141,7 +139,9 @@
 
   private mayBeginLate (now: number): boolean {
     const { listPlaces, getStay } = this.options
-    return this.lateShare.mayBegin(now, { slots: countSlots(listPlaces()), stay: getStay() })
+    const places = listPlaces()
+    const online = places.reduce((sum, place) => sum + Math.min(place.slots, place.online), 0)
+    return this.lateShare.mayBegin(now, { slots: countSlots(places), online, stay: getStay() })
   }
 
   /** Only late requests wait, and none may begin yet. */
@@ -167,7 +167,7 @@
       if (late && now < waiting.beginBy - PRESSED && !this.mayBeginLate(now)) return this.giveSoon()
       const place = this.choose(waiting)
       if (place === undefined) return
-      if (late) this.lateShare.use()
+      if (late) this.lateShare.use(now)
       this.remove(waiting)
       metrics.observe('placement_wait_ms', now - waiting.since)
       waiting.start(place.server)
--- a/test/placement/slot-queue.test.ts
+++ b/test/placement/slot-queue.test.ts
@@ -59,7 +59,7 @@
       refuse: () => seen.push({ late, refused: true })
     })
   }
-  await clock.advance(1_000)
+  await clock.advance(3_000)
   for (let ms = 0; ms < 5_000; ms += 10) {
     if (ms < 200) for (let n = 0; n < returning / 20; n++) ask(true)
     if (random.below(1_000) < (ms < waveFor ? wave : trough) * 10) ask(false)
@@ -149,3 +149,41 @@
     t.is(seen.heldLong, 0)
   })
 }
+
+// Daemons short of processor time: every request has used up its target before it reaches the queue, and keeps its slot for long, but slots
+// stay free. Held back for the sake of requests in time, of which there are none, they waited until their callers were about to leave.
+test('where slots stay free late requests begin at once', async t => {
+  const clock = new VirtualClock()
+  const running = new Map<string, number>([['s0', 0], ['s1', 0]])
+  const listPlaces = () => [...running].map(([server, online]) => ({ server, failureDomain: 'a', slots: SLOTS, online, batch: 0, ownBatch: 0 }))
+  const queue = new SlotQueue({ listPlaces, getStay: () => 3_000, clock, random: new Random(2), metrics: new Metrics() })
+  const waits: number[] = []
+  for (let ms = 0; ms < 20_000; ms += 200) {
+    const arrived = clock.now() - (ms % 1_000 === 0 ? 0 : 400)
+    const came = clock.now()
+    queue.request({
+      pool: 'p',
+      avoided: [],
+      arrived,
+      asked: arrived,
+      deadline: arrived + 5_000,
+      beginBy: arrived + SILENCE - FIRST_EVENT,
+      target: TARGET,
+      priority: 0,
+      returning: false,
+      signal: new AbortController().signal,
+      start: server => {
+        waits.push(clock.now() - came)
+        running.set(server, running.get(server)! + 1)
+        clock.after(2_000, () => {
+          running.set(server, running.get(server)! - 1)
+          queue.giveAll()
+        })
+      },
+      refuse: () => waits.push(Infinity)
+    })
+    await clock.advance(200)
+  }
+  t.is(waits.length, 100)
+  t.true(waits.slice(10).every(wait => wait <= 100), JSON.stringify(waits))
+})
