--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -25,6 +25,8 @@
 type OnlineAsk = Extract<SlotAsk, { work: 'online' }>
 type Send = (daemon: string, answer: SlotAnswer) => void
 
+interface IdleServer { readonly server: string, readonly start: number }
+
 interface GroupState {
   readonly pool: string
   readonly group: number
@@ -208,22 +210,33 @@
   /** A daemon that is asked in place of the broker by one alone doesn't know what the others run, and would give their slots to batch. */
   private giveBatch ({ pool, group, queue, bids }: GroupState): void {
     if (queue.length > 0 || this.map.findBroker(pool, group) !== this.settings.instance) return
-    for (const { daemon, count, avoided } of bids.list(this.clock.now())) {
-      for (let given = 0; given < count; given++) {
-        const server = this.chooseIdle(pool, group, avoided)
+    const wanted = bids.list(this.clock.now())
+    // Looked up once and after each grant: for each wish anew, a backlog of batch takes a broker's processor time from its requests.
+    let idle = wanted.length === 0 ? [] : this.listIdle(pool, group)
+    for (const { daemon, count, avoided } of wanted) {
+      for (let given = 0; given < count && idle.length > 0; given++) {
+        const server = this.chooseIdle(idle, avoided)
         if (server === undefined) break
         bids.use(daemon)
         const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 0, batch: 1 })
         this.send(daemon, { type: 'batch', g, server, pool })
+        idle = this.listIdle(pool, group)
       }
     }
   }
 
-  /** A server with most slots that batch may take. */
-  private chooseIdle (pool: string, group: number, avoided: readonly string[]): string | undefined {
-    const places = this.listPlaces(pool, group).map(place => ({ server: place.server, start: planBatch(place).start })).filter(({ server, start }) => start > 0 && !avoided.includes(server))
-    const most = Math.max(...places.map(({ start }) => start))
-    const best = places.filter(({ start }) => start === most)
+  /** Servers with slots that batch may take, and how many. */
+  private listIdle (pool: string, group: number): readonly IdleServer[] {
+    return this.listPlaces(pool, group)
+      .map(place => ({ server: place.server, start: planBatch(place).start }))
+      .filter(({ start }) => start > 0)
+  }
+
+  /** A server with most of them. */
+  private chooseIdle (idle: readonly IdleServer[], avoided: readonly string[]): string | undefined {
+    const open = idle.filter(({ server }) => !avoided.includes(server))
+    const most = Math.max(...open.map(({ start }) => start))
+    const best = open.filter(({ start }) => start === most)
     return best[this.random.below(best.length)]?.server
   }
 
