After how long a peer counts as silent follows from how long answers take

A daemon there takes a tenth of a second and more to confirm; after 100 ms it counted as silent, its items as online, and requests waited though items could give way; brokers were passed over for the same reason. Change: five times the usual delay, 100 ms at the least, 1 s (items) and 400 ms (brokers) at the most. Test: placement/usual-delay.

--- a/src/placement/slot-asker.ts
+++ b/src/placement/slot-asker.ts
@@ -21,14 +21,15 @@
 import { SlotBroker } from './slot-broker.js'
 import { SlotMap } from './slot-map.js'
 import { SlotRows } from './slot-rows.js'
+import { UsualDelay } from './usual-delay.js'
 
 const ASK = 'slot ask'
 const ANSWER = 'slot answer'
 const WITHDRAW = 'slot withdraw'
 const ROW = 'slot row'
 const PROBE = 'slot probe'
-/** How long a broker may take to say anything, ms: a round trip is one or two, and its loop may be busy for some ten. */
-const ANSWER_WITHIN = 100
+/** Bounds of the time, ms, within which a broker says something: a round trip is one or two, and its loop may be busy for some ten. */
+const ANSWER_WITHIN = { least: 100, most: 400 }
 /** How often a broker that is passed over is asked whether it is there, ms. */
 const PROBE_PERIOD = 500
 /** Brokers that one request asks, one after the other. */
@@ -43,6 +44,10 @@
   /** Brokers that were asked before. */
   readonly passed: number
   readonly fallBack: () => void
+  /** Monotonic ms at which the broker was asked last. */
+  askedAt: number
+  /** Whether the broker has said that it waits. */
+  isQueued: boolean
   cancel: () => void
   readonly settle: () => void
 }
@@ -74,6 +79,8 @@
   ]
 
   private readonly rows: SlotRows
+  /** How long brokers take to answer. */
+  private readonly answering = new UsualDelay(ANSWER_WITHIN)
   private readonly pending = new Map<number, Pending>()
   /** By pool and group: slots that were left when its broker last answered. */
   private readonly free = new Map<string, number>()
@@ -133,7 +140,7 @@
       this.pending.delete(n)
       signal.removeEventListener('abort', onAbort)
     }
-    this.pending.set(n, { request, group, broker, passed, fallBack, cancel: () => {}, settle })
+    this.pending.set(n, { request, group, broker, passed, fallBack, askedAt: this.clock.now(), isQueued: false, cancel: () => {}, settle })
     this.sendAsk(n)
   }
 
@@ -150,7 +157,8 @@
     if (pending === undefined) return
     const { request: { pool, key, avoided, arrived, asked, deadline, beginBy, target, priority, returning }, group, broker } = pending
     const now = this.clock.now()
-    pending.cancel = this.clock.after(ANSWER_WITHIN, () => this.giveUp(n))
+    pending.askedAt = now
+    pending.cancel = this.clock.after(this.answering.silentAfter, () => this.giveUp(n))
     const ask: SlotAsk = { work: 'online', n, pool, group, avoided: [...avoided, ...this.loads.listClosed(pool)], waited: now - arrived, sinceAsked: now - asked, left: deadline - now, beginWithin: beginBy - now, target, priority, returning, ...key !== undefined && { key } }
     this.sendTo(broker, { type: ASK, ask })
   }
@@ -193,6 +201,7 @@
 
   private handleAnswer (from: string, answer: SlotAnswer): void {
     if (this.map.isSilent(from)) this.map.setSilent(from, false)
+    this.noteDelay(answer)
     switch (answer?.type) {
       case 'grant': return this.takeGrant(from, answer)
       case 'queued': {
@@ -220,6 +229,15 @@
     }
   }
 
+  /** A queued request is asked for again, and its slot comes whenever one is free: only the first word tells how fast the broker is. */
+  private noteDelay (answer: SlotAnswer): void {
+    if (answer?.type !== 'grant' && answer?.type !== 'queued' && answer?.type !== 'refused') return
+    const pending = this.pending.get(answer.n)
+    if (pending === undefined || pending.isQueued) return
+    this.answering.record(this.clock.now() - pending.askedAt)
+    pending.isQueued = answer.type === 'queued'
+  }
+
   private takeRefusal ({ n, refusal }: Extract<SlotAnswer, { type: 'refused' }>): void {
     const pending = this.pending.get(n)
     if (pending === undefined) return
--- a/src/placement/slot-ledger.ts
+++ b/src/placement/slot-ledger.ts
@@ -1,17 +1,15 @@
 import type { LoadCounts } from './load-counts.js'
 import type { LoadRow } from './load-row.js'
 import { LoadTable } from './load-table.js'
+import { UsualDelay } from './usual-delay.js'
 
 /** Rows that haven't come again for this long are dropped, ms: three times their period. */
 const ROW_KEPT = 3_000
 /** A grant that its daemon's rows haven't confirmed for this long was lost, ms: they come once a second at least. */
 const GRANT_KEPT = 2_500
 
-/**
- * How long a daemon may take to confirm that it was given a slot for batch or has to give one back, ms: it tells so within five, and its
- * loop may be busy for some ten.
- */
-const CONFIRM_WITHIN = 100
+/** Bounds of the time, ms, within which a daemon confirms that it was given a slot for batch or has to give one back: it tells so within five. */
+const CONFIRM_WITHIN = { least: 100, most: 1_000 }
 
 /** A change that a daemon was told to make at a server, until its own row shows it. */
 interface Told { readonly n: number, readonly at: number, readonly server: string, readonly online: number, readonly batch: number }
@@ -27,6 +25,8 @@
   private readonly rows = new LoadTable()
   private readonly told = new Map<string, Told[]>()
   private readonly numbers = new Map<string, number>()
+  /** How long daemons take to confirm what they were told of batch. */
+  private readonly confirming = new UsualDelay(CONFIRM_WITHIN)
 
   /** Notes a change that `daemon` is told to make, and gives its number. */
   record (daemon: string, change: Omit<Told, 'n'>): number {
@@ -40,7 +40,9 @@
   /** Takes a daemon's row, which holds all that it was told up to number `seen`. */
   put (daemon: string, row: LoadRow, seen: number, now: number): void {
     this.rows.put(`row ${daemon}`, row, now)
-    this.told.set(daemon, (this.told.get(daemon) ?? []).filter(({ n }) => n > seen))
+    const told = this.told.get(daemon) ?? []
+    for (const { n, at, batch } of told) if (n <= seen && batch !== 0) this.confirming.record(now - at)
+    this.told.set(daemon, told.filter(({ n }) => n > seen))
     this.showTold(daemon, now)
   }
 
@@ -64,7 +66,8 @@
 
   /** Daemons that haven't confirmed in time what they were told of batch. */
   listSilent (now: number): ReadonlySet<string> {
-    const isLate = ({ at, batch }: Told): boolean => batch !== 0 && now >= at + CONFIRM_WITHIN
+    const { silentAfter } = this.confirming
+    const isLate = ({ at, batch }: Told): boolean => batch !== 0 && now >= at + silentAfter
     return new Set([...this.told].filter(([, changes]) => changes.some(isLate)).map(([daemon]) => daemon))
   }
 
