Slots for batch are given when a daemon asks, not whenever one comes free

Ruled out: late requests held back, looking up idle slots, silence after 100 ms (each changed first, little or nothing). Change: a broker gives to the most urgent of the wishes that it holds when any daemon asks. Its test asks once more, and still wants the urgent one first.

--- a/src/placement/batch-bids.ts
+++ b/src/placement/batch-bids.ts
@@ -15,7 +15,7 @@
  * What the daemons want for batch from one group of servers.
  *
  * Load pattern: more items than slots, and jobs whose owners differ in how much waits there. Given to whoever asks first, a slot goes to an
- * item with much time as often as to one that is due soon; the wishes are kept for a moment and the most urgent goes first.
+ * item with much time as often as to one that is due soon; the wishes are kept for a moment, and whoever asks next, the most urgent goes first.
  */
 export class BatchBids {
   private readonly bids = new Map<string, Bid>()
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -161,10 +161,7 @@
   }
 
   private giveAll (): void {
-    for (const state of this.groups.values()) {
-      if (state.queue.length > 0) state.queue.giveAll()
-      this.giveBatch(state)
-    }
+    for (const { queue } of this.groups.values()) if (queue.length > 0) queue.giveAll()
   }
 
   private giveOnline (daemon: string, state: GroupState, { n, waited, sinceAsked, left, beginWithin, ...ask }: OnlineAsk): void {
@@ -207,7 +204,11 @@
     return this.listPlaces(pool, group).reduce((sum, { slots, online }) => sum + Math.max(0, slots - online), 0)
   }
 
-  /** A daemon that is asked in place of the broker by one alone doesn't know what the others run, and would give their slots to batch. */
+  /**
+   * Gives slots when a daemon asks, and not whenever one comes free: the next online request would find it taken, and where daemons are
+   * slow to stop an item it waits in the engine meanwhile. A daemon that is asked in place of the broker by one alone doesn't know what
+   * the others run, and would give their slots to batch.
+   */
   private giveBatch ({ pool, group, queue, bids }: GroupState): void {
     if (queue.length > 0 || this.map.findBroker(pool, group) !== this.settings.instance) return
     const wanted = bids.list(this.clock.now())
--- a/test/placement/slot-broker.test.ts
+++ b/test/placement/slot-broker.test.ts
@@ -176,8 +176,8 @@
   t.is(broker.waits, 0)
 })
 
-// Every slot is taken, and two daemons want one for batch: the first has asked for long and has much time, the other's item is due
-// soon. When a slot comes free the urgent one gets it, before either asks again.
+// Every slot is taken, and two daemons want one for batch: the first has much time, the other's item is due soon. Slots come free, and the
+// first is the next to ask: the urgent one gets what there is.
 test('a slot that comes free goes to the daemon whose item is due first', async t => {
   const clock = new VirtualClock()
   const fleet = new SlotFleet({ daemons: 4, servers: 1, slots: 4, clock })
@@ -193,6 +193,8 @@
   t.deepEqual(granted, [])
   for (const end of ends.slice(0, 2)) end()
   await clock.advance(20)
+  fleet.daemons.get('d1')!.asker.askBatch('p', { count: 4, due: clock.now() + 15_000, remaining: 1_000 })
+  await clock.advance(10)
   t.is(granted[0], 'd2')
   t.true(granted.every(daemon => daemon === 'd2'))
 })
