--- a/bench/hunt/main.ts
+++ b/bench/hunt/main.ts
@@ -1,32 +1,11 @@
-import { mkdirSync, writeFileSync } from 'node:fs'
-import { parseArgs } from 'node:util'
+import { runSeeds } from '../run-seeds.js'
 import { checkPromises } from './check-promises.js'
 import { planTroubles } from './plan-troubles.js'
 import { runHunt } from './run-hunt.js'
 
-const OUT = 'bench/out'
 const USAGE = `npm run hunt -- [--seed N] [--count N]
   brings random troubles, two to four at a time, on a fleet under load, and checks every promise against the servers'
-  own logs; exit 1 when one is broken. What was seen is kept in ${OUT}/hunt-SEED.json`
-
-async function runHunts (): Promise<number> {
-  const { values } = parseArgs({ options: { seed: { type: 'string', default: '1' }, count: { type: 'string', default: '1' }, help: { type: 'boolean', default: false } } })
-  if (values.help) {
-    console.log(USAGE)
-    return 0
-  }
-  mkdirSync(OUT, { recursive: true })
-  let broken = 0
-  for (let seed = Number(values.seed); seed < Number(values.seed) + Number(values.count); seed++) {
-    const record = await runHunt(seed)
-    const findings = checkPromises(record)
-    if (findings.length > 0) broken++
-    writeFileSync(`${OUT}/hunt-${seed}.json`, JSON.stringify({ troubles: planTroubles(seed), findings, record }, null, 1))
-    console.log(`hunt ${seed}: ${findings.length === 0 ? 'every promise held' : `${findings.length} BROKEN`}; ${showTroubles(seed)}; ${showCounts(record)}`)
-    for (const finding of findings.slice(0, 12)) console.log(`  ${finding}`)
-  }
-  return broken > 0 ? 1 : 0
-}
+  own logs; exit 1 when one is broken. What was seen is kept in bench/out/hunt-SEED.json`
 
 function showTroubles (seed: number): string {
   return planTroubles(seed).map(({ at, type, ...more }) => `${type} ${JSON.stringify(more)} at ${at} ms`).join(', ')
@@ -37,7 +16,15 @@
   return `${sends.length} sends (${counts.join(', ')}), ${runs.length} runs, ${jobs.map(({ reads }) => reads).join(' + ')} readings of results`
 }
 
-void runHunts().then(code => process.exit(code), error => {
-  console.error(error)
-  process.exit(1)
+runSeeds({
+  name: 'hunt',
+  usage: USAGE,
+  run: async seed => {
+    const record = await runHunt(seed)
+    return {
+      findings: checkPromises(record),
+      kept: { troubles: planTroubles(seed), record },
+      summary: `${showTroubles(seed)}; ${showCounts(record)}`
+    }
+  }
 })
--- /dev/null
+++ b/bench/run-seeds.ts
@@ -0,0 +1,51 @@
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { parseArgs } from 'node:util'
+
+const OUT = 'bench/out'
+/** Findings that are printed for each seed; all are kept in its file. */
+const SHOWN = 12
+
+/** What one seed came to. */
+interface SeedOutcome {
+  /** Promises that were broken, a sentence each. */
+  readonly findings: readonly string[]
+  /** Kept beside the findings. */
+  readonly kept: Readonly<Record<string, unknown>>
+  readonly summary: string
+  /** Logs, kept where a promise was broken. */
+  readonly lines?: readonly string[]
+}
+
+interface SeedsOptions {
+  /** Names the files in `bench/out` and the lines that are printed. */
+  readonly name: string
+  readonly usage: string
+  readonly run: (seed: number) => Promise<SeedOutcome>
+}
+
+/** Runs the seeds that the command line asks for, keeps what was seen, and ends the process: with 1 when a promise was broken. */
+export function runSeeds (options: SeedsOptions): void {
+  void runAll(options).then(code => process.exit(code), error => {
+    console.error(error)
+    process.exit(1)
+  })
+}
+
+async function runAll ({ name, usage, run }: SeedsOptions): Promise<number> {
+  const { values } = parseArgs({ options: { seed: { type: 'string', default: '1' }, count: { type: 'string', default: '1' }, help: { type: 'boolean', default: false } } })
+  if (values.help) {
+    console.log(usage)
+    return 0
+  }
+  mkdirSync(OUT, { recursive: true })
+  let broken = 0
+  for (let seed = Number(values.seed); seed < Number(values.seed) + Number(values.count); seed++) {
+    const { findings, kept, summary, lines } = await run(seed)
+    if (findings.length > 0) broken++
+    if (findings.length > 0 && lines !== undefined) writeFileSync(`${OUT}/${name}-${seed}.log`, lines.join('\n'))
+    writeFileSync(`${OUT}/${name}-${seed}.json`, JSON.stringify({ findings, ...kept }, null, 1))
+    console.log(`${name} ${seed}: ${findings.length === 0 ? 'every promise held' : `${findings.length} BROKEN`}; ${summary}`)
+    for (const finding of findings.slice(0, SHOWN)) console.log(`  ${finding}`)
+  }
+  return broken > 0 ? 1 : 0
+}
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -13,6 +13,7 @@
 import { PeerLinks } from '../peers/peer-links.js'
 import type { PeerMessage } from '../peers/peer-message.js'
 import type { StoreError } from '../store/store-error.js'
+import { countUnnoted } from './count-unnoted.js'
 import { JobBook } from './job-book.js'
 import type { ItemProgress } from './item-progress.js'
 import type { JobHead } from './job-head.js'
@@ -201,8 +202,7 @@
     if (head.err) return head
     const segments = await this.records.readSegments(id)
     if (segments.err) return segments
-    const isDone = segments.val.flat().length >= head.val.total
-    if (isDone) return Ok(this.ownDone(id, head.val, segments.val))
+    if (segments.val.flat().length >= head.val.total) return Ok(this.ownDone(id, head.val, segments.val))
     const [items, ended, noted] = await Promise.all([this.records.readItems(id, head.val), this.records.isEnded(id), this.records.readProgress(id)])
     if (items.err) return items
     if (ended.err) return ended
@@ -213,10 +213,10 @@
     job.useProgress(noted.val)
     job.useProgress(this.handed.get(id) ?? [])
     this.handed.delete(id)
-    this.log.write('info', 'jobs', 'took a job over', { job: id, from: head.val.owner, age, results: job.readPage(0).next, of: head.val.total, events: job.countEvents(), ended: job.ended })
+    this.log.write('info', 'jobs', 'took a job over', { job: id, from: head.val.owner, age, results: job.readPage(0).next, of: head.val.total, events: countUnnoted(job.items, []), ended: job.ended })
     const isClosed = this.book.get(id)?.closed === true
     this.own(job)
-    if (job.ended || job.isDone) this.close(job)
+    if (job.ended) this.close(job)
     else if (isClosed) void this.checkEnd(id)
     return Ok(job)
   }
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -56,7 +56,7 @@
   async readResults (job: string, after: number, wait: number): Promise<Result<ResultsPage, Failure>> {
     const own = await this.readOwn(job, after, Math.min(wait, MAX_WAIT))
     if (own !== undefined) return Ok(own)
-    const told = this.owner.find(job) === undefined ? await this.ask(job, { type: 'read', job, after, wait: Math.min(wait, MAX_WAIT) }, wait) : undefined
+    const told = await this.ask(job, { type: 'read', job, after, wait: Math.min(wait, MAX_WAIT) }, wait)
     if (told?.type === 'page') return Ok(told.page)
     const stored = await this.readStored(job)
     return stored.ok ? Ok(stored.val.readPage(after)) : stored
@@ -66,7 +66,7 @@
   async readBody (job: string, item: string): Promise<Result<string, Failure>> {
     const own = this.owner.find(job)
     if (own !== undefined && !own.isDone) return readFound(own.find(item)?.body)
-    const told = own === undefined ? await this.ask(job, { type: 'body', job, item }, 0) : undefined
+    const told = await this.ask(job, { type: 'body', job, item }, 0)
     if (told?.type === 'body') return readFound(told.body)
     const head = await this.records.readHead(job)
     if (head.err) return Err(readFailure(head.val))
@@ -115,9 +115,10 @@
     return job.readPage(after)
   }
 
+  /** Asks the job's owner, where that is another daemon and alive. */
   private async ask (job: string, question: OwnerQuestion, wait: number): Promise<OwnerAnswer | undefined> {
     const known = this.book.get(job)
-    if (known === undefined || known.owner === '' || !this.owner.isOwnerAlive(known)) return undefined
+    if (this.owner.find(job) !== undefined || known === undefined || known.owner === '' || !this.owner.isOwnerAlive(known)) return undefined
     return await this.calls.call(known.owner, question, wait + CALL_SLACK)
   }
 
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -67,11 +67,6 @@
     return this.items.find(({ item: { id } }) => id === item)?.item
   }
 
-  /** Events that unfinished items have come to. */
-  countEvents (): number {
-    return this.items.reduce((sum, { last, phase }) => sum + (phase === 'ended' ? 0 : last ?? 0), 0)
-  }
-
   /** What runs of its items have come to that aren't finished. */
   copyProgress (): readonly ItemProgress[] {
     return this.items.flatMap(({ item: { id }, last, texts, failures, phase }) => last === undefined || phase === 'ended' ? [] : [{ id, last, texts: [...texts], failures }])
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -5,6 +5,7 @@
 import type { MembershipEvent } from '../coordination/membership-event.js'
 import type { MembershipMessage } from '../coordination/membership-message.js'
 import type { MembershipState } from '../coordination/membership-state.js'
+import { isAddressGone } from '../http/is-address-gone.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -14,7 +15,6 @@
 import { tokens } from '../kernel/tokens.js'
 import { Timeline } from '../observe/timeline.js'
 import { InstanceList } from '../store/instance-list.js'
-import { isEnded } from './is-ended.js'
 import type { Member } from './member.js'
 import { PeerAddresses } from './peer-addresses.js'
 import { listOwnerNames } from './list-owner-names.js'
@@ -153,7 +153,7 @@
   private async checkEnded (name: string): Promise<void> {
     const { incarnation, status, data } = this.state.members.get(name) ?? {}
     if (incarnation === undefined || status === 'dead' || data === undefined) return
-    if (await isEnded(String(data.host), Number(data.peerPort))) this.step({ type: 'ended', name, incarnation })
+    if (await isAddressGone({ host: String(data.host), port: Number(data.peerPort) })) this.step({ type: 'ended', name, incarnation })
   }
 
   /** One that a list named stops to count as time passes, without a change of its record. */
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -60,10 +60,12 @@
     const begun = request.asked > this.refusedAt ? request.asked : request.arrived
     const late = isLate({ begun, target: request.target }, now)
     if (!late) this.lateShare.recordFresh(now)
-    const place = this.queue.length > 0 || late ? undefined : this.choose(request)
+    const isFirst = this.queue.length === 0 && !late
+    const place = isFirst ? this.choose(request, this.options.listPlaces()) : undefined
     if (place !== undefined) return request.start(place.server)
     this.wait({ ...request, begun })
-    this.giveAll()
+    // Behind held late requests a slot may be free; one that came first has just found none.
+    if (!isFirst) this.giveAll()
   }
 
   /** Gives what is free to those that wait. A request that starts changes the counts, which calls this again: only the outer call gives. */
@@ -137,11 +139,9 @@
     return true
   }
 
-  private mayBeginLate (now: number): boolean {
-    const { listPlaces, getStay } = this.options
-    const places = listPlaces()
+  private mayBeginLate (now: number, places: readonly ServerPlace[]): boolean {
     const online = places.reduce((sum, place) => sum + Math.min(place.slots, place.online), 0)
-    return this.lateShare.mayBegin(now, { slots: countSlots(places), online, stay: getStay() })
+    return this.lateShare.mayBegin(now, { slots: countSlots(places), online, stay: this.options.getStay() })
   }
 
   /** Only late requests wait, and none may begin yet. */
@@ -154,18 +154,19 @@
     })
   }
 
-  private choose ({ key, avoided }: PlaceRequest): ServerPlace | undefined {
-    return choosePlace(this.options.listPlaces(), { random: this.options.random, key, avoided })
+  private choose ({ key, avoided }: PlaceRequest, places: readonly ServerPlace[]): ServerPlace | undefined {
+    return choosePlace(places, { random: this.options.random, key, avoided })
   }
 
   private give (): void {
-    const { clock, metrics } = this.options
+    const { clock, listPlaces, metrics } = this.options
     while (this.queue.length > 0) {
       const now = clock.now()
       const waiting = this.queue.reduce((first, other) => compareWaiting(other, first, now) < 0 ? other : first)
       const late = isLate(waiting, now)
-      if (late && now < waiting.beginBy - PRESSED && !this.mayBeginLate(now)) return this.giveSoon()
-      const place = this.choose(waiting)
+      const places = listPlaces()
+      if (late && now < waiting.beginBy - PRESSED && !this.mayBeginLate(now, places)) return this.giveSoon()
+      const place = this.choose(waiting, places)
       if (place === undefined) return
       if (late) this.lateShare.use(now)
       this.remove(waiting)
--- a/test/peers/is-ended.test.ts
+++ b/test/http/is-address-gone.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { once } from 'node:events'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { isEnded } from '../../src/peers/is-ended.js'
+import { isAddressGone } from '../../src/http/is-address-gone.js'
 
 async function open (onSocket: (socket: Socket) => void): Promise<{ readonly server: Server, readonly port: number }> {
   const server = createServer(onSocket)
@@ -14,10 +14,10 @@
 // takes connections and closes them unread, and refuses them a moment later.
 test('a process that takes connections lives, one whose address refuses them has ended', async t => {
   const { server, port } = await open(() => {})
-  t.false(await isEnded('127.0.0.1', port))
+  t.false(await isAddressGone({ host: '127.0.0.1', port }))
   server.close()
   const ending = await open(socket => socket.destroy())
   setTimeout(() => ending.server.close(), 50)
-  t.true(await isEnded('127.0.0.1', ending.port))
-  t.true(await isEnded('127.0.0.1', port))
+  t.true(await isAddressGone({ host: '127.0.0.1', port: ending.port }))
+  t.true(await isAddressGone({ host: '127.0.0.1', port }))
 })
