Logs tell whom a daemon told of the end of a job

A job ran on after its end was acknowledged, and three hypotheses couldn't be told apart: nobody knew of the job, another owner was told, or the owner heard and went on. Now the daemon that acknowledges an end writes which owner it knew, whether one confirmed it or nobody did; a daemon that is told of an end writes whether it owns the job; an owner writes that it stopped, or that the store didn't say.

--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -162,6 +162,7 @@
   end (id: string): void {
     const job = this.owned.get(id)
     if (job === undefined) return
+    if (!job.ended) this.log.write('info', 'jobs', 'stopped an ended job', { job: id, results: job.readPage(0).next, of: job.head.total })
     job.ended = true
     this.close(job)
   }
@@ -177,6 +178,7 @@
       if (ended.ok) return
       await pauseFor(this.clock, END_PAUSE)
     }
+    if (this.isRunning(id)) this.log.write('warn', 'jobs', 'could not find out whether a job has ended', { job: id, tries: END_TRIES })
   }
 
   private isRunning (id: string): boolean {
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -7,6 +7,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { waitForNext } from '../kernel/wait-for-next.js'
+import type { LogSink } from '../observe/log-sink.js'
 import { MemberCalls } from '../peers/member-calls.js'
 import { PeerLinks } from '../peers/peer-links.js'
 import type { StoreError } from '../store/store-error.js'
@@ -46,6 +47,7 @@
     @inject(JobRecords) private readonly records: JobRecords,
     @inject(PeerLinks) links: PeerLinks,
     @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance'>,
+    @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
     this.calls = new MemberCalls({ links, clock, name: 'job', handle: async question => await this.answer(question) })
@@ -81,9 +83,12 @@
     if (known !== undefined && !known.closed) this.book.tell({ ...known, closed: true })
     for (let tries = 0; tries < END_TRIES; tries++) {
       if (this.owner.find(job) !== undefined) return
-      if (await this.ask(job, { type: 'end', job }, CALL_SLACK) !== undefined) return
+      if (await this.ask(job, { type: 'end', job }, CALL_SLACK) !== undefined) {
+        return this.log.write('info', 'jobs', 'told the owner of a job of its end', { job, owner: this.book.get(job)?.owner, tries })
+      }
       await pauseFor(this.clock, END_PAUSE)
     }
+    this.log.write('warn', 'jobs', 'no owner of a job confirmed its end', { job, owner: this.book.get(job)?.owner, tries: END_TRIES })
   }
 
   /**
@@ -133,6 +138,7 @@
         return job === undefined || job.isDone ? undefined : { type: 'body', body: job.find(question.item)?.body }
       }
       case 'end': {
+        this.log.write('info', 'jobs', 'was told of the end of a job', { job: question.job, owned: this.owner.find(question.job) !== undefined })
         this.owner.end(question.job)
         return { type: 'done' }
       }
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -105,13 +105,14 @@
 
   /** Answered once the end is stored: whoever takes the job over later reads it. */
   private async end ({ job }: Extract<JobCall, { type: 'end' }>, res: ServerResponse): Promise<void> {
-    if (this.book.get(job) === undefined) {
+    const known = this.book.get(job)
+    if (known === undefined) {
       const head = await this.records.readHead(job)
       if (head.err) return this.answerFailure(head.val.type === 'missing' ? 'missing' : 'unsure', job, res)
     }
     const ended = await this.records.end(job)
     if (ended.err) return this.answerFailure('unsure', job, res)
-    this.log.write('info', 'jobs', 'a job was ended', { job })
+    this.log.write('info', 'jobs', 'a job was ended', { job, owner: known?.owner, known: known !== undefined })
     void this.reader.tellEnd(job)
     sendJson(res, 200, {})
   }
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -85,7 +85,7 @@
     const owner = new JobOwner(records, runner, book, members, links, settings, { write: () => {} }, clock)
     const contest = new JobContest(owner, book, pauses, settings, { write: () => {} }, clock)
     const adoption = new JobAdoption(owner, book, records, members, settings, clock)
-    const reader = new JobReader(owner, book, records, links, settings, clock)
+    const reader = new JobReader(owner, book, records, links, settings, { write: () => {} }, clock)
     this.handlers.set(name, [...book.extensions, ...owner.extensions, ...reader.extensions].map(({ value }) => value as PeerHandler))
     void pauses.start()
     void owner.start()
--- a/test/jobs/job-reader.test.ts
+++ b/test/jobs/job-reader.test.ts
@@ -29,7 +29,7 @@
   }
   const book = { get: (id: string) => known.get(id), learn: (job: KnownJob) => { known.set(job.id, job) } }
   const reader: JobReader = new JobReader(jobOwner as unknown as JobOwner, book as unknown as JobBook, records as unknown as JobRecords,
-    { send: (to: string) => asked.push(to) } as unknown as PeerLinks, { instance: 'd0' }, clock)
+    { send: (to: string) => asked.push(to) } as unknown as PeerLinks, { instance: 'd0' }, { write: () => {} }, clock)
   void reader.tellCare('job')
   await clock.advance(5_000)
   return { adopted, asked }
