--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -34,6 +34,10 @@
   readonly time = new VirtualClock()
   readonly store = new MemoryStore()
   readonly daemons = new Map<string, Daemon>()
+  /** Whether a message is lost on its way. */
+  loses: (from: string, to: string, message: PeerMessage) => boolean = () => false
+  /** Whether a daemon has another one among its members. */
+  knows: (name: string, other: string) => boolean = () => true
   private readonly dead = new Set<string>()
   private readonly handlers = new Map<string, PeerHandler[]>()
 
@@ -53,12 +57,12 @@
     })
   }
 
-  private alive (): readonly string[] {
-    return NAMES.filter(name => !this.dead.has(name))
+  private listMembers (of: string): readonly string[] {
+    return NAMES.filter(name => !this.dead.has(name) && this.knows(of, name))
   }
 
   private post (from: string, to: string, message: PeerMessage): void {
-    if (this.dead.has(to) || this.dead.has(from)) return
+    if (this.dead.has(to) || this.dead.has(from) || this.loses(from, to, message)) return
     this.time.after(1, () => this.daemons.get(to)!.clock.run(() => this.dispatch(to, message, from)))
   }
 
@@ -70,12 +74,12 @@
     const clock = new PausableClock(this.time)
     const members = {
       run: 1,
-      all: () => this.alive().map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })),
-      owners: () => this.alive(),
+      all: () => this.listMembers(name).map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })),
+      owners: () => this.listMembers(name),
       subscribe: () => () => {}
     } as unknown as Members
     const links = { send: (to: string, message: PeerMessage) => this.post(name, to, message) } as unknown as PeerLinks
-    const cast = { cast: (message: PeerMessage) => { for (const other of this.alive()) if (other !== name) this.post(name, other, message) } } as unknown as FleetCast
+    const cast = { cast: (message: PeerMessage) => { for (const other of this.listMembers(name)) if (other !== name) this.post(name, other, message) } } as unknown as FleetCast
     let onResult: (job: OwnedJob) => void = () => {}
     const runner = { subscribe: (listener: (job: OwnedJob) => void) => { onResult = listener }, add: () => {}, remove: () => {} } as unknown as JobRunner
     const book = new JobBook(cast)
