An owner runs items only as long as it has seen in the store that the job goes on

Callers saw items of an ended job run for up to 15.5 s after the end was acknowledged (3 s are allowed).

Cause: an owner went on until a message told it to stop, and nothing made it look. The daemon that acknowledges an end may know nothing of the job (its cast was lost, as in a fleet that has just started), or another owner of it; the end went to nobody, or to the wrong one, which answered 'done' whether it owned the job or not. Class: the order to stop is best effort and the right to go on has no expiry.

Now every job carries when the store was last seen to know no end of it. Items start, and leave with their first byte, only while that is at most 2.5 s old (60 s while the store gives no answer, nothing after a pause of the process before a new look). EndWatch looks every 1.2 s for all open jobs; the hub of a failure domain reads the store for those that ask within 0.8 s, and its answer counts from when it was asked, so that a late one proves no more than it may. Where no hub answers in 0.4 s the owner reads the store itself. Besides, a daemon confirms an end only for a job that it owns, and one that reads the head of an unknown job tells the owner named there. The loop in checkEnd goes, the look replaces it. mayStart moves to coordination: one rule behind both doors.

--- a/src/batch/job-watch.ts
+++ b/src/batch/job-watch.ts
@@ -6,16 +6,16 @@
 import { tokens } from '../kernel/tokens.js'
 import { CancelledIndex } from './cancelled-index.js'
 import type { Job } from './job.js'
-import type { JobCheck } from './job-check.js'
+import type { LastLook } from '../coordination/last-look.js'
 import { JobStore } from './job-store.js'
-import { mayStart } from './may-start.js'
+import { mayStart } from '../coordination/may-start.js'
 
 const CHECK_PERIOD = 2_000
 
 /** Looks at the jobs that this daemon holds chunks of, and tells when one has been cancelled. */
 @scoped(Lifecycle.ContainerScoped)
 export class JobWatch implements Part {
-  private readonly checks = new Map<string, JobCheck>()
+  private readonly checks = new Map<string, LastLook>()
   private readonly listeners = new Set<(job: string) => void>()
   /** Pauses of the process noticed so far. */
   private paused = 0
--- a/src/batch/job-check.ts
+++ b/src/coordination/last-look.ts
@@ -1,5 +1,5 @@
-/** When a holder last saw that a job goes on. */
-export interface JobCheck {
+/** When the holder of work last saw in the store that the work goes on. */
+export interface LastLook {
   /** Begin of the last look that succeeded, in monotonic ms; absent after a pause of the process. */
   readonly seen?: number
   /** Whether the last look failed because the platform gave no answer. */
--- /dev/null
+++ b/src/jobs/end-lookup.ts
@@ -0,0 +1,103 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Ok, type Result } from 'ts-results'
+import type { Clock } from '../kernel/clock.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
+import type { Settings } from '../kernel/settings.js'
+import { tokens } from '../kernel/tokens.js'
+import { findHub } from '../peers/find-hub.js'
+import { MemberCalls } from '../peers/member-calls.js'
+import { Members } from '../peers/members.js'
+import { PeerLinks } from '../peers/peer-links.js'
+import type { StoreError } from '../store/store-error.js'
+import { StoreMirror } from '../store/store-mirror.js'
+import { JobRecords } from './job-records.js'
+
+/** Oldest read of the store, ms, that answers another question too. */
+const READ_KEPT = 800
+/** How long the answer of a hub is waited for, ms: the way there and back, and a read of the store. */
+const HUB_TIMEOUT = 400
+
+interface Question { readonly jobs: readonly string[] }
+
+/** Those of the jobs that have ended, and how old the read of the store is that says so, ms. */
+interface Answer { readonly ended: readonly string[], readonly age: number }
+
+/** Those of the jobs that have ended; of the others none had at `seen`, monotonic ms. */
+interface FoundEnds { readonly ended: readonly string[], readonly seen: number }
+
+/**
+ * Which jobs have ended, by the store. The hub of a failure domain reads the store for all daemons of it that ask within a moment, so that
+ * calls don't grow with the fleet; where it doesn't answer, a daemon reads the store itself. The age of what a hub says counts
+ * from when it was asked: however long the answer takes, it proves no more than it may.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class EndLookup {
+  readonly extensions
+  private readonly calls: MemberCalls<Question, Answer>
+  private readonly mirror = new StoreMirror<boolean>()
+  /** Begin of the last read that succeeded, monotonic ms. */
+  private seen = -Infinity
+  private reading: Promise<Result<number, StoreError>> | undefined
+  /** Pauses of the process noticed so far. */
+  private paused = 0
+
+  constructor (
+    @inject(JobRecords) private readonly records: JobRecords,
+    @inject(Members) private readonly members: Pick<Members, 'all'>,
+    @inject(PeerLinks) links: Pick<PeerLinks, 'send'>,
+    @inject(PauseWatch) private readonly pauses: PauseWatch,
+    @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance' | 'failureDomain'>,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    this.calls = new MemberCalls({ links, clock, name: 'job ends', handle: async ({ jobs }) => await this.answer(jobs) })
+    this.extensions = this.calls.extensions
+    pauses.subscribe(() => {
+      this.paused++
+      this.seen = -Infinity
+    })
+  }
+
+  async find (jobs: readonly string[]): Promise<Result<FoundEnds, StoreError>> {
+    const { instance, failureDomain } = this.settings
+    const hub = findHub(this.members.all(), failureDomain)
+    const asked = this.clock.now()
+    const answer = hub === undefined || hub === instance ? undefined : await this.calls.call(hub, { jobs }, HUB_TIMEOUT)
+    if (answer !== undefined) return Ok({ ended: answer.ended, seen: asked - answer.age })
+    return (await this.read()).map(seen => ({ ended: this.filterEnded(jobs), seen }))
+  }
+
+  private async answer (jobs: readonly string[]): Promise<Answer | undefined> {
+    if (!Array.isArray(jobs)) return undefined
+    const read = await this.read()
+    return read.ok ? { ended: this.filterEnded(jobs), age: this.clock.now() - read.val } : undefined
+  }
+
+  private filterEnded (jobs: readonly string[]): readonly string[] {
+    const ended = this.mirror.list()
+    return jobs.filter(job => ended.has(job))
+  }
+
+  /** Reads the store unless that was just done; gives the begin of the read. */
+  private async read (): Promise<Result<number, StoreError>> {
+    this.pauses.check()
+    if (this.clock.now() - this.seen <= READ_KEPT) return Ok(this.seen)
+    this.reading ??= this.readStore().finally(() => { this.reading = undefined })
+    return await this.reading
+  }
+
+  /** A read that a pause fell into may be from before the pause, and is repeated. */
+  private async readStore (): Promise<Result<number, StoreError>> {
+    const { paused } = this
+    const began = this.clock.now()
+    const batch = await this.records.readEnds(this.mirror.cursor)
+    this.pauses.check()
+    if (paused !== this.paused) return await this.readStore()
+    if (batch.err) return batch
+    this.mirror.apply(batch.val)
+    this.seen = began
+    return Ok(began)
+  }
+}
+
+partRegistry.register({ name: 'end lookup', part: EndLookup, needs: ['members', 'peer links', 'pause watch'] })
--- /dev/null
+++ b/src/jobs/end-watch.ts
@@ -0,0 +1,93 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
+import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
+import { Metrics } from '../observe/metrics.js'
+import type { StoreError } from '../store/store-error.js'
+import { EndLookup } from './end-lookup.js'
+import { JobOwner } from './job-owner.js'
+import type { OwnedJob } from './owned-job.js'
+
+/** How often it is looked whether owned jobs have ended, and how soon again after a look that failed, ms. */
+const LOOK_PERIOD = 1_200
+const RETRY = 300
+
+/**
+ * Looks in the store whether the jobs that this daemon owns have ended. Daemons tell each other of an end, which makes it fast, but the one that
+ * acknowledges it may not know of the job, or of all its owners, and what it tells may be lost: an owner runs items only as long
+ * as its own look is fresh (`OwnedJob.mayStart`).
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class EndWatch implements Part {
+  private looking = false
+  /** Pauses of the process noticed so far. */
+  private paused = 0
+  private failing = false
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(JobOwner) private readonly owner: Pick<JobOwner, 'list' | 'end'>,
+    @inject(EndLookup) private readonly lookup: Pick<EndLookup, 'find'>,
+    @inject(PauseWatch) private readonly pauses: PauseWatch,
+    @inject(Metrics) metrics: Metrics,
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(tokens.clock) private readonly clock: Clock
+  ) {
+    metrics.gauge('job_end_look_age_ms', () => this.findOldest())
+  }
+
+  async start (): Promise<void> {
+    this.pauses.subscribe(() => {
+      this.paused++
+      for (const job of this.listOpen()) job.look = { unreachable: false }
+      void this.check()
+    })
+    this.cancel = this.clock.every(LOOK_PERIOD, () => { void this.check() })
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  private async check (): Promise<void> {
+    this.pauses.check()
+    const jobs = this.listOpen()
+    if (this.looking || jobs.length === 0) return
+    this.looking = true
+    const { paused } = this
+    const found = await this.lookup.find(jobs.map(({ id }) => id))
+    this.pauses.check()
+    this.looking = false
+    if (paused === this.paused) this.use(jobs, found)
+    else await this.check()
+  }
+
+  private use (jobs: readonly OwnedJob[], found: Awaited<ReturnType<EndLookup['find']>>): void {
+    if (found.err) return this.noteFailure(jobs, found.val)
+    this.failing = false
+    for (const job of jobs) job.look = { seen: Math.max(found.val.seen, job.look.seen ?? -Infinity), unreachable: false }
+    for (const id of found.val.ended) this.owner.end(id)
+  }
+
+  private noteFailure (jobs: readonly OwnedJob[], { type }: StoreError): void {
+    if (!this.failing) this.log.write('warn', 'jobs', 'could not look up whether jobs have ended', { error: type, jobs: jobs.length, age: Math.round(this.findOldest()) })
+    this.failing = true
+    for (const job of jobs) job.look = { ...job.look, unreachable: type === 'unavailable' }
+    this.clock.after(RETRY, () => { void this.check() })
+  }
+
+  private listOpen (): readonly OwnedJob[] {
+    return this.owner.list().filter(({ ended, isDone }) => !ended && !isDone)
+  }
+
+  /** Age of the oldest look, ms; 0 where no job is open. */
+  private findOldest (): number {
+    const now = this.clock.now()
+    return Math.max(0, ...this.listOpen().map(({ look }) => now - (look.seen ?? now)))
+  }
+}
+
+partRegistry.register({ name: 'end watch', part: EndWatch, needs: ['job owner', 'end lookup', 'pause watch'] })
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -67,7 +67,7 @@
       paced: true,
       mayStart
     }, { body, fingerprint: item.id, patience: FIRST_PATIENCE })
-    if (opened.err) return this.showLoss(opened.val.detail)
+    if (opened.err) return opened.val.why === 'withheld' && !this.abort.signal.aborted ? { type: 'withheld' } : this.showLoss(opened.val.detail)
     return await this.read(opened.val)
   }
 
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -32,9 +32,6 @@
 /** How long a shutdown waits for results to be stored, and how often it looks, ms. */
 const STORE_WAIT = 1_500
 const STORE_CHECK = 100
-/** How often, and how long apart, ms, the store is asked whether a job has ended. */
-const END_TRIES = 20
-const END_PAUSE = 300
 
 /**
  * The jobs that this daemon owns: those it accepted, and those whose owner has ended. Who takes over follows by rank; that
@@ -140,9 +137,10 @@
   /** Accepts a job: once this is `Ok` it is kept. `conflict` says that it was accepted before. */
   async accept (id: string, job: Pick<JobHead, 'host' | 'path'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
     const { instance: owner } = this.settings
+    const openAt = this.clock.now()
     const head = { ...job, submittedAt: this.clock.date(), total: items.length, tokens: items.reduce((sum, { tokens }) => sum + tokens, 0), owner, run: this.members.run }
     const created = await this.records.create(id, head, items)
-    if (created.ok) this.own(new OwnedJob({ id, head: { ...head, parts: 0 }, items, segments: [], acceptedAt: this.clock.now() }))
+    if (created.ok) this.own(new OwnedJob({ id, head: { ...head, parts: 0 }, items, segments: [], acceptedAt: this.clock.now(), openAt }))
     return created
   }
 
@@ -168,17 +166,12 @@
   }
 
   /**
-   * Ends a job if the store says that its caller has ended it. The word of that may have gone to an owner that was gone, or have come while the
-   * job was being taken over; without this its items run on, seconds after their caller was told that nothing does.
+   * Ends a job at once if the store says that its caller has ended it. Where the store doesn't answer, `EndWatch` sees it later.
    */
   async checkEnd (id: string): Promise<void> {
-    for (let tries = 0; tries < END_TRIES && this.isRunning(id); tries++) {
-      const ended = await this.records.isEnded(id)
-      if (ended.ok && ended.val) return this.end(id)
-      if (ended.ok) return
-      await pauseFor(this.clock, END_PAUSE)
-    }
-    if (this.isRunning(id)) this.log.write('warn', 'jobs', 'could not find out whether a job has ended', { job: id, tries: END_TRIES })
+    if (!this.isRunning(id)) return
+    const ended = await this.records.isEnded(id)
+    if (ended.ok && ended.val) this.end(id)
   }
 
   private isRunning (id: string): boolean {
@@ -200,6 +193,7 @@
   }
 
   private async load (id: string): Promise<Result<OwnedJob | undefined, StoreError>> {
+    const openAt = this.clock.now()
     const head = await this.records.readHead(id)
     if (head.err) return head
     const segments = await this.records.readSegments(id)
@@ -210,7 +204,7 @@
     if (ended.err) return ended
     if (noted.err) return noted
     const age = Math.max(0, this.clock.date() - head.val.submittedAt)
-    const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, former: this.book.get(id) ?? head.val })
+    const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, openAt, former: this.book.get(id) ?? head.val })
     job.ended = ended.val
     job.useProgress(noted.val)
     job.useProgress(this.handed.get(id) ?? [])
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -138,9 +138,10 @@
         return job === undefined || job.isDone ? undefined : { type: 'body', body: job.find(question.item)?.body }
       }
       case 'end': {
-        this.log.write('info', 'jobs', 'was told of the end of a job', { job: question.job, owned: this.owner.find(question.job) !== undefined })
+        const isOwned = this.owner.find(question.job) !== undefined
+        this.log.write('info', 'jobs', 'was told of the end of a job', { job: question.job, owned: isOwned })
         this.owner.end(question.job)
-        return { type: 'done' }
+        return isOwned ? { type: 'done' } : undefined
       }
       case 'care': {
         const adopted = await this.owner.adopt(question.job)
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -4,6 +4,7 @@
 import type { ObjectStore } from '../store/object-store.js'
 import { listPages } from '../store/list-pages.js'
 import type { StoreError } from '../store/store-error.js'
+import type { WatchBatch } from '../store/watch-batch.js'
 import type { ListedResult } from './listed-result.js'
 import type { ItemProgress } from './item-progress.js'
 import type { JobHead } from './job-head.js'
@@ -19,6 +20,8 @@
 const OBJECT_BYTES = 600_000
 /** About what the rest of an item adds to its body. */
 const ITEM_OVERHEAD = 600
+/** How long a read of what is new waits for something, ms: the least that the store takes. */
+const READ_WAIT = 1
 
 /**
  * Jobs as the store keeps them. Every object is created once and never changed, so that no write needs to know what was
@@ -98,6 +101,11 @@
     return end.val.type === 'missing' ? Ok(false) : end
   }
 
+  /** The ends stored since the cursor of the last read, -1 before the first; at once, whether there are any or not. */
+  async readEnds (cursor: number): Promise<Result<WatchBatch<boolean>, StoreError>> {
+    return await this.store.watch<boolean>(ENDS, cursor, READ_WAIT)
+  }
+
   async listHeads (): Promise<Result<ReadonlyMap<string, JobHead>, StoreError>> {
     const heads = new Map<string, JobHead>()
     for await (const page of listPages<JobHead>(this.store, HEADS)) {
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
 import type { Random } from '../kernel/random.js'
 import { failUnreachable } from '../kernel/unreachable.js'
 import { tokens } from '../kernel/tokens.js'
@@ -58,6 +59,7 @@
     @inject(Servers) private readonly servers: Servers,
     @inject(ConfigurationHolder) configuration: ConfigurationHolder,
     @inject(ItemPace) private readonly pace: ItemPace,
+    @inject(PauseWatch) private readonly pauses: PauseWatch,
     @inject(Metrics) private readonly metrics: Metrics,
     @inject(tokens.servers) private readonly dialect: ServerDialect,
     @inject(tokens.log) private readonly log: LogSink,
@@ -141,15 +143,21 @@
     const waiting: RunnableItem[] = []
     for (const job of this.jobs) {
       const route = this.routes.find(job)
+      const mayStart = this.mayStart(job)
       for (const state of job.items) {
         if (this.giveUp(job, state, route, now)) continue
-        const isFree = state.phase === 'waiting' && now >= state.notBefore && !busy.has(state)
+        const isFree = mayStart && state.phase === 'waiting' && now >= state.notBefore && !busy.has(state)
         if (isFree && route?.jobs !== undefined) waiting.push(this.weigh({ job, state, route }))
       }
     }
     return orderBatch(waiting, now)
   }
 
+  private mayStart (job: OwnedJob): boolean {
+    this.pauses.check()
+    return job.mayStart(this.clock.now())
+  }
+
   /** A broker gives a slot to the first item that may run there; one that is left goes back with the next word to the broker. */
   private useGrant (pool: string, server: string): void {
     if (this.draining || !this.loads.isOpen(server)) return
@@ -168,7 +176,7 @@
   }
 
   private startItem ({ job, state, route }: RunnableItem, pool: string, server: string): void {
-    const run = new ItemRun({ state, host: job.head.host, pool, server, mayStart: () => !job.ended && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, dialect: this.dialect })
+    const run = new ItemRun({ state, host: job.head.host, pool, server, mayStart: () => this.mayStart(job) && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, dialect: this.dialect })
     const running = { job, state, route, run }
     const [startedAt, events] = [this.clock.now(), state.last ?? 0]
     state.phase = 'running'
@@ -194,6 +202,11 @@
         this.log.write('info', 'jobs', 'a server refused an item', { request: state.item.id, job: job.id, server: run.server })
         return this.loads.markFull(run.server)
       }
+      case 'withheld': {
+        this.log.write('info', 'jobs', 'withheld an item', { request: state.item.id, job: job.id, server: run.server, ended: job.ended, lookAge: Math.round(this.clock.now() - (job.look.seen ?? -Infinity)) })
+        state.notBefore = this.clock.now() + FIRST_PAUSE
+        return
+      }
       case 'failed': {
         state.failures++
         if (state.failures >= route.attempts) return this.finish(job, state, 'failed', '')
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -18,6 +18,7 @@
 import { JobOwner } from './job-owner.js'
 import { JobReader } from './job-reader.js'
 import { JobRecords } from './job-records.js'
+import { readKnownJob } from './read-known-job.js'
 
 const ACCEPTED = 202
 const BAD_REQUEST = 400
@@ -109,6 +110,7 @@
     if (known === undefined) {
       const head = await this.records.readHead(job)
       if (head.err) return this.answerFailure(head.val.type === 'missing' ? 'missing' : 'unsure', job, res)
+      this.book.learn(readKnownJob(job, head.val, { stored: true }))
     }
     const ended = await this.records.end(job)
     if (ended.err) return this.answerFailure('unsure', job, res)
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -1,3 +1,5 @@
+import type { LastLook } from '../coordination/last-look.js'
+import { mayStart } from '../coordination/may-start.js'
 import type { ItemProgress } from './item-progress.js'
 import type { ListedResult } from './listed-result.js'
 import type { ItemState } from './item-state.js'
@@ -8,6 +10,8 @@
 
 /** Bytes of results in one answer. */
 const PAGE_BYTES = 500_000
+/** Oldest look at whether it has ended with which its items start, ms: callers are promised that none runs 3 s after an end. */
+const FRESH_LOOK = 2_500
 
 interface OwnedJobOptions {
   readonly id: string
@@ -16,6 +20,8 @@
   readonly segments: ReadonlyArray<readonly ListedResult[]>
   /** Monotonic ms of its acceptance. */
   readonly acceptedAt: number
+  /** Monotonic ms at which the store knew of no end of it. */
+  readonly openAt?: number
   /** From whom it was taken over, in the life in which that one had it. */
   readonly former?: Pick<KnownJob, 'owner' | 'run'>
 }
@@ -29,6 +35,8 @@
   readonly items: readonly ItemState[]
   /** Set when its caller ended it: nothing of it runs any more. */
   ended = false
+  /** When the store was last seen to know of no end of it. */
+  look: LastLook
   /** Whether a segment of its results is being stored, and when the last was begun; monotonic ms. */
   isStoring = false
   storedAt = -Infinity
@@ -44,11 +52,12 @@
   private readonly listed: Set<string>
   private readonly readers = new Set<() => void>()
 
-  constructor ({ id, head, items, segments, acceptedAt, former }: OwnedJobOptions) {
+  constructor ({ id, head, items, segments, acceptedAt, openAt, former }: OwnedJobOptions) {
     this.id = id
     this.head = head
     this.acceptedAt = acceptedAt
     this.former = former
+    this.look = { seen: openAt, unreachable: false }
     this.segments = segments.length
     this.results = segments.flat()
     this.listed = new Set(this.results.map(result => result.id))
@@ -59,6 +68,11 @@
     return this.results.length >= this.head.total
   }
 
+  /** Whether its items may run now, monotonic ms: only as long as it is known not to have been ended. */
+  mayStart (now: number): boolean {
+    return !this.ended && mayStart(this.look, now, { fresh: FRESH_LOOK })
+  }
+
   get tokensLeft (): number {
     return this.items.reduce((sum, { item, phase }) => sum + (phase === 'ended' ? 0 : item.tokens), 0)
   }
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -1,5 +1,7 @@
 import type { Settings } from '../../src/kernel/settings.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
+import { EndLookup } from '../../src/jobs/end-lookup.js'
+import { EndWatch } from '../../src/jobs/end-watch.js'
 import { JobAdoption } from '../../src/jobs/job-adoption.js'
 import { JobBook } from '../../src/jobs/job-book.js'
 import { JobContest } from '../../src/jobs/job-contest.js'
@@ -9,6 +11,7 @@
 import { JobRecords } from '../../src/jobs/job-records.js'
 import type { JobRunner } from '../../src/jobs/job-runner.js'
 import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import { Metrics } from '../../src/observe/metrics.js'
 import type { FleetCast } from '../../src/peers/fleet-cast.js'
 import type { Members } from '../../src/peers/members.js'
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
@@ -74,7 +77,7 @@
     const clock = new PausableClock(this.time)
     const members = {
       run: 1,
-      all: () => this.listMembers(name).map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })),
+      all: () => this.listMembers(name).map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: 'alive', run: 1 })),
       owners: () => this.listMembers(name),
       subscribe: () => () => {}
     } as unknown as Members
@@ -84,16 +87,19 @@
     const runner = { subscribe: (listener: (job: OwnedJob) => void) => { onResult = listener }, add: () => {}, remove: () => {} } as unknown as JobRunner
     const book = new JobBook(cast)
     const records = new JobRecords(this.store)
-    const settings = { instance: name } as unknown as Settings
+    const settings = { instance: name, failureDomain: 'z' } as unknown as Settings
     const pauses = new PauseWatch(clock)
     const owner = new JobOwner(records, runner, book, members, links, settings, { write: () => {} }, clock)
     const contest = new JobContest(owner, book, pauses, settings, { write: () => {} }, clock)
+    const lookup = new EndLookup(records, members, links, pauses, settings, clock)
+    const ends = new EndWatch(owner, lookup, pauses, new Metrics(), { write: () => {} }, clock)
     const adoption = new JobAdoption(owner, book, records, members, settings, clock)
     const reader = new JobReader(owner, book, records, links, settings, { write: () => {} }, clock)
-    this.handlers.set(name, [...book.extensions, ...owner.extensions, ...reader.extensions].map(({ value }) => value as PeerHandler))
+    this.handlers.set(name, [...book.extensions, ...owner.extensions, ...reader.extensions, ...lookup.extensions].map(({ value }) => value as PeerHandler))
     void pauses.start()
     void owner.start()
     void contest.start()
+    void ends.start()
     void adoption.start()
     const finish = (item: string): void => {
       const job = owner.find('j')
--- /dev/null
+++ b/test/jobs/end-watch.test.ts
@@ -0,0 +1,94 @@
+import 'reflect-metadata'
+import test from 'ava'
+import type { StoreError } from '../../src/store/store-error.js'
+import { JobFleet } from '../helpers/job-fleet.js'
+
+const { items, names } = JobFleet
+const OWNER = names[4]!
+const ENDS = 'job-ends'
+/** Bound on what runs without a look while the store doesn't answer at all, ms. */
+const OUTAGE_BOUND = 60_000
+
+async function accept (fleet: JobFleet, owners: readonly string[] = [OWNER]): Promise<void> {
+  await fleet.start()
+  for (const name of owners) await fleet.daemons.get(name)!.owner.accept(`job of ${name}`, { host: 'h', path: '/jobs/' }, items)
+}
+
+function mayStart (fleet: JobFleet): boolean {
+  const { owner, clock } = fleet.daemons.get(OWNER)!
+  return owner.find(`job of ${OWNER}`)!.mayStart(clock.now())
+}
+
+function failLooks (fleet: JobFleet, error: StoreError): void {
+  fleet.store.fault = ({ call }) => call === 'watch' ? { fail: error } : 'none'
+}
+
+test('an accepted job starts at once, and goes on while its looks succeed', async t => {
+  const fleet = new JobFleet()
+  await accept(fleet)
+  for (let second = 0; second < 10; second++) {
+    t.true(mayStart(fleet))
+    await fleet.time.advance(1_000)
+  }
+})
+
+// Guards against an owner that goes on without a look because the store serves others and turns this daemon away.
+test('nothing starts once looks are refused for longer than the bound', async t => {
+  const fleet = new JobFleet()
+  await accept(fleet)
+  failLooks(fleet, { type: 'limited', retryAfter: 100 })
+  await fleet.time.advance(3_000)
+  t.false(mayStart(fleet))
+  fleet.store.fault = () => 'none'
+  await fleet.time.advance(1_500)
+  t.true(mayStart(fleet))
+})
+
+// Guards against an outage of the store that stops all batch work, and against a daemon that is cut off for good.
+test('items start for a minute while the store does not answer', async t => {
+  const fleet = new JobFleet()
+  await accept(fleet)
+  failLooks(fleet, { type: 'unavailable', reason: 'outage' })
+  await fleet.time.advance(OUTAGE_BOUND - 3_000)
+  t.true(mayStart(fleet))
+  await fleet.time.advance(6_000)
+  t.false(mayStart(fleet))
+})
+
+// Guards against a process that stood still and starts items by what it knew before.
+for (const counted of [true, false]) {
+  test(`after a pause nothing starts before a new look (steady clock ${counted ? 'goes on' : 'stands'})`, async t => {
+    const fleet = new JobFleet()
+    await accept(fleet)
+    failLooks(fleet, { type: 'unavailable', reason: 'outage' })
+    await fleet.pause(OWNER, 2_000, counted)
+    await fleet.time.advance(2_300)
+    t.false(mayStart(fleet))
+    fleet.store.fault = () => 'none'
+    await fleet.time.advance(1_000)
+    t.true(mayStart(fleet))
+  })
+}
+
+// Guards against a hub whose late answer, from before an end, passes for a fresh look.
+test('what a hub says proves nothing beyond the moment at which it was asked', async t => {
+  const fleet = new JobFleet()
+  await accept(fleet)
+  await fleet.time.advance(1_500)
+  fleet.loses = (_from, _to, { type }) => type === 'job ends answer'
+  failLooks(fleet, { type: 'limited', retryAfter: 100 })
+  await fleet.time.advance(3_000)
+  t.false(mayStart(fleet))
+})
+
+// Guards against looks that grow with the fleet.
+test('one daemon of a failure domain reads the store for all', async t => {
+  const counts = await Promise.all([[names[0]!], names].map(async owners => {
+    const fleet = new JobFleet()
+    await accept(fleet, owners)
+    fleet.store.calls.length = 0
+    await fleet.time.advance(20_000)
+    return fleet.store.calls.filter(({ call, kind }) => call === 'watch' && kind === ENDS).length
+  }))
+  t.true(counts[1]! <= 25, `${counts.join(' and ')} reads in 20 s for one owner and for five`)
+})
