--- /dev/null
+++ b/test/helpers/strict-server.ts
@@ -0,0 +1,118 @@
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+
+const HEAD_END = '\r\n\r\n'
+const REQUEST_LINE = /^[A-Z]+ (\/[!-~]*|\*) HTTP\/1\.1$/
+const HEADER = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+:[ \t]*[\t\x20-\x7e\x80-\xff]*$/
+const REFUSAL = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
+const LONGEST_LINE_SHOWN = 60
+
+/** One request as its head came in. `read` counts the bytes of its body so far; `handed` resolves once all of it was read. */
+export interface StrictRequest {
+  readonly connection: number
+  readonly line: string
+  readonly headers: ReadonlyMap<string, string>
+  readonly length: number
+  readonly socket: Socket
+  readonly handed: Promise<void>
+  read: number
+}
+
+interface OpenBody { readonly request: StrictRequest, readonly finish: () => void }
+
+/** What was read on a connection and not yet understood, and the body that is due there. */
+interface Connection { readonly number: number, readonly socket: Socket, waiting: Buffer, body?: OpenBody }
+
+/**
+ * A TCP server that reads HTTP/1.1 requests on kept connections and takes nothing on trust: `violations` lists each place
+ * where other bytes stood than a request line, a header or the body that its head announced. A body must consist of the one
+ * character that its `x-fill` header names. `answer` is called at the end of each head, before the body has been read.
+ */
+export class StrictServer {
+  readonly requests: StrictRequest[] = []
+  readonly violations: string[] = []
+  private readonly sockets = new Set<Socket>()
+  private connections = 0
+
+  private constructor (private readonly server: Server, readonly port: number, private readonly answer: (request: StrictRequest) => void) {
+    server.on('connection', socket => this.accept(socket))
+  }
+
+  static async start (answer: (request: StrictRequest) => void, port = 0): Promise<StrictServer> {
+    const server = createServer()
+    server.listen(port, '127.0.0.1')
+    await once(server, 'listening')
+    return new StrictServer(server, (server.address() as AddressInfo).port, answer)
+  }
+
+  /** Resolves once nothing listens at the port; open connections are reset. */
+  async close (): Promise<void> {
+    if (!this.server.listening) return
+    const closed = once(this.server, 'close')
+    this.server.close()
+    for (const socket of this.sockets) socket.resetAndDestroy()
+    await closed
+  }
+
+  private accept (socket: Socket): void {
+    const connection: Connection = { number: this.connections++, socket, waiting: Buffer.alloc(0) }
+    this.sockets.add(socket)
+    socket.on('error', () => socket.destroy())
+    socket.on('close', () => this.sockets.delete(socket))
+    socket.on('data', bytes => {
+      connection.waiting = Buffer.concat([connection.waiting, bytes])
+      while (!socket.destroyed && this.readNext(connection)) continue
+    })
+  }
+
+  /** Whether there may be more to read in what has come. */
+  private readNext (connection: Connection): boolean {
+    const { waiting, body } = connection
+    if (body !== undefined) {
+      connection.waiting = this.readBody(body, waiting)
+      if (body.request.read === body.request.length) connection.body = undefined
+      return connection.waiting.length > 0
+    }
+    const end = waiting.indexOf(HEAD_END)
+    if (end < 0) return false
+    connection.waiting = waiting.subarray(end + HEAD_END.length)
+    connection.body = this.readHead(connection, waiting.toString('latin1', 0, end))
+    return connection.waiting.length > 0
+  }
+
+  private readBody ({ request, finish }: OpenBody, bytes: Buffer): Buffer {
+    const part = bytes.subarray(0, request.length - request.read)
+    if (!part.equals(Buffer.alloc(part.length, request.headers.get('x-fill') ?? ''))) this.violations.push(`other bytes in a body: ${showBytes(part)}`)
+    request.read += part.length
+    if (request.read === request.length) finish()
+    return bytes.subarray(part.length)
+  }
+
+  private readHead ({ number, socket }: Connection, head: string): OpenBody | undefined {
+    const [line = '', ...fields] = head.split('\r\n')
+    const bad = REQUEST_LINE.test(line) ? fields.find(field => !HEADER.test(field)) : line
+    if (bad !== undefined) {
+      this.violations.push(`bad ${bad === line ? 'request line' : 'header'}: ${showBytes(Buffer.from(bad, 'latin1'))}`)
+      socket.end(REFUSAL)
+      return undefined
+    }
+    const headers = new Map(fields.map(readField))
+    const length = Number(headers.get('content-length') ?? 0)
+    let finish = (): void => {}
+    const handed = new Promise<void>(resolve => { finish = resolve })
+    const request: StrictRequest = { connection: number, line, headers, length, socket, handed, read: 0 }
+    if (length === 0) finish()
+    this.requests.push(request)
+    this.answer(request)
+    return length === 0 ? undefined : { request, finish }
+  }
+}
+
+function readField (field: string): readonly [string, string] {
+  const colon = field.indexOf(':')
+  return [field.slice(0, colon).toLowerCase(), field.slice(colon + 1).trim()]
+}
+
+function showBytes (bytes: Buffer): string {
+  return JSON.stringify(bytes.toString('latin1', 0, LONGEST_LINE_SHOWN))
+}
