A path reaches its backend server as its caller sent it

Seen by a test only: undici's request() makes a URL of address and path, which resolves dot segments, drops an empty query and encodes quotes. A request for /a/../b was matched to the route of /a/ and sent as /b: another resource, and perhaps one that no route allows.

--- a/src/routing/exchange.ts
+++ b/src/routing/exchange.ts
@@ -1,12 +1,14 @@
 import { Err, Ok, type Result } from 'ts-results'
-import { request as sendRequest, type Dispatcher } from 'undici'
+import type { Dispatcher } from 'undici'
 import type { Clock } from '../kernel/clock.js'
 import type { SendFailure } from './send-failure.js'
 
 interface ExchangeOptions {
   readonly clock: Clock
   readonly agent: Dispatcher
-  readonly url: string
+  readonly origin: string
+  /** With its query, sent as it is: what a URL makes of it may be another resource. */
+  readonly path: string
   readonly method: string
   readonly headers: Readonly<Record<string, string>>
   readonly body: Buffer | null
@@ -37,10 +39,10 @@
 
   /** Sends the request and waits up to `patience` ms for the head of the answer. */
   async open (patience: number): Promise<Result<void, SendFailure>> {
-    const { agent, url, method, headers, body } = this.options
+    const { agent, origin, path, method, headers, body } = this.options
     return await this.watch(patience, async () => {
-      const answer = await sendRequest(url, {
-        method: method as 'POST', dispatcher: agent, headers, body, signal: this.abort.signal, opaque: this.mark, headersTimeout: 0, bodyTimeout: 0
+      const answer = await agent.request({
+        origin, path, method: method as 'POST', headers, body, signal: this.abort.signal, opaque: this.mark, headersTimeout: 0, bodyTimeout: 0
       })
       this.status = answer.statusCode
       this.headers = answer.headers
--- a/src/routing/sender.ts
+++ b/src/routing/sender.ts
@@ -48,7 +48,8 @@
     const exchange = new Exchange({
       clock: this.clock,
       agent: this.servers.agents[request.paced === true ? 'paced' : request.work],
-      url: server.url + request.path,
+      origin: server.url,
+      path: request.path,
       method: request.method,
       headers: { ...request.headers, 'x-request-id': request.id },
       body,
--- a/test/routing/paced-socket.test.ts
+++ b/test/routing/paced-socket.test.ts
@@ -26,8 +26,8 @@
   })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const agent = new Agent(period === undefined ? {} : { connect: createPacedConnector({ timeout: 5_000, period }) })
-  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/`
-  const exchange = new Exchange({ clock, agent, url, method: 'GET', headers: {}, body: null })
+  const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+  const exchange = new Exchange({ clock, agent, origin, path: '/', method: 'GET', headers: {}, body: null })
   ;(await exchange.open(5_000)).unwrap()
   let text = ''
   for (let reads = 0; ; reads++) {
