A look whether jobs have ended doesn't wait behind callers' calls

A watch was of the lowest priority, which waits up to 10 s for the client's budget, and where callers keep it busy, as after an outage, it did. Meanwhile items went on starting by the last look before the outage, whose 60 s hold until the next look ends. Now a watch takes a priority, as the other calls do, and that of ends is a caller's: refused after 300 ms, which ends the licence.

--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -103,7 +103,7 @@
 
   /** The ends stored since the cursor of the last read, -1 before the first; at once, whether there are any or not. */
   async readEnds (cursor: number): Promise<Result<WatchBatch<boolean>, StoreError>> {
-    return await this.store.watch<boolean>(ENDS, cursor, READ_WAIT)
+    return await this.store.watch<boolean>(ENDS, cursor, READ_WAIT, 'caller')
   }
 
   async listHeads (): Promise<Result<ReadonlyMap<string, JobHead>, StoreError>> {
--- a/src/store/object-store.ts
+++ b/src/store/object-store.ts
@@ -17,7 +17,7 @@
   /** Objects of `kind` whose names begin with `prefix`, in the order of names, at most `limit`, after `after`. */
   list<T> (kind: string, options?: { readonly prefix?: string, readonly after?: string, readonly limit?: number }): Promise<Result<readonly StoredObject<T>[], StoreError>>
   /** Waits up to `wait` ms for changes of `kind` after `revision`; -1 gives the present state at once. */
-  watch<T> (kind: string, revision: number, wait: number): Promise<Result<WatchBatch<T>, StoreError>>
+  watch<T> (kind: string, revision: number, wait: number, priority?: CallPriority): Promise<Result<WatchBatch<T>, StoreError>>
   /** The platform's instance list. It lags. */
   listInstances (): Promise<Result<readonly Instance[], StoreError>>
 }
--- a/src/store/platform-client.ts
+++ b/src/store/platform-client.ts
@@ -117,8 +117,8 @@
   }
 
   /** A watch that fails is resumed by calling it again with the last revision. */
-  async watch<T> (kind: string, revision: number, wait: number): Promise<Result<WatchBatch<T>, StoreError>> {
-    return readResult(await this.gate.send({ type: 'watch', kind, revision, wait }, 'background', wait + WATCH_SLACK))
+  async watch<T> (kind: string, revision: number, wait: number, priority: CallPriority = 'background'): Promise<Result<WatchBatch<T>, StoreError>> {
+    return readResult(await this.gate.sendDirect({ type: 'watch', kind, revision, wait }, priority, wait + WATCH_SLACK))
   }
 
   async listInstances (): Promise<Result<readonly Instance[], StoreError>> {
