A job that was taken over across a pause starts nothing before a new look

A pause clears the looks of the jobs that are owned. One that was being accepted or taken over wasn't yet, and kept the begin of its reads as its look. Now the owner notes whether the process has stood still since those began, and the job then waits for its first look.

--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -5,6 +5,7 @@
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import { pauseFor } from '../kernel/pause-for.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
@@ -46,6 +47,8 @@
   private readonly adopting = new Set<string>()
   private readonly writer: ResultWriter
   private draining = false
+  /** Pauses of the process noticed so far. */
+  private paused = 0
 
   constructor (
     @inject(JobRecords) private readonly records: JobRecords,
@@ -53,10 +56,12 @@
     @inject(JobBook) private readonly book: JobBook,
     @inject(Members) private readonly members: Members,
     @inject(PeerLinks) private readonly links: Pick<PeerLinks, 'send'>,
+    @inject(PauseWatch) private readonly pauses: Pick<PauseWatch, 'check' | 'subscribe'>,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
+    pauses.subscribe(() => { this.paused++ })
     this.writer = new ResultWriter({
       records,
       clock,
@@ -137,10 +142,10 @@
   /** Accepts a job: once this is `Ok` it is kept. `conflict` says that it was accepted before. */
   async accept (id: string, job: Pick<JobHead, 'host' | 'path'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
     const { instance: owner } = this.settings
-    const openAt = this.clock.now()
+    const findOpenAt = this.beginLook()
     const head = { ...job, submittedAt: this.clock.date(), total: items.length, tokens: items.reduce((sum, { tokens }) => sum + tokens, 0), owner, run: this.members.run }
     const created = await this.records.create(id, head, items)
-    if (created.ok) this.own(new OwnedJob({ id, head: { ...head, parts: 0 }, items, segments: [], acceptedAt: this.clock.now(), openAt }))
+    if (created.ok) this.own(new OwnedJob({ id, head: { ...head, parts: 0 }, items, segments: [], acceptedAt: this.clock.now(), openAt: findOpenAt() }))
     return created
   }
 
@@ -192,8 +197,18 @@
     return this.members.all().some(member => member.instance.name === owner && member.run === run && member.state !== 'leaving')
   }
 
+  /** Gives the moment of this call as long as the process hasn't stood still since: what the store says later holds for it. */
+  private beginLook (): () => number | undefined {
+    const { paused } = this
+    const began = this.clock.now()
+    return () => {
+      this.pauses.check()
+      return paused === this.paused ? began : undefined
+    }
+  }
+
   private async load (id: string): Promise<Result<OwnedJob | undefined, StoreError>> {
-    const openAt = this.clock.now()
+    const findOpenAt = this.beginLook()
     const head = await this.records.readHead(id)
     if (head.err) return head
     const segments = await this.records.readSegments(id)
@@ -204,7 +219,7 @@
     if (ended.err) return ended
     if (noted.err) return noted
     const age = Math.max(0, this.clock.date() - head.val.submittedAt)
-    const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, openAt, former: this.book.get(id) ?? head.val })
+    const job = new OwnedJob({ id, head: head.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, openAt: findOpenAt(), former: this.book.get(id) ?? head.val })
     job.ended = ended.val
     job.useProgress(noted.val)
     job.useProgress(this.handed.get(id) ?? [])
@@ -270,4 +285,4 @@
   }
 }
 
-partRegistry.register({ name: 'job owner', part: JobOwner, needs: ['job runner', 'members', 'peer links'] })
+partRegistry.register({ name: 'job owner', part: JobOwner, needs: ['job runner', 'members', 'peer links', 'pause watch'] })
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -89,7 +89,7 @@
     const records = new JobRecords(this.store)
     const settings = { instance: name, failureDomain: 'z' } as unknown as Settings
     const pauses = new PauseWatch(clock)
-    const owner = new JobOwner(records, runner, book, members, links, settings, { write: () => {} }, clock)
+    const owner = new JobOwner(records, runner, book, members, links, pauses, settings, { write: () => {} }, clock)
     const contest = new JobContest(owner, book, pauses, settings, { write: () => {} }, clock)
     const lookup = new EndLookup(records, members, links, pauses, settings, clock)
     const ends = new EndWatch(owner, lookup, pauses, new Metrics(), { write: () => {} }, clock)
--- a/test/jobs/job-notes.test.ts
+++ b/test/jobs/job-notes.test.ts
@@ -7,6 +7,7 @@
 import { JobOwner } from '../../src/jobs/job-owner.js'
 import { JobRecords } from '../../src/jobs/job-records.js'
 import type { JobRunner } from '../../src/jobs/job-runner.js'
+import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import type { Settings } from '../../src/kernel/settings.js'
 import type { Members } from '../../src/peers/members.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
@@ -21,7 +22,7 @@
   const book = { subscribe: () => {}, tell: () => {}, get: () => undefined } as unknown as JobBook
   const runner = { subscribe: () => {}, add: () => {}, remove: () => {} } as unknown as JobRunner
   const records = new JobRecords(store)
-  const owner = new JobOwner(records, runner, book, members, { send: () => {} }, { instance: name } as unknown as Settings, { write: () => {} }, clock)
+  const owner = new JobOwner(records, runner, book, members, { send: () => {} }, new PauseWatch(clock), { instance: name } as unknown as Settings, { write: () => {} }, clock)
   await new JobNotes(owner, records, { write: () => {} }, clock).start()
   const advance = (item: string, events: number): void => {
     const state = owner.find('j')!.items.find(other => other.item.id === item)!
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -10,6 +10,7 @@
 import type { JobRunner } from '../../src/jobs/job-runner.js'
 import type { KnownJob } from '../../src/jobs/known-job.js'
 import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import type { Settings } from '../../src/kernel/settings.js'
 import type { Members } from '../../src/peers/members.js'
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
@@ -33,7 +34,7 @@
     const all = { run: 1, all: () => members.alive.map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })), owners: () => members.alive }
     const settings = { instance: name } as unknown as Settings
     const records = new JobRecords(store)
-    this.owner = new JobOwner(records, runner as unknown as JobRunner, book as unknown as JobBook, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, settings, { write: () => {} }, clock)
+    this.owner = new JobOwner(records, runner as unknown as JobRunner, book as unknown as JobBook, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, new PauseWatch(clock), settings, { write: () => {} }, clock)
     void this.owner.start()
     void new JobAdoption(this.owner, book as unknown as JobBook, records, all as unknown as Members, settings, clock).start()
   }
