Failing test: a look refused for its rate passes for an outage behind the other door

JobWatch grants the 60 s of an outage for every error but 'missing', and so where the platform answers 429 or the daemon's own budget refuses the look, for as long as that lasts. What holds there is 5 s while the platform answers.

Value is not false: true (6 s after the last look that succeeded, each look refused with 429)

--- a/test/batch/job-watch.test.ts
+++ b/test/batch/job-watch.test.ts
@@ -36,3 +36,21 @@
   await clock.advance(0)
   t.true(watch.mayStart(JOB))
 })
+
+// What the caller sees: items of its cancelled job, up to 60 s late, at a daemon that the platform answers all the while: it refuses
+// its looks for their rate, which reads like an outage.
+test('a look that the platform refuses for its rate is no outage', async t => {
+  const clock = new VirtualClock()
+  let answer: Result<Job, StoreError> = Ok({ id: JOB, status: 'in_progress' } as Job)
+  const list = async (): Promise<Result<never, StoreError>> => Err({ type: 'limited', retryAfter: 1_000 })
+  const watch = new JobWatch({ read: async () => answer } as never, { list } as never, clock, new PauseWatch(clock))
+  await watch.start()
+  await watch.check(JOB)
+  answer = Err({ type: 'limited', retryAfter: 1_000 })
+  for (let second = 0; second < 6; second++) {
+    await clock.advance(1_000)
+    void watch.check(JOB)
+  }
+  await clock.advance(0)
+  t.false(watch.mayStart(JOB))
+})
