Failing tests: what daemons believe of a job's tokens hangs on one message

Each job's waiting tokens are told when it is accepted, as its results are stored, and once when it is closed; a daemon that starts learns every job of the store as open with all its tokens, also those that are done or ended, and whoever owns them tells it nothing.

--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -27,7 +27,7 @@
 /** How long membership takes to find a silent daemon dead, and to find it back, ms. */
 const DEAD_AFTER = 2_500
 const BACK_AFTER = 500
-interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, finish: (item: string) => void }
+interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly book: JobBook, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, finish: (item: string) => void }
 
 /** Daemons with their books, owners and readers, on virtual time; what is sent to one that is held for dead is lost. */
 export class JobFleet {
@@ -49,6 +49,12 @@
     await this.time.advance(100)
   }
 
+  /** Ends a daemon that owns nothing, and starts it anew. */
+  restart (name: string): void {
+    this.daemons.get(name)!.clock.pause()
+    this.daemons.set(name, this.createDaemon(name))
+  }
+
   async pause (name: string, pause: number, counted: boolean): Promise<void> {
     const { clock } = this.daemons.get(name)!
     if (clock.isPaused) return
@@ -108,6 +114,6 @@
       job.finish(state, { id: item, state: 'completed', text: `by ${name}` })
       onResult(job)
     }
-    return { name, clock, pauses, records, owner, reader, finish }
+    return { name, clock, pauses, book, records, owner, reader, finish }
   }
 }
--- /dev/null
+++ b/test/jobs/job-book-news.test.ts
@@ -0,0 +1,68 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { JobFleet } from '../helpers/job-fleet.js'
+
+const { items, names } = JobFleet
+const JOB = 'j'
+const [OWNER, OTHER] = [names[0]!, names[3]!]
+/** Long past any news of a job that is done or ended, ms. */
+const LONG = 60_000
+/** An accepted job is to be known everywhere within this, ms: the users' bound for what daemons answer of it. */
+const SETTLED = 1_000
+
+function countWaiting (fleet: JobFleet, name: string): number {
+  return fleet.daemons.get(name)!.book.countWaiting(() => true)
+}
+
+async function accept (fleet: JobFleet): Promise<void> {
+  await fleet.start()
+  await fleet.daemons.get(OWNER)!.owner.accept(JOB, { host: 'h', path: '/jobs/' }, items)
+}
+
+/** Everything of the job is done and stored. */
+async function finish (fleet: JobFleet): Promise<void> {
+  for (const { id } of items) fleet.daemons.get(OWNER)!.finish(id)
+  await fleet.time.advance(3_000)
+}
+
+// Guards against jobs refused for tokens that wait no longer, because one message was lost.
+test('a daemon that missed the end of a job counts its tokens no more', async t => {
+  const fleet = new JobFleet()
+  await accept(fleet)
+  await fleet.time.advance(500)
+  fleet.loses = (_from, to, { type }) => to === OTHER && type === 'job'
+  await finish(fleet)
+  fleet.loses = () => false
+  await fleet.time.advance(LONG)
+  t.is(countWaiting(fleet, OTHER), 0)
+})
+
+// Guards against more tokens accepted than may wait, because one message was lost.
+test('a daemon that missed the acceptance of a job counts its tokens soon', async t => {
+  const fleet = new JobFleet()
+  fleet.loses = (_from, to) => to === OTHER
+  await accept(fleet)
+  await fleet.time.advance(50)
+  fleet.loses = () => false
+  await fleet.time.advance(SETTLED)
+  t.is(countWaiting(fleet, OTHER), countWaiting(fleet, OWNER))
+})
+
+// Guards against jobs refused by a daemon that starts, for tokens of jobs that were done before.
+for (const how of ['done', 'ended'] as const) {
+  test(`a daemon that starts counts no tokens of a job that is ${how}`, async t => {
+    const fleet = new JobFleet()
+    await accept(fleet)
+    await fleet.time.advance(500)
+    if (how === 'done') await finish(fleet)
+    else {
+      await fleet.daemons.get(OWNER)!.records.end(JOB)
+      await fleet.daemons.get(OWNER)!.reader.tellEnd(JOB)
+      await fleet.time.advance(3_000)
+    }
+    t.is(countWaiting(fleet, OTHER), 0)
+    fleet.restart(OTHER)
+    await fleet.time.advance(LONG)
+    t.is(countWaiting(fleet, OTHER), 0)
+  })
+}
--- /dev/null
+++ b/test/jobs/job-cleaner.test.ts
@@ -0,0 +1,32 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { rankOwners } from '../../src/coordination/rank-owners.js'
+import { JobCleaner } from '../../src/jobs/job-cleaner.js'
+import type { Settings } from '../../src/kernel/settings.js'
+import type { Members } from '../../src/peers/members.js'
+import { JobFleet } from '../helpers/job-fleet.js'
+
+const { items, names } = JobFleet
+const JOB = 'j'
+const RESULT_KEEP = 120_000
+/** The job stays open for longer than results of one that is done are kept, ms. */
+const OPEN_FOR = 300_000
+
+// Guards against a running job that is removed from the store: a daemon that started meanwhile knows it from its head alone, and hears
+// nothing of it while none of its items ends.
+test('a job that is open is kept, however old, whatever a daemon that started later knows of it', async t => {
+  const fleet = new JobFleet()
+  await fleet.start()
+  const cleaning = rankOwners(JOB, names)[0]!
+  const owner = names.find(name => name !== cleaning)!
+  await fleet.daemons.get(owner)!.owner.accept(JOB, { host: 'h', path: '/jobs/' }, items)
+  await fleet.time.advance(1_000)
+  fleet.restart(cleaning)
+  const { book, owner: cleaningOwner, records, clock } = fleet.daemons.get(cleaning)!
+  const members = { owners: () => names } as unknown as Members
+  const cleaner = new JobCleaner(book, cleaningOwner, records, members, { resultKeep: RESULT_KEEP }, { instance: cleaning } as unknown as Settings, { write: () => {} }, clock)
+  await cleaner.start()
+  await fleet.time.advance(OPEN_FOR)
+  t.true(fleet.daemons.get(owner)!.owner.find(JOB)?.isDone === false, 'its owner runs it')
+  t.true((await records.readHead(JOB)).ok, 'it is stored')
+})
