The cleaner keeps an open job whose owner lives

What a daemon learned from a job's head alone counts as never stored. Older than results are kept, it was removed, also while its owner ran it and had no result to tell of. Now such a head is removed only where nobody alive can run it.

npx ava test/jobs/job-cleaner.test.ts: 1 of 1 failed before ('it is stored': false), 1 of 1 passes. job-owner and refused-jobs: all pass. Left over: the head of a job that was refused half stored stays as long as the daemon that refused it lives in the same run and isn't the one that cleans it.

--- a/src/jobs/job-cleaner.ts
+++ b/src/jobs/job-cleaner.ts
@@ -11,6 +11,7 @@
 import { JobBook } from './job-book.js'
 import { JobOwner } from './job-owner.js'
 import { JobRecords } from './job-records.js'
+import type { KnownJob } from './known-job.js'
 
 const PERIOD = 10_000
 /** Past the time for which results must stay, ms, for clocks that differ and jobs that were sent before they were accepted. */
@@ -46,13 +47,19 @@
     this.busy = true
     const before = this.clock.date() - this.routed.resultKeep - MARGIN
     const names = this.members.owners()
-    const over = this.book.list().filter(({ submittedAt, closed, stored }) => submittedAt < before && (closed || !stored))
+    const over = this.book.list().filter(job => job.submittedAt < before && (job.closed || this.isAbandoned(job)))
     for (const { id } of over) {
       if (this.owner.find(id) !== undefined || rankOwners(id, names)[0] === this.settings.instance) await this.remove(id)
     }
     this.busy = false
   }
 
+  /** A head whose items may never have come, and which nobody runs: an owner that lives may run it and have told nothing since. */
+  private isAbandoned (job: KnownJob): boolean {
+    if (job.stored) return false
+    return job.owner === this.settings.instance ? this.owner.find(job.id) === undefined : !this.owner.isOwnerAlive(job)
+  }
+
   private async remove (id: string): Promise<void> {
     const removed = await this.records.remove(id)
     if (removed.err && removed.val.type !== 'missing') return this.log.write('warn', 'jobs', 'a job could not be removed yet', { job: id, error: removed.val.type })
