Behind the other door too, a look that was refused is no outage

JobWatch took every error of a look but 'missing' for a platform that doesn't answer, which grants 60 s. Now only 'unavailable' does, as for jobs under their caller's id.

--- a/src/batch/job-watch.ts
+++ b/src/batch/job-watch.ts
@@ -76,7 +76,7 @@
     this.pauses.check()
     if (paused !== this.paused) return await this.check(job)
     if (read.err && read.val.type !== 'missing') {
-      this.checks.set(job, { ...this.checks.get(job), unreachable: true })
+      this.checks.set(job, { ...this.checks.get(job), unreachable: read.val.type === 'unavailable' })
       return undefined
     }
     if (read.ok && read.val.status === 'in_progress') {
@@ -96,7 +96,7 @@
     const cancelled = await this.cancelled.list()
     this.pauses.check()
     for (const [job, check] of [...this.checks]) {
-      if (cancelled.err) this.checks.set(job, { ...check, unreachable: true })
+      if (cancelled.err) this.checks.set(job, { ...check, unreachable: cancelled.val.type === 'unavailable' })
       else if (cancelled.val.full || cancelled.val.jobs.has(job) || check.seen === undefined) void this.check(job)
       else this.checks.set(job, { seen: Math.max(seen, check.seen), unreachable: false })
     }
