--- /dev/null
+++ b/test/jobs/end-lookup.test.ts
@@ -0,0 +1,119 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { Ok, type Result } from 'ts-results'
+import { EndLookup } from '../../src/jobs/end-lookup.js'
+import { JobRecords } from '../../src/jobs/job-records.js'
+import { PauseWatch } from '../../src/kernel/pause-watch.js'
+import { findHub } from '../../src/peers/find-hub.js'
+import type { Member } from '../../src/peers/member.js'
+import type { PeerHandler } from '../../src/peers/peer-handler.js'
+import type { PeerMessage } from '../../src/peers/peer-message.js'
+import type { StoreError } from '../../src/store/store-error.js'
+import type { WatchBatch } from '../../src/store/watch-batch.js'
+import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
+import { VirtualClock } from '../helpers/virtual-clock.js'
+
+const JOB = 'j'
+const NAMES = ['d1', 'd2']
+const MEMBERS = NAMES.map(name => ({ instance: { name, failureDomain: 'z' }, state: 'alive', run: 1 })) as unknown as readonly Member[]
+const HUB = findHub(MEMBERS, 'z')!
+const ASKER = NAMES.find(name => name !== HUB)!
+
+interface Pair {
+  readonly clock: VirtualClock
+  readonly records: JobRecords
+  readonly pauses: PauseWatch
+  /** How long the store takes to answer a look, and a message to come, ms. */
+  readonly delays: { look: number, message: number }
+  readonly find: (name: string) => ReturnType<EndLookup['find']>
+}
+
+/** A hub and a daemon that asks it, before a store that reads at once and answers late. */
+function createPair (): Pair {
+  const clock = new VirtualClock()
+  const store = new MemoryStore()
+  const delays = { look: 0, message: 1 }
+  const watch = store.watch.bind(store)
+  store.watch = async <T>(kind: string, revision: number): Promise<Result<WatchBatch<T>, StoreError>> => {
+    const seen = await watch<T>(kind, revision)
+    if (delays.look > 0) await new Promise<void>(resolve => clock.after(delays.look, resolve))
+    return seen
+  }
+  const records = new JobRecords(store)
+  const pauses = new PauseWatch(clock)
+  const handlers = new Map<string, readonly PeerHandler[]>()
+  const lookups = new Map(NAMES.map(name => {
+    const send = (to: string, message: PeerMessage): void => {
+      clock.after(delays.message, () => { for (const handler of handlers.get(to)!) if (handler.type === message.type) handler.handle(message, name) })
+    }
+    const lookup = new EndLookup(records, { all: () => MEMBERS }, { send }, pauses, { instance: name, failureDomain: 'z' }, clock)
+    handlers.set(name, lookup.extensions.map(({ value }) => value as PeerHandler))
+    return [name, lookup]
+  }))
+  return { clock, records, pauses, delays, find: async name => await lookups.get(name)!.find([JOB]) }
+}
+
+async function advanceUntil<T> (clock: VirtualClock, wanted: Promise<T>): Promise<T> {
+  const found: T[] = []
+  void wanted.then(value => found.push(value))
+  for (let ms = 0; found.length === 0 && ms < 5_000; ms += 10) await clock.advance(10)
+  return found[0]!
+}
+
+// Guards against a look that counts from when its answer came: an end stored since the store was read passes for "goes on".
+test('what a hub read before it was asked counts from that read', async t => {
+  const { clock, records, find } = createPair()
+  await advanceUntil(clock, find(HUB))
+  const read = clock.now()
+  await clock.advance(500)
+  await records.end(JOB)
+  const found = (await advanceUntil(clock, find(ASKER))).unwrap()
+  t.deepEqual(found.ended, [])
+  t.true(found.seen <= read, `a read of ${read} ms counts from ${found.seen} ms`)
+})
+
+test('a look of the store counts from its begin, however late the answer', async t => {
+  const { clock, records, delays, find } = createPair()
+  delays.look = 300
+  const looking = find(HUB)
+  await clock.advance(100)
+  await records.end(JOB)
+  const found = (await advanceUntil(clock, looking)).unwrap()
+  t.deepEqual(found.ended, [])
+  t.is(found.seen, 0)
+  t.is((await advanceUntil(clock, find(HUB))).unwrap().seen, 0, 'kept for the next')
+})
+
+test('what was read a second ago is read anew', async t => {
+  const { clock, records, find } = createPair()
+  await advanceUntil(clock, find(HUB))
+  await records.end(JOB)
+  await clock.advance(1_000)
+  t.deepEqual((await advanceUntil(clock, find(ASKER))).unwrap().ended, [JOB])
+})
+
+// Guards against an answer from before a pause of the process that is used after it.
+test('a look that a pause fell into is repeated, and one from before it answers nobody', async t => {
+  const { clock, records, pauses, delays, find } = createPair()
+  delays.look = 100
+  const looking = find(HUB)
+  await clock.advance(50)
+  await records.end(JOB)
+  clock.freeze(20_000)
+  pauses.check()
+  t.deepEqual((await advanceUntil(clock, looking)).unwrap().ended, [JOB])
+})
+
+// Guards against a steady clock that stood still with the machine, by which a kept read from before looks fresh.
+test('a read from before a pause answers nobody', async t => {
+  const store = new MemoryStore()
+  const [clock, records] = [new VirtualClock(), new JobRecords(store)]
+  let missed = 0
+  const suspended = { now: () => clock.now() - missed, date: () => clock.date(), after: clock.after.bind(clock), every: clock.every.bind(clock) }
+  const lookup = new EndLookup(records, { all: () => [] }, { send: () => {} }, new PauseWatch(suspended), { instance: 'd1', failureDomain: 'z' }, suspended)
+  t.deepEqual(await lookup.find([JOB]), Ok({ ended: [], seen: 0 }))
+  await records.end(JOB)
+  clock.freeze(20_000)
+  missed = 20_000
+  t.deepEqual((await lookup.find([JOB])).unwrap().ended, [JOB])
+})
--- /dev/null
+++ b/test/jobs/job-runner.test.ts
@@ -0,0 +1,94 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { Err, type Result } from 'ts-results'
+import type { Configuration } from '../../src/config/configuration.js'
+import type { ConfigurationHolder } from '../../src/config/configuration-holder.js'
+import { ItemPace } from '../../src/jobs/item-pace.js'
+import type { JobItem } from '../../src/jobs/job-item.js'
+import { JobRunner } from '../../src/jobs/job-runner.js'
+import { OwnedJob } from '../../src/jobs/owned-job.js'
+import { PauseWatch } from '../../src/kernel/pause-watch.js'
+import { Random } from '../../src/kernel/random.js'
+import { Metrics } from '../../src/observe/metrics.js'
+import type { ServerLoads } from '../../src/placement/server-loads.js'
+import type { SlotAsker } from '../../src/placement/slot-asker.js'
+import type { OpenExchange } from '../../src/routing/open-exchange.js'
+import type { SendFailure } from '../../src/routing/send-failure.js'
+import type { Sender } from '../../src/routing/sender.js'
+import type { ServerDialect } from '../../src/routing/server-dialect.js'
+import type { ServerRequest } from '../../src/routing/server-request.js'
+import type { Servers } from '../../src/routing/servers.js'
+import { VirtualClock } from '../helpers/virtual-clock.js'
+
+const POOL = 'pool'
+const SERVER = 's1'
+const ITEM: JobItem = { id: 'a', path: '/jobs/a', headers: {}, body: 'eA==', tokens: 10 }
+/** Longer than a look at a job counts while the store answers, ms. */
+const STALE = 2_600
+/** How long the connection is waited for in which the item's first byte leaves, ms. */
+const CONNECTING = 1_000
+
+interface Trial { readonly clock: VirtualClock, readonly job: OwnedJob, readonly grant: () => void, readonly begun: string[], readonly sent: ServerRequest[] }
+
+/** A runner with one job, and a server whose connections take a while to stand. */
+async function createTrial (): Promise<Trial> {
+  const clock = new VirtualClock()
+  const begun: string[] = []
+  const sent: ServerRequest[] = []
+  const listeners: Array<Parameters<SlotAsker['subscribe']>[0]> = []
+  const route = { host: 'h', pathPrefix: '/jobs/', services: [{ service: POOL, weight: 1 }], attempts: 3, jobs: { dueAfter: 60_000, giveUpAfter: 0, maxWaitingTokens: 0 } }
+  const configuration = { value: { version: 1, routes: { r: route } } as unknown as Configuration } as unknown as ConfigurationHolder
+  const send = async (_: unknown, request: ServerRequest): Promise<Result<OpenExchange, SendFailure>> => {
+    sent.push(request)
+    await new Promise<void>(resolve => clock.after(CONNECTING, resolve))
+    if (request.mayStart?.() === false) return Err({ why: 'withheld', sent: false, detail: '' })
+    begun.push(request.id)
+    return Err({ why: 'cut', sent: true, detail: '' })
+  }
+  const runner = new JobRunner(
+    { isOpen: () => true, markFull: () => {} } as unknown as ServerLoads,
+    { subscribe: (listener: typeof listeners[number]) => listeners.push(listener), askBatch: () => {} } as unknown as SlotAsker,
+    { send } as unknown as Sender,
+    { find: () => ({ name: SERVER, url: '' }) } as unknown as Servers,
+    configuration, new ItemPace(), new PauseWatch(clock), new Metrics(), { buildHeaders: () => ({}) } as unknown as ServerDialect, { write: () => {} }, clock, new Random(1))
+  await runner.start()
+  const head = { host: 'h', path: '/jobs/', submittedAt: 0, total: 1, tokens: 10, owner: 'd', run: 1, parts: 1 }
+  const job = new OwnedJob({ id: 'j', head, items: [ITEM], segments: [], acceptedAt: 0, openAt: 0 })
+  runner.add(job)
+  return { clock, job, begun, sent, grant: () => listeners[0]!.onGrant(POOL, SERVER) }
+}
+
+test('an item of a job that was looked at a moment ago runs', async t => {
+  const { clock, grant, begun } = await createTrial()
+  grant()
+  await clock.advance(CONNECTING)
+  t.deepEqual(begun, [ITEM.id])
+})
+
+// Guards against items that are sent by a look of long ago.
+test('no item is sent once the last look at its job is too old, and again after a new one', async t => {
+  const { clock, job, grant, sent } = await createTrial()
+  for (let ms = 0; ms < STALE; ms += 1_000) await clock.advance(1_000)
+  grant()
+  t.is(sent.length, 0)
+  job.look = { seen: clock.now(), unreachable: false }
+  grant()
+  t.is(sent.length, 1)
+})
+
+// Guards against an item that waits for its connection while the look at its job grows old, and then leaves.
+test('an item whose connection comes after its look has grown old is withheld, and comes again', async t => {
+  const { clock, job, grant, begun, sent } = await createTrial()
+  await clock.advance(1_000)
+  await clock.advance(1_000)
+  grant()
+  t.is(sent.length, 1)
+  await clock.advance(CONNECTING)
+  t.deepEqual(begun, [])
+  job.look = { seen: clock.now(), unreachable: false }
+  await clock.advance(500)
+  grant()
+  await clock.advance(CONNECTING)
+  t.deepEqual(begun, [ITEM.id])
+  t.is(job.items[0]!.failures, 0)
+})
