--- a/src/jobs/end-watch.ts
+++ b/src/jobs/end-watch.ts
@@ -1,4 +1,5 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { RoutedSettings } from '../entry/routed-settings.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -8,6 +9,7 @@
 import { Metrics } from '../observe/metrics.js'
 import type { StoreError } from '../store/store-error.js'
 import { EndLookup } from './end-lookup.js'
+import { JobRecords } from './job-records.js'
 import { JobOwner } from './job-owner.js'
 import type { OwnedJob } from './owned-job.js'
 
@@ -17,6 +19,8 @@
  */
 const LOOK_PERIOD = 1_100
 const RETRY = 300
+/** Without a look for longer than this, a job may have been ended and removed meanwhile, ms. */
+const LOOK_GAP = 10_000
 
 /**
  * Looks in the store whether the jobs that this daemon owns have ended. Daemons tell each other of an end, which makes it fast, but the one that
@@ -30,10 +34,12 @@
   private cancel = (): void => {}
 
   constructor (
-    @inject(JobOwner) private readonly owner: Pick<JobOwner, 'list' | 'end'>,
+    @inject(JobOwner) private readonly owner: Pick<JobOwner, 'list' | 'end' | 'forget'>,
+    @inject(JobRecords) private readonly records: Pick<JobRecords, 'hasItems'>,
     @inject(EndLookup) private readonly lookup: Pick<EndLookup, 'ask'>,
     @inject(PauseWatch) private readonly pauses: PauseWatch,
     @inject(Metrics) metrics: Metrics,
+    @inject(tokens.routed) private readonly routed: Pick<RoutedSettings, 'resultKeep'>,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
@@ -68,7 +74,10 @@
   private use (jobs: readonly OwnedJob[], found: Awaited<ReturnType<EndLookup['ask']>>): void {
     if (found.err) return this.noteFailure(jobs, found.val)
     this.failing = false
-    for (const job of jobs) job.look = { seen: Math.max(found.val.seen, job.look.seen ?? -Infinity), unreachable: false }
+    for (const job of jobs) {
+      if (this.mayBeRemoved(job)) void this.confirmStored(job, found.val.seen)
+      else job.look = { seen: Math.max(found.val.seen, job.look.seen ?? -Infinity), unreachable: false }
+    }
     for (const id of found.val.ended) this.owner.end(id)
   }
 
@@ -79,6 +88,21 @@
     this.clock.after(RETRY, () => { void this.check() })
   }
 
+  /** Whether the store may have kept the job's end, and removed it with the job, since the last look. */
+  private mayBeRemoved ({ head: { submittedAt }, look: { seen = -Infinity } }: OwnedJob): boolean {
+    return this.clock.date() - submittedAt > this.routed.resultKeep && this.clock.now() - seen > LOOK_GAP
+  }
+
+  /** Items are removed before the end is: a job whose items are there after no end was found has not been ended. */
+  private async confirmStored (job: OwnedJob, seen: number): Promise<void> {
+    const { count } = this.pauses
+    const stored = await this.records.hasItems(job.id)
+    this.pauses.check()
+    if (stored.err || count !== this.pauses.count) return
+    if (stored.val) job.look = { seen, unreachable: false }
+    else this.owner.forget(job.id)
+  }
+
   private listOpen (): readonly OwnedJob[] {
     return this.owner.list().filter(({ ended, isDone }) => !ended && !isDone)
   }
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -58,6 +58,13 @@
     return Ok(read.flatMap(result => result.unwrap().value))
   }
 
+  /** Whether the job's items are stored, which go first when it is removed. */
+  async hasItems (id: string): Promise<Result<boolean, StoreError>> {
+    const first = await this.store.get(ITEMS, `${id}.0`, 'caller')
+    if (first.ok) return Ok(true)
+    return first.val.type === 'missing' ? Ok(false) : first
+  }
+
   /** The results of one segment; `missing` behind the last. */
   async readSegment (id: string, segment: number): Promise<Result<readonly ListedResult[], StoreError>> {
     return (await this.store.get<readonly ListedResult[]>(RESULTS, `${id}.${segment}`, 'caller')).map(({ value }) => value)
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -27,6 +27,8 @@
 /** How long membership takes to find a silent daemon dead, and to find it back, ms. */
 const DEAD_AFTER = 2_500
 const BACK_AFTER = 500
+/** How long results of a job are kept, ms. */
+const RESULT_KEEP = 120_000
 interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly book: JobBook, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, finish: (item: string) => void }
 
 /** Daemons with their books, owners and readers, on virtual time; what is sent to one that is held for dead is lost. */
@@ -98,7 +100,7 @@
     const owner = new JobOwner(records, runner, book, members, links, pauses, settings, { write: () => {} }, clock)
     const contest = new JobContest(owner, book, pauses, settings, { write: () => {} }, clock)
     const lookup = new EndLookup(records, members, links, pauses, settings, clock)
-    const ends = new EndWatch(owner, lookup, pauses, new Metrics(), { write: () => {} }, clock)
+    const ends = new EndWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: RESULT_KEEP }, { write: () => {} }, clock)
     const adoption = new JobAdoption(owner, book, records, members, settings, clock)
     const reader = new JobReader(owner, book, records, links, settings, { write: () => {} }, clock)
     this.handlers.set(name, [...book.extensions, ...owner.extensions, ...reader.extensions, ...lookup.extensions].map(({ value }) => value as PeerHandler))
--- a/test/jobs/end-watch-outage.test.ts
+++ b/test/jobs/end-watch-outage.test.ts
@@ -32,7 +32,7 @@
   const owner = { list: () => [job], end: () => { job.ended = true } } as unknown as JobOwner
   const pauses = new PauseWatch(clock)
   const lookup = new EndLookup(new JobRecords(store), { all: () => [] } as unknown as Members, { send: () => {} } as unknown as PeerLinks, pauses, { instance: 'd', failureDomain: 'z' } as unknown as Settings, clock)
-  const watch = new EndWatch(owner, lookup, pauses, new Metrics(), { write: () => {} }, clock)
+  const watch = new EndWatch(owner, new JobRecords(store), lookup, pauses, new Metrics(), { resultKeep: 120_000 }, { write: () => {} }, clock)
   await pauses.start()
   await watch.start()
   const readFor = (perSecond: number): void => {
