A daemon's metrics tell how old its configuration and counts are, and how late its loop is

Change: configuration_age_ms (since the store's watch was answered or a watcher told of it; the word of a daemon that was only asked doesn't count), slot_counts_age_ms (oldest count that holds requests, at a broker), loop_delay_ms and loop_delay_longest_ms. The loop's delay is the lateness of a periodic task of 250 ms, which shares its wake-up with the pause watch; monitorEventLoopDelay would add ten of its own a second.

--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -8,6 +8,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
+import { Metrics } from '../observe/metrics.js'
 import { isSmallFleet } from '../peers/is-small-fleet.js'
 import { listOthers } from '../peers/list-others.js'
 import { Members } from '../peers/members.js'
@@ -53,6 +54,8 @@
   private away = false
   private backAt = -Infinity
   private heardAt = -Infinity
+  /** When the store or a watcher last confirmed the configuration, monotonic ms; the start, until one has. */
+  private confirmedAt: number
   private cancel = (): void => {}
 
   constructor (
@@ -65,8 +68,11 @@
     @inject(ConfigurationHolder) private readonly holder: ConfigurationHolder,
     @inject(DaemonDirectory) private readonly daemons: DaemonDirectory,
     @inject(Members) private readonly members: Members,
-    @inject(PeerLinks) private readonly links: PeerLinks
+    @inject(PeerLinks) private readonly links: PeerLinks,
+    @inject(Metrics) metrics: Metrics
   ) {
+    this.confirmedAt = clock.now()
+    metrics.gauge('configuration_age_ms', () => Math.round(clock.now() - this.confirmedAt))
     list.polled = false
   }
 
@@ -120,6 +126,7 @@
       this.log.write('info', 'fleet', 'the store answers again', { kind, revision: batch.revision })
     }
     this.away = false
+    if (kind === CONFIGURATION) this.confirmedAt = this.clock.now()
     const before = this.instances.list()
     const names = mirror.apply(batch)
     this.tell(kind, names.length === 0 ? { revision: batch.revision, changed: [], deleted: [] } : filterNames(mirror.copy(kind), names, batch.revision))
@@ -137,6 +144,8 @@
     const news = batch as WatchBatch<any>
     if (!Array.isArray(news?.changed) || !Array.isArray(news.deleted)) return
     this.heardAt = this.clock.now()
+    // A watcher says whether it is sure; a daemon that was asked only tells what it has.
+    if (kind === CONFIGURATION && typeof sure === 'boolean') this.confirmedAt = this.heardAt
     const before = this.instances.list()
     const names = (kind === CONFIGURATION ? this.configurations : this.instances).merge(news)
     const doubted = kind === INSTANCES && sure === true ? news.deleted.filter(name => this.held.delete(name)) : []
--- /dev/null
+++ b/src/observe/loop-delay.ts
@@ -0,0 +1,57 @@
+import { inject, Lifecycle, scoped } from 'tsyringe'
+import type { Clock } from '../kernel/clock.js'
+import type { Part } from '../kernel/part.js'
+import { partRegistry } from '../kernel/part-registry.js'
+import { tokens } from '../kernel/tokens.js'
+import { Metrics } from './metrics.js'
+
+/** As the pause watch's, so that both share a wake-up of the process, ms. */
+const PERIOD = 250
+/** Periodic tasks run at multiples of their period, or up to this before them, ms. */
+const EARLY = 1
+/** For how long the longest delay is shown, ms: at least one time, at most two, so that a scraper that comes in between sees it. */
+const LONGEST_KEPT = 15_000
+
+/**
+ * How late the event loop runs a periodic task: while it is busy, requests and answers wait as long. `loop_delay_ms` has all delays
+ * since the start, `loop_delay_longest_ms` the longest of the last 15 to 30 s.
+ */
+@scoped(Lifecycle.ContainerScoped)
+export class LoopDelay implements Part {
+  private due = Infinity
+  private longest = 0
+  private longestBefore = 0
+  private since: number
+  private cancel = (): void => {}
+
+  constructor (
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(Metrics) private readonly metrics: Metrics
+  ) {
+    this.since = clock.now()
+    metrics.gauge('loop_delay_longest_ms', () => Math.round(Math.max(this.longest, this.longestBefore)))
+  }
+
+  async start (): Promise<void> {
+    this.cancel = this.clock.every(PERIOD, () => this.check())
+  }
+
+  async stop (): Promise<void> {
+    this.cancel()
+  }
+
+  private check (): void {
+    const now = this.clock.now()
+    const delay = Math.max(0, now - this.due)
+    this.due = (Math.floor((now + EARLY) / PERIOD) + 1) * PERIOD
+    this.metrics.observe('loop_delay_ms', delay)
+    if (now >= this.since + LONGEST_KEPT) {
+      this.longestBefore = now < this.since + 2 * LONGEST_KEPT ? this.longest : 0
+      this.longest = 0
+      this.since = now
+    }
+    this.longest = Math.max(this.longest, delay)
+  }
+}
+
+partRegistry.register({ name: 'loop delay', part: LoopDelay })
--- a/src/parts.ts
+++ b/src/parts.ts
@@ -1,4 +1,5 @@
 import './kernel/pause-watch.js'
+import './observe/loop-delay.js'
 import './store/instance-list.js'
 import './store/instance-list-relay.js'
 import './config/configuration-distribution.js'
--- a/src/placement/load-table.ts
+++ b/src/placement/load-table.ts
@@ -29,6 +29,12 @@
     for (const [daemon, { at }] of this.told) if (at < time) this.drop(daemon)
   }
 
+  /** When the oldest row that holds any requests was told; `undefined` where none does. */
+  findOldest (): number | undefined {
+    const times = [...this.told.values()].filter(({ row }) => row.length > 0).map(({ at }) => at)
+    return times.length === 0 ? undefined : Math.min(...times)
+  }
+
   /** What all of them have in flight at a server. */
   find (server: string): LoadCounts {
     return this.sums.get(server) ?? NONE
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -63,7 +63,9 @@
     @inject(Metrics) private readonly metrics: Metrics,
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(tokens.random) private readonly random: Random
-  ) {}
+  ) {
+    metrics.gauge('slot_counts_age_ms', () => this.readCountsAge())
+  }
 
   async start (): Promise<void> {
     this.members.subscribe(() => this.dropEnded())
@@ -131,6 +133,11 @@
     if (member !== undefined) this.runs.set(daemon, member.run)
   }
 
+  /** Age, ms, of the oldest count by which slots are given here; 0 where this daemon has given none. */
+  private readCountsAge (): number {
+    return this.groups.size === 0 ? 0 : Math.round(this.ledger.readAge(this.clock.now()))
+  }
+
   /** Online requests that wait here for a slot. */
   get waits (): number {
     return this.waiting.size
--- a/src/placement/slot-ledger.ts
+++ b/src/placement/slot-ledger.ts
@@ -64,6 +64,11 @@
     this.rows.dropBefore(now - ROW_KEPT)
   }
 
+  /** Age, ms, of the oldest count that the ledger goes by; 0 where it has none. */
+  readAge (now: number): number {
+    return now - (this.rows.findOldest() ?? now)
+  }
+
   /** Daemons that haven't confirmed in time what they were told of batch. */
   listSilent (now: number): ReadonlySet<string> {
     const { silentAfter } = this.confirming
--- a/test/fleet/fleet-watch.test.ts
+++ b/test/fleet/fleet-watch.test.ts
@@ -8,6 +8,7 @@
 import { listWatchers } from '../../src/fleet/list-watchers.js'
 import { Random } from '../../src/kernel/random.js'
 import type { Settings } from '../../src/kernel/settings.js'
+import { Metrics } from '../../src/observe/metrics.js'
 import type { Member } from '../../src/peers/member.js'
 import type { Members } from '../../src/peers/members.js'
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
@@ -42,12 +43,13 @@
   }
 }
 
-async function createFleet (size: number): Promise<{ readonly clock: VirtualClock, readonly store: Store, readonly versions: ReadonlyMap<string, number>, readonly members: readonly Member[] }> {
+async function createFleet (size: number): Promise<{ readonly clock: VirtualClock, readonly store: Store, readonly versions: ReadonlyMap<string, number>, readonly readAges: () => readonly number[], readonly members: readonly Member[] }> {
   const clock = new VirtualClock()
   const store = new Store(clock)
   const members = Array.from({ length: size }, (_, i) => ({ instance: { name: `d${i}`, failureDomain: DOMAINS[i % 3]! }, state: 'alive', run: 1 }) as unknown as Member)
   const watches = new Map<string, FleetWatch>()
   const versions = new Map<string, number>()
+  const allMetrics: Metrics[] = []
   for (const [i, { instance: { name, failureDomain } }] of members.entries()) {
     const links = {
       send: (to: string, message: PeerMessage) => clock.after(1, () => {
@@ -64,14 +66,17 @@
     }
     const list = { polled: true, known: true, subscribe: () => {}, replace: () => {} }
     const objects = { watch: async (kind: string, revision: number, wait: number) => await store.watch(name, kind, revision, wait) }
+    const metrics = new Metrics()
+    allMetrics.push(metrics)
     const watch = new FleetWatch(objects as unknown as ObjectStore, { instance: name, failureDomain } as unknown as Settings, clock, new Random(i + 1), { write: () => {} }, list as unknown as InstanceList,
-      holder as unknown as ConfigurationHolder, { subscribe: () => {}, all: [] } as unknown as DaemonDirectory, { all: () => members } as unknown as Members, links as unknown as PeerLinks)
+      holder as unknown as ConfigurationHolder, { subscribe: () => {}, all: [] } as unknown as DaemonDirectory, { all: () => members } as unknown as Members, links as unknown as PeerLinks, metrics)
     watches.set(name, watch)
     await watch.start()
   }
   // Each watches for itself until it has heard a watcher.
   await clock.advance(10_000)
-  return { clock, store, versions, members }
+  const readAges = (): readonly number[] => allMetrics.map(metrics => Number(/configuration_age_ms (\d+)/.exec(metrics.write())![1]))
+  return { clock, store, versions, readAges, members }
 }
 
 // The store turns away both daemons that watch it for a failure domain, and right after that the configuration changes. The other
@@ -86,3 +91,17 @@
   await clock.advance(1_000)
   t.deepEqual([...versions].filter(([, version]) => version !== 2), [])
 })
+
+// Whoever is on call asks whether a daemon may act on an old configuration: the version alone can't tell, where nothing has changed.
+test('the age of the configuration stays small while the store or a watcher confirms it, and grows when neither does', async t => {
+  const { clock, store, readAges, members } = await createFleet(21)
+  await clock.advance(60_000)
+  // A watch that waits for news is answered after 4 s.
+  t.true(readAges().every(age => age <= 4_500), readAges().join())
+  for (const { instance: { name } } of members) store.away.add(name)
+  await clock.advance(10_000)
+  t.true(readAges().every(age => age >= 10_000), readAges().join())
+  store.away.clear()
+  await clock.advance(5_000)
+  t.true(readAges().every(age => age <= 4_500), readAges().join())
+})
--- /dev/null
+++ b/test/placement/slot-ledger.test.ts
@@ -0,0 +1,25 @@
+import test from 'ava'
+import { SlotLedger } from '../../src/placement/slot-ledger.js'
+
+test('the age of the counts is that of the oldest one that holds any requests', t => {
+  const ledger = new SlotLedger()
+  t.is(ledger.readAge(1_000), 0)
+  ledger.put('a', [['s', 1, 0]], 0, 1_000)
+  ledger.put('b', [['s', 2, 0]], 0, 1_400)
+  ledger.put('idle', [], 0, 500)
+  t.is(ledger.readAge(1_500), 500)
+  ledger.put('a', [['s', 1, 0]], 0, 1_600)
+  t.is(ledger.readAge(1_700), 300)
+  ledger.drop('b')
+  t.is(ledger.readAge(1_700), 100)
+  ledger.dropOld(10_000)
+  t.is(ledger.readAge(10_000), 0)
+})
+
+test('a grant that its daemon hasn\'t confirmed counts from when it was told', t => {
+  const ledger = new SlotLedger()
+  const n = ledger.record('a', { at: 2_000, server: 's', online: 1, batch: 0 })
+  t.is(ledger.readAge(2_050), 50)
+  ledger.put('a', [['s', 1, 0]], n, 2_060)
+  t.is(ledger.readAge(2_100), 40)
+})
