citronwheel trace: from an id to its cause, by the logs of all instances

Need: the way from a failed request to its cause was a grep and reading by hand: an item's job, what its daemon went by and what else failed there had to be looked for line by line, and the stamps of two instances can't be compared. A process's lines keep their order, a job is confirmed before another daemon takes it over, one gives it up after the other has it; where that goes against the stamps the line says so. Usual lines of others, broken lines and files that are no logs are counted. Run: tsc, eslint; test/observe, test/commands, test/style; the new case of test/whole/machines (a daemon killed under an item).

--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -17,6 +17,7 @@
 import { StandInServiceCommand } from './stand-in-service.js'
 import { StatusCommand } from './status.js'
 import { TimelineCommand } from './timeline.js'
+import { TraceCommand } from './trace.js'
 
 /** Every command of the program. */
 export const commands: readonly CommandClass[] = [
@@ -28,6 +29,7 @@
   HistoryCommand,
   StatusCommand,
   TimelineCommand,
+  TraceCommand,
   AccountCommand,
   ReportCommand,
   LoadCommand,
--- a/src/commands/exit-codes.ts
+++ b/src/commands/exit-codes.ts
@@ -1,7 +1,7 @@
 /** The exit codes of every command. */
 export const exitCodes = {
   ok: 0,
-  /** The daemon or the platform refused, or a check found something. */
+  /** The daemon or the platform refused, a check found something, or what was asked for isn't there. */
   refused: 1,
   /** The words, the settings or the files given are wrong. */
   usage: 2,
--- /dev/null
+++ b/src/commands/trace.ts
@@ -0,0 +1,68 @@
+import { Command, Option } from 'clipanion'
+import { writeFileSync } from 'node:fs'
+import { failUnreachable } from '../kernel/unreachable.js'
+import { buildTracePage } from '../observe/build-trace-page.js'
+import { readTrace } from '../observe/read-trace.js'
+import { showTrace } from '../observe/show-trace.js'
+import { showUnread } from '../observe/show-unread.js'
+import type { TraceError } from '../observe/trace-error.js'
+import { exitCodes } from './exit-codes.js'
+
+/** Shows the course of a request, an item, a job or a server from the logs of all instances, without asking a daemon. */
+export class TraceCommand extends Command {
+  static override paths = [['trace']]
+  static override usage = Command.Usage({
+    category: 'Operators',
+    description: 'show from the logs what happened to an id',
+    details: 'The id is that of a request, an item of a job, a job or a backend server; an item\'s shows its job too, a job\'s its items. Shown are its own lines with what their daemon went by, warnings and errors within a second of them, what the daemons learnt of the servers, and what other requests met there. The order is that of what must have come first, else of the stamps; where the two differ, the line says why. Exit codes: 0 shown; 1 no line has the id; 2 wrong usage, no such folder, no log in it, or the page can\'t be written.',
+    examples: [
+      ['Why a request failed', 'citronwheel trace 7b8351b3d276bfc8 --logs logs/'],
+      ['One item of a job, as a page', 'citronwheel trace cd1a93e9cb19cccf --logs logs/ --html item.html']
+    ]
+  })
+
+  id = Option.String({ required: true })
+  logs = Option.String('--logs', { required: true, description: 'folder with the logs of all instances, a JSON object a line' })
+  html = Option.String('--html', { description: 'write a self-contained HTML page to this file' })
+  json = Option.Boolean('--json', false, { description: 'print the answer as JSON' })
+
+  async execute (): Promise<number> {
+    const trace = await readTrace({ folder: this.logs, id: this.id })
+    if (trace.err) return this.showError(trace.val)
+    this.context.stdout.write((this.json ? JSON.stringify(trace.val, null, 2) : showTrace(trace.val)) + '\n')
+    return this.html === undefined ? exitCodes.ok : this.writePage(this.html, buildTracePage(trace.val))
+  }
+
+  private writePage (file: string, page: string): number {
+    try {
+      writeFileSync(file, page)
+      return exitCodes.ok
+    } catch (error) {
+      this.context.stderr.write(`the page can't be written: ${(error as Error).message}\n`)
+      return exitCodes.usage
+    }
+  }
+
+  private showError (error: TraceError): number {
+    if (this.json) this.context.stdout.write(JSON.stringify({ error }) + '\n')
+    switch (error.type) {
+      case 'no folder': {
+        this.context.stderr.write(`--logs: ${error.detail}\n`)
+        return exitCodes.usage
+      }
+      case 'no log': {
+        this.writeLines([`--logs: none of ${error.files} files in ${this.logs} has a line of a log`, ...showUnread(error.unread)])
+        return exitCodes.usage
+      }
+      case 'unknown id': {
+        this.writeLines([`no line has ${this.id} as its request, job or server (${error.lines} lines of ${error.instances} instances)`, ...showUnread(error.unread)])
+        return exitCodes.refused
+      }
+      default: return failUnreachable(error)
+    }
+  }
+
+  private writeLines (lines: readonly string[]): void {
+    this.context.stderr.write(lines.join('\n') + '\n')
+  }
+}
--- a/src/observe/build-timeline-page.ts
+++ b/src/observe/build-timeline-page.ts
@@ -1,24 +1,34 @@
 import { escapeHtml } from './escape-html.js'
+import { formatOffset } from './format-offset.js'
 import type { TimelineEvent } from './timeline-event.js'
 
 const ROW_HEIGHT = 22
 const LANE_WIDTH = 170
 const TIME_WIDTH = 90
 const HEADER_HEIGHT = 30
+const DOT_COLOUR = '#36c'
 
-const STYLE = 'body{font:13px system-ui,sans-serif;margin:1.5em;color:#222}text{font:12px system-ui,sans-serif}line{stroke:#ccc}.time{fill:#777}.dot{fill:#36c}'
+const STYLE = 'body{font:13px system-ui,sans-serif;margin:1.5em;color:#222}text{font:12px system-ui,sans-serif}line{stroke:#ccc}.time{fill:#777}'
+
+interface TimelinePageOptions<E> {
+  /** Colour of an event's dot. */
+  readonly getColour?: (event: E) => string
+  /** HTML that follows the title, and that follows the time line. */
+  readonly before?: string
+  readonly after?: string
+}
 
 /** A merged time line as one HTML page without scripts or outside files: a lane an instance, time running down. */
-export function buildTimelinePage (title: string, events: readonly TimelineEvent[]): string {
+export function buildTimelinePage<E extends TimelineEvent> (title: string, events: readonly E[], { getColour = () => DOT_COLOUR, before = '', after = '' }: TimelinePageOptions<E> = {}): string {
   const lanes = [...new Set(events.map(({ instance }) => instance))].sort()
   const width = TIME_WIDTH + lanes.length * LANE_WIDTH
   const height = HEADER_HEIGHT + (events.length + 1) * ROW_HEIGHT
   const drawn = [
     ...lanes.map((lane, i) => drawLane(lane, i, height)),
-    ...events.map((event, row) => drawEvent(event, row, lanes.indexOf(event.instance), events[0]!.time))
+    ...events.map((event, row) => drawEvent(event, row, lanes.indexOf(event.instance), { start: events[0]!.time, colour: getColour(event) }))
   ]
   return `<!doctype html><html lang="en"><meta charset="utf-8"><title>${escapeHtml(title)}</title><style>${STYLE}</style>` +
-    `<h1>${escapeHtml(title)}</h1><svg width="${width}" height="${height}" role="img">${drawn.join('')}</svg></html>\n`
+    `<h1>${escapeHtml(title)}</h1>${before}<svg width="${width}" height="${height}" role="img">${drawn.join('')}</svg>${after}</html>\n`
 }
 
 function drawLane (lane: string, i: number, height: number): string {
@@ -26,10 +36,10 @@
   return `<text x="${x}" y="16" font-weight="bold">${escapeHtml(lane)}</text><line x1="${x}" x2="${x}" y1="22" y2="${height}"/>`
 }
 
-function drawEvent (event: TimelineEvent, row: number, lane: number, start: number): string {
+function drawEvent (event: TimelineEvent, row: number, lane: number, { start, colour }: { readonly start: number, readonly colour: string }): string {
   const x = TIME_WIDTH + lane * LANE_WIDTH
   const y = HEADER_HEIGHT + (row + 1) * ROW_HEIGHT
   const about = [event.request, event.job, event.server, event.detail].filter(value => value !== undefined).join(' ')
-  return `<g><title>${escapeHtml(about)}</title><text class="time" x="0" y="${y}">+${(event.time - start).toFixed(1)}</text>` +
-    `<circle class="dot" cx="${x}" cy="${y - 4}" r="4"/><text x="${x + 8}" y="${y}">${escapeHtml(`${event.part}: ${event.what}`)}</text></g>`
+  return `<g><title>${escapeHtml(about)}</title><text class="time" x="0" y="${y}">${formatOffset(event.time - start)}</text>` +
+    `<circle fill="${colour}" cx="${x}" cy="${y - 4}" r="4"/><text x="${x + 8}" y="${y}">${escapeHtml(`${event.part}: ${event.what}`)}</text></g>`
 }
--- a/src/observe/draw-bars.ts
+++ b/src/observe/draw-bars.ts
@@ -1,16 +1,19 @@
 import { escapeHtml } from './escape-html.js'
 
-const WIDTH = 640
-const LABEL = 190
+const BARS_WIDTH = 450
+const VALUE_WIDTH = 90
+const LABEL_WIDTH = 190
 const BAR = 20
 const GAP = 8
 const COLOURS = ['#36c', '#6ab', '#c73', '#a36'] as const
 
 /** Horizontal bars as SVG: a group a row, a bar a series, each with its value. */
-export function drawBars (title: string, { rows, series, unit }: {
+export function drawBars (title: string, { rows, series, unit, labelWidth = LABEL_WIDTH }: {
   readonly rows: readonly { readonly label: string, readonly values: readonly number[] }[]
   readonly series: readonly string[]
   readonly unit: string
+  /** Room for the rows' labels, px. */
+  readonly labelWidth?: number
 }): string {
   const highest = Math.max(1e-9, ...rows.flatMap(({ values }) => values))
   const group = series.length * BAR + GAP
@@ -19,11 +22,11 @@
     `<text x="0" y="${50 + row * group + BAR}">${escapeHtml(label)}</text>`,
     ...values.map((value, i) => {
       const y = 50 + row * group + i * BAR
-      const width = value / highest * (WIDTH - LABEL - 90)
-      return `<rect x="${LABEL}" y="${y}" width="${width.toFixed(1)}" height="${BAR - 3}" fill="${COLOURS[i % COLOURS.length]}"/>` +
-        `<text x="${(LABEL + width + 5).toFixed(1)}" y="${y + BAR - 7}">${Number(value.toPrecision(4))} ${escapeHtml(unit)}</text>`
+      const width = value / highest * (BARS_WIDTH - VALUE_WIDTH)
+      return `<rect x="${labelWidth}" y="${y}" width="${width.toFixed(1)}" height="${BAR - 3}" fill="${COLOURS[i % COLOURS.length]}"/>` +
+        `<text x="${(labelWidth + width + 5).toFixed(1)}" y="${y + BAR - 7}">${Number(value.toPrecision(4))} ${escapeHtml(unit)}</text>`
     })
   ])
   const legend = series.map((name, i) => `<tspan fill="${COLOURS[i % COLOURS.length]}">${escapeHtml(name)}  </tspan>`).join('')
-  return `<svg width="${WIDTH}" height="${height}"><text x="0" y="16" font-weight="bold">${escapeHtml(title)}</text><text x="0" y="36">${legend}</text>${bars.join('')}</svg>`
+  return `<svg width="${labelWidth + BARS_WIDTH}" height="${height}"><text x="0" y="16" font-weight="bold">${escapeHtml(title)}</text><text x="0" y="36">${legend}</text>${bars.join('')}</svg>`
 }
--- /dev/null
+++ b/src/observe/find-subject.ts
@@ -0,0 +1,20 @@
+import { findLineJob } from './find-line-job.js'
+import { listLineServers } from './list-line-servers.js'
+import type { LogLine } from './log-line.js'
+import type { TraceSubject } from './trace-subject.js'
+
+/**
+ * What an id names, by the fields in which the lines have it; `undefined` where no line has it in one.
+ *
+ * @example
+ * findSubject('cd1a93e9cb19cccf', lines) // { type: 'item', id: 'cd1a93e9cb19cccf', jobs: new Set(['d95e23c61a4bcd29']) }
+ */
+export function findSubject (id: string, lines: readonly LogLine[]): TraceSubject | undefined {
+  const asked = lines.filter(({ fields }) => fields.request === id)
+  const ofJob = lines.filter(line => findLineJob(line) === id)
+  if (ofJob.length > 0) return { type: 'job', id, items: new Set(ofJob.map(({ fields }) => fields.request).filter((item): item is string => typeof item === 'string' && item !== id)) }
+  const jobs = new Set(asked.map(findLineJob).filter(job => job !== undefined))
+  if (jobs.size > 0) return { type: 'item', id, jobs }
+  if (asked.length > 0) return { type: 'request', id }
+  return lines.some(line => listLineServers(line).includes(id)) ? { type: 'server', id } : undefined
+}
--- /dev/null
+++ b/src/observe/find-touched.ts
@@ -0,0 +1,35 @@
+import { listLineServers } from './list-line-servers.js'
+import type { LogLine } from './log-line.js'
+import { logSentences } from './log-sentences.js'
+import type { Touched } from './touched.js'
+import type { TraceSubject } from './trace-subject.js'
+
+interface FindTouchedOptions {
+  readonly subject: TraceSubject
+  /** Instances, by the names under which lines speak of them. */
+  readonly instances: ReadonlyMap<string, string>
+}
+
+/**
+ * The servers and instances that the lines of a course name, and when. A daemon that ended may have written nothing of it: the lines
+ * of the others that name it say when to look at its log. A server's usual requests are no moments to look at.
+ */
+export function findTouched (lines: readonly LogLine[], { subject, instances }: FindTouchedOptions): Touched {
+  const times = new Map<string, number[]>()
+  for (const line of lines) {
+    const isMoment = subject.type !== 'server' || !logSentences.isRoutine(line)
+    for (const instance of listInstances(line, instances)) {
+      const known = times.get(instance) ?? []
+      if (isMoment) known.push(line.time)
+      times.set(instance, known)
+    }
+  }
+  for (const list of times.values()) list.sort((a, b) => a - b)
+  return { servers: new Set(subject.type === 'server' ? [subject.id] : lines.flatMap(listLineServers)), times }
+}
+
+/** The instance that wrote the line, and those that it names. */
+function listInstances ({ instance, fields }: LogLine, instances: ReadonlyMap<string, string>): ReadonlySet<string> {
+  const named = Object.values(fields).flat().flatMap(value => typeof value === 'string' ? instances.get(value) ?? [] : [])
+  return new Set([instance, ...named])
+}
--- /dev/null
+++ b/src/observe/is-subject-line.ts
@@ -0,0 +1,18 @@
+import { failUnreachable } from '../kernel/unreachable.js'
+import { findLineJob } from './find-line-job.js'
+import { listLineServers } from './list-line-servers.js'
+import type { LogLine } from './log-line.js'
+import type { TraceSubject } from './trace-subject.js'
+
+/** Whether a line belongs to the course of a subject: an item's has the lines of its job that name no other item. */
+export function isSubjectLine (line: LogLine, subject: TraceSubject): boolean {
+  const { request } = line.fields
+  const job = findLineJob(line)
+  switch (subject.type) {
+    case 'request': return request === subject.id
+    case 'item': return request === subject.id || (job !== undefined && subject.jobs.has(job) && (request === undefined || request === job))
+    case 'job': return job === subject.id || (typeof request === 'string' && subject.items.has(request))
+    case 'server': return listLineServers(line).includes(subject.id)
+    default: return failUnreachable(subject)
+  }
+}
--- /dev/null
+++ b/src/observe/read-trace.ts
@@ -0,0 +1,81 @@
+import { Err, Ok, type Result } from 'ts-results'
+import { failUnreachable } from '../kernel/unreachable.js'
+import { buildTraceEvent } from './build-trace-event.js'
+import { findSubject } from './find-subject.js'
+import { findTouched } from './find-touched.js'
+import { isSubjectLine } from './is-subject-line.js'
+import { LinePicker } from './line-picker.js'
+import { listClocks } from './list-clocks.js'
+import { listLogFiles } from './list-log-files.js'
+import { listOrderRules } from './list-order-rules.js'
+import type { LogLine } from './log-line.js'
+import type { LogSurvey } from './log-survey.js'
+import { orderLines } from './order-lines.js'
+import { readLogs } from './read-logs.js'
+import { readSurvey } from './read-survey.js'
+import type { Trace } from './trace.js'
+import type { TraceError } from './trace-error.js'
+import type { TraceSubject } from './trace-subject.js'
+
+interface ReadTraceOptions {
+  /** Holds the logs of all instances, a JSON object a line; folders within it are read too. */
+  readonly folder: string
+  /** Of a request, an item, a job or a backend server. */
+  readonly id: string
+}
+
+/**
+ * The course of an id from the logs of all instances, in the order of what must have come first. The logs are read three times, a
+ * line at a time, so that they may be larger than the memory. Fails where there is no such folder, no log or no such id.
+ *
+ * @example
+ * await readTrace({ folder: 'logs', id: 'cd1a93e9cb19cccf' })
+ */
+export async function readTrace ({ folder, id }: ReadTraceOptions): Promise<Result<Trace, TraceError>> {
+  const listed = listLogFiles(folder)
+  if (listed.err) return Err({ type: 'no folder', detail: listed.val })
+  const survey = await readSurvey({ folder, files: listed.val, id })
+  const { files, lines, instances, mentions, unread } = survey
+  if (lines === 0) return Err({ type: 'no log', files: listed.val.length, unread })
+  const subject = findSubject(id, mentions)
+  if (subject === undefined) return Err({ type: 'unknown id', lines, instances: new Set(instances.values()).size, unread })
+  const touched = findTouched(await readSubjectLines(folder, subject, survey), { subject, instances })
+  const picker = new LinePicker({ subject, touched, news: survey.news })
+  for await (const line of readLogs({ folder, files })) picker.observe(line)
+  return Ok(buildTrace(subject, picker, { survey, servers: [...touched.servers].sort(), instances: [...touched.times.keys()].sort() }))
+}
+
+/** The lines of the subject: those of an item's job, and of a job's items, may not have its id. */
+async function readSubjectLines (folder: string, subject: TraceSubject, { files, mentions }: LogSurvey): Promise<readonly LogLine[]> {
+  if (subject.type === 'request' || subject.type === 'server') return mentions
+  const lines: LogLine[] = []
+  for await (const line of readLogs({ folder, files })) if (isSubjectLine(line, subject)) lines.push(line)
+  return lines
+}
+
+function buildTrace (subject: TraceSubject, picker: LinePicker, { survey, servers, instances }: { readonly survey: LogSurvey } & Pick<Trace, 'servers' | 'instances'>): Trace {
+  const picked = new Map(picker.picked.map(one => [one.line, one]))
+  const lines = [...picked.keys()]
+  const rules = listOrderRules(lines, survey.instances)
+  return {
+    id: subject.id,
+    type: subject.type,
+    related: listRelated(subject),
+    instances,
+    servers,
+    events: orderLines(lines, rules).map(({ line, inferred }) => buildTraceEvent(picked.get(line)!, inferred)),
+    counted: picker.listCounted(),
+    clocks: listClocks(rules),
+    unread: survey.unread
+  }
+}
+
+function listRelated (subject: TraceSubject): readonly string[] {
+  switch (subject.type) {
+    case 'item': return [...subject.jobs]
+    case 'job': return [...subject.items]
+    case 'request':
+    case 'server': return []
+    default: return failUnreachable(subject)
+  }
+}
--- a/src/observe/show-timeline.ts
+++ b/src/observe/show-timeline.ts
@@ -1,14 +1,20 @@
+import { formatOffset } from './format-offset.js'
 import type { TimelineEvent } from './timeline-event.js'
 
 const TIME_WIDTH = 11
 
+interface ShowTimelineOptions<E> {
+  /** A mark before each line. */
+  readonly getMark?: (event: E) => string
+}
+
 /** A merged time line as text: ms since its first event, instance, part, what happened. */
-export function showTimeline (events: readonly TimelineEvent[]): string {
+export function showTimeline<E extends TimelineEvent> (events: readonly E[], { getMark = () => '' }: ShowTimelineOptions<E> = {}): string {
   const start = events[0]?.time ?? 0
   const width = Math.max(0, ...events.map(({ instance }) => instance.length))
   return events.map(event => {
-    const time = `+${(event.time - start).toFixed(1)} ms`.padStart(TIME_WIDTH)
-    return [time, event.instance.padEnd(width), `${event.part}: ${event.what}`, showSubject(event)].filter(Boolean).join('  ')
+    const time = `${formatOffset(event.time - start)} ms`.padStart(TIME_WIDTH)
+    return getMark(event) + [time, event.instance.padEnd(width), `${event.part}: ${event.what}`, showSubject(event)].filter(Boolean).join('  ')
   }).join('\n')
 }
 
--- /dev/null
+++ b/src/observe/show-unread.ts
@@ -0,0 +1,17 @@
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { UnreadLines } from './unread-lines.js'
+
+/** What could not be read, a line a file, with broken lines that hold the id as they stand. */
+export function showUnread (unread: readonly UnreadLines[]): readonly string[] {
+  return unread.flatMap(one => {
+    switch (one.type) {
+      case 'unreadable': return [`${one.file} can't be read: ${one.detail}`]
+      case 'no log': return [`${one.file} is not a log`]
+      case 'broken': return [
+        `${one.file}: ${one.count} broken ${one.count === 1 ? 'line' : 'lines'}, the first at ${one.first}`,
+        ...one.withId.map(({ number, text }) => `  ${one.file}:${number} has the id: ${text.trim()}`)
+      ]
+      default: return failUnreachable(one)
+    }
+  })
+}
--- /dev/null
+++ b/src/observe/trace-subject.ts
@@ -0,0 +1,6 @@
+/** What an id names, with the ids that belong to it. */
+export type TraceSubject =
+  | { readonly type: 'request', readonly id: string }
+  | { readonly type: 'item', readonly id: string, readonly jobs: ReadonlySet<string> }
+  | { readonly type: 'job', readonly id: string, readonly items: ReadonlySet<string> }
+  | { readonly type: 'server', readonly id: string }
--- /dev/null
+++ b/test/observe/read-trace.test.ts
@@ -0,0 +1,223 @@
+import test, { type ExecutionContext } from 'ava'
+import { symlinkSync } from 'node:fs'
+import { join } from 'node:path'
+import 'reflect-metadata'
+import { buildTracePage } from '../../src/observe/build-trace-page.js'
+import { readTrace } from '../../src/observe/read-trace.js'
+import { showTrace } from '../../src/observe/show-trace.js'
+import type { Trace } from '../../src/observe/trace.js'
+import { writeLogs } from '../helpers/write-logs.js'
+
+type Files = Parameters<typeof writeLogs>[1]
+
+const accepted = (at: number): object => ({ at, part: 'jobs', message: 'confirmed a job', request: 'j', how: 'accepted', items: 2, configuration: 3 })
+const taken = (at: number): object => ({ at, part: 'jobs', message: 'took a job over', job: 'j', from: '10.0.0.1:8326', age: 900, results: 0 })
+const started = (at: number, request: string): object => ({ at, part: 'jobs', message: 'started an item', request, job: 'j', server: 's1' })
+const ended = (at: number, request: string): object => ({ at, part: 'jobs', message: 'an item ended', request, job: 'j', result: 'completed' })
+const refused = (at: number, request: string): object => ({ at, level: 'warn', part: 'routing', message: 'gave a request up', request, cause: 'overloaded', tried: [] })
+const answered = (at: number, request: string, server = 's1'): object => ({ at, part: 'routing', message: 'answered a request', request, server, tried: 0 })
+
+async function read (t: ExecutionContext, id: string, files: object): Promise<Trace> {
+  const trace = await readTrace({ folder: writeLogs(t, files as Files), id })
+  return trace.unwrap()
+}
+
+function listOwn ({ events }: Trace): readonly string[] {
+  return events.filter(({ kind }) => kind === 'own').map(({ instance, what, request }) => [instance, what, request].filter(Boolean).join(' '))
+}
+
+const JOB = {
+  'a.log': [accepted(0), started(10, 'i1'), started(20, 'i2'), ended(500, 'i1')],
+  'b.log': [taken(2_000), started(2_100, 'i2'), ended(2_500, 'i2'), started(2_600, 'k1')].map(line => 'request' in line && line.request === 'k1' ? { ...line, job: 'k' } : line)
+}
+
+test('an item\'s course has its job\'s own lines and none of the job\'s other items', async t => {
+  const trace = await read(t, 'i2', JOB)
+  t.is(trace.type, 'item')
+  t.deepEqual(trace.related, ['j'])
+  t.deepEqual(listOwn(trace), ['a confirmed a job', 'a started an item i2', 'b took a job over', 'b started an item i2', 'b an item ended i2'])
+})
+
+test('a job\'s course has its items', async t => {
+  const trace = await read(t, 'j', JOB)
+  t.is(trace.type, 'job')
+  t.deepEqual(trace.related, ['i1', 'i2'])
+  t.is(listOwn(trace).length, 7)
+  t.deepEqual([trace.instances, trace.servers], [['a', 'b'], ['s1']])
+})
+
+// The clock of the instance that takes a job over is 5 s behind. By stamps alone the job is taken over, and an item ended, before it was
+// confirmed, and whoever reads it looks for a fault that isn't there.
+test('a job is confirmed before another daemon takes it over, whatever the stamps say, and the output says so', async t => {
+  const trace = await read(t, 'j', {
+    'a.log': [accepted(5_000), started(5_010, 'i1')],
+    'b.log': [taken(400), started(500, 'i1'), ended(900, 'i1')]
+  })
+  t.deepEqual(listOwn(trace), ['a confirmed a job', 'b took a job over', 'b started an item i1', 'b an item ended i1', 'a started an item i1'])
+  t.regex(trace.events[1]!.inferred!, /^stamped 4600 ms before a line above: a job is confirmed before another daemon takes it over$/)
+  t.regex(trace.events[2]!.inferred!, /stamped 4500 ms before a line above/)
+  t.is(trace.events.at(-1)!.inferred, undefined)
+  t.deepEqual(trace.clocks, [{ behind: 'b', ahead: 'a', least: 4_600 }])
+  t.regex(showTrace(trace), /the clock of b is behind that of a by 4600 ms or more/)
+})
+
+test('a daemon gives a job to its other owner after that one has it', async t => {
+  const trace = await read(t, 'j', {
+    'a.log': [{ at: 900, part: 'jobs', message: 'gave a job to its other owner', job: 'j', to: 'b' }],
+    'b.log': [taken(1_000)]
+  })
+  t.deepEqual(listOwn(trace), ['b took a job over', 'a gave a job to its other owner'])
+})
+
+test('the lines of a process keep their order when its clock is set back', async t => {
+  const trace = await read(t, 'j', { 'a.log': [accepted(5_000), started(1_000, 'i1'), ended(1_100, 'i1')] })
+  t.deepEqual(listOwn(trace), ['a confirmed a job', 'a started an item i1', 'a an item ended i1'])
+  t.regex(trace.events[1]!.inferred!, /stamped 4000 ms before a line above: .*clock was set back/)
+})
+
+test('where the rules contradict each other, one is passed over and every line is shown', async t => {
+  const trace = await read(t, 'j', {
+    'a.log': [{ at: 0, part: 'jobs', message: 'gave a job to its other owner', job: 'j', to: 'b' }, accepted(10)],
+    'b.log': [taken(5)]
+  })
+  t.deepEqual(listOwn(trace), ['a gave a job to its other owner', 'a confirmed a job', 'b took a job over'])
+})
+
+test('each line of its own says by which configuration and which state of its servers, and how old they were', async t => {
+  const trace = await read(t, 'r', {
+    'a.log': [
+      { at: 0, part: 'fleet', message: 'a configuration is in force', version: 7, routes: 2 },
+      { at: 1_000, part: 'fleet', message: 'a server changed', server: 's1', state: 'live' },
+      { at: 2_000, level: 'warn', part: 'fleet', message: 'the store does not answer', kind: 'instances', error: 'unavailable' },
+      { at: 3_500, part: 'routing', message: 'a send came to nothing', request: 'r', server: 's1', why: 'cut' },
+      { at: 4_000, part: 'fleet', message: 'the store answers again', kind: 'instances', revision: 9 },
+      { at: 4_100, part: 'kernel', message: 'starts' },
+      answered(4_200, 'r')
+    ]
+  })
+  const [cut, whole] = trace.events.filter(({ kind }) => kind === 'own')
+  t.deepEqual(cut!.inputs, { configuration: { version: 7, age: 3_500 }, servers: [{ server: 's1', state: 'live', age: 2_500 }], storeAway: 1_500 })
+  t.regex(cut!.detail!, /why=cut \[by configuration 7 for 3500 ms, s1 live for 2500 ms, no answer of the store for 1500 ms\]/)
+  // A process that begins anew has learnt nothing yet.
+  t.deepEqual(whole!.inputs, { servers: [] })
+})
+
+// A daemon that is cut off goes on with a server that has left, and with an old configuration: its log alone shows nothing wrong.
+test('what the other daemons knew better at that time is told', async t => {
+  const trace = await read(t, 'r', {
+    'a.log': [
+      { at: 0, part: 'fleet', message: 'a configuration is in force', version: 7 },
+      { at: 0, part: 'fleet', message: 'a server changed', server: 's1', state: 'live' },
+      { at: 5_000, part: 'routing', message: 'a send came to nothing', request: 'r', server: 's1', why: 'cut' }
+    ],
+    'b.log': [
+      { at: 3_000, part: 'fleet', message: 'a configuration is in force', version: 8 },
+      { at: 4_000, part: 'fleet', message: 'a server changed', server: 's1', state: 'gone' },
+      { at: 6_000, part: 'fleet', message: 'a configuration is in force', version: 9 }
+    ]
+  })
+  t.regex(trace.events.at(-1)!.detail!, /\[by configuration 7 for 5000 ms \(elsewhere 8 for 2000 ms\), s1 live for 5000 ms \(elsewhere gone for 1000 ms\)\]/)
+})
+
+test('warnings of that second, news of the servers and others\' failures there stand beside it, and nothing of elsewhere', async t => {
+  const trace = await read(t, 'r', {
+    'a.log': [
+      { at: 0, part: 'fleet', message: 'a server changed', server: 's1', state: 'gone' },
+      { at: 10, part: 'fleet', message: 'a server changed', server: 's9', state: 'gone' },
+      refused(1_000, 'too early'),
+      refused(4_100, 'beside'),
+      { at: 4_200, part: 'routing', message: 'a send came to nothing', request: 'other', server: 's1', why: 'cut' },
+      answered(4_300, 'usual'), answered(4_310, 'usual 2'), answered(4_320, 'elsewhere', 's9'),
+      answered(4_500, 'r')
+    ],
+    'c.log': [refused(4_400, 'at another instance')]
+  })
+  t.deepEqual(trace.events.map(({ kind, what, request, server }) => [kind, what, request ?? server]), [
+    ['belief', 'a server changed', 's1'],
+    ['failure', 'gave a request up', 'beside'],
+    ['other', 'a send came to nothing', 'other'],
+    ['own', 'answered a request', 'r']
+  ])
+  t.deepEqual(trace.counted, [{ instance: 'a', what: 'routing: answered a request', server: 's1', count: 2 }])
+})
+
+test('of many like failures in a second some are shown and all others counted', async t => {
+  const rare = { ...refused(150, 'y'), cause: 'no server' }
+  const trace = await read(t, 'r', { 'a.log': [...Array.from({ length: 20 }, (_, i) => refused(100 + i, `x${i}`)), rare, answered(500, 'r')] })
+  const failures = trace.events.filter(({ kind }) => kind === 'failure')
+  t.true(failures.some(({ request }) => request === 'y'))
+  t.true(failures.length > 1)
+  t.is(trace.counted.length, 1)
+  t.is(trace.counted[0]!.what, 'routing: gave a request up (overloaded)')
+  t.is(failures.length + trace.counted[0]!.count, 21)
+})
+
+// A daemon that was killed has written nothing of the job; its log is found by the name under which the others speak of it.
+test('a daemon that a line names by its address is looked at too', async t => {
+  const trace = await read(t, 'j', {
+    'a.log': [{ at: 0, part: 'kernel', message: 'runs', name: '10.0.0.1:8326' }, { at: 1_500, level: 'error', part: 'entry', message: 'a request failed' }],
+    'b.log': [taken(2_000)]
+  })
+  t.deepEqual(trace.instances, ['a', 'b'])
+  t.true(trace.events.some(({ instance, kind }) => instance === 'a' && kind === 'failure'))
+})
+
+test('a server\'s course has what every daemon learnt of it and each failure there; usual requests are counted', async t => {
+  const trace = await read(t, 's1', {
+    'a.log': [{ at: 0, part: 'fleet', message: 'a server changed', server: 's1', state: 'live' }, answered(10, 'r'), { ...refused(20, 'q'), tried: ['s1'] }],
+    'b.log': [{ at: 15, level: 'warn', part: 'quarantine', message: 'a server was lost with requests in flight', server: 's1', suspects: 2 }]
+  })
+  t.is(trace.type, 'server')
+  t.deepEqual(listOwn(trace), ['a a server changed', 'b a server was lost with requests in flight', 'a gave a request up q'])
+  t.is(trace.counted[0]!.count, 1)
+})
+
+test('broken lines, files that are no logs and files that can\'t be read are counted, and hide nothing else', async t => {
+  const folder = writeLogs(t, {
+    'a.log': ['{"torn', answered(0, 'r') as Readonly<Record<string, unknown>>, '{"request":"r","message":"cut sho', ''],
+    'notes.txt': ['some words', '{"a":1}'],
+    'sub/b.log': ['Jan 24 08:00:00 host app[7]: ' + JSON.stringify({ timestamp: '2026-01-24T08:00:00.100Z', instance: 'b', level: 'warn', part: 'routing', message: 'gave a request up', request: 'r' })]
+  })
+  symlinkSync(join(folder, 'nowhere'), join(folder, 'link.log'))
+  const trace = (await readTrace({ folder, id: 'r' })).unwrap()
+  t.deepEqual(listOwn(trace), ['a answered a request r', 'b gave a request up r'])
+  const unread = new Map(trace.unread.map(one => [one.file, one]))
+  t.deepEqual(unread.get('a.log'), { type: 'broken', file: 'a.log', count: 2, first: 1, withId: [{ number: 3, text: '{"request":"r","message":"cut sho' }] })
+  t.deepEqual(unread.get('notes.txt'), { type: 'no log', file: 'notes.txt' })
+  t.is(unread.get('link.log')!.type, 'unreadable')
+  const text = showTrace(trace)
+  t.regex(text, /a\.log: 2 broken lines, the first at 1\n {2}a\.log:3 has the id: .*cut sho/)
+  t.regex(text, /notes\.txt is not a log/)
+  t.regex(text, /link\.log can't be read/)
+})
+
+test('a file that ends within a line loses nothing before it, and one that is a single long line is none', async t => {
+  const folder = writeLogs(t, { 'a.log': [answered(0, 'r') as Readonly<Record<string, unknown>>, 'x'.repeat(3_000_000)] })
+  const trace = (await readTrace({ folder, id: 'r' })).unwrap()
+  t.is(listOwn(trace).length, 1)
+  t.is(trace.unread[0]!.type, 'broken')
+})
+
+test('of one instance\'s files the older is read first', async t => {
+  const trace = await read(t, 'r', {
+    'a.log': [answered(9_000, 'r')],
+    'a.log.1': [{ at: 0, part: 'fleet', message: 'a configuration is in force', version: 7 }]
+  })
+  t.deepEqual(trace.events.at(-1)!.inputs?.configuration, { version: 7, age: 9_000 })
+})
+
+test('the page has the course, its marks, the longest waits and the notes, escaped, and nothing from outside', async t => {
+  const page = buildTracePage(await read(t, 'j', { ...JOB, 'c.log': ['{"<script>'] }))
+  for (const text of ['jobs: took a job over', 'a: started an item, then an item ended', 'c.log is not a log', 'its own']) t.true(page.includes(text), text)
+  t.false(/<script|src=|href=/.test(page))
+})
+
+test('no folder, no log and no such id are told apart', async t => {
+  const folder = writeLogs(t, { 'a.log': [answered(0, 'r') as Readonly<Record<string, unknown>>, '{"request":"lost'] })
+  const missing = await readTrace({ folder: join(folder, 'none'), id: 'r' })
+  const unknown = await readTrace({ folder, id: 'lost' })
+  const empty = await readTrace({ folder: writeLogs(t, { 'notes.txt': ['words'] }), id: 'r' })
+  t.is(missing.err && missing.val.type, 'no folder')
+  t.deepEqual(unknown.val, { type: 'unknown id', lines: 1, instances: 1, unread: [{ type: 'broken', file: 'a.log', count: 1, first: 2, withId: [{ number: 2, text: '{"request":"lost' }] }] })
+  t.deepEqual(empty.val, { type: 'no log', files: 1, unread: [{ type: 'no log', file: 'notes.txt' }] })
+})
--- a/test/whole/machines.test.ts
+++ b/test/whole/machines.test.ts
@@ -4,7 +4,10 @@
 import { request } from 'undici'
 import { MachinesFleet } from '../../harness/machines-fleet.js'
 import { RelayedPort } from '../../harness/relayed-port.js'
+import 'reflect-metadata'
+import { readTrace } from '../../src/observe/read-trace.js'
 import { EventEngine } from '../../stand-ins/machines/event-engine.js'
+import { writeLogs } from '../helpers/write-logs.js'
 
 const HOST = 'desk.example'
 
@@ -94,6 +97,37 @@
   }
 })
 
+// A daemon is killed while an item of its job runs, and another ends it. Whoever asks the logs for the item must find both, and what
+// the metrics say of the second one's beliefs must not be older than a watch.
+test('from an item to both daemons that ran it, by the logs', async t => {
+  const fleet = await startFleet(2, [new EventEngine({ id: 'i-1', events: 20, pause: 25 })])
+  const logs = fleet.daemons.map(({ child }) => {
+    const lines: string[] = []
+    child!.onLine(line => lines.push(line))
+    return lines
+  })
+  const [first, second] = fleet.daemons as [typeof fleet.daemons[0], typeof fleet.daemons[0]]
+  try {
+    const items = [{ id: 'a', path: '/drafts/a', headers: {}, body: 'eA==', tokens: 10 }]
+    t.is((await call(first.ports.front, '/drafts/', { id: 'job-1', body: { items } })).status, 202)
+    await fleet.waitUntil('the item runs', () => logs[0]!.some(line => line.includes('started an item')))
+    first.child!.signal('SIGKILL')
+    await fleet.waitUntil('the item has ended', () => logs[1]!.some(line => line.includes('an item ended')))
+    const trace = (await readTrace({ folder: writeLogs(t, { '0.log': logs[0]!, '1.log': logs[1]! }), id: 'a' })).unwrap()
+    const course = trace.events.filter(({ kind }) => kind === 'own').map(({ instance, what }) => `${instance} ${what}`)
+    t.deepEqual([trace.type, trace.related, trace.servers, trace.unread], ['item', ['job-1'], ['i-1'], []])
+    t.deepEqual(course.slice(0, 3), ['edge-0 confirmed a job', 'edge-0 started an item', 'edge-1 took a job over'])
+    t.is(course.at(-1), 'edge-1 an item ended')
+    const metrics = await (await request(`http://127.0.0.1:${second.ports.metrics}/metrics`)).body.text()
+    const readMetric = (name: string): number => Number(new RegExp(`^citronwheel_${name} ([0-9.]+)$`, 'm').exec(metrics)?.[1])
+    t.true(readMetric('configuration_age_ms') <= 6_000)
+    t.true(readMetric('slot_counts_age_ms') >= 0)
+    t.true(readMetric('loop_delay_longest_ms') >= 0 && readMetric('loop_delay_ms_count') > 0)
+  } finally {
+    await fleet.stop()
+  }
+})
+
 // The store refuses calls while a job comes: the caller is told that nothing of it runs, and when to come back. A job that
 // doesn't fit under the cap is refused as well, and one that was ended stops and is not found to have lost its results.
 test('jobs: refused while the store is away or too many tokens wait, and ended', async t => {
