--- a/src/observe/build-trace-page.ts
+++ b/src/observe/build-trace-page.ts
@@ -9,6 +9,8 @@
 
 /** Room for an instance and two sentences, px. */
 const WAIT_LABEL_WIDTH = 520
+/** Marks an event that stands after one with a later stamp; its tooltip says why. */
+const AGAINST_STAMP = 'against its stamp'
 
 /** A trace as one HTML page without scripts or outside files: the course, a lane an instance, and where its time went. */
 export function buildTracePage (trace: Trace): string {
@@ -16,7 +18,8 @@
   const waits = listWaits(trace.events)
   const bars = waits.length === 0 ? '' : drawBars('Longest times between two lines of it', { rows: waits.map(({ label, time }) => ({ label, values: [time] })), series: ['between two lines'], unit: 'ms', labelWidth: WAIT_LABEL_WIDTH })
   const notes = showTraceNotes(trace).map(note => `<li>${escapeHtml(note)}</li>`).join('')
-  return buildTimelinePage(`${trace.type} ${trace.id}`, trace.events, {
+  const events = trace.events.map(event => event.inferred === undefined ? event : { ...event, what: `${event.what} (${AGAINST_STAMP})` })
+  return buildTimelinePage(`${trace.type} ${trace.id}`, events, {
     getColour: ({ kind }) => traceMarks[kind].colour,
     before: `<p>${escapeHtml(showTraceHead(trace))}</p><p>${legend}</p>`,
     after: `<div>${bars}</div><ul>${notes}</ul>`
--- a/test/observe/read-trace.test.ts
+++ b/test/observe/read-trace.test.ts
@@ -59,6 +59,7 @@
   t.is(trace.events.at(-1)!.inferred, undefined)
   t.deepEqual(trace.clocks, [{ behind: 'b', ahead: 'a', least: 4_600 }])
   t.regex(showTrace(trace), /the clock of b is behind that of a by 4600 ms or more/)
+  t.regex(buildTracePage(trace), /stamped 4600 ms before[^]*jobs: took a job over \(against its stamp\)/)
 })
 
 test('a daemon gives a job to its other owner after that one has it', async t => {
