A daemon that has lost fleet news finds the gap and asks for what it lacks

What callers would see: requests by an old configuration (404 on a route that was added, a request run by a service that it no longer belongs to), or requests to a server that is draining or gone, at one daemon until the next change of that object.

Cause: a change was sent to each daemon once, over links that may close with a queue. News without a change followed every 4 s and counted as proof that nothing was missed. The second watcher had often heard of the change from the first when its own watch returned, and then told its domain of no change. An answer to `fleet ask` named no deleted objects.

Change: - News say since which revision they tell every change (`after`); what others should have told already goes by name and version alone (`known`). A mirror knows up to which revision it lacks nothing (`complete`). - A watcher's heartbeat, each 500 ms, says up to which revision it has told everything, and how long ago the store answered it. A daemon that lacks some of it asks the sender, saying what it has, and gets what changed since, deletions included; everything, as a whole, where the sender doesn't remember so far. - A daemon that hears no heartbeat for 700 ms beyond the next one's time watches for itself; it was 6 s without news. Word of one kind no longer makes the other kind fresh. News without changes aren't sent any more.

Why it is enough: `complete` moves only over an unbroken chain of news from one revision to the next, or by a whole copy; a property test loses any news between two watchers and a third daemon and holds what each believes against the store (build-news.test; it fails with `known` or `after` unchecked, without deletions in answers, and with removals taken as remembered from before a whole copy).

Where both watchers of a domain end at once, its daemons call after 1.2 s instead of 6.

Versions: unknown fields are left alone. A daemon of the version before hears no empty news from watchers of this one and watches for itself after 6 s until it is replaced; one of this version takes the former's news as before.

--- /dev/null
+++ b/src/fleet/decode-heartbeat.ts
@@ -0,0 +1,13 @@
+import type { PeerMessage } from '../peers/peer-message.js'
+import type { Heartbeat } from './heartbeat.js'
+import { watchedKinds } from './watched-kinds.js'
+
+/** What a heartbeat's message says; kinds that it doesn't name are left out. */
+export function decodeHeartbeat ({ n, parts }: PeerMessage): Heartbeat {
+  const numbers = Array.isArray(parts) ? parts.map(Number) : []
+  const kinds = watchedKinds.flatMap((kind, i) => {
+    const [told, age] = numbers.slice(2 * i, 2 * i + 2)
+    return told === undefined || age === undefined ? [] : [[kind, { told, age }] as const]
+  })
+  return { next: Number(n), kinds: new Map(kinds) }
+}
--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -8,7 +8,6 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import type { LogSink } from '../observe/log-sink.js'
-import { isSmallFleet } from '../peers/is-small-fleet.js'
 import { listOthers } from '../peers/list-others.js'
 import { Members } from '../peers/members.js'
 import { peerHandlerPoint } from '../peers/peer-handler-point.js'
@@ -21,15 +20,18 @@
 import { StoreMirror } from '../store/store-mirror.js'
 import type { WatchBatch } from '../store/watch-batch.js'
 import { DaemonDirectory } from './daemon-directory.js'
+import { decodeHeartbeat } from './decode-heartbeat.js'
 import { followKind } from './follow-kind.js'
 import { listWatchers } from './list-watchers.js'
+import { NewsTeller } from './news-teller.js'
 import { planRemoval } from './plan-removal.js'
+import { WatcherContact } from './watcher-contact.js'
 
 const CONFIGURATION = 'configuration'
 const INSTANCES = 'instances'
-/** Silence of all watchers after which a daemon watches for itself, ms: one watch, a retry, and the way of the news. */
-const SILENCE = 6_000
 const CHECK_PERIOD = 500
+/** Between two questions to watchers, ms: both notice at once that this daemon lacks something. */
+const ASK_PAUSE = 250
 
 /**
  * What this daemon knows of the configuration and of the backend servers, from the store and from its peers.
@@ -37,22 +39,32 @@
  * A few daemons of each failure domain watch the store and tell all others what changed: a watch in each would grow the
  * calls with the fleet. A daemon whose watchers have fallen silent watches for itself; one that can't reach the store
  * lives on what the others tell it.
+ *
+ * News may be lost on the way. Heartbeats of the watchers show that something is lacking here, and a daemon asks for it.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class FleetWatch implements Part {
   readonly extensions = [
     peerHandlerPoint.of({ type: 'fleet news', handle: (message, from) => this.hear(message, from) }),
-    peerHandlerPoint.of({ type: 'fleet ask', handle: (_message, from) => this.answer(from) })
+    peerHandlerPoint.of({ type: 'heartbeat', handle: (message, from) => this.hearHeartbeat(message, from) }),
+    peerHandlerPoint.of({ type: 'fleet ask', handle: (message, from) => this.teller.answer(message, from) })
   ]
 
   private readonly configurations = new StoreMirror<Configuration>()
   private readonly instances = new StoreMirror<Instance>()
+  private readonly mirrors: ReadonlyMap<string, StoreMirror<any>> = new Map<string, StoreMirror<any>>([[CONFIGURATION, this.configurations], [INSTANCES, this.instances]])
+  private readonly teller: NewsTeller
+  private readonly contact = new WatcherContact()
+  /** By kind, when the store answered this daemon last, monotonic ms. */
+  private readonly answeredAt = new Map<string, number>()
   /** Servers whose entries have gone and that are used on for a while: until when, monotonic ms. */
   private readonly held = new Map<string, { readonly instance: Instance, readonly until: number }>()
   private readonly ended = new AbortController()
   private away = false
   private backAt = -Infinity
-  private heardAt = -Infinity
+  private askedAt = -Infinity
+  private heartbeatAt = -Infinity
+  private isWatcher = false
   private cancel = (): void => {}
 
   constructor (
@@ -65,13 +77,15 @@
     @inject(ConfigurationHolder) private readonly holder: ConfigurationHolder,
     @inject(DaemonDirectory) private readonly daemons: DaemonDirectory,
     @inject(Members) private readonly members: Members,
-    @inject(PeerLinks) private readonly links: PeerLinks
+    @inject(PeerLinks) links: PeerLinks
   ) {
     list.polled = false
+    this.teller = new NewsTeller({ settings, members, links, mirrors: this.mirrors })
   }
 
   async start (): Promise<void> {
     this.daemons.subscribe(() => this.publish())
+    this.isWatcher = this.isChosen()
     void this.follow(CONFIGURATION, this.configurations)
     void this.follow(INSTANCES, this.instances)
     this.cancel = this.clock.every(CHECK_PERIOD, () => this.check())
@@ -99,17 +113,14 @@
       random: this.random,
       kind,
       getCursor: () => mirror.cursor,
-      wants: () => mirror.cursor < 0 || this.watches(),
+      wants: () => mirror.cursor < 0 || this.isWatcher || this.contact.isSilent(kind, this.clock.now()),
       onBatch: batch => this.takeBatch(kind, mirror, batch),
       onFailure: error => this.noteFailure(kind, error)
     }, this.ended.signal)
   }
 
-  private watches (): boolean {
-    return this.isWatcher || this.clock.now() > this.heardAt + SILENCE
-  }
-
-  private get isWatcher (): boolean {
+  /** Whether this daemon is one of those that watch for its failure domain. */
+  private isChosen (): boolean {
     const { instance, failureDomain } = this.settings
     return listWatchers(this.members.all(), failureDomain, instance).includes(instance)
   }
@@ -120,9 +131,10 @@
       this.log.write('info', 'fleet', 'the store answers again', { kind, revision: batch.revision })
     }
     this.away = false
+    this.answeredAt.set(kind, this.clock.now())
     const before = this.instances.list()
     const names = mirror.apply(batch)
-    this.tell(kind, names.length === 0 ? { revision: batch.revision, changed: [], deleted: [] } : filterNames(mirror.copy(kind), names, batch.revision))
+    this.teller.tell({ kind, names, sure: this.isSure() })
     if (names.length > 0 || !this.list.known) this.use(kind, names, before)
   }
 
@@ -135,14 +147,31 @@
   /** News of another daemon, which may be a watcher's or an answer to a question. */
   private hear ({ kind, batch, sure }: PeerMessage, from: string): void {
     const news = batch as WatchBatch<any>
-    if (!Array.isArray(news?.changed) || !Array.isArray(news.deleted)) return
-    this.heardAt = this.clock.now()
+    const mirror = this.mirrors.get(String(kind))
+    if (mirror === undefined || !Array.isArray(news?.changed) || !Array.isArray(news.deleted)) return
+    this.contact.observeNews(String(kind), this.clock.now())
     const before = this.instances.list()
-    const names = (kind === CONFIGURATION ? this.configurations : this.instances).merge(news)
+    const names = mirror.merge(news)
     const doubted = kind === INSTANCES && sure === true ? news.deleted.filter(name => this.held.delete(name)) : []
+    if (news.after !== undefined) this.compare(String(kind), news.revision, from)
     if (names.length === 0 && doubted.length === 0) return
     this.use(String(kind), [...names, ...doubted], before, sure === true)
-    this.passOn({ kind, batch, sure }, from)
+    if (this.isWatcher) this.teller.passOn({ kind: String(kind), names: [...names, ...doubted], sure: sure as boolean | undefined }, news, from)
+  }
+
+  private hearHeartbeat (message: PeerMessage, from: string): void {
+    const heartbeat = decodeHeartbeat(message)
+    this.contact.observeHeartbeat(heartbeat, this.clock.now())
+    for (const [kind, { told }] of heartbeat.kinds) this.compare(kind, told, from)
+  }
+
+  /** Asks a daemon that has told everything up to `revision` for what this one lacks of it. */
+  private compare (kind: string, revision: number, from: string): void {
+    const now = this.clock.now()
+    if (revision <= (this.mirrors.get(kind)?.complete ?? Infinity) || now < this.askedAt + ASK_PAUSE) return
+    this.askedAt = now
+    this.log.write('info', 'fleet', 'lacks news and asks for them', { kind, revision, complete: this.mirrors.get(kind)?.complete, from })
+    this.teller.ask(from)
   }
 
   private use (kind: string, names: readonly string[], before: ReadonlyMap<string, Instance>, sure = false): void {
@@ -177,61 +206,28 @@
     for (const name of over) this.held.delete(name)
     if (over.length > 0) this.publish()
     if (this.away) this.ask()
+    this.isWatcher = this.isChosen()
+    if (this.isWatcher && now >= this.heartbeatAt) this.sendHeartbeat(now)
   }
 
-  /**
-   * A daemon for which the store has been there all the time knows that what went has gone; one that was turned away by the
-   * store alone takes its word, and doesn't go on using a server that has left. In a larger fleet each failure domain's
-   * watchers tell their own domain, and the watchers of the others.
-   */
-  private tell<T> (kind: string, batch: WatchBatch<T>): void {
-    const sure = planRemoval(this.clock.now(), { away: this.away, backAt: this.backAt }) === undefined
-    const members = this.members.all()
-    const told = isSmallFleet(members) ? members.map(({ instance }) => instance.name) : [...this.listDomain(), ...this.listOtherWatchers()]
-    this.sendNews(told, { kind, batch, sure })
+  private sendHeartbeat (now: number): void {
+    const ages = new Map([...this.answeredAt].map(([kind, at]) => [kind, now - at]))
+    this.heartbeatAt = now + this.teller.sendHeartbeat(ages)
   }
 
   /**
-   * The store may turn away all watchers of a failure domain at once, whose daemons, though it serves them, rely on those: they
-   * went by an old configuration for 6 s. What a watcher hears from another domain it tells its own.
+   * A daemon for which the store has been there all the time knows that what went has gone; one that was turned away by the
+   * store alone takes its word, and doesn't go on using a server that has left.
    */
-  private passOn (news: Readonly<Record<string, unknown>>, from: string): void {
-    if (isSmallFleet(this.members.all()) || !this.isWatcher || this.listDomain().includes(from)) return
-    this.sendNews(this.listDomain(), news)
-  }
-
-  private listDomain (): readonly string[] {
-    return this.members.all().filter(({ instance }) => instance.failureDomain === this.settings.failureDomain).map(({ instance }) => instance.name)
-  }
-
-  private listOtherWatchers (): readonly string[] {
-    const members = this.members.all()
-    const domains = new Set(members.map(({ instance }) => instance.failureDomain))
-    domains.delete(this.settings.failureDomain)
-    return [...domains].flatMap(domain => listWatchers(members, domain))
-  }
-
-  private sendNews (names: readonly string[], news: Readonly<Record<string, unknown>>): void {
-    for (const name of names) if (name !== this.settings.instance) this.links.send(name, { type: 'fleet news', ...news })
+  private isSure (): boolean {
+    return planRemoval(this.clock.now(), { away: this.away, backAt: this.backAt }) === undefined
   }
 
   /** One daemon at random: the next question goes to another. */
   private ask (): void {
     const others = listOthers(this.members.all(), this.settings.instance)
-    if (others.length > 0) this.links.send(others[this.random.below(others.length)]!, { type: 'fleet ask' })
+    if (others.length > 0) this.teller.ask(others[this.random.below(others.length)]!)
   }
-
-  private answer (from: string): void {
-    for (const [kind, mirror] of [[CONFIGURATION, this.configurations], [INSTANCES, this.instances]] as const) {
-      this.links.send(from, { type: 'fleet news', kind, batch: mirror.copy(kind) })
-    }
-  }
-}
-
-function filterNames<T> (all: WatchBatch<T>, names: readonly string[], revision: number): WatchBatch<T> {
-  const changed = all.changed.filter(({ name }) => names.includes(name))
-  const present = new Set(changed.map(({ name }) => name))
-  return { revision, changed, deleted: names.filter(name => !present.has(name)) }
 }
 
 partRegistry.register({ name: 'fleet watch', part: FleetWatch, needs: ['members', 'peer links', 'instance list', 'daemon directory'] })
--- a/src/fleet/follow-kind.ts
+++ b/src/fleet/follow-kind.ts
@@ -13,8 +13,8 @@
 const WAIT = 4_000
 /** Between a failed watch and the next, ms; short, as a daemon that hears nothing acts on what is old. */
 const RETRY = 250
-/** How often a daemon that leaves watching to others asks itself whether it still may, ms. */
-const LOOK = 1_000
+/** How often a daemon that leaves watching to others asks itself whether it still may, ms: a part of the 2 s above. */
+const LOOK = 250
 
 interface FollowOptions<T> {
   readonly store: ObjectStore
--- a/src/store/store-mirror.ts
+++ b/src/store/store-mirror.ts
@@ -13,6 +13,10 @@
 export class StoreMirror<T> {
   /** Where a watch goes on; -1 before the first. */
   cursor = -1
+  /** The revision up to which no change is missing; -1 while that isn't known. */
+  complete = -1
+  /** The revision since which every removal is remembered. */
+  private recordedFrom = Infinity
   private readonly held = new Map<string, Held<T>>()
   private readonly removed = new Map<string, number>()
 
@@ -21,37 +25,46 @@
     return new Map([...this.held].flatMap(([name, { value }]) => value === undefined ? [] : [[name, value]]))
   }
 
-  /** Every object with its version, to tell another daemon. */
-  copy (kind: string): WatchBatch<T> {
-    return { revision: this.cursor, changed: [...this.held].map(([name, { version, value }]) => ({ kind, name, version, value: value as T })), deleted: [] }
+  /** What a daemon that lacks nothing up to `revision` needs to lack nothing that is known here. */
+  copySince (kind: string, revision: number): WatchBatch<T> {
+    const objects = [...this.held].map(([name, { version, value }]) => ({ kind, name, version, value: value as T }))
+    if (revision < this.recordedFrom) return { revision: this.complete, changed: objects, deleted: [], whole: this.complete >= 0 }
+    const deleted = [...this.removed].filter(([name, at]) => at > revision && !this.held.has(name)).map(([name]) => name)
+    return { revision: this.complete, after: revision, changed: objects.filter(({ version }) => version > revision), deleted }
   }
 
   /** Takes a batch of the store's own; gives back the names whose objects changed or went. */
   apply (batch: WatchBatch<T>): readonly string[] {
-    const names = this.merge(batch)
-    if (batch.whole === true) {
-      const present = new Set(batch.changed.map(({ name }) => name))
-      const gone = [...this.held].filter(([name, { version }]) => !present.has(name) && version <= batch.revision).map(([name]) => name)
-      for (const name of gone) this.remove(name, batch.revision)
-      names.push(...gone)
-    }
+    const names = this.merge({ ...batch, after: this.cursor })
     this.cursor = batch.whole === true ? batch.revision : Math.max(this.cursor, batch.revision)
     return names
   }
 
-  /** Takes what another daemon has heard, which moves no cursor. */
-  merge ({ revision, changed, deleted }: WatchBatch<T>): string[] {
+  /** Takes what another daemon has heard, which moves no cursor; gives back the names whose objects changed or went. */
+  merge (batch: WatchBatch<T>): readonly string[] {
+    const { revision, changed, deleted, whole = false, after = Infinity, known = [] } = batch
     const names = changed.filter(object => this.put(object)).map(({ name }) => name)
-    for (const name of deleted) {
-      const known = this.held.get(name)
-      if (known !== undefined && known.version <= revision) names.push(name)
-      this.remove(name, revision)
-    }
+    const gone = whole ? this.listAbsent(batch) : deleted
+    names.push(...gone.filter(name => (this.held.get(name)?.version ?? Infinity) <= revision))
+    for (const name of gone) this.remove(name, revision)
+    if (whole && revision > this.complete) this.recordedFrom = revision
+    if (whole || (after <= this.complete && known.every(object => this.has(object)))) this.complete = Math.max(this.complete, revision)
     return names
   }
 
+  /** Whether an object is known as it was at a version, or later. */
+  private has ({ name, version }: Pick<StoredObject, 'name' | 'version'>): boolean {
+    return version <= Math.max(this.held.get(name)?.version ?? 0, this.removed.get(name) ?? 0)
+  }
+
+  /** What a whole batch doesn't name and isn't newer than it. */
+  private listAbsent ({ revision, changed }: WatchBatch<T>): readonly string[] {
+    const present = new Set(changed.map(({ name }) => name))
+    return [...this.held].filter(([name, { version }]) => !present.has(name) && version <= revision).map(([name]) => name)
+  }
+
   private put ({ name, version, value }: StoredObject<T>): boolean {
-    if (version <= (this.held.get(name)?.version ?? 0) || version <= (this.removed.get(name) ?? 0)) return false
+    if (this.has({ name, version })) return false
     this.held.set(name, { version, value })
     return true
   }
@@ -62,9 +75,10 @@
     this.held.delete(name)
     this.removed.delete(name)
     this.removed.set(name, revision)
-    for (const oldest of this.removed.keys()) {
+    for (const [oldest, at] of this.removed) {
       if (this.removed.size <= MAX_REMOVED) break
       this.removed.delete(oldest)
+      this.recordedFrom = Math.max(this.recordedFrom, at)
     }
   }
 }
--- /dev/null
+++ b/test/fleet/build-news.test.ts
@@ -0,0 +1,99 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { buildNews } from '../../src/fleet/build-news.js'
+import { StoreMirror } from '../../src/store/store-mirror.js'
+import type { WatchBatch } from '../../src/store/watch-batch.js'
+import { ObjectTable } from '../../stand-ins/platform/object-table.js'
+
+const KIND = 'k'
+const RUNS = 3_000
+
+/** A daemon that follows the table and tells others. */
+class Daemon {
+  readonly mirror = new StoreMirror<number>()
+  private told = -1
+
+  /** Reads what has changed and gives back the news of it. */
+  follow (table: ObjectTable, isWhole: boolean): WatchBatch<number> {
+    const since = isWhole ? -1 : this.mirror.cursor
+    const names = this.mirror.apply({ revision: table.revision, ...table.changesSince(KIND, since), whole: since < 0 } as WatchBatch<number>)
+    const news = buildNews(this.mirror.copySince(KIND, this.told), names)
+    this.told = this.mirror.complete
+    return news
+  }
+}
+
+type Step =
+  | { readonly type: 'write' | 'delete', readonly name: string }
+  | { readonly type: 'other kind' }
+  | { readonly type: 'follow', readonly watcher: number, readonly isWhole: boolean, readonly reaches: readonly boolean[] }
+  | { readonly type: 'ask', readonly from: number }
+
+const name = fc.constantFrom('a', 'b')
+const isMostly = (value: boolean): fc.Arbitrary<boolean> => fc.nat(4).map(drawn => drawn === 0 ? !value : value)
+const steps = fc.array(fc.oneof(
+  { weight: 4, arbitrary: fc.record({ type: fc.constantFrom('write' as const, 'write' as const, 'delete' as const), name }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('other kind' as const) }) },
+  { weight: 6, arbitrary: fc.record({ type: fc.constant('follow' as const), watcher: fc.nat(1), isWhole: isMostly(false), reaches: fc.array(isMostly(true), { minLength: 3, maxLength: 3 }) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('ask' as const), from: fc.nat(1) }) }
+), { minLength: 20, maxLength: 40 })
+
+function runStep (step: Step, table: ObjectTable, daemons: readonly Daemon[]): void {
+  switch (step.type) {
+    case 'write': table.write(KIND, step.name, table.revision, table.read(KIND, step.name)?.version ?? 0); break
+    case 'delete': table.remove(KIND, step.name, table.read(KIND, step.name)?.version ?? 0); break
+    case 'other kind': table.write('other', `${table.revision}`, 0, 0); break
+    case 'follow': {
+      const news = daemons[step.watcher]!.follow(table, step.isWhole)
+      for (const [i, { mirror }] of daemons.entries()) if (step.reaches[i] === true && i !== step.watcher) mirror.merge(news)
+      break
+    }
+    case 'ask': {
+      const { mirror } = daemons[2]!
+      mirror.merge(daemons[step.from]!.mirror.copySince(KIND, mirror.complete))
+    }
+  }
+}
+
+/** The objects as they were at a revision, without those that have changed since. */
+function listUnchanged (table: ObjectTable, revision: number): readonly (readonly [string, number])[] {
+  return table.list(KIND, '', '', Infinity).filter(({ version }) => version <= revision).map(({ name, value }) => [name, value as number])
+}
+
+// Guards against a daemon that takes itself to be up to date though it has lost a change: two watchers tell a third daemon and
+// each other, any news may be lost, and the third asks now and then.
+test('a daemon that believes itself complete up to a revision lacks nothing up to it', t => {
+  fc.assert(fc.property(steps, all => {
+    const table = new ObjectTable()
+    const daemons = [new Daemon(), new Daemon(), new Daemon()]
+    for (const step of all) {
+      runStep(step, table, daemons)
+      for (const { mirror } of daemons) {
+        const known = mirror.list()
+        for (const [name, value] of listUnchanged(table, mirror.complete)) if (known.get(name) !== value) return false
+        for (const object of known.keys()) if (table.read(KIND, object) === undefined && !isDeletedAfter(table, object, mirror.complete)) return false
+      }
+    }
+    return true
+  }), { numRuns: RUNS })
+  t.pass()
+})
+
+// Guards against a loss that is noticed and not made good: an answer that lacks an object, or that names no deleted one.
+test('one answer makes good whatever was lost', t => {
+  fc.assert(fc.property(steps, all => {
+    const table = new ObjectTable()
+    const daemons = [new Daemon(), new Daemon(), new Daemon()]
+    for (const step of all) runStep(step, table, daemons)
+    daemons[0]!.follow(table, false)
+    const { mirror } = daemons[2]!
+    mirror.merge(daemons[0]!.mirror.copySince(KIND, mirror.complete))
+    const present = table.list(KIND, '', '', Infinity).map(({ name, value }) => [name, value])
+    return mirror.complete === table.revision && JSON.stringify([...mirror.list()].sort()) === JSON.stringify(present)
+  }), { numRuns: RUNS })
+  t.pass()
+})
+
+function isDeletedAfter (table: ObjectTable, name: string, revision: number): boolean {
+  return table.changesSince(KIND, Math.max(0, revision)).deleted.includes(name)
+}
--- /dev/null
+++ b/test/fleet/heartbeat.test.ts
@@ -0,0 +1,39 @@
+import test from 'ava'
+import { decodeHeartbeat } from '../../src/fleet/decode-heartbeat.js'
+import { encodeHeartbeat } from '../../src/fleet/encode-heartbeat.js'
+import type { Heartbeat } from '../../src/fleet/heartbeat.js'
+import { planHeartbeat } from '../../src/fleet/plan-heartbeat.js'
+import { Session } from '../../src/peers/session.js'
+import type { SessionEvent } from '../../src/peers/session-event.js'
+
+/** Control of a daemon among 380, bytes/s, and the 62 others of its domain and 10 watchers of other domains that it tells. */
+const BUDGET = 6_000
+const TOLD = 72
+
+const heartbeat: Heartbeat = { next: 500, kinds: new Map([['configuration', { told: 1_234_567, age: 3_999 }], ['instances', { told: 1_234_599, age: 12 }]]) }
+
+function readSent (events: readonly SessionEvent[]): Buffer {
+  return Buffer.concat(events.flatMap(event => event.type === 'send' ? [event.bytes] : []))
+}
+
+function createSession (): Session {
+  const opener = new Session({ self: 'a', secret: 'k', nonce: Buffer.alloc(16, 1), to: 'b' })
+  const acceptor = new Session({ self: 'b', secret: 'k', nonce: Buffer.alloc(16, 2) })
+  opener.receive(readSent(acceptor.receive(opener.open()).unwrap()))
+  return opener
+}
+
+test('a heartbeat says what it was told', t => {
+  t.deepEqual(decodeHeartbeat(encodeHeartbeat(heartbeat)), heartbeat)
+  t.deepEqual(decodeHeartbeat({ type: 'heartbeat', n: 500, parts: [1, 2, 3] }).kinds, new Map([['configuration', { told: 1, age: 2 }]]))
+})
+
+// Guards against heartbeats that take what a watcher may send for all control.
+test('heartbeats to a large domain take less than half of what a daemon may send', t => {
+  const session = createSession()
+  session.seal({ t: 1_000 })
+  const bytes = session.seal({ t: 2_500, ping: true, m: encodeHeartbeat(heartbeat) }).length
+  const rate = bytes * TOLD * 1_000 / planHeartbeat(TOLD)
+  t.log({ bytes, rate })
+  t.true(rate < BUDGET / 2)
+})
--- a/test/fleet/lost-news.test.ts
+++ b/test/fleet/lost-news.test.ts
@@ -1,5 +1,7 @@
 import 'reflect-metadata'
 import test from 'ava'
+import type { PeerMessage } from '../../src/peers/peer-message.js'
+import type { WatchBatch } from '../../src/store/watch-batch.js'
 import { WatchFleet } from '../helpers/watch-fleet.js'
 
 /** The users' bound from the store's acknowledgement to a configuration or a server's leaving in force, ms. */
@@ -75,3 +77,58 @@
   await fleet.clock.advance(BOUND)
   t.deepEqual({ version: fleet.readVersion(follower), servers: fleet.listServers(follower) }, { version: 2, servers: ['s2'] })
 })
+
+// Guards against questions for nothing: while no message is lost no daemon asks, whoever has a change first and whatever else is
+// written to the store meanwhile.
+test('while nothing is lost no daemon asks for news', async t => {
+  const { fleet, watchers } = await createFleet()
+  const others = fleet.listWatchers('b')
+  for (const [i, first] of [watchers[0]!, watchers[1]!, others[0]!].entries()) {
+    for (const { instance: { name } } of fleet.members) fleet.lags.set(name, name === first ? 0 : 20)
+    await fleet.store.put('jobs', `j${i}`, {}, 0)
+    await fleet.putConfiguration(2 + i)
+    await fleet.putServer(`t${i}`)
+    await fleet.deleteServer(`s${i}`)
+    await fleet.clock.advance(10_000)
+  }
+  t.deepEqual(fleet.sent.filter(({ message }) => message.type === 'fleet ask'), [])
+})
+
+// Guards against calls to the store that grow with the fleet: at rest only watchers call, and while the store turns all daemons
+// away the others leave it alone for some seconds, as they hear that their watchers try.
+test('daemons that hear their watchers make no calls to the store', async t => {
+  const { fleet } = await createFleet()
+  const watchers = ['a', 'b', 'c'].flatMap(domain => fleet.listWatchers(domain)).sort()
+  fleet.callers.length = 0
+  await fleet.clock.advance(20_000)
+  t.deepEqual([...new Set(fleet.callers)].sort(), watchers)
+  // Two kinds, one watch of 4 s after the other.
+  t.true(fleet.callers.length <= watchers.length * 2 * 20 / 4)
+  for (const { instance: { name } } of fleet.members) fleet.away.add(name)
+  fleet.callers.length = 0
+  await fleet.clock.advance(1_900)
+  t.deepEqual([...new Set(fleet.callers)].sort(), watchers)
+})
+
+// Guards against versions of the program that don't understand each other while they are replaced one after another: one that
+// sends no heartbeats, says not what its news follow on and asks without saying what it has.
+test('daemons of the version before hear and tell changes', async t => {
+  const { fleet, watchers, follower } = await createFleet()
+  fleet.change = ({ from, message }) => watchers.includes(from) ? omitNew(message) : message
+  fleet.isLost = ({ from, message }) => watchers.includes(from) && message.type === 'heartbeat'
+  await fleet.putConfiguration(2)
+  await fleet.deleteServer('s1')
+  await fleet.clock.advance(BOUND)
+  t.deepEqual({ version: fleet.readVersion(follower), servers: fleet.listServers(follower) }, { version: 2, servers: ['s2'] })
+  fleet.sent.length = 0
+  fleet.receive({ from: follower, to: watchers[0]!, message: { type: 'fleet ask' } })
+  await fleet.clock.advance(10)
+  const answer = fleet.sent.find(({ to, message }) => to === follower && message.kind === 'instances')!.message.batch as WatchBatch<unknown>
+  t.deepEqual(answer.changed.map(({ name }) => name), ['s2'])
+})
+
+function omitNew (message: PeerMessage): PeerMessage {
+  if (message.type !== 'fleet news') return message
+  const { after, known, whole, ...batch } = message.batch as WatchBatch<unknown>
+  return { ...message, batch }
+}
--- a/test/helpers/watch-fleet.ts
+++ b/test/helpers/watch-fleet.ts
@@ -19,9 +19,10 @@
 import { VirtualClock } from './virtual-clock.js'
 
 const DOMAINS = ['a', 'b', 'c']
-/** Time of a message between daemons, and between two looks of a waiting watch, ms. */
+/** Time of a message between daemons, ms. */
 const LINK_DELAY = 1
-const WATCH_STEP = 5
+/** A waiting watch looks this often whether its daemon is turned away, ms. */
+const WATCH_STEP = 100
 /** Each daemon watches for itself until it has heard a watcher, and a watch takes 4 s. */
 const SETTLING = 10_000
 
@@ -33,8 +34,12 @@
   readonly clock = new VirtualClock()
   readonly store = new MemoryStore()
   readonly sent: Sent[] = []
+  /** The daemon of each call to the store. */
+  readonly callers: string[] = []
   /** Whether a message is lost on its way. */
   isLost: (sent: Sent) => boolean = () => false
+  /** What arrives of a message. */
+  change: (sent: Sent) => PeerMessage = ({ message }) => message
   /** Daemons that the store turns away. */
   readonly away = new Set<string>()
   /** How much later than others' a daemon's answers of the store come, ms. */
@@ -89,6 +94,11 @@
     if (present.ok) await this.store.delete('instances', name, present.val.version)
   }
 
+  /** Gives a daemon a message of another. */
+  receive ({ from, to, message }: Sent): void {
+    for (const { value } of this.watches.get(to)!.extensions) if ((value as PeerHandler).type === message.type) (value as PeerHandler).handle(message, from)
+  }
+
   private add ({ instance: { name, failureDomain } }: Member, seed: number): void {
     const store = { watch: async (kind: string, revision: number, wait: number) => await this.watch(name, kind, revision, wait) } as unknown as ObjectStore
     const settings = { instance: name, failureDomain } as unknown as Settings
@@ -105,13 +115,12 @@
   private send (sent: Sent): void {
     this.sent.push(sent)
     if (this.isLost(sent)) return
-    const { from, to, message } = sent
-    this.clock.after(LINK_DELAY, () => {
-      for (const { value } of this.watches.get(to)!.extensions) if ((value as PeerHandler).type === message.type) (value as PeerHandler).handle(message, from)
-    })
+    const arriving = { ...sent, message: this.change(sent) }
+    this.clock.after(LINK_DELAY, () => this.receive(arriving))
   }
 
   private async watch (daemon: string, kind: string, revision: number, wait: number): Promise<Result<WatchBatch<Configuration>, StoreError>> {
+    this.callers.push(daemon)
     for (const end = this.clock.now() + wait; ;) {
       if (this.away.has(daemon)) return Err({ type: 'unavailable', reason: 'turned away' })
       const batch = await this.store.watch<Configuration>(kind, revision)
@@ -120,10 +129,22 @@
         await this.pause(this.lags.get(daemon) ?? 0)
         return batch.err ? batch : Ok({ ...batch.val, whole: revision < 0 })
       }
-      await this.pause(WATCH_STEP)
+      await this.waitForChange(kind, Math.min(WATCH_STEP, end - this.clock.now()))
     }
   }
 
+  private async waitForChange (kind: string, time: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const finish = (): void => {
+        cancel()
+        stop()
+        resolve()
+      }
+      const cancel = this.clock.after(time, finish)
+      const stop = this.store.objects.onChange(kind, finish)
+    })
+  }
+
   private async pause (time: number): Promise<void> {
     if (time > 0) await new Promise<void>(resolve => { this.clock.after(time, resolve) })
   }
