An answer of a daemon that can't reach the store either doesn't count as word of the store

What callers would see: 404 on a route that was added, or requests to a server that is gone, at daemons that reach the store.

Cause: a daemon that the store turned away asks others each 500 ms, and any answer made it take itself for up to date: daemons cut off from their watchers together kept one another from watching, also once the store served them again, for as long as they were members of one another's fleet without a watcher among them. Evidence: test/fleet/lost-answers, failing before: 2 s after a change three such daemons, which the store had served again for 0.5 s when it came, had version 1. Now they have version 2.

--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -149,7 +149,7 @@
     const news = batch as WatchBatch<any>
     const mirror = this.mirrors.get(String(kind))
     if (mirror === undefined || !Array.isArray(news?.changed) || !Array.isArray(news.deleted)) return
-    this.contact.observeNews(String(kind), this.clock.now())
+    if (typeof sure === 'boolean') this.contact.observeNews(String(kind), this.clock.now())
     const before = this.instances.list()
     const names = mirror.merge(news)
     const doubted = kind === INSTANCES && sure === true ? news.deleted.filter(name => this.held.delete(name)) : []
