A daemon that leaves watching to others again takes the store for back when they do

What callers would see: requests to a server that has left, up to 2.2 s longer than allowed.

Cause: whether the store is away changed only with a daemon's own call. One that had watched for itself while the store turned it away, and then heard its watchers again, made no more calls: it held removed servers as in an outage, and asked a daemon at random each 500 ms, for good. Change: while it relies on its watchers, their word of the store ends that belief. The time of the return is set as after a call of its own, so that entries that lapsed in an outage are still held for the 2.2 s after it. Evidence: test/fleet/lost-answers, failing before on both counts: questions 20 s after the store served the daemon again, and a server still in use 2 s after its entry had gone, where the news of that was lost and the answer that told it can't say that it is certain. Both hold now.

--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -25,6 +25,7 @@
 import { listWatchers } from './list-watchers.js'
 import { NewsTeller } from './news-teller.js'
 import { planRemoval } from './plan-removal.js'
+import { watchedKinds } from './watched-kinds.js'
 import { WatcherContact } from './watcher-contact.js'
 
 const CONFIGURATION = 'configuration'
@@ -113,12 +114,16 @@
       random: this.random,
       kind,
       getCursor: () => mirror.cursor,
-      wants: () => mirror.cursor < 0 || this.isWatcher || this.contact.isSilent(kind, this.clock.now()),
+      wants: () => this.watches(kind),
       onBatch: batch => this.takeBatch(kind, mirror, batch),
       onFailure: error => this.noteFailure(kind, error)
     }, this.ended.signal)
   }
 
+  private watches (kind: string): boolean {
+    return this.mirrors.get(kind)!.cursor < 0 || this.isWatcher || this.contact.isSilent(kind, this.clock.now())
+  }
+
   /** Whether this daemon is one of those that watch for its failure domain. */
   private isChosen (): boolean {
     const { instance, failureDomain } = this.settings
@@ -126,11 +131,7 @@
   }
 
   private takeBatch<T> (kind: string, mirror: StoreMirror<T>, batch: WatchBatch<T>): void {
-    if (this.away) {
-      this.backAt = this.clock.now()
-      this.log.write('info', 'fleet', 'the store answers again', { kind, revision: batch.revision })
-    }
-    this.away = false
+    this.noteAnswer({ kind, revision: batch.revision })
     this.answeredAt.set(kind, this.clock.now())
     const before = this.instances.list()
     const names = mirror.apply(batch)
@@ -138,6 +139,13 @@
     if (names.length > 0 || !this.list.known) this.use(kind, names, before)
   }
 
+  private noteAnswer (detail: Readonly<Record<string, unknown>>): void {
+    if (!this.away) return
+    this.away = false
+    this.backAt = this.clock.now()
+    this.log.write('info', 'fleet', 'the store answers again', detail)
+  }
+
   private noteFailure (kind: string, error: StoreError): void {
     if (!this.away) this.log.write('warn', 'fleet', 'the store does not answer', { kind, error: error.type, reason: 'reason' in error ? error.reason : undefined })
     this.away = true
@@ -205,8 +213,10 @@
     const over = [...this.held].filter(([, { until }]) => now >= until).map(([name]) => name)
     for (const name of over) this.held.delete(name)
     if (over.length > 0) this.publish()
-    if (this.away) this.ask()
     this.isWatcher = this.isChosen()
+    // One that leaves watching to others makes no call that could show it.
+    if (!watchedKinds.some(kind => this.watches(kind))) this.noteAnswer({ by: 'watchers' })
+    if (this.away) this.ask()
     if (this.isWatcher && now >= this.heartbeatAt) this.sendHeartbeat(now)
   }
 
--- a/test/fleet/lost-answers.test.ts
+++ b/test/fleet/lost-answers.test.ts
@@ -21,3 +21,29 @@
   await fleet.clock.advance(BOUND)
   t.deepEqual(parted.map(name => fleet.readVersion(name)), [2, 2, 2])
 })
+
+// Guards against a server that has left and is held for 2 s more as if the store were away: a daemon that was turned away by it
+// once, and has left watching to others since, never learned that it is back.
+test('a daemon that was turned away once drops a server that has left in time', async t => {
+  const fleet = new WatchFleet(21)
+  await fleet.putServer('s1')
+  await fleet.putServer('s2')
+  await fleet.start()
+  const watchers = fleet.listWatchers('a')
+  const follower = fleet.listFollowers('a')[0]!
+  fleet.isLost = ({ from, to }) => watchers.includes(from) && to === follower
+  fleet.away.add(follower)
+  await fleet.clock.advance(3_000)
+  fleet.isLost = () => false
+  await fleet.clock.advance(1_000)
+  fleet.away.clear()
+  await fleet.clock.advance(20_000)
+  const asked = fleet.sent.length
+  await fleet.clock.advance(2_000)
+  t.deepEqual(fleet.sent.slice(asked).filter(({ from, message }) => from === follower && message.type === 'fleet ask'), [])
+  let lost = 0
+  fleet.isLost = ({ to, message: { type } }) => to === follower && type === 'fleet news' && ++lost <= watchers.length
+  await fleet.deleteServer('s1')
+  await fleet.clock.advance(BOUND)
+  t.deepEqual(fleet.listServers(follower), ['s2'])
+})
