Daemons that leave watching to others hold lapsed servers after a short outage too

What callers would see: for up to two seconds after an outage of the store no server of a service is known at most daemons, though all are well.

Cause: entries of servers lapse while the store is away and are back within two seconds of its return. Watchers hold such servers for that time. A daemon that leaves watching to others notices an outage only when its watchers' last word is 6 s old; in a shorter one it believed the store to be there, and dropped at once what their news named as deleted. Change: news that aren't certain say how long the teller holds what went (`hold`), and a receiver does too. A watcher for which the store was there all the time ends the doubt with its own batch, at its own daemons as well, and tells it on; else a word of a watcher that the store alone had turned away would keep a server that has left in use for 2 s. Evidence: test/fleet/short-outage. The test of a server that has left was red with the hold alone, and is green with its end.

--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -23,6 +23,7 @@
 import { decodeHeartbeat } from './decode-heartbeat.js'
 import { followKind } from './follow-kind.js'
 import { listWatchers } from './list-watchers.js'
+import type { News } from './news.js'
 import { NewsTeller } from './news-teller.js'
 import { planRemoval } from './plan-removal.js'
 import { watchedKinds } from './watched-kinds.js'
@@ -134,9 +135,12 @@
     this.noteAnswer({ kind, revision: batch.revision })
     this.answeredAt.set(kind, this.clock.now())
     const before = this.instances.list()
-    const names = mirror.apply(batch)
-    this.teller.tell({ kind, names, sure: this.isSure() })
-    if (names.length > 0 || !this.list.known) this.use(kind, names, before)
+    const changed = mirror.apply(batch)
+    const hold = this.planHold()
+    const doubted = hold === undefined ? this.endHolds(kind, batch) : []
+    const names = [...changed, ...doubted]
+    this.teller.tell({ kind, names, sure: hold === undefined, hold })
+    if (names.length > 0 || !this.list.known) this.use({ kind, names }, before)
   }
 
   private noteAnswer (detail: Readonly<Record<string, unknown>>): void {
@@ -153,18 +157,19 @@
   }
 
   /** News of another daemon, which may be a watcher's or an answer to a question. */
-  private hear ({ kind, batch, sure }: PeerMessage, from: string): void {
+  private hear ({ kind, batch, sure, hold }: PeerMessage, from: string): void {
     const news = batch as WatchBatch<any>
     const mirror = this.mirrors.get(String(kind))
     if (mirror === undefined || !Array.isArray(news?.changed) || !Array.isArray(news.deleted)) return
     if (typeof sure === 'boolean') this.contact.observeNews(String(kind), this.clock.now())
     const before = this.instances.list()
     const names = mirror.merge(news)
-    const doubted = kind === INSTANCES && sure === true ? news.deleted.filter(name => this.held.delete(name)) : []
+    const doubted = sure === true ? this.endHolds(String(kind), news) : []
     if (news.after !== undefined) this.compare(String(kind), news.revision, from)
     if (names.length === 0 && doubted.length === 0) return
-    this.use(String(kind), [...names, ...doubted], before, sure === true)
-    if (this.isWatcher) this.teller.passOn({ kind: String(kind), names: [...names, ...doubted], sure: sure as boolean | undefined }, news, from)
+    const told = { kind: String(kind), names: [...names, ...doubted], sure: sure as boolean | undefined, hold: hold as number | undefined }
+    this.use(told, before)
+    if (this.isWatcher) this.teller.passOn(told, news, from)
   }
 
   private hearHeartbeat (message: PeerMessage, from: string): void {
@@ -173,6 +178,11 @@
     for (const [kind, { told }] of heartbeat.kinds) this.compare(kind, told, from)
   }
 
+  /** Ends the doubt about servers that are gone for certain; gives back their names. */
+  private endHolds (kind: string, { deleted }: WatchBatch<unknown>): readonly string[] {
+    return kind === INSTANCES ? deleted.filter(name => this.held.delete(name)) : []
+  }
+
   /** Asks a daemon that has told everything up to `revision` for what this one lacks of it. */
   private compare (kind: string, revision: number, from: string): void {
     const now = this.clock.now()
@@ -182,15 +192,19 @@
     this.teller.ask(from)
   }
 
-  private use (kind: string, names: readonly string[], before: ReadonlyMap<string, Instance>, sure = false): void {
+  /**
+   * Servers that went are used on for as long as this daemon would, or the one that tells of it: one that leaves watching to others
+   * doesn't notice a short outage, in which the entries of servers that are well lapse.
+   */
+  private use ({ kind, names, sure = false, hold = 0 }: News, before: ReadonlyMap<string, Instance>): void {
     if (kind === CONFIGURATION) return this.useConfiguration()
-    const now = this.clock.now()
+    const holdFor = sure ? 0 : Math.max(this.planHold() ?? 0, hold)
     const present = this.instances.list()
     for (const name of names) {
       const instance = before.get(name)
-      const until = sure || instance === undefined || present.has(name) ? undefined : planRemoval(now, { away: this.away, backAt: this.backAt })
-      if (until !== undefined) this.held.set(name, { instance: instance!, until })
-      this.log.write('info', 'fleet', 'a server changed', { server: name, state: present.get(name)?.state ?? (until === undefined ? 'gone' : 'held') })
+      const isHeld = holdFor > 0 && instance !== undefined && !present.has(name)
+      if (isHeld) this.held.set(name, { instance, until: this.clock.now() + holdFor })
+      this.log.write('info', 'fleet', 'a server changed', { server: name, state: present.get(name)?.state ?? (isHeld ? 'held' : 'gone') })
     }
     this.publish()
   }
@@ -226,11 +240,14 @@
   }
 
   /**
-   * A daemon for which the store has been there all the time knows that what went has gone; one that was turned away by the
-   * store alone takes its word, and doesn't go on using a server that has left.
+   * How long a server whose entry has gone is still used by what this daemon knows of the store, ms. One for which the store has
+   * been there all the time knows that what went has gone; one that was turned away by the store alone takes its word, and doesn't
+   * go on using a server that has left.
    */
-  private isSure (): boolean {
-    return planRemoval(this.clock.now(), { away: this.away, backAt: this.backAt }) === undefined
+  private planHold (): number | undefined {
+    const now = this.clock.now()
+    const until = planRemoval(now, { away: this.away, backAt: this.backAt })
+    return until === undefined ? undefined : until - now
   }
 
   /** One daemon at random: the next question goes to another. */
--- a/src/fleet/news-teller.ts
+++ b/src/fleet/news-teller.ts
@@ -8,16 +8,9 @@
 import { buildNews } from './build-news.js'
 import { encodeHeartbeat } from './encode-heartbeat.js'
 import { listTold } from './list-told.js'
+import type { News } from './news.js'
 import { planHeartbeat } from './plan-heartbeat.js'
 
-/** Which objects of a kind changed. */
-interface News {
-  readonly kind: string
-  readonly names: readonly string[]
-  /** Whether those that went are gone for certain; left out where no answer of the store says this. */
-  readonly sure?: boolean
-}
-
 interface NewsTellerOptions {
   readonly settings: Pick<Settings, 'instance' | 'failureDomain'>
   readonly members: Pick<Members, 'all'>
@@ -49,7 +42,7 @@
     const near = this.listDomain()
     if (isSmallFleet(this.options.members.all()) || near.includes(from)) return
     if (this.getMirror(news.kind).complete >= heard.revision) this.send(near, news)
-    else this.sendAll(near, { type: 'fleet news', kind: news.kind, batch: { ...heard, after: undefined }, sure: news.sure })
+    else this.sendAll(near, { type: 'fleet news', kind: news.kind, batch: { ...heard, after: undefined }, sure: news.sure, hold: news.hold })
   }
 
   /** Sends a heartbeat, with the age of the store's last answer by kind; gives back when the next one is due, ms. */
@@ -76,10 +69,10 @@
   }
 
   /** Tells all that changed since what was told before; what isn't new here is only named, as others have told it. */
-  private send (to: readonly string[], { kind, names, sure }: News): void {
+  private send (to: readonly string[], { kind, names, sure, hold }: News): void {
     const mirror = this.getMirror(kind)
     const copy = mirror.copySince(kind, this.told.get(kind) ?? -1)
-    if (names.length + copy.changed.length + copy.deleted.length > 0) this.sendAll(to, { type: 'fleet news', kind, batch: buildNews(copy, names), sure })
+    if (names.length + copy.changed.length + copy.deleted.length > 0) this.sendAll(to, { type: 'fleet news', kind, batch: buildNews(copy, names), sure, hold })
     else if (copy.whole !== true) return
     this.told.set(kind, mirror.complete)
   }
