The word of a lost server is repeated twice

What callers would see: a request that ends the servers that run it ends one more for each daemon that wasn't told of an earlier end, and all that runs beside it there.

Cause: a daemon tells each other one once what was in flight at a lost server. Behind the door for requests by host and path no trials run, which would remind those that don't know. A message lost with its link was never made good; the losses are kept for 10 minutes. Change: it is told again after 1 s and 3 s, which outlasts the 2.5 s in which a silent link is replaced. What was cleared meanwhile isn't told again; a loss that is known counts once, whatever the order. Evidence: test/routing/lost-suspect, failing before: 4 s after the first word was lost the other daemon held nothing against the request. test/routing/crashes, with frames lost, daemons that pause and that disagree, passes as before. Cost: three messages instead of one to each daemon for each loss with requests in flight.

--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -23,6 +23,8 @@
 const KEEP = 600_000
 /** Longest wait for the other daemons' word of what they had in flight at a lost server, ms. */
 const WORD_WAIT = 1_000
+/** After what times the word of a loss is repeated, ms: a link that has gone silent is replaced within 2.5 s. */
+const REPEATS = [1_000, 3_000]
 
 interface InFlight { readonly exchange: number, readonly fingerprint: string, readonly server: string }
 
@@ -120,6 +122,7 @@
   onServerLost (server: string, ago = 0): void {
     const accused = this.lose(server, ago)
     if (accused.length > 0) this.tell({ type: 'suspect', server, ago, fingerprints: accused })
+    this.repeat(server, accused, ago)
   }
 
   /**
@@ -129,7 +132,11 @@
    */
   async waitForWord (server: string): Promise<void> {
     const others = listOthers(this.members.all(), this.settings.instance)
-    if (this.words.begin(server, others)) this.tell({ type: 'suspect', server, fingerprints: this.lose(server), answer: true })
+    if (this.words.begin(server, others)) {
+      const accused = this.lose(server)
+      this.tell({ type: 'suspect', server, fingerprints: accused, answer: true })
+      this.repeat(server, accused)
+    }
     const cancel = this.clock.after(WORD_WAIT, () => this.words.finish(server))
     await new Promise<void>(resolve => this.words.wait(server, resolve))
     cancel()
@@ -170,6 +177,17 @@
     if (answer === true) this.links.send(from, { type: 'suspect-known', server })
   }
 
+  /** Tells again what is still held: the first word may be lost, and each daemon without it gives the request one more server to end. */
+  private repeat (server: string, accused: readonly string[], ago = 0): void {
+    if (accused.length === 0) return
+    for (const time of REPEATS) {
+      this.clock.after(time, () => {
+        const fingerprints = accused.filter(fingerprint => this.check(fingerprint) !== 'clear')
+        if (fingerprints.length > 0) this.tell({ type: 'suspect', server, ago: ago + time, fingerprints })
+      })
+    }
+  }
+
   private lose (server: string, ago = 0): readonly string[] {
     const unsent = new Set([...this.sent].flatMap(([exchange, isSent]) => isSent() ? [] : [exchange]))
     const accused = this.apply({ type: 'lost', server, ago, unsent })
