A broker is told twice that a daemon has nothing left in flight

What callers would see: requests refused, or waiting, for up to 3 s while servers have free slots.

Cause: rows are told again each second, in case one is lost, but not the row that says that nothing is left: the broker went by the one before until it was 3 s old. Change: that row is told once more after a second, and no more, as most daemons are at rest. Evidence: test/placement/slot-rows, failing before (told once).

--- a/src/placement/slot-rows.ts
+++ b/src/placement/slot-rows.ts
@@ -7,6 +7,8 @@
 const TELL_DELAY = 5
 /** Rows are told after this at the latest, ms, for what was lost. */
 const REPEAT = 1_000
+/** How often a broker is told that nothing is left: once more in case that is lost, and no more, as most daemons are at rest. */
+const EMPTY_TOLD = 2
 
 interface SlotRowsOptions {
   readonly clock: Clock
@@ -16,7 +18,8 @@
   readonly send: (broker: string, row: LoadRow, seen: number) => void
 }
 
-interface Told { readonly text: string, readonly at: number }
+/** What a broker was told last, when, and how often in a row. */
+interface Told { readonly text: string, readonly at: number, readonly times: number }
 
 /** Tells each broker what this daemon has in flight at its servers: ends within some ms, all of it once a second. */
 export class SlotRows {
@@ -58,8 +61,9 @@
       const seen = this.seen.get(broker) ?? 0
       const text = JSON.stringify([row, seen])
       const last = this.told.get(broker)
-      if (last?.text === text && (row.length === 0 || now < last.at + age)) continue
-      this.told.set(broker, { text, at: now })
+      const times = last?.text === text ? last.times : 0
+      if (last !== undefined && times > 0 && (now < last.at + age || (row.length === 0 && times >= EMPTY_TOLD))) continue
+      this.told.set(broker, { text, at: now, times: times + 1 })
       this.options.send(broker, row, seen)
     }
   }
