--- a/src/jobs/end-lookup.ts
+++ b/src/jobs/end-lookup.ts
@@ -80,7 +80,7 @@
   }
 
   private filterEnded (jobs: readonly string[]): readonly string[] {
-    return jobs.filter(job => this.mirror.has(job))
+    return jobs.filter(job => this.mirror.isPresent(job))
   }
 
   /** Reads the store unless that was just done; gives the begin of the read. */
