--- a/src/coordination/may-start.ts
+++ b/src/coordination/may-start.ts
@@ -3,13 +3,13 @@
 interface StartLimits {
   /** Oldest look in ms while the platform answers. */
   readonly fresh?: number
-  /** Longest time in ms for which items start without a look succeeding. */
+  /** Longest time in ms for which work starts without a look succeeding. */
   readonly unchecked?: number
 }
 
 /**
- * Whether an item may start now by the last look at its job. Without this a holder that was paused, cut off, or missed the
- * word of it goes on starting items of a job whose end was acknowledged elsewhere. While the platform answers, a look is at most
+ * Whether work may start now by the last look at whether it still goes on. Without this a holder that was paused, cut off, or missed the
+ * message goes on with work whose end was acknowledged elsewhere. While the platform answers, a look is at most
  * `fresh` old; while it doesn't, what is held goes on for `unchecked`, so an outage costs no throughput at first and a holder in a
  * partition still stops. After a pause nothing starts before a new look.
  *
