--- a/test/fleet/build-news.test.ts
+++ b/test/fleet/build-news.test.ts
@@ -97,3 +97,19 @@
 function isDeletedAfter (table: ObjectTable, name: string, revision: number): boolean {
   return table.changesSince(KIND, Math.max(0, revision)).deleted.includes(name)
 }
+
+// Guards against a daemon that has never heard of a deleted object, and takes it from the old answer of another for one that is there.
+test('an answer from before a deletion does not bring the object back', t => {
+  const table = new ObjectTable()
+  const daemons = [new Daemon(), new Daemon(), new Daemon()]
+  const all: readonly Step[] = [
+    { type: 'write', name: 'a' },
+    { type: 'follow', watcher: 1, isWhole: true, reaches: [true, false, false] },
+    { type: 'delete', name: 'a' },
+    { type: 'follow', watcher: 1, isWhole: true, reaches: [false, false, false] },
+    { type: 'ask', from: 1 },
+    { type: 'ask', from: 0 }
+  ]
+  for (const step of all) runStep(step, table, daemons)
+  t.deepEqual([...daemons[2]!.mirror.list().keys()], [])
+})
