--- a/test/fleet/build-news.test.ts
+++ b/test/fleet/build-news.test.ts
@@ -60,8 +60,7 @@
   return table.list(KIND, '', '', Infinity).filter(({ version }) => version <= revision).map(({ name, value }) => [name, value as number])
 }
 
-// Guards against a daemon that takes itself to be up to date though it has lost a change: two watchers tell a third daemon and
-// each other, any news may be lost, and the third asks now and then.
+// Guards against a daemon that takes itself to be up to date though it has lost a change.
 test('a daemon that believes itself complete up to a revision lacks nothing up to it', t => {
   fc.assert(fc.property(steps, all => {
     const table = new ObjectTable()
--- a/test/fleet/lost-answers.test.ts
+++ b/test/fleet/lost-answers.test.ts
@@ -5,8 +5,7 @@
 /** The users' bound from the store's acknowledgement to a configuration or a server's leaving in force, ms. */
 const BOUND = 2_000
 
-// Guards against daemons that keep one another from looking: cut off from their watchers while the store turns them away, they ask
-// each other, and an answer by one that knows no more must not count as word of the store when that serves them again.
+// Guards against an answer by a daemon that knows no more and that counts as word of the store.
 test('daemons that hear only each other watch for themselves', async t => {
   const fleet = new WatchFleet(9)
   await fleet.putConfiguration(1)
@@ -22,8 +21,7 @@
   t.deepEqual(parted.map(name => fleet.readVersion(name)), [2, 2, 2])
 })
 
-// Guards against a server that has left and is held for 2 s more as if the store were away: a daemon that was turned away by it
-// once, and has left watching to others since, never learned that it is back.
+// Guards against a server that has left and is held as if the store were still away.
 test('a daemon that was turned away once drops a server that has left in time', async t => {
   const fleet = new WatchFleet(21)
   await fleet.putServer('s1')
--- a/test/fleet/lost-news.test.ts
+++ b/test/fleet/lost-news.test.ts
@@ -25,8 +25,7 @@
   for (const { instance: { name } } of fleet.members) if (name !== first) fleet.lags.set(name, 20)
 }
 
-// Guards against a daemon that goes by an old configuration for good: the one message that told of the new one was lost with its
-// link, and the news after it, which tell of no change, made the daemon believe itself up to date.
+// Guards against a daemon that goes by an old configuration for good because the one message of the new one was lost.
 test('a daemon that loses the message of a configuration has it in time', async t => {
   const { fleet, watchers: [first], follower } = await createFleet()
   setFirst(fleet, first!)
@@ -78,8 +77,7 @@
   t.deepEqual({ version: fleet.readVersion(follower), servers: fleet.listServers(follower) }, { version: 2, servers: ['s2'] })
 })
 
-// Guards against questions for nothing: while no message is lost no daemon asks, whoever has a change first and whatever else is
-// written to the store meanwhile.
+// Guards against questions for nothing.
 test('while nothing is lost no daemon asks for news', async t => {
   const { fleet, watchers } = await createFleet()
   const others = fleet.listWatchers('b')
@@ -94,8 +92,7 @@
   t.deepEqual(fleet.sent.filter(({ message }) => message.type === 'fleet ask'), [])
 })
 
-// Guards against calls to the store that grow with the fleet: at rest only watchers call, and while the store turns all daemons
-// away the others leave it alone for some seconds, as they hear that their watchers try.
+// Guards against calls to the store that grow with the fleet.
 test('daemons that hear their watchers make no calls to the store', async t => {
   const { fleet } = await createFleet()
   const watchers = ['a', 'b', 'c'].flatMap(domain => fleet.listWatchers(domain)).sort()
@@ -110,8 +107,7 @@
   t.deepEqual([...new Set(fleet.callers)].sort(), watchers)
 })
 
-// Guards against versions of the program that don't understand each other while they are replaced one after another: one that
-// sends no heartbeats, says not what its news follow on and asks without saying what it has.
+// Guards against versions of the program that do not understand each other while they are replaced.
 test('daemons of the version before hear and tell changes', async t => {
   const { fleet, watchers, follower } = await createFleet()
   fleet.change = ({ from, message }) => watchers.includes(from) ? omitNew(message) : message
--- a/test/fleet/short-outage.test.ts
+++ b/test/fleet/short-outage.test.ts
@@ -2,8 +2,7 @@
 import test from 'ava'
 import { WatchFleet } from '../helpers/watch-fleet.js'
 
-// Guards against daemons that know no server for a second or two after a short outage: the entries of servers that are well lapse while
-// the store is away, and a daemon that leaves watching to others hasn't noticed that it was.
+// Guards against daemons that drop servers that are well, whose entries lapsed in a short outage.
 for (const outage of [2_000, 4_000, 8_000]) {
   test(`servers whose entries lapsed in an outage of ${outage} ms are used until they are back`, async t => {
     const fleet = new WatchFleet(21)
@@ -27,8 +26,7 @@
   })
 }
 
-// Guards against requests to a server that has left, for 2 s: a watcher that the store alone turned away until a moment ago can't tell
-// whether the server is gone, and its word comes before that of watchers which can.
+// Guards against requests to a server that has left, held by the word of a watcher that can't tell.
 test('a server that has left is dropped at once by the word of a watcher for which the store was there', async t => {
   const fleet = new WatchFleet(21)
   await fleet.putServer('s1')
