Servers that fail requests are ejected by their broker for all daemons

Cause: a server that fails in a millisecond always has free slots, so brokers send it the most. A 500 that was relayed counted as an answer, and one that was retried counted as an answer first and a failure after, so that three failures in a row were never reached; and each daemon of 74 had to find out for itself.

Change: an exchange can end as errored. Daemons report how their online requests ended with the load reports that they send anyway. The broker ejects a server after three failures in a row or four of its last eight, seen by two daemons and unlikely at the other servers' failure ratio; at most half of a group. Then it is probed by one request at a time, of a kind that may run elsewhere for 3 s, until three are answered. Silence of 0.9 s counts as a failure also for requests that have to wait on.

--- a/src/placement/choose-candidate.ts
+++ b/src/placement/choose-candidate.ts
@@ -8,6 +8,8 @@
   readonly key?: string
   /** Servers to use only if no other server has a slot. */
   readonly avoided?: readonly string[]
+  /** Whether the request may run at another server if this one fails it. */
+  readonly repeatable?: boolean
 }
 
 /** Free slots that the preferred server of a key needs to be chosen over the least loaded one. */
@@ -21,10 +23,15 @@
  * its cache holds the prompt prefix. Otherwise the server with most free slots is chosen, at random among equals, so that daemons
  * whose counts are a few ms old don't all pick the same one. With no free slot, a server that runs this daemon's own batch is
  * preferred: a local item is stopped at once, an item of another daemon only after a message to it.
+ *
+ * A server that has to prove itself after an ejection comes first for its next probe: it would otherwise get one only when
+ * all others are busy.
  */
-export function chooseCandidate (candidates: readonly CandidateServer[], { random, key, avoided = [] }: ChooseOptions): CandidateServer | undefined {
-  const withOnlineRoom = candidates.filter(({ slots, online }) => online < slots)
+export function chooseCandidate (candidates: readonly CandidateServer[], { random, key, avoided = [], repeatable = false }: ChooseOptions): CandidateServer | undefined {
+  const withOnlineRoom = candidates.filter(({ slots, online, probe }) => online < slots && (probe !== 'repeatable' || repeatable))
   const preferred = withOnlineRoom.filter(({ server }) => !avoided.includes(server))
+  const probed = preferred.find(candidate => candidate.probe !== undefined && getFree(candidate) > 0)
+  if (probed !== undefined) return probed
   const open = preferred.length > 0 ? preferred : withOnlineRoom
   const idle = open.filter(candidate => getFree(candidate) > 0)
   if (idle.length > 0) return findCacheHolder(idle, key) ?? chooseMost(idle, getFree, random)
--- a/src/placement/load-reporter.ts
+++ b/src/placement/load-reporter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../kernel/clock.js'
 import type { LoadReport } from './load-report.js'
+import type { OutcomeReport } from './outcome-report.js'
 import type { ServerLoads } from './server-loads.js'
 import type { SlotMap } from './slot-map.js'
 
@@ -12,10 +13,10 @@
 
 interface LoadReporterOptions {
   readonly clock: Clock
-  readonly loads: Pick<ServerLoads, 'ownCounts'>
+  readonly loads: Pick<ServerLoads, 'ownCounts' | 'outcomes'>
   readonly map: Pick<SlotMap, 'findBrokerForServer'>
-  /** Sends a broker its report, which includes the broker's changes up to sequence number `seen`. */
-  readonly send: (broker: string, report: LoadReport, seen: number) => void
+  /** Sends a broker its report, which includes the broker's changes up to sequence number `seen`, and the outcomes since the last. */
+  readonly send: (broker: string, report: LoadReport, seen: number, outcomes: OutcomeReport) => void
 }
 
 /** The last report sent to a broker, its time, and how many times in succession it was sent. */
@@ -56,15 +57,18 @@
 
   /** Sends the reports that have changed or were last sent at least `age` ms ago. */
   private reportAll (age: number): void {
-    const now = this.options.clock.now()
+    const { clock, loads, map, send } = this.options
+    const now = clock.now()
+    const outcomes = loads.outcomes.takeReports(server => map.findBrokerForServer(server))
     for (const [broker, report] of this.buildReports()) {
       const seen = this.seen.get(broker) ?? 0
+      const ended = outcomes.get(broker) ?? []
       const text = JSON.stringify([report, seen])
       const last = this.sent.get(broker)
       const times = last?.text === text ? last.times : 0
-      if (last !== undefined && times > 0 && (now < last.at + age || (report.length === 0 && times >= MAX_EMPTY_REPORTS))) continue
+      if (last !== undefined && times > 0 && ended.length === 0 && (now < last.at + age || (report.length === 0 && times >= MAX_EMPTY_REPORTS))) continue
       this.sent.set(broker, { text, at: now, times: times + 1 })
-      this.options.send(broker, report, seen)
+      send(broker, report, seen, ended)
     }
   }
 
--- a/src/placement/placement-request.ts
+++ b/src/placement/placement-request.ts
@@ -17,6 +17,8 @@
   readonly asked: number
   /** Whether it is a retry, by its caller or by this daemon. */
   readonly returning: boolean
+  /** Whether it may run at another server if this one fails it. */
+  readonly repeatable: boolean
   readonly signal: AbortSignal
   /** Starts the request; must count it at the server before returning. */
   readonly start: (server: string) => void
--- a/src/placement/server-loads.ts
+++ b/src/placement/server-loads.ts
@@ -9,6 +9,7 @@
 import { InstanceList } from '../store/instance-list.js'
 import type { CandidateServer } from './candidate-server.js'
 import type { LoadCounts } from './load-counts.js'
+import { OutcomeCounter } from './outcome-counter.js'
 
 /** Slots of a server whose store entry doesn't specify them. */
 const DEFAULT_SLOTS = 8
@@ -22,10 +23,16 @@
   readonly extensions = [
     exchangeObserverPoint.of({
       onBegin: ({ work }, server) => this.count(server, work, 1),
-      onEnd: ({ work }, server) => this.count(server, work, -1)
+      onEnd: ({ work }, server, outcome) => {
+        if (work === 'online' && outcome !== 'abandoned') this.outcomes.record(server, outcome !== 'answered')
+        this.count(server, work, -1)
+      }
     })
   ]
 
+  /** How this daemon's online requests ended at each server. */
+  readonly outcomes = new OutcomeCounter()
+
   private readonly own = new Map<string, { online: number, batch: number }>()
   private readonly fullUntil = new Map<string, number>()
   private readonly listeners = new Set<() => void>()
@@ -63,6 +70,11 @@
     return this.list.find(server)?.state === 'live'
   }
 
+  /** Lists all servers of the pool. */
+  listServers (pool: string): readonly string[] {
+    return this.list.all.filter(instance => instance.pool === pool).map(({ name }) => name)
+  }
+
   /** Lists the servers of the pool that `listCandidates` leaves out. */
   listUnavailable (pool: string): readonly string[] {
     return this.servers.inPool(pool).filter(server => !this.isAvailable(server)).map(({ name }) => name)
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -5,13 +5,18 @@
 import type { Random } from '../kernel/random.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
 import { Members } from '../peers/members.js'
 import { BatchBids } from './batch-bids.js'
 import type { CandidateServer } from './candidate-server.js'
 import type { LoadReport } from './load-report.js'
+import { OutlierDetector } from './outlier-detector.js'
+import type { OutcomeReport } from './outcome-report.js'
 import { planBatch } from './plan-batch.js'
 import { ServerLoads } from './server-loads.js'
+import type { ServerOutcome } from './server-outcome.js'
 import { SlotHoldTimes } from './slot-hold-times.js'
 import { SlotLedger } from './slot-ledger.js'
 import { SlotMap } from './slot-map.js'
@@ -32,6 +37,7 @@
   readonly group: number
   readonly queue: SlotQueue
   readonly bids: BatchBids
+  readonly outliers: OutlierDetector
 }
 
 /**
@@ -62,7 +68,8 @@
     @inject(SlotHoldTimes) private readonly holdTimes: SlotHoldTimes,
     @inject(Metrics) private readonly metrics: Metrics,
     @inject(tokens.clock) private readonly clock: Clock,
-    @inject(tokens.random) private readonly random: Random
+    @inject(tokens.random) private readonly random: Random,
+    @inject(tokens.log) private readonly log: LogSink
   ) {
     metrics.gauge('slot_counts_age_ms', () => this.readCountsAge())
   }
@@ -110,6 +117,29 @@
     this.grantAll()
   }
 
+  /** Applies how a daemon's requests ended at servers; ejects those that fail requests which others answer. */
+  applyOutcomes (daemon: string, report: OutcomeReport): void {
+    for (const [server, answered, failed] of report) {
+      for (let n = 0; n < answered + failed; n++) this.applyOutcome(server, { daemon, failed: n >= answered, at: this.clock.now() })
+    }
+  }
+
+  private applyOutcome (server: string, outcome: ServerOutcome): void {
+    const state = this.findStateOfServer(server)
+    if (state === undefined) return
+    const { outliers, pool, group } = state
+    const change = outliers.record(server, outcome, this.listServers(pool, group))
+    if (change === undefined) return
+    this.metrics.count('servers_ejected_total', { change })
+    this.log.write('warn', 'slots', `${change} a server`, { server, pool, group, daemon: outcome.daemon, failed: outcome.failed })
+    if (change === 'restored') state.queue.grantAll()
+  }
+
+  /** Returns the state of a server's group if this daemon has acted as its broker. */
+  private findStateOfServer (server: string): GroupState | undefined {
+    return [...this.groups.values()].find(({ pool, group }) => this.map.findGroup(pool, server) === group && this.listServers(pool, group).includes(server))
+  }
+
   /**
    * Removes the counts, bids and waiting requests of daemons whose run has ended. A killed daemon restarts, under a new run, before its
    * report expires; until then its slots would count as taken and requests would be refused although servers are free.
@@ -147,24 +177,39 @@
     const key = `${pool} ${group}`
     const existing = this.groups.get(key)
     if (existing !== undefined) return existing
-    const queue = new SlotQueue({
-      listCandidates: () => this.listCandidates(pool, group),
+    const queue: SlotQueue = new SlotQueue({
+      listCandidates: () => this.listCandidates(state),
       getHoldTime: () => this.holdTimes.find(pool),
       clock: this.clock,
       random: this.random,
       metrics: this.metrics
     })
     this.metrics.gauge('slots_waiting', () => queue.length, { pool, group: String(group) })
-    const state = { pool, group, queue, bids: new BatchBids() }
+    const state: GroupState = { pool, group, queue, bids: new BatchBids(), outliers: new OutlierDetector() }
     this.groups.set(key, state)
     return state
   }
 
-  private listCandidates (pool: string, group: number): readonly CandidateServer[] {
-    const unresponsive = this.ledger.listUnresponsive(this.clock.now())
+  private listCandidates ({ pool, group, outliers }: GroupState): readonly CandidateServer[] {
+    const now = this.clock.now()
+    const unresponsive = this.ledger.listUnresponsive(now)
     return this.loads.listCandidates(pool)
       .filter(({ server }) => this.map.findGroup(pool, server) === group)
-      .map(candidate => ({ ...candidate, ...this.ledger.find(candidate.server, unresponsive), ownBatch: 0 }))
+      .flatMap(candidate => {
+        const counts = { ...candidate, ...this.ledger.find(candidate.server, unresponsive), ownBatch: 0 }
+        const standing = outliers.getStanding(candidate.server, now)
+        switch (standing) {
+          case 'open': return [counts]
+          case 'ejected': return []
+          case 'probed by repeatable': return [{ ...counts, slots: 1, probe: 'repeatable' as const }]
+          case 'probed': return [{ ...counts, slots: 1, probe: 'any' as const }]
+          default: return failUnreachable(standing)
+        }
+      })
+  }
+
+  private listServers (pool: string, group: number): readonly string[] {
+    return this.loads.listServers(pool).filter(server => this.map.findGroup(pool, server) === group)
   }
 
   private grantAll (): void {
@@ -207,8 +252,8 @@
   }
 
   /** Counts slots that no online request holds; batch can be preempted. */
-  private countFree ({ pool, group }: GroupState): number {
-    return this.listCandidates(pool, group).reduce((sum, { slots, online }) => sum + Math.max(0, slots - online), 0)
+  private countFree (state: GroupState): number {
+    return this.listCandidates(state).reduce((sum, { slots, online }) => sum + Math.max(0, slots - online), 0)
   }
 
   /**
@@ -216,11 +261,12 @@
    * and wait in the engine if its daemon is slow to stop it. Grants none unless this daemon considers itself the broker: a single
    * daemon may ask it in the broker's place, and without the others' reports their slots would look idle.
    */
-  private grantBatch ({ pool, group, queue, bids }: GroupState): void {
+  private grantBatch (state: GroupState): void {
+    const { pool, group, queue, bids } = state
     if (queue.length > 0 || this.map.findBroker(pool, group) !== this.settings.instance) return
     const pendingBids = bids.list(this.clock.now())
     // Listed once and after each grant; listing per bid would be too slow with a large batch backlog.
-    let idle = pendingBids.length === 0 ? [] : this.listIdle(pool, group)
+    let idle = pendingBids.length === 0 ? [] : this.listIdle(state)
     for (const { daemon, count, avoided } of pendingBids) {
       for (let granted = 0; granted < count && idle.length > 0; granted++) {
         const server = this.chooseIdle(idle, avoided)
@@ -228,14 +274,15 @@
         bids.use(daemon)
         const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 0, batch: 1 })
         this.send(daemon, { type: 'batch', g, server, pool })
-        idle = this.listIdle(pool, group)
+        idle = this.listIdle(state)
       }
     }
   }
 
   /** Lists the servers that have slots for batch, with their number. */
-  private listIdle (pool: string, group: number): readonly IdleServer[] {
-    return this.listCandidates(pool, group)
+  private listIdle (state: GroupState): readonly IdleServer[] {
+    return this.listCandidates(state)
+      .filter(({ probe }) => probe === undefined)
       .map(candidate => ({ server: candidate.server, start: planBatch(candidate).start }))
       .filter(({ start }) => start > 0)
   }
--- a/src/placement/slot-client.ts
+++ b/src/placement/slot-client.ts
@@ -16,6 +16,7 @@
 import type { BatchBid } from './batch-bid.js'
 import type { LoadReport } from './load-report.js'
 import { LoadReporter } from './load-reporter.js'
+import type { OutcomeReport } from './outcome-report.js'
 import type { PlacementRequest } from './placement-request.js'
 import { ServerLoads } from './server-loads.js'
 import { SlotBroker } from './slot-broker.js'
@@ -70,7 +71,7 @@
   readonly extensions = [
     peerHandlerPoint.of({ type: REQUEST, handle: ({ ask }, from) => this.broker.handleRequest(from, ask as SlotRequest) }),
     peerHandlerPoint.of({ type: WITHDRAW, handle: ({ n }, from) => this.broker.cancelRequest(from, Number(n)) }),
-    peerHandlerPoint.of({ type: LOAD_REPORT, handle: ({ row, seen }, from) => this.receiveLoadReport(from, row, seen) }),
+    peerHandlerPoint.of({ type: LOAD_REPORT, handle: (message, from) => this.receiveLoadReport(from, message) }),
     peerHandlerPoint.of({ type: PROBE, handle: (_, from) => this.sendResponse(from, { type: 'here' }) }),
     peerHandlerPoint.of({ type: RESPONSE, handle: ({ answer }, from) => this.handleResponse(from, answer as SlotResponse) }),
     // A broker counts its own grants, but the end of a request must be reported to it.
@@ -98,7 +99,7 @@
     @inject(tokens.log) private readonly log: LogSink
   ) {
     broker.setSend((daemon, answer) => this.sendResponse(daemon, answer))
-    this.reporter = new LoadReporter({ clock, loads, map, send: (to, report, seen) => this.sendTo(to, { type: LOAD_REPORT, row: report, seen }) })
+    this.reporter = new LoadReporter({ clock, loads, map, send: (to, report, seen, outcomes) => this.sendTo(to, { type: LOAD_REPORT, row: report, seen, ...outcomes.length > 0 && { outcomes } }) })
   }
 
   async start (): Promise<void> {
@@ -154,11 +155,11 @@
   private sendRequest (requestId: number): void {
     const pending = this.pending.get(requestId)
     if (pending === undefined) return
-    const { request: { pool, key, avoided, arrived, asked, deadline, beginBy, target, priority, returning }, group, broker } = pending
+    const { request: { pool, key, avoided, arrived, asked, deadline, beginBy, target, priority, returning, repeatable }, group, broker } = pending
     const now = this.clock.now()
     pending.sentAt = now
     pending.cancel = this.clock.after(this.responseTimeout.timeout, () => this.handleTimeout(requestId))
-    const ask: SlotRequest = { work: 'online', n: requestId, pool, group, avoided: [...avoided, ...this.loads.listUnavailable(pool)], waited: now - arrived, sinceAsked: now - asked, left: deadline - now, beginWithin: beginBy - now, target, priority, returning, ...key !== undefined && { key } }
+    const ask: SlotRequest = { work: 'online', n: requestId, pool, group, avoided: [...avoided, ...this.loads.listUnavailable(pool)], waited: now - arrived, sinceAsked: now - asked, left: deadline - now, beginWithin: beginBy - now, target, priority, returning, repeatable, ...key !== undefined && { key } }
     this.sendTo(broker, { type: REQUEST, ask })
   }
 
@@ -261,7 +262,9 @@
     pending.request.start(server)
   }
 
-  private receiveLoadReport (from: string, report: unknown, seen: unknown): void {
+  private receiveLoadReport (from: string, { row: report, seen, outcomes }: PeerMessage): void {
+    // Outcomes first: the report frees slots, which a server that fails requests must not get again.
+    if (Array.isArray(outcomes)) this.broker.applyOutcomes(from, outcomes as OutcomeReport)
     if (Array.isArray(report)) this.broker.applyReport(from, report as LoadReport, Number(seen) || 0)
   }
 
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -154,8 +154,8 @@
     })
   }
 
-  private choose ({ key, avoided }: PlacementRequest, candidates: readonly CandidateServer[]): CandidateServer | undefined {
-    return chooseCandidate(candidates, { random: this.options.random, key, avoided })
+  private choose ({ key, avoided, repeatable }: PlacementRequest, candidates: readonly CandidateServer[]): CandidateServer | undefined {
+    return chooseCandidate(candidates, { random: this.options.random, key, avoided, repeatable })
   }
 
   private grantFree (): void {
--- a/src/placement/slot-request.ts
+++ b/src/placement/slot-request.ts
@@ -17,5 +17,6 @@
     readonly target: number
     readonly priority: number
     readonly returning: boolean
+    readonly repeatable: boolean
   }
   | { readonly work: 'batch', readonly pool: string, readonly group: number, readonly avoided: readonly string[], readonly count: number, readonly dueIn: number, readonly remaining: number }
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -114,6 +114,7 @@
         priority: route.priority,
         asked: request.asked,
         returning: request.asked < request.arrived || this.tried.length > 0,
+        repeatable: this.mayRetry(),
         signal: this.abort.signal,
         start: server => resolve({ server, opened: this.open(server) }),
         refuse: refusal => resolve(refusal)
@@ -122,6 +123,18 @@
   }
 
   private async open (server: string): Promise<Opened> {
+    const { clock, loads } = this.tools
+    // A request that may not run elsewhere waits for as long as its caller; the silence counts against the server long before.
+    const waits = this.getTimeout(FIRST_BYTE_TIMEOUT) > FIRST_BYTE_TIMEOUT
+    const cancel = waits ? clock.after(FIRST_BYTE_TIMEOUT, () => loads.outcomes.record(server, true)) : () => {}
+    try {
+      return await this.sendTo(server)
+    } finally {
+      cancel()
+    }
+  }
+
+  private async sendTo (server: string): Promise<Opened> {
     const { request, tools: { dialect, sender, servers, clock } } = this
     const target = servers.find(server)!
     const resumeAfter = this.lastEventId === undefined ? request.resumeAfter : String(this.lastEventId)
@@ -177,11 +190,8 @@
     const { status, headers } = open.exchange
     const body = await this.readAll(open)
     if (body === undefined) return await this.fail(open, { why: 'cut', sent: true, detail: 'the answer broke off' })
-    open.end('answered')
-    if (status >= SERVER_ERROR && this.mayRetry()) {
-      this.tools.servers.recordOutcome(open.server.name, 'failed')
-      return { why: 'cut', sent: true, detail: `status ${status}` }
-    }
+    open.end(status >= SERVER_ERROR ? 'errored' : 'answered')
+    if (status >= SERVER_ERROR && this.mayRetry()) return { why: 'cut', sent: true, detail: `status ${status}` }
     // The caller already has a status and part of a stream, so that another status can't be relayed.
     if (this.begun) return { why: 'cut', sent: true, detail: `status ${status} to a resumed stream` }
     this.sink.answer(status, headers, body)
--- a/src/routing/open-exchange.ts
+++ b/src/routing/open-exchange.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from './backend-server.js'
+import type { ExchangeOutcome } from './exchange-outcome.js'
 import type { Exchange } from './exchange.js'
 import type { SendFailure } from './send-failure.js'
 
@@ -8,8 +9,8 @@
   readonly exchange: Exchange
   /** Monotonic ms at which the request was sent. */
   readonly sentAt: number
-  /** Ends the exchange as answered, or abandons it and closes its connection. */
-  end (outcome: 'answered' | 'abandoned'): void
+  /** Ends the exchange as answered or errored, or abandons it and closes its connection. */
+  end (outcome: Exclude<ExchangeOutcome, 'failed'>): void
   /** Ends the exchange as failed; resolves once it is known whether the server's process exited. */
   fail (failure: SendFailure): Promise<void>
 }
--- a/src/routing/sender.ts
+++ b/src/routing/sender.ts
@@ -6,6 +6,7 @@
 import { Timeline } from '../observe/timeline.js'
 import type { BackendServer } from './backend-server.js'
 import { Exchange } from './exchange.js'
+import type { ExchangeOutcome } from './exchange-outcome.js'
 import { exchangeObserverPoint } from './exchange-observer-point.js'
 import { isServerGone } from './is-server-gone.js'
 import type { OpenExchange } from './open-exchange.js'
@@ -79,13 +80,14 @@
     for (const observer of observers) observer.onBegin(request, server.name)
     if (request.idempotent) this.repeatable.set(exchange, server.name)
     let ended = false
-    const end = (outcome: 'answered' | 'failed' | 'abandoned'): void => {
+    const end = (outcome: ExchangeOutcome): void => {
       if (ended) return
       ended = true
       this.repeatable.delete(exchange)
-      if (outcome === 'answered') this.quarantine.onServerAnswered(server.name)
-      if (outcome === 'answered') this.servers.recordOutcome(server.name, UNAVAILABLE_STATUSES.includes(exchange.status) ? 'failed' : 'answered')
-      else exchange.abandon('abandoned')
+      if (outcome === 'answered' || outcome === 'errored') {
+        this.quarantine.onServerAnswered(server.name)
+        this.servers.recordOutcome(server.name, outcome === 'errored' || UNAVAILABLE_STATUSES.includes(exchange.status) ? 'failed' : 'answered')
+      } else exchange.abandon('abandoned')
       forget()
       release()
       for (const observer of observers) observer.onEnd(request, server.name, outcome)
--- a/test/helpers/slot-fleet.ts
+++ b/test/helpers/slot-fleet.ts
@@ -1,11 +1,13 @@
 import { Random } from '../../src/kernel/random.js'
 import type { Settings } from '../../src/kernel/settings.js'
+import type { LogSink } from '../../src/observe/log-sink.js'
 import { Metrics } from '../../src/observe/metrics.js'
 import type { Members } from '../../src/peers/members.js'
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
 import type { PeerLinks } from '../../src/peers/peer-links.js'
 import type { PeerMessage } from '../../src/peers/peer-message.js'
 import type { ExchangeObserver } from '../../src/routing/exchange-observer.js'
+import type { ExchangeOutcome } from '../../src/routing/exchange-outcome.js'
 import type { Servers } from '../../src/routing/servers.js'
 import type { InstanceList } from '../../src/store/instance-list.js'
 import { PlacementQueue } from '../../src/placement/placement-queue.js'
@@ -30,7 +32,10 @@
   readonly undetected = new Set<string>()
   /** Current requests and their peak, by server. */
   readonly running = new Map<string, { online: number, batch: number, most: number }>()
+  /** Log lines of all daemons. */
+  readonly lines: Array<{ readonly message: string, readonly fields: Readonly<Record<string, unknown>> }> = []
   messages = 0
+  private readonly log: LogSink = { write: (_level, _part, message, fields = {}) => { this.lines.push({ message, fields }) } }
   /** Runs of restarted daemons. */
   private readonly runs = new Map<string, number>()
   private readonly listeners: Array<() => void> = []
@@ -72,16 +77,16 @@
   }
 
   /** Starts one request or item of a daemon at a server. Returns a function that ends it. */
-  begin (name: string, server: string, work: 'online' | 'batch'): () => void {
+  begin (name: string, server: string, work: 'online' | 'batch'): (outcome?: ExchangeOutcome) => void {
     const { observers } = this.daemons.get(name)!
     const request = { work } as Parameters<ExchangeObserver['onBegin']>[0]
     const running = this.running.get(server)!
     running[work]++
     running.most = Math.max(running.most, running.online + running.batch)
     for (const observer of observers) observer.onBegin(request, server)
-    return () => {
+    return (outcome = 'answered') => {
       running[work]--
-      for (const observer of observers) observer.onEnd(request, server, 'answered')
+      for (const observer of observers) observer.onEnd(request, server, outcome)
     }
   }
 
@@ -101,10 +106,10 @@
     const map = new SlotMap(members, list)
     void map.start()
     const holdTimes = new SlotHoldTimes()
-    const broker = new SlotBroker(settings, loads, members, map, holdTimes, metrics, clock, random)
+    const broker = new SlotBroker(settings, loads, members, map, holdTimes, metrics, clock, random, this.log)
     void broker.start()
     const links = { send: (to: string, message: PeerMessage) => this.deliver(name, to, message), dispatch: (message: PeerMessage, from: string) => this.dispatch(name, message, from) } as unknown as PeerLinks
-    const client = new SlotClient(settings, clock, random, links, loads, map, broker, metrics, { write: () => {} })
+    const client = new SlotClient(settings, clock, random, links, loads, map, broker, metrics, this.log)
     const observers = [...loads.extensions, ...client.extensions].map(({ value }) => value as ExchangeObserver).filter(({ onEnd }) => onEnd !== undefined)
     return { queue: new PlacementQueue(loads, client, holdTimes, metrics, clock, random), client, broker, loads, observers }
   }
--- a/test/placement/slot-broker.test.ts
+++ b/test/placement/slot-broker.test.ts
@@ -20,6 +20,7 @@
     priority: 0,
     asked: arrived,
     returning: false,
+    repeatable: false,
     signal,
     start: server => {
       const end = fleet.begin(daemon, server, 'online')
--- a/test/placement/slot-queue.test.ts
+++ b/test/placement/slot-queue.test.ts
@@ -47,6 +47,7 @@
       target: TARGET,
       priority: 0,
       returning: late,
+      repeatable: false,
       signal: new AbortController().signal,
       start: server => {
         outcomes.push({ late, startedAfter: clock.now() - arrived })
@@ -109,6 +110,7 @@
       target: TARGET,
       priority: 0,
       returning,
+      repeatable: false,
       signal: abort.signal,
       start: server => {
         stop()
@@ -167,6 +169,7 @@
       target: TARGET,
       priority: 0,
       returning: false,
+      repeatable: false,
       signal: new AbortController().signal,
       start: server => {
         waits.push(clock.now() - submittedAt)
--- /dev/null
+++ b/test/routing/forwarding-outcomes.test.ts
@@ -0,0 +1,63 @@
+import 'reflect-metadata'
+import test from 'ava'
+import { Ok } from 'ts-results'
+import type { Route } from '../../src/config/route.js'
+import { Random } from '../../src/kernel/random.js'
+import { Metrics } from '../../src/observe/metrics.js'
+import { OutcomeCounter } from '../../src/placement/outcome-counter.js'
+import { Forwarding } from '../../src/routing/forwarding.js'
+import { VirtualClock } from '../helpers/virtual-clock.js'
+
+type Tools = ConstructorParameters<typeof Forwarding>[3]
+
+/** Forwards one request that may run only once to a server that answers with `status` after `delay` ms. */
+function forward ({ status, delay }: { readonly status: number, readonly delay: number }) {
+  const clock = new VirtualClock()
+  const outcomes = new OutcomeCounter()
+  const ends: string[] = []
+  const answers: number[] = []
+  const exchange = { status, headers: {}, isStream: () => false, read: async () => Ok(undefined) }
+  const tools = {
+    clock,
+    random: new Random(1),
+    log: { write: () => {} },
+    metrics: new Metrics(),
+    dialect: { buildHeaders: () => ({}), isNotRun: () => false, readRequestId: () => undefined },
+    sender: { send: async () => await new Promise(resolve => { clock.after(delay, () => resolve(Ok({ server: { name: 's' }, exchange, sentAt: 0, end: (outcome: string) => ends.push(outcome), fail: async () => {} }))) }) },
+    servers: { find: () => ({ name: 's' }) },
+    quarantine: { check: () => 'clear' },
+    queue: { request: ({ start }: { readonly start: (server: string) => void }) => start('s'), recordHoldTime: () => {} },
+    loads: { outcomes }
+  } as unknown as Tools
+  const route: Route = { host: 'h', pathPrefix: '/', services: [], streamed: true, idempotent: false, resumable: false, attempts: 1, timeout: 5_000, target: 300, priority: 0 }
+  const request = { id: 'r', route, method: 'POST', path: '/', headers: {}, arrived: 0, deadline: 5_000, asked: 0, signal: new AbortController().signal }
+  const sink = { answer: (code: number) => { answers.push(code) }, refuse: () => {}, begin: () => {}, write: async () => {}, end: () => {}, abort: () => {} }
+  const done = new Forwarding(request, 'p', sink, tools).run()
+  return { clock, done, ends, answers, outcomes }
+}
+
+// Guards against a server that never loses its requests because an error that is relayed counts as an answer.
+test('an error of the server that is relayed to the caller counts as failed', async t => {
+  const { clock, done, ends, answers } = forward({ status: 500, delay: 1 })
+  await clock.advance(10)
+  await done
+  t.deepEqual({ ends, answers }, { ends: ['errored'], answers: [500] })
+})
+
+// Guards against a mute server that keeps its requests until their callers leave, each without an outcome.
+test('a server that is silent to a request which may run only once counts as failed before the caller leaves', async t => {
+  const { clock, done, outcomes } = forward({ status: 200, delay: 4_000 })
+  await clock.advance(1_000)
+  t.deepEqual([...outcomes.takeReports(() => 'b')], [['b', [['s', 0, 1]]]])
+  await clock.advance(4_000)
+  await done
+})
+
+// Guards against answers within a server's usual time that count as failed.
+test('an answer in time has no failed outcome', async t => {
+  const { clock, done, outcomes, ends } = forward({ status: 200, delay: 500 })
+  await clock.advance(2_000)
+  await done
+  t.deepEqual([...outcomes.takeReports(() => 'b')], [])
+  t.deepEqual(ends, ['answered'])
+})
