--- a/src/fleet/daemon-directory.ts
+++ b/src/fleet/daemon-directory.ts
@@ -73,8 +73,8 @@
   }
 
   private readSelf (): Instance {
-    const { instance: name, listen, failureDomain, region } = this.settings
-    return { name, host: listen.host, port: listen.port, peerPort: listen.peerPort, failureDomain, region, pool: 'entry', state: 'live' }
+    const { instance: name, listen, failureDomain, region, cores } = this.settings
+    return { name, host: listen.host, port: listen.port, peerPort: listen.peerPort, failureDomain, region, pool: 'entry', state: 'live', ...cores !== undefined && { cores } }
   }
 }
 
--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -21,6 +21,8 @@
   readonly peerKey: string
   /** Token that operators present. */
   readonly operatorToken: string
+  /** Processor time that this daemon may use, in cores; daemons with much of it decide for others. */
+  readonly cores?: number
   /** Directory for bulk data on instances that have a disk. */
   readonly dataFolder?: string
   /** How batch work shares servers with online requests; defaults to `preempting`. */
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -17,6 +17,7 @@
 import { InstanceList } from '../store/instance-list.js'
 import type { Member } from './member.js'
 import { PeerAddresses } from './peer-addresses.js'
+import { listLarge } from './list-large.js'
 import { listEligibleOwners } from './list-eligible-owners.js'
 import { peerHandlerPoint } from './peer-handler-point.js'
 import { PeerLinks } from './peer-links.js'
@@ -109,6 +110,11 @@
     return listEligibleOwners(this.state.members.values(), { self: this.settings.instance, now: this.clock.now(), region })
   }
 
+  /** Returns the owners that have at least half of the processor time of the largest, to decide for many others. */
+  largeOwners (): readonly string[] {
+    return listLarge(this.owners().map(name => ({ name, cores: Number(this.state.members.get(name)?.data.cores ?? 0) })))
+  }
+
   /** Calls `listener` after each change. Returns a function that unsubscribes it. */
   subscribe (listener: () => void): () => void {
     this.listeners.add(listener)
@@ -179,13 +185,13 @@
   }
 
   private readSelf (): MemberRecord['data'] {
-    const { address, listen, failureDomain, region } = this.settings
-    return { host: address ?? listen.host, port: this.port, peerPort: this.links.port, ready: Number(this.ready), run: this.run, failureDomain, region }
+    const { address, listen, failureDomain, region, cores } = this.settings
+    return { host: address ?? listen.host, port: this.port, peerPort: this.links.port, ready: Number(this.ready), run: this.run, failureDomain, region, ...cores !== undefined && { cores } }
   }
 
   private applyInstanceList (): void {
     const entries = this.list.all.filter(({ pool, state, peerPort }) => pool === ENTRY_POOL && state === 'live' && peerPort !== undefined)
-    const members = entries.map(({ name, host, port, peerPort, failureDomain, region }) => ({ name, data: { host, port, peerPort: peerPort!, ready: 1, failureDomain, region } }))
+    const members = entries.map(({ name, host, port, peerPort, failureDomain, region, cores }) => ({ name, data: { host, port, peerPort: peerPort!, ready: 1, failureDomain, region, ...cores !== undefined && { cores } } }))
     this.step({ type: 'listed', members })
   }
 
--- a/src/peers/read-instance.ts
+++ b/src/peers/read-instance.ts
@@ -14,6 +14,7 @@
     peerPort: Number(data.peerPort ?? 0),
     failureDomain: String(data.failureDomain ?? ''),
     region: String(data.region ?? ''),
-    state: leaving ? 'leaving' : 'live'
+    state: leaving ? 'leaving' : 'live',
+    ...data.cores !== undefined && { cores: Number(data.cores) }
   }
 }
--- a/src/placement/server-loads.ts
+++ b/src/placement/server-loads.ts
@@ -60,6 +60,12 @@
       .map(({ name, failureDomain }) => this.buildCandidate(name, failureDomain))
   }
 
+  /** Returns a server that accepts requests; undefined for any other. */
+  findCandidate (name: string): CandidateServer | undefined {
+    const server = this.servers.find(name)
+    return server !== undefined && this.isAvailable(server) ? this.buildCandidate(name, server.failureDomain) : undefined
+  }
+
   /** Returns how many requests the server runs concurrently. */
   countSlots (server: string): number {
     return this.list.find(server)?.slots ?? DEFAULT_SLOTS
@@ -70,11 +76,6 @@
     return this.list.find(server)?.state === 'live'
   }
 
-  /** Lists all servers of the pool. */
-  listServers (pool: string): readonly string[] {
-    return this.list.all.filter(instance => instance.pool === pool).map(({ name }) => name)
-  }
-
   /** Lists the servers of the pool that `listCandidates` leaves out. */
   listUnavailable (pool: string): readonly string[] {
     return this.servers.inPool(pool).filter(server => !this.isAvailable(server)).map(({ name }) => name)
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -5,18 +5,16 @@
 import type { Random } from '../kernel/random.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
-import { failUnreachable } from '../kernel/unreachable.js'
 import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
 import { Members } from '../peers/members.js'
 import { BatchBids } from './batch-bids.js'
-import type { CandidateServer } from './candidate-server.js'
 import type { LoadReport } from './load-report.js'
-import { OutlierDetector } from './outlier-detector.js'
 import type { OutcomeReport } from './outcome-report.js'
 import { planBatch } from './plan-batch.js'
 import { ServerLoads } from './server-loads.js'
 import type { ServerOutcome } from './server-outcome.js'
+import { SlotGroup } from './slot-group.js'
 import { SlotHoldTimes } from './slot-hold-times.js'
 import { SlotLedger } from './slot-ledger.js'
 import { SlotMap } from './slot-map.js'
@@ -30,14 +28,12 @@
 type OnlineRequest = Extract<SlotRequest, { work: 'online' }>
 type Send = (daemon: string, answer: SlotResponse) => void
 
-interface IdleServer { readonly server: string, readonly start: number }
-
 interface GroupState {
   readonly pool: string
   readonly group: number
+  readonly servers: SlotGroup
   readonly queue: SlotQueue
   readonly bids: BatchBids
-  readonly outliers: OutlierDetector
 }
 
 /**
@@ -125,21 +121,14 @@
   }
 
   private applyOutcome (server: string, outcome: ServerOutcome): void {
-    const state = this.findStateOfServer(server)
-    if (state === undefined) return
-    const { outliers, pool, group } = state
-    const change = outliers.record(server, outcome, this.listServers(pool, group))
-    if (change === undefined) return
+    const state = [...this.groups.values()].find(({ servers }) => servers.names.includes(server))
+    const change = state?.servers.recordOutcome(server, outcome)
+    if (state === undefined || change === undefined) return
     this.metrics.count('servers_ejected_total', { change })
-    this.log.write('warn', 'slots', `${change} a server`, { server, pool, group, daemon: outcome.daemon, failed: outcome.failed })
+    this.log.write('warn', 'slots', `${change} a server`, { server, pool: state.pool, group: state.group, daemon: outcome.daemon })
     if (change === 'restored') state.queue.grantAll()
   }
 
-  /** Returns the state of a server's group if this daemon has acted as its broker. */
-  private findStateOfServer (server: string): GroupState | undefined {
-    return [...this.groups.values()].find(({ pool, group }) => this.map.findGroup(pool, server) === group && this.listServers(pool, group).includes(server))
-  }
-
   /**
    * Removes the counts, bids and waiting requests of daemons whose run has ended. A killed daemon restarts, under a new run, before its
    * report expires; until then its slots would count as taken and requests would be refused although servers are free.
@@ -177,41 +166,21 @@
     const key = `${pool} ${group}`
     const existing = this.groups.get(key)
     if (existing !== undefined) return existing
-    const queue: SlotQueue = new SlotQueue({
-      listCandidates: () => this.listCandidates(state),
+    const { clock, loads, map, ledger } = this
+    const servers = new SlotGroup({ pool, group, clock, loads, map, ledger })
+    const queue = new SlotQueue({
+      listCandidates: () => servers.listCandidates(),
       getHoldTime: () => this.holdTimes.find(pool),
       clock: this.clock,
       random: this.random,
       metrics: this.metrics
     })
     this.metrics.gauge('slots_waiting', () => queue.length, { pool, group: String(group) })
-    const state: GroupState = { pool, group, queue, bids: new BatchBids(), outliers: new OutlierDetector() }
+    const state = { pool, group, servers, queue, bids: new BatchBids() }
     this.groups.set(key, state)
     return state
   }
 
-  private listCandidates ({ pool, group, outliers }: GroupState): readonly CandidateServer[] {
-    const now = this.clock.now()
-    const unresponsive = this.ledger.listUnresponsive(now)
-    return this.loads.listCandidates(pool)
-      .filter(({ server }) => this.map.findGroup(pool, server) === group)
-      .flatMap(candidate => {
-        const counts = { ...candidate, ...this.ledger.find(candidate.server, unresponsive), ownBatch: 0 }
-        const standing = outliers.getStanding(candidate.server, now)
-        switch (standing) {
-          case 'open': return [counts]
-          case 'ejected': return []
-          case 'probed by repeatable': return [{ ...counts, slots: 1, probe: 'repeatable' as const }]
-          case 'probed': return [{ ...counts, slots: 1, probe: 'any' as const }]
-          default: return failUnreachable(standing)
-        }
-      })
-  }
-
-  private listServers (pool: string, group: number): readonly string[] {
-    return this.loads.listServers(pool).filter(server => this.map.findGroup(pool, server) === group)
-  }
-
   private grantAll (): void {
     for (const { queue } of this.groups.values()) if (queue.length > 0) queue.grantAll()
   }
@@ -241,7 +210,7 @@
       start: server => {
         const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 1, batch: 0 })
         this.revokeExcess(server)
-        answer({ type: 'grant', n, g, server, free: this.countFree(state) })
+        answer({ type: 'grant', n, g, server, free: state.servers.countFree() })
       },
       refuse: refusal => {
         if (abort.signal.aborted) settle()
@@ -251,22 +220,16 @@
     if (!answered) this.send(daemon, { type: 'queued', n })
   }
 
-  /** Counts slots that no online request holds; batch can be preempted. */
-  private countFree (state: GroupState): number {
-    return this.listCandidates(state).reduce((sum, { slots, online }) => sum + Math.max(0, slots - online), 0)
-  }
-
   /**
    * Grants batch slots when a daemon asks, not whenever one becomes free: the next online request would then have to preempt an item,
    * and wait in the engine if its daemon is slow to stop it. Grants none unless this daemon considers itself the broker: a single
    * daemon may ask it in the broker's place, and without the others' reports their slots would look idle.
    */
-  private grantBatch (state: GroupState): void {
-    const { pool, group, queue, bids } = state
+  private grantBatch ({ pool, group, servers, queue, bids }: GroupState): void {
     if (queue.length > 0 || this.map.findBroker(pool, group) !== this.settings.instance) return
     const pendingBids = bids.list(this.clock.now())
     // Listed once and after each grant; listing per bid would be too slow with a large batch backlog.
-    let idle = pendingBids.length === 0 ? [] : this.listIdle(state)
+    let idle = pendingBids.length === 0 ? [] : servers.listIdle()
     for (const { daemon, count, avoided } of pendingBids) {
       for (let granted = 0; granted < count && idle.length > 0; granted++) {
         const server = this.chooseIdle(idle, avoided)
@@ -274,21 +237,13 @@
         bids.use(daemon)
         const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 0, batch: 1 })
         this.send(daemon, { type: 'batch', g, server, pool })
-        idle = this.listIdle(state)
+        idle = servers.listIdle()
       }
     }
   }
 
-  /** Lists the servers that have slots for batch, with their number. */
-  private listIdle (state: GroupState): readonly IdleServer[] {
-    return this.listCandidates(state)
-      .filter(({ probe }) => probe === undefined)
-      .map(candidate => ({ server: candidate.server, start: planBatch(candidate).start }))
-      .filter(({ start }) => start > 0)
-  }
-
   /** Chooses a server with most slots for batch, at random among equals. */
-  private chooseIdle (idle: readonly IdleServer[], avoided: readonly string[]): string | undefined {
+  private chooseIdle (idle: ReturnType<SlotGroup['listIdle']>, avoided: readonly string[]): string | undefined {
     const open = idle.filter(({ server }) => !avoided.includes(server))
     const most = Math.max(...open.map(({ start }) => start))
     const best = open.filter(({ start }) => start === most)
--- /dev/null
+++ b/src/placement/slot-group.ts
@@ -0,0 +1,70 @@
+import type { Clock } from '../kernel/clock.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { CandidateServer } from './candidate-server.js'
+import { OutlierDetector } from './outlier-detector.js'
+import { planBatch } from './plan-batch.js'
+import type { ServerLoads } from './server-loads.js'
+import type { ServerOutcome } from './server-outcome.js'
+import type { SlotLedger } from './slot-ledger.js'
+import type { SlotMap } from './slot-map.js'
+
+interface SlotGroupOptions {
+  readonly pool: string
+  readonly group: number
+  readonly clock: Clock
+  readonly loads: ServerLoads
+  readonly map: SlotMap
+  readonly ledger: SlotLedger
+}
+
+interface IdleServer { readonly server: string, readonly start: number }
+
+/** The servers of one group, with the counts and outcomes of all daemons, as their broker knows them. */
+export class SlotGroup {
+  private readonly outliers = new OutlierDetector()
+
+  constructor (private readonly options: SlotGroupOptions) {}
+
+  /** Names of the group's servers. */
+  get names (): readonly string[] {
+    return this.options.map.listServers(this.options.pool, this.options.group)
+  }
+
+  /** Lists the servers that requests may be granted slots of. */
+  listCandidates (): readonly CandidateServer[] {
+    const { clock, loads, ledger } = this.options
+    const now = clock.now()
+    const unresponsive = ledger.listUnresponsive(now)
+    return this.names.flatMap(name => {
+      const candidate = loads.findCandidate(name)
+      if (candidate === undefined) return []
+      const counts = { ...candidate, ...ledger.find(name, unresponsive), ownBatch: 0 }
+      const standing = this.outliers.getStanding(name, now)
+      switch (standing) {
+        case 'open': return [counts]
+        case 'ejected': return []
+        case 'probed by repeatable': return [{ ...counts, slots: 1, probe: 'repeatable' as const }]
+        case 'probed': return [{ ...counts, slots: 1, probe: 'any' as const }]
+        default: return failUnreachable(standing)
+      }
+    })
+  }
+
+  /** Lists the servers that have slots for batch, with their number. */
+  listIdle (): readonly IdleServer[] {
+    return this.listCandidates()
+      .filter(({ probe }) => probe === undefined)
+      .map(candidate => ({ server: candidate.server, start: planBatch(candidate).start }))
+      .filter(({ start }) => start > 0)
+  }
+
+  /** Counts slots that no online request holds; batch can be preempted. */
+  countFree (): number {
+    return this.listCandidates().reduce((sum, { slots, online }) => sum + Math.max(0, slots - online), 0)
+  }
+
+  /** Records how a request ended at one of the servers; returns the change that it causes, if any. */
+  recordOutcome (server: string, outcome: ServerOutcome): 'ejected' | 'restored' | undefined {
+    return this.outliers.record(server, outcome, this.names)
+  }
+}
--- a/src/placement/slot-ledger.ts
+++ b/src/placement/slot-ledger.ts
@@ -32,8 +32,7 @@
   record (daemon: string, change: Omit<PendingChange, 'sequence'>): number {
     const sequence = (this.lastSequence.get(daemon) ?? 0) + 1
     this.lastSequence.set(daemon, sequence)
-    this.pending.set(daemon, [...this.pending.get(daemon) ?? [], { sequence, ...change }])
-    this.updatePending(daemon, change.at)
+    this.setPending(daemon, [...this.pending.get(daemon) ?? [], { sequence, ...change }], change.at)
     return sequence
   }
 
@@ -42,8 +41,7 @@
     this.loads.put(`report ${daemon}`, report, now)
     const pending = this.pending.get(daemon) ?? []
     for (const { sequence, at, batch } of pending) if (sequence <= seen && batch !== 0) this.confirmTimeout.record(now - at)
-    this.pending.set(daemon, pending.filter(({ sequence }) => sequence > seen))
-    this.updatePending(daemon, now)
+    this.setPending(daemon, pending.filter(({ sequence }) => sequence > seen), now)
   }
 
   /** Removes the counts of a daemon whose process has ended. */
@@ -55,12 +53,7 @@
 
   /** Removes expired reports and pending changes. */
   dropExpired (now: number): void {
-    for (const [daemon, changes] of this.pending) {
-      const kept = changes.filter(({ at }) => now < at + PENDING_TTL)
-      if (kept.length > 0) this.pending.set(daemon, kept)
-      else this.pending.delete(daemon)
-      this.updatePending(daemon, now)
-    }
+    for (const [daemon, changes] of this.pending) this.setPending(daemon, changes.filter(({ at }) => now < at + PENDING_TTL), now)
     this.loads.dropBefore(now - REPORT_TTL)
   }
 
@@ -73,7 +66,9 @@
   listUnresponsive (now: number): ReadonlySet<string> {
     const { timeout } = this.confirmTimeout
     const isLate = ({ at, batch }: PendingChange): boolean => batch !== 0 && now >= at + timeout
-    return new Set([...this.pending].filter(([, changes]) => changes.some(isLate)).map(([daemon]) => daemon))
+    const daemons = new Set<string>()
+    for (const [daemon, changes] of this.pending) if (changes.some(isLate)) daemons.add(daemon)
+    return daemons
   }
 
   /**
@@ -107,9 +102,10 @@
     return counts
   }
 
-  private updatePending (daemon: string, now: number): void {
-    const counts = (this.pending.get(daemon) ?? []).map(({ server, online, batch }) => [server, online, batch] as const)
-    this.loads.put(`pending ${daemon}`, counts, now)
+  private setPending (daemon: string, changes: PendingChange[], now: number): void {
+    if (changes.length > 0) this.pending.set(daemon, changes)
+    else this.pending.delete(daemon)
+    this.loads.put(`pending ${daemon}`, changes.map(({ server, online, batch }) => [server, online, batch] as const), now)
   }
 }
 
--- a/src/placement/slot-map.ts
+++ b/src/placement/slot-map.ts
@@ -10,6 +10,7 @@
 export class SlotMap implements Part {
   private readonly counts = new Map<string, number>()
   private readonly groups = new Map<string, number>()
+  private readonly servers = new Map<string, readonly string[]>()
   private readonly brokers = new Map<string, string | undefined>()
   /** Brokers that didn't respond in time. */
   private readonly unresponsive = new Set<string>()
@@ -24,6 +25,7 @@
     this.list.subscribe(() => {
       this.counts.clear()
       this.groups.clear()
+      this.servers.clear()
       this.brokers.clear()
     })
   }
@@ -37,9 +39,20 @@
     return findCached(this.groups, server, () => slotGroups.find(server, this.countGroups(pool)))
   }
 
-  /** Returns the broker of a group, or undefined while membership is uncertain or every daemon is unresponsive. */
+  /** Lists the servers of a group. */
+  listServers (pool: string, group: number): readonly string[] {
+    return findCached(this.servers, `${pool} ${group}`, () => this.list.all.filter(instance => instance.pool === pool).map(({ name }) => name).filter(name => this.findGroup(pool, name) === group))
+  }
+
+  /**
+   * Returns the broker of a group: a daemon with much processor time, since a broker handles several messages for each request of its
+   * group and all others wait for it. Undefined while membership is uncertain or every daemon is unresponsive.
+   */
   findBroker (pool: string, group: number): string | undefined {
-    return findCached(this.brokers, `${pool} ${group}`, () => slotGroups.findBroker(pool, group, this.members.owners().filter(name => !this.unresponsive.has(name))))
+    return findCached(this.brokers, `${pool} ${group}`, () => {
+      const [large, all] = [this.members.largeOwners(), this.members.owners()].map(daemons => daemons.filter(name => !this.unresponsive.has(name)))
+      return slotGroups.findBroker(pool, group, large!.length > 0 ? large! : all!)
+    })
   }
 
   /** Marks a broker as unresponsive, so that the next in rank replaces it for its groups, or clears the mark. */
@@ -56,7 +69,7 @@
 
   /** Returns whether membership allows the daemon to be a broker. */
   isEligible (daemon: string): boolean {
-    return this.members.owners().includes(daemon)
+    return this.members.largeOwners().includes(daemon)
   }
 
   /** Returns the broker of a server's group, or undefined if the server is no longer registered or the group has no broker. */
--- a/src/routing/exchange-outcome.ts
+++ b/src/routing/exchange-outcome.ts
@@ -1,2 +1,2 @@
-/** How an exchange ended: `errored` is a whole answer with which the server reports that its run failed. */
-export type ExchangeOutcome = 'answered' | 'errored' | 'failed' | 'abandoned'
+/** How an exchange ended: `error` is a whole answer with which the server reports that its run failed. */
+export type ExchangeOutcome = 'answered' | 'error' | 'failed' | 'abandoned'
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -190,7 +190,7 @@
     const { status, headers } = open.exchange
     const body = await this.readAll(open)
     if (body === undefined) return await this.fail(open, { why: 'cut', sent: true, detail: 'the answer broke off' })
-    open.end(status >= SERVER_ERROR ? 'errored' : 'answered')
+    open.end(status >= SERVER_ERROR ? 'error' : 'answered')
     if (status >= SERVER_ERROR && this.mayRetry()) return { why: 'cut', sent: true, detail: `status ${status}` }
     // The caller already has a status and part of a stream, so that another status can't be relayed.
     if (this.begun) return { why: 'cut', sent: true, detail: `status ${status} to a resumed stream` }
--- a/src/routing/open-exchange.ts
+++ b/src/routing/open-exchange.ts
@@ -9,7 +9,7 @@
   readonly exchange: Exchange
   /** Monotonic ms at which the request was sent. */
   readonly sentAt: number
-  /** Ends the exchange as answered or errored, or abandons it and closes its connection. */
+  /** Ends the exchange as answered or as an error, or abandons it and closes its connection. */
   end (outcome: Exclude<ExchangeOutcome, 'failed'>): void
   /** Ends the exchange as failed; resolves once it is known whether the server's process exited. */
   fail (failure: SendFailure): Promise<void>
--- a/src/routing/sender.ts
+++ b/src/routing/sender.ts
@@ -84,9 +84,9 @@
       if (ended) return
       ended = true
       this.repeatable.delete(exchange)
-      if (outcome === 'answered' || outcome === 'errored') {
+      if (outcome === 'answered' || outcome === 'error') {
         this.quarantine.onServerAnswered(server.name)
-        this.servers.recordOutcome(server.name, outcome === 'errored' || UNAVAILABLE_STATUSES.includes(exchange.status) ? 'failed' : 'answered')
+        this.servers.recordOutcome(server.name, outcome === 'error' || UNAVAILABLE_STATUSES.includes(exchange.status) ? 'failed' : 'answered')
       } else exchange.abandon('abandoned')
       forget()
       release()
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -10,6 +10,7 @@
 import { tokens } from '../kernel/tokens.js'
 import { waitForNotification } from '../kernel/wait-for-notification.js'
 import { createPacedConnector } from './create-paced-connector.js'
+import type { Instance } from '../store/instance.js'
 import { InstanceList } from '../store/instance-list.js'
 import type { BackendServer } from './backend-server.js'
 import { Members } from '../peers/members.js'
@@ -81,25 +82,33 @@
 
   /** Returns the servers of a pool with their current load and this daemon's limits. */
   inPool (pool: string): readonly BackendServer[] {
+    return this.list.all.filter(instance => instance.pool === pool).map(instance => this.describe(instance))
+  }
+
+  private describe ({ name, pool, host, port, failureDomain, state }: Instance): BackendServer {
+    const view = this.views.get(name)
+    const inFlight = this.counts.get(name) ?? 0
+    const others = this.countOthers(name)
+    return {
+      name,
+      pool,
+      failureDomain,
+      url: `http://${host}:${port}`,
+      leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
+      inFlight,
+      load: inFlight + (others ?? 0),
+      limit: Math.min(this.readLimit(name), view === undefined ? Infinity : this.planLimit({ name, pool, limit: view.limit, others }))
+    }
+  }
+
+  /** Returns this daemon's part of a server's limit. */
+  private planLimit ({ name, pool, limit, others }: { readonly name: string, readonly pool: string, readonly limit: number | undefined, readonly others: number | undefined }): number {
+    const index = this.list.all.filter(instance => instance.pool === pool).findIndex(instance => instance.name === name)
     const fraction = this.fractions.get(pool)
     const owners = this.members.owners()
     const daemons = Math.max(1, owners.length)
     const daemon = fraction === undefined ? 0 : [...owners].sort().indexOf(this.settings.instance)
-    return this.list.all.filter(instance => instance.pool === pool).map(({ name, host, port, failureDomain, state }, server) => {
-      const view = this.views.get(name)
-      const inFlight = this.counts.get(name) ?? 0
-      const others = this.countOthers(name)
-      return {
-        name,
-        pool,
-        failureDomain,
-        url: `http://${host}:${port}`,
-        leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
-        inFlight,
-        load: inFlight + (others ?? 0),
-        limit: Math.min(this.readLimit(name), planDaemonLimit({ limit: view?.limit, others, daemons, fraction, rounding: spreadRounding({ server, daemon, daemons }) }))
-      }
-    })
+    return planDaemonLimit({ limit, others, daemons, fraction, rounding: spreadRounding({ server: index, daemon, daemons }) })
   }
 
   /** Sets the fraction of the pool's limits reserved for this daemon; undefined for an equal part. */
@@ -116,11 +125,12 @@
 
   /** Returns the pool of a server, if the server is in the instance list. */
   findPool (server: string): string | undefined {
-    return this.list.all.find(({ name }) => name === server)?.pool
+    return this.list.find(server)?.pool
   }
 
   find (server: string): BackendServer | undefined {
-    return this.inPool(this.findPool(server) ?? '').find(({ name }) => name === server)
+    const instance = this.list.find(server)
+    return instance === undefined ? undefined : this.describe(instance)
   }
 
   /** Records a request by the agent of `kind`. Returns for how long to hold back the last byte of its body; see `OriginUse`. */
--- a/src/store/instance-list.ts
+++ b/src/store/instance-list.ts
@@ -34,6 +34,7 @@
   private confirmedAt: number
   private cancel = (): void => {}
   private readonly listeners = new Set<() => void>()
+  private index: { readonly all: readonly Instance[], readonly byName: ReadonlyMap<string, Instance> } = { all: [], byName: new Map() }
 
   constructor (
     @inject(tokens.store) private readonly store: ObjectStore,
@@ -57,7 +58,8 @@
   }
 
   find (instance: string): Instance | undefined {
-    return this.all.find(({ name }) => name === instance)
+    if (this.index.all !== this.all) this.index = { all: this.all, byName: new Map(this.all.map(entry => [entry.name, entry])) }
+    return this.index.byName.get(instance)
   }
 
   subscribe (listener: () => void): () => void {
--- a/src/store/instance.ts
+++ b/src/store/instance.ts
@@ -11,4 +11,6 @@
   readonly state: 'live' | 'leaving'
   /** Requests that a backend server runs concurrently; undefined where the platform doesn't list it. */
   readonly slots?: number
+  /** Processor time of an entry instance's daemon, in cores; undefined if its settings don't specify it. */
+  readonly cores?: number
 }
--- a/test/helpers/slot-fleet.ts
+++ b/test/helpers/slot-fleet.ts
@@ -3,6 +3,7 @@
 import type { LogSink } from '../../src/observe/log-sink.js'
 import { Metrics } from '../../src/observe/metrics.js'
 import type { Members } from '../../src/peers/members.js'
+import { listLarge } from '../../src/peers/list-large.js'
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
 import type { PeerLinks } from '../../src/peers/peer-links.js'
 import type { PeerMessage } from '../../src/peers/peer-message.js'
@@ -22,7 +23,7 @@
 
 interface Daemon { readonly queue: PlacementQueue, readonly client: SlotClient, readonly broker: SlotBroker, readonly loads: ServerLoads, readonly observers: readonly ExchangeObserver[] }
 
-interface SlotFleetOptions { readonly daemons: number, readonly servers: number, readonly slots: number, readonly clock: VirtualClock }
+interface SlotFleetOptions { readonly daemons: number, readonly servers: number, readonly slots: number, readonly clock: VirtualClock, readonly cores?: (daemon: string) => number }
 
 /** Simulates a fleet of daemons with their brokers on virtual time. Messages take 1 ms; those from or to a killed daemon are lost. */
 export class SlotFleet {
@@ -35,6 +36,8 @@
   /** Log lines of all daemons. */
   readonly lines: Array<{ readonly message: string, readonly fields: Readonly<Record<string, unknown>> }> = []
   messages = 0
+  /** Called with each message between two daemons. */
+  onDeliver: (to: string, message: PeerMessage) => void = () => {}
   private readonly log: LogSink = { write: (_level, _part, message, fields = {}) => { this.lines.push({ message, fields }) } }
   /** Runs of restarted daemons. */
   private readonly runs = new Map<string, number>()
@@ -100,8 +103,9 @@
     const metrics = new Metrics()
     const settings = { instance: name } as unknown as Settings
     const list = { all: this.instances, find: (server: string) => this.instances.find(instance => instance.name === server), subscribe: () => {} } as unknown as InstanceList
-    const members = { all: () => this.alive().map(other => ({ instance: { name: other }, run: this.runs.get(other) ?? 1, state: 'alive' })), owners: () => this.alive(), subscribe: (listener: () => void) => { this.listeners.push(listener) } } as unknown as Members
-    const servers = { inPool: () => this.instances.map(({ name, failureDomain }) => ({ name, failureDomain, leaving: false, inFlight: 0, limit: Infinity })) } as unknown as Servers
+    const members = { all: () => this.alive().map(other => ({ instance: { name: other }, run: this.runs.get(other) ?? 1, state: 'alive' })), owners: () => this.alive(), largeOwners: () => listLarge(this.alive().map(name => ({ name, cores: this.options.cores?.(name) ?? 0 }))), subscribe: (listener: () => void) => { this.listeners.push(listener) } } as unknown as Members
+    const described = this.instances.map(({ name, failureDomain }) => ({ name, failureDomain, leaving: false, inFlight: 0, limit: Infinity }))
+    const servers = { inPool: () => described, find: (server: string) => described.find(({ name }) => name === server) } as unknown as Servers
     const loads = new ServerLoads(clock, list, servers)
     const map = new SlotMap(members, list)
     void map.start()
@@ -116,6 +120,7 @@
 
   private deliver (from: string, to: string, message: PeerMessage): void {
     this.messages++
+    this.onDeliver(to, message)
     this.options.clock.after(LINK_DELAY, () => { if (!this.dead.has(from) && !this.dead.has(to)) this.dispatch(to, message, from) })
   }
 
--- a/test/placement/outlier-ejection.test.ts
+++ b/test/placement/outlier-ejection.test.ts
@@ -47,7 +47,7 @@
         if (fails && !repeatable) lost[index]!++
         if (!fails) served[index]!++
         const end = fleet.begin(daemon, server, 'online')
-        clock.after(fails ? failsAfter : 400 + random.below(300), () => end(fails ? 'errored' : 'answered'))
+        clock.after(fails ? failsAfter : 400 + random.below(300), () => end(fails ? 'error' : 'answered'))
       },
       refuse: () => { refused++ }
     })
--- a/test/routing/forwarding-outcomes.test.ts
+++ b/test/routing/forwarding-outcomes.test.ts
@@ -41,7 +41,7 @@
   const { clock, done, ends, answers } = forward({ status: 500, delay: 1 })
   await clock.advance(10)
   await done
-  t.deepEqual({ ends, answers }, { ends: ['errored'], answers: [500] })
+  t.deepEqual({ ends, answers }, { ends: ['error'], answers: [500] })
 })
 
 // Guards against a mute server that keeps its requests until their callers leave, each without an outcome.
