Callers of a large fleet are spread over all daemons, by their processor time

Cause: an answer listed every daemon in the order in which this one knew them, and callers use no more than the first 64; each had the same chance, whether it has 0.324 or 1.35 cores.

Change: an answer lists 32 addresses, drawn anew each time with weights by processor time. 165 daemons of which 15 are large (test/entry/draw-members): small ones get 0.91 to 1.09 of their mean share, large ones 3.2 times as much; before, 101 of them got nothing.

--- a/src/entry/address-lookup.ts
+++ b/src/entry/address-lookup.ts
@@ -8,15 +8,19 @@
 import { sendJson } from '../http/send-json.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
+import type { Random } from '../kernel/random.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { Metrics } from '../observe/metrics.js'
 import type { Member } from '../peers/member.js'
 import { Members } from '../peers/members.js'
+import { drawMembers } from './draw-members.js'
 import type { EntryDialect } from './entry-dialect.js'
 import type { Endpoint } from './endpoint.js'
 import type { RoutedSettings } from './routed-settings.js'
 
+/** Most addresses in one answer: enough that callers find others when some fail, few enough that each daemon gets its share. */
+const MAX_ADDRESSES = 32
 const NOT_FOUND = 404
 const NOT_READY = 503
 
@@ -33,7 +37,8 @@
     @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(FleetWatch) private readonly fleet: FleetWatch,
     @inject(Members) private readonly members: Members,
-    @inject(Metrics) private readonly metrics: Metrics
+    @inject(Metrics) private readonly metrics: Metrics,
+    @inject(tokens.random) private readonly random: Random
   ) {}
 
   async start (): Promise<void> {
@@ -82,9 +87,10 @@
   private answerAddresses (req: IncomingMessage, res: ServerResponse): void {
     const request = this.dialect.readAddressRequest(req)
     if (request === undefined) return sendJson(res, NOT_FOUND, {})
-    const open = this.members.all().filter(member => this.isOpen(member)).map(({ instance }) => `${instance.host}:${instance.port}`)
+    const open = this.members.all().filter(member => this.isOpen(member))
     if (open.length === 0) return sendJson(res, NOT_READY, {})
-    sendJson(res, 200, this.dialect.showAddresses(open, this.routed.addressKeep))
+    const addresses = drawMembers(open, { count: MAX_ADDRESSES, random: this.random }).map(({ instance }) => `${instance.host}:${instance.port}`)
+    sendJson(res, 200, this.dialect.showAddresses(addresses, this.routed.addressKeep))
   }
 
   /** Whether callers may use the member: it has sent a message itself, is ready and isn't leaving. */
