A busy broker's late responses extend the time in which it is waited for

Cause: the timeout follows the delays of responses, but only of those that came in time. A broker that needs 160 ms never has one, so the timeout stays at 100 ms; the probe's response clears the mark, and the next request bypasses it again.

Change: the latest 64 requests without a response in time are remembered; a late response sets the timeout to at least twice its delay, up to 400 ms as before. A broker that has ended never responds and is bypassed after 100 ms as before.

--- a/src/placement/adaptive-timeout.ts
+++ b/src/placement/adaptive-timeout.ts
@@ -2,6 +2,8 @@
 const WEIGHT = 0.1
 /** Timeout as a multiple of the mean delay. */
 const MULTIPLE = 5
+/** Timeout after a late response, as a multiple of its delay. */
+const LATE_MULTIPLE = 2
 
 interface TimeoutBounds {
   /** Shortest and longest timeout, ms. */
@@ -23,6 +25,11 @@
     this.mean += WEIGHT * (delay - this.mean)
   }
 
+  /** Records the delay, ms, of a response that came after the timeout; the next ones are waited for at least twice as long. */
+  recordLate (delay: number): void {
+    this.mean = Math.max(this.mean, LATE_MULTIPLE * delay / MULTIPLE)
+  }
+
   /** The current timeout, ms. */
   get timeout (): number {
     return Math.min(this.bounds.most, Math.max(this.bounds.least, MULTIPLE * this.mean))
--- a/src/placement/slot-client.ts
+++ b/src/placement/slot-client.ts
@@ -31,6 +31,8 @@
 const PROBE = 'slot probe'
 /** Bounds of the timeout, ms, for a broker's first response; a round trip takes 1 or 2 ms, a busy event loop adds some tens. */
 const RESPONSE_TIMEOUT = { least: 100, most: 400 }
+/** Requests without a response in time whose late response is still recorded. */
+const MAX_TIMED_OUT = 64
 /** Interval at which a bypassed broker is probed, ms. */
 const PROBE_PERIOD = 500
 /** Brokers that a request tries before it falls back to local selection. */
@@ -82,6 +84,8 @@
   /** Timeout for a broker's first response. */
   private readonly responseTimeout = new AdaptiveTimeout(RESPONSE_TIMEOUT)
   private readonly pending = new Map<number, Pending>()
+  /** Times at which the latest requests without a response in time were sent, by request id. */
+  private readonly timedOut = new Map<number, number>()
   /** Free slots in the broker's last response, by pool and group. */
   private readonly free = new Map<string, number>()
   private readonly listeners = new Set<BatchListener>()
@@ -167,6 +171,8 @@
     const pending = this.pending.get(requestId)
     if (pending === undefined) return
     pending.settle()
+    this.timedOut.set(requestId, pending.sentAt)
+    if (this.timedOut.size > MAX_TIMED_OUT) this.timedOut.delete(this.timedOut.keys().next().value!)
     this.metrics.count('slot_asks_total', { outcome: 'unanswered' })
     this.sendTo(pending.broker, { type: WITHDRAW, n: requestId })
     this.bypassBroker(pending.broker)
@@ -229,15 +235,25 @@
     }
   }
 
-  /** Records the response delay of a request. Only the first response counts, since a queued request's grant depends on free slots. */
+  /**
+   * Records the response delay of a request. Only the first response counts, since a queued request's grant depends on free slots.
+   * A late one counts as well; with only those in time, the timeout would never grow to what a busy broker needs.
+   */
   private recordDelay (response: SlotResponse): void {
     if (response?.type !== 'grant' && response?.type !== 'queued' && response?.type !== 'refused') return
     const pending = this.pending.get(response.n)
-    if (pending === undefined || pending.isQueued) return
+    if (pending === undefined) return this.recordLate(response.n)
+    if (pending.isQueued) return
     this.responseTimeout.record(this.clock.now() - pending.sentAt)
     pending.isQueued = response.type === 'queued'
   }
 
+  private recordLate (requestId: number): void {
+    const sentAt = this.timedOut.get(requestId)
+    if (sentAt !== undefined) this.responseTimeout.recordLate(this.clock.now() - sentAt)
+    this.timedOut.delete(requestId)
+  }
+
   private handleRefusal ({ n, refusal }: Extract<SlotResponse, { type: 'refused' }>): void {
     const pending = this.pending.get(n)
     if (pending === undefined) return
--- a/test/helpers/slot-fleet.ts
+++ b/test/helpers/slot-fleet.ts
@@ -36,6 +36,8 @@
   /** Log lines of all daemons. */
   readonly lines: Array<{ readonly message: string, readonly fields: Readonly<Record<string, unknown>> }> = []
   messages = 0
+  /** Additional time until a message reaches a daemon that is short of processor time, ms. */
+  readonly delays = new Map<string, number>()
   /** Called with each message between two daemons. */
   onDeliver: (to: string, message: PeerMessage) => void = () => {}
   private readonly log: LogSink = { write: (_level, _part, message, fields = {}) => { this.lines.push({ message, fields }) } }
@@ -121,7 +123,7 @@
   private deliver (from: string, to: string, message: PeerMessage): void {
     this.messages++
     this.onDeliver(to, message)
-    this.options.clock.after(LINK_DELAY, () => { if (!this.dead.has(from) && !this.dead.has(to)) this.dispatch(to, message, from) })
+    this.options.clock.after(LINK_DELAY + (this.delays.get(to) ?? 0), () => { if (!this.dead.has(from) && !this.dead.has(to)) this.dispatch(to, message, from) })
   }
 
   private dispatch (to: string, message: PeerMessage, from: string): void {
--- a/test/placement/adaptive-timeout.test.ts
+++ b/test/placement/adaptive-timeout.test.ts
@@ -9,6 +9,14 @@
   ['one slow response among many', [...Array.from({ length: 100 }, () => 8), 90], 100]
 ]
 
+test('timeout: a late response extends it at once, fast ones shorten it again', t => {
+  const usual = new AdaptiveTimeout({ least: 100, most: 500 })
+  usual.recordLate(160)
+  t.is(Math.round(usual.timeout), 320)
+  for (let n = 0; n < 50; n++) usual.record(8)
+  t.is(usual.timeout, 100)
+})
+
 for (const [name, delays, timeout] of cases) {
   test(`timeout: ${name}`, t => {
     const usual = new AdaptiveTimeout({ least: 100, most: 500 })
