Batch leaves a few slots of a group free, not one at each server

From 31.5 to 32.0 s, say, 320 stopped items waited on 37 daemons while one slot of each of 58 servers was kept idle for online arrivals: a seventh of the slots, in all lulls between waves.

Cause: the headroom is there so that most arrivals need not preempt an item, but an arrival goes to any server of its group; one slot at each of 16 is many more than arrive before as many end.

Change: batch may take the idle slots of a group but a quarter as many as it has servers. planBatch plans a group; what must stop at one server is countExcessBatch.

--- a/src/placement/plan-batch.ts
+++ b/src/placement/plan-batch.ts
@@ -1,20 +1,23 @@
 import type { CandidateServer } from './candidate-server.js'
 
-/** Batch items to stop and to start on one server. */
+interface IdleServer { readonly server: string, readonly idle: number }
+
+/** Slots of a server group that batch may take now, and the servers that have them. */
 interface BatchPlan {
-  readonly stop: number
   readonly start: number
+  readonly servers: readonly IdleServer[]
 }
 
 /**
- * Slots that batch leaves free when it starts, so that most online arrivals need not preempt an item: preemption costs the arrival a
- * message and an engine step, and the item must process its prompt again.
+ * Slots, as a share of a group's servers, that batch leaves free when it starts, so that most online arrivals need not preempt an
+ * item: preemption costs the arrival a message and an engine step, and the item must process its prompt again. Arrivals go to
+ * any server of the group, so its slots are shared by all; one at each server would be many more than arrive at once.
  */
-const HEADROOM = 1
+const HEADROOM_SHARE = 0.25
 
-/** Plans batch on one server: fills idle slots except for the headroom, and stops as many items as requests exceed slots. */
-export function planBatch ({ slots, online, batch }: Pick<CandidateServer, 'slots' | 'online' | 'batch'>): BatchPlan {
-  const excess = online + batch - slots
-  const stop = Math.max(0, Math.min(batch, excess))
-  return { stop, start: stop > 0 ? 0 : Math.max(0, -excess - HEADROOM) }
+/** Plans batch in a group of servers: it fills the idle slots except for the headroom. */
+export function planBatch (candidates: ReadonlyArray<Pick<CandidateServer, 'server' | 'slots' | 'online' | 'batch'>>): BatchPlan {
+  const servers = candidates.map(({ server, slots, online, batch }) => ({ server, idle: slots - online - batch })).filter(({ idle }) => idle > 0)
+  const idle = servers.reduce((sum, server) => sum + server.idle, 0)
+  return { start: Math.max(0, idle - Math.ceil(candidates.length * HEADROOM_SHARE)), servers }
 }
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -9,9 +9,9 @@
 import { Metrics } from '../observe/metrics.js'
 import { Members } from '../peers/members.js'
 import { BatchBids } from './batch-bids.js'
+import { countExcessBatch } from './count-excess-batch.js'
 import type { LoadReport } from './load-report.js'
 import type { OutcomeReport } from './outcome-report.js'
-import { planBatch } from './plan-batch.js'
 import { ServerLoads } from './server-loads.js'
 import type { ServerOutcome } from './server-outcome.js'
 import { SlotGroup } from './slot-group.js'
@@ -228,32 +228,33 @@
   private grantBatch ({ pool, group, servers, queue, bids }: GroupState): void {
     if (queue.length > 0 || this.map.findBroker(pool, group) !== this.settings.instance) return
     const pendingBids = bids.list(this.clock.now())
-    // Listed once and after each grant; listing per bid would be too slow with a large batch backlog.
-    let idle = pendingBids.length === 0 ? [] : servers.listIdle()
+    if (pendingBids.length === 0) return
+    // Planned once and after each grant; planning per bid would be too slow with a large batch backlog.
+    let plan = servers.planBatch()
     for (const { daemon, count, avoided } of pendingBids) {
-      for (let granted = 0; granted < count && idle.length > 0; granted++) {
-        const server = this.chooseIdle(idle, avoided)
+      for (let granted = 0; granted < count && plan.start > 0; granted++) {
+        const server = this.chooseIdle(plan.servers, avoided)
         if (server === undefined) break
         bids.use(daemon)
         const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 0, batch: 1 })
         this.send(daemon, { type: 'batch', g, server, pool })
-        idle = servers.listIdle()
+        plan = servers.planBatch()
       }
     }
   }
 
-  /** Chooses a server with most slots for batch, at random among equals. */
-  private chooseIdle (idle: ReturnType<SlotGroup['listIdle']>, avoided: readonly string[]): string | undefined {
-    const open = idle.filter(({ server }) => !avoided.includes(server))
-    const most = Math.max(...open.map(({ start }) => start))
-    const best = open.filter(({ start }) => start === most)
+  /** Chooses a server with most idle slots, at random among equals. */
+  private chooseIdle (servers: ReturnType<SlotGroup['planBatch']>['servers'], avoided: readonly string[]): string | undefined {
+    const open = servers.filter(({ server }) => !avoided.includes(server))
+    const most = Math.max(...open.map(({ idle }) => idle))
+    const best = open.filter(({ idle }) => idle === most)
     return best[this.random.below(best.length)]?.server
   }
 
   /** Revokes as many batch items as requests exceed the server's slots, each from the daemon with most items there. */
   private revokeExcess (server: string): void {
     const unresponsive = this.ledger.listUnresponsive(this.clock.now())
-    const { stop } = planBatch({ slots: this.loads.countSlots(server), ...this.ledger.find(server, unresponsive) })
+    const stop = countExcessBatch({ slots: this.loads.countSlots(server), ...this.ledger.find(server, unresponsive) })
     for (let revoked = 0; revoked < stop; revoked++) {
       const daemon = this.ledger.findMostBatch(server, unresponsive)
       if (daemon === undefined) return
--- a/src/placement/slot-group.ts
+++ b/src/placement/slot-group.ts
@@ -17,8 +17,6 @@
   readonly ledger: SlotLedger
 }
 
-interface IdleServer { readonly server: string, readonly start: number }
-
 /** The servers of one group, with the counts and outcomes of all daemons, as their broker knows them. */
 export class SlotGroup {
   private readonly outliers = new OutlierDetector()
@@ -50,12 +48,9 @@
     })
   }
 
-  /** Lists the servers that have slots for batch, with their number. */
-  listIdle (): readonly IdleServer[] {
-    return this.listCandidates()
-      .filter(({ probe }) => probe === undefined)
-      .map(candidate => ({ server: candidate.server, start: planBatch(candidate).start }))
-      .filter(({ start }) => start > 0)
+  /** Returns the slots that batch may take now, and the servers that have them. */
+  planBatch (): ReturnType<typeof planBatch> {
+    return planBatch(this.listCandidates().filter(({ probe }) => probe === undefined))
   }
 
   /** Counts slots that no online request holds; batch can be preempted. */
