--- a/test/helpers/replay-batch-waves.ts
+++ b/test/helpers/replay-batch-waves.ts
@@ -81,18 +81,8 @@
   const ask = (daemon: string): void => {
     const arrived = clock.now()
     result.online++
-    fleet.daemons.get(daemon)!.queue.request({
-      pool: 'p',
-      avoided: [],
-      arrived,
-      deadline: arrived + 5_000,
-      beginBy: arrived + 2_000,
-      target: 300,
-      priority: 0,
-      asked: arrived,
-      returning: false,
-      repeatable: false,
-      signal: new AbortController().signal,
+    fleet.ask(daemon, {
+      beginWithin: 2_000,
       start: server => {
         const end = fleet.begin(daemon, server, 'online')
         if (isOverfull(server)) result.overfull++
--- a/test/helpers/slot-fleet.ts
+++ b/test/helpers/slot-fleet.ts
@@ -25,6 +25,14 @@
 
 interface SlotFleetOptions { readonly daemons: number, readonly servers: number, readonly slots: number, readonly clock: VirtualClock, readonly cores?: (daemon: string) => number }
 
+interface AskOptions {
+  readonly repeatable?: boolean
+  /** Time until the latest start of use to the caller, ms. */
+  readonly beginWithin?: number
+  readonly start: (server: string) => void
+  readonly refuse?: () => void
+}
+
 /** Simulates a fleet of daemons with their brokers on virtual time. Messages take 1 ms; those from or to a killed daemon are lost. */
 export class SlotFleet {
   readonly daemons = new Map<string, Daemon>()
@@ -95,6 +103,26 @@
     }
   }
 
+  /** Requests a slot for an online request of a daemon, as of a caller's first attempt with a target of 300 ms. */
+  ask (name: string, { repeatable = false, beginWithin = Infinity, start, refuse = () => {} }: AskOptions): void {
+    const arrived = this.options.clock.now()
+    this.daemons.get(name)!.queue.request({
+      pool: 'p',
+      avoided: [],
+      arrived,
+      deadline: arrived + 5_000,
+      beginBy: arrived + beginWithin,
+      target: 300,
+      priority: 0,
+      asked: arrived,
+      returning: false,
+      repeatable,
+      signal: new AbortController().signal,
+      start,
+      refuse
+    })
+  }
+
   private alive (): readonly string[] {
     return this.names.filter(name => !this.dead.has(name) || this.undetected.has(name))
   }
--- a/test/placement/large-brokers.test.ts
+++ b/test/placement/large-brokers.test.ts
@@ -13,9 +13,7 @@
   const asked = new Set<string>()
   const ask = async (): Promise<void> => {
     fleet.onDeliver = (to, { type }) => { if (type === 'slot ask') asked.add(to) }
-    for (let n = 0; n < 40; n++) {
-      fleet.daemons.get(`d${n}`)!.queue.request({ pool: 'p', avoided: [], arrived: clock.now(), deadline: clock.now() + 5_000, beginBy: Infinity, target: 300, priority: 0, asked: clock.now(), returning: false, repeatable: false, signal: new AbortController().signal, start: server => { clock.after(100, fleet.begin(`d${n}`, server, 'online')) }, refuse: () => {} })
-    }
+    for (let n = 0; n < 40; n++) fleet.ask(`d${n}`, { start: server => { clock.after(100, fleet.begin(`d${n}`, server, 'online')) } })
     await clock.advance(1_000)
   }
   await ask()
--- a/test/placement/outlier-ejection.test.ts
+++ b/test/placement/outlier-ejection.test.ts
@@ -28,19 +28,9 @@
   const served = Array.from({ length: SERVERS }, () => 0)
   let refused = 0
   const ask = (daemon: string, repeatable: boolean): void => {
-    const arrived = clock.now()
-    fleet.daemons.get(daemon)!.queue.request({
-      pool: 'p',
-      avoided: [],
-      arrived,
-      deadline: arrived + 5_000,
-      beginBy: arrived + 2_000,
-      target: 300,
-      priority: 0,
-      asked: arrived,
-      returning: false,
+    fleet.ask(daemon, {
       repeatable,
-      signal: new AbortController().signal,
+      beginWithin: 2_000,
       start: server => {
         const index = Number(server.slice(1))
         const fails = random.next() < failing(index, clock.now())
--- a/test/placement/slow-broker.test.ts
+++ b/test/placement/slow-broker.test.ts
@@ -19,23 +19,11 @@
   const others = [...fleet.daemons.keys()].filter(name => name !== broker)
   const ask = (daemon: string): void => {
     const arrived = clock.now()
-    fleet.daemons.get(daemon)!.queue.request({
-      pool: 'p',
-      avoided: [],
-      arrived,
-      deadline: arrived + 5_000,
-      beginBy: Infinity,
-      target: 300,
-      priority: 0,
-      asked: arrived,
-      returning: false,
-      repeatable: false,
-      signal: new AbortController().signal,
+    fleet.ask(daemon, {
       start: server => {
         waits.push(clock.now() - arrived)
         clock.after(300, fleet.begin(daemon, server, 'online'))
-      },
-      refuse: () => {}
+      }
     })
   }
   fleet.delays.set(broker, BROKER_DELAY)
