--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -66,8 +66,7 @@
 
 /**
  * Sends the member's own record to all others at once, as its changes are rare: 380 small messages
- * in a fleet of 380. The answers carry the new `sequence`,
- * so that the caller can wait until all have it.
+ * in a fleet of 380. The answers carry the new `sequence`, so that the caller can wait until all have it.
  */
 function sendToAll (state: MembershipState, context: Context): Step {
   const self = state.members.get(state.self)!
--- a/src/ownership/step-online-counts.ts
+++ b/src/ownership/step-online-counts.ts
@@ -13,8 +13,7 @@
 /**
  * Returns the next counts. Reports carry absolute counts, so that the next report corrects a lost or late one. Reports
  * older than the newest of their reporter are ignored, but only for `REORDER_WINDOW`: a reporter that restarts with its
- * clock set back would otherwise be ignored forever, and batch
- * would not give way to its requests.
+ * clock set back would otherwise be ignored forever, and batch would not give way to its requests.
  */
 export function stepOnlineCounts (state: OnlineCountsState, event: OnlineCountsEvent, now: number): OnlineCountsState {
   switch (event.type) {
--- a/src/placement/choose-candidate.ts
+++ b/src/placement/choose-candidate.ts
@@ -24,8 +24,7 @@
  * whose counts are a few ms old don't all pick the same one. With no free slot, a server that runs this daemon's own batch is
  * preferred: a local item is stopped at once, an item of another daemon only after a message to it.
  *
- * A server that has to prove itself after an ejection comes first for its next probe: it would otherwise get one only when
- * all others are busy.
+ * An ejected server that is being probed comes first: with one slot, it would otherwise be chosen only when all others are busy.
  */
 export function chooseCandidate (candidates: readonly CandidateServer[], { random, key, avoided = [], repeatable = false }: ChooseOptions): CandidateServer | undefined {
   const withOnlineRoom = candidates.filter(({ slots, online, probe }) => online < slots && (probe !== 'repeatable' || repeatable))
--- a/src/placement/step-outlier.ts
+++ b/src/placement/step-outlier.ts
@@ -33,7 +33,7 @@
  * Applies one outcome to what is known of a server's answers; undefined is a server without outcomes.
  *
  * A server that fails at once always has free slots, so it draws the most requests, and each daemon would pay for its own
- * evidence. The broker therefore ejects it for all daemons, and afterwards lets it prove itself with a few probes.
+ * evidence. The broker therefore ejects it for all daemons, and then probes it until it has answered a few requests.
  */
 export function stepOutlier (state: OutlierState = HEALTHY, outcome: ServerOutcome, { othersRatio, mayEject }: OutlierContext): OutlierState {
   const { at, failed } = outcome
@@ -49,8 +49,8 @@
 
 function isOutlier (recent: readonly ServerOutcome[], othersRatio: number): boolean {
   const failures = recent.filter(({ failed }) => failed)
-  const hasRun = recent.length >= MAX_FAILURES_IN_ROW && recent.slice(-MAX_FAILURES_IN_ROW).every(({ failed }) => failed)
-  if (!hasRun && failures.length < MAX_FAILURES) return false
+  const failsInRow = recent.length >= MAX_FAILURES_IN_ROW && recent.slice(-MAX_FAILURES_IN_ROW).every(({ failed }) => failed)
+  if (!failsInRow && failures.length < MAX_FAILURES) return false
   if (new Set(failures.map(({ daemon }) => daemon)).size < MIN_DAEMONS) return false
   return estimateChance(failures.length, recent.length, othersRatio) <= MAX_CHANCE
 }
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -30,8 +30,7 @@
 const CONNECT_TIMEOUT = 400
 /**
  * Shortest time between two reads of a paced answer, ms. Each read wakes the process, so several events are read at once:
- * an item has one in some 30 ms.
- * The end of an answer is noticed, and its slot freed, up to this much later.
+ * an item has one in some 30 ms. The end of an answer is noticed, and its slot freed, up to this much later.
  */
 const READ_PERIOD = 200
 /** How long an owner's count of the other daemons' requests is used, ms. */
@@ -40,6 +39,9 @@
 const connect = buildConnector({ timeout: CONNECT_TIMEOUT })
 const connectPaced = createPacedConnector({ timeout: CONNECT_TIMEOUT, period: READ_PERIOD })
 
+/** This daemon's part of a pool's limits: the reserved fraction, if set, and its position among the daemons. */
+interface Share { readonly fraction: number | undefined, readonly daemons: number, readonly daemon: number }
+
 /**
  * The backend servers, this daemon's requests in flight at each, and its connections to them. Online, batch and paced
  * requests have separate connections, so that none waits behind another kind.
@@ -83,10 +85,13 @@
 
   /** Returns the servers of a pool with their current load and this daemon's limits. */
   inPool (pool: string): readonly BackendServer[] {
-    return this.list.all.filter(instance => instance.pool === pool).map(instance => this.describe(instance))
+    let share: Share | undefined
+    const getShare = (): Share => { return (share ??= this.readShare(pool)) }
+    return this.list.all.filter(instance => instance.pool === pool).map((instance, index) => this.describe(instance, () => index, getShare))
   }
 
-  private describe ({ name, pool, host, port, failureDomain, state }: Instance): BackendServer {
+  /** `getIndex`, the server's position in its pool, and `getShare` are called only for a server whose owner reports a limit. */
+  private describe ({ name, pool, host, port, failureDomain, state }: Instance, getIndex: () => number, getShare: () => Share): BackendServer {
     const view = this.views.get(name)
     const inFlight = this.counts.get(name) ?? 0
     const others = this.countOthers(name)
@@ -98,18 +103,14 @@
       leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
       inFlight,
       load: inFlight + (others ?? 0),
-      limit: Math.min(this.readLimit(name), view === undefined ? Infinity : this.planLimit({ name, pool, limit: view.limit, others }))
+      limit: Math.min(this.readLimit(name), view === undefined ? Infinity : planLimit(view.limit, others, getIndex(), getShare()))
     }
   }
 
-  /** Returns this daemon's part of a server's limit. */
-  private planLimit ({ name, pool, limit, others }: { readonly name: string, readonly pool: string, readonly limit: number | undefined, readonly others: number | undefined }): number {
-    const index = this.list.all.filter(instance => instance.pool === pool).findIndex(instance => instance.name === name)
+  private readShare (pool: string): Share {
     const fraction = this.fractions.get(pool)
     const owners = this.members.owners()
-    const daemons = Math.max(1, owners.length)
-    const daemon = fraction === undefined ? 0 : [...owners].sort().indexOf(this.settings.instance)
-    return planDaemonLimit({ limit, others, daemons, fraction, rounding: spreadRounding({ server: index, daemon, daemons }) })
+    return { fraction, daemons: Math.max(1, owners.length), daemon: fraction === undefined ? 0 : [...owners].sort().indexOf(this.settings.instance) }
   }
 
   /** Sets the fraction of the pool's limits reserved for this daemon; undefined for an equal part. */
@@ -131,7 +132,9 @@
 
   find (server: string): BackendServer | undefined {
     const instance = this.list.find(server)
-    return instance === undefined ? undefined : this.describe(instance)
+    if (instance === undefined) return undefined
+    const { pool } = instance
+    return this.describe(instance, () => this.list.all.filter(other => other.pool === pool).indexOf(instance), () => this.readShare(pool))
   }
 
   /** Records a request by the agent of `kind`. Returns for how long to hold back the last byte of its body; see `OriginUse`. */
@@ -187,6 +190,10 @@
   }
 }
 
+function planLimit (limit: number | undefined, others: number | undefined, server: number, { fraction, daemons, daemon }: Share): number {
+  return planDaemonLimit({ limit, others, daemons, fraction, rounding: spreadRounding({ server, daemon, daemons }) })
+}
+
 function createAgent (connections: number, connect: buildConnector.connector): Agent {
   return new Agent({ factory: (origin, options) => new SteadyPool(origin, options), connections, connect, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining: 1 })
 }
--- a/test/placement/outlier-ejection.test.ts
+++ b/test/placement/outlier-ejection.test.ts
@@ -68,9 +68,8 @@
 // Guards against a server that stays ejected after its fault is over.
 test('a server that answers again gets its share within seconds', async t => {
   const { fleet, served } = await play({ failing: (server, ms) => server < 6 && ms >= 1_000 && ms < 4_000 ? 1 : 0, failsAfter: 1, until: 10_000 })
-  const before = served.slice(0, 6)
   const restored = fleet.lines.filter(({ message }) => message === 'restored a server')
-  t.log({ before, restored: restored.length })
+  t.log({ served: served.slice(0, 6), restored: restored.length })
   t.is(restored.length, 6)
 })
 
