Two owners of a job that don't know of each other list the same results

All processes had lost power 1.5 s before the job was accepted.

Neither owner knows of the other, and each answers from its own list of results. The class is wider: of any two owners that messages don't reach, each lists only what it has stored or found. A belief that only a message can change was looked up nowhere.

Change: - A job of a process that membership hasn't told of is left to it for 5 s. - A daemon that takes a job over from a process that may still run (not released, and no later process of that daemon known) records itself in the store among the ends of jobs, which owners look up every 1.1 s anyway; reads the store for each answer; and stores no result for 2.7 s. - An owner answers from memory only while its last look-up is at most 2.5 s old and shows no other process, else from the store. So an owner that isn't recorded has either found the record or reads the store by the time that another one stores a result. One write for each such takeover, one read of the store for each read of such a job's results, no calls otherwise.

Also moved, without a change: the progress handed over (progress-handover.ts), beginRead (PauseWatch). Mocks of membership in tests tell the run of a process; expectations are as before, but for one look-up that now also returns owners: {}. Not covered: while the whole store is unreachable, an owner answers from memory for up to 60 s, as before.

--- a/src/jobs/ended-job-lookup.ts
+++ b/src/jobs/ended-job-lookup.ts
@@ -12,6 +12,7 @@
 import type { StoreError } from '../store/store-error.js'
 import { StoreMirror } from '../store/store-mirror.js'
 import { JobRecords } from './job-records.js'
+import type { OwnerProcess } from './owner-process.js'
 
 /** Age in ms up to which a read of the store answers further requests. */
 const MAX_READ_AGE = 800
@@ -25,11 +26,18 @@
 
 interface LookupRequest { readonly jobs: readonly string[] }
 
-/** The requested jobs that have ended, and the age in ms of the read of the store that shows it. */
-interface LookupResponse { readonly ended: readonly string[], readonly age: number }
+interface StoredEnds {
+  /** The requested jobs that have ended. */
+  readonly ended: readonly string[]
+  /** By requested job that was taken over: the last process that did so. */
+  readonly owners: Readonly<Record<string, OwnerProcess>>
+}
+
+/** `age` in ms is that of the read of the store. */
+interface LookupResponse extends StoredEnds { readonly age: number }
 
-/** The requested jobs that have ended. None of the others had ended at `readAt`, monotonic ms. */
-interface EndedJobs { readonly ended: readonly string[], readonly readAt: number }
+/** What the store held at `readAt`, monotonic ms. */
+interface EndedJobs extends StoredEnds { readonly readAt: number }
 
 /**
  * Looks up which jobs have been ended by their callers. The domain leader reads the store on behalf of all daemons of its failure domain and
@@ -41,7 +49,7 @@
 export class EndedJobLookup {
   readonly extensions
   private readonly calls: MemberCalls<LookupRequest, LookupResponse>
-  private readonly mirror = new StoreMirror<boolean>()
+  private readonly mirror = new StoreMirror<true | OwnerProcess>()
   /** When the last successful read began, monotonic ms. */
   private readAt = -Infinity
   private reading: Promise<Result<number, StoreError>> | undefined
@@ -63,7 +71,7 @@
 
   /** Returns which of the jobs have been ended, with the time of the read of the store that shows it. */
   async find (jobs: readonly string[]): Promise<Result<EndedJobs, StoreError>> {
-    return await this.askLeader(jobs) ?? (await this.read()).map(readAt => ({ ended: this.filterEnded(jobs), readAt }))
+    return await this.askLeader(jobs) ?? (await this.read()).map(readAt => ({ ...this.findStored(jobs), readAt }))
   }
 
   /** Returns undefined where this daemon is the leader, or the leader gave no answer. */
@@ -73,7 +81,7 @@
     const leader = findDomainLeader(this.members.all().filter(member => asked >= (this.skippedUntil.get(member.instance.name) ?? -Infinity)), failureDomain)
     if (leader === undefined || leader === instance) return undefined
     const answer = await this.calls.call(leader, { jobs }, LEADER_TIMEOUT)
-    if (answer !== undefined) return Ok({ ended: answer.ended, readAt: asked - answer.age })
+    if (answer !== undefined) return Ok({ ended: answer.ended, owners: answer.owners ?? {}, readAt: asked - answer.age })
     this.skippedUntil.set(leader, this.clock.now() + LEADER_SKIP_TIME)
     return undefined
   }
@@ -81,11 +89,15 @@
   private async answer (jobs: readonly string[]): Promise<LookupResponse | undefined> {
     if (!Array.isArray(jobs)) return undefined
     const read = await this.read()
-    return read.ok ? { ended: this.filterEnded(jobs), age: this.clock.now() - read.val } : undefined
+    return read.ok ? { ...this.findStored(jobs), age: this.clock.now() - read.val } : undefined
   }
 
-  private filterEnded (jobs: readonly string[]): readonly string[] {
-    return jobs.filter(job => this.mirror.isPresent(job))
+  private findStored (jobs: readonly string[]): StoredEnds {
+    const owners = jobs.flatMap(job => {
+      const owner = this.mirror.get(JobRecords.buildOwnerName(job))
+      return owner === undefined || owner === true ? [] : [[job, owner] as const]
+    })
+    return { ended: jobs.filter(job => this.mirror.get(job) === true), owners: Object.fromEntries(owners) }
   }
 
   /** Reads the store unless the last read is recent enough. Returns when the read began, monotonic ms. */
--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -7,6 +7,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { Members } from '../peers/members.js'
+import { findOwnerStatus } from './find-owner-status.js'
 import { JobRegistry } from './job-registry.js'
 import { JobOwner } from './job-owner.js'
 import { JobRecords } from './job-records.js'
@@ -20,6 +21,11 @@
 const ALONE_AFTER = 3_000
 /** Delay before another attempt to take over a job that could not be read, ms: the store is unavailable, or the items were never stored. */
 const ADOPT_RETRY_DELAY = 1_000
+/**
+ * How long a job of a process that membership has not told of is left to it, ms: after a restart of the fleet, the process that accepted a job
+ * runs, while daemons that have just started find the job in the store and not the process among their members.
+ */
+const UNKNOWN_OWNER_WAIT = 5_000
 /** Number of jobs that are taken over concurrently. */
 const MAX_CONCURRENT = 2
 /** Time between two publications of jobs without an owner, ms. */
@@ -34,6 +40,8 @@
   /** Processes that were alive at the last check, each as the daemon's name and the start of its process. */
   private aliveProcesses: ReadonlySet<string> = new Set()
   private publishedAt = -Infinity
+  /** By job of an unknown process: when it was first found, monotonic ms. */
+  private unknownSince: ReadonlyMap<string, number> = new Map()
   private adopting = false
   private cancel = (): void => {}
 
@@ -74,10 +82,19 @@
     const names = owners.length > 0 ? owners : this.clock.now() > this.startedAt + ALONE_AFTER ? [this.settings.instance] : []
     this.checkEndedProcesses(names)
     const orphans = this.registry.list().filter(job => !job.closed && this.owner.find(job.id) === undefined && !this.owner.isOwnerAlive(job))
-    void this.adoptAll(orphans.filter(({ id }) => rankOwners(id, names)[0] === this.settings.instance))
+    const abandoned = this.listAbandoned(orphans)
+    void this.adoptAll(abandoned.filter(({ id }) => rankOwners(id, names)[0] === this.settings.instance))
     this.publishOrphans(orphans)
   }
 
+  /** Lists the orphans but those of processes that may run and are still to become known. */
+  private listAbandoned (orphans: readonly KnownJob[]): readonly KnownJob[] {
+    const now = this.clock.now()
+    const unknown = orphans.filter(job => findOwnerStatus(job, this.members.findRun(job.owner)) === 'unknown').map(({ id }) => id)
+    this.unknownSince = new Map(unknown.map(id => [id, this.unknownSince.get(id) ?? now]))
+    return orphans.filter(({ id }) => now >= (this.unknownSince.get(id) ?? -Infinity) + UNKNOWN_OWNER_WAIT)
+  }
+
   /**
    * Takes jobs over a few at a time, the newest first. After a restart of the whole fleet most jobs are finished or overdue, and reading all of
    * them at once would delay the first online requests of a daemon that has just started.
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -15,6 +15,7 @@
 import type { PeerMessage } from '../peers/peer-message.js'
 import type { StoreError } from '../store/store-error.js'
 import { countUnsavedEvents } from './count-unsaved-events.js'
+import { findOwnerStatus } from './find-owner-status.js'
 import { isPublicationDue } from './is-publication-due.js'
 import { JobRegistry } from './job-registry.js'
 import type { ItemProgress } from './item-progress.js'
@@ -24,11 +25,11 @@
 import { JobRunner } from './job-runner.js'
 import type { KnownJob } from './known-job.js'
 import type { ListedResult } from './listed-result.js'
+import type { OwnerProcess } from './owner-process.js'
 import { OwnedJob } from './owned-job.js'
+import { ProgressHandover } from './progress-handover.js'
 import { ResultWriter } from './result-writer.js'
-import { splitProgress } from './split-progress.js'
 
-const PROGRESS_MESSAGE = 'job progress'
 /** How long a shutdown waits for results to be stored, and how often it checks, ms. */
 const STORE_WAIT = 1_500
 const STORE_CHECK = 100
@@ -39,10 +40,9 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class JobOwner implements Part {
-  readonly extensions = [peerHandlerPoint.of({ type: PROGRESS_MESSAGE, handle: message => this.receiveProgress(message) })]
+  readonly extensions = [peerHandlerPoint.of({ type: ProgressHandover.messageType, handle: message => this.receiveProgress(message) })]
   private readonly owned = new Map<string, OwnedJob>()
-  /** By job that is about to be taken over here: the progress of its items received from the previous owner. */
-  private readonly handedOver = new Map<string, readonly ItemProgress[]>()
+  private readonly handover: ProgressHandover
   private readonly adopting = new Set<string>()
   private readonly writer: ResultWriter
   private draining = false
@@ -52,12 +52,13 @@
     @inject(JobRunner) private readonly runner: JobRunner,
     @inject(JobRegistry) private readonly registry: JobRegistry,
     @inject(Members) private readonly members: Members,
-    @inject(PeerLinks) private readonly links: Pick<PeerLinks, 'send'>,
-    @inject(PauseWatch) private readonly pauses: Pick<PauseWatch, 'check' | 'count'>,
+    @inject(PeerLinks) links: Pick<PeerLinks, 'send'>,
+    @inject(PauseWatch) private readonly pauses: Pick<PauseWatch, 'beginRead'>,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
+    this.handover = new ProgressHandover(links)
     this.writer = new ResultWriter({
       records,
       clock,
@@ -99,11 +100,7 @@
    */
   private handOver (job: OwnedJob): void {
     const [next] = rankOwners(job.id, this.members.owners().filter(name => name !== this.settings.instance))
-    if (next !== undefined) this.sendProgress(job, next)
-  }
-
-  private sendProgress (job: OwnedJob, to: string): void {
-    for (const progress of splitProgress(job.copyProgress())) this.links.send(to, { type: PROGRESS_MESSAGE, job: job.id, progress })
+    if (next !== undefined) this.handover.send(job, next)
   }
 
   private receiveProgress ({ job, progress }: PeerMessage): void {
@@ -111,7 +108,7 @@
     const id = String(job)
     const owned = this.owned.get(id)
     if (owned !== undefined) owned.applyProgress(progress as readonly ItemProgress[])
-    else this.handedOver.set(id, [...this.handedOver.get(id) ?? [], ...progress as readonly ItemProgress[]])
+    else this.handover.add(id, progress as readonly ItemProgress[])
   }
 
   find (id: string): OwnedJob | undefined {
@@ -126,22 +123,31 @@
   releaseTo (job: OwnedJob, to: string): void {
     this.runner.remove(job)
     this.owned.delete(job.id)
-    this.sendProgress(job, to)
+    this.handover.send(job, to)
     job.notify()
   }
 
   /**
-   * Ensures that the job's results here include all that callers may have read from another owner. The results of a contested job are read from
-   * the store first; otherwise an owner that was paused would list fewer results than the other one did. Returns false where the store fails.
+   * Ensures that the job's results here include all that callers may have read from another owner, by a read of the store where there may be
+   * one. Two owners may not reach each other. A daemon that takes a job over from a process that may still run therefore records it in the
+   * store, and stores no result until the other owner can't have missed that. Returns false where the store fails.
    */
   async ensureCurrent (job: OwnedJob): Promise<boolean> {
-    return this.clock.now() >= job.contestedUntil || await this.writer.readNew(job)
+    return job.isCurrent(this.clock.now()) || await this.writer.readNew(job)
+  }
+
+  /** Applies the stored record of the process that last took a job over, which may be another one than this. */
+  applyRecordedOwner (id: string, { owner, run }: OwnerProcess): void {
+    const job = this.owned.get(id)
+    if (job === undefined || job.isShared || (owner === this.settings.instance && run === this.members.run)) return
+    this.log.write('info', 'jobs', 'found another owner of a job in the store', { job: id, owner })
+    job.isShared = true
   }
 
   /** Accepts a job. `Ok` means that it is stored durably, `conflict` that it was accepted before. */
   async accept (id: string, job: Pick<JobHeader, 'host' | 'path'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
     const { instance: owner } = this.settings
-    const findReadAt = this.beginRead()
+    const findReadAt = this.pauses.beginRead()
     const header = { ...job, submittedAt: this.clock.date(), total: items.length, tokens: items.reduce((sum, { tokens }) => sum + tokens, 0), owner, run: this.members.run }
     const created = await this.records.create(id, header, items)
     if (created.ok) this.addOwned(new OwnedJob({ id, header: { ...header, parts: 0 }, items, segments: [], acceptedAt: this.clock.now(), readAt: findReadAt() }))
@@ -186,7 +192,7 @@
     const job = this.owned.get(id)
     if (job !== undefined) this.runner.remove(job)
     this.owned.delete(id)
-    this.handedOver.delete(id)
+    this.handover.take(id)
     this.registry.forget(id)
   }
 
@@ -197,38 +203,36 @@
   }
 
   /** Whether the process that owns the job is alive; a restarted daemon is another process. */
-  isOwnerAlive ({ owner, run }: Pick<KnownJob, 'owner' | 'run'>): boolean {
+  isOwnerAlive ({ owner, run }: OwnerProcess): boolean {
     return this.members.all().some(member => member.instance.name === owner && member.run === run && member.state !== 'leaving')
   }
 
-  /** Returns a function that returns the time of this call, from which the reads that follow count; undefined after a pause of the process. */
-  private beginRead (): () => number | undefined {
-    const { count } = this.pauses
-    const began = this.clock.now()
-    return () => {
-      this.pauses.check()
-      return count === this.pauses.count ? began : undefined
-    }
-  }
-
   private async load (id: string): Promise<Result<OwnedJob | undefined, StoreError>> {
-    const findReadAt = this.beginRead()
+    const findReadAt = this.pauses.beginRead()
     const header = await this.records.readHeader(id)
     if (header.err) return header
     const segments = await this.records.readSegments(id)
     if (segments.err) return segments
     if (segments.val.flat().length >= header.val.total) return Ok(this.addDone(id, header.val, segments.val))
-    const [items, ended, checkpoint] = await Promise.all([this.records.readItems(id, header.val), this.records.isEnded(id), this.records.readProgress(id)])
+    const formerOwner = this.registry.get(id) ?? header.val
+    const mayBeShared = findOwnerStatus(formerOwner, this.members.findRun(formerOwner.owner)) !== 'ended'
+    const [items, ended, checkpoint, recorded] = await Promise.all([
+      this.records.readItems(id, header.val),
+      this.records.isEnded(id),
+      this.records.readProgress(id),
+      mayBeShared ? this.records.recordOwner(id, { owner: this.settings.instance, run: this.members.run }) : Ok(undefined)
+    ])
     if (items.err) return items
     if (ended.err) return ended
     if (checkpoint.err) return checkpoint
+    if (recorded.err) return recorded
     const age = Math.max(0, this.clock.date() - header.val.submittedAt)
-    const job = new OwnedJob({ id, header: header.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, readAt: findReadAt(), formerOwner: this.registry.get(id) ?? header.val })
+    const job = new OwnedJob({ id, header: header.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, readAt: findReadAt(), formerOwner })
+    if (mayBeShared) job.holdResults(this.clock.now())
     job.ended = ended.val
     job.applyProgress(checkpoint.val)
-    job.applyProgress(this.handedOver.get(id) ?? [])
-    this.handedOver.delete(id)
-    this.log.write('info', 'jobs', 'took a job over', { job: id, from: header.val.owner, age, results: job.readPage(0).next, of: header.val.total, events: countUnsavedEvents(job.items, []), ended: job.ended })
+    job.applyProgress(this.handover.take(id))
+    this.log.write('info', 'jobs', 'took a job over', { job: id, from: header.val.owner, age, results: job.readPage(0).next, of: header.val.total, events: countUnsavedEvents(job.items, []), ended: job.ended, shared: mayBeShared })
     const isClosed = this.registry.get(id)?.closed === true
     this.addOwned(job)
     if (job.ended) this.close(job)
@@ -239,7 +243,7 @@
   /** Adds a finished job for its readers. Its items are most of its data and aren't loaded. */
   private addDone (id: string, header: JobHeader, segments: ReadonlyArray<readonly ListedResult[]>): OwnedJob {
     const job = new OwnedJob({ id, header, items: [], segments, acceptedAt: this.clock.now() })
-    this.handedOver.delete(id)
+    this.handover.take(id)
     this.addOwned(job)
     this.close(job)
     return job
@@ -272,7 +276,7 @@
 
   /** Handles a published closing of a job: the job stops here only if its end is stored. */
   private handleClosed (id: string): void {
-    this.handedOver.delete(id)
+    this.handover.take(id)
     if (this.isRunning(id)) void this.checkEnded(id)
   }
 
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -9,6 +9,7 @@
 import type { ItemProgress } from './item-progress.js'
 import type { JobHeader } from './job-header.js'
 import type { JobItem } from './job-item.js'
+import type { OwnerProcess } from './owner-process.js'
 import { splitBySize } from './split-by-size.js'
 
 const HEADERS = 'jobs'
@@ -16,10 +17,14 @@
 const RESULTS = 'job-results'
 const ENDS = 'job-ends'
 const PROGRESS = 'job-progress'
+/** Ends the name of a recorded owner, after the job's id. */
+const OWNER_SUFFIX = '.owner'
 /** Maximum bytes of items or results in one object. Objects hold up to a megabyte; JSON escapes can lengthen a text by a quarter and more. */
 const OBJECT_BYTES = 600_000
 /** Approximate bytes of an item besides its body. */
 const ITEM_OVERHEAD = 600
+/** Attempts to replace a recorded owner while other daemons take the same job over. */
+const RECORD_ATTEMPTS = 3
 /** How long a read of new ends waits for one, ms: the minimum that the store accepts. */
 const READ_WAIT = 1
 
@@ -27,12 +32,18 @@
  * The stored form of jobs. Every object but the progress is created once and never changed, so that no write depends on an earlier read:
  * header and items, written concurrently, which are a job once all exist; numbered segments of results, each created by a daemon that has read
  * all earlier ones, so that two daemons that run the same job can't both create a segment; and the end. The progress of the items is replaced:
- * any version of it is valid, since any server can resume after any event.
+ * any version of it is valid, since any server can resume after any event. The process that last took a job over is replaced as well; it is
+ * stored beside the ends, which every owner looks up all the time.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class JobRecords {
   constructor (@inject(tokens.store) private readonly store: ObjectStore) {}
 
+  /** Returns the name under which the owner of a job is recorded among the ends. */
+  static buildOwnerName (id: string): string {
+    return `${id}${OWNER_SUFFIX}`
+  }
+
   /**
    * Stores a new job; `conflict` means that a job of this id exists. Where the header may be stored but some items failed, the outcome is
    * `unknown`: an earlier or later attempt may store the missing items, and the job would then run.
@@ -109,9 +120,20 @@
     return end.val.type === 'missing' ? Ok(false) : end
   }
 
-  /** Reads the ends stored since `cursor`, the one of the previous read or -1, without waiting for new ones. */
-  async readEndedJobs (cursor: number): Promise<Result<WatchBatch<boolean>, StoreError>> {
-    return await this.store.watch<boolean>(ENDS, cursor, READ_WAIT, 'caller')
+  /** Records the process that takes a job over, for its other owner to find. */
+  async recordOwner (id: string, process: OwnerProcess): Promise<Result<void, StoreError>> {
+    let version = 0
+    for (let tries = 1; ; tries++) {
+      const written = await this.store.put(ENDS, JobRecords.buildOwnerName(id), process, version, 'caller')
+      if (written.ok) return Ok(undefined)
+      if (written.val.type !== 'conflict' || tries === RECORD_ATTEMPTS) return written
+      version = written.val.version
+    }
+  }
+
+  /** Reads the ends and recorded owners stored since `cursor`, the one of the previous read or -1, without waiting for new ones. */
+  async readEndedJobs (cursor: number): Promise<Result<WatchBatch<true | OwnerProcess>, StoreError>> {
+    return await this.store.watch<true | OwnerProcess>(ENDS, cursor, READ_WAIT, 'caller')
   }
 
   async listHeaders (): Promise<Result<ReadonlyMap<string, JobHeader>, StoreError>> {
@@ -135,7 +157,7 @@
       if (removed.err && removed.val.type === 'missing') break
       if (removed.err) return removed
     }
-    const rest: ReadonlyArray<readonly [string, string]> = [...Array.from({ length: header.val.parts }, (_, i): [string, string] => [ITEMS, `${id}.${i}`]), [PROGRESS, id], [ENDS, id], [HEADERS, id]]
+    const rest: ReadonlyArray<readonly [string, string]> = [...Array.from({ length: header.val.parts }, (_, i): [string, string] => [ITEMS, `${id}.${i}`]), [PROGRESS, id], [ENDS, JobRecords.buildOwnerName(id)], [ENDS, id], [HEADERS, id]]
     for (const [kind, name] of rest) {
       const removed = await this.removeOne(kind, name)
       if (removed.err && removed.val.type !== 'missing') return removed
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -5,13 +5,15 @@
 import type { ItemState } from './item-state.js'
 import type { JobHeader } from './job-header.js'
 import type { JobItem } from './job-item.js'
-import type { KnownJob } from './known-job.js'
+import type { OwnerProcess } from './owner-process.js'
 import type { ResultsPage } from './results-page.js'
 
 /** Maximum size of one page of results, in bytes. */
 const PAGE_BYTES = 500_000
 /** Age in ms up to which a read of the store lets items start: callers are promised that none runs 3 s after the job was ended. */
 const MAX_READ_AGE = 2_500
+/** Added to that age before results of a job that was taken over are stored, ms: time for an answer from memory to reach its caller. */
+const READ_MARGIN = 200
 
 interface OwnedJobOptions {
   readonly id: string
@@ -22,8 +24,8 @@
   readonly acceptedAt: number
   /** When the store held no end of the job, monotonic ms. */
   readonly readAt?: number
-  /** The daemon that it was taken over from, with the process that owned it. */
-  readonly formerOwner?: Pick<KnownJob, 'owner' | 'run'>
+  /** The process that it was taken over from. */
+  readonly formerOwner?: OwnerProcess
 }
 
 /** A job that this daemon owns: its items, its stored results and those still to be stored. */
@@ -31,7 +33,7 @@
   readonly id: string
   readonly header: JobHeader
   readonly acceptedAt: number
-  readonly formerOwner: Pick<KnownJob, 'owner' | 'run'> | undefined
+  readonly formerOwner: OwnerProcess | undefined
   readonly items: readonly ItemState[]
   /** Set once the end of the job by its caller is known here; none of its items start after that. */
   ended = false
@@ -44,6 +46,13 @@
   publishedAt = -Infinity
   /** Until when another daemon may own the job too and have stored results that are missing here, monotonic ms. */
   contestedUntil = -Infinity
+  /**
+   * Whether another process may own the job too and store results of it, without either knowing of the other. Its results here may lack some
+   * that callers have read.
+   */
+  isShared = false
+  /** Before this time, monotonic ms, no result is stored here: another owner may not have found yet that the job was taken over. */
+  storeFrom = -Infinity
   /** Results still to be stored. */
   readonly pending: ListedResult[] = []
   /** Number of stored segments. */
@@ -70,7 +79,22 @@
 
   /** Whether items may start at `now`, monotonic ms: only while a recent read has shown that the job was not ended. */
   mayStart (now: number): boolean {
-    return !this.ended && mayStart(this.lastRead, now, { fresh: MAX_READ_AGE })
+    return !this.ended && this.isReadRecent(now)
+  }
+
+  /** Whether the results here include all that callers may have read at `now`, monotonic ms. */
+  isCurrent (now: number): boolean {
+    return this.isDone || (!this.isShared && now >= this.contestedUntil && (this.ended || this.isReadRecent(now)))
+  }
+
+  /** Prevents results from being stored until another owner's reads of the store must show that the job was taken over. */
+  holdResults (now: number): void {
+    this.isShared = true
+    this.storeFrom = now + MAX_READ_AGE + READ_MARGIN
+  }
+
+  private isReadRecent (now: number): boolean {
+    return mayStart(this.lastRead, now, { fresh: MAX_READ_AGE })
   }
 
   /** Tokens of the unfinished items. */
--- a/src/jobs/result-writer.ts
+++ b/src/jobs/result-writer.ts
@@ -33,9 +33,9 @@
     const { clock, isDraining, isOwned } = this.options
     if (job.isStoring || job.pending.length === 0 || job.ended) return
     job.isStoring = true
-    const pause = job.storedAt + STORE_PERIOD - clock.now()
     const isLast = job.items.every(({ phase }) => phase === 'ended')
-    if (pause > 0 && !isLast && !isDraining()) await pauseFor(clock, pause)
+    const storeAt = isLast || isDraining() ? job.storeFrom : Math.max(job.storeFrom, job.storedAt + STORE_PERIOD)
+    if (clock.now() < storeAt) await pauseFor(clock, storeAt - clock.now())
     job.storedAt = clock.now()
     const stored = await this.storeSegment(job)
     if (!stored) await pauseFor(clock, RETRY_DELAY)
--- a/src/kernel/pause-watch.ts
+++ b/src/kernel/pause-watch.ts
@@ -52,6 +52,16 @@
     for (const listener of this.listeners) listener(gap)
   }
 
+  /** Returns a function that returns the time of this call, monotonic ms, from which reads that follow count; undefined after a pause. */
+  beginRead (): () => number | undefined {
+    const { count } = this
+    const began = this.clock.now()
+    return () => {
+      this.check()
+      return count === this.count ? began : undefined
+    }
+  }
+
   /** Calls `listener` with the length of each pause, ms. */
   subscribe (listener: (gap: number) => void): void {
     this.listeners.add(listener)
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -115,6 +115,12 @@
     return listLarge(this.owners().map(name => ({ name, cores: Number(this.state.members.get(name)?.data.cores ?? 0) })))
   }
 
+  /** Returns the latest known start of a daemon's process, wall-clock ms, dead or not; undefined where none is known. */
+  findRun (name: string): number | undefined {
+    const run = this.state.members.get(name)?.data.run
+    return run === undefined ? undefined : Number(run)
+  }
+
   /** Calls `listener` after each change. Returns a function that unsubscribes it. */
   subscribe (listener: () => void): () => void {
     this.listeners.add(listener)
--- a/src/store/store-mirror.ts
+++ b/src/store/store-mirror.ts
@@ -25,9 +25,9 @@
     return new Map([...this.entries].flatMap(([name, { value }]) => value === undefined ? [] : [[name, value]]))
   }
 
-  /** Whether a decoded object of this name exists. */
-  isPresent (name: string): boolean {
-    return this.entries.get(name)?.value !== undefined
+  /** Returns the decoded object of this name, or undefined if there is none. */
+  get (name: string): T | undefined {
+    return this.entries.get(name)?.value
   }
 
   /** Returns the changes that a daemon complete up to `revision` needs to catch up with this mirror; all objects where removals since then have been forgotten. */
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -29,6 +29,8 @@
 /** Time until membership considers a paused daemon dead, and a resumed one alive again, ms. */
 const DETECTION_DELAY = 2_500
 const RECOVERY_DELAY = 500
+/** Start of every process, wall-clock ms. */
+const RUN = 1
 /** How long results of a job are kept, ms. */
 const RESULT_KEEP = 120_000
 interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly registry: JobRegistry, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, finish: (item: string) => void }
@@ -87,10 +89,17 @@
 
   private createDaemon (name: string): Daemon {
     const clock = new PausableClock(this.time)
+    const known = new Set<string>()
+    const listKnown = (): readonly string[] => {
+      const names = this.listMembers(name)
+      for (const other of names) known.add(other)
+      return names
+    }
     const members = {
-      run: 1,
-      all: () => this.listMembers(name).map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: 'alive', run: 1 })),
-      owners: () => this.listMembers(name),
+      run: RUN,
+      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: 'alive', run: RUN })),
+      owners: () => listKnown(),
+      findRun: (other: string) => known.has(other) ? RUN : undefined,
       subscribe: () => () => {}
     } as unknown as Members
     const links = { send: (to: string, message: PeerMessage) => this.send(name, to, message) } as unknown as PeerLinks
--- a/test/helpers/replay-batch-waves.ts
+++ b/test/helpers/replay-batch-waves.ts
@@ -21,6 +21,7 @@
   /** Jobs a second, their items, the time that each item needs of a slot, and the time until they are due, ms. */
   readonly jobs: { readonly rate: number, readonly items: number, readonly time: number, readonly dueIn: number }
   readonly length: number
+  readonly seed?: number
 }
 
 interface Replay {
@@ -38,11 +39,11 @@
 }
 
 /** Replays waves of online requests over a backlog of items that continue where they were stopped, on virtual time. */
-export async function replayBatchWaves ({ daemons, servers, slots, trough, crest, jobs, length }: ReplayOptions): Promise<Replay> {
+export async function replayBatchWaves ({ daemons, servers, slots, trough, crest, jobs, length, seed = 21 }: ReplayOptions): Promise<Replay> {
   const clock = new VirtualClock()
   const fleet = new SlotFleet({ daemons, servers, slots, clock })
   await fleet.start()
-  const random = new Random(21)
+  const random = new Random(seed)
   const all: Item[] = []
   const held = new Map<string, Item[]>([...fleet.daemons.keys()].map(name => [name, []]))
   const result = { itemsInTime: 0, items: 0, stopped: 0, online: 0, soon: 0, refused: 0, overfull: 0 }
--- a/test/jobs/ended-job-lookup.test.ts
+++ b/test/jobs/ended-job-lookup.test.ts
@@ -111,9 +111,22 @@
   let missed = 0
   const suspended = { now: () => clock.now() - missed, date: () => clock.date(), after: clock.after.bind(clock), every: clock.every.bind(clock) }
   const lookup = new EndedJobLookup(records, { all: () => [] }, { send: () => {} }, new PauseWatch(suspended), { instance: 'd1', failureDomain: 'z' }, suspended)
-  t.deepEqual(await lookup.find([JOB]), Ok({ ended: [], readAt: 0 }))
+  t.deepEqual(await lookup.find([JOB]), Ok({ ended: [], owners: {}, readAt: 0 }))
   await records.end(JOB)
   clock.pause(20_000)
   missed = 20_000
   t.deepEqual((await lookup.find([JOB])).unwrap().ended, [JOB])
 })
+
+// Guards against a recorded owner that is taken for the end of the job, or that the follower of a leader isn't told of.
+test('the leader and its follower find the process that last took the job over', async t => {
+  const { clock, records, find } = createPair()
+  for (const run of [1, 2]) await records.recordOwner(JOB, { owner: 'd9', run })
+  for (const name of [LEADER, FOLLOWER]) {
+    const found = (await advanceUntil(clock, find(name)))!.unwrap()
+    t.deepEqual([found.ended, found.owners], [[], { [JOB]: { owner: 'd9', run: 2 } }])
+  }
+  await records.end(JOB)
+  await clock.advance(1_000)
+  t.deepEqual((await advanceUntil(clock, find(FOLLOWER)))!.unwrap().ended, [JOB])
+})
--- a/test/jobs/job-checkpointer.test.ts
+++ b/test/jobs/job-checkpointer.test.ts
@@ -18,7 +18,7 @@
 interface Daemon { readonly owner: JobOwner, advance: (item: string, events: number) => void }
 
 async function createDaemon (name: string, store: MemoryStore, clock: VirtualClock): Promise<Daemon> {
-  const members = { run: 1, all: () => [], owners: () => [name] } as unknown as Members
+  const members = { run: 1, all: () => [], owners: () => [name], findRun: () => 1 } as unknown as Members
   const registry = { subscribe: () => {}, publish: () => {}, get: () => undefined } as unknown as JobRegistry
   const runner = { subscribe: () => {}, add: () => {}, remove: () => {} } as unknown as JobRunner
   const records = new JobRecords(store)
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -31,7 +31,7 @@
     const runner = { subscribe: (listener: (job: OwnedJob) => void) => { this.onResult = listener }, add: () => {}, remove: () => {} }
     const known = new Map<string, KnownJob>()
     const registry = { subscribe: () => {}, get: (id: string) => known.get(id), publish: (job: KnownJob) => { known.set(job.id, job); this.published.push(job) }, publishSeen: () => {}, addIfAbsent: (job: KnownJob) => { if (!known.has(job.id)) known.set(job.id, job) }, list: () => [...known.values()] }
-    const all = { run: 1, all: () => members.alive.map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })), owners: () => members.alive }
+    const all = { run: 1, all: () => members.alive.map(instance => ({ instance: { name: instance }, state: 'alive', run: 1 })), owners: () => members.alive, findRun: (of: string) => members.alive.includes(of) ? 1 : 2 }
     const settings = { instance: name } as unknown as Settings
     const records = new JobRecords(store)
     this.owner = new JobOwner(records, runner as unknown as JobRunner, registry as unknown as JobRegistry, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, new PauseWatch(clock), settings, { write: () => {} }, clock)
