Every takeover of a job is recorded, with all owners that may still run

Now each takeover writes the processes that may own the job: those recorded before and the former owner, unless they have certainly ended, and its own. The results are held back, and read from the store, where there is another one.

The fleet of the tests now gives a restarted daemon a later run. One write more for a takeover, which made 5 calls and one for each segment.

--- a/src/jobs/ended-job-lookup.ts
+++ b/src/jobs/ended-job-lookup.ts
@@ -29,8 +29,8 @@
 interface StoredEnds {
   /** The requested jobs that have ended. */
   readonly ended: readonly string[]
-  /** By requested job that was taken over: the last process that did so. */
-  readonly owners: Readonly<Record<string, OwnerProcess>>
+  /** By requested job that was taken over: the recorded processes that may own it. */
+  readonly owners: Readonly<Record<string, readonly OwnerProcess[]>>
 }
 
 /** `age` in ms is that of the read of the store. */
@@ -49,7 +49,7 @@
 export class EndedJobLookup {
   readonly extensions
   private readonly calls: MemberCalls<LookupRequest, LookupResponse>
-  private readonly mirror = new StoreMirror<true | OwnerProcess>()
+  private readonly mirror = new StoreMirror<true | readonly OwnerProcess[]>()
   /** When the last successful read began, monotonic ms. */
   private readAt = -Infinity
   private reading: Promise<Result<number, StoreError>> | undefined
@@ -94,8 +94,8 @@
 
   private findStored (jobs: readonly string[]): StoredEnds {
     const owners = jobs.flatMap(job => {
-      const owner = this.mirror.get(JobRecords.buildOwnerName(job))
-      return owner === undefined || owner === true ? [] : [[job, owner] as const]
+      const recorded = this.mirror.get(JobRecords.buildOwnerName(job))
+      return recorded === undefined || recorded === true ? [] : [[job, recorded] as const]
     })
     return { ended: jobs.filter(job => this.mirror.get(job) === true), owners: Object.fromEntries(owners) }
   }
--- a/src/jobs/ended-job-watch.ts
+++ b/src/jobs/ended-job-watch.ts
@@ -34,7 +34,7 @@
   private cancel = (): void => {}
 
   constructor (
-    @inject(JobOwner) private readonly owner: Pick<JobOwner, 'list' | 'end' | 'forget' | 'applyRecordedOwner'>,
+    @inject(JobOwner) private readonly owner: Pick<JobOwner, 'list' | 'end' | 'forget' | 'applyRecordedOwners'>,
     @inject(JobRecords) private readonly records: Pick<JobRecords, 'hasItems'>,
     @inject(EndedJobLookup) private readonly lookup: Pick<EndedJobLookup, 'find'>,
     @inject(PauseWatch) private readonly pauses: PauseWatch,
@@ -78,7 +78,7 @@
       if (this.mayBeRemoved(job)) void this.confirmStored(job, found.val.readAt)
       else job.lastRead = { seen: Math.max(found.val.readAt, job.lastRead.seen ?? -Infinity), unreachable: false }
     }
-    for (const [id, process] of Object.entries(found.val.owners)) this.owner.applyRecordedOwner(id, process)
+    for (const [id, processes] of Object.entries(found.val.owners)) this.owner.applyRecordedOwners(id, processes)
     for (const id of found.val.ended) this.owner.end(id)
   }
 
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -88,21 +88,13 @@
     for (const job of [...this.owned.values()]) {
       this.runner.remove(job)
       this.owned.delete(job.id)
-      this.handOver(job)
+      const [next] = rankOwners(job.id, this.members.owners().filter(name => name !== this.settings.instance))
+      if (next !== undefined) this.handover.send(job, next)
       this.registry.publish(this.buildReleasedJob(job))
       job.notify()
     }
   }
 
-  /**
-   * Sends the progress of a job's items to the daemon that will take it over. Otherwise a rolling restart makes a long item start from its
-   * beginning on each instance in turn.
-   */
-  private handOver (job: OwnedJob): void {
-    const [next] = rankOwners(job.id, this.members.owners().filter(name => name !== this.settings.instance))
-    if (next !== undefined) this.handover.send(job, next)
-  }
-
   private receiveProgress ({ job, progress }: PeerMessage): void {
     if (!Array.isArray(progress)) return
     const id = String(job)
@@ -129,21 +121,28 @@
 
   /**
    * Ensures that the job's results here include all that callers may have read from another owner, by a read of the store where there may be
-   * one. Two owners may not reach each other. A daemon that takes a job over from a process that may still run therefore records it in the
-   * store, and stores no result until the other owner can't have missed that. Returns false where the store fails.
+   * one. Two owners may not reach each other. A daemon that takes a job over therefore records it in the store, and where another owner may
+   * still run, it stores no result until that one can't have missed the record. Returns false where the store fails.
    */
   async ensureCurrent (job: OwnedJob): Promise<boolean> {
     return job.isCurrent(this.clock.now()) || await this.writer.readNew(job)
   }
 
-  /** Applies the stored record of the process that last took a job over, which may be another one than this. */
-  applyRecordedOwner (id: string, { owner, run }: OwnerProcess): void {
+  /** Applies the stored record of the processes that took a job over. */
+  applyRecordedOwners (id: string, processes: readonly OwnerProcess[]): void {
     const job = this.owned.get(id)
-    if (job === undefined || job.isShared || (owner === this.settings.instance && run === this.members.run)) return
-    this.log.write('info', 'jobs', 'found another owner of a job in the store', { job: id, owner })
+    const other = processes.find(process => this.mayRun(process))
+    if (job === undefined || job.isShared || other === undefined) return
+    this.log.write('info', 'jobs', 'found another owner of a job in the store', { job: id, owner: other.owner })
     job.isShared = true
   }
 
+  /** Whether this is another process than this one and may still run. */
+  private mayRun ({ owner, run }: OwnerProcess): boolean {
+    const isSelf = owner === this.settings.instance && run === this.members.run
+    return !isSelf && findOwnerStatus({ owner, run }, this.members.findRun(owner)) !== 'ended'
+  }
+
   /** Accepts a job. `Ok` means that it is stored durably, `conflict` that it was accepted before. */
   async accept (id: string, job: Pick<JobHeader, 'host' | 'path'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
     const { instance: owner } = this.settings
@@ -215,24 +214,23 @@
     if (segments.err) return segments
     if (segments.val.flat().length >= header.val.total) return Ok(this.addDone(id, header.val, segments.val))
     const formerOwner = this.registry.get(id) ?? header.val
-    const mayBeShared = findOwnerStatus(formerOwner, this.members.findRun(formerOwner.owner)) !== 'ended'
-    const [items, ended, checkpoint, recorded] = await Promise.all([
+    const [items, ended, checkpoint, others] = await Promise.all([
       this.records.readItems(id, header.val),
       this.records.isEnded(id),
       this.records.readProgress(id),
-      mayBeShared ? this.records.recordOwner(id, { owner: this.settings.instance, run: this.members.run }) : Ok(undefined)
+      this.records.recordOwner(id, { owner: this.settings.instance, run: this.members.run }, { former: [formerOwner], mayRun: process => this.mayRun(process) })
     ])
     if (items.err) return items
     if (ended.err) return ended
     if (checkpoint.err) return checkpoint
-    if (recorded.err) return recorded
+    if (others.err) return others
     const age = Math.max(0, this.clock.date() - header.val.submittedAt)
     const job = new OwnedJob({ id, header: header.val, items: items.val, segments: segments.val, acceptedAt: this.clock.now() - age, readAt: findReadAt(), formerOwner })
-    if (mayBeShared) job.holdResults(this.clock.now())
+    if (others.val.length > 0) job.holdResults(this.clock.now())
     job.ended = ended.val
     job.applyProgress(checkpoint.val)
     job.applyProgress(this.handover.take(id))
-    this.log.write('info', 'jobs', 'took a job over', { job: id, from: header.val.owner, age, results: job.readPage(0).next, of: header.val.total, events: countUnsavedEvents(job.items, []), ended: job.ended, shared: mayBeShared })
+    this.log.write('info', 'jobs', 'took a job over', { job: id, from: header.val.owner, age, results: job.readPage(0).next, of: header.val.total, events: countUnsavedEvents(job.items, []), ended: job.ended, otherOwners: others.val.length })
     const isClosed = this.registry.get(id)?.closed === true
     this.addOwned(job)
     if (job.ended) this.close(job)
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -17,29 +17,36 @@
 const RESULTS = 'job-results'
 const ENDS = 'job-ends'
 const PROGRESS = 'job-progress'
-/** Ends the name of a recorded owner, after the job's id. */
+/** Ends the name of the recorded owners, after the job's id. */
 const OWNER_SUFFIX = '.owner'
 /** Maximum bytes of items or results in one object. Objects hold up to a megabyte; JSON escapes can lengthen a text by a quarter and more. */
 const OBJECT_BYTES = 600_000
 /** Approximate bytes of an item besides its body. */
 const ITEM_OVERHEAD = 600
-/** Attempts to replace a recorded owner while other daemons take the same job over. */
+/** Attempts to replace the recorded owners while other daemons take the same job over. */
 const RECORD_ATTEMPTS = 3
 /** How long a read of new ends waits for one, ms: the minimum that the store accepts. */
 const READ_WAIT = 1
 
+interface RecordOptions {
+  /** Owners that are known otherwise. */
+  readonly former: readonly OwnerProcess[]
+  /** Whether a process other than the recorded one may still run. */
+  readonly mayRun: (process: OwnerProcess) => boolean
+}
+
 /**
  * The stored form of jobs. Every object but the progress is created once and never changed, so that no write depends on an earlier read:
  * header and items, written concurrently, which are a job once all exist; numbered segments of results, each created by a daemon that has read
  * all earlier ones, so that two daemons that run the same job can't both create a segment; and the end. The progress of the items is replaced:
- * any version of it is valid, since any server can resume after any event. The process that last took a job over is replaced as well; it is
+ * any version of it is valid, since any server can resume after any event. The processes that took a job over are replaced as well; they are
  * stored beside the ends, which every owner looks up all the time.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class JobRecords {
   constructor (@inject(tokens.store) private readonly store: ObjectStore) {}
 
-  /** Returns the name under which the owner of a job is recorded among the ends. */
+  /** Returns the name under which the owners of a job are recorded among the ends. */
   static buildOwnerName (id: string): string {
     return `${id}${OWNER_SUFFIX}`
   }
@@ -120,20 +127,29 @@
     return end.val.type === 'missing' ? Ok(false) : end
   }
 
-  /** Records the process that takes a job over, for its other owner to find. */
-  async recordOwner (id: string, process: OwnerProcess): Promise<Result<void, StoreError>> {
-    let version = 0
+  /**
+   * Records a process that takes a job over, for other owners to find. Returns the other owners: those recorded before, and those in `former`,
+   * for which `mayRun` returns true.
+   */
+  async recordOwner (id: string, process: OwnerProcess, { former, mayRun }: RecordOptions): Promise<Result<readonly OwnerProcess[], StoreError>> {
+    const name = JobRecords.buildOwnerName(id)
+    let [version, known] = [0, former]
     for (let tries = 1; ; tries++) {
-      const written = await this.store.put(ENDS, JobRecords.buildOwnerName(id), process, version, 'caller')
-      if (written.ok) return Ok(undefined)
+      const others = known.filter(mayRun)
+      const written = await this.store.put(ENDS, name, [...others, process], version, 'caller')
+      if (written.ok) return Ok(others)
       if (written.val.type !== 'conflict' || tries === RECORD_ATTEMPTS) return written
-      version = written.val.version
+      const recorded = await this.store.get<readonly OwnerProcess[]>(ENDS, name, 'caller')
+      if (recorded.err) return recorded
+      const { value } = recorded.val
+      version = recorded.val.version
+      known = [...value, ...former.filter(({ owner, run }) => !value.some(other => other.owner === owner && other.run === run))]
     }
   }
 
   /** Reads the ends and recorded owners stored since `cursor`, the one of the previous read or -1, without waiting for new ones. */
-  async readEndedJobs (cursor: number): Promise<Result<WatchBatch<true | OwnerProcess>, StoreError>> {
-    return await this.store.watch<true | OwnerProcess>(ENDS, cursor, READ_WAIT, 'caller')
+  async readEndedJobs (cursor: number): Promise<Result<WatchBatch<true | readonly OwnerProcess[]>, StoreError>> {
+    return await this.store.watch<true | readonly OwnerProcess[]>(ENDS, cursor, READ_WAIT, 'caller')
   }
 
   async listHeaders (): Promise<Result<ReadonlyMap<string, JobHeader>, StoreError>> {
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -87,7 +87,7 @@
     return this.isDone || (!this.isShared && now >= this.contestedUntil && (this.ended || this.isReadRecent(now)))
   }
 
-  /** Prevents results from being stored until another owner's reads of the store must show that the job was taken over. */
+  /** Marks the job as shared, and prevents results from being stored until the other owner's reads of the store must show that it was taken over. */
   holdResults (now: number): void {
     this.isShared = true
     this.storeFrom = now + MAX_READ_AGE + READ_MARGIN
--- a/src/jobs/progress-handover.ts
+++ b/src/jobs/progress-handover.ts
@@ -5,7 +5,10 @@
 
 const MESSAGE = 'job progress'
 
-/** Sends the progress of a job's items to its next owner, and keeps what was received of jobs that are about to be taken over here. */
+/**
+ * Sends the progress of a job's items to its next owner, and keeps what was received of jobs that are about to be taken over here. Otherwise
+ * a rolling restart would make a long item start from its beginning on each instance in turn.
+ */
 export class ProgressHandover {
   static readonly messageType = MESSAGE
   private readonly received = new Map<string, readonly ItemProgress[]>()
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -29,8 +29,8 @@
 /** Time until membership considers a paused daemon dead, and a resumed one alive again, ms. */
 const DETECTION_DELAY = 2_500
 const RECOVERY_DELAY = 500
-/** Start of every process, wall-clock ms. */
-const RUN = 1
+/** Start of a daemon's first process, wall-clock ms; each further one starts 1 ms later. */
+const FIRST_RUN = 1
 /** How long results of a job are kept, ms. */
 const RESULT_KEEP = 120_000
 interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly registry: JobRegistry, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, finish: (item: string) => void }
@@ -48,6 +48,7 @@
   /** Whether the daemon `name` has `other` among its members. */
   isMember: (name: string, other: string) => boolean = () => true
   private readonly dead = new Set<string>()
+  private readonly runs = new Map<string, number>(NAMES.map(name => [name, FIRST_RUN]))
   private readonly handlers = new Map<string, PeerHandler[]>()
 
   async start (): Promise<void> {
@@ -55,10 +56,11 @@
     await this.time.advance(100)
   }
 
-  /** Replaces a daemon that owns nothing by a new process of the same name. */
+  /** Kills a daemon and starts a new process of the same name. */
   restart (name: string): void {
     this.daemons.get(name)!.clock.pause()
     this.dead.delete(name)
+    this.runs.set(name, this.runs.get(name)! + 1)
     this.daemons.set(name, this.createDaemon(name))
   }
 
@@ -89,17 +91,18 @@
 
   private createDaemon (name: string): Daemon {
     const clock = new PausableClock(this.time)
-    const known = new Set<string>()
+    const run = this.runs.get(name)!
+    const known = new Map<string, number>()
     const listKnown = (): readonly string[] => {
       const names = this.listMembers(name)
-      for (const other of names) known.add(other)
+      for (const other of names) known.set(other, this.runs.get(other)!)
       return names
     }
     const members = {
-      run: RUN,
-      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: 'alive', run: RUN })),
+      run,
+      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: 'alive', run: this.runs.get(instance)! })),
       owners: () => listKnown(),
-      findRun: (other: string) => known.has(other) ? RUN : undefined,
+      findRun: (other: string) => known.get(other),
       subscribe: () => () => {}
     } as unknown as Members
     const links = { send: (to: string, message: PeerMessage) => this.send(name, to, message) } as unknown as PeerLinks
--- a/test/jobs/ended-job-lookup.test.ts
+++ b/test/jobs/ended-job-lookup.test.ts
@@ -119,12 +119,12 @@
 })
 
 // Guards against a recorded owner that is taken for the end of the job, or that the follower of a leader isn't told of.
-test('the leader and its follower find the process that last took the job over', async t => {
+test('the leader and its follower find the processes that took the job over', async t => {
   const { clock, records, find } = createPair()
-  for (const run of [1, 2]) await records.recordOwner(JOB, { owner: 'd9', run })
+  for (const run of [1, 2]) await records.recordOwner(JOB, { owner: 'd9', run }, { former: [], mayRun: () => true })
   for (const name of [LEADER, FOLLOWER]) {
     const found = (await advanceUntil(clock, find(name)))!.unwrap()
-    t.deepEqual([found.ended, found.owners], [[], { [JOB]: { owner: 'd9', run: 2 } }])
+    t.deepEqual([found.ended, found.owners], [[], { [JOB]: [{ owner: 'd9', run: 1 }, { owner: 'd9', run: 2 }] }])
   }
   await records.end(JOB)
   await clock.advance(1_000)
--- a/test/jobs/unseen-owner.test.ts
+++ b/test/jobs/unseen-owner.test.ts
@@ -14,7 +14,7 @@
     for (const { name, reader } of fleet.daemons.values()) {
       const expected = seen
       void reader.readResults('j', 0, 0).then(page => {
-        if (page.err) return
+        if (page.err || fleet.daemons.get(name)?.reader !== reader) return
         seen = Math.max(seen, page.val.results.length)
         if (page.val.results.length < expected) failures.push(`${name} lists ${page.val.results.length} of ${expected} at ${fleet.time.now()}`)
       })
@@ -56,6 +56,27 @@
   t.deepEqual(listOwners(fleet), [FIRST])
 })
 
+// All daemons restart, and each has only some of the others among its members. Guards against two daemons that both take a job over from a
+// process that has ended, and each lack results which the other one lists.
+for (const finisher of [0, 1]) {
+  test(`two daemons that both take over a job of an ended process list the same results: owner ${finisher} finishes items`, async t => {
+    const fleet = new JobFleet()
+    await fleet.start()
+    await fleet.daemons.get(FIRST)!.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
+    await fleet.time.advance(1_000)
+    separate(fleet, NAMES.slice(1, 3), () => false)
+    const { isMember } = fleet
+    fleet.isMember = (name, other) => other === FIRST || isMember(name, other)
+    fleet.restart(FIRST)
+    await fleet.time.advance(4_000)
+    const owners = listOwners(fleet)
+    t.is(owners.length, 2)
+    const failures = watchPositions(fleet)
+    await finishEach(fleet, [owners[finisher]!])
+    t.deepEqual(failures, [])
+  })
+}
+
 // The owner of a job is separated from the others, which take its job over, and callers still reach it. Guards against two owners that each
 // lack results which the other one lists.
 for (const finishers of ['the former owner', 'the new owner', 'both']) {
@@ -76,6 +97,7 @@
 
 type Step =
   | { readonly type: 'separate', readonly sides: number }
+  | { readonly type: 'restart', readonly daemon: number }
   | { readonly type: 'finish', readonly daemon: number, readonly item: number }
   | { readonly type: 'time', readonly ms: number }
 
@@ -88,6 +110,7 @@
   for (const step of steps) {
     switch (step.type) {
       case 'separate': separate(fleet, NAMES.filter((_, i) => (step.sides >> i) % 2 === 1), () => false); break
+      case 'restart': fleet.restart(NAMES[step.daemon]!); break
       case 'finish': fleet.daemons.get(NAMES[step.daemon]!)!.finish(ITEMS[step.item]!.id); break
       case 'time': await fleet.time.advance(step.ms); break
     }
@@ -97,13 +120,14 @@
   if (failures.length > 0) throw new Error(failures.slice(0, 5).join('\n'))
 }
 
-// Guards, for any separations of daemons and any finished items, against positions that disappear after they were read.
-test('separations in any order: positions that were read are never missing', async t => {
+// Guards, for any separations and restarts of daemons and any finished items, against positions that disappear after they were read.
+test('separations and restarts in any order: positions that were read are never missing', async t => {
   const step = fc.oneof(
     fc.record({ type: fc.constant('separate' as const), sides: fc.nat(2 ** NAMES.length - 1) }),
+    fc.record({ type: fc.constant('restart' as const), daemon: fc.nat(NAMES.length - 1) }),
     fc.record({ type: fc.constant('finish' as const), daemon: fc.nat(NAMES.length - 1), item: fc.nat(ITEMS.length - 1) }),
     fc.record({ type: fc.constant('time' as const), ms: fc.integer({ min: 100, max: 4_000 }) })
   )
-  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 30 }), play), { numRuns: 100, seed: 33 })
+  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 40 }), play), { numRuns: 150, seed: 33 })
   t.pass()
 })
