--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -51,6 +51,11 @@
     return `${id}${OWNER_SUFFIX}`
   }
 
+  /** Whether a job must not have this id, because the owners of another one may be recorded under it. */
+  static isReserved (id: string): boolean {
+    return id.endsWith(OWNER_SUFFIX)
+  }
+
   /**
    * Stores a new job; `conflict` means that a job of this id exists. Where the header may be stored but some items failed, the outcome is
    * `unknown`: an earlier or later attempt may store the missing items, and the job would then run.
--- a/src/jobs/job-request-handler.ts
+++ b/src/jobs/job-request-handler.ts
@@ -59,6 +59,7 @@
   async submit ({ id, route, path, body, arrived }: Submission, res: ServerResponse): Promise<void> {
     const items = this.dialect.readItems(body)
     if (items === undefined || id === '') return sendJson(res, BAD_REQUEST, { cause: 'bad job', detail: 'items: must be 1 to 200 with an id, a path and a body each' })
+    if (JobRecords.isReserved(id)) return sendJson(res, BAD_REQUEST, { cause: 'bad job', detail: 'the id of a job must not end in .owner' })
     if (this.registry.get(id)?.stored === true) return this.confirm(id, res, 'known')
     const size = items.reduce((sum, item) => sum + item.tokens, 0)
     if (!this.fits(route, size) && !await this.isStored(id)) return this.refuseOverLimit(id, size, res)
--- a/test/whole/machines.test.ts
+++ b/test/whole/machines.test.ts
@@ -144,6 +144,8 @@
     await fleet.waitUntil('jobs are accepted again', async () => (await call(front, ...job('later'))).status === 202)
     t.is((await call(front, ...job('large', 995))).status, 429)
     await fleet.waitUntil('its item runs', () => engine.runs.some(({ path }) => path === '/drafts/later'))
+    // The owners of the job are recorded under this name.
+    t.is((await call(front, ...job('later.owner'))).status, 400)
     t.is((await call(front, '/api/lots/later', { method: 'DELETE' })).status, 200)
     await fleet.waitUntil('its item is stopped', () => engine.runs.every(({ outcome }) => outcome !== 'running'))
     t.is((await call(front, '/api/lots/later', { method: 'GET' })).status, 200)
