--- a/test/helpers/slot-fleet.ts
+++ b/test/helpers/slot-fleet.ts
@@ -29,6 +29,8 @@
   readonly repeatable?: boolean
   /** Time until the latest start of use to the caller, ms. */
   readonly beginWithin?: number
+  /** Time since its caller's first attempt, ms. */
+  readonly sinceAsked?: number
   readonly start: (server: string) => void
   readonly refuse?: () => void
 }
@@ -103,8 +105,8 @@
     }
   }
 
-  /** Requests a slot for an online request of a daemon, as of a caller's first attempt with a target of 300 ms. */
-  ask (name: string, { repeatable = false, beginWithin = Infinity, start, refuse = () => {} }: AskOptions): void {
+  /** Requests a slot for an online request of a daemon with a target of 300 ms. */
+  ask (name: string, { repeatable = false, beginWithin = Infinity, sinceAsked = 0, start, refuse = () => {} }: AskOptions): void {
     const arrived = this.options.clock.now()
     this.daemons.get(name)!.queue.request({
       pool: 'p',
@@ -114,8 +116,8 @@
       beginBy: arrived + beginWithin,
       target: 300,
       priority: 0,
-      asked: arrived,
-      returning: false,
+      asked: arrived - sinceAsked,
+      returning: sinceAsked > 0,
       repeatable,
       signal: new AbortController().signal,
       start,
