--- a/src/jobs/ended-job-lookup.ts
+++ b/src/jobs/ended-job-lookup.ts
@@ -40,7 +40,7 @@
 interface EndedJobs extends StoredEnds { readonly readAt: number }
 
 /**
- * Looks up which jobs have been ended by their callers. The domain leader reads the store on behalf of all daemons of its failure domain and
+ * Looks up which jobs have been ended by their callers, and which processes have taken them over. The domain leader reads the store on behalf of all daemons of its failure domain and
  * shares one read among requests that come close together, so that the load on the store doesn't grow with the fleet. A daemon reads the store
  * itself where the leader doesn't answer. The age that a leader reports counts back from the time of the request, so that a slow response
  * never makes a read appear newer than it is.
--- a/src/jobs/ended-job-watch.ts
+++ b/src/jobs/ended-job-watch.ts
@@ -23,7 +23,7 @@
 const MAX_READ_GAP = 10_000
 
 /**
- * Checks periodically whether the jobs that this daemon owns have been ended by their callers. Messages between daemons make an owner stop
+ * Checks periodically whether the jobs that this daemon owns have been ended by their callers or taken over by other daemons. Messages between daemons make an owner stop
  * sooner but don't suffice: the daemon that acknowledges the end may not know the job or all of its owners, and a message may be lost. An owner
  * therefore starts items only while its own read of the store is recent (`OwnedJob.mayStart`).
  */
--- a/src/jobs/find-owner-status.ts
+++ b/src/jobs/find-owner-status.ts
@@ -1,8 +1,10 @@
 import type { OwnerProcess } from './owner-process.js'
 
 /**
- * What membership tells of a process that owns a job, other than that it is alive: `ended` for certain, or the job released by it; `lost`, and it
- * may still run where it can't be reached from here; `unknown`, as it started after all that is known of its daemon.
+ * Status of a process that owns a job and isn't alive by membership.
+ * - `ended`: it has released the job, or its daemon runs a later process.
+ * - `lost`: it is held for dead, but may run where this daemon can't reach it.
+ * - `unknown`: this daemon knows no process of that daemon, or only earlier ones.
  */
 type OwnerStatus = 'ended' | 'lost' | 'unknown'
 
--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -22,8 +22,8 @@
 /** Delay before another attempt to take over a job that could not be read, ms: the store is unavailable, or the items were never stored. */
 const ADOPT_RETRY_DELAY = 1_000
 /**
- * How long a job of a process that membership has not told of is left to it, ms: after a restart of the fleet, the process that accepted a job
- * runs, while daemons that have just started find the job in the store and not the process among their members.
+ * How long a daemon waits before it takes a job over from a process that isn't among its members yet, ms. After a restart of the fleet,
+ * daemons that have just started find jobs in the store before they know all processes that run.
  */
 const UNKNOWN_OWNER_WAIT = 5_000
 /** Number of jobs that are taken over concurrently. */
@@ -87,7 +87,7 @@
     this.publishOrphans(orphans)
   }
 
-  /** Lists the orphans but those of processes that may run and are still to become known. */
+  /** Lists the orphans whose owner is known to have ended or has stayed unknown for too long. */
   private listAbandoned (orphans: readonly KnownJob[]): readonly KnownJob[] {
     const now = this.clock.now()
     const unknown = orphans.filter(job => findOwnerStatus(job, this.members.findRun(job.owner)) === 'unknown').map(({ id }) => id)
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -12,7 +12,7 @@
 const PAGE_BYTES = 500_000
 /** Age in ms up to which a read of the store lets items start: callers are promised that none runs 3 s after the job was ended. */
 const MAX_READ_AGE = 2_500
-/** Added to that age before results of a job that was taken over are stored, ms: time for an answer from memory to reach its caller. */
+/** Time for an answer from memory to reach its caller, ms. */
 const READ_MARGIN = 200
 
 interface OwnedJobOptions {
@@ -46,12 +46,9 @@
   publishedAt = -Infinity
   /** Until when another daemon may own the job too and have stored results that are missing here, monotonic ms. */
   contestedUntil = -Infinity
-  /**
-   * Whether another process may own the job too and store results of it, without either knowing of the other. Its results here may lack some
-   * that callers have read.
-   */
+  /** Whether the store shows that another process may own the job too. Callers may have read results from it that are missing here. */
   isShared = false
-  /** Before this time, monotonic ms, no result is stored here: another owner may not have found yet that the job was taken over. */
+  /** Until when no result is stored here, monotonic ms, because another owner may not have seen the record of the takeover. */
   storeFrom = -Infinity
   /** Results still to be stored. */
   readonly pending: ListedResult[] = []
@@ -87,7 +84,7 @@
     return this.isDone || (!this.isShared && now >= this.contestedUntil && (this.ended || this.isReadRecent(now)))
   }
 
-  /** Marks the job as shared, and prevents results from being stored until the other owner's reads of the store must show that it was taken over. */
+  /** Marks the job as shared, and holds its results back until the other owner's last read before the takeover is too old to answer from memory. */
   holdResults (now: number): void {
     this.isShared = true
     this.storeFrom = now + MAX_READ_AGE + READ_MARGIN
--- a/test/jobs/unseen-owner.test.ts
+++ b/test/jobs/unseen-owner.test.ts
@@ -59,7 +59,7 @@
 // All daemons restart, and each has only some of the others among its members. Guards against two daemons that both take a job over from a
 // process that has ended, and each lack results which the other one lists.
 for (const finisher of [0, 1]) {
-  test(`two daemons that both take over a job of an ended process list the same results: owner ${finisher} finishes items`, async t => {
+  test(`two daemons that both take over a job of an ended process list the same results: items end at owner ${finisher}`, async t => {
     const fleet = new JobFleet()
     await fleet.start()
     await fleet.daemons.get(FIRST)!.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
@@ -80,7 +80,7 @@
 // The owner of a job is separated from the others, which take its job over, and callers still reach it. Guards against two owners that each
 // lack results which the other one lists.
 for (const finishers of ['the former owner', 'the new owner', 'both']) {
-  test(`two owners that do not know of each other list the same results: ${finishers} finishes items`, async t => {
+  test(`two owners that do not know of each other list the same results: items end at ${finishers}`, async t => {
     const fleet = new JobFleet()
     await fleet.start()
     await fleet.daemons.get(FIRST)!.owner.accept('j', { host: 'h', path: '/jobs/' }, ITEMS)
