--- a/src/routing/exchanges/exchange.ts
+++ b/src/routing/exchanges/exchange.ts
@@ -2,6 +2,8 @@
 import type { Dispatcher } from 'undici'
 import { HeldBody } from '../../http/held-body.js'
 import type { Clock } from '../../kernel/clock.js'
+import type { AnswerFraming } from './answer-framing.js'
+import { readFraming } from './read-framing.js'
 import type { SendFailure } from './send-failure.js'
 
 interface ExchangeOptions {
@@ -78,6 +80,11 @@
     })
   }
 
+  /** How the end of the answer's body is marked. */
+  get framing (): AnswerFraming {
+    return readFraming(this.status, this.headers)
+  }
+
   /** Whether the answer is a stream of server-sent events. */
   isStream (): boolean {
     return this.status < 300 && String(this.headers['content-type']).startsWith('text/event-stream')
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -283,10 +283,10 @@
     else if (!callerLeft) this.sink.refuse({ ...refusal, cause: this.timedOut ? 'deadline' : refusal.cause, ran: this.ran })
   }
 
-  private recordAnswer ({ server, exchange: { status }, sentAt }: OpenExchange): void {
+  private recordAnswer ({ server, exchange: { status, framing }, sentAt }: OpenExchange): void {
     const { log, clock } = this.tools
     const { id, caller, arrived } = this.request
-    log.write('info', 'routing', 'answered a request', { request: id, caller, service: this.service, server: server.name, status, tried: this.tried.length, sentAfter: Math.round(sentAt - arrived), after: Math.round(clock.now() - arrived), events: this.lastEventId })
+    log.write('info', 'routing', 'answered a request', { request: id, caller, service: this.service, server: server.name, status, tried: this.tried.length, sentAfter: Math.round(sentAt - arrived), after: Math.round(clock.now() - arrived), events: this.lastEventId, framing })
     this.count('answered')
   }
 
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -3,12 +3,14 @@
 import { AdaptiveLimit } from '../../coordination/adaptive-limit.js'
 import { OriginUse } from '../../http/origin-use.js'
 import { SteadyPool } from '../../http/steady-pool.js'
+import { watchResets } from '../../http/watch-resets.js'
 import type { Clock } from '../../kernel/clock.js'
 import type { Part } from '../../kernel/part.js'
 import { partRegistry } from '../../kernel/part-registry.js'
 import type { Settings } from '../../kernel/settings.js'
 import { tokens } from '../../kernel/tokens.js'
 import { waitForNotification } from '../../kernel/wait-for-notification.js'
+import type { LogSink } from '../../observe/log-sink.js'
 import { createPacedConnector } from '../exchanges/create-paced-connector.js'
 import type { Instance } from '../../store/instance.js'
 import { InstanceList } from '../../store/instance-list.js'
@@ -53,9 +55,9 @@
 export class Servers implements Part {
   private readonly origins = { online: new OriginUse(KEEP_ALIVE), batch: new OriginUse(KEEP_ALIVE), paced: new OriginUse(KEEP_ALIVE) }
   private readonly pools = {
-    online: createAgent(256, this.origins.online.measure(connect)),
-    batch: createAgent(64, this.origins.batch.measure(connect)),
-    paced: createAgent(64, this.origins.paced.measure(connectPaced))
+    online: createAgent(256, this.watch(this.origins.online.measure(connect))),
+    batch: createAgent(64, this.watch(this.origins.batch.measure(connect))),
+    paced: createAgent(64, this.watch(this.origins.paced.measure(connectPaced)))
   }
 
   readonly agents = { online: this.pools.online.compose(markSent), batch: this.pools.batch.compose(markSent), paced: this.pools.paced.compose(markSent) }
@@ -72,7 +74,8 @@
     @inject(ServerViews) private readonly views: ServerViews,
     @inject(Members) private readonly members: Members,
     @inject(tokens.settings) private readonly settings: Settings,
-    @inject(tokens.clock) private readonly clock: Clock
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.log) private readonly log: LogSink
   ) {
     views.subscribe(({ server, online }) => {
       this.others.set(server, { count: Math.max(0, online - (this.counts.get(server) ?? 0)), at: clock.now() })
@@ -176,6 +179,13 @@
     await waitForNotification(this.clock, listener => this.subscribe(listener), timeout)
   }
 
+  private watch (connect: buildConnector.connector): buildConnector.connector {
+    return watchResets(connect, address => {
+      const server = this.list.all.find(({ host, port }) => `${host}:${port}` === address)?.name
+      this.log.write('info', 'routing', 'a server reset a connection', { server, address })
+    })
+  }
+
   /** Returns the other daemons' requests in flight at the server; undefined if the last view is too old. */
   private countOthers (server: string): number | undefined {
     const reported = this.others.get(server)
--- /dev/null
+++ b/test/routing/read-framing.test.ts
@@ -0,0 +1,19 @@
+import test from 'ava'
+import { readFraming } from '../../src/routing/exchanges/read-framing.js'
+
+// Guards against a log that names the wrong framing for an answer that was broken off.
+const cases: ReadonlyArray<readonly [number, Record<string, string>, ReturnType<typeof readFraming>]> = [
+  [200, { 'content-length': '0' }, 'length'],
+  [200, { 'transfer-encoding': 'chunked' }, 'chunks'],
+  [200, { 'transfer-encoding': 'gzip, Chunked' }, 'chunks'],
+  [200, { 'transfer-encoding': 'gzip' }, 'connection'],
+  [200, { 'transfer-encoding': 'chunked', 'content-length': '5' }, 'chunks'],
+  [200, { connection: 'close' }, 'connection'],
+  [200, {}, 'connection'],
+  [204, {}, 'length'],
+  [304, {}, 'length']
+]
+
+for (const [status, headers, framing] of cases) {
+  test(`${status} with ${JSON.stringify(headers)}: ${framing}`, t => { t.is(readFraming(status, headers), framing) })
+}
