--- /dev/null
+++ b/test/helpers/route-bench.ts
@@ -0,0 +1,83 @@
+import 'reflect-metadata'
+import { createServer, type Server } from 'node:http'
+import type { DependencyContainer } from 'tsyringe'
+import type { Route } from '../../src/config/route.js'
+import { ResponseSink } from '../../src/entry/response-sink.js'
+import { listen } from '../../src/http/listen.js'
+import { readBody } from '../../src/http/read-body.js'
+import { tokens } from '../../src/kernel/tokens.js'
+import { PlacementQueue } from '../../src/placement/placement-queue.js'
+import type { PlacementRequest } from '../../src/placement/placement-request.js'
+import { ServerLoads } from '../../src/placement/server-loads.js'
+import { Forwarder } from '../../src/routing/forwarder.js'
+import { serverDialect } from '../../platform/server-dialect.js'
+import { DispatchBench } from './dispatch-bench.js'
+import { readRawAnswer, type RawAnswer } from './read-raw-answer.js'
+
+interface RouteBenchOptions {
+  readonly ports: readonly number[]
+  readonly route?: Partial<Route>
+  /** Longest time until the whole answer, ms. */
+  readonly time?: number
+}
+
+const POOL = 'pool'
+const MAX_BODY = 1_000_000 // bytes
+
+/** The entry by host and path of one daemon: an HTTP server that forwards requests to servers on `ports`, each time to the next one. */
+export class RouteBench {
+  readonly lines: Array<{ readonly message: string, readonly fields: Readonly<Record<string, unknown>> | undefined }> = []
+  private readonly bench: DispatchBench
+  private readonly server: Server
+  private port = 0
+  private turn = 0
+
+  private constructor (private readonly options: RouteBenchOptions) {
+    this.bench = new DispatchBench({ ports: options.ports })
+    const container = this.bench.container
+    container.registerInstance(tokens.log, { write: (_level: string, _part: string, message: string, fields?: Readonly<Record<string, unknown>>) => this.lines.push({ message, fields }) })
+    container.registerInstance(tokens.serverDialect, serverDialect)
+    container.registerInstance(ServerLoads, { outcomes: { record: () => {} }, markFull: () => {} } as unknown as ServerLoads)
+    container.registerInstance(PlacementQueue, { request: (asked: PlacementRequest) => asked.start(this.choose(asked)), recordHoldTime: () => {} } as unknown as PlacementQueue)
+    const forwarder = container.resolve(Forwarder)
+    this.server = createServer((req, res) => { void this.forward(forwarder, req, res) })
+  }
+
+  static async start (options: RouteBenchOptions): Promise<RouteBench> {
+    const bench = new RouteBench(options)
+    bench.port = await listen(bench.server, '127.0.0.1', 0)
+    return bench
+  }
+
+  get container (): DependencyContainer {
+    return this.bench.container
+  }
+
+  async stop (): Promise<void> {
+    this.server.close()
+    this.server.closeAllConnections()
+    await this.bench.stop()
+  }
+
+  /** Sends a request as a caller and reads its answer to the end. */
+  async ask (path: string, headers: Readonly<Record<string, string>> = {}): Promise<RawAnswer> {
+    return await readRawAnswer(this.port, path, { 'x-request-id': path, ...headers })
+  }
+
+  private choose ({ avoided }: PlacementRequest): string {
+    const names = this.options.ports.map((_, i) => `server-${i}`)
+    const open = names.filter(name => !avoided.includes(name))
+    return (open.length === 0 ? names : open)[this.turn++ % Math.max(1, open.length)]!
+  }
+
+  private async forward (forwarder: Forwarder, ...[req, res]: Parameters<Parameters<typeof createServer>[1] & object>): Promise<void> {
+    const body = await readBody(req, MAX_BODY)
+    const { route: more, time = 2_000 } = this.options
+    const route: Route = { host: 'h', pathPrefix: '/', services: [], streamed: false, idempotent: false, resumable: false, attempts: 2, timeout: 0, target: 300, priority: 0, ...more }
+    const left = new AbortController()
+    res.once('close', () => { if (!res.writableFinished) left.abort() })
+    const now = forwarder.clock.now()
+    const { 'x-request-id': id, 'last-event-id': resumeAfter, 'content-length': _length, 'transfer-encoding': _encoding, connection: _connection, ...headers } = req.headers as Record<string, string>
+    await forwarder.forward({ id: String(id), route, priority: 0, method: req.method!, path: req.url!, headers, body: body.unwrap(), resumeAfter, arrived: now, asked: now, deadline: now + time, signal: left.signal }, POOL, new ResponseSink(res))
+  }
+}
