--- a/src/commands/entry-client.ts
+++ b/src/commands/entry-client.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results'
 import { request } from 'undici'
+import { sharedAgent } from '../http/shared-agent.js'
 import type { EntryError } from './entry-error.js'
 
 /** Time limit of a request, in ms. */
@@ -15,6 +16,7 @@
     try {
       const response = await request(new URL(path, this.url), {
         method,
+        dispatcher: sharedAgent,
         headers: { authorization: `Bearer ${this.token}`, 'content-type': 'application/json', ...headers },
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(TIMEOUT)
--- a/src/commands/jobs-results.ts
+++ b/src/commands/jobs-results.ts
@@ -1,6 +1,7 @@
 import { Command, Option } from 'clipanion'
 import { pipeline } from 'node:stream/promises'
 import { request } from 'undici'
+import { sharedAgent } from '../http/shared-agent.js'
 import { EntryCommand } from './entry-command.js'
 import { exitCodes } from './exit-codes.js'
 
@@ -22,7 +23,7 @@
 
   async execute (): Promise<number> {
     const path = `/v1/files/${encodeURIComponent(`${this.id}.${this.errors ? 'errors' : 'output'}`)}/content`
-    const answer = await request(new URL(path, this.entry), { headers: { authorization: `Bearer ${this.token}` } }).catch((error: Error) => error)
+    const answer = await request(new URL(path, this.entry), { dispatcher: sharedAgent, headers: { authorization: `Bearer ${this.token}` } }).catch((error: Error) => error)
     if (answer instanceof Error) return this.showError({ type: 'unreachable', detail: `${this.entry}: ${answer.message}` })
     if (answer.statusCode >= 300) {
       const problem = await answer.body.json() as { detail?: string }
--- /dev/null
+++ b/src/http/create-agent.ts
@@ -0,0 +1,18 @@
+import { Agent, buildConnector } from 'undici'
+import { watchResets } from './watch-resets.js'
+
+interface AgentOptions extends Omit<Agent.Options, 'connect'> {
+  readonly connect?: buildConnector.connector
+  /** Longest time to establish a connection, ms; used unless `connect` is given. */
+  readonly connectTimeout?: number
+  /** Called with the address when a peer resets a connection. */
+  readonly onReset?: (address: string) => void
+}
+
+/**
+ * Creates an undici agent that fails an answer whose connection is reset, however the answer is framed. Answers are read by such
+ * agents only.
+ */
+export function createAgent ({ connectTimeout, connect = buildConnector({ timeout: connectTimeout }), onReset, ...options }: AgentOptions = {}): Agent {
+  return new Agent({ ...options, connect: watchResets(connect, onReset) })
+}
--- a/src/jobs/item-state.ts
+++ b/src/jobs/item-state.ts
@@ -6,6 +6,8 @@
   /** Id of the last event received; any server can resume after it. */
   last: number | undefined
   readonly texts: string[]
+  /** Last event of a run whose end nothing but its connection marked; another run that ends there confirms it. */
+  unmarkedEnd?: number
   /** Runs that the server answered with its own error. */
   failures: number
   /** Consecutive unsuccessful runs without a new event. */
--- a/src/load/run-load.ts
+++ b/src/load/run-load.ts
@@ -1,5 +1,6 @@
 import { performance } from 'node:perf_hooks'
-import { Agent, type Dispatcher } from 'undici'
+import type { Dispatcher } from 'undici'
+import { createAgent } from '../http/create-agent.js'
 import type { Arrival } from './arrival.js'
 import type { LoadOutcome } from './load-outcome.js'
 import { sendArrival } from './send-arrival.js'
@@ -20,7 +21,7 @@
  * system gets no less load), over the entry addresses in turn. Resolves to all outcomes.
  */
 export async function runLoad (arrivals: readonly Arrival[], options: LoadOptions): Promise<readonly LoadOutcome[]> {
-  const dispatcher = new Agent({ connections: 512, keepAliveTimeout: 1_000 })
+  const dispatcher = createAgent({ connections: 512, keepAliveTimeout: 1_000 })
   const start = performance.now()
   const sent: Promise<LoadOutcome>[] = []
   await new Promise<void>(resolve => {
--- a/src/ownership/server-orders.ts
+++ b/src/ownership/server-orders.ts
@@ -1,8 +1,9 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
-import { Agent, request } from 'undici'
+import { request } from 'undici'
 import type { Configuration } from '../config/configuration.js'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import { ConfigurationObjects } from '../config/configuration-objects.js'
+import { createAgent } from '../http/create-agent.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -36,7 +37,7 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class ServerOrders implements Part {
-  private readonly agent = new Agent({ connections: 1, keepAliveTimeout: RECONCILE_PERIOD, keepAliveMaxTimeout: RECONCILE_PERIOD })
+  private readonly agent = createAgent({ connections: 1, keepAliveTimeout: RECONCILE_PERIOD, keepAliveMaxTimeout: RECONCILE_PERIOD })
   private readonly slots: LoadSlots
   private readonly busy = new Set<string>()
   /** Owned servers whose load slots have been taken over from any earlier owner. */
--- a/src/ownership/server-watch.ts
+++ b/src/ownership/server-watch.ts
@@ -1,6 +1,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
-import { Agent, request } from 'undici'
+import { request } from 'undici'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
+import { createAgent } from '../http/create-agent.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -31,7 +32,7 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class ServerWatch implements Part {
-  private readonly agent = new Agent({ connections: 1, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE })
+  private readonly agent = createAgent({ connections: 1, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE })
   private readonly results = new Map<string, PollResult>()
   private readonly listeners = new Set<(server: string) => void>()
   /** Only the `load reports` policy uses the server's load. */
--- a/src/routing/exchanges/exchange.ts
+++ b/src/routing/exchanges/exchange.ts
@@ -82,7 +82,7 @@
 
   /** How the end of the answer's body is marked. */
   get framing (): AnswerFraming {
-    return readFraming(this.status, this.headers)
+    return readFraming({ method: this.options.method, status: this.status, headers: this.headers })
   }
 
   /** Whether the answer is a stream of server-sent events. */
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -1,9 +1,9 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
-import { Agent, buildConnector } from 'undici'
+import { buildConnector, type Agent } from 'undici'
 import { AdaptiveLimit } from '../../coordination/adaptive-limit.js'
+import { createAgent } from '../../http/create-agent.js'
 import { OriginUse } from '../../http/origin-use.js'
 import { SteadyPool } from '../../http/steady-pool.js'
-import { watchResets } from '../../http/watch-resets.js'
 import type { Clock } from '../../kernel/clock.js'
 import type { Part } from '../../kernel/part.js'
 import { partRegistry } from '../../kernel/part-registry.js'
@@ -55,9 +55,9 @@
 export class Servers implements Part {
   private readonly origins = { online: new OriginUse(KEEP_ALIVE), batch: new OriginUse(KEEP_ALIVE), paced: new OriginUse(KEEP_ALIVE) }
   private readonly pools = {
-    online: createAgent(256, this.watch(this.origins.online.measure(connect))),
-    batch: createAgent(64, this.watch(this.origins.batch.measure(connect))),
-    paced: createAgent(64, this.watch(this.origins.paced.measure(connectPaced)))
+    online: this.createAgent(256, this.origins.online.measure(connect)),
+    batch: this.createAgent(64, this.origins.batch.measure(connect)),
+    paced: this.createAgent(64, this.origins.paced.measure(connectPaced))
   }
 
   readonly agents = { online: this.pools.online.compose(markSent), batch: this.pools.batch.compose(markSent), paced: this.pools.paced.compose(markSent) }
@@ -179,11 +179,12 @@
     await waitForNotification(this.clock, listener => this.subscribe(listener), timeout)
   }
 
-  private watch (connect: buildConnector.connector): buildConnector.connector {
-    return watchResets(connect, address => {
+  private createAgent (connections: number, connect: buildConnector.connector): Agent {
+    const onReset = (address: string): void => {
       const server = this.list.all.find(({ host, port }) => `${host}:${port}` === address)?.name
       this.log.write('info', 'routing', 'a server reset a connection', { server, address })
-    })
+    }
+    return createAgent({ factory: (origin, options) => new SteadyPool(origin, options), connections, connect, onReset, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining: 1 })
   }
 
   /** Returns the other daemons' requests in flight at the server; undefined if the last view is too old. */
@@ -204,8 +205,4 @@
   return planDaemonLimit({ limit, others, daemons, fraction, rounding: spreadRounding({ server, daemon, daemons }) })
 }
 
-function createAgent (connections: number, connect: buildConnector.connector): Agent {
-  return new Agent({ factory: (origin, options) => new SteadyPool(origin, options), connections, connect, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining: 1 })
-}
-
 partRegistry.register({ name: 'servers', part: Servers, needs: ['instance list', 'members'] })
--- a/src/store/http-transport.ts
+++ b/src/store/http-transport.ts
@@ -1,6 +1,8 @@
-import { Agent, buildConnector, request } from 'undici'
+import { buildConnector, request, type Agent } from 'undici'
+import { createAgent } from '../http/create-agent.js'
 import { HeldBody } from '../http/held-body.js'
 import { OriginUse } from '../http/origin-use.js'
+import { readFraming } from '../routing/exchanges/read-framing.js'
 import { SteadyPool } from '../http/steady-pool.js'
 import type { ApiAnswer } from './api-answer.js'
 import type { ApiCall } from './api-call.js'
@@ -25,7 +27,7 @@
 /** Calls the platform over HTTP. */
 export class HttpTransport implements ApiTransport {
   private readonly use = new OriginUse(KEEP_ALIVE)
-  private readonly agent = new Agent({
+  private readonly agent = createAgent({
     factory: (origin, options) => new SteadyPool(origin, options),
     connections: 16,
     keepAliveTimeout: KEEP_ALIVE,
@@ -33,7 +35,7 @@
   })
 
   /** Watches occupy their connections for long, so that they have their own. */
-  private readonly watchAgent = new Agent({ connections: 8, keepAliveTimeout: KEEP_ALIVE, connect: { timeout: CONNECT_TIMEOUT } })
+  private readonly watchAgent = createAgent({ connections: 8, keepAliveTimeout: KEEP_ALIVE, connectTimeout: CONNECT_TIMEOUT })
 
   constructor (private readonly base: string, private readonly dialect: StoreDialect = plainDialect) {}
 
@@ -62,6 +64,7 @@
       const response = await waitOrAbort(sent, signal)
       held?.onAnswer()
       const text = await response.body.text()
+      if (text === '' && readFraming({ method, status: response.statusCode, headers: response.headers }) === 'connection') return { type: 'no answer', reason: 'its body was cut' }
       return readAnswer(response.statusCode, Number(response.headers['retry-after']), text)
     } catch (error) {
       const { code, message } = error as Error & { code?: string }
