--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -181,7 +181,7 @@
     const [startedAt, events] = [this.clock.now(), state.last ?? 0]
     state.phase = 'running'
     this.running.add(running)
-    this.log.write('info', 'jobs', 'started an item', { request: state.item.id, job: job.id, server, events: state.last })
+    this.log.write('info', 'jobs', 'started an item', { request: state.item.id, job: job.id, server, version: this.servers.find(server)?.version, events: state.last })
     void run.run().then(outcome => {
       this.running.delete(running)
       this.durations.recordRun((state.last ?? 0) - events, this.clock.now() - startedAt)
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -259,7 +259,7 @@
     this.tried.push(server)
     const { route } = this.request
     const plan = planResend(failure, { idempotent: route.idempotent, resumable: route.resumable, begun: this.begun, runs: this.runs, attempts: route.attempts, sends: this.tried.length, abandoned: this.abort.signal.aborted })
-    log.write('info', 'routing', 'a send failed', { request: this.request.id, server, why: failure.why, detail: failure.detail, sent: failure.sent, runs: this.runs, after: Math.round(clock.now() - this.request.arrived), next: plan })
+    log.write('info', 'routing', 'a send failed', { request: this.request.id, server, version: this.tools.servers.find(server)?.version, why: failure.why, detail: failure.detail, sent: failure.sent, runs: this.runs, after: Math.round(clock.now() - this.request.arrived), next: plan })
     if (plan === 'send') return true
     this.finish(this.refuse(this.timedOut ? 'deadline' : 'server failed', failure.detail))
     return false
@@ -288,7 +288,7 @@
   private recordAnswer ({ server, exchange: { status, framing }, sentAt }: OpenExchange): void {
     const { log, clock } = this.tools
     const { id, caller, arrived } = this.request
-    log.write('info', 'routing', 'answered a request', { request: id, caller, service: this.service, server: server.name, status, tried: this.tried.length, sentAfter: Math.round(sentAt - arrived), after: Math.round(clock.now() - arrived), events: this.lastEventId, framing })
+    log.write('info', 'routing', 'answered a request', { request: id, caller, service: this.service, server: server.name, version: server.version, status, tried: this.tried.length, sentAfter: Math.round(sentAt - arrived), after: Math.round(clock.now() - arrived), events: this.lastEventId, framing })
     this.count('answered')
   }
 
--- a/src/routing/servers/backend-server.ts
+++ b/src/routing/servers/backend-server.ts
@@ -3,6 +3,8 @@
   readonly name: string
   readonly pool: string
   readonly failureDomain: string
+  /** Version of its software, for comparison with that of other servers. */
+  readonly version: string
   /** Base URL. */
   readonly url: string
   /** Whether the instance list or the server's owner reports it as leaving or down; it then gets no new requests. */
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -102,6 +102,7 @@
       name,
       pool,
       failureDomain,
+      version: this.list.findVersion(name) ?? '',
       url: `http://${host}:${port}`,
       leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
       inFlight,
--- a/src/store/instance-list.ts
+++ b/src/store/instance-list.ts
@@ -5,6 +5,7 @@
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
+import { indexVersions } from './index-versions.js'
 import type { Instance } from './instance.js'
 import { listSeeds } from './list-seeds.js'
 import type { ObjectStore } from './object-store.js'
@@ -35,7 +36,7 @@
   private confirmedAt: number
   private cancel = (): void => {}
   private readonly listeners = new Set<() => void>()
-  private index: { readonly all: readonly Instance[], readonly byName: ReadonlyMap<string, Instance> } = { all: [], byName: new Map() }
+  private index: { readonly all: readonly Instance[], readonly byName: ReadonlyMap<string, Instance>, readonly versions: ReadonlyMap<string, string> } = { all: [], byName: new Map(), versions: new Map() }
 
   constructor (
     @inject(tokens.store) private readonly store: ObjectStore,
@@ -59,8 +60,12 @@
   }
 
   find (instance: string): Instance | undefined {
-    if (this.index.all !== this.all) this.index = { all: this.all, byName: new Map(this.all.map(entry => [entry.name, entry])) }
-    return this.index.byName.get(instance)
+    return this.readIndex().byName.get(instance)
+  }
+
+  /** Returns the version of a server's software for comparison with that of others, see `indexVersions`; undefined if it isn't listed. */
+  findVersion (server: string): string | undefined {
+    return this.readIndex().versions.get(server)
   }
 
   subscribe (listener: () => void): () => void {
@@ -78,6 +83,11 @@
     this.confirmedAt = this.clock.now()
   }
 
+  private readIndex (): InstanceList['index'] {
+    if (this.index.all !== this.all) this.index = { all: this.all, byName: new Map(this.all.map(entry => [entry.name, entry])), versions: indexVersions(this.all) }
+    return this.index
+  }
+
   private async read (): Promise<void> {
     const instances = await this.store.listInstances()
     if (instances.ok) this.replace(instances.val)
--- a/src/store/instance.ts
+++ b/src/store/instance.ts
@@ -9,6 +9,8 @@
   readonly failureDomain: string
   readonly region: string
   readonly state: 'live' | 'leaving'
+  /** Version of a backend server's software; undefined where the platform lists none or an invalid one. */
+  readonly version?: string
   /** Requests that a backend server runs concurrently; undefined where the platform doesn't list it. */
   readonly slots?: number
   /** Processor time of an entry instance's daemon, in cores; undefined if its settings don't specify it. */
--- a/test/adapter/decode.test.ts
+++ b/test/adapter/decode.test.ts
@@ -6,9 +6,10 @@
 const registration = { service: 'helm', addr: '10.128.0.9:8080', zone: 'a', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, seq: 4 }
 
 test('the registration of a server', t => {
-  t.deepEqual(decodeInstance('i-1', registration), { name: 'i-1', pool: 'helm', host: '10.128.0.9', port: 8080, failureDomain: 'a', region: '', state: 'live', slots: 8 })
+  t.deepEqual(decodeInstance('i-1', registration), { name: 'i-1', pool: 'helm', host: '10.128.0.9', port: 8080, failureDomain: 'a', region: '', state: 'live', version: 'v1', slots: 8 })
   t.is(decodeInstance('i-1', { ...registration, state: 'draining' })?.state, 'leaving')
   t.is(decodeInstance('i-1', { ...registration, slots: 'many' })?.slots, undefined)
+  for (const version of [undefined, null, '', 1, {}, ['v1']]) t.is(decodeInstance('i-1', { ...registration, version })?.version, undefined)
 })
 
 // Objects of other writers may be among the servers' registrations; they must be skipped.
--- a/test/helpers/simulate-choice.ts
+++ b/test/helpers/simulate-choice.ts
@@ -34,7 +34,7 @@
     const prefix = drawPrefix(weights, total, random)
     const view = names.map((name): BackendServer => {
       const load = policy === 'affinity without bound' ? 0 : loads.get(name)!
-      return { name, pool: 'pool', failureDomain: name, url: '', leaving: false, inFlight: load, load, limit: Infinity }
+      return { name, pool: 'pool', failureDomain: name, version: '', url: '', leaving: false, inFlight: load, load, limit: Infinity }
     })
     const { name } = chooseServer(view, { random, limit: Infinity, key: policy === 'two choices' ? undefined : `prefix-${prefix}` })!
     const cache = caches.get(name)!
--- a/test/helpers/simulate-crashes.ts
+++ b/test/helpers/simulate-crashes.ts
@@ -88,7 +88,7 @@
     const counts = new Map<string, number>()
     const inPool = (): readonly BackendServer[] => [...pendingSends.keys()].map((server): BackendServer => {
       const inFlight = counts.get(server) ?? 0
-      return { name: server, pool: 'p', failureDomain: server, url: server, leaving: false, inFlight, load: inFlight, limit: ejected.has(server) ? 0 : 64 }
+      return { name: server, pool: 'p', failureDomain: server, version: '', url: server, leaving: false, inFlight, load: inFlight, limit: ejected.has(server) ? 0 : 64 }
     })
     const servers = {
       inPool,
