--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -15,6 +15,8 @@
   readonly caller: string | undefined
   readonly key: string | undefined
   readonly resumedAfter: number | undefined
+  /** Id of the attempt that brought the first event, as the caller names it. */
+  readonly resumes: string | undefined
   /** Start of the run, by the clock of the options. */
   readonly at: number
   /** Number of events sent. */
@@ -24,6 +26,8 @@
 
 interface EventEngineOptions {
   readonly id: string
+  /** Version of its software as it registers it, `v1` by default. */
+  readonly version?: unknown
   /** Requests that run at once; others are refused as not executed. */
   readonly slots?: number
   readonly events?: number
@@ -47,6 +51,10 @@
     return this.options.id
   }
 
+  get version (): unknown {
+    return 'version' in this.options ? this.options.version : 'v1'
+  }
+
   async start (port = 0): Promise<void> {
     this.port = await listen(this.server, '127.0.0.1', port)
   }
@@ -70,7 +78,7 @@
     if (expected !== undefined && expected !== id) return sendJson(res, 421, {}, { 'x-instance-id': id })
     if (this.running >= slots) return sendJson(res, 503, {}, { 'x-not-executed': '1' })
     if (IMPOSSIBLE.test(req.url!)) return sendJson(res, 422, {}, { 'x-request-id': String(request) })
-    const run: EngineRun = { id: String(request), path: req.url!, caller: readHeader(req, 'x-tenant'), key: readHeader(req, 'x-api-key'), resumedAfter: resume === undefined ? undefined : Number(resume), at: now(), events: 0, outcome: 'running' }
+    const run: EngineRun = { id: String(request), path: req.url!, caller: readHeader(req, 'x-tenant'), key: readHeader(req, 'x-api-key'), resumedAfter: resume === undefined ? undefined : Number(resume), resumes: readHeader(req, 'resumes'), at: now(), events: 0, outcome: 'running' }
     this.runs.push(run)
     this.running++
     res.on('close', () => {
--- a/test/routing/choose-server.test.ts
+++ b/test/routing/choose-server.test.ts
@@ -11,6 +11,7 @@
   name: fc.constantFrom('a', 'b', 'c', 'd', 'e'),
   pool: fc.constant('pool'),
   failureDomain: fc.constantFrom('x', 'y'),
+  version: fc.constant(''),
   url: fc.constant(''),
   leaving: fc.boolean(),
   inFlight: fc.nat(10),
--- /dev/null
+++ b/test/whole/stream-versions.test.ts
@@ -0,0 +1,207 @@
+import test, { type ExecutionContext } from 'ava'
+import { request } from 'node:http'
+import type { MachinesFleet } from '../../harness/machines-fleet.js'
+import { EventEngine } from '../../stand-ins/machines/event-engine.js'
+import { registerEngine } from '../../stand-ins/machines/register-engine.js'
+import { callDaemon } from '../helpers/call-daemon.js'
+import { startMachines } from '../helpers/start-machines.js'
+
+// Guards against streams that go on at another version of a server's software than the one that began them.
+
+const EVENTS = 12
+const PAUSE = 20
+/** Streams of each trial. */
+const STREAMS = 12
+/** Longest time to a refusal that needs no server, ms. */
+const PROMPT = 1_000
+const SIGNALS = { kill: 'SIGKILL', restart: 'SIGTERM' } as const
+
+interface Reading { readonly status: number, readonly last: number, readonly whole: boolean, readonly time: number }
+interface StreamCall { readonly id: string, readonly path: string, readonly resumes?: string, readonly after?: number, /** Events after which the caller closes its connection. */ readonly leaveAfter?: number }
+
+/** Sends a stream request and reads it to its end, or leaves after some events. */
+async function readStream (port: number, { id, path, resumes, after, leaveAfter = Infinity }: StreamCall): Promise<Reading> {
+  const began = performance.now()
+  const resumption = after === undefined ? {} : { 'last-event-id': String(after), ...resumes !== undefined && { resumes } }
+  return await new Promise(resolve => {
+    const settle = (status: number, last: number, whole: boolean): void => resolve({ status, last, whole, time: performance.now() - began })
+    const sent = request({ port, path, method: 'POST', agent: false, headers: { host: 'desk.example', 'x-request-id': id, 'x-deadline-ms': '5000', ...resumption } }, answer => {
+      let last = after ?? 0
+      answer.on('data', (bytes: Buffer) => {
+        last += bytes.toString().split('\n\n').length - 1
+        if (last - (after ?? 0) < leaveAfter) return
+        sent.destroy()
+        settle(answer.statusCode!, last, false)
+      })
+      answer.on('end', () => settle(answer.statusCode!, last, answer.statusCode === 200 && answer.complete))
+      answer.on('error', () => settle(answer.statusCode!, last, false))
+    })
+    sent.on('error', () => settle(0, after ?? 0, false))
+    sent.end('x')
+  })
+}
+
+interface Fleet { readonly fleet: MachinesFleet, readonly engines: EventEngine[], readonly port: (daemon: number) => number }
+
+async function start (t: ExecutionContext, versions: readonly unknown[], daemons = 3): Promise<Fleet> {
+  const engines = versions.map((version, i) => new EventEngine({ id: `i-${i}`, version, events: EVENTS, pause: PAUSE, slots: 64 }))
+  const fleet = await startMachines(daemons, engines)
+  t.teardown(async () => await fleet.stop())
+  return { fleet, engines, port: daemon => fleet.daemons[daemon]!.ports.front }
+}
+
+/** Lists the versions of the runs of each path since its last run from the beginning, where there are several. */
+function listMixed (engines: readonly EventEngine[]): readonly string[] {
+  const runs = engines.flatMap(engine => engine.runs.map(run => ({ ...run, version: typeof engine.version === 'string' && engine.version !== '' ? engine.version : `?${engine.id}` }))).sort((a, b) => a.at - b.at)
+  return [...new Set(runs.map(({ path }) => path))].flatMap(path => {
+    const own = runs.filter(run => run.path === path)
+    const begin = own.findLastIndex(({ resumedAfter }) => resumedAfter === undefined)
+    const versions = new Set(own.slice(Math.max(0, begin)).filter(({ events, resumedAfter }) => events > 0 || resumedAfter !== undefined).map(({ version }) => version))
+    return versions.size > 1 ? [`${path}: ${[...versions].join(', ')}`] : []
+  })
+}
+
+function listPaths (name: string): readonly string[] {
+  return Array.from({ length: STREAMS }, (_, i) => `/quotes/${name}-${i}`)
+}
+
+const two = ['v1', 'v2', 'v1', 'v2'] as const
+const mixes: ReadonlyArray<readonly [string, readonly unknown[]]> = [
+  ['two versions', two],
+  ['a server without a version beside others', ['v1', undefined, 'v1', undefined]],
+  ['a bad version beside others', ['v1', 7, 'v1', '', { v: 1 }]]
+]
+
+for (const [name, versions] of mixes) {
+  test.serial(`within one answer, ${name}: a stream goes on at the version that began it, or is broken off`, async t => {
+    const { engines, port } = await start(t, versions, 1)
+    for (const engine of engines) engine.breakPoints = Array.from({ length: STREAMS }, (_, i) => i % 3 === 0 ? 3 : 0)
+    const readings = await Promise.all(listPaths('a').map(async path => await readStream(port(0), { id: path, path })))
+    t.deepEqual(listMixed(engines), [])
+    t.true(readings.some(({ whole }) => whole))
+  })
+}
+
+test.serial('within one answer: a stream without another server of its version is broken off', async t => {
+  const { engines, port } = await start(t, ['v1', 'v2'], 1)
+  for (const engine of engines) engine.breakPoints = [3]
+  const { whole, last } = await readStream(port(0), { id: 'a', path: '/quotes/a' })
+  t.deepEqual({ whole, last }, { whole: false, last: 3 })
+  t.is(engines.flatMap(({ runs }) => runs).length, 1)
+})
+
+/** Begins streams at daemon 0, which their callers leave after three events. */
+async function beginStreams ({ port }: Fleet): Promise<readonly string[]> {
+  const paths = listPaths('a')
+  const readings = await Promise.all(paths.map(async path => await readStream(port(0), { id: path, path, leaveAfter: 3 })))
+  if (readings.some(({ last }) => last < 3)) throw new Error(`a stream didn't begin: ${JSON.stringify(readings)}`)
+  return paths
+}
+
+async function resumeAll (port: number, paths: readonly string[], { after = 3, attempt = 'b', leaveAfter }: { readonly after?: number, readonly attempt?: string, readonly leaveAfter?: number } = {}): Promise<readonly Reading[]> {
+  return await Promise.all(paths.map(async path => await readStream(port, { id: `${path}-${attempt}`, path, resumes: path, after, leaveAfter })))
+}
+
+test.serial('at another daemon: a stream goes on at the version that began it', async t => {
+  const fleet = await start(t, two)
+  const readings = await resumeAll(fleet.port(1), await beginStreams(fleet))
+  t.deepEqual(listMixed(fleet.engines), [])
+  t.is(readings.filter(({ whole }) => whole).length, STREAMS)
+  t.true(fleet.engines.flatMap(({ runs }) => runs).filter(({ resumedAfter }) => resumedAfter !== undefined).every(({ path, resumes }) => resumes === path))
+})
+
+test.serial('a second resumption at a third daemon goes on at the version that began the stream', async t => {
+  const fleet = await start(t, two)
+  const paths = await beginStreams(fleet)
+  await resumeAll(fleet.port(1), paths, { leaveAfter: 3 })
+  const readings = await resumeAll(fleet.port(2), paths, { after: 6, attempt: 'c' })
+  t.deepEqual(listMixed(fleet.engines), [])
+  t.is(readings.filter(({ whole }) => whole).length, STREAMS)
+})
+
+for (const [how, signal] of Object.entries(SIGNALS)) {
+  test.serial(`after a ${how} of the daemon that relayed them, streams go on at the version that began them`, async t => {
+    const fleet = await start(t, two, 4)
+    const paths = await beginStreams(fleet)
+    fleet.fleet.daemons[0]!.child!.signal(signal)
+    const readings = await resumeAll(fleet.port(1), paths)
+    t.deepEqual(listMixed(fleet.engines), [])
+    t.true(readings.filter(({ whole }) => whole).length >= STREAMS / 2)
+  })
+}
+
+test.serial('after a kill of all daemons no stream goes on at another version; new ones begin', async t => {
+  const fleet = await start(t, two)
+  const paths = await beginStreams(fleet)
+  for (const { child } of fleet.fleet.daemons) child!.signal('SIGKILL')
+  for (const daemon of fleet.fleet.daemons) {
+    await daemon.child!.waitForExit()
+    await fleet.fleet.startDaemon(daemon)
+  }
+  const readings = await resumeAll(fleet.port(1), paths)
+  t.deepEqual(listMixed(fleet.engines), [])
+  t.true(readings.every(({ whole, status }) => whole || status === 503))
+  t.true((await readStream(fleet.port(1), { id: 'n', path: '/quotes/new' })).whole)
+})
+
+test.serial('a stream whose attempt is unknown or unnamed is refused where there are two versions, and not held', async t => {
+  const fleet = await start(t, two)
+  for (const resumes of ['unknown', undefined]) {
+    const { status, time } = await readStream(fleet.port(1), { id: `b-${resumes}`, path: `/quotes/${resumes}`, resumes, after: 3 })
+    t.is(status, 503)
+    t.true(time < PROMPT)
+  }
+  t.is(fleet.engines.flatMap(({ runs }) => runs).length, 0)
+})
+
+test.serial('with one server left of its version a stream goes on there; with none it is refused at once', async t => {
+  const fleet = await start(t, two)
+  const paths = await beginStreams(fleet)
+  const began = (engine: EventEngine): boolean => engine.runs.some(({ resumedAfter }) => resumedAfter === undefined)
+  const [first] = fleet.engines.filter(({ version }) => version === 'v1') as [EventEngine]
+  fleet.fleet.store.remove('servers', first.id)
+  t.is((await resumeAll(fleet.port(1), paths, { leaveAfter: 3 })).filter(({ last }) => last === 6).length, STREAMS)
+  for (const engine of fleet.engines.filter(({ version }) => version === 'v1')) fleet.fleet.store.remove('servers', engine.id)
+  const readings = await resumeAll(fleet.port(2), paths, { after: 6, attempt: 'c' })
+  t.deepEqual(listMixed(fleet.engines), [])
+  t.true(fleet.engines.some(began))
+  t.true(readings.every(({ whole, status, time }) => whole || (status === 503 && time < PROMPT)))
+  t.true(readings.some(({ whole }) => whole) && readings.some(({ status }) => status === 503))
+})
+
+test.serial('a server that is born again under its id with another version is another version', async t => {
+  const fleet = await start(t, ['v1', 'v2'])
+  const paths = await beginStreams(fleet)
+  const [old, other] = fleet.engines as [EventEngine, EventEngine]
+  old.stop()
+  const reborn = new EventEngine({ id: old.id, version: 'v3', events: EVENTS, pause: PAUSE, slots: 64 })
+  await reborn.start()
+  registerEngine(fleet.fleet.store, reborn)
+  await resumeAll(fleet.port(1), paths)
+  t.deepEqual(listMixed([old, other, reborn]), [])
+  reborn.stop()
+})
+
+test.serial('with one version streams go on anywhere, and no daemon is told or asked of any', async t => {
+  const fleet = await start(t, ['v1', 'v1'])
+  // A daemon can't know of a version that has just gone until it has run for as long as a stream may last.
+  await new Promise(resolve => setTimeout(resolve, 6_500))
+  const readings = await resumeAll(fleet.port(1), await beginStreams(fleet))
+  t.is(readings.filter(({ whole }) => whole).length, STREAMS)
+  for (const { ports } of fleet.fleet.daemons) {
+    const { text } = await callDaemon(ports.metrics, '/metrics', { method: 'GET' })
+    t.false(/stream_origin_messages_total\{[^}]*\} [1-9]/.test(text))
+  }
+})
+
+test.serial('items of a job go on at the version that began them, or begin anew, also after their owner has ended', async t => {
+  const fleet = await start(t, two)
+  for (const engine of fleet.engines) engine.breakPoints = Array.from({ length: 40 }, (_, i) => 2 + i % 5)
+  const items = Array.from({ length: STREAMS }, (_, i) => ({ id: `item-${i}`, path: `/drafts/item-${i}`, headers: { 'X-Model': 'm' }, body: 'eA==', tokens: 10 }))
+  t.is((await callDaemon(fleet.port(0), '/drafts/', { id: 'job-1', body: { items } })).status, 202)
+  await fleet.fleet.waitUntil('items run', () => fleet.engines.some(({ runs }) => runs.some(({ resumedAfter }) => resumedAfter !== undefined)))
+  fleet.fleet.daemons[0]!.child!.signal('SIGTERM')
+  const read = async (): Promise<number> => JSON.parse((await callDaemon(fleet.port(1), '/api/lots/job-1?after=0', { method: 'GET' })).text).results.length
+  await fleet.fleet.waitUntil('all items are done', async () => await read().catch(() => 0) === STREAMS)
+  t.deepEqual(listMixed(fleet.engines), [])
+})
