--- a/src/http/watch-resets.ts
+++ b/src/http/watch-resets.ts
@@ -13,7 +13,7 @@
 export function watchResets (connect: buildConnector.connector, onReset: (address: string) => void = () => {}): buildConnector.connector {
   return (options, callback) => {
     connect(options, (...[error, socket]: Parameters<buildConnector.Callback>) => {
-      if (socket !== null) watchSocket(socket, () => onReset(options.host!))
+      if (error === null) watchSocket(socket!, () => onReset(options.host!))
       callback(...[error, socket] as Parameters<buildConnector.Callback>)
     })
   }
