--- a/src/entry/entry-dialect.ts
+++ b/src/entry/entry-dialect.ts
@@ -12,6 +12,8 @@
   /** How long the caller will wait, ms; undefined where the request doesn't tell. */
   readonly timeLeft: number | undefined
   readonly resumeAfter: string | undefined
+  /** Id of the attempt that brought the first event of the stream that it resumes. */
+  readonly resumes: string | undefined
   readonly affinityKey: string | undefined
   /** Headers to be forwarded to the server. */
   readonly headers: Readonly<Record<string, string | readonly string[]>>
--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -163,6 +163,7 @@
       headers: head.headers,
       body: body.val.length === 0 ? undefined : body.val,
       resumeAfter: head.resumeAfter,
+      resumes: head.resumes,
       key: head.affinityKey,
       arrived,
       asked: arrived - this.estimateElapsed(route, head.timeLeft),
--- a/src/fleet/fleet-watch.ts
+++ b/src/fleet/fleet-watch.ts
@@ -111,6 +111,11 @@
     return this.instances.cursor >= 0 || this.instances.list().size > 0
   }
 
+  /** Returns how long ago the store or a watcher last confirmed the list of servers, ms. */
+  readServersAge (): number {
+    return this.clock.now() - this.findAnswerTime(INSTANCES)
+  }
+
   /** Calls `listener` after each change of the servers. Returns a function that unsubscribes it. */
   subscribe (listener: () => void): () => void {
     return this.list.subscribe(listener)
--- a/src/jobs/item-progress.ts
+++ b/src/jobs/item-progress.ts
@@ -5,5 +5,7 @@
   readonly last: number
   /** The data of all events up to `last`. */
   readonly texts: readonly string[]
+  /** Version of the software of the server that sent them; absent from daemons of earlier releases, as if servers stated none. */
+  readonly version?: string
   readonly failures: number
 }
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -46,9 +46,10 @@
   }
 
   async run (): Promise<ItemOutcome> {
-    const { state: { item, last }, host, caller, pool, server, clock, sender, servers, dialect, mayStart } = this.options
+    const { state: { item, last, version = '' }, host, caller, pool, server, clock, sender, servers, dialect, mayStart } = this.options
     const target = servers.find(server)
     if (target === undefined) return { type: 'lost', detail: 'the server is unknown' }
+    if (last !== undefined && target.version !== version) return { type: 'lost', detail: 'the server has another version' }
     const headers = Object.fromEntries(Object.entries(item.headers).map(([name, value]) => [name.toLowerCase(), value]))
     const body = Buffer.from(item.body, 'base64')
     const opened = await sender.send(target, {
@@ -97,6 +98,7 @@
       if (events.err) return this.fail(open, events.val)
       if (events.val.length === 0) continue
       state.last = run.last
+      state.version ??= open.server.version
       state.texts.push(...events.val.map(({ data }) => data))
       state.losses = 0
     }
--- a/src/jobs/item-state.ts
+++ b/src/jobs/item-state.ts
@@ -6,6 +6,8 @@
   /** Id of the last event received; any server can resume after it. */
   last: number | undefined
   readonly texts: string[]
+  /** Version of the software of the server that sent the first event; the item goes on at no other. */
+  version?: string
   /** Last event of a run whose end nothing but its connection marked; another run that ends there confirms it. */
   unmarkedEnd?: number
   /** Runs that the server answered with its own error. */
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -132,7 +132,7 @@
     if (first === undefined) return false
     const pool = chooseService(first.route.services, this.random)
     const { due, remaining } = first
-    if (pool !== undefined) this.slots.requestBatchSlots(pool, { count: Math.min(SLOTS_PER_REQUEST, waiting.length), due, remaining })
+    if (pool !== undefined) this.slots.requestBatchSlots(pool, { count: Math.min(SLOTS_PER_REQUEST, waiting.length), due, remaining, avoided: this.listAvoided(pool, waiting) })
     return true
   }
 
@@ -153,6 +153,12 @@
     return orderBatch(waiting, now)
   }
 
+  /** Lists the servers of the pool where none of the items may run. */
+  private listAvoided (pool: string, waiting: readonly RunnableItem[]): readonly string[] {
+    if (waiting.some(({ state }) => state.last === undefined)) return []
+    return this.servers.inPool(pool).map(({ name }) => name).filter(name => !waiting.some(({ state }) => this.mayRunAt(state, pool, name)))
+  }
+
   private mayStart (job: OwnedJob): boolean {
     this.pauses.check()
     return job.mayStart(this.clock.now())
@@ -161,10 +167,26 @@
   /** Starts the first item that may run on the granted slot. An unused slot returns to the broker with the next load report. */
   private useGrant (pool: string, server: string): void {
     if (this.draining || !this.loads.isOpen(server)) return
-    const item = this.listWaiting().find(({ route }) => route.services.some(({ service, weight }) => service === pool && weight > 0))
+    const item = this.listWaiting().find(({ route, state }) => route.services.some(({ service, weight }) => service === pool && weight > 0) && this.mayRunAt(state, pool, server))
     if (item !== undefined) this.startItem(item, pool, server)
   }
 
+  /** Whether the item may run at the server: it goes on at the version that began it, and begins anew elsewhere once no server has that. */
+  private mayRunAt ({ last, version = '' }: ItemState, pool: string, server: string): boolean {
+    return last === undefined || this.servers.find(server)?.version === version || this.loads.listOfVersion(pool, version).length === 0
+  }
+
+  /** Drops the progress of an item that can't go on at a server of this version. */
+  private dropOtherProgress (job: OwnedJob, state: ItemState, server: string): void {
+    const version = this.servers.find(server)?.version
+    if (state.last === undefined || (state.version ?? '') === version) return
+    this.log.write('info', 'jobs', 'begins an item anew', { request: state.item.id, job: job.id, server, version, former: state.version, events: state.last })
+    state.last = undefined
+    state.version = undefined
+    state.unmarkedEnd = undefined
+    state.texts.length = 0
+  }
+
   /** Fails an item whose route no longer exists or whose time limit has passed. Returns whether the item has ended. */
   private abandonIfExpired (job: OwnedJob, state: ItemState, route: Route | undefined, now: number): boolean {
     if (state.phase === 'ended') return true
@@ -176,6 +198,7 @@
   }
 
   private startItem ({ job, state, route }: RunnableItem, pool: string, server: string): void {
+    this.dropOtherProgress(job, state, server)
     const run = new ItemRun({ state, host: job.header.host, caller: job.header.caller, pool, server, mayStart: () => this.mayStart(job) && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, dialect: this.dialect })
     const running = { job, state, route, run }
     const [startedAt, events] = [this.clock.now(), state.last ?? 0]
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -105,14 +105,15 @@
 
   /** Copies the progress of the unfinished items. */
   copyProgress (): readonly ItemProgress[] {
-    return this.items.flatMap(({ item: { id }, last, texts, failures, phase }) => last === undefined || phase === 'ended' ? [] : [{ id, last, texts: [...texts], failures }])
+    return this.items.flatMap(({ item: { id }, last, texts, version, failures, phase }) => last === undefined || phase === 'ended' ? [] : [{ id, last, texts: [...texts], version, failures }])
   }
 
   /** Applies the progress of another daemon to waiting items that are behind it. */
   applyProgress (progress: readonly ItemProgress[]): void {
-    for (const { id, last, texts, failures } of progress) {
+    for (const { id, last, texts, version, failures } of progress) {
       const state = this.items.find(({ item }) => item.id === id)
       if (state === undefined || state.phase !== 'waiting' || (state.last ?? -1) >= last) continue
+      state.version = version
       state.last = last
       state.texts.splice(0, state.texts.length, ...texts)
       state.failures = Math.max(state.failures, failures)
--- a/src/placement/batch-bid.ts
+++ b/src/placement/batch-bid.ts
@@ -5,4 +5,6 @@
   readonly due: number
   /** Estimated time that the first item still has to run. */
   readonly remaining: number
+  /** Servers that none of the waiting items may run on. */
+  readonly avoided?: readonly string[]
 }
--- a/src/placement/candidate-server.ts
+++ b/src/placement/candidate-server.ts
@@ -2,6 +2,8 @@
 export interface CandidateServer {
   readonly server: string
   readonly failureDomain: string
+  /** Version of its software, for comparison with that of other servers. */
+  readonly version: string
   /** Requests that the server runs concurrently. */
   readonly slots: number
   readonly online: number
--- a/src/placement/placement-queue.ts
+++ b/src/placement/placement-queue.ts
@@ -73,6 +73,7 @@
     if (existing !== undefined) return existing
     const queue = new SlotQueue({
       listCandidates: () => this.loads.listCandidates(pool),
+      hasVersion: version => this.loads.listOfVersion(pool, version).length > 0,
       getHoldTime: () => this.holdTimes.find(pool),
       clock: this.clock,
       random: this.random,
--- a/src/placement/placement-request.ts
+++ b/src/placement/placement-request.ts
@@ -6,6 +6,8 @@
   /** The caller whose quota it counts against; undefined where it has none or the request was counted before. */
   readonly caller?: string
   readonly key?: string
+  /** The only version of a server's software that may run it; any if omitted. */
+  readonly version?: string
   /** Servers to use only if no other server has a slot. */
   readonly avoided: readonly string[]
   readonly arrived: number
--- a/src/placement/server-loads.ts
+++ b/src/placement/server-loads.ts
@@ -57,13 +57,13 @@
   listCandidates (pool: string): readonly CandidateServer[] {
     return this.servers.inPool(pool)
       .filter(server => this.isAvailable(server))
-      .map(({ name, failureDomain }) => this.buildCandidate(name, failureDomain))
+      .map(server => this.buildCandidate(server))
   }
 
   /** Returns a server that accepts requests; undefined for any other. */
   findCandidate (name: string): CandidateServer | undefined {
     const server = this.servers.find(name)
-    return server !== undefined && this.isAvailable(server) ? this.buildCandidate(name, server.failureDomain) : undefined
+    return server !== undefined && this.isAvailable(server) ? this.buildCandidate(server) : undefined
   }
 
   /** Returns how many requests the server runs concurrently. */
@@ -76,6 +76,11 @@
     return this.list.find(server)?.state === 'live'
   }
 
+  /** Lists the live servers of the pool whose software has the version. */
+  listOfVersion (pool: string, version: string): readonly string[] {
+    return this.list.all.filter(({ name, pool: other, state }) => other === pool && state === 'live' && this.list.findVersion(name) === version).map(({ name }) => name)
+  }
+
   /** Lists the servers of the pool that `listCandidates` leaves out. */
   listUnavailable (pool: string): readonly string[] {
     return this.servers.inPool(pool).filter(server => !this.isAvailable(server)).map(({ name }) => name)
@@ -101,9 +106,9 @@
     return !leaving && inFlight < limit && this.clock.now() >= (this.fullUntil.get(name) ?? 0)
   }
 
-  private buildCandidate (server: string, failureDomain: string): CandidateServer {
+  private buildCandidate ({ name: server, failureDomain, version }: BackendServer): CandidateServer {
     const { online, batch } = this.own.get(server) ?? { online: 0, batch: 0 }
-    return { server, failureDomain, slots: this.countSlots(server), online, batch, ownBatch: batch }
+    return { server, failureDomain, version, slots: this.countSlots(server), online, batch, ownBatch: batch }
   }
 
   private count (server: string, work: 'online' | 'batch', by: number): void {
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -175,6 +175,7 @@
     const servers = new SlotGroup({ pool, group, clock, loads, map, ledger })
     const queue = new SlotQueue({
       listCandidates: () => servers.listCandidates(),
+      hasVersion: version => this.loads.listOfVersion(pool, version).length > 0,
       getHoldTime: () => this.holdTimes.find(pool),
       clock: this.clock,
       random: this.random,
--- a/src/placement/slot-client.ts
+++ b/src/placement/slot-client.ts
@@ -119,7 +119,7 @@
 
   /** Requests a slot for an online request; calls `fallBack` if no broker can be reached. */
   requestSlot (request: PlacementRequest, fallBack: () => void): void {
-    this.requestFromGroup(this.chooseGroup(request.pool), request, fallBack, 0)
+    this.requestFromGroup(this.chooseGroup(request.pool, request.version), request, fallBack, 0)
   }
 
   /**
@@ -130,9 +130,10 @@
     return this.clock.now() < this.startedAt + START_TIME ? MAX_BROKERS_AT_START : MAX_BROKERS
   }
 
-  /** Returns the group with more free slots of two chosen at random; a group without a response yet counts as free. */
-  private chooseGroup (pool: string): number {
-    const draw = (): number => this.random.below(this.map.countGroups(pool))
+  /** Returns the group with more free slots of two chosen at random; a group without a response yet counts as free. Only groups with a server of the version count, if one is given. */
+  private chooseGroup (pool: string, version?: string): number {
+    const groups = version === undefined ? [] : [...new Set(this.loads.listOfVersion(pool, version).map(server => this.map.findGroup(pool, server)))]
+    const draw = (): number => groups.length > 0 ? groups[this.random.below(groups.length)]! : this.random.below(this.map.countGroups(pool))
     const getFree = (group: number): number => this.free.get(`${pool} ${group}`) ?? Infinity
     const [first, second] = [draw(), draw()]
     return getFree(second) > getFree(first) ? second : first
@@ -155,21 +156,21 @@
   }
 
   /** Requests slots for batch items; the broker may grant none and sends no response then. */
-  requestBatchSlots (pool: string, { count, due, remaining }: BatchBid): void {
+  requestBatchSlots (pool: string, { count, due, remaining, avoided = [] }: BatchBid): void {
     const group = this.chooseGroup(pool)
     const broker = this.map.findBroker(pool, group)
-    const ask: SlotRequest = { work: 'batch', pool, group, avoided: this.loads.listUnavailable(pool), count, dueIn: due - this.clock.now(), remaining }
+    const ask: SlotRequest = { work: 'batch', pool, group, avoided: [...this.loads.listUnavailable(pool), ...avoided], count, dueIn: due - this.clock.now(), remaining }
     if (broker !== undefined) this.sendTo(broker, { type: REQUEST, ask })
   }
 
   private sendRequest (requestId: number): void {
     const pending = this.pending.get(requestId)
     if (pending === undefined) return
-    const { request: { pool, key, caller, avoided, arrived, asked, deadline, beginBy, target, priority, returning, repeatable }, group, broker } = pending
+    const { request: { pool, key, version, caller, avoided, arrived, asked, deadline, beginBy, target, priority, returning, repeatable }, group, broker } = pending
     const now = this.clock.now()
     pending.sentAt = now
     pending.cancel = this.clock.after(this.delays.timeout, () => this.handleTimeout(requestId))
-    const ask: SlotRequest = { work: 'online', n: requestId, pool, group, avoided: [...avoided, ...this.loads.listUnavailable(pool)], waited: now - arrived, sinceAsked: now - asked, left: deadline - now, beginWithin: beginBy - now, target, priority, returning, repeatable, ...key !== undefined && { key }, ...caller !== undefined && { caller } }
+    const ask: SlotRequest = { work: 'online', n: requestId, pool, group, avoided: [...avoided, ...this.loads.listUnavailable(pool)], waited: now - arrived, sinceAsked: now - asked, left: deadline - now, beginWithin: beginBy - now, target, priority, returning, repeatable, ...key !== undefined && { key }, ...version !== undefined && { version }, ...caller !== undefined && { caller } }
     this.sendTo(broker, { type: REQUEST, ask })
   }
 
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -25,6 +25,8 @@
 interface SlotQueueOptions {
   /** Returns the servers that the queue grants slots of, with their current counts. */
   readonly listCandidates: () => readonly CandidateServer[]
+  /** Whether a live server has the version. */
+  readonly hasVersion?: (version: string) => boolean
   /** Returns the mean slot hold time, ms. */
   readonly getHoldTime: () => number
   readonly clock: Clock
@@ -103,11 +105,13 @@
   /** Returns a refusal, or the time until the next check, ms. */
   private plan (waiting: Waiting): Refusal | number {
     const { listCandidates, clock, random } = this.options
-    const candidates = listCandidates()
+    if (waiting.version !== undefined && this.options.hasVersion?.(waiting.version) === false) return this.buildRefusal('no server', random.spread(NO_SERVER_RETRY_AFTER, NO_SERVER_JITTER), `no server has version ${waiting.version}`)
+    const all = listCandidates()
+    const candidates = filterVersion(all, waiting.version)
     if (candidates.length === 0 && !waiting.returning) return this.buildRefusal('no server', random.spread(NO_SERVER_RETRY_AFTER, NO_SERVER_JITTER), 'no server of the pool is open')
     const now = clock.now()
     const plan = planWait({
-      ahead: this.queue.filter(other => other !== waiting && compareWaiting(other, waiting, now) < 0).length,
+      ahead: this.queue.filter(other => other !== waiting && compareWaiting(other, waiting, now) < 0).reduce((sum, other) => sum + estimateShare(other, waiting, countSlots(candidates) / Math.max(1, countSlots(all))), 0),
       interval: this.estimateInterval(candidates),
       holdTime: this.options.getHoldTime(),
       waited: now - waiting.targetStart,
@@ -159,26 +163,52 @@
     })
   }
 
-  private choose ({ key, avoided, repeatable }: PlacementRequest, candidates: readonly CandidateServer[]): CandidateServer | undefined {
-    return chooseCandidate(candidates, { random: this.options.random, key, avoided, repeatable })
+  private choose ({ key, version, avoided, repeatable }: PlacementRequest, candidates: readonly CandidateServer[]): CandidateServer | undefined {
+    return chooseCandidate(filterVersion(candidates, version), { random: this.options.random, key, avoided, repeatable })
   }
 
   private grantFree (): void {
+    while (this.queue.length > 0 && this.grantNext()) continue
+  }
+
+  /** Grants a slot to the first request in order that can have one; those bound to a version without a free slot are passed over. Returns whether it did. */
+  private grantNext (): boolean {
     const { clock, listCandidates, metrics } = this.options
-    while (this.queue.length > 0) {
-      const now = clock.now()
-      const waiting = this.queue.reduce((first, other) => compareWaiting(other, first, now) < 0 ? other : first)
+    const now = clock.now()
+    const candidates = listCandidates()
+    for (const waiting of this.listInOrder(now)) {
       const late = isLate(waiting, now)
-      const candidates = listCandidates()
-      if (late && now < waiting.beginBy - LATE_START_MARGIN && !this.mayStartLate(now, candidates)) return this.scheduleGrant()
+      if (late && now < waiting.beginBy - LATE_START_MARGIN && !this.mayStartLate(now, candidates)) {
+        this.scheduleGrant()
+        return false
+      }
       const chosen = this.choose(waiting, candidates)
-      if (chosen === undefined) return
+      if (chosen === undefined && waiting.version === undefined) return false
+      if (chosen === undefined) continue
       if (late) this.lateLimiter.recordStart(now)
       this.remove(waiting)
       metrics.observe('placement_wait_ms', now - waiting.since)
       waiting.start(chosen.server)
+      return true
     }
+    return false
   }
+
+  /** Lists the waiting requests in order, only the first one unless some are bound to a version. */
+  private listInOrder (now: number): readonly Waiting[] {
+    if (this.queue.every(({ version }) => version === undefined)) return [this.queue.reduce((first, other) => compareWaiting(other, first, now) < 0 ? other : first)]
+    return [...this.queue].sort((a, b) => compareWaiting(a, b, now))
+  }
+}
+
+function filterVersion (candidates: readonly CandidateServer[], version: string | undefined): readonly CandidateServer[] {
+  return version === undefined ? candidates : candidates.filter(candidate => candidate.version === version)
+}
+
+/** Estimates the share of the slots that `other` takes of those that `waiting` may have: `part` of all slots. */
+function estimateShare (other: PlacementRequest, waiting: PlacementRequest, part: number): number {
+  if (waiting.version === undefined || other.version === waiting.version) return 1
+  return other.version === undefined ? part : 0
 }
 
 function countSlots (candidates: readonly CandidateServer[]): number {
--- a/src/placement/slot-request.ts
+++ b/src/placement/slot-request.ts
@@ -7,6 +7,8 @@
     readonly pool: string
     readonly group: number
     readonly key?: string
+    /** The only version of a server's software that may run it; any if omitted. */
+    readonly version?: string
     /** The caller whose quota it counts against. */
     readonly caller?: string
     readonly avoided: readonly string[]
--- a/src/routing/forwarder.ts
+++ b/src/routing/forwarder.ts
@@ -14,6 +14,7 @@
 import { Sender } from './exchanges/sender.js'
 import type { ServerDialect } from './exchanges/server-dialect.js'
 import { Servers } from './servers/servers.js'
+import { StreamOrigins } from './origins/stream-origins.js'
 
 /** Forwards routed requests to the servers of a service. */
 @scoped(Lifecycle.ContainerScoped)
@@ -28,7 +29,8 @@
     @inject(Servers) readonly servers: Servers,
     @inject(Quarantine) readonly quarantine: Quarantine,
     @inject(PlacementQueue) readonly queue: PlacementQueue,
-    @inject(ServerLoads) readonly loads: ServerLoads
+    @inject(ServerLoads) readonly loads: ServerLoads,
+    @inject(StreamOrigins) readonly origins: StreamOrigins
   ) {}
 
   /** Resolves when the caller has its final answer. */
@@ -37,4 +39,4 @@
   }
 }
 
-partRegistry.register({ name: 'forwarder', part: Forwarder, needs: ['servers', 'quarantine', 'place queue'] })
+partRegistry.register({ name: 'forwarder', part: Forwarder, needs: ['servers', 'quarantine', 'place queue', 'stream origins'] })
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -1,25 +1,17 @@
 import type { Result } from 'ts-results'
 import type { Refusal } from '../admission/refusal.js'
-import type { Clock } from '../kernel/clock.js'
-import type { Random } from '../kernel/random.js'
-import type { LogSink } from '../observe/log-sink.js'
-import type { Metrics } from '../observe/metrics.js'
 import { firstEventShare } from '../placement/first-event-share.js'
-import type { PlacementQueue } from '../placement/placement-queue.js'
-import type { ServerLoads } from '../placement/server-loads.js'
 import type { AnswerSink } from './exchanges/answer-sink.js'
 import { EventRun } from './streams/event-run.js'
+import type { ForwardingTools } from './forwarding-tools.js'
 import { hashRequest } from './hash-request.js'
 import type { OpenExchange } from './exchanges/open-exchange.js'
 import { planResend } from './plan-resend.js'
-import type { Quarantine } from './quarantine/quarantine.js'
 import { readToEnd } from './exchanges/read-to-end.js'
+import { RequestOrigin } from './origins/request-origin.js'
 import type { RoutedRequest } from './routed-request.js'
 import type { SendFailure } from './exchanges/send-failure.js'
-import type { Sender } from './exchanges/sender.js'
-import type { ServerDialect } from './exchanges/server-dialect.js'
 import type { WholeBody } from './exchanges/whole-body.js'
-import type { Servers } from './servers/servers.js'
 
 /** Longest waits for the first byte and for the next ones, ms, while another server may still run the request. */
 const FIRST_BYTE_TIMEOUT = 900
@@ -34,20 +26,6 @@
 const MISDIRECTED = 421
 const TOO_MANY = 429
 
-/** The parts that all forwardings of one daemon use. */
-interface ForwardingTools {
-  readonly clock: Clock
-  readonly random: Random
-  readonly log: LogSink
-  readonly metrics: Metrics
-  readonly dialect: ServerDialect
-  readonly sender: Sender
-  readonly servers: Servers
-  readonly quarantine: Quarantine
-  readonly queue: PlacementQueue
-  readonly loads: ServerLoads
-}
-
 type Opened = Result<OpenExchange, SendFailure>
 
 /**
@@ -66,8 +44,10 @@
   /** Whether a mark of its own ends the stream that the caller receives. */
   private isEndMarked = true
   private lastEventId: number | undefined
+  private readonly origin: RequestOrigin
 
-  constructor (private readonly request: RoutedRequest, private readonly service: string, private readonly sink: AnswerSink, private readonly tools: ForwardingTools) {
+  constructor (private readonly request: RoutedRequest, private service: string, private readonly sink: AnswerSink, private readonly tools: ForwardingTools) {
+    this.origin = new RequestOrigin(request, tools)
     this.fingerprint = hashRequest({ caller: request.route.host, service, path: request.path, body: request.body })
   }
 
@@ -89,6 +69,9 @@
   }
 
   private async send (): Promise<void> {
+    const found = await this.origin.find(this.service)
+    if (found.type === 'lost') return this.finish(this.refuse('no server', found.detail))
+    this.service = found.service
     for (;;) {
       if (this.tools.quarantine.check(this.fingerprint) === 'quarantined') return this.finish(this.refuse('quarantined', 'the servers that ran this request ended'))
       const slot = await this.waitForSlot()
@@ -103,12 +86,15 @@
 
   /** Waits for a slot. The send starts in the same turn of the event loop in which the slot is granted. */
   private async waitForSlot (): Promise<{ readonly server: string, readonly opened: Promise<Opened> } | Refusal> {
-    const { request, request: { route }, tools } = this
+    const { request, request: { route }, tools, origin } = this
+    const lack = origin.findLack()
+    if (lack !== undefined) return this.refuse('no server', lack)
     return await new Promise(resolve => {
       tools.queue.request({
         pool: this.service,
         caller: this.tried.length === 0 ? request.caller : undefined,
         key: request.key,
+        version: origin.version,
         avoided: this.tried,
         arrived: request.arrived,
         deadline: request.deadline,
@@ -119,12 +105,17 @@
         returning: request.asked < request.arrived || this.tried.length > 0,
         repeatable: this.mayRetry(),
         signal: this.abort.signal,
-        start: server => resolve({ server, opened: this.open(server) }),
+        start: server => resolve(this.startAt(server)),
         refuse: refusal => resolve(refusal)
       })
     })
   }
 
+  private startAt (server: string): { readonly server: string, readonly opened: Promise<Opened> } | Refusal {
+    const mismatch = this.origin.findMismatch(server)
+    return mismatch === undefined ? { server, opened: this.open(server) } : this.refuse('no server', mismatch)
+  }
+
   private async open (server: string): Promise<Opened> {
     const { clock, loads } = this.tools
     // A request that may not run elsewhere waits for as long as its caller; the silence counts against the server long before.
@@ -217,6 +208,7 @@
       if (events.err) return await this.fail(open, { why: 'cut', sent: true, detail: events.val })
       if (events.val.length === 0) continue
       this.lastEventId = run.last
+      this.origin.record(this.service, open.server.version)
       if (!this.begun) this.begin(open)
       await this.sink.write(Buffer.concat(events.val.map(event => event.bytes)))
     }
--- a/src/routing/routed-request.ts
+++ b/src/routing/routed-request.ts
@@ -16,6 +16,8 @@
   readonly body?: Buffer
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly resumeAfter?: string
+  /** Id of the attempt that brought the stream's first event, if the caller resumes it and names one. */
+  readonly resumes?: string
   /** Affinity key: the beginning of its prompt that other requests share. */
   readonly key?: string
   readonly arrived: number
