--- a/bench/soak/apply-trouble.ts
+++ b/bench/soak/apply-trouble.ts
@@ -1,5 +1,6 @@
 import { failUnreachable } from '../../src/kernel/unreachable.js'
 import type { SoakFleet } from './soak-fleet.js'
+import { soakSize } from './soak-size.js'
 import type { StoreTrouble } from './store-trouble.js'
 import type { Trouble } from './trouble.js'
 
@@ -46,11 +47,18 @@
       return
     }
     case 'engine crashed': return await soak.restartEngine(trouble.engine, trouble.lasting)
+    case 'engine upgraded': return await soak.restartEngine(trouble.engine, trouble.lasting, { isUpgraded: true })
     case 'engine leaves': return soak.drainEngine(trouble.engine)
     case 'streams break': {
       fleet.engines[trouble.engine]!.breakPoints.push(...Array.from({ length: trouble.count }, (_, i) => i * 3))
       return
     }
+    case 'unmarked answers': {
+      const engine = fleet.engines[trouble.engine]!
+      engine.unmarkedRuns += trouble.count
+      engine.breakPoints.push(...Array.from({ length: trouble.count }, (_, i) => i % 2 === 0 ? i : soakSize.events))
+      return
+    }
     case 'store': {
       applyStoreTrouble(soak, trouble.trouble)
       await wait(trouble.lasting)
--- a/bench/soak/check-record.ts
+++ b/bench/soak/check-record.ts
@@ -16,6 +16,7 @@
     ...record.requests.flatMap(request => checkRequest(request, runs.get(request.id) ?? [], record)),
     ...record.jobs.flatMap(job => checkJob(job, runs, record)),
     ...checkUnknownRuns(record),
+    ...checkVersions(record),
     ...checkCallers(record),
     ...checkQuota(record),
     ...checkDraining(record)
@@ -35,10 +36,10 @@
 }
 
 function checkRequest (request: SentRequest, runs: Runs, record: SoakRecord): readonly string[] {
-  const { id, path, outcome, status, stamp, text, resumable, daemon, at, until } = request
+  const { id, path, outcome, status, stamp, text, resumable, resumption, daemon, at, until } = request
   const findings: string[] = []
   const addFinding = (what: string): void => { findings.push(`${id} ${path} at daemon ${daemon}, ${at} to ${until} ms: ${what}`) }
-  const whole = Array.from({ length: soakSize.events }, (_, i) => `id: ${i + 1}\ndata: ${EventEngine.buildEventData(path, i + 1)}\n\n`).join('')
+  const whole = Array.from({ length: soakSize.events }, (_, i) => `id: ${i + 1}\ndata: ${EventEngine.buildEventData(path, i + 1)}\n\n`).slice(resumption?.after ?? 0).join('')
   if (outcome === 'whole' && text !== whole) addFinding('completed with other events than its server sends')
   if ((outcome === 'whole' || outcome === 'cut') && !whole.startsWith(text.slice(0, text.lastIndexOf('\n\n') + 1))) addFinding('events are missing, repeated or out of order')
   if (outcome === 'whole' && !runs.some(({ engine }) => stamp === `stamp-${engine}`)) addFinding(`has stamp ${String(stamp)}, but no such server ran it`)
@@ -105,6 +106,16 @@
   return runs.filter(({ id }) => !asked.has(id)).map(({ id, engine }) => `${engine} ran ${id}, which no caller sent`)
 }
 
+/** Checks that the runs of a stream, or of an item, since the last one from its beginning are of one version of the servers' software. */
+function checkVersions ({ runs }: SoakRecord): readonly string[] {
+  const byPath = new Map<string, Runs>()
+  for (const run of [...runs].sort((a, b) => a.at - b.at)) byPath.set(run.path, run.resumedAfter === undefined ? [run] : [...byPath.get(run.path) ?? [], run])
+  return [...byPath].flatMap(([path, own]) => {
+    const versions = new Set(own.filter(({ events, resumedAfter }) => events > 0 || resumedAfter !== undefined).map(({ version }) => version))
+    return versions.size > 1 ? [`${path} went on at another version: ${own.map(({ engine, version, at }) => `${engine} ${version} (${at} ms)`).join(', ')}`] : []
+  })
+}
+
 /** Checks that servers get the name of the organisation whose key a request had, never the key, and that no known key is rejected. */
 function checkCallers ({ runs, requests }: SoakRecord): readonly string[] {
   const byId = new Map(requests.map(request => [request.id, request]))
--- a/bench/soak/plan-troubles.ts
+++ b/bench/soak/plan-troubles.ts
@@ -8,7 +8,7 @@
 
 const TYPES: ReadonlyArray<Trouble['type']> = [
   'daemon killed', 'daemon killed', 'daemon ended', 'daemon paused', 'settings changed', 'store way', 'caller way', 'engine way', 'engine way',
-  'engine crashed', 'engine leaves', 'streams break', 'store', 'store', 'configuration', 'configuration'
+  'engine crashed', 'engine leaves', 'engine upgraded', 'streams break', 'unmarked answers', 'store', 'store', 'configuration', 'configuration'
 ]
 const STORE_TROUBLES: readonly StoreTrouble[] = ['busy', 'limited', 'silent', 'slow', 'loses replies', 'forgets history']
 const MODES: readonly RelayMode[] = [{ type: 'silent' }, { type: 'answers held' }, { type: 'delayed', delay: 150 }, { type: 'reset' }]
@@ -38,9 +38,11 @@
     case 'store way':
     case 'caller way': return { type, at, lasting, daemon, mode }
     case 'engine way': return { type, at, lasting, engine, mode }
-    case 'engine crashed': return { type, at, lasting, engine }
+    case 'engine crashed':
+    case 'engine upgraded': return { type, at, lasting, engine }
     case 'engine leaves': return { type, at, engine }
-    case 'streams break': return { type, at, engine, count: 1 + random.below(MAX_BREAKS) }
+    case 'streams break':
+    case 'unmarked answers': return { type, at, engine, count: 1 + random.below(MAX_BREAKS) }
     case 'store': return { type, at, lasting, trouble: STORE_TROUBLES[random.below(STORE_TROUBLES.length)]! }
     case 'configuration': return { type, at }
     default: return failUnreachable(type)
@@ -53,6 +55,6 @@
   const isConflicting = (other: Trouble): boolean =>
     (endsProcess(trouble) && endsProcess(other) && 'daemon' in trouble && 'daemon' in other && trouble.daemon === other.daemon) ||
     (trouble.type === other.type && (trouble.type === 'store' || ('engine' in trouble && 'engine' in other && trouble.engine === other.engine) || (trouble.type.endsWith('way') && 'daemon' in trouble && 'daemon' in other && trouble.daemon === other.daemon)))
-  const losesEngine = (other: Trouble): boolean => other.type === 'engine crashed' || other.type === 'engine leaves'
+  const losesEngine = (other: Trouble): boolean => other.type === 'engine crashed' || other.type === 'engine upgraded' || other.type === 'engine leaves'
   return !planned.some(isConflicting) && (!losesEngine(trouble) || planned.filter(losesEngine).length < soakSize.engines / 2)
 }
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -31,7 +31,7 @@
     await soak.stop()
   }
   const engines = [...soak.fleet.engines, ...soak.stoppedEngines]
-  const runs = engines.flatMap(({ id: engine, runs }) => runs.map(run => ({ ...run, engine })))
+  const runs = engines.flatMap(({ id: engine, version, runs }) => runs.map(run => ({ ...run, engine, version: String(version) })))
   const { versions, leaving, harmed, resets, exits, lines } = soak
   return { record: { requests: callers.requests, runs, jobs: jobs.jobs, versions, leaving, harmed, resets, exits }, lines }
 }
--- a/bench/soak/soak-callers.ts
+++ b/bench/soak/soak-callers.ts
@@ -1,4 +1,5 @@
-import { Agent } from 'undici'
+import type { Agent } from 'undici'
+import { createAgent } from '../../src/http/create-agent.js'
 import { RoutedEntryClient } from '../../stand-ins/machines/routed-entry-client.js'
 import type { SentRequest } from './sent-request.js'
 import type { SoakFleet } from './soak-fleet.js'
@@ -20,7 +21,7 @@
   private readonly agents: readonly Agent[]
 
   constructor (private readonly soak: SoakFleet) {
-    this.agents = Array.from({ length: soak.daemons }, () => new Agent({ connections: 16, keepAliveTimeout: 15_000, keepAliveMaxTimeout: 15_000 }))
+    this.agents = Array.from({ length: soak.daemons }, () => createAgent({ connections: 16, keepAliveTimeout: 15_000, keepAliveMaxTimeout: 15_000 }))
   }
 
   /** Sends requests at a constant rate until `end`, and waits for all responses; a hot organisation and an intruder send as well. */
@@ -42,12 +43,17 @@
   private async send (n: string, kind: string, { name, key }: { readonly name: string, readonly key: string }): Promise<void> {
     const daemon = this.turn++ % this.soak.daemons
     const sent = { id: `r-${n}`, daemon, at: this.soak.now(), path: `/${kind}/${n}`, caller: name, resumable: kind !== 'berths' }
-    this.requests.push({ ...sent, ...await this.read(sent, key), until: this.soak.now() })
+    const answer = await this.read(sent, key)
+    this.requests.push({ ...sent, ...answer, until: this.soak.now() })
+    const events = answer.text.split('\n\n').length - 1
+    if (answer.outcome !== 'cut' || !sent.resumable || events === 0) return
+    const resumed = { ...sent, id: `${sent.id}-again`, daemon: this.turn++ % this.soak.daemons, at: this.soak.now(), resumption: { resumes: sent.id, after: events } }
+    this.requests.push({ ...resumed, ...await this.read(resumed, key), until: this.soak.now() })
   }
 
-  private async read ({ id, daemon, path }: Pick<SentRequest, 'id' | 'daemon' | 'path'>, key: string): Promise<Pick<SentRequest, 'outcome' | 'status' | 'stamp' | 'text'>> {
+  private async read ({ id, daemon, path, resumption }: Pick<SentRequest, 'id' | 'daemon' | 'path' | 'resumption'>, key: string): Promise<Pick<SentRequest, 'outcome' | 'status' | 'stamp' | 'text'>> {
     const none = { status: 0, stamp: undefined, text: '' }
-    const answer = await new RoutedEntryClient(this.soak.callerRelays[daemon]!.address, soakSize.deadline).openStream({ id, path, dispatcher: this.agents[daemon]!, deadline: soakSize.deadline, key })
+    const answer = await new RoutedEntryClient(this.soak.callerRelays[daemon]!.address, soakSize.deadline).openStream({ id, path, resumption, dispatcher: this.agents[daemon]!, deadline: soakSize.deadline, key })
     if (answer === undefined) return { outcome: 'no connection', ...none }
     const { status, stamp, body } = answer
     const known = { status, stamp }
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -43,7 +43,7 @@
 
   async start (): Promise<void> {
     const { fleet } = this
-    const engines = Array.from({ length: soakSize.engines }, (_, i) => this.createEngine(`i-${i}`))
+    const engines = Array.from({ length: soakSize.engines }, (_, i) => this.createEngine(`i-${i}`, 1))
     const started = fleet.start({ daemons: this.daemons, engines })
     await fleet.waitUntil('the store runs', () => fleet.store.port > 0)
     this.putConfiguration()
@@ -88,12 +88,12 @@
     this.watchDaemon(daemon)
   }
 
-  async restartEngine (index: number, pause: number): Promise<void> {
+  async restartEngine (index: number, pause: number, { isUpgraded = false } = {}): Promise<void> {
     const old = this.fleet.engines[index]!
     old.stop()
     this.stoppedEngines.push(old)
     await new Promise(resolve => setTimeout(resolve, pause))
-    const next = this.createEngine(old.id)
+    const next = this.createEngine(old.id, Number(old.version) + Number(isUpgraded))
     await next.start(old.port)
     this.fleet.engines[index] = next
     for (const leave of this.leaving) if (leave.engine === next.id) leave.until = Math.min(leave.until, this.now())
@@ -106,8 +106,8 @@
     this.leaving.push({ engine: engine.id, at: this.now(), until: Infinity })
   }
 
-  private createEngine (id: string): EventEngine {
-    return new EventEngine({ id, slots: soakSize.slots, events: soakSize.events, pause: soakSize.pause, now: () => this.now() })
+  private createEngine (id: string, version: number): EventEngine {
+    return new EventEngine({ id, version: String(version), slots: soakSize.slots, events: soakSize.events, pause: soakSize.pause, now: () => this.now() })
   }
 
   private watchDaemon (daemon: number): void {
--- a/bench/soak/trouble.ts
+++ b/bench/soak/trouble.ts
@@ -11,7 +11,10 @@
   | { readonly type: 'caller way', readonly at: number, readonly lasting: number, readonly daemon: number, readonly mode: RelayMode }
   | { readonly type: 'engine way', readonly at: number, readonly lasting: number, readonly engine: number, readonly mode: RelayMode }
   | { readonly type: 'engine crashed', readonly at: number, readonly lasting: number, readonly engine: number }
+  /** Ends and is born again under its id with the next version of its software. */
+  | { readonly type: 'engine upgraded', readonly at: number, readonly lasting: number, readonly engine: number }
   | { readonly type: 'engine leaves', readonly at: number, readonly engine: number }
   | { readonly type: 'streams break', readonly at: number, readonly engine: number, readonly count: number }
+  | { readonly type: 'unmarked answers', readonly at: number, readonly engine: number, readonly count: number }
   | { readonly type: 'store', readonly at: number, readonly lasting: number, readonly trouble: StoreTrouble }
   | { readonly type: 'configuration', readonly at: number }
--- a/harness/delayed-pipe.ts
+++ b/harness/delayed-pipe.ts
@@ -7,6 +7,7 @@
   private readonly queue: QueuedBytes[] = []
   private timer: NodeJS.Timeout | undefined
   private ended = false
+  private isReset = false
 
   constructor (private readonly to: Socket) {}
 
@@ -17,10 +18,16 @@
     this.schedule()
   }
 
-  /** Closes the destination once all queued bytes are forwarded. */
-  close (): void {
+  /** Closes the destination, or resets it, once all queued bytes are forwarded. */
+  close (isReset = false): void {
     this.ended = true
-    if (this.queue.length === 0) this.to.destroySoon()
+    this.isReset = isReset
+    if (this.queue.length === 0) this.end()
+  }
+
+  private end (): void {
+    if (this.isReset) this.to.resetAndDestroy()
+    else this.to.destroySoon()
   }
 
   private schedule (): void {
@@ -32,7 +39,7 @@
   private flush (): void {
     this.timer = undefined
     while (this.queue.length > 0 && this.queue[0]!.due <= performance.now()) this.to.write(this.queue.shift()!.bytes)
-    if (this.ended && this.queue.length === 0) this.to.destroySoon()
+    if (this.ended && this.queue.length === 0) this.end()
     else this.schedule()
   }
 }
--- a/harness/relayed-connection.ts
+++ b/harness/relayed-connection.ts
@@ -46,10 +46,13 @@
   private pipe (from: Socket, to: Socket): void {
     const pipe = new DelayedPipe(to)
     from.on('data', bytes => pipe.write(bytes as Buffer, this.mode.type === 'delayed' ? this.mode.delay : 0))
-    from.on('error', () => {})
+    let isReset = false
+    from.on('error', ({ code }: NodeJS.ErrnoException) => { isReset ||= code === 'ECONNRESET' })
+    // A reset that arrives together with data is handed over as a regular close; the connection has no peer then.
+    from.on('end', () => { isReset ||= from.remotePort === undefined })
     from.on('close', () => {
       this.ended = true
-      if (!this.isHeld) pipe.close()
+      if (!this.isHeld) pipe.close(isReset)
     })
   }
 }
--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -1,4 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { closeIncomplete } from '../../src/entry/close-incomplete.js'
+import { writeUnmarkedHead } from '../../src/entry/write-unmarked-head.js'
 import { listen } from '../../src/http/listen.js'
 import { readBody } from '../../src/http/read-body.js'
 import { sendJson } from '../../src/http/send-json.js'
@@ -42,6 +44,8 @@
   readonly runs: EngineRun[] = []
   /** Numbers of events after which the next runs break off, one number for each run. */
   breakPoints: number[] = []
+  /** Number of next runs whose answers have neither a length nor chunks; one that breaks off resets its connection with the last bytes. */
+  unmarkedRuns = 0
   private readonly server: Server = createServer((req, res) => { void this.handle(req, res) })
   private running = 0
 
@@ -85,11 +89,15 @@
       this.running--
       if (run.outcome === 'running') run.outcome = 'closed'
     })
-    res.writeHead(200, { 'content-type': 'text/event-stream', 'x-request-id': run.id, 'x-response-stamp': `stamp-${id}` })
-    await this.stream(run, res)
+    const isMarked = this.unmarkedRuns === 0
+    const headers = { 'content-type': 'text/event-stream', 'x-request-id': run.id, 'x-response-stamp': `stamp-${id}` }
+    if (isMarked) res.writeHead(200, headers)
+    else writeUnmarkedHead(res, 200, headers)
+    if (!isMarked) this.unmarkedRuns--
+    await this.stream(run, res, isMarked)
   }
 
-  private async stream (run: EngineRun, res: ServerResponse): Promise<void> {
+  private async stream (run: EngineRun, res: ServerResponse, isMarked: boolean): Promise<void> {
     const { events = 6, pause = 10 } = this.options
     const breakAfter = this.breakPoints.shift()
     for (let n = (run.resumedAfter ?? 0) + 1; n <= events; n++) {
@@ -97,7 +105,8 @@
       if (run.outcome !== 'running') return
       if (run.events === breakAfter) {
         run.outcome = 'broken'
-        res.write(`id: ${n}\nda`, () => res.destroy())
+        // Between two events where the caller can't tell by the bytes.
+        res.write(isMarked ? `id: ${n}\nda` : `id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`, () => closeIncomplete(res, isMarked))
         return
       }
       res.write(`id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`)
--- a/stand-ins/machines/routed-entry-client.ts
+++ b/stand-ins/machines/routed-entry-client.ts
@@ -10,6 +10,8 @@
   /** Time from the request to its deadline, ms. */
   readonly deadline: number
   readonly key: string
+  /** The stream that it resumes, and the last event received. */
+  readonly resumption?: { readonly resumes: string, readonly after: number }
 }
 
 interface Stream { readonly status: number, readonly stamp: string | undefined, readonly body: AsyncIterable<Uint8Array> }
@@ -29,9 +31,9 @@
   constructor (private readonly address: string, private readonly timeout: number, private readonly key = '') {}
 
   /** Sends a streaming request; undefined if no answer began. */
-  async openStream ({ id, path, dispatcher, deadline, key }: StreamOptions): Promise<Stream | undefined> {
+  async openStream ({ id, path, dispatcher, deadline, key, resumption }: StreamOptions): Promise<Stream | undefined> {
     const answer = await request(`http://${this.address}${path}`, {
-      method: 'POST', dispatcher, headers: { host: HOST, 'x-request-id': id, 'x-deadline-ms': String(deadline), 'x-api-key': key }, signal: AbortSignal.timeout(deadline)
+      method: 'POST', dispatcher, headers: { host: HOST, 'x-request-id': id, 'x-deadline-ms': String(deadline), 'x-api-key': key, ...resumption !== undefined && { resumes: resumption.resumes, 'last-event-id': String(resumption.after) } }, signal: AbortSignal.timeout(deadline)
     }).catch(() => undefined)
     return answer === undefined ? undefined : { status: answer.statusCode, stamp: answer.headers['x-response-stamp'] as string | undefined, body: answer.body }
   }
--- a/test/soak/check-record.test.ts
+++ b/test/soak/check-record.test.ts
@@ -12,7 +12,7 @@
 const result = (id: string): { readonly id: string, readonly state: string, readonly text: string } => ({ id, state: 'completed', text: list(n => EventEngine.buildEventData(`/drafts/${id}`, n)).join('\n') })
 
 const request: SentRequest = { id: 'r', daemon: 0, at: 5_000, until: 5_500, path: '/quotes/1', caller: 'harbour', resumable: true, outcome: 'whole', status: 200, stamp: 'stamp-i-0', text: stream('/quotes/1') }
-const run: ObservedRun = { id: 'r', path: '/quotes/1', caller: 'harbour', key: undefined, engine: 'i-0', at: 5_010, resumedAfter: undefined, events: soakSize.events }
+const run: ObservedRun = { id: 'r', path: '/quotes/1', caller: 'harbour', key: undefined, engine: 'i-0', version: '1', at: 5_010, resumedAfter: undefined, events: soakSize.events }
 const job: SentJob = { id: 'j', items: ['j-0', 'j-1'], statuses: [202], acceptedAt: 1_000, endedAt: undefined, reads: [{ at: 9_000, daemon: 0, status: 200, total: 2, results: [result('j-0'), result('j-1')] }] }
 const empty: SoakRecord = { requests: [], runs: [], jobs: [], versions: [{ version: 1, at: 0, hasExtra: false }], leaving: [], harmed: [], resets: [], exits: [] }
 const reading = job.reads[0]!
@@ -37,6 +37,8 @@
   { name: 'a request that may run once runs twice', record: { requests: [{ ...request, resumable: false }], runs: [run, { ...run, engine: 'i-1' }] }, found: /may run once/ },
   { name: 'a resumable request runs twice', record: { requests: [request], runs: [run, { ...run, engine: 'i-1', resumedAfter: 3 }] }, found: undefined },
   { name: 'an answer is cut though its server sent all of it', record: { requests: [{ ...request, outcome: 'cut', text: request.text.slice(0, 40) }], runs: [run] }, found: /was cut/ },
+  { name: 'a stream goes on at another version', record: { requests: [request], runs: [run, { ...run, engine: 'i-1', version: '2', at: 5_100, resumedAfter: 3 }] }, found: /another version/ },
+  { name: 'a stream that sent no event begins at another version', record: { requests: [request], runs: [{ ...run, events: 0 }, { ...run, engine: 'i-1', version: '2', at: 5_100 }] }, found: undefined },
   { name: 'an answer is cut as the connections to its server are reset', record: { requests: [{ ...request, outcome: 'cut', text: request.text.slice(0, 40) }], runs: [run], resets: [{ engine: 'i-0', from: 5_450, to: 6_000 }] }, found: undefined },
   { name: 'an answer is cut as the connections to another server are reset', record: { requests: [{ ...request, outcome: 'cut', text: request.text.slice(0, 40) }], runs: [run], resets: [{ engine: 'i-1', from: 5_450, to: 6_000 }] }, found: /was cut/ },
   { name: 'an answer is cut before the connections to its server are reset', record: { requests: [{ ...request, outcome: 'cut', text: request.text.slice(0, 40) }], runs: [run], resets: [{ engine: 'i-0', from: 5_600, to: 6_000 }] }, found: /was cut/ },
