--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -33,7 +33,8 @@
 const MARGIN = 1_000
 const CHECK_PERIOD = 1_000
 
-interface Question { readonly id: string, readonly pool: string, readonly span: number }
+/** Without an id, it is asked for the only version. */
+interface Question { readonly id: string | undefined, readonly pool: string, readonly span: number }
 /** `isRecorded`: of this stream; otherwise it is the only version that the daemon knows of. */
 interface Answer { readonly origin: StreamOrigin, readonly isRecorded: boolean }
 
@@ -99,7 +100,6 @@
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
     const only = this.findOnlyVersion(pool, span)
     if (only !== undefined) return { type: 'known', origin: only, by: 'only version' }
-    if (id === undefined) return { type: 'unknown' }
     const origin = await this.ask({ id, pool, span })
     return origin === undefined ? { type: 'unknown' } : { type: 'known', origin, by: 'peer' }
   }
@@ -145,7 +145,7 @@
   }
 
   private answer ({ id, pool, span }: Question): Answer | undefined {
-    const recorded = this.records.find(id)
+    const recorded = id === undefined ? undefined : this.records.find(id)
     if (recorded !== undefined) return { origin: recorded, isRecorded: true }
     const only = this.findOnlyVersion(pool, span)
     return only === undefined ? undefined : { origin: only, isRecorded: false }
@@ -159,7 +159,7 @@
   /** Asks other daemons; resolves with the first origin, or undefined once none has one. */
   private async ask (question: Question): Promise<StreamOrigin | undefined> {
     const others = listOthers(this.members.all(), this.settings.instance)
-    const asked = others.length < MAX_ASKED ? others : rankOwners(question.id, others).slice(0, ASKED_OF_LARGE_FLEET)
+    const asked = others.length < MAX_ASKED ? others : rankOwners(question.id ?? this.settings.instance, others).slice(0, ASKED_OF_LARGE_FLEET)
     const calls = asked.map(async name => {
       this.metrics.count('stream_origin_messages_total', { type: 'asked' })
       const answer = await this.calls.call(name, question, ASK_TIMEOUT)
@@ -167,7 +167,7 @@
       return answer.origin
     })
     const origin = await Promise.any(calls).catch(() => undefined)
-    if (origin !== undefined) this.records.put(question.id, origin, this.now + question.span + MARGIN)
+    if (origin !== undefined && question.id !== undefined) this.records.put(question.id, origin, this.now + question.span + MARGIN)
     return origin
   }
 }
--- a/test/whole/stream-versions.test.ts
+++ b/test/whole/stream-versions.test.ts
@@ -207,6 +207,19 @@
   }
 })
 
+// Guards against callers that a daemon refuses after each restart, although there is one version.
+test.serial('a daemon that has just started learns from others that there is one version', async t => {
+  const fleet = await start(t, ['v1', 'v1'])
+  await new Promise(resolve => setTimeout(resolve, 6_500))
+  const [, daemon] = fleet.fleet.daemons as [unknown, typeof fleet.fleet.daemons[0]]
+  daemon.child!.signal('SIGKILL')
+  await daemon.child!.waitForExit()
+  await fleet.fleet.startDaemon(daemon)
+  await fleet.fleet.waitUntil('it sees the others', async () => (await fleet.fleet.listAddresses(daemon)).length === 3)
+  t.true((await readStream(fleet.port(1), { id: 'b', path: '/quotes/a', after: 3 })).whole)
+  t.true((await readStream(fleet.port(1), { id: 'c', path: '/quotes/b', resumes: 'b', after: 3 })).whole)
+})
+
 test.serial('items of a job go on at the version that began them, or begin anew, also after their owner has ended', async t => {
   const fleet = await start(t, two)
   for (const engine of fleet.engines) engine.breakPoints = Array.from({ length: 40 }, (_, i) => 2 + i % 5)
