--- a/src/commands/upload-file.ts
+++ b/src/commands/upload-file.ts
@@ -1,4 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results'
+import { fetch, FormData } from 'undici'
+import { sharedAgent } from '../http/shared-agent.js'
 import type { EntryError } from './entry-error.js'
 
 interface Upload { readonly url: string, readonly token: string, readonly name: string, readonly blob: Blob }
@@ -11,7 +13,7 @@
   form.set('purpose', 'batch')
   form.set('file', blob, name)
   try {
-    const response = await fetch(new URL('/v1/files', url), { method: 'POST', headers: { authorization: `Bearer ${token}` }, body: form })
+    const response = await fetch(new URL('/v1/files', url), { method: 'POST', dispatcher: sharedAgent, headers: { authorization: `Bearer ${token}` }, body: form })
     const answer = await response.json() as Refusal & { readonly id: string }
     if (response.status < 300) return Ok(answer)
     const retryAfter = response.headers.get('retry-after')
--- a/src/observe/find-subject.ts
+++ b/src/observe/find-subject.ts
@@ -11,7 +11,7 @@
  * findSubject('cd1a93e9cb19cccf', lines) // { type: 'item', id: 'cd1a93e9cb19cccf', jobs: new Set(['d95e23c61a4bcd29']) }
  */
 export function findSubject (id: string, lines: readonly LogLine[]): TraceSubject | undefined {
-  const ofRequest = lines.filter(({ fields }) => fields.request === id)
+  const ofRequest = lines.filter(({ fields }) => fields.request === id || fields.stream === id)
   const ofJob = lines.filter(line => findLineJob(line) === id)
   if (ofJob.length > 0) return { type: 'job', id, items: new Set(ofJob.map(({ fields }) => fields.request).filter((item): item is string => typeof item === 'string' && item !== id)) }
   const jobs = new Set(ofRequest.map(findLineJob).filter(job => job !== undefined))
--- a/src/observe/is-subject-line.ts
+++ b/src/observe/is-subject-line.ts
@@ -4,12 +4,12 @@
 import type { LogLine } from './log-line.js'
 import type { TraceSubject } from './trace/trace-subject.js'
 
-/** Checks whether a line belongs to the traced subject. An item includes the lines of its job that name no other item. */
+/** Checks whether a line belongs to the traced subject. An item includes the lines of its job that name no other item, a request those of attempts that resume its stream. */
 export function isSubjectLine (line: LogLine, subject: TraceSubject): boolean {
-  const { request } = line.fields
+  const { request, stream } = line.fields
   const job = findLineJob(line)
   switch (subject.type) {
-    case 'request': return request === subject.id
+    case 'request': return request === subject.id || stream === subject.id
     case 'item': return request === subject.id || (job !== undefined && subject.jobs.has(job) && (request === undefined || request === job))
     case 'job': return job === subject.id || (typeof request === 'string' && subject.items.has(request))
     case 'server': return listLineServers(line).includes(subject.id)
--- a/src/observe/read-survey.ts
+++ b/src/observe/read-survey.ts
@@ -33,5 +33,5 @@
 }
 
 function hasId (line: LogLine, id: string): boolean {
-  return line.fields.request === id || line.fields.job === id || listLineServers(line).includes(id)
+  return line.fields.request === id || line.fields.stream === id || line.fields.job === id || listLineServers(line).includes(id)
 }
--- a/test/observe/read-trace.test.ts
+++ b/test/observe/read-trace.test.ts
@@ -38,6 +38,13 @@
   t.deepEqual(listOwn(trace), ['a confirmed a job', 'a started an item i2', 'b took a job over', 'b started an item i2', 'b an item ended i2'])
 })
 
+// The daemon that relayed the stream was killed and logged nothing of it.
+test('the trace of a request has the attempts that resume its stream', async t => {
+  const trace = await read(t, 'r1', { 'a.log': [answered(0, 'other')], 'b.log': [{ at: 10, part: 'routing', message: 'resumes a stream', request: 'r2', stream: 'r1', events: '3', version: 'v1', by: 'peer' }, answered(40, 'r2')] })
+  t.is(trace.type, 'request')
+  t.deepEqual(listOwn(trace), ['b resumes a stream r2'])
+})
+
 test('the trace of a job has its items', async t => {
   const trace = await read(t, 'j', JOB)
   t.is(trace.type, 'job')
--- a/test/style/source.test.ts
+++ b/test/style/source.test.ts
@@ -43,3 +43,11 @@
   t.deepEqual(sources.filter(source => source.text.split('\n').length > MAX_LINES).map(({ fileName }) => fileName), [])
   t.deepEqual(sources.filter(source => /licen[cs]e|copyright/i.test(source.text.slice(0, 300))).map(({ fileName }) => fileName), [])
 })
+
+// Guards against a reader that takes an answer whose connection was reset for whole.
+test('answers are read over agents of http/create-agent only', t => {
+  const product = sources.filter(({ fileName }) => /^(src|platform)\//.test(fileName) && fileName !== 'src/http/create-agent.ts')
+  const calls = /import \{[^}]*\b(request|fetch)\b[^}]*\} from 'undici'/
+  const others = product.filter(({ text }) => /new (Agent|Client|Pool)\(/.test(text) || (calls.test(text) ? !text.includes('dispatcher') : /\bfetch\(/.test(text)))
+  t.deepEqual(others.map(({ fileName }) => fileName), [])
+})
