--- a/src/routing/exchanges/check-body.ts
+++ b/src/routing/exchanges/check-body.ts
@@ -8,9 +8,9 @@
  * that of the body, a cut isn't visible; JSON is then checked by parsing it.
  */
 export function checkBody ({ framing, headers }: Pick<Exchange, 'framing' | 'headers'>, body: Buffer): Result<WholeBody, SendFailure> {
-  const { 'content-type': type } = headers
+  const { 'content-type': type, 'content-length': length } = headers
   switch (framing) {
-    case 'length':
+    case 'length': return length !== undefined && body.length !== Number(length) ? Err({ why: 'cut', sent: true, detail: 'the body is shorter than its server said' }) : Ok({ body, isEndMarked: true })
     case 'chunks':
     case 'none': return Ok({ body, isEndMarked: true })
     case 'connection': {
