--- a/src/observe/is-subject-line.ts
+++ b/src/observe/is-subject-line.ts
@@ -4,7 +4,10 @@
 import type { LogLine } from './log-line.js'
 import type { TraceSubject } from './trace/trace-subject.js'
 
-/** Checks whether a line belongs to the traced subject. An item includes the lines of its job that name no other item, a request those of attempts that resume its stream. */
+/**
+ * Checks whether a line belongs to the traced subject. An item includes the lines of its job that name no other item, a request
+ * those of attempts that resume its stream.
+ */
 export function isSubjectLine (line: LogLine, subject: TraceSubject): boolean {
   const { request, stream } = line.fields
   const job = findLineJob(line)
--- a/src/placement/slot-client.ts
+++ b/src/placement/slot-client.ts
@@ -130,7 +130,7 @@
     return this.clock.now() < this.startedAt + START_TIME ? MAX_BROKERS_AT_START : MAX_BROKERS
   }
 
-  /** Returns the group with more free slots of two chosen at random; a group without a response yet counts as free. Only groups with a server of the version count, if one is given. */
+  /** Returns the group with more free slots of two chosen at random, among those with a server of the version, if one is given. A group without a response yet counts as free. */
   private chooseGroup (pool: string, version?: string): number {
     const groups = version === undefined ? [] : [...new Set(this.loads.listOfVersion(pool, version).map(server => this.map.findGroup(pool, server)))]
     const draw = (): number => groups.length > 0 ? groups[this.random.below(groups.length)]! : this.random.below(this.map.countGroups(pool))
--- a/src/routing/exchanges/exchange.ts
+++ b/src/routing/exchanges/exchange.ts
@@ -1,9 +1,9 @@
 import { Err, Ok, type Result } from 'ts-results'
 import type { Dispatcher } from 'undici'
+import type { AnswerFraming } from '../../http/answer-framing.js'
 import { HeldBody } from '../../http/held-body.js'
+import { readFraming } from '../../http/read-framing.js'
 import type { Clock } from '../../kernel/clock.js'
-import type { AnswerFraming } from './answer-framing.js'
-import { readFraming } from './read-framing.js'
 import type { SendFailure } from './send-failure.js'
 
 interface ExchangeOptions {
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -41,7 +41,7 @@
   private runs = 0
   /** Whether part of a stream has been relayed to the caller. */
   private begun = false
-  /** Whether a mark of its own ends the stream that the caller receives. */
+  /** Whether a length or a last chunk ends the stream that the caller receives, and not only its connection. */
   private isEndMarked = true
   private lastEventId: number | undefined
   private readonly origin: RequestOrigin
@@ -223,7 +223,7 @@
 
   private async endEvents (open: OpenExchange, run: EventRun): Promise<SendFailure | undefined> {
     const { framing } = open.exchange
-    // The end that this daemon would mark is one that no server has marked.
+    // The caller's stream would end with a last chunk, though no server has sent one.
     const isUnmarked = this.begun && this.isEndMarked && framing === 'connection'
     const fault = run.findFault(framing) ?? (isUnmarked ? 'nothing marks its end' : undefined)
     if (fault !== undefined) return await this.fail(open, { why: 'cut', sent: true, detail: fault })
--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -22,8 +22,9 @@
 const TOLD = 'stream origin'
 /** Daemons that are told of each stream of a pool with several versions. */
 const HOLDERS = 3
-/** Daemons that are asked for the origin of a stream: all of a small fleet, otherwise those that rank first. */
+/** Size of a fleet up to which all other daemons are asked for the origin of a stream. */
 const MAX_ASKED = 12
+/** Daemons that are asked in a larger fleet: those that rank first for the stream. */
 const ASKED_OF_LARGE_FLEET = 5
 /** How long an answer is waited for, ms. */
 const ASK_TIMEOUT = 150
@@ -49,7 +50,8 @@
 /**
  * Knows at which version of a server's software a stream began, so that it goes on at no other. The daemon that relays a stream keeps
  * its origin. Where the pool's servers have several versions, it tells a few other daemons before it relays the first event, which
- * rank by the stream's id, so that any daemon finds them again after the first one has ended. Where they have one, nobody is told or asked.
+ * rank by the stream's id, so that any daemon finds them again after the first one has ended. Where they have had one for as long as a stream may
+ * be resumed, nobody is told or asked.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class StreamOrigins implements Part {
--- a/src/routing/streams/event-run.ts
+++ b/src/routing/streams/event-run.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Result } from 'ts-results'
-import type { AnswerFraming } from '../exchanges/answer-framing.js'
+import type { AnswerFraming } from '../../http/answer-framing.js'
 import { findStreamFault } from './find-stream-fault.js'
 import { SseSplitter } from './sse-splitter.js'
 import { stepEventProgress } from './step-event-progress.js'
--- a/src/routing/streams/find-stream-fault.ts
+++ b/src/routing/streams/find-stream-fault.ts
@@ -1,4 +1,4 @@
-import type { AnswerFraming } from '../exchanges/answer-framing.js'
+import type { AnswerFraming } from '../../http/answer-framing.js'
 
 interface EndedStream {
   readonly framing: AnswerFraming
--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -105,7 +105,7 @@
       if (run.outcome !== 'running') return
       if (run.events === breakAfter) {
         run.outcome = 'broken'
-        // Between two events where the caller can't tell by the bytes.
+        // Where the reset alone shows the break, the bytes end with a whole event.
         res.write(isMarked ? `id: ${n}\nda` : `id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`, () => closeIncomplete(res, isMarked))
         return
       }
--- a/test/helpers/break-off-server.ts
+++ b/test/helpers/break-off-server.ts
@@ -13,10 +13,10 @@
   readonly what: 'json' | 'bytes' | 'stream'
 }
 
-export const framings = ['length', 'chunks', 'neither'] as const
-export const connections = ['none', 'close', 'keep-alive'] as const
-export const ends = ['FIN', 'reset', 'reset at once', 'silence'] as const
-export const places = ['before', 'inside', 'between'] as const
+const framings = ['length', 'chunks', 'neither'] as const
+const connections = ['none', 'close', 'keep-alive'] as const
+const ends = ['FIN', 'reset', 'reset at once', 'silence'] as const
+const places = ['before', 'inside', 'between'] as const
 
 const HEAD_END = '\r\n\r\n'
 const TYPES = { json: 'application/json', bytes: 'application/octet-stream', stream: 'text/event-stream' }
--- a/test/helpers/route-bench.ts
+++ b/test/helpers/route-bench.ts
@@ -1,6 +1,5 @@
 import 'reflect-metadata'
 import { createServer, type Server } from 'node:http'
-import type { DependencyContainer } from 'tsyringe'
 import type { Route } from '../../src/config/route.js'
 import { ResponseSink } from '../../src/entry/response-sink.js'
 import { listen } from '../../src/http/listen.js'
@@ -49,10 +48,6 @@
     return bench
   }
 
-  get container (): DependencyContainer {
-    return this.bench.container
-  }
-
   async stop (): Promise<void> {
     this.server.close()
     this.server.closeAllConnections()
--- a/test/routing/read-framing.test.ts
+++ b/test/http/read-framing.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { readFraming } from '../../src/routing/exchanges/read-framing.js'
+import { readFraming } from '../../src/http/read-framing.js'
 
 // Guards against a log that names the wrong framing for an answer that was broken off.
 const cases: ReadonlyArray<readonly [number, Record<string, string>, ReturnType<typeof readFraming>]> = [
--- a/test/whole/stream-versions.test.ts
+++ b/test/whole/stream-versions.test.ts
@@ -115,11 +115,20 @@
   return await Promise.all(paths.map(async path => await readStream(port, { id: `${path}-${attempt}`, path, resumes: path, after, leaveAfter })))
 }
 
+/** Counts the messages about origins of streams that the daemons have sent. */
+async function countMessages ({ fleet }: Fleet): Promise<number> {
+  const texts = await Promise.all(fleet.daemons.map(async ({ ports }) => (await callDaemon(ports.metrics, '/metrics', { method: 'GET' })).text))
+  if (!texts.every(text => text.includes('citronwheel_requests_total') || text.includes('citronwheel_entry_connections'))) throw new Error('a daemon shows no metrics')
+  return [...texts.join('\n').matchAll(/^citronwheel_stream_origin_messages_total\{[^}]*\} (\d+)$/gm)].reduce((sum, [, count]) => sum + Number(count), 0)
+}
+
 test.serial('at another daemon: a stream goes on at the version that began it', async t => {
   const fleet = await start(t, two)
   const readings = await resumeAll(fleet.port(1), await beginStreams(fleet))
   t.deepEqual(listMixed(fleet.engines), [])
   t.is(readings.filter(({ whole }) => whole).length, STREAMS)
+  // Each stream is told to the two other daemons.
+  t.true(await countMessages(fleet) >= 2 * STREAMS)
   t.true(fleet.engines.flatMap(({ runs }) => runs).filter(({ resumedAfter }) => resumedAfter !== undefined).every(({ path, resumes }) => resumes === path))
 })
 
@@ -201,10 +210,7 @@
   await new Promise(resolve => setTimeout(resolve, 6_500))
   const readings = await resumeAll(fleet.port(1), await beginStreams(fleet))
   t.is(readings.filter(({ whole }) => whole).length, STREAMS)
-  for (const { ports } of fleet.fleet.daemons) {
-    const { text } = await callDaemon(ports.metrics, '/metrics', { method: 'GET' })
-    t.false(/stream_origin_messages_total\{[^}]*\} [1-9]/.test(text))
-  }
+  t.is(await countMessages(fleet), 0)
 })
 
 // Guards against callers that a daemon refuses after each restart, although there is one version.
