--- a/src/jobs/result-writer.ts
+++ b/src/jobs/result-writer.ts
@@ -48,6 +48,7 @@
     const from = job.segmentCount
     const segments = await this.options.records.readSegments(job.id, from)
     if (segments.err) return false
+    if (segments.val.length > 0) this.options.log.write('info', 'jobs', 'read stored results that were missing here', { job: job.id, segment: from, results: segments.val.flat().length, from: job.readPage(0).next })
     segments.val.forEach((results, i) => this.addSegment(job, from + i, results))
     return true
   }
@@ -66,6 +67,7 @@
   /** Reads a segment that exists already: created by another daemon, or by this one in a write whose reply was lost. */
   private async addStoredSegment (job: OwnedJob, segment: number): Promise<boolean> {
     const read = await this.options.records.readSegment(job.id, segment)
+    this.options.log.write('info', 'jobs', 'found a segment of results stored already', { job: job.id, segment, read: read.ok, results: read.ok ? read.val.length : 0 })
     if (read.ok) this.addSegment(job, segment, read.val)
     return read.ok
   }
