--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -27,6 +27,7 @@
 import type { ListedResult } from './listed-result.js'
 import type { OwnerProcess } from './owner-process.js'
 import { OwnedJob } from './owned-job.js'
+import type { PageProof } from './page-proof.js'
 import { ProgressHandover } from './progress-handover.js'
 import { ResultWriter } from './result-writer.js'
 
@@ -53,7 +54,7 @@
     @inject(JobRegistry) private readonly registry: JobRegistry,
     @inject(Members) private readonly members: Members,
     @inject(PeerLinks) links: Pick<PeerLinks, 'send'>,
-    @inject(PauseWatch) private readonly pauses: Pick<PauseWatch, 'beginRead'>,
+    @inject(PauseWatch) private readonly pauses: PauseWatch,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
@@ -63,6 +64,7 @@
       records,
       clock,
       log,
+      pauses,
       isDraining: () => this.draining,
       isOwned: job => this.owned.get(job.id) === job,
       onStored: job => this.handleStored(job)
@@ -120,12 +122,12 @@
   }
 
   /**
-   * Ensures that the job's results here include all that callers may have read from another owner, by a read of the store where there may be
-   * one. Two owners may not reach each other. A daemon that takes a job over therefore records it in the store, and where another owner may
-   * still run, it stores no result until that one can't have missed the record. Returns false where the store fails.
+   * Ensures that the job's results here include all that callers may have read at any daemon; returns the proof, or undefined if there is none.
+   * Two owners may not reach each other. A daemon that takes a job over therefore records it in the store, and where another owner may still run,
+   * it stores no result until that one can't have missed the record. Otherwise the store is read.
    */
-  async ensureCurrent (job: OwnedJob): Promise<boolean> {
-    return job.isCurrent(this.clock.now()) || await this.writer.readNew(job)
+  async ensureCurrent (job: OwnedJob): Promise<PageProof | undefined> {
+    return await this.writer.confirmCurrent(job)
   }
 
   /** Applies the stored record of the processes that took a job over. */
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -4,13 +4,17 @@
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
 import { pauseFor } from '../kernel/pause-for.js'
+import { PauseWatch } from '../kernel/pause-watch.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { waitForNotification } from '../kernel/wait-for-notification.js'
 import type { LogSink } from '../observe/log-sink.js'
+import { Metrics } from '../observe/metrics.js'
 import { MemberCalls } from '../peers/member-calls.js'
 import { PeerLinks } from '../peers/peer-links.js'
 import type { StoreError } from '../store/store-error.js'
+import { findPageProof } from './find-page-proof.js'
+import { isProofRecent } from './is-proof-recent.js'
 import { JobRegistry } from './registry/job-registry.js'
 import { JobOwner } from './job-owner.js'
 import { JobRecords } from './job-records.js'
@@ -18,6 +22,9 @@
 import { readKnownJob } from './registry/read-known-job.js'
 import type { OwnerResponse } from './owner-response.js'
 import type { OwnerRequest } from './owner-request.js'
+import type { PageProof } from './page-proof.js'
+import type { ProvedPage } from './proved-page.js'
+import { readNewSegments } from './read-new-segments.js'
 import type { ResultsPage } from './results-page.js'
 
 /** Added to the time that a read may wait at the owner, ms: the round trip. */
@@ -32,6 +39,12 @@
 const STOP_ATTEMPTS = 10
 const STOP_PAUSE = 300
 
+/** Minimum time between two log lines on reads that could not be answered, ms. */
+const LOG_PERIOD = 1_000
+/** How long a read waits for the store where there are results in memory already, and where there are none, ms: a later answer proves nothing. */
+const MAX_REFRESH = 300
+const MAX_EMPTY_REFRESH = 700
+
 type Failure = 'missing' | 'unsure'
 
 /** Reads results and item bodies of jobs from the owner, or from the store where the owner can't be reached. */
@@ -40,12 +53,15 @@
   readonly extensions
   private readonly calls: MemberCalls<OwnerRequest, OwnerResponse>
   private readonly cached = new Map<string, OwnedJob>()
+  private loggedAt = -Infinity
 
   constructor (
     @inject(JobOwner) private readonly owner: JobOwner,
     @inject(JobRegistry) private readonly registry: JobRegistry,
     @inject(JobRecords) private readonly records: JobRecords,
     @inject(PeerLinks) links: PeerLinks,
+    @inject(PauseWatch) private readonly pauses: Pick<PauseWatch, 'beginRead'>,
+    @inject(Metrics) private readonly metrics: Pick<Metrics, 'count'>,
     @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance'>,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
@@ -54,14 +70,21 @@
     this.extensions = this.calls.extensions
   }
 
-  /** Returns the results from position `after` on; waits up to `wait` ms for one where there is none. */
+  /**
+   * Returns the results from position `after` on; waits up to `wait` ms for one where there is none. Positions never change, so that a page with
+   * results is right wherever it comes from. An empty one is returned only with a recent proof that it lacks nothing that callers may have read.
+   */
   async readResults (job: string, after: number, wait: number): Promise<Result<ResultsPage, Failure>> {
-    const own = await this.readOwn(job, after, Math.min(wait, MAX_WAIT))
-    if (own !== undefined) return Ok(own)
-    const response = await this.askOwner(job, { type: 'read', job, after, wait: Math.min(wait, MAX_WAIT) }, wait)
-    if (response?.type === 'page') return Ok(response.page)
-    const stored = await this.readStored(job)
-    return stored.ok ? Ok(stored.val.readPage(after)) : stored
+    const limit = Math.min(wait, MAX_WAIT)
+    const own = await this.readOwn(job, after, limit)
+    if (own !== undefined) return this.recordPage('owner', own)
+    const relayed = await this.readAtOwner(job, after, limit)
+    if (relayed !== undefined) return this.recordPage('relayed', relayed)
+    const stored = this.owner.find(job) === undefined ? await this.readStored(job, after) : Err('unsure' as const)
+    if (stored.ok) return this.recordPage('store', stored.val)
+    this.metrics.count('job_reads_total', { from: 'store', basis: stored.val })
+    if (stored.val === 'unsure') this.logUnsure(job, after)
+    return stored
   }
 
   /** Returns the body of an item, in base64. */
@@ -110,14 +133,44 @@
     return await this.askOwner(job, { type: 'care', job }, CALL_SLACK) !== undefined
   }
 
-  /** Reads the results of a job that this daemon owns; undefined where they may be behind those of another owner. */
-  private async readOwn (id: string, after: number, wait: number): Promise<ResultsPage | undefined> {
+  /** Reads the results of a job that this daemon owns; undefined where it can't prove that there are none. */
+  private async readOwn (id: string, after: number, wait: number): Promise<ProvedPage | undefined> {
     const job = this.owner.find(id)
-    if (job === undefined || !await this.owner.ensureCurrent(job)) return undefined
-    const page = job.readPage(after)
-    if (page.results.length > 0 || wait <= 0 || job.isDone || job.ended) return page
+    if (job === undefined) return undefined
+    const first = await this.readProved(job, after)
+    if (first === undefined || first.page.results.length > 0 || wait <= 0 || job.isDone || job.ended) return first
     await waitForNotification(this.clock, listener => job.subscribe(listener), wait)
-    return job.readPage(after)
+    return await this.readProved(job, after)
+  }
+
+  /** Reads a page of an owned job; undefined if it is empty and may lack results, also because the job was released meanwhile. */
+  private async readProved (job: OwnedJob, after: number): Promise<ProvedPage | undefined> {
+    const known = job.readPage(after)
+    if (known.results.length > 0 && (job.isDone || job.isSoleOwner(this.clock.now()))) return { page: known }
+    return await this.readRefreshed(job, after, async () => {
+      const proof = await this.owner.ensureCurrent(job)
+      return job.isDone || this.owner.find(job.id) === job ? proof : undefined
+    })
+  }
+
+  /** Reads a page after `refresh`, which adds stored results to the job, or without it where that takes long. */
+  private async readRefreshed (job: OwnedJob, after: number, refresh: () => Promise<PageProof | undefined>): Promise<ProvedPage | undefined> {
+    const limit = job.readPage(after).results.length > 0 ? MAX_REFRESH : MAX_EMPTY_REFRESH
+    const proof = await Promise.race([refresh(), pauseFor(this.clock, limit).then(() => undefined)])
+    const page = job.readPage(after)
+    if (page.results.length > 0) return { page }
+    return proof === undefined ? undefined : { page, proof }
+  }
+
+  /** Reads the results from the owner, if that is another daemon. A response that took long to arrive may no longer prove that there are none. */
+  private async readAtOwner (job: string, after: number, wait: number): Promise<ProvedPage | undefined> {
+    const findAsked = this.pauses.beginRead()
+    const response = await this.askOwner(job, { type: 'read', job, after, wait }, wait)
+    if (response?.type !== 'page') return undefined
+    const { page, proof } = response
+    if (page.results.length > 0) return { page }
+    const counted = proof !== undefined && { ...proof, until: (findAsked() ?? -Infinity) + proof.until }
+    return counted !== false && isProofRecent(counted, this.clock.now()) ? { page, proof: counted } : undefined
   }
 
   /** Calls the job's owner, if that is another daemon and alive. */
@@ -130,8 +183,10 @@
   private async answer (request: OwnerRequest): Promise<OwnerResponse | undefined> {
     switch (request.type) {
       case 'read': {
-        const page = await this.readOwn(request.job, request.after, request.wait)
-        return page === undefined ? undefined : { type: 'page', page }
+        const received = this.clock.now()
+        const own = await this.readOwn(request.job, request.after, request.wait)
+        if (own?.proof === undefined) return own && { type: 'page', page: own.page }
+        return { type: 'page', page: own.page, proof: { ...own.proof, until: own.proof.until - received } }
       }
       case 'body': {
         const job = this.owner.find(request.job)
@@ -150,23 +205,43 @@
     }
   }
 
-  /** Reads the stored results; earlier ones come from the cache. */
-  private async readStored (id: string): Promise<Result<OwnedJob, Failure>> {
-    let job = this.cached.get(id)
-    if (job === undefined) {
-      const header = await this.records.readHeader(id)
-      if (header.err) return Err(readFailure(header.val))
-      job = new OwnedJob({ id, header: header.val, items: [], segments: [], acceptedAt: 0 })
-      this.cached.set(id, job)
-      if (this.cached.size > MAX_CACHED) this.cached.delete(this.cached.keys().next().value!)
-    }
-    if (job.isDone) return Ok(job)
-    const from = job.segmentCount
-    const segments = await this.records.readSegments(id, from)
-    if (segments.err) return Err('unsure')
-    segments.val.forEach((results, i) => job.addSegment(from + i, results))
+  /** Reads a page of the stored results; earlier ones come from the cache. */
+  private async readStored (id: string, after: number): Promise<Result<ProvedPage, Failure>> {
+    const found = await Promise.race([this.findCopy(id), pauseFor(this.clock, MAX_EMPTY_REFRESH).then(() => Err('unsure' as const))])
+    if (found.err) return found
+    const job = found.val
+    const page = await this.readRefreshed(job, after, async () => {
+      if (!job.isDone) await readNewSegments(job, { records: this.records, beginRead: () => this.pauses.beginRead(), now: this.clock.now() })
+      return findPageProof(job, this.clock.now())
+    })
+    return page === undefined ? Err('unsure') : Ok(page)
+  }
+
+  /** Returns the copy of a job whose stored results are cached here. */
+  private async findCopy (id: string): Promise<Result<OwnedJob, Failure>> {
+    const cached = this.cached.get(id)
+    if (cached !== undefined) return Ok(cached)
+    const header = await this.records.readHeader(id)
+    if (header.err) return Err(readFailure(header.val))
+    const job = this.cached.get(id) ?? new OwnedJob({ id, header: header.val, items: [], segments: [], acceptedAt: 0 })
+    this.cached.set(id, job)
+    if (this.cached.size > MAX_CACHED) this.cached.delete(this.cached.keys().next().value!)
     return Ok(job)
   }
+
+  private recordPage (from: 'owner' | 'relayed' | 'store', { page, proof }: ProvedPage): Result<ResultsPage, Failure> {
+    this.metrics.count('job_reads_total', { from, basis: proof?.basis ?? 'results' })
+    return Ok(page)
+  }
+
+  private logUnsure (id: string, after: number): void {
+    const now = this.clock.now()
+    if (now < this.loggedAt + LOG_PERIOD) return
+    this.loggedAt = now
+    const job = this.owner.find(id)
+    const doubts = job === undefined ? {} : { shared: job.isShared, contested: now < job.contestedUntil, ended: job.ended, readAge: now - (job.lastRead.seen ?? -Infinity), doubtFor: job.doubtSince === undefined ? 0 : now - job.doubtSince }
+    this.log.write('warn', 'jobs', 'could not tell whether a job has more results', { job: id, after, owned: job !== undefined, owner: this.registry.get(id)?.owner, ...doubts })
+  }
 }
 
 function readFound (body: string | undefined): Result<string, Failure> {
@@ -178,4 +253,4 @@
   return type === 'missing' ? 'missing' : 'unsure'
 }
 
-partRegistry.register({ name: 'job reader', part: JobReader, needs: ['job owner', 'job book', 'peer links'] })
+partRegistry.register({ name: 'job reader', part: JobReader, needs: ['job owner', 'job book', 'peer links', 'pause watch'] })
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -50,6 +50,15 @@
   isShared = false
   /** Until when no result is stored here, monotonic ms, because another owner may not have seen the record of the takeover. */
   storeFrom = -Infinity
+  /**
+   * From when on the next segment may have been stored without this daemon's knowledge, monotonic ms: a write of it has no answer yet, got none,
+   * or may have been sent by a former owner. Undefined while none is in doubt.
+   */
+  doubtSince: number | undefined
+  /** When the last read of the store began that found no further segment, monotonic ms. */
+  readUntil = -Infinity
+  /** The pending read of the store for new segments: when it began, monotonic ms, and the number of segments that it adds, undefined if it fails. */
+  reading: { readonly began: number, readonly added: Promise<number | undefined> } | undefined
   /** Results still to be stored. */
   readonly pending: ListedResult[] = []
   /** Number of stored segments. */
@@ -64,6 +73,7 @@
     this.acceptedAt = acceptedAt
     this.formerOwner = formerOwner
     this.lastRead = { seen: readAt, unreachable: false }
+    this.doubtSince = formerOwner === undefined ? undefined : -Infinity
     this.segmentCount = segments.length
     this.results = segments.flat()
     this.listed = new Set(this.results.map(result => result.id))
@@ -76,12 +86,21 @@
 
   /** Whether items may start at `now`, monotonic ms: only while a recent read has shown that the job was not ended. */
   mayStart (now: number): boolean {
-    return !this.ended && this.isReadRecent(now)
+    return !this.ended && mayStart(this.lastRead, now, { fresh: MAX_READ_AGE })
+  }
+
+  /**
+   * Until when the results here include all that callers may have read, monotonic ms, by what this daemon knows as the owner; -Infinity if it
+   * can't tell. While the store doesn't answer, other daemons may own the job and list results too: unlike the start of items, this never rests
+   * on an old read.
+   */
+  findCompleteUntil (now: number): number {
+    return this.isSoleOwner(now) ? this.doubtSince ?? now : -Infinity
   }
 
-  /** Whether the results here include all that callers may have read at `now`, monotonic ms. */
-  isCurrent (now: number): boolean {
-    return this.isDone || (!this.isShared && now >= this.contestedUntil && (this.ended || this.isReadRecent(now)))
+  /** Whether a recent look-up shows that no other daemon stores results of the job, unless a former owner has left a write. */
+  isSoleOwner (now: number): boolean {
+    return !this.ended && !this.isShared && now >= this.contestedUntil && now - (this.lastRead.seen ?? -Infinity) <= MAX_READ_AGE
   }
 
   /** Marks the job as shared, and holds its results back until the other owner's last read before the takeover is too old to answer from memory. */
@@ -90,10 +109,6 @@
     this.storeFrom = now + MAX_READ_AGE + READ_MARGIN
   }
 
-  private isReadRecent (now: number): boolean {
-    return mayStart(this.lastRead, now, { fresh: MAX_READ_AGE })
-  }
-
   /** Tokens of the unfinished items. */
   get tokensLeft (): number {
     return this.items.reduce((sum, { item, phase }) => sum + (phase === 'ended' ? 0 : item.tokens), 0)
@@ -135,6 +150,7 @@
   addSegment (segment: number, results: readonly ListedResult[]): void {
     if (segment !== this.segmentCount) return
     this.segmentCount++
+    this.doubtSince = undefined
     for (const result of results) {
       this.results.push(result)
       this.listed.add(result.id)
--- a/src/jobs/result-writer.ts
+++ b/src/jobs/result-writer.ts
@@ -1,15 +1,21 @@
 import type { Clock } from '../kernel/clock.js'
 import { pauseFor } from '../kernel/pause-for.js'
+import type { PauseWatch } from '../kernel/pause-watch.js'
 import type { LogSink } from '../observe/log-sink.js'
+import { findPageProof } from './find-page-proof.js'
 import type { JobRecords } from './job-records.js'
 import type { ListedResult } from './listed-result.js'
 import type { OwnedJob } from './owned-job.js'
+import type { PageProof } from './page-proof.js'
+import { readNewSegments } from './read-new-segments.js'
 import { splitBySize } from './split-by-size.js'
 
 /** Minimum time between two segments of a job, ms. Each segment costs a write, and callers poll about twice a second. */
 const STORE_PERIOD = 400
 /** Delay before the next write after a failed one, ms. */
 const RETRY_DELAY = 300
+/** Minimum time between two attempts to close a segment, ms; reads of the store answer callers meanwhile. */
+const CLOSE_PERIOD = 1_000
 /** Maximum bytes of results in one segment. */
 const SEGMENT_BYTES = 500_000
 
@@ -17,6 +23,7 @@
   readonly records: JobRecords
   readonly clock: Clock
   readonly log: LogSink
+  readonly pauses: Pick<PauseWatch, 'beginRead' | 'check'>
   /** Whether this daemon is shutting down; results are then stored without delay. */
   readonly isDraining: () => boolean
   readonly isOwned: (job: OwnedJob) => boolean
@@ -43,24 +50,58 @@
     if (isOwned(job)) void this.store(job)
   }
 
-  /** Adds stored results of the job that are missing here; returns false where the store fails. */
-  async readNew (job: OwnedJob): Promise<boolean> {
-    const from = job.segmentCount
-    const segments = await this.options.records.readSegments(job.id, from)
-    if (segments.err) return false
-    if (segments.val.length > 0) this.options.log.write('info', 'jobs', 'read stored results that were missing here', { job: job.id, segment: from, results: segments.val.flat().length, from: job.readPage(0).next })
-    segments.val.forEach((results, i) => this.addSegment(job, from + i, results))
-    return true
+  /**
+   * Ensures that the results of an owned job include all that callers may have read, by a read of the store unless this daemon is known to be the
+   * only one that stores them. Returns the proof, or undefined if there is none.
+   */
+  async confirmCurrent (job: OwnedJob): Promise<PageProof | undefined> {
+    const { clock, pauses } = this.options
+    pauses.check()
+    const known = findPageProof(job, clock.now())
+    if (known?.basis === 'done' || known?.basis === 'sole owner') return known
+    await this.applyStored(job)
+    pauses.check()
+    return findPageProof(job, clock.now())
+  }
+
+  private async applyStored (job: OwnedJob): Promise<void> {
+    const now = this.options.clock.now()
+    const isClosable = job.doubtSince === -Infinity && job.isSoleOwner(now) && !job.isStoring && now >= job.storedAt + CLOSE_PERIOD
+    if (isClosable) await this.closeSegment(job)
+    else await this.readNew(job)
+  }
+
+  private async readNew (job: OwnedJob): Promise<void> {
+    const { records, pauses, clock, isOwned, onStored, log } = this.options
+    const segment = job.segmentCount
+    const added = await readNewSegments(job, { records, beginRead: () => pauses.beginRead(), now: clock.now() })
+    if (added === undefined || added === 0 || !isOwned(job)) return
+    log.write('info', 'jobs', 'read stored results that were missing here', { job: job.id, segment, results: job.readPage(0).next, of: job.header.total })
+    onStored(job)
+  }
+
+  /**
+   * Creates the next segment of a job that was taken over, without results if there are none to be stored, so that no write of a former owner can
+   * take effect any more. Such a write may be executed seconds later, and its results would be listed by daemons that read the store alone.
+   */
+  private async closeSegment (job: OwnedJob): Promise<void> {
+    job.isStoring = true
+    job.storedAt = this.options.clock.now()
+    await this.storeSegment(job)
+    job.isStoring = false
+    if (this.options.isOwned(job)) void this.store(job)
   }
 
   private async storeSegment (job: OwnedJob): Promise<boolean> {
-    const { records, log } = this.options
+    const { records, log, clock } = this.options
     const [results = []] = splitBySize(job.pending, ({ text }) => text.length, SEGMENT_BYTES)
-    const { segmentCount } = job
+    const { segmentCount, doubtSince } = job
+    job.doubtSince ??= clock.now()
     const created = await records.createSegment(job.id, segmentCount, results)
     if (created.ok) this.addSegment(job, segmentCount, results)
     else if (created.val.type === 'conflict') return await this.addStoredSegment(job, segmentCount)
-    else log.write('warn', 'jobs', 'could not store results, will retry', { job: job.id, error: created.val.type, waiting: job.pending.length })
+    else if (created.val.type !== 'unknown' && job.segmentCount === segmentCount) job.doubtSince = doubtSince
+    if (created.err) log.write('warn', 'jobs', 'could not store results, will retry', { job: job.id, error: created.val.type, waiting: job.pending.length })
     return created.ok
   }
 
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -19,6 +19,8 @@
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
 import type { PeerLinks } from '../../src/peers/peer-links.js'
 import type { PeerMessage } from '../../src/peers/peer-message.js'
+import type { Clock } from '../../src/kernel/clock.js'
+import type { ObjectStore } from '../../src/store/object-store.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
 import { PausableClock } from './pausable-clock.js'
 import { VirtualClock } from './virtual-clock.js'
@@ -33,7 +35,7 @@
 const FIRST_RUN = 1
 /** How long results of a job are kept, ms. */
 const RESULT_KEEP = 120_000
-interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly registry: JobRegistry, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, finish: (item: string) => void }
+interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly registry: JobRegistry, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, readonly metrics: Metrics, finish: (item: string) => void, drain: () => Promise<void> }
 
 /** Daemons with their job registries, owners and readers on virtual time. Messages from or to a daemon considered dead are lost. */
 export class JobFleet {
@@ -45,6 +47,12 @@
   readonly daemons = new Map<string, Daemon>()
   /** Whether a message between two daemons is lost. */
   loses: (from: string, to: string, message: PeerMessage) => boolean = () => false
+  /** Latency of a message between two daemons, ms. */
+  findLatency: (from: string, to: string) => number = () => 1
+  /** Messages sent between daemons. */
+  sent = 0
+  /** Opens a daemon's way to the store. */
+  openStore: (name: string, clock: Clock) => ObjectStore = () => this.store
   /** Whether the daemon `name` has `other` among its members. */
   isMember: (name: string, other: string) => boolean = () => true
   private readonly dead = new Set<string>()
@@ -81,8 +89,9 @@
   }
 
   private send (from: string, to: string, message: PeerMessage): void {
+    this.sent++
     if (this.dead.has(to) || this.dead.has(from) || this.loses(from, to, message)) return
-    this.time.after(1, () => this.daemons.get(to)!.clock.run(() => this.dispatch(to, message, from)))
+    this.time.after(this.findLatency(from, to), () => this.daemons.get(to)!.clock.run(() => this.dispatch(to, message, from)))
   }
 
   private dispatch (to: string, message: PeerMessage, from: string): void {
@@ -111,7 +120,7 @@
     const runner = { subscribe: (listener: (job: OwnedJob) => void) => { onResult = listener }, add: () => {}, remove: () => {} } as unknown as JobRunner
     const registry = new JobRegistry(fleetBroadcast, clock)
     const registrySync = new JobRegistrySync(registry, members, links, { instance: name }, new Random(NAMES.indexOf(name)), clock)
-    const records = new JobRecords(this.store)
+    const records = new JobRecords(this.openStore(name, clock))
     const settings = { instance: name, failureDomain: 'z' } as unknown as Settings
     const pauses = new PauseWatch(clock)
     const owner = new JobOwner(records, runner, registry, members, links, pauses, settings, { write: () => {} }, clock)
@@ -119,7 +128,8 @@
     const lookup = new EndedJobLookup(records, members, links, pauses, settings, clock)
     const endedJobs = new EndedJobWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: RESULT_KEEP }, { write: () => {} }, clock)
     const adoption = new JobAdoption(owner, registry, records, members, settings, clock)
-    const reader = new JobReader(owner, registry, records, links, settings, { write: () => {} }, clock)
+    const metrics = new Metrics()
+    const reader = new JobReader(owner, registry, records, links, pauses, metrics, settings, { write: () => {} }, clock)
     this.handlers.set(name, [...registry.extensions, ...registrySync.extensions, ...owner.extensions, ...reader.extensions, ...lookup.extensions].map(({ value }) => value as PeerHandler))
     void pauses.start()
     void owner.start()
@@ -134,6 +144,10 @@
       job.finish(state, { id: item, state: 'completed', text: `by ${name}` })
       onResult(job)
     }
-    return { name, clock, pauses, registry, records, owner, reader, finish }
+    const drain = async (): Promise<void> => {
+      await adoption.drain()
+      await owner.drain()
+    }
+    return { name, clock, pauses, registry, records, owner, reader, metrics, finish, drain }
   }
 }
--- a/test/helpers/troubled-store.ts
+++ b/test/helpers/troubled-store.ts
@@ -16,10 +16,11 @@
  * - `busy`, `limited`, `reset`: calls are refused with 503 or 429, or cut; pending watches are cut.
  * - `slow`: answers take `delay` ms.
  * - `lost`: calls take effect, and their answers are lost; watches pending at its beginning are never answered.
+ * - `late`: writes aren't answered and take effect after `delay` ms if their condition holds then, also if their sender has ended; reads are served.
  * - `mute`: watches that are pending at its beginning never end; other calls are served.
  * - `dropped`: pending watches hear nothing until its end, when they are cut and the history before it is gone.
  */
-export type TroubleType = 'silent' | 'busy' | 'limited' | 'reset' | 'slow' | 'lost' | 'mute' | 'dropped'
+export type TroubleType = 'silent' | 'busy' | 'limited' | 'reset' | 'slow' | 'lost' | 'late' | 'mute' | 'dropped'
 
 export interface Trouble {
   readonly type: TroubleType
@@ -30,7 +31,7 @@
   readonly hits?: (daemon: string) => boolean
   /** The only kind of object that it concerns; all if omitted. */
   readonly kind?: string
-  /** Delay of answers of a slow store, ms. */
+  /** Delay of answers of a slow store, or of the effect of a late write, ms. */
   readonly delay?: number
 }
 
@@ -79,6 +80,12 @@
       case 'limited': return { type: 'limited', retryAfter: 1_000 }
       case 'reset': return { type: 'no answer', reason: 'reset' }
       case 'silent': return await never()
+      case 'late': {
+        if (call.type !== 'put' && call.type !== 'delete') return this.run(call)
+        await this.pause(trouble.delay!)
+        this.run(call)
+        return await never()
+      }
       case 'lost': case 'slow': case 'mute': case 'dropped': case undefined: {
         const answer = call.type === 'watch' && call.revision >= 0 ? await this.watch(daemon, call) : this.run(call)
         return trouble?.type === 'lost' ? await never() : answer
--- a/test/jobs/job-reader.test.ts
+++ b/test/jobs/job-reader.test.ts
@@ -6,6 +6,8 @@
 import { JobReader } from '../../src/jobs/job-reader.js'
 import type { JobRecords } from '../../src/jobs/job-records.js'
 import type { KnownJob } from '../../src/jobs/registry/known-job.js'
+import { PauseWatch } from '../../src/kernel/pause-watch.js'
+import { Metrics } from '../../src/observe/metrics.js'
 import type { PeerLinks } from '../../src/peers/peer-links.js'
 import { VirtualClock } from '../helpers/virtual-clock.js'
 
@@ -29,7 +31,7 @@
   }
   const registry = { get: (id: string) => known.get(id), addIfAbsent: (job: KnownJob) => { known.set(job.id, job) } }
   const reader: JobReader = new JobReader(jobOwner as unknown as JobOwner, registry as unknown as JobRegistry, records as unknown as JobRecords,
-    { send: (to: string) => asked.push(to) } as unknown as PeerLinks, { instance: 'd0' }, { write: () => {} }, clock)
+    { send: (to: string) => asked.push(to) } as unknown as PeerLinks, new PauseWatch(clock), new Metrics(), { instance: 'd0' }, { write: () => {} }, clock)
   void reader.ensureRunning('job')
   await clock.advance(5_000)
   return { adopted, asked }
