--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -1,5 +1,6 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { Err, Ok, type Result } from 'ts-results'
+import type { RoutedSettings } from '../entry/routed-settings.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -62,6 +63,7 @@
     @inject(PeerLinks) links: PeerLinks,
     @inject(PauseWatch) private readonly pauses: Pick<PauseWatch, 'beginRead'>,
     @inject(Metrics) private readonly metrics: Pick<Metrics, 'count'>,
+    @inject(tokens.routedSettings) private readonly routed: Pick<RoutedSettings, 'resultKeep'>,
     @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance'>,
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
@@ -205,14 +207,18 @@
     }
   }
 
-  /** Reads a page of the stored results; earlier ones come from the cache. */
+  /**
+   * Reads a page of the stored results; earlier ones come from the cache. Results past their retention time may be removed, the first ones before
+   * the job itself, so that a missing segment then proves nothing.
+   */
   private async readStored (id: string, after: number): Promise<Result<ProvedPage, Failure>> {
     const found = await Promise.race([this.findCopy(id), pauseFor(this.clock, MAX_EMPTY_REFRESH).then(() => Err('unsure' as const))])
     if (found.err) return found
     const job = found.val
     const page = await this.readRefreshed(job, after, async () => {
       if (!job.isDone) await readNewSegments(job, { records: this.records, beginRead: () => this.pauses.beginRead(), now: this.clock.now() })
-      return findPageProof(job, this.clock.now())
+      const isRemovable = this.clock.date() - job.header.submittedAt > this.routed.resultKeep
+      return job.isDone || !isRemovable ? findPageProof(job, this.clock.now()) : undefined
     })
     return page === undefined ? Err('unsure') : Ok(page)
   }
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -129,7 +129,7 @@
     const endedJobs = new EndedJobWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: RESULT_KEEP }, { write: () => {} }, clock)
     const adoption = new JobAdoption(owner, registry, records, members, settings, clock)
     const metrics = new Metrics()
-    const reader = new JobReader(owner, registry, records, links, pauses, metrics, settings, { write: () => {} }, clock)
+    const reader = new JobReader(owner, registry, records, links, pauses, metrics, { resultKeep: RESULT_KEEP }, settings, { write: () => {} }, clock)
     this.handlers.set(name, [...registry.extensions, ...registrySync.extensions, ...owner.extensions, ...reader.extensions, ...lookup.extensions].map(({ value }) => value as PeerHandler))
     void pauses.start()
     void owner.start()
--- a/test/jobs/empty-pages.test.ts
+++ b/test/jobs/empty-pages.test.ts
@@ -91,3 +91,19 @@
   await fleet.time.advance(2_500)
   t.deepEqual(await reading, ['a'])
 })
+
+// A job is past its retention time, and its first results are removed from the store. Guards against a daemon that still finds the job and takes
+// the results for not being there yet.
+test('a job that is being removed is not answered with an empty page', async t => {
+  const fleet = await createFleet()
+  fleet.daemons.get(FIRST)!.finish('a')
+  fleet.loses = (_, to, { type }) => to === FIRST && type === 'job call'
+  await fleet.time.advance(1_000)
+  t.deepEqual(await read(fleet, NAMES[1]!), ['a'])
+  await fleet.time.advance(120_000)
+  const { objects } = fleet.store
+  objects.remove('job-results', 'j.0', objects.read('job-results', 'j.0')!.version)
+  t.is(await read(fleet, NAMES[2]!), 'unsure')
+  objects.remove('jobs', 'j', objects.read('jobs', 'j')!.version)
+  t.is(await read(fleet, NAMES[3]!), 'missing')
+})
