--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -7,12 +7,13 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { Members } from '../peers/members.js'
-import { findOwnerStatus } from './find-owner-status.js'
 import { JobRegistry } from './registry/job-registry.js'
 import { JobOwner } from './job-owner.js'
 import { JobRecords } from './job-records.js'
 import type { KnownJob } from './registry/known-job.js'
 import { readKnownJob } from './registry/read-known-job.js'
+import type { UnownedJob } from './unowned-job.js'
+import { UnownedJobs } from './unowned-jobs.js'
 
 const CHECK_PERIOD = 500 // ms
 /** Delay before reading the stored headers again after a failure, ms. */
@@ -40,8 +41,6 @@
   /** Processes that were alive at the last check, each as the daemon's name and the start of its process. */
   private aliveProcesses: ReadonlySet<string> = new Set()
   private publishedAt = -Infinity
-  /** By job of an unknown process: when it was first found, monotonic ms. */
-  private unknownSince: ReadonlyMap<string, number> = new Map()
   private adopting = false
   private cancel = (): void => {}
 
@@ -49,6 +48,7 @@
     @inject(JobOwner) private readonly owner: JobOwner,
     @inject(JobRegistry) private readonly registry: JobRegistry,
     @inject(JobRecords) private readonly records: JobRecords,
+    @inject(UnownedJobs) private readonly unowned: UnownedJobs,
     @inject(Members) private readonly members: Members,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.clock) private readonly clock: Clock
@@ -81,18 +81,14 @@
     const owners = this.members.owners()
     const names = owners.length > 0 ? owners : this.clock.now() > this.startedAt + ALONE_AFTER ? [this.settings.instance] : []
     this.checkEndedProcesses(names)
-    const orphans = this.registry.list().filter(job => !job.closed && this.owner.find(job.id) === undefined && !this.owner.isOwnerAlive(job))
-    const abandoned = this.listAbandoned(orphans)
-    void this.adoptAll(abandoned.filter(({ id }) => rankOwners(id, names)[0] === this.settings.instance))
-    this.publishOrphans(orphans)
+    const orphans = this.unowned.update().filter(({ reason }) => reason !== 'not held')
+    void this.adoptAll(orphans.filter(orphan => this.isAbandoned(orphan) && rankOwners(orphan.job.id, names)[0] === this.settings.instance).map(({ job }) => job))
+    this.publishOrphans(orphans.map(({ job }) => job))
   }
 
-  /** Lists the orphans whose owner is known to have ended or has stayed unknown for too long. */
-  private listAbandoned (orphans: readonly KnownJob[]): readonly KnownJob[] {
-    const now = this.clock.now()
-    const unknown = orphans.filter(job => findOwnerStatus(job, this.members.findRun(job.owner)) === 'unknown').map(({ id }) => id)
-    this.unknownSince = new Map(unknown.map(id => [id, this.unknownSince.get(id) ?? now]))
-    return orphans.filter(({ id }) => now >= (this.unknownSince.get(id) ?? -Infinity) + UNKNOWN_OWNER_WAIT)
+  /** Whether the job's owner is known to have ended or has stayed unknown for too long. */
+  private isAbandoned ({ reason, since }: UnownedJob): boolean {
+    return reason !== 'unknown' || this.clock.now() >= since + UNKNOWN_OWNER_WAIT
   }
 
   /**
--- a/test/fleet/other-kinds-in-time.test.ts
+++ b/test/fleet/other-kinds-in-time.test.ts
@@ -12,6 +12,7 @@
 import { JobRecords } from '../../src/jobs/job-records.js'
 import { OwnedJob } from '../../src/jobs/owned-job.js'
 import type { JobRegistry } from '../../src/jobs/registry/job-registry.js'
+import { UnownedJobs } from '../../src/jobs/unowned-jobs.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import { Random } from '../../src/kernel/random.js'
 import type { Settings } from '../../src/kernel/settings.js'
@@ -62,7 +63,9 @@
     start: ({ clock, store, client }) => {
       const known = new Set<string>()
       const registry = { addIfAbsent: ({ id }: { id: string }) => known.add(id), list: () => [] } as unknown as JobRegistry
-      void new JobAdoption({ find: () => undefined } as unknown as JobOwner, registry, new JobRecords(client), noMembers, settings, clock).start()
+      const owner = { find: () => undefined } as unknown as JobOwner
+      const unowned = new UnownedJobs(owner, registry, noMembers, new Metrics(), settings, log, clock)
+      void new JobAdoption(owner, registry, new JobRecords(client), unowned, noMembers, settings, clock).start()
       return { change: () => store.put('jobs', 'j', {}), isKnown: () => known.has('j') }
     }
   },
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -13,6 +13,7 @@
 import { JobRecords } from '../../src/jobs/job-records.js'
 import type { JobRunner } from '../../src/jobs/job-runner.js'
 import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import { UnownedJobs } from '../../src/jobs/unowned-jobs.js'
 import { Metrics } from '../../src/observe/metrics.js'
 import type { FleetBroadcast } from '../../src/peers/fleet-broadcast.js'
 import type { Members } from '../../src/peers/members.js'
@@ -118,7 +119,8 @@
     const conflicts = new OwnerConflictResolver(owner, registry, pauses, settings, { write: () => {} }, clock)
     const lookup = new EndedJobLookup(records, members, links, pauses, settings, clock)
     const endedJobs = new EndedJobWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: RESULT_KEEP }, { write: () => {} }, clock)
-    const adoption = new JobAdoption(owner, registry, records, members, settings, clock)
+    const unowned = new UnownedJobs(owner, registry, members, new Metrics(), settings, { write: () => {} }, clock)
+    const adoption = new JobAdoption(owner, registry, records, unowned, members, settings, clock)
     const reader = new JobReader(owner, registry, records, links, settings, { write: () => {} }, clock)
     this.handlers.set(name, [...registry.extensions, ...registrySync.extensions, ...owner.extensions, ...reader.extensions, ...lookup.extensions].map(({ value }) => value as PeerHandler))
     void pauses.start()
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -10,8 +10,10 @@
 import type { JobRunner } from '../../src/jobs/job-runner.js'
 import type { KnownJob } from '../../src/jobs/registry/known-job.js'
 import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import { UnownedJobs } from '../../src/jobs/unowned-jobs.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import type { Settings } from '../../src/kernel/settings.js'
+import { Metrics } from '../../src/observe/metrics.js'
 import type { Members } from '../../src/peers/members.js'
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
 import type { PeerMessage } from '../../src/peers/peer-message.js'
@@ -36,7 +38,8 @@
     const records = new JobRecords(store)
     this.owner = new JobOwner(records, runner as unknown as JobRunner, registry as unknown as JobRegistry, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, new PauseWatch(clock), settings, { write: () => {} }, clock)
     void this.owner.start()
-    void new JobAdoption(this.owner, registry as unknown as JobRegistry, records, all as unknown as Members, settings, clock).start()
+    const unowned = new UnownedJobs(this.owner, registry, all, new Metrics(), settings, { write: () => {} }, clock)
+    void new JobAdoption(this.owner, registry as unknown as JobRegistry, records, unowned, all as unknown as Members, settings, clock).start()
   }
 
   /** Completes an item at this daemon with the given text. */
