--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -44,6 +44,8 @@
   private readonly owned = new Map<string, OwnedJob>()
   private readonly handover: ProgressHandover
   private readonly adopting = new Set<string>()
+  /** Jobs whose acceptance is in progress; their headers may be stored already. */
+  private readonly accepting = new Set<string>()
   private readonly writer: ResultWriter
   private draining = false
 
@@ -148,15 +150,24 @@
     const { instance: owner } = this.settings
     const findReadAt = this.pauses.beginRead()
     const header = { ...job, submittedAt: this.clock.date(), total: items.length, tokens: items.reduce((sum, { tokens }) => sum + tokens, 0), owner, run: this.members.run }
-    const created = await this.records.create(id, header, items)
+    const created = await this.create(id, header, items)
     if (created.ok) this.addOwned(new OwnedJob({ id, header: { ...header, parts: 0 }, items, segments: [], acceptedAt: this.clock.now(), readAt: findReadAt() }))
     return created
   }
 
-  /** Takes over a job whose header is stored. */
+  private async create (id: string, header: Omit<JobHeader, 'parts'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
+    this.accepting.add(id)
+    try {
+      return await this.records.create(id, header, items)
+    } finally {
+      this.accepting.delete(id)
+    }
+  }
+
+  /** Takes over a job whose header is stored. Returns undefined for one that is being accepted or taken over, and while draining. */
   async adopt (id: string): Promise<Result<OwnedJob | undefined, StoreError>> {
     const known = this.owned.get(id)
-    if (known !== undefined || this.adopting.has(id) || this.draining) return Ok(known)
+    if (known !== undefined || this.adopting.has(id) || this.accepting.has(id) || this.draining) return Ok(known)
     this.adopting.add(id)
     try {
       return await this.load(id)
@@ -247,9 +258,10 @@
     return job
   }
 
-  /** Adds a job. While draining, this daemon still accepts jobs but publishes them without an owner, for other daemons to run. */
+  /** Adds a job, unless it was accepted and taken over at the same time. While draining, this daemon still accepts jobs but publishes them without an owner, for other daemons to run. */
   private addOwned (job: OwnedJob): void {
     if (this.draining) return this.registry.publish(this.buildReleasedJob(job))
+    if (this.owned.has(job.id)) return
     this.owned.set(job.id, job)
     this.runner.add(job)
     this.registry.publish(this.buildKnownJob(job))
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -25,7 +25,7 @@
 /** Maximum number of jobs whose stored results are cached; stored results never change. */
 const MAX_CACHED = 100
 const MAX_WAIT = 1_000 // ms
-/** Attempts to make sure that a stored job runs, and the delay between two, ms: together longer than most outages of the store. */
+/** Attempts to make sure that a stored job of the registry runs, and the delay between two, ms: together longer than most outages of the store. */
 const RUN_ATTEMPTS = 120
 const RUN_PAUSE = 500
 /** Attempts to stop an ended job at its owner, and the delay between two, ms: by the last one, a daemon that takes the job over is known. */
@@ -93,10 +93,14 @@
 
   /**
    * Makes sure that a stored job runs whose owner may not know that it is stored, because the store reported the write as failed. Retries,
-   * since a single failed read of the header would otherwise leave a confirmed job that no daemon runs.
+   * since a single failed read of the header would otherwise leave a confirmed job that no daemon runs. Once the registry has the job,
+   * `JobAdoption` of the owner or of its successor takes it over if these attempts don't succeed.
    */
   async ensureRunning (job: string): Promise<void> {
-    for (let tries = 0; tries < RUN_ATTEMPTS && !await this.tryEnsureRunning(job); tries++) await pauseFor(this.clock, RUN_PAUSE)
+    for (let tries = 0; !await this.tryEnsureRunning(job); tries++) {
+      if (tries >= RUN_ATTEMPTS && this.registry.get(job) !== undefined) return
+      await pauseFor(this.clock, RUN_PAUSE)
+    }
   }
 
   /** Returns true where a daemon runs the job or will take it over because its owner has ended, and where the job no longer exists. */
@@ -145,7 +149,7 @@
       }
       case 'care': {
         const adopted = await this.owner.adopt(request.job)
-        return adopted.ok ? { type: 'done' } : undefined
+        return adopted.ok && adopted.val !== undefined ? { type: 'done' } : undefined
       }
     }
   }
--- a/test/fleet/other-kinds-in-time.test.ts
+++ b/test/fleet/other-kinds-in-time.test.ts
@@ -7,12 +7,11 @@
 import { DaemonDirectory } from '../../src/fleet/daemon-directory.js'
 import { EndedJobLookup } from '../../src/jobs/ended-job-lookup.js'
 import { EndedJobWatch } from '../../src/jobs/ended-job-watch.js'
-import { JobAdoption } from '../../src/jobs/job-adoption.js'
 import type { JobOwner } from '../../src/jobs/job-owner.js'
 import { JobRecords } from '../../src/jobs/job-records.js'
 import { OwnedJob } from '../../src/jobs/owned-job.js'
 import type { JobRegistry } from '../../src/jobs/registry/job-registry.js'
-import { UnownedJobs } from '../../src/jobs/unowned-jobs.js'
+import { StoredJobSearch } from '../../src/jobs/stored-job-search.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import { Random } from '../../src/kernel/random.js'
 import type { Settings } from '../../src/kernel/settings.js'
@@ -62,10 +61,8 @@
     atStart: true,
     start: ({ clock, store, client }) => {
       const known = new Set<string>()
-      const registry = { addIfAbsent: ({ id }: { id: string }) => known.add(id), list: () => [] } as unknown as JobRegistry
-      const owner = { find: () => undefined } as unknown as JobOwner
-      const unowned = new UnownedJobs(owner, registry, noMembers, new Metrics(), settings, log, clock)
-      void new JobAdoption(owner, registry, new JobRecords(client), unowned, noMembers, settings, clock).start()
+      const registry = { addIfAbsent: ({ id }: { id: string }) => known.add(id), get: () => undefined, publishSeen: () => {}, list: () => [] } as unknown as JobRegistry
+      void new StoredJobSearch(registry, new JobRecords(client), noMembers, settings, log, clock).start()
       return { change: () => store.put('jobs', 'j', {}), isKnown: () => known.has('j') }
     }
   },
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -1,3 +1,4 @@
+import { pauseFor } from '../../src/kernel/pause-for.js'
 import type { Settings } from '../../src/kernel/settings.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import { Random } from '../../src/kernel/random.js'
@@ -13,6 +14,7 @@
 import { JobRecords } from '../../src/jobs/job-records.js'
 import type { JobRunner } from '../../src/jobs/job-runner.js'
 import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import { StoredJobSearch } from '../../src/jobs/stored-job-search.js'
 import { UnownedJobs } from '../../src/jobs/unowned-jobs.js'
 import { Metrics } from '../../src/observe/metrics.js'
 import type { FleetBroadcast } from '../../src/peers/fleet-broadcast.js'
@@ -20,6 +22,7 @@
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
 import type { PeerLinks } from '../../src/peers/peer-links.js'
 import type { PeerMessage } from '../../src/peers/peer-message.js'
+import type { ObjectStore } from '../../src/store/object-store.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
 import { PausableClock } from './pausable-clock.js'
 import { VirtualClock } from './virtual-clock.js'
@@ -34,7 +37,7 @@
 const FIRST_RUN = 1
 /** How long results of a job are kept, ms. */
 const RESULT_KEEP = 120_000
-interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly registry: JobRegistry, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, finish: (item: string) => void }
+interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly registry: JobRegistry, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, readonly adoption: JobAdoption, readonly search: StoredJobSearch, finish: (item: string) => void }
 
 /** Daemons with their job registries, owners and readers on virtual time. Messages from or to a daemon considered dead are lost. */
 export class JobFleet {
@@ -48,7 +51,12 @@
   loses: (from: string, to: string, message: PeerMessage) => boolean = () => false
   /** Whether the daemon `name` has `other` among its members. */
   isMember: (name: string, other: string) => boolean = () => true
+  /** The effect of a fault on a daemon's call to the store; unset where the fault of the store itself applies. */
+  storeFault?: (daemon: string, ...call: Parameters<MemoryStore['fault']>) => ReturnType<MemoryStore['fault']>
+  /** Time of a call to the store before and after its effect, ms. */
+  storeDelay = 0
   private readonly dead = new Set<string>()
+  private readonly leaving = new Set<string>()
   private readonly runs = new Map<string, number>(NAMES.map(name => [name, FIRST_RUN]))
   private readonly handlers = new Map<string, PeerHandler[]>()
 
@@ -57,10 +65,27 @@
     await this.time.advance(100)
   }
 
+  /** Kills a daemon; the others lose it from their members after a while. */
+  kill (name: string): void {
+    const { clock } = this.daemons.get(name)!
+    clock.pause()
+    this.time.after(DETECTION_DELAY, () => { if (this.daemons.get(name)!.clock === clock) this.dead.add(name) })
+  }
+
+  /** Begins an orderly shutdown of a daemon, which runs until it is killed. */
+  leave (name: string): void {
+    const { adoption, search, owner } = this.daemons.get(name)!
+    this.leaving.add(name)
+    void search.drain()
+    void adoption.drain()
+    void owner.drain()
+  }
+
   /** Kills a daemon and starts a new process of the same name. */
   restart (name: string): void {
     this.daemons.get(name)!.clock.pause()
     this.dead.delete(name)
+    this.leaving.delete(name)
     this.runs.set(name, this.runs.get(name)! + 1)
     this.daemons.set(name, this.createDaemon(name))
   }
@@ -90,6 +115,24 @@
     for (const handler of this.handlers.get(to)!) if (handler.type === message.type) handler.handle(message, from)
   }
 
+  /** Returns a daemon's way to the store; a call of a process that was killed meanwhile never returns. */
+  private connect (name: string, clock: PausableClock): ObjectStore {
+    const run = async (method: (...args: unknown[]) => Promise<unknown>, args: unknown[]): Promise<unknown> => {
+      const { storeFault, storeDelay } = this
+      if (storeDelay > 0) await pauseFor(clock, storeDelay)
+      if (storeFault !== undefined) this.store.fault = call => storeFault(name, call)
+      const answer = await method.apply(this.store, args)
+      if (storeDelay > 0) await pauseFor(clock, storeDelay)
+      return answer
+    }
+    return new Proxy(this.store, {
+      get: (store, key) => {
+        const method = Reflect.get(store, key) as () => Promise<unknown>
+        return this.storeDelay === 0 && this.storeFault === undefined ? method.bind(store) : async (...args: unknown[]) => await run(method, args)
+      }
+    })
+  }
+
   private createDaemon (name: string): Daemon {
     const clock = new PausableClock(this.time)
     const run = this.runs.get(name)!
@@ -101,8 +144,8 @@
     }
     const members = {
       run,
-      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: 'alive', run: this.runs.get(instance)! })),
-      owners: () => listKnown(),
+      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: this.leaving.has(instance) ? 'leaving' : 'alive', run: this.runs.get(instance)! })),
+      owners: () => listKnown().filter(other => !this.leaving.has(other)),
       findRun: (other: string) => known.get(other),
       subscribe: () => () => {}
     } as unknown as Members
@@ -112,7 +155,7 @@
     const runner = { subscribe: (listener: (job: OwnedJob) => void) => { onResult = listener }, add: () => {}, remove: () => {} } as unknown as JobRunner
     const registry = new JobRegistry(fleetBroadcast, clock)
     const registrySync = new JobRegistrySync(registry, members, links, { instance: name }, new Random(NAMES.indexOf(name)), clock)
-    const records = new JobRecords(this.store)
+    const records = new JobRecords(this.connect(name, clock))
     const settings = { instance: name, failureDomain: 'z' } as unknown as Settings
     const pauses = new PauseWatch(clock)
     const owner = new JobOwner(records, runner, registry, members, links, pauses, settings, { write: () => {} }, clock)
@@ -120,7 +163,8 @@
     const lookup = new EndedJobLookup(records, members, links, pauses, settings, clock)
     const endedJobs = new EndedJobWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: RESULT_KEEP }, { write: () => {} }, clock)
     const unowned = new UnownedJobs(owner, registry, members, new Metrics(), settings, { write: () => {} }, clock)
-    const adoption = new JobAdoption(owner, registry, records, unowned, members, settings, clock)
+    const adoption = new JobAdoption(owner, registry, unowned, members, settings, clock)
+    const search = new StoredJobSearch(registry, records, members, settings, { write: () => {} }, clock)
     const reader = new JobReader(owner, registry, records, links, settings, { write: () => {} }, clock)
     this.handlers.set(name, [...registry.extensions, ...registrySync.extensions, ...owner.extensions, ...reader.extensions, ...lookup.extensions].map(({ value }) => value as PeerHandler))
     void pauses.start()
@@ -128,6 +172,7 @@
     void conflicts.start()
     void endedJobs.start()
     void adoption.start()
+    void search.start()
     void registrySync.start()
     const finish = (item: string): void => {
       const job = owner.find('j')
@@ -136,6 +181,6 @@
       job.finish(state, { id: item, state: 'completed', text: `by ${name}` })
       onResult(job)
     }
-    return { name, clock, pauses, registry, records, owner, reader, finish }
+    return { name, clock, pauses, registry, records, owner, reader, adoption, search, finish }
   }
 }
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -10,6 +10,7 @@
 import type { JobRunner } from '../../src/jobs/job-runner.js'
 import type { KnownJob } from '../../src/jobs/registry/known-job.js'
 import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import { StoredJobSearch } from '../../src/jobs/stored-job-search.js'
 import { UnownedJobs } from '../../src/jobs/unowned-jobs.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import type { Settings } from '../../src/kernel/settings.js'
@@ -39,7 +40,8 @@
     this.owner = new JobOwner(records, runner as unknown as JobRunner, registry as unknown as JobRegistry, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, new PauseWatch(clock), settings, { write: () => {} }, clock)
     void this.owner.start()
     const unowned = new UnownedJobs(this.owner, registry, all, new Metrics(), settings, { write: () => {} }, clock)
-    void new JobAdoption(this.owner, registry as unknown as JobRegistry, records, unowned, all as unknown as Members, settings, clock).start()
+    void new JobAdoption(this.owner, registry, unowned, all, settings, clock).start()
+    void new StoredJobSearch(registry, records, all as unknown as Members, settings, { write: () => {} }, clock).start()
   }
 
   /** Completes an item at this daemon with the given text. */
