--- a/src/jobs/owner-conflict-resolver.ts
+++ b/src/jobs/owner-conflict-resolver.ts
@@ -9,8 +9,8 @@
 import type { LogSink } from '../observe/log-sink.js'
 import { JobRegistry } from './registry/job-registry.js'
 import { JobOwner } from './job-owner.js'
-import type { KnownJob } from './registry/known-job.js'
 import type { OwnedJob } from './owned-job.js'
+import type { RegistryEntry } from './registry/registry-entry.js'
 
 /** How long after the last sign of a second owner a job counts as contested, ms: several publications and their replies. */
 const CONTESTED_TIME = 3_000
@@ -76,16 +76,18 @@
 
   /**
    * Handles a publication of a job that this daemon owns. If the sender claims it as well, both determine by rank which one keeps it. If the
-   * published owner is absent or has ended, this daemon publishes itself as the owner.
+   * published owner is absent or has ended, this daemon publishes itself as the owner. It does so too if the publication is outdated: its
+   * owner may no longer have the job, and publishes a later version if it has.
    */
-  private handleUpdate (received: KnownJob): void {
+  private handleUpdate (received: RegistryEntry): void {
     const { instance } = this.settings
     const job = this.owner.find(received.id)
     if (job === undefined) return
     const isAlive = this.owner.isOwnerAlive(received)
     if (received.owner === instance && isAlive) return
     if (received.owner !== '' && received.owner !== instance) this.markContested(job)
-    if (!isAlive) return this.registry.publish(this.owner.buildKnownJob(job))
+    const isOutdated = received.version < (this.registry.entries.get(received.id)?.version ?? 0)
+    if (!isAlive || isOutdated) return this.registry.publish(this.owner.buildKnownJob(job))
     if (rankOwners(received.id, [instance, received.owner])[0] === instance) return
     this.log.write('info', 'jobs', 'gave a job to its other owner', { job: job.id, to: received.owner, results: job.readPage(0).next, of: job.header.total })
     this.owner.releaseTo(job, received.owner)
