--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -1,3 +1,4 @@
+import { pauseFor } from '../../src/kernel/pause-for.js'
 import type { Settings } from '../../src/kernel/settings.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import { Random } from '../../src/kernel/random.js'
@@ -13,6 +14,8 @@
 import { JobRecords } from '../../src/jobs/job-records.js'
 import type { JobRunner } from '../../src/jobs/job-runner.js'
 import type { OwnedJob } from '../../src/jobs/owned-job.js'
+import { StoredJobSearch } from '../../src/jobs/stored-job-search.js'
+import { UnownedJobs } from '../../src/jobs/unowned-jobs.js'
 import { Metrics } from '../../src/observe/metrics.js'
 import type { FleetBroadcast } from '../../src/peers/fleet-broadcast.js'
 import type { Members } from '../../src/peers/members.js'
@@ -35,7 +38,7 @@
 const FIRST_RUN = 1
 /** How long results of a job are kept, ms. */
 const RESULT_KEEP = 120_000
-interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly registry: JobRegistry, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, readonly metrics: Metrics, finish: (item: string) => void, drain: () => Promise<void> }
+interface Daemon { readonly name: string, readonly clock: PausableClock, readonly pauses: PauseWatch, readonly registry: JobRegistry, readonly records: JobRecords, readonly owner: JobOwner, readonly reader: JobReader, readonly adoption: JobAdoption, readonly search: StoredJobSearch, readonly metrics: Metrics, finish: (item: string) => void, drain: () => Promise<void> }
 
 /** Daemons with their job registries, owners and readers on virtual time. Messages from or to a daemon considered dead are lost. */
 export class JobFleet {
@@ -52,10 +55,15 @@
   /** Messages sent between daemons. */
   sent = 0
   /** Opens a daemon's way to the store. */
-  openStore: (name: string, clock: Clock) => ObjectStore = () => this.store
+  openStore: (name: string, clock: Clock) => ObjectStore = (name, clock) => this.connect(name, clock)
   /** Whether the daemon `name` has `other` among its members. */
   isMember: (name: string, other: string) => boolean = () => true
+  /** The effect of a fault on a daemon's call to the store; unset where the fault of the store itself applies. */
+  storeFault?: (daemon: string, ...call: Parameters<MemoryStore['fault']>) => ReturnType<MemoryStore['fault']>
+  /** Time of a call to the store before and after its effect, ms. */
+  storeDelay = 0
   private readonly dead = new Set<string>()
+  private readonly leaving = new Set<string>()
   private readonly runs = new Map<string, number>(NAMES.map(name => [name, FIRST_RUN]))
   private readonly handlers = new Map<string, PeerHandler[]>()
 
@@ -64,10 +72,27 @@
     await this.time.advance(100)
   }
 
+  /** Kills a daemon; the others lose it from their members after a while. */
+  kill (name: string): void {
+    const { clock } = this.daemons.get(name)!
+    clock.pause()
+    this.time.after(DETECTION_DELAY, () => { if (this.daemons.get(name)!.clock === clock) this.dead.add(name) })
+  }
+
+  /** Begins an orderly shutdown of a daemon, which runs until it is killed. */
+  leave (name: string): void {
+    const { adoption, search, owner } = this.daemons.get(name)!
+    this.leaving.add(name)
+    void search.drain()
+    void adoption.drain()
+    void owner.drain()
+  }
+
   /** Kills a daemon and starts a new process of the same name. */
   restart (name: string): void {
     this.daemons.get(name)!.clock.pause()
     this.dead.delete(name)
+    this.leaving.delete(name)
     this.runs.set(name, this.runs.get(name)! + 1)
     this.daemons.set(name, this.createDaemon(name))
   }
@@ -98,6 +123,24 @@
     for (const handler of this.handlers.get(to)!) if (handler.type === message.type) handler.handle(message, from)
   }
 
+  /** Returns a daemon's way to the store; a call of a process that was killed meanwhile never returns. */
+  private connect (name: string, clock: Clock): ObjectStore {
+    const run = async (method: (...args: unknown[]) => Promise<unknown>, args: unknown[]): Promise<unknown> => {
+      const { storeFault, storeDelay } = this
+      if (storeDelay > 0) await pauseFor(clock, storeDelay)
+      if (storeFault !== undefined) this.store.fault = call => storeFault(name, call)
+      const answer = await method.apply(this.store, args)
+      if (storeDelay > 0) await pauseFor(clock, storeDelay)
+      return answer
+    }
+    return new Proxy(this.store, {
+      get: (store, key) => {
+        const method = Reflect.get(store, key) as () => Promise<unknown>
+        return this.storeDelay === 0 && this.storeFault === undefined ? method.bind(store) : async (...args: unknown[]) => await run(method, args)
+      }
+    })
+  }
+
   private createDaemon (name: string): Daemon {
     const clock = new PausableClock(this.time)
     const run = this.runs.get(name)!
@@ -109,8 +152,8 @@
     }
     const members = {
       run,
-      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: 'alive', run: this.runs.get(instance)! })),
-      owners: () => listKnown(),
+      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: this.leaving.has(instance) ? 'leaving' : 'alive', run: this.runs.get(instance)! })),
+      owners: () => listKnown().filter(other => !this.leaving.has(other)),
       findRun: (other: string) => known.get(other),
       subscribe: () => () => {}
     } as unknown as Members
@@ -127,8 +170,10 @@
     const conflicts = new OwnerConflictResolver(owner, registry, pauses, settings, { write: () => {} }, clock)
     const lookup = new EndedJobLookup(records, members, links, pauses, settings, clock)
     const endedJobs = new EndedJobWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: RESULT_KEEP }, { write: () => {} }, clock)
-    const adoption = new JobAdoption(owner, registry, records, members, settings, clock)
     const metrics = new Metrics()
+    const unowned = new UnownedJobs(owner, registry, members, metrics, settings, { write: () => {} }, clock)
+    const adoption = new JobAdoption(owner, registry, unowned, members, settings, clock)
+    const search = new StoredJobSearch(registry, records, members, settings, { write: () => {} }, clock)
     const reader = new JobReader(owner, registry, records, links, pauses, metrics, { resultKeep: RESULT_KEEP }, settings, { write: () => {} }, clock)
     this.handlers.set(name, [...registry.extensions, ...registrySync.extensions, ...owner.extensions, ...reader.extensions, ...lookup.extensions].map(({ value }) => value as PeerHandler))
     void pauses.start()
@@ -136,6 +181,7 @@
     void conflicts.start()
     void endedJobs.start()
     void adoption.start()
+    void search.start()
     void registrySync.start()
     const finish = (item: string): void => {
       const job = owner.find('j')
@@ -145,9 +191,10 @@
       onResult(job)
     }
     const drain = async (): Promise<void> => {
+      await search.drain()
       await adoption.drain()
       await owner.drain()
     }
-    return { name, clock, pauses, registry, records, owner, reader, metrics, finish, drain }
+    return { name, clock, pauses, registry, records, owner, reader, adoption, search, metrics, finish, drain }
   }
 }
