--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -12,6 +12,8 @@
 const FIRST_EVENT_TIMEOUT = 1_500
 const EVENT_TIMEOUT = 1_000
 const DEADLINE = 600_000
+/** How long an answer may go on without a new event, or without its end, ms, though bytes arrive. */
+const PROGRESS_TIMEOUT = 30_000
 const UNPROCESSABLE = 422
 const SERVER_ERROR = 500
 const FIRST_REDIRECTION = 300
@@ -78,12 +80,13 @@
 
   private async read (open: OpenExchange): Promise<ItemOutcome> {
     const { status, headers } = open.exchange
-    const { dialect, state: { item } } = this.options
+    const { dialect, clock, state: { item } } = this.options
     const id = dialect.readRequestId(headers)
     if (id !== undefined && id !== item.id) return this.fail(open, `the response belongs to request ${id}`)
     if (status < FIRST_REDIRECTION && open.exchange.isStream()) return await this.readEvents(open)
     const isNotRun = dialect.isNotRun(status, headers)
-    const body = await readToEnd(open.exchange, () => EVENT_TIMEOUT)
+    const end = clock.now() + PROGRESS_TIMEOUT
+    const body = await readToEnd(open.exchange, () => Math.min(EVENT_TIMEOUT, Math.max(0, end - clock.now())))
     open.end(body.ok ? 'answered' : 'abandoned')
     if (isNotRun) return { type: 'refused' }
     if (status === UNPROCESSABLE) return { type: 'impossible' }
@@ -91,18 +94,24 @@
   }
 
   private async readEvents (open: OpenExchange): Promise<ItemOutcome> {
-    const { state } = this.options
+    const { state, clock } = this.options
     const run = new EventRun(state.last)
+    let progressAt = clock.now()
     for (let timeout = FIRST_EVENT_TIMEOUT; ; timeout = EVENT_TIMEOUT) {
       const bytes = await open.exchange.read(timeout)
       if (bytes.err) return this.fail(open, bytes.val.detail)
       if (bytes.val === undefined) return this.endEvents(open, run)
       const events = run.push(bytes.val)
       if (events.err) return this.fail(open, events.val)
-      if (events.val.length === 0) continue
+      // Comments, which keep a connection open, come as events without an id and data.
+      const fresh = events.val.filter(({ id, data }) => id !== undefined || data !== '')
+      if (fresh.length === 0 && clock.now() >= progressAt + PROGRESS_TIMEOUT) return this.fail(open, 'no new event for too long')
+      if (fresh.length === 0) continue
+      progressAt = clock.now()
+      state.progressAt = progressAt
       state.last = run.last
       state.version ??= open.server.version
-      state.texts.push(...events.val.map(({ data }) => data))
+      state.texts.push(...fresh.map(({ data }) => data))
       state.losses = 0
     }
   }
--- a/src/jobs/item-state.ts
+++ b/src/jobs/item-state.ts
@@ -8,6 +8,8 @@
   readonly texts: string[]
   /** Version of the software of the server that sent the first event; the item goes on at no other. */
   version?: string
+  /** When its last event was received here, or that of another daemon was first found here. */
+  progressAt?: number
   /** Last event of a run whose end nothing but its connection marked; another run that ends there confirms it. */
   unmarkedEnd?: number
   /** Runs that the server answered with its own error. */
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -115,6 +115,7 @@
       if (state === undefined || state.phase !== 'waiting' || (state.last ?? -1) >= last) continue
       state.version = version
       state.last = last
+      state.progressAt = undefined
       state.texts.splice(0, state.texts.length, ...texts)
       state.failures = Math.max(state.failures, failures)
     }
--- a/src/jobs/result-writer.ts
+++ b/src/jobs/result-writer.ts
@@ -67,6 +67,7 @@
   private async addStoredSegment (job: OwnedJob, segment: number): Promise<boolean> {
     const read = await this.options.records.readSegment(job.id, segment)
     if (read.ok) this.addSegment(job, segment, read.val)
+    else this.options.log.write('warn', 'jobs', 'could not read results that are stored already, will retry', { job: job.id, segment, error: read.val.type, waiting: job.pending.length })
     return read.ok
   }
 
