--- a/src/jobs/route-finder.ts
+++ b/src/jobs/route-finder.ts
@@ -15,11 +15,12 @@
 
   constructor (private readonly options: RouteFinderOptions) {}
 
-  /** Returns the route of a job; undefined where the configuration has none. */
+  /** Returns the route of a job; undefined where the configuration has none that takes jobs. */
   find (job: OwnedJob): Route | undefined {
     const { clock, getConfiguration } = this.options
     const { version, routes = {} } = getConfiguration()
-    const route = findRoute(routes, job.header.host, job.header.path)
+    const found = findRoute(routes, job.header.host, job.header.path)
+    const route = found?.jobs === undefined ? undefined : found
     // Before the first configuration has loaded a missing route means nothing.
     if (route !== undefined || version === 0) this.missedAt.delete(job)
     else if (!this.missedAt.has(job)) this.missedAt.set(job, clock.now())
