--- /dev/null
+++ b/src/jobs/item-trials.ts
@@ -0,0 +1,54 @@
+import type { Clock } from '../kernel/clock.js'
+import type { Random } from '../kernel/random.js'
+import { failUnreachable } from '../kernel/unreachable.js'
+import type { PartBlame } from '../routing/blame/part-blame.js'
+import type { PartDecision } from '../routing/blame/part-decision.js'
+
+/**
+ * How long items wait for trials of a suspect part by others that bring no news, ms, by up to a third more or less: the daemon that holds
+ * the grant may be unable to begin, and messages may be lost. Daemons differ, so that their first runs follow one another.
+ */
+const MAX_TRIAL_WAIT = 7_500
+/** A wait that nothing has asked about for this long has ended, ms. */
+const FORGET_AFTER = 2_000
+const MAX_WAITS = 300
+
+interface Wait { readonly since: number, readonly limit: number, readonly seenAt: number }
+
+interface ItemTrialsOptions {
+  readonly blame: Pick<PartBlame, 'check'>
+  readonly clock: Pick<Clock, 'now'>
+  readonly random: Random
+  /** Whether an item of this daemon runs as a trial of the part. */
+  readonly isTried: (part: string) => boolean
+}
+
+/** Decides whether items run by the parts of their prompts. Unlike requests, items have no deadline, so that each wait has an end of its own. */
+export class ItemTrials {
+  private readonly waits = new Map<string, Wait>()
+
+  constructor (private readonly options: ItemTrialsOptions) {}
+
+  /** Decides whether an item with these parts may start now. One with a part that is tried starts only while no other trial of it runs here. */
+  check (parts: readonly string[]): PartDecision {
+    const { blame, isTried } = this.options
+    const decision = blame.check(parts, { isItem: true })
+    switch (decision.type) {
+      case 'refused': return decision
+      case 'clear': return decision.trial !== undefined && isTried(decision.trial) ? { type: 'wait', part: decision.trial } : decision
+      case 'wait': return this.hasWaited(decision) && !isTried(decision.part) ? { type: 'clear', trial: decision.part } : decision
+      default: return failUnreachable(decision)
+    }
+  }
+
+  /** Whether items have waited long enough since the last server that the part cost. */
+  private hasWaited ({ part, lostAt = -Infinity }: Extract<PartDecision, { type: 'wait' }>): boolean {
+    const { clock, random } = this.options
+    const now = clock.now()
+    const known = this.waits.get(part)
+    const wait = known !== undefined && now < known.seenAt + FORGET_AFTER ? known : { since: now, limit: random.spread(MAX_TRIAL_WAIT, 1 / 3) }
+    this.waits.set(part, { ...wait, seenAt: now })
+    if (this.waits.size > MAX_WAITS) for (const [other, { seenAt }] of this.waits) if (now >= seenAt + FORGET_AFTER) this.waits.delete(other)
+    return now >= Math.max(wait.since, lostAt) + wait.limit
+  }
+}
--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -25,6 +25,11 @@
 /** How long lost servers are remembered for the share of lost runs, ms, and their maximum number. */
 const KEEP_TIME = 120_000
 const MAX_LOST = 200
+/** How long after its refusal items may try a part, ms, and up to how long after it runs may begin that count as in flight then. */
+const TRY_AFTER = 10_000
+const IN_FLIGHT_TIME = 1_000
+/** Losses from which items don't try a refused part: a sixth server must not be lost to it. */
+const MAX_LOSSES_TO_TRY = 5
 /** How long a verdict is reused while nothing new is known, ms: waiting items ask for it many times a second. */
 const VERDICT_TIME = 100
 const NOTHING: PartEvidence = { losses: [], passes: new Map(), refusals: 0, beside: [] }
@@ -101,7 +106,7 @@
     if (until <= now || until <= (this.released.get(part)?.until ?? -Infinity) + LATE_TIME || (known.refusedUntil ?? -Infinity) >= until - LATE_TIME) return false
     const merged = losses.reduce<readonly PartLoss[]>((all, { server, at }) => mergeLoss(all, { server, at, began: at, runs: new Map(), beside }), known.losses)
     this.refused.add(part)
-    this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedUntil: until, refusals: known.refusals + 1, beside })
+    this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedAt: now, refusedUntil: until, refusals: known.refusals + 1, beside })
     return true
   }
 
@@ -124,6 +129,17 @@
     return this.evidence.get(part)?.losses.length ?? 0
   }
 
+  /** Returns when the last server with the part in flight was lost. */
+  findLastLoss (part: string): number | undefined {
+    return this.evidence.get(part)?.losses.at(-1)?.at
+  }
+
+  /** Whether items may try a refused part that cost few servers, one at a time: some time after its refusal, until a run that began since is lost with its server. */
+  mayTryRefused (part: string, now: number): boolean {
+    const { refusedAt = Infinity, losses } = this.evidence.get(part) ?? NOTHING
+    return now >= refusedAt + TRY_AFTER && losses.length < MAX_LOSSES_TO_TRY && losses.every(({ began }) => began <= refusedAt + IN_FLIGHT_TIME)
+  }
+
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
   countPasses (part: string, now: number): number {
     const others = [...this.evidence.get(part)?.passes.values() ?? []]
@@ -191,7 +207,7 @@
     const beside = common.filter(other => this.countPasses(other, now) === 0)
     this.refused.add(part)
     this.verdicts.clear()
-    this.evidence.set(part, { ...known, refusedUntil: now + REFUSAL_TIME * 2 ** known.refusals, refusals: known.refusals + 1, beside })
+    this.evidence.set(part, { ...known, refusedAt: now, refusedUntil: now + REFUSAL_TIME * 2 ** known.refusals, refusals: known.refusals + 1, beside })
     return this.findRefused(part, now)!
   }
 
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -108,19 +108,21 @@
     for (const cancel of this.cancels) cancel()
   }
 
-  /** Decides whether a request with these parts may run now; one with a suspect part once `begin` would be its trial. */
-  check (parts: readonly string[]): PartDecision {
+  /** Decides whether a request with these parts may run now; one with a suspect part, and an item with a refused one, once `begin` would be its trial. */
+  check (parts: readonly string[], { isItem = false }: { readonly isItem?: boolean } = {}): PartDecision {
     const now = this.clock.now()
     const { verdict, part } = this.ledger.judge(parts, now)
     if (part === undefined || verdict === 'clear') return { type: 'clear' }
-    if (verdict === 'refused') return { type: 'refused', part, left: this.ledger.listRefused(now).find(other => other.part === part)!.until - now }
-    return this.trials.mayBegin(part) ? { type: 'clear' } : { type: 'wait', part }
+    const mayTry = verdict === 'suspect' || (isItem && this.ledger.mayTryRefused(part, now))
+    if (mayTry && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
+    if (verdict === 'suspect') return { type: 'wait', part, lostAt: this.ledger.findLastLoss(part) }
+    return { type: 'refused', part, left: this.ledger.listRefused(now).find(other => other.part === part)!.until - now }
   }
 
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
   begin (parts: readonly string[], server: string, isSent: () => boolean): PartRun {
     const { part: suspect, verdict } = this.ledger.judge(parts, this.clock.now())
-    const tried = verdict === 'suspect' && this.trials.take(suspect!) ? suspect : undefined
+    const tried = verdict !== 'clear' && this.trials.take(suspect!) ? suspect : undefined
     const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
     this.runs.add(run)
     let cancel = (): void => {}
--- a/src/routing/blame/part-evidence.ts
+++ b/src/routing/blame/part-evidence.ts
@@ -6,6 +6,8 @@
   readonly losses: readonly PartLoss[]
   /** Runs that passed at other daemons, by daemon. */
   readonly passes: ReadonlyMap<string, number>
+  /** When this daemon began to refuse it; undefined if it wasn't refused. */
+  readonly refusedAt?: number
   /** End of its refusal; undefined if it wasn't refused. */
   readonly refusedUntil?: number
   /** How often it has been refused. */
--- a/src/routing/blame/part-trials.ts
+++ b/src/routing/blame/part-trials.ts
@@ -9,9 +9,16 @@
 const GRANT_TIME = 5_000
 /** How long a daemon asks in vain until it tries the part itself, ms: it may be cut off from the one that grants. */
 const MAX_ASK_TIME = 600
+/** How long after a request for a trial its daemon goes before the one that held the trial, ms. */
+const WANTED_TIME = 1_000
+/** After this long without a request for a trial, ms, a daemon counts anew since when it asks. */
+const MAX_ASK_GAP = 2_000
 /** Interval between two requests for a trial of the same part, ms. */
 const ASK_PERIOD = 100
 
+/** A daemon with a trial: until when it holds, and when another one last asked for it, monotonic ms. */
+interface Holder { readonly daemon: string, readonly until: number, readonly wantedAt?: number }
+
 interface PartTrialsOptions {
   readonly clock: Clock
   readonly settings: Pick<Settings, 'instance'>
@@ -30,7 +37,7 @@
   /** Since when this daemon asks, by part; it counts anew once an answer comes or its own trial ends. */
   private readonly askingSince = new Map<string, number>()
   /** Trials granted by this daemon, by part. */
-  private readonly holders = new Map<string, { readonly daemon: string, readonly until: number }>()
+  private readonly holders = new Map<string, Holder>()
 
   constructor (private readonly options: PartTrialsOptions) {}
 
@@ -38,7 +45,9 @@
   mayBegin (part: string): boolean {
     const { clock } = this.options
     if (clock.now() < (this.granted.get(part) ?? -Infinity)) return true
-    if (clock.now() < (this.askedAt.get(part) ?? -Infinity) + ASK_PERIOD) return false
+    const askedAt = this.askedAt.get(part) ?? -Infinity
+    if (clock.now() < askedAt + ASK_PERIOD) return false
+    if (clock.now() >= Math.max(askedAt, this.askingSince.get(part) ?? -Infinity) + MAX_ASK_GAP) this.askingSince.delete(part)
     this.askedAt.set(part, clock.now())
     const since = this.askingSince.get(part) ?? clock.now()
     this.askingSince.set(part, since)
@@ -70,15 +79,23 @@
     this.holders.delete(part)
   }
 
+  /** Grants a trial for `GRANT_TIME` at most: a daemon may be unable to begin it. After that another one that asks goes first. */
   receiveAsk (part: string, from: string): void {
     const { clock } = this.options
+    const now = clock.now()
     const holder = this.holders.get(part)
-    if (holder !== undefined && holder.until > clock.now() && holder.daemon !== from) return this.answer(from, { type: 'part trial busy', part })
-    this.holders.set(part, { daemon: from, until: clock.now() + GRANT_TIME })
+    const isHeld = holder !== undefined && now < holder.until
+    if (isHeld && holder.daemon !== from) {
+      this.holders.set(part, { ...holder, wantedAt: now })
+      return this.answer(from, { type: 'part trial busy', part })
+    }
+    if (!isHeld && holder?.daemon === from && now < (holder.wantedAt ?? -Infinity) + WANTED_TIME) return this.answer(from, { type: 'part trial busy', part })
+    if (!isHeld) this.holders.set(part, { daemon: from, until: now + GRANT_TIME })
     this.answer(from, { type: 'part trial', part })
   }
 
   receiveGrant (part: string): void {
+    this.askingSince.delete(part)
     this.granted.set(part, this.options.clock.now() + GRANT_TIME)
   }
 
--- a/test/helpers/simulate-part-crashes.ts
+++ b/test/helpers/simulate-part-crashes.ts
@@ -6,9 +6,11 @@
 import type { PeerHandler } from '../../src/peers/peer-handler.js'
 import type { PeerLinks } from '../../src/peers/peer-links.js'
 import type { PeerMessage } from '../../src/peers/peer-message.js'
+import type { PartDecision } from '../../src/routing/blame/part-decision.js'
 import { PartBlame } from '../../src/routing/blame/part-blame.js'
 import type { ObjectStore } from '../../src/store/object-store.js'
 import { MemoryStore } from '../../stand-ins/platform/memory-store.js'
+import { ItemTrials } from '../../src/jobs/item-trials.js'
 import { VirtualClock } from './virtual-clock.js'
 
 /** A kind of request that comes at random daemons. */
@@ -84,6 +86,9 @@
   const names = Array.from({ length: daemons }, (_, i) => `entry-${i}`)
   const fleet = Array.from({ length: engines }, (_, i): Engine => ({ id: `engine-${i}`, isUp: true, runs: new Set() }))
   const blames = new Map<string, PartBlame>()
+  const trials = new Map<string, ItemTrials>()
+  /** Trials that run as items, as `DAEMON PART`. */
+  const tried = new Set<string>()
   const [crashed, outcomes, dangerous]: [number[], Outcome[], Array<{ at: number, daemon: number }>] = [[], [], []]
   let [messages, inForce, births]: [number, number | undefined, number] = [0, undefined, 0]
 
@@ -103,6 +108,7 @@
     const members = { all: () => names.map(instance => ({ instance: { name: instance }, state: 'alive' })), owners: () => names } as unknown as Members
     const blame = new PartBlame(members, links, broadcast, store as unknown as ObjectStore, { instance: name } as unknown as Settings, new Metrics(), { write: () => {} }, clock, new Random(seed + blames.size))
     blames.set(name, blame)
+    trials.set(name, new ItemTrials({ blame, clock, random: new Random(seed + blames.size), isTried: part => tried.has(`${name} ${part}`) }))
     void blame.start()
   }
   for (const name of names) start(name)
@@ -117,21 +123,21 @@
     })
   }
 
-  const run = (daemon: number, { time, attempts = 2, isItem = false }: PartTraffic, parts: readonly string[], at: number, tried: number): void => {
+  const run = (daemon: number, { time, attempts = 2, isItem = false }: PartTraffic, parts: readonly string[], at: number, attempt: number): void => {
     const name = names[daemon]!
     const blame = blames.get(name)!
     const finish = (outcome: Outcome['outcome']): void => { outcomes.push({ at, parts, daemon, outcome, waited: clock.now() - at }) }
-    const decision = isBlaming ? blame.check(parts) : { type: 'clear' } as const
+    const decision: PartDecision = !isBlaming ? { type: 'clear' } : isItem ? trials.get(name)!.check(parts) : blame.check(parts)
     if (decision.type === 'refused' && !isItem) return finish('refused')
     if (decision.type === 'refused' || (decision.type === 'wait' && (isItem || clock.now() < at + 2_000))) {
       if (isItem && clock.now() > at + 10_000) return finish('refused')
-      clock.after(50, () => run(daemon, { parts: () => parts, rate: 0, time, attempts, isItem }, parts, at, tried))
+      clock.after(50, () => run(daemon, { parts: () => parts, rate: 0, time, attempts, isItem }, parts, at, attempt))
       return
     }
     const free = fleet.filter(({ isUp, runs }) => isUp && runs.size < SLOTS)
     if (free.length === 0) {
       if (clock.now() > at + 1_000) return finish('full')
-      clock.after(50, () => run(daemon, { parts: () => parts, rate: 0, time, attempts, isItem }, parts, at, tried))
+      clock.after(50, () => run(daemon, { parts: () => parts, rate: 0, time, attempts, isItem }, parts, at, attempt))
       return
     }
     const engine = free.reduce((least, other) => other.runs.size < least.runs.size ? other : least)
@@ -140,6 +146,8 @@
     const server = engine.id
     const partRun = blame.begin(parts, server, () => true)
     clock.after(20, () => partRun.open())
+    const trial = isItem && decision.type === 'clear' && decision.trial !== undefined ? `${name} ${decision.trial}` : undefined
+    if (trial !== undefined) tried.add(trial)
     let ended = false
     const lose = (): void => {
       if (ended) return
@@ -147,7 +155,8 @@
       clock.after(DETECTION + random.below(10), () => {
         blame.onServerLost(server)
         partRun.end('ended')
-        if (tried + 1 < attempts) run(daemon, { parts: () => parts, rate: 0, time, attempts, isItem }, parts, at, tried + 1)
+        if (trial !== undefined) tried.delete(trial)
+        if (attempt + 1 < attempts) run(daemon, { parts: () => parts, rate: 0, time, attempts, isItem }, parts, at, attempt + 1)
         else finish('lost')
       })
     }
@@ -162,7 +171,8 @@
       ended = true
       engine.runs.delete(lose)
       partRun.end('passed')
-      finish(tried === 0 ? 'first' : 'again')
+      if (trial !== undefined) tried.delete(trial)
+      finish(attempt === 0 ? 'first' : 'again')
     })
   }
 
