--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -1,6 +1,5 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
-import { chooseService } from '../config/choose-service.js'
 import type { Route } from '../config/route.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
@@ -23,8 +22,15 @@
 import { ItemDurationEstimator } from './item-duration-estimator.js'
 import { ItemRun } from './item-run.js'
 import type { ItemState } from './item-state.js'
-import { RouteFinder } from './route-finder.js'
+import { ItemTrials } from './item-trials.js'
+import { ItemVersions } from './item-versions.js'
+import { findWaitingReason } from './find-waiting-reason.js'
 import type { OwnedJob } from './owned-job.js'
+import { RouteFinder } from './route-finder.js'
+import { splitByPool } from './split-by-pool.js'
+import { WaitingLog } from './waiting-log.js'
+import type { WaitingReason } from './waiting-reason.js'
+import { waitingReasonTypes } from './waiting-reason-types.js'
 
 /** Time between two slot requests while items wait, ms: a few steps of an engine. */
 const SLOT_REQUEST_PERIOD = 50
@@ -38,9 +44,9 @@
 const SLOTS_PER_REQUEST = 4
 
 /** An item with its job's route, the due time of the job in monotonic ms, and the estimated remaining run time in ms. */
-interface RunnableItem { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly due: number, readonly remaining: number }
+interface RunnableItem { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly due: number, readonly remaining: number, /** The part of its prompt whose trial it would be. */ readonly trial?: string | undefined }
 
-interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly run: ItemRun }
+interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly run: ItemRun, readonly trial: string | undefined }
 
 /** Runs the items of this daemon's jobs on slots that online requests leave free, and stops items when those slots are needed. */
 @scoped(Lifecycle.ContainerScoped)
@@ -49,6 +55,9 @@
   private readonly running = new Set<Running>()
   private readonly listeners = new Set<(job: OwnedJob) => void>()
   private readonly routes: RouteFinder
+  private readonly trials: ItemTrials
+  private readonly versions: ItemVersions
+  private readonly waits: WaitingLog
   private readonly parts = new WeakMap<ItemState, readonly string[]>()
   private draining = false
   private requestScheduled = false
@@ -59,7 +68,7 @@
     @inject(SlotClient) private readonly slots: SlotClient,
     @inject(Sender) private readonly sender: Sender,
     @inject(Servers) private readonly servers: Servers,
-    @inject(PartBlame) private readonly blame: Pick<PartBlame, 'check'>,
+    @inject(PartBlame) blame: Pick<PartBlame, 'check'>,
     @inject(ConfigurationHolder) configuration: ConfigurationHolder,
     @inject(ItemDurationEstimator) private readonly durations: ItemDurationEstimator,
     @inject(PauseWatch) private readonly pauses: PauseWatch,
@@ -70,12 +79,19 @@
     @inject(tokens.random) private readonly random: Random
   ) {
     metrics.gauge('batch_items_running', () => this.running.size)
+    for (const reason of waitingReasonTypes) metrics.gauge('batch_items_waiting', () => this.countWaiting(reason), { reason })
+    this.trials = new ItemTrials({ blame, clock, random, isTried: part => [...this.running].some(({ trial }) => trial === part) })
+    this.versions = new ItemVersions({ loads, servers, clock })
+    this.waits = new WaitingLog({ log, clock })
     this.routes = new RouteFinder({ clock, getConfiguration: () => configuration.value })
   }
 
   async start (): Promise<void> {
     this.slots.subscribe({ onGrant: (pool, server) => this.useGrant(pool, server), onRevoke: server => this.stopLast(server) })
-    this.cancel = this.clock.every(IDLE_PERIOD, () => this.wake())
+    this.cancel = this.clock.every(IDLE_PERIOD, () => {
+      this.wake()
+      for (const job of this.jobs) this.waits.write(job)
+    })
   }
 
   /** Stops every item and starts no more. */
@@ -127,16 +143,15 @@
     })
   }
 
-  /** Requests slots for the waiting items; returns whether there are any. */
+  /** Requests slots for the waiting items, from each service that one of them runs at; returns whether there are any. */
   private requestSlots (): boolean {
     if (this.draining) return false
     const waiting = this.listWaiting()
-    const first = waiting[0]
-    if (first === undefined) return false
-    const pool = chooseService(first.route.services, this.random)
-    const { due, remaining } = first
-    if (pool !== undefined) this.slots.requestBatchSlots(pool, { count: Math.min(SLOTS_PER_REQUEST, waiting.length), due, remaining, avoided: this.listAvoided(pool, waiting) })
-    return true
+    for (const [pool, items] of splitByPool(waiting, this.random)) {
+      const { due, remaining } = items[0]!
+      this.slots.requestBatchSlots(pool, { count: Math.min(SLOTS_PER_REQUEST, items.length), due, remaining, avoided: this.versions.listAvoided(pool, items) })
+    }
+    return waiting.length > 0
   }
 
   /** Lists the items that could start now, in scheduling order. */
@@ -146,16 +161,29 @@
     const waiting: RunnableItem[] = []
     for (const job of this.jobs) {
       const route = this.routes.find(job)
-      const mayStart = this.mayStart(job)
+      const isLookedUp = this.mayStart(job)
+      const unstored = new Set(job.pending.map(({ id }) => id))
       for (const state of job.items) {
-        if (this.abandonIfExpired(job, state, route, now)) continue
-        const isFree = mayStart && state.phase === 'waiting' && now >= state.notBefore && !busy.has(state) && this.blame.check(this.listParts(state)).type === 'clear'
-        if (isFree && route?.jobs !== undefined) waiting.push(this.buildRunnable({ job, state, route }))
+        const isEnded = this.abandonIfExpired(job, state, route, now)
+        const reason = state.phase === 'running' || (isEnded && !unstored.has(state.item.id)) ? undefined : this.findReason(state, { route, isLookedUp, isBusy: busy.has(state), now })
+        this.waits.record(state, reason)
+        if (route !== undefined && (reason?.type === 'slot' || reason?.type === 'version')) waiting.push({ ...this.buildRunnable({ job, state, route }), trial: reason.trial })
       }
     }
     return orderBatch(waiting, now)
   }
 
+  /** Finds why an item waits. */
+  private findReason (state: ItemState, inputs: { readonly route: Route | undefined, readonly isLookedUp: boolean, readonly isBusy: boolean, readonly now: number }): WaitingReason {
+    return findWaitingReason({ ...inputs, state, boundUntil: this.versions.findBoundUntil(state), checkParts: () => this.trials.check(this.listParts(state)) })
+  }
+
+  private countWaiting (reason: WaitingReason['type']): number {
+    let count = 0
+    for (const job of this.jobs) for (const state of job.items) if (this.waits.find(state) === reason) count++
+    return count
+  }
+
   /** Lists the parts of the item's prompt that other requests may share. */
   private listParts (state: ItemState): readonly string[] {
     const known = this.parts.get(state) ?? this.dialect.listSharedParts(Object.fromEntries(Object.entries(state.item.headers).map(([name, value]) => [name.toLowerCase(), value])))
@@ -163,35 +191,26 @@
     return known
   }
 
-  /** Lists the servers of the pool where none of the items may run. */
-  private listAvoided (pool: string, waiting: readonly RunnableItem[]): readonly string[] {
-    if (waiting.some(({ state }) => state.last === undefined)) return []
-    return this.servers.inPool(pool).map(({ name }) => name).filter(name => !waiting.some(({ state }) => this.mayRunAt(state, pool, name)))
-  }
-
   private mayStart (job: OwnedJob): boolean {
     this.pauses.check()
     return job.mayStart(this.clock.now())
   }
 
-  /** Starts the first item that may run on the granted slot. An unused slot returns to the broker with the next load report. */
+  /** Starts the first item that may run on the granted slot, one that keeps its progress before others. An unused slot returns to the broker with the next load report. */
   private useGrant (pool: string, server: string): void {
     if (this.draining || !this.loads.isOpen(server)) return
-    const item = this.listWaiting().find(({ route, state }) => route.services.some(({ service, weight }) => service === pool && weight > 0) && this.mayRunAt(state, pool, server))
+    const items = this.listWaiting().filter(({ route, state }) => route.services.some(({ service, weight }) => service === pool && weight > 0) && this.versions.mayRunAt(state, pool, server))
+    const item = items.find(({ state }) => this.versions.keepsProgress(state, server)) ?? items[0]
     if (item !== undefined) this.startItem(item, pool, server)
   }
 
-  /** Whether the item may run at the server: it goes on at the version that began it, and begins anew elsewhere once no server has that. */
-  private mayRunAt ({ last, version = '' }: ItemState, pool: string, server: string): boolean {
-    return last === undefined || this.servers.find(server)?.version === version || this.loads.listOfVersion(pool, version).length === 0
-  }
-
   /** Drops the progress of an item that can't go on at a server of this version. */
   private dropOtherProgress (job: OwnedJob, state: ItemState, server: string): void {
     const version = this.servers.find(server)?.version
     if (state.last === undefined || (state.version ?? '') === version) return
     this.log.write('info', 'jobs', 'begins an item anew', { request: state.item.id, job: job.id, server, version, former: state.version, events: state.last })
     state.last = undefined
+    state.progressAt = undefined
     state.version = undefined
     state.unmarkedEnd = undefined
     state.texts.length = 0
@@ -207,21 +226,31 @@
     return true
   }
 
-  private startItem ({ job, state, route }: RunnableItem, pool: string, server: string): void {
+  private startItem ({ job, state, route, trial }: RunnableItem, pool: string, server: string): void {
     this.dropOtherProgress(job, state, server)
     const run = new ItemRun({ state, parts: this.listParts(state), host: job.header.host, caller: job.header.caller, pool, server, mayStart: () => this.mayStart(job) && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, dialect: this.dialect })
-    const running = { job, state, route, run }
+    const running = { job, state, route, run, trial }
     const [startedAt, events] = [this.clock.now(), state.last ?? 0]
     state.phase = 'running'
     this.running.add(running)
-    this.log.write('info', 'jobs', 'started an item', { request: state.item.id, job: job.id, server, version: this.servers.find(server)?.version, events: state.last })
-    void run.run().then(outcome => {
+    this.log.write('info', 'jobs', 'started an item', { request: state.item.id, job: job.id, server, version: this.servers.find(server)?.version, events: state.last, trial })
+    void this.runItem(running).then(outcome => {
       this.running.delete(running)
       this.durations.recordRun((state.last ?? 0) - events, this.clock.now() - startedAt)
       this.handleOutcome(running, outcome)
     })
   }
 
+  /** An item whose run breaks off by a defect is run again; otherwise it would stay in the state of running for ever. */
+  private async runItem ({ job, state, run }: Running): Promise<ItemOutcome> {
+    try {
+      return await run.run()
+    } catch (error) {
+      this.log.write('error', 'jobs', 'a run of an item threw', { request: state.item.id, job: job.id, server: run.server, error: (error as Error).stack })
+      return { type: 'lost', detail: (error as Error).message }
+    }
+  }
+
   private handleOutcome ({ job, state, route, run }: Running, outcome: ItemOutcome): void {
     this.metrics.count('batch_runs_total', { outcome: outcome.type })
     this.wake()
--- a/test/observe/read-trace.test.ts
+++ b/test/observe/read-trace.test.ts
@@ -38,6 +38,15 @@
   t.deepEqual(listOwn(trace), ['a confirmed a job', 'a started an item i2', 'b took a job over', 'b started an item i2', 'b an item ended i2'])
 })
 
+// Guards against a trace that doesn't tell why an item waits, or that tells it of another item of its job.
+test('the trace of an item shows why it waits, what it waits for and since when', async t => {
+  const wait = (at: number, why: string, items: readonly string[], count = items.length): object => ({ at, part: 'jobs', message: 'items wait', job: 'j', why, for: `a ${why}`, since: '2026-01-24T08:00:00.000Z', waited: 3_000, count, items })
+  const trace = await read(t, 'i2', { 'a.log': [accepted(0), wait(3_000, 'slot', ['i1']), wait(4_000, 'version', ['i1', 'i2']), wait(5_000, 'look-up', ['i1'], 30), started(6_000, 'i2')] })
+  t.deepEqual(listOwn(trace), ['a confirmed a job', 'a items wait', 'a items wait', 'a started an item i2'])
+  t.deepEqual(trace.events.map(({ fields: { why } }) => why).filter(Boolean), ['version', 'look-up'])
+  t.regex(showTrace(trace), /items wait .*why=version for=a version since=2026-01-24T08:00:00.000Z waited=3000 count=2/)
+})
+
 // The daemon that relayed the stream was killed and logged nothing of it.
 test('the trace of a request has the attempts that resume its stream', async t => {
   const trace = await read(t, 'r1', { 'a.log': [answered(0, 'other')], 'b.log': [{ at: 10, part: 'routing', message: 'resumes a stream', request: 'r2', stream: 'r1', events: '3', version: 'v1', by: 'peer' }, answered(40, 'r2')] })
