--- a/src/jobs/result-writer.ts
+++ b/src/jobs/result-writer.ts
@@ -110,6 +110,7 @@
     const read = await this.options.records.readSegment(job.id, segment)
     this.options.log.write('info', 'jobs', 'found a segment of results stored already', { job: job.id, segment, read: read.ok, results: read.ok ? read.val.length : 0 })
     if (read.ok) this.addSegment(job, segment, read.val)
+    else this.options.log.write('warn', 'jobs', 'could not read results that are stored already, will retry', { job: job.id, segment, error: read.val.type, waiting: job.pending.length })
     return read.ok
   }
 
