--- a/test/helpers/slot-fleet.ts
+++ b/test/helpers/slot-fleet.ts
@@ -12,7 +12,9 @@
 import type { PeerMessage } from '../../src/peers/peer-message.js'
 import type { ExchangeObserver } from '../../src/routing/exchanges/exchange-observer.js'
 import type { ExchangeOutcome } from '../../src/routing/exchanges/exchange-outcome.js'
+import type { ServerHealth } from '../../src/routing/servers/server-health.js'
 import type { Servers } from '../../src/routing/servers/servers.js'
+import { stepServerHealth } from '../../src/routing/servers/step-server-health.js'
 import type { InstanceList } from '../../src/store/instance-list.js'
 import { PlacementQueue } from '../../src/placement/placement-queue.js'
 import { ServerLoads } from '../../src/placement/server-loads.js'
@@ -29,11 +31,13 @@
 
 interface Daemon { readonly queue: PlacementQueue, readonly client: SlotClient, readonly broker: SlotBroker, readonly quotas: CallerQuotas, readonly loads: ServerLoads, readonly observers: readonly ExchangeObserver[] }
 
-interface SlotFleetOptions { readonly daemons: number, readonly servers: number, readonly slots: number, readonly clock: VirtualClock, readonly cores?: (daemon: string) => number, readonly callers?: Configuration['callers'] }
+interface SlotFleetOptions { readonly daemons: number, readonly servers: number, readonly slots: number, readonly clock: VirtualClock, readonly cores?: (daemon: string) => number, readonly callers?: Configuration['callers'], readonly versions?: (server: number) => string }
 
 interface AskOptions {
   readonly caller?: string
   readonly repeatable?: boolean
+  /** The only version of a server's software that may run it; any if omitted. */
+  readonly version?: string
   /** Time until the latest start of use to the caller, ms. */
   readonly beginWithin?: number
   /** Time since its caller's first attempt, ms. */
@@ -55,6 +59,12 @@
   messages = 0
   /** Additional time until a message reaches a daemon that is short of processor time, ms. */
   readonly delays = new Map<string, number>()
+  /** Whether a message between two daemons is lost. */
+  isLost: (from: string, to: string, message: PeerMessage) => boolean = () => false
+  /** Daemons that membership of one of them doesn't list. */
+  readonly unlisted = new Map<string, ReadonlySet<string>>()
+  /** Health of servers as one daemon has observed it, by daemon and server. */
+  readonly health = new Map<string, ServerHealth>()
   /** Called with each message between two daemons. */
   onDeliver: (to: string, message: PeerMessage) => void = () => {}
   private readonly log: LogSink = { write: (_level, _part, message, fields = {}) => { this.lines.push({ message, fields }) } }
@@ -66,10 +76,10 @@
   private readonly names: readonly string[]
 
   constructor (private readonly options: SlotFleetOptions) {
-    const { daemons, servers, slots, callers = {} } = options
+    const { daemons, servers, slots, callers = {}, versions = () => '' } = options
     this.configuration.offer({ ...emptyConfiguration, version: 1, callers })
     this.names = Array.from({ length: daemons }, (_, i) => `d${i}`)
-    this.instances = Array.from({ length: servers }, (_, i) => ({ name: `s${i}`, pool: 'p', host: '', port: 0, failureDomain: 'a', region: '', state: 'live', slots }))
+    this.instances = Array.from({ length: servers }, (_, i) => ({ name: `s${i}`, pool: 'p', host: '', port: 0, failureDomain: 'a', region: '', state: 'live', slots, version: versions(i) }))
     for (const { name } of this.instances) this.running.set(name, { online: 0, batch: 0, most: 0 })
   }
 
@@ -86,6 +96,17 @@
   /** Removes killed daemons from membership. */
   detectDead (): void {
     this.undetected.clear()
+    this.notifyMembership()
+  }
+
+  /** Starts a killed daemon again, under a new run. */
+  revive (name: string): void {
+    this.dead.delete(name)
+    this.restart(name)
+  }
+
+  /** Tells every daemon that membership has changed. */
+  notifyMembership (): void {
     for (const listener of this.listeners) listener()
   }
 
@@ -95,6 +116,13 @@
     this.detectDead()
   }
 
+  /** Records an outcome of a daemon's request for what it knows of the server's health. */
+  recordHealth (name: string, server: string, event: 'answered' | 'failed' | 'unreachable'): void {
+    const next = stepServerHealth(this.health.get(`${name} ${server}`), event, this.options.clock.now())
+    if (next === undefined) this.health.delete(`${name} ${server}`)
+    else this.health.set(`${name} ${server}`, next)
+  }
+
   kill (name: string): void {
     this.dead.add(name)
     this.undetected.add(name)
@@ -115,7 +143,7 @@
   }
 
   /** Requests a slot for an online request of a daemon with a target of 300 ms. */
-  ask (name: string, { caller, repeatable = false, beginWithin = Infinity, sinceAsked = 0, start, refuse = () => {} }: AskOptions): void {
+  ask (name: string, { caller, repeatable = false, version, beginWithin = Infinity, sinceAsked = 0, start, refuse = () => {} }: AskOptions): void {
     const arrived = this.options.clock.now()
     this.daemons.get(name)!.queue.request({
       pool: 'p',
@@ -129,6 +157,7 @@
       asked: arrived - sinceAsked,
       returning: sinceAsked > 0,
       repeatable,
+      ...version !== undefined && { version },
       signal: new AbortController().signal,
       start,
       refuse
@@ -144,10 +173,12 @@
     const random = new Random(seed)
     const metrics = new Metrics()
     const settings = { instance: name } as unknown as Settings
-    const list = { all: this.instances, find: (server: string) => this.instances.find(instance => instance.name === server), subscribe: () => {} } as unknown as InstanceList
-    const members = { all: () => this.alive().map(other => ({ instance: { name: other }, run: this.runs.get(other) ?? 1, state: 'alive' })), owners: () => this.alive(), largeOwners: () => listLarge(this.alive().map(name => ({ name, cores: this.options.cores?.(name) ?? 0 }))), subscribe: (listener: () => void) => { this.listeners.push(listener) } } as unknown as Members
-    const described = this.instances.map(({ name, failureDomain }) => ({ name, failureDomain, leaving: false, inFlight: 0, limit: Infinity }))
-    const servers = { inPool: () => described, find: (server: string) => described.find(({ name }) => name === server) } as unknown as Servers
+    const list = { all: this.instances, find: (server: string) => this.instances.find(instance => instance.name === server), findVersion: (server: string) => this.instances.find(instance => instance.name === server)?.version, subscribe: () => {} } as unknown as InstanceList
+    const listed = (): readonly string[] => this.alive().filter(other => this.unlisted.get(name)?.has(other) !== true)
+    const members = { all: () => listed().map(other => ({ instance: { name: other }, run: this.runs.get(other) ?? 1, state: 'alive' })), owners: listed, largeOwners: () => listLarge(listed().map(name => ({ name, cores: this.options.cores?.(name) ?? 0 }))), subscribe: (listener: () => void) => { this.listeners.push(listener) } } as unknown as Members
+    const described = this.instances.map(({ name: server, failureDomain, version }) => ({ name: server, failureDomain, version, leaving: false, inFlight: 0, limit: Infinity }))
+    const describe = (server: typeof described[number]): typeof described[number] => ({ ...server, limit: readLimit(this.health.get(`${name} ${server.name}`), clock.now()) })
+    const servers = { inPool: () => described.map(describe), find: (server: string) => described.filter(({ name }) => name === server).map(describe)[0] } as unknown as Servers
     const loads = new ServerLoads(clock, list, servers)
     const map = new SlotMap(members, list)
     void map.start()
@@ -165,7 +196,7 @@
   private deliver (from: string, to: string, message: PeerMessage): void {
     this.messages++
     this.onDeliver(to, message)
-    this.options.clock.after(LINK_DELAY + (this.delays.get(to) ?? 0), () => { if (!this.dead.has(from) && !this.dead.has(to)) this.dispatch(to, message, from) })
+    this.options.clock.after(LINK_DELAY + (this.delays.get(to) ?? 0), () => { if (!this.dead.has(from) && !this.dead.has(to) && !this.isLost(from, to, message)) this.dispatch(to, message, from) })
   }
 
   private dispatch (to: string, message: PeerMessage, from: string): void {
@@ -173,3 +204,9 @@
     for (const { value } of [...client.extensions, ...quotas.extensions]) if ((value as PeerHandler).type === message.type) (value as PeerHandler).handle(message, from)
   }
 }
+
+/** Returns the limit of a server as `Servers` does: 0 while it is ejected, 1 while it is probed. */
+function readLimit (health: ServerHealth | undefined, now: number): number {
+  if (health === undefined || health.ejections === 0) return Infinity
+  return now < health.ejectedUntil ? 0 : 1
+}
