--- a/src/placement/plan-batch.ts
+++ b/src/placement/plan-batch.ts
@@ -17,11 +17,14 @@
 /** Greatest share of a group's slots that is left free, so that batch also runs in a group of one server with a single slot. */
 const MAX_HEADROOM_OF_SLOTS = 0.5
 
-/** Plans batch in a group of servers: it fills the idle slots except for the headroom. */
-export function planBatch (candidates: ReadonlyArray<Pick<CandidateServer, 'server' | 'slots' | 'online' | 'batch'>>): BatchPlan {
+/**
+ * Plans batch in a group of servers: it fills the idle slots except for the headroom, and for `reserved` more, one for each waiting
+ * online request that may yet use one of them.
+ */
+export function planBatch (candidates: ReadonlyArray<Pick<CandidateServer, 'server' | 'slots' | 'online' | 'batch'>>, reserved = 0): BatchPlan {
   const servers = candidates.map(({ server, slots, online, batch }) => ({ server, idle: slots - online - batch })).filter(({ idle }) => idle > 0)
   const idle = servers.reduce((sum, server) => sum + server.idle, 0)
   const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0)
   const headroom = Math.min(Math.ceil(candidates.length * HEADROOM_SHARE), Math.floor(slots * MAX_HEADROOM_OF_SLOTS))
-  return { start: Math.max(0, idle - headroom), servers }
+  return { start: Math.max(0, idle - headroom - reserved), servers }
 }
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -247,11 +247,12 @@
    * daemon may ask it in the broker's place, and without the others' reports their slots would look idle.
    */
   private grantBatch ({ pool, group, servers, queue, bids }: GroupState): void {
-    if (queue.length > 0 || this.map.findBroker(pool, group) !== this.settings.instance) return
+    if (this.map.findBroker(pool, group) !== this.settings.instance) return
     const pendingBids = bids.list(this.clock.now())
     if (pendingBids.length === 0) return
     // Planned once and after each grant; planning per bid would be too slow with a large batch backlog.
-    let plan = servers.planBatch()
+    const planNext = (): ReturnType<SlotGroup['planBatch']> => servers.planBatch(versions => queue.countWaiting(versions))
+    let plan = planNext()
     for (const { daemon, count, avoided } of pendingBids) {
       for (let granted = 0; granted < count && plan.start > 0; granted++) {
         const server = this.chooseIdle(plan.servers, avoided)
@@ -259,7 +260,7 @@
         bids.use(daemon)
         const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 0, batch: 1 })
         this.send(daemon, { type: 'batch', g, server, pool })
-        plan = servers.planBatch()
+        plan = planNext()
       }
     }
   }
--- a/src/placement/slot-group.ts
+++ b/src/placement/slot-group.ts
@@ -48,9 +48,14 @@
     })
   }
 
-  /** Returns the slots that batch may take now, and the servers that have them. */
-  planBatch (): ReturnType<typeof planBatch> {
-    return planBatch(this.listCandidates().filter(({ probe }) => probe === undefined))
+  /**
+   * Returns the slots that batch may take now, and the servers that have them. `countWaiting` counts the online requests that wait
+   * for a server of one of the versions.
+   */
+  planBatch (countWaiting: (versions: ReadonlySet<string>) => number): ReturnType<typeof planBatch> {
+    const candidates = this.listCandidates().filter(({ probe }) => probe === undefined)
+    const idle = candidates.filter(({ slots, online, batch }) => slots > online + batch)
+    return planBatch(candidates, countWaiting(new Set(idle.map(({ version }) => version))))
   }
 
   /** Counts slots that no online request holds; batch can be preempted. */
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -59,6 +59,11 @@
     return this.queue.length
   }
 
+  /** Counts the waiting requests that may run at a server of one of the versions. */
+  countWaiting (versions: ReadonlySet<string>): number {
+    return this.queue.filter(({ version }) => version === undefined ? versions.size > 0 : versions.has(version)).length
+  }
+
   /** Calls the request's `start` with a server as soon as it has a slot, or its `refuse` if that can't be in time. */
   request (request: PlacementRequest): void {
     const now = this.options.clock.now()
--- a/test/placement/batch-finds-room.test.ts
+++ b/test/placement/batch-finds-room.test.ts
@@ -54,6 +54,16 @@
   { name: 'two servers of one slot', daemons: 3, servers: 2, slots: 1, rate: () => 2 },
   { name: 'ten groups, some of which were full at the end of the load', servers: 150, slots: 2, rate: ms => ms < 5_000 ? 300 : 900 },
   { name: 'all servers but one failed requests', servers: 3, rate: () => 40, disturb: (play, ms) => { play.failsAt = server => ms < LOADED && server !== 's0' } },
+  {
+    name: 'online requests wait for the one version whose servers are full',
+    servers: 4,
+    versions: server => server === 0 ? 'old' : 'new',
+    disturb: ({ fleet, clock, daemons }, ms) => {
+      if (ms % 200 !== 0) return
+      const daemon = daemons[0]!
+      fleet.ask(daemon, { version: 'old', sinceAsked: 100, start: server => clock.after(2_500, fleet.begin(daemon, server, 'online')) })
+    }
+  },
   {
     name: 'the broker was killed',
     servers: 4,
