--- a/src/placement/outcome-report.ts
+++ b/src/placement/outcome-report.ts
@@ -1,2 +1,2 @@
-/** How a daemon's online requests ended at servers since its last report: server, answered, failed. */
-export type OutcomeReport = ReadonlyArray<readonly [string, number, number]>
+/** How a daemon's requests ended at servers since its last report: server, online requests answered and failed, and the same of items; none if absent. */
+export type OutcomeReport = ReadonlyArray<readonly [string, number, number, number?, number?]>
--- a/src/placement/outlier-detector.ts
+++ b/src/placement/outlier-detector.ts
@@ -7,6 +7,12 @@
 /** How long after the end of an ejection only requests that may run elsewhere are probes, ms. */
 const REPEATABLE_ONLY_FOR = 3_000
 
+/**
+ * How long after the end of an ejection items are probes too, ms. Online requests come first while there are any; with jobs alone
+ * nothing else would find out that the server answers again.
+ */
+const ITEMS_PROBE_AFTER = 2_000
+
 /** Whether a server gets requests: all, none, or one at a time as a probe. */
 type Standing = 'open' | 'ejected' | 'probed by repeatable' | 'probed'
 
@@ -26,6 +32,17 @@
     return after < before ? 'restored' : undefined
   }
 
+  /** Records how an item ended at a server that items probe. Other items decide nothing: they may fail by their own fault. */
+  recordItem (server: string, outcome: ServerOutcome, servers: readonly string[]): 'ejected' | 'restored' | undefined {
+    return this.mayItemsProbe(server, outcome.at) ? this.record(server, outcome, servers) : undefined
+  }
+
+  /** Returns whether items may probe the server, one at a time. */
+  mayItemsProbe (server: string, now: number): boolean {
+    const state = this.states.get(server)
+    return state !== undefined && state.ejections > 0 && now >= state.ejectedUntil + ITEMS_PROBE_AFTER
+  }
+
   /** Returns whether the server gets requests now. */
   getStanding (server: string, now: number): Standing {
     const state = this.states.get(server)
--- a/src/placement/server-loads.ts
+++ b/src/placement/server-loads.ts
@@ -24,13 +24,13 @@
     exchangeObserverPoint.of({
       onBegin: ({ work }, server) => this.count(server, work, 1),
       onEnd: ({ work }, server, outcome) => {
-        if (work === 'online' && outcome !== 'abandoned') this.outcomes.record(server, outcome !== 'answered')
+        if (outcome !== 'abandoned') this.outcomes.record(server, outcome !== 'answered', work)
         this.count(server, work, -1)
       }
     })
   ]
 
-  /** How this daemon's online requests ended at each server. */
+  /** How this daemon's requests ended at each server. */
   readonly outcomes = new OutcomeCounter()
 
   private readonly own = new Map<string, { online: number, batch: number }>()
--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -120,14 +120,16 @@
 
   /** Applies how a daemon's requests ended at servers; ejects those that fail requests which others answer. */
   applyOutcomes (daemon: string, report: OutcomeReport): void {
-    for (const [server, answered, failed] of report) {
-      for (let n = 0; n < answered + failed; n++) this.applyOutcome(server, { daemon, failed: n >= answered, at: this.clock.now() })
+    const at = this.clock.now()
+    for (const [server, answered, failed, itemsAnswered = 0, itemsFailed = 0] of report) {
+      for (let n = 0; n < answered + failed; n++) this.applyOutcome(server, 'online', { daemon, failed: n >= answered, at })
+      for (let n = 0; n < itemsAnswered + itemsFailed; n++) this.applyOutcome(server, 'batch', { daemon, failed: n >= itemsAnswered, at })
     }
   }
 
-  private applyOutcome (server: string, outcome: ServerOutcome): void {
+  private applyOutcome (server: string, work: 'online' | 'batch', outcome: ServerOutcome): void {
     const state = [...this.groups.values()].find(({ servers }) => servers.names.includes(server))
-    const change = state?.servers.recordOutcome(server, outcome)
+    const change = state?.servers.recordOutcome(server, work, outcome)
     if (state === undefined || change === undefined) return
     this.metrics.count('servers_ejected_total', { change })
     this.log.write('warn', 'slots', `${change} a server`, { server, pool: state.pool, group: state.group, daemon: outcome.daemon })
--- a/src/placement/slot-group.ts
+++ b/src/placement/slot-group.ts
@@ -53,7 +53,8 @@
    * for a server of one of the versions.
    */
   planBatch (countWaiting: (versions: ReadonlySet<string>) => number): ReturnType<typeof planBatch> {
-    const candidates = this.listCandidates().filter(({ probe }) => probe === undefined)
+    const now = this.options.clock.now()
+    const candidates = this.listCandidates().filter(({ server, probe }) => probe === undefined || this.outliers.mayItemsProbe(server, now))
     const idle = candidates.filter(({ slots, online, batch }) => slots > online + batch)
     return planBatch(candidates, countWaiting(new Set(idle.map(({ version }) => version))))
   }
@@ -64,7 +65,11 @@
   }
 
   /** Records how a request ended at one of the servers; returns the change that it causes, if any. */
-  recordOutcome (server: string, outcome: ServerOutcome): 'ejected' | 'restored' | undefined {
-    return this.outliers.record(server, outcome, this.names)
+  recordOutcome (server: string, work: 'online' | 'batch', outcome: ServerOutcome): 'ejected' | 'restored' | undefined {
+    switch (work) {
+      case 'online': return this.outliers.record(server, outcome, this.names)
+      case 'batch': return this.outliers.recordItem(server, outcome, this.names)
+      default: return failUnreachable(work)
+    }
   }
 }
--- a/test/placement/batch-finds-room.test.ts
+++ b/test/placement/batch-finds-room.test.ts
@@ -53,6 +53,7 @@
   { name: 'one server of one slot', daemons: 3, servers: 1, slots: 1, rate: () => 2 },
   { name: 'two servers of one slot', daemons: 3, servers: 2, slots: 1, rate: () => 2 },
   { name: 'ten groups, some of which were full at the end of the load', servers: 150, slots: 2, rate: ms => ms < 5_000 ? 300 : 900 },
+  { name: 'half of the servers failed requests', servers: 6, rate: () => 40, disturb: (play, ms) => { play.failsAt = server => ms < LOADED && Number(server.slice(1)) % 2 === 1 } },
   { name: 'all servers but one failed requests', servers: 3, rate: () => 40, disturb: (play, ms) => { play.failsAt = server => ms < LOADED && server !== 's0' } },
   {
     name: 'online requests wait for the one version whose servers are full',
@@ -119,8 +120,8 @@
   }
 ]
 
-/** Plays the online load and then jobs alone; returns the longest wait of an item that began to wait in that time, by daemon, ms. */
-async function play ({ daemons = 6, servers, slots = 8, versions, rate = () => 0, disturb = () => {} }: Case, seed: number, bound: boolean): Promise<ReadonlyMap<string, number>> {
+/** Plays the online load and then jobs alone; returns the longest wait of an item in that time, by daemon, ms, and how many items servers failed. */
+async function play ({ daemons = 6, servers, slots = 8, versions, rate = () => 0, disturb = () => {} }: Case, seed: number, bound: boolean): Promise<{ readonly waits: ReadonlyMap<string, number>, readonly failed: number }> {
   const clock = new VirtualClock()
   const fleet = new SlotFleet({ daemons, servers, slots, clock, ...versions !== undefined && { versions } })
   await fleet.start()
@@ -128,6 +129,7 @@
   const names = [...fleet.daemons.keys()]
   const state: Play = { fleet, clock, random, daemons: names, broker: slotGroups.findBroker('p', 0, names)!, failsAt: () => false }
   const waits = new Map<string, number>()
+  let failed = 0
   const waitingSince = new Map<string, number>()
   const listServers = (daemon: string): readonly string[] => {
     const all = Array.from({ length: servers }, (_, n) => `s${n}`).filter(server => versions === undefined || versions(Number(server.slice(1))) === 'new')
@@ -144,8 +146,10 @@
         recordWait(daemon)
         waitingSince.delete(daemon)
         const end = fleet.begin(daemon, server, 'batch')
-        clock.after(ITEM_TIME, () => {
-          end('answered')
+        const fails = state.failsAt(server)
+        clock.after(fails ? 1 : ITEM_TIME, () => {
+          if (fails) failed++
+          end(fails ? 'error' : 'answered')
           fleet.recordHealth(daemon, server, 'answered')
           waitingSince.set(daemon, clock.now())
         })
@@ -176,7 +180,7 @@
     await clock.advance(10)
   }
   for (const daemon of names) if (!fleet.dead.has(daemon)) recordWait(daemon)
-  return waits
+  return { waits, failed }
 }
 
 // Guards against items that no server has for seconds while servers have room, because only an online request would change what keeps them out.
@@ -184,10 +188,19 @@
   for (const bound of [false, true]) {
     for (const seed of [1, 2, 3]) {
       test(`${row.name}: ${bound ? 'an item that only one server may run' : 'any item'} finds room, seed ${seed}`, async t => {
-        const waits = await play(row, seed, bound)
+        const { waits } = await play(row, seed, bound)
         t.log({ longest: Math.round(Math.max(...waits.values())) })
         t.true([...waits.values()].every(wait => wait <= MAX_WAIT), JSON.stringify([...waits]))
       })
     }
   }
 }
+
+// Guards against items that use up their attempts at servers which fail on after the online load has ended.
+test('servers that fail on get few items', async t => {
+  const servers = 6
+  const { failed } = await play({ name: '', servers, rate: () => 40, disturb: play => { play.failsAt = server => Number(server.slice(1)) % 2 === 1 } }, 1, true)
+  t.log({ failed })
+  // Each server is probed once in 2 s at most.
+  t.true(failed >= servers / 2 && failed <= servers / 2 * ALONE / 2_000)
+})
