--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -13,6 +13,7 @@
 import { CallerQuotas } from '../quota/caller-quotas.js'
 import type { QuotaDecision } from '../quota/quota-decision.js'
 import { BatchBids } from './batch-bids.js'
+import { BatchGranter } from './batch-granter.js'
 import { countExcessBatch } from './count-excess-batch.js'
 import type { LoadReport } from './load-report.js'
 import type { OutcomeReport } from './outcome-report.js'
@@ -57,11 +58,12 @@
   private readonly waiting = new Map<string, AbortController>()
   /** The run in which each known daemon sent its first message. */
   private readonly runs = new Map<string, number>()
+  private readonly batch: BatchGranter
   private send: Send = () => {}
   private cancel = (): void => {}
 
   constructor (
-    @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance'>,
+    @inject(tokens.settings) settings: Pick<Settings, 'instance'>,
     @inject(ServerLoads) private readonly loads: ServerLoads,
     @inject(Members) private readonly members: Members,
     @inject(SlotMap) private readonly map: SlotMap,
@@ -72,6 +74,8 @@
     @inject(tokens.random) private readonly random: Random,
     @inject(tokens.log) private readonly log: LogSink
   ) {
+    const isBroker = (pool: string, group: number): boolean => map.findBroker(pool, group) === settings.instance
+    this.batch = new BatchGranter({ clock, random, metrics, log, ledger: this.ledger, isBroker, send: (daemon, answer) => this.send(daemon, answer) })
     metrics.gauge('slot_counts_age_ms', () => this.readCountsAge())
   }
 
@@ -98,10 +102,7 @@
     this.recordRun(daemon)
     const state = this.findGroupState(request.pool, request.group)
     if (request.work === 'online') return this.grantOnline(daemon, state, request)
-    const now = this.clock.now()
-    const { count, avoided, dueIn, remaining } = request
-    state.bids.put({ daemon, count, avoided, due: now + dueIn, remaining, at: now })
-    this.grantBatch(state)
+    this.batch.receiveBid(daemon, state, request)
   }
 
   /** Withdraws a daemon's waiting request. */
@@ -243,38 +244,6 @@
     else admit(decision)
   }
 
-  /**
-   * Grants batch slots when a daemon asks, not whenever one becomes free: the next online request would then have to preempt an item,
-   * and wait in the engine if its daemon is slow to stop it. Grants none unless this daemon considers itself the broker: a single
-   * daemon may ask it in the broker's place, and without the others' reports their slots would look idle.
-   */
-  private grantBatch ({ pool, group, servers, queue, bids }: GroupState): void {
-    if (this.map.findBroker(pool, group) !== this.settings.instance) return
-    const pendingBids = bids.list(this.clock.now())
-    if (pendingBids.length === 0) return
-    // Planned once and after each grant; planning per bid would be too slow with a large batch backlog.
-    const planNext = (): ReturnType<SlotGroup['planBatch']> => servers.planBatch(versions => queue.countWaiting(versions))
-    let plan = planNext()
-    for (const { daemon, count, avoided } of pendingBids) {
-      for (let granted = 0; granted < count && plan.start > 0; granted++) {
-        const server = this.chooseIdle(plan.servers, avoided)
-        if (server === undefined) break
-        bids.use(daemon)
-        const g = this.ledger.record(daemon, { at: this.clock.now(), server, online: 0, batch: 1 })
-        this.send(daemon, { type: 'batch', g, server, pool })
-        plan = planNext()
-      }
-    }
-  }
-
-  /** Chooses a server with most idle slots, at random among equals. */
-  private chooseIdle (servers: ReturnType<SlotGroup['planBatch']>['servers'], avoided: readonly string[]): string | undefined {
-    const open = servers.filter(({ server }) => !avoided.includes(server))
-    const most = Math.max(...open.map(({ idle }) => idle))
-    const best = open.filter(({ idle }) => idle === most)
-    return best[this.random.below(best.length)]?.server
-  }
-
   /** Revokes as many batch items as requests exceed the server's slots, each from the daemon with most items there. */
   private revokeExcess (server: string): void {
     const unresponsive = this.ledger.listUnresponsive(this.clock.now())
--- a/src/placement/slot-client.ts
+++ b/src/placement/slot-client.ts
@@ -13,7 +13,9 @@
 import type { PeerMessage } from '../peers/peer-message.js'
 import { exchangeObserverPoint } from '../routing/exchanges/exchange-observer-point.js'
 import type { BatchBid } from './batch-bid.js'
+import { BatchBidder } from './batch-bidder.js'
 import { givenUpRefusal } from './given-up-refusal.js'
+import { GroupChooser } from './group-chooser.js'
 import type { LoadReport } from './load-report.js'
 import { LoadReporter } from './load-reporter.js'
 import type { OutcomeReport } from './outcome-report.js'
@@ -80,10 +82,10 @@
   ]
 
   private readonly reporter: LoadReporter
+  private readonly bidder: BatchBidder
   private readonly delays = new ResponseDelays()
   private readonly pending = new Map<number, Pending>()
-  /** Free slots in the broker's last response, by pool and group. */
-  private readonly free = new Map<string, number>()
+  private readonly groups: GroupChooser
   private readonly listeners = new Set<BatchListener>()
   private lastRequestId = 0
   private readonly startedAt: number
@@ -91,7 +93,7 @@
   constructor (
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.clock) private readonly clock: Clock,
-    @inject(tokens.random) private readonly random: Random,
+    @inject(tokens.random) random: Random,
     @inject(PeerLinks) private readonly links: PeerLinks,
     @inject(ServerLoads) private readonly loads: ServerLoads,
     @inject(SlotMap) private readonly map: SlotMap,
@@ -100,6 +102,9 @@
     @inject(tokens.log) private readonly log: LogSink
   ) {
     this.startedAt = clock.now()
+    this.groups = new GroupChooser({ random, loads, map })
+    const send = (broker: string, ask: SlotRequest): void => this.sendTo(broker, { type: REQUEST, ask })
+    this.bidder = new BatchBidder({ clock, random, metrics, log, loads, map, groups: this.groups, send, onGrant: (pool, server) => this.notifyGrant(pool, server) })
     broker.setSend((daemon, answer) => this.sendResponse(daemon, answer))
     this.reporter = new LoadReporter({ clock, loads, map, send: (to, report, seen, outcomes) => this.sendTo(to, { type: LOAD_REPORT, row: report, seen, ...outcomes.length > 0 && { outcomes } }) })
   }
@@ -119,7 +124,7 @@
 
   /** Requests a slot for an online request; calls `fallBack` if no broker can be reached. */
   requestSlot (request: PlacementRequest, fallBack: () => void): void {
-    this.requestFromGroup(this.chooseGroup(request.pool, request.version), request, fallBack, 0)
+    this.requestFromGroup(this.groups.choose(request.pool, request.version), request, fallBack, 0)
   }
 
   /**
@@ -130,15 +135,6 @@
     return this.clock.now() < this.startedAt + START_TIME ? MAX_BROKERS_AT_START : MAX_BROKERS
   }
 
-  /** Returns the group with more free slots of two chosen at random, among those with a server of the version, if one is given. A group without a response yet counts as free. */
-  private chooseGroup (pool: string, version?: string): number {
-    const groups = version === undefined ? [] : [...new Set(this.loads.listOfVersion(pool, version).map(server => this.map.findGroup(pool, server)))]
-    const draw = (): number => groups.length > 0 ? groups[this.random.below(groups.length)]! : this.random.below(this.map.countGroups(pool))
-    const getFree = (group: number): number => this.free.get(`${pool} ${group}`) ?? Infinity
-    const [first, second] = [draw(), draw()]
-    return getFree(second) > getFree(first) ? second : first
-  }
-
   private requestFromGroup (group: number, request: PlacementRequest, fallBack: () => void, triedBrokers: number): void {
     const { pool, signal } = request
     const broker = this.map.findBroker(pool, group)
@@ -156,11 +152,8 @@
   }
 
   /** Requests slots for batch items; the broker may grant none and sends no response then. */
-  requestBatchSlots (pool: string, { count, due, remaining, avoided = [] }: BatchBid): void {
-    const group = this.chooseGroup(pool)
-    const broker = this.map.findBroker(pool, group)
-    const ask: SlotRequest = { work: 'batch', pool, group, avoided: [...this.loads.listUnavailable(pool), ...avoided], count, dueIn: due - this.clock.now(), remaining }
-    if (broker !== undefined) this.sendTo(broker, { type: REQUEST, ask })
+  requestBatchSlots (pool: string, bid: BatchBid): void {
+    this.bidder.submit(pool, bid)
   }
 
   private sendRequest (requestId: number): void {
@@ -219,7 +212,7 @@
       case 'queued': {
         const pending = this.pending.get(response.n)
         if (pending === undefined) return
-        this.free.set(`${pending.request.pool} ${pending.group}`, 0)
+        this.groups.record(pending.request.pool, pending.group, 0)
         pending.cancel()
         pending.cancel = this.clock.after(QUEUED_RETRY_PERIOD, () => this.sendRequest(response.n))
         return
@@ -227,7 +220,7 @@
       case 'refused': return this.handleRefusal(response)
       case 'batch': {
         this.reporter.recordSeen(from, response.g)
-        for (const listener of this.listeners) listener.onGrant(response.pool, response.server)
+        this.notifyGrant(response.pool, response.server)
         return this.reporter.reportSoon()
       }
       case 'revoke': {
@@ -235,12 +228,20 @@
         for (const listener of this.listeners) listener.onRevoke(response.server)
         return this.reporter.reportSoon()
       }
+      case 'bid': {
+        if (response.isBroker) this.bidder.recordConfirmation(response.pool, response.group)
+        return
+      }
       case 'here':
       case undefined: return
       default: return failUnreachable(response)
     }
   }
 
+  private notifyGrant (pool: string, server: string): void {
+    for (const listener of this.listeners) listener.onGrant(pool, server)
+  }
+
   /**
    * Records the response delay of a request. Only the first response counts, since a queued request's grant depends on free slots.
    * A late one counts as well; with only those in time, the timeout would never grow to what a busy broker needs.
@@ -258,7 +259,7 @@
     const pending = this.pending.get(n)
     if (pending === undefined) return
     pending.settle()
-    if (refusal.cause !== 'over quota') this.free.set(`${pending.request.pool} ${pending.group}`, 0)
+    if (refusal.cause !== 'over quota') this.groups.record(pending.request.pool, pending.group, 0)
     this.metrics.count('slot_asks_total', { outcome: 'refused' })
     pending.request.refuse(refusal)
   }
@@ -269,7 +270,7 @@
     const pending = this.pending.get(n)
     if (pending === undefined) return this.reporter.reportSoon()
     pending.settle()
-    this.free.set(`${pending.request.pool} ${pending.group}`, free)
+    this.groups.record(pending.request.pool, pending.group, free)
     if (!this.loads.isOpen(server)) {
       this.reporter.reportSoon()
       return pending.fallBack()
--- a/src/placement/slot-ledger.ts
+++ b/src/placement/slot-ledger.ts
@@ -62,6 +62,12 @@
     return now - (this.loads.findOldestTime() ?? now)
   }
 
+  /** Counts the batch changes that the daemon has not acknowledged in time. */
+  countUnacknowledged (daemon: string, now: number): number {
+    const { timeout } = this.confirmTimeout
+    return (this.pending.get(daemon) ?? []).filter(({ at, batch }) => batch !== 0 && now >= at + timeout).length
+  }
+
   /** Returns the daemons that have not acknowledged a batch change in time. */
   listUnresponsive (now: number): ReadonlySet<string> {
     const { timeout } = this.confirmTimeout
--- a/src/placement/slot-request.ts
+++ b/src/placement/slot-request.ts
@@ -23,4 +23,14 @@
     readonly returning: boolean
     readonly repeatable: boolean
   }
-  | { readonly work: 'batch', readonly pool: string, readonly group: number, readonly avoided: readonly string[], readonly count: number, readonly dueIn: number, readonly remaining: number }
+  | {
+    readonly work: 'batch'
+    readonly pool: string
+    readonly group: number
+    readonly avoided: readonly string[]
+    readonly count: number
+    readonly dueIn: number
+    readonly remaining: number
+    /** Whether the bid is to be confirmed. */
+    readonly confirm?: boolean
+  }
--- a/src/placement/slot-response.ts
+++ b/src/placement/slot-response.ts
@@ -10,5 +10,7 @@
   | { readonly type: 'batch', readonly g: number, readonly server: string, readonly pool: string }
   /** The daemon must stop one of its batch items at the server. */
   | { readonly type: 'revoke', readonly g: number, readonly server: string }
+  /** Confirms a bid; `isBroker`: whether the sender considers itself the group's broker. */
+  | { readonly type: 'bid', readonly pool: string, readonly group: number, readonly isBroker: boolean }
   /** Response to a probe. */
   | { readonly type: 'here' }
--- a/test/placement/batch-finds-room.test.ts
+++ b/test/placement/batch-finds-room.test.ts
@@ -110,6 +110,70 @@
   },
   { name: 'a third of all messages was lost', servers: 4, rate: () => 40, disturb: ({ fleet, random }, ms) => { fleet.isLost = () => ms < LOADED && random.below(3) === 0 } },
   { name: 'a third of all messages is lost', servers: 4, rate: () => 40, disturb: ({ fleet, random }) => { fleet.isLost = () => random.below(3) === 0 } },
+  {
+    name: 'one daemon asks another broker than the others',
+    servers: 4,
+    rate: () => 20,
+    disturb: (play, ms) => {
+      const asker = rankBrokers(play.daemons).at(-1)!
+      if (ms === LOADED - 1_000) {
+        play.fleet.unlisted.set(asker, new Set([play.broker]))
+        play.fleet.notifyMembership()
+      }
+    }
+  },
+  {
+    name: 'the broker takes another daemon for the broker',
+    servers: 4,
+    rate: () => 20,
+    disturb: (play, ms) => {
+      if (ms === LOADED - 1_000) {
+        play.fleet.unlisted.set(play.broker, new Set([play.broker]))
+        play.fleet.notifyMembership()
+      }
+    }
+  },
+  {
+    name: 'a daemon finds no broker',
+    servers: 4,
+    rate: () => 20,
+    disturb: (play, ms) => {
+      const asker = rankBrokers(play.daemons).at(-1)!
+      if (ms === LOADED - 1_000) {
+        play.fleet.unlisted.set(asker, new Set(play.daemons))
+        play.fleet.notifyMembership()
+      }
+    }
+  },
+  {
+    name: 'messages of one daemon to the broker are lost',
+    servers: 4,
+    rate: () => 20,
+    disturb: (play, ms) => {
+      const asker = rankBrokers(play.daemons).at(-1)!
+      play.fleet.isLost = (from, to) => ms >= LOADED && from === asker && to === play.broker
+    }
+  },
+  {
+    name: 'messages of the broker to one daemon are lost',
+    servers: 2,
+    rate: () => 20,
+    disturb: (play, ms) => {
+      const asker = rankBrokers(play.daemons).at(-1)!
+      play.fleet.isLost = (from, to) => ms >= LOADED && from === play.broker && to === asker
+    }
+  },
+  {
+    name: 'messages of the broker of few slots to one daemon are lost',
+    daemons: 3,
+    servers: 1,
+    slots: 6,
+    rate: () => 2,
+    disturb: (play, ms) => {
+      const asker = rankBrokers(play.daemons).at(-1)!
+      play.fleet.isLost = (from, to) => ms >= LOADED && from === play.broker && to === asker
+    }
+  },
   {
     name: 'one daemon could not reach the servers',
     servers: 4,
