--- a/src/placement/batch-bidder.ts
+++ b/src/placement/batch-bidder.ts
@@ -14,7 +14,7 @@
   readonly random: Random
   readonly metrics: Metrics
   readonly log: LogSink
-  readonly loads: Pick<ServerLoads, 'listCandidates' | 'listUnavailable'>
+  readonly loads: Pick<ServerLoads, 'listCandidates' | 'listUnavailableToItems'>
   readonly map: Pick<SlotMap, 'findBroker' | 'findGroup'>
   readonly groups: GroupChooser
   readonly send: (broker: string, request: SlotRequest) => void
@@ -35,7 +35,7 @@
     const now = clock.now()
     const broker = map.findBroker(pool, group)
     const confirm = this.contacts.recordBid(`${pool} ${group}`, now)
-    if (broker !== undefined) send(broker, { work: 'batch', pool, group, avoided: [...loads.listUnavailable(pool), ...avoided], count, dueIn: due - now, remaining, ...confirm && { confirm } })
+    if (broker !== undefined) send(broker, { work: 'batch', pool, group, avoided: [...loads.listUnavailableToItems(pool), ...avoided], count, dueIn: due - now, remaining, ...confirm && { confirm } })
     if (this.contacts.mayStart(`${pool} ${group}`, now)) this.startWithoutBroker(pool, group, avoided)
   }
 
--- a/src/placement/server-loads.ts
+++ b/src/placement/server-loads.ts
@@ -66,6 +66,12 @@
     return server !== undefined && this.isAvailable(server) ? this.buildCandidate(server) : undefined
   }
 
+  /** Returns a server that accepts no online requests of this daemon, but which an item may probe; undefined for any other. */
+  findItemProbe (name: string): CandidateServer | undefined {
+    const server = this.servers.find(name)
+    return server !== undefined && !this.isAvailable(server) && this.mayItemProbe(server) ? this.buildCandidate(server) : undefined
+  }
+
   /** Returns how many requests the server runs concurrently. */
   countSlots (server: string): number {
     return this.list.find(server)?.slots ?? DEFAULT_SLOTS
@@ -86,6 +92,11 @@
     return this.servers.inPool(pool).filter(server => !this.isAvailable(server)).map(({ name }) => name)
   }
 
+  /** Lists the servers of the pool that no item of this daemon may use. */
+  listUnavailableToItems (pool: string): readonly string[] {
+    return this.servers.inPool(pool).filter(server => !this.isAvailable(server) && !this.mayItemProbe(server)).map(({ name }) => name)
+  }
+
   /** This daemon's in-flight counts by server. */
   get ownCounts (): ReadonlyMap<string, LoadCounts> {
     return this.own
@@ -106,6 +117,10 @@
     return !leaving && inFlight < limit && this.clock.now() >= (this.fullUntil.get(name) ?? 0)
   }
 
+  private mayItemProbe ({ name, leaving, isItemProbeDue = false }: BackendServer): boolean {
+    return isItemProbeDue && !leaving && (this.own.get(name)?.batch ?? 0) === 0 && this.clock.now() >= (this.fullUntil.get(name) ?? 0)
+  }
+
   private buildCandidate ({ name: server, failureDomain, version }: BackendServer): CandidateServer {
     const { online, batch } = this.own.get(server) ?? { online: 0, batch: 0 }
     return { server, failureDomain, version, slots: this.countSlots(server), online, batch, ownBatch: batch }
--- a/src/placement/slot-group.ts
+++ b/src/placement/slot-group.ts
@@ -54,11 +54,21 @@
    */
   planBatch (countWaiting: (versions: ReadonlySet<string>) => number): ReturnType<typeof planBatch> {
     const now = this.options.clock.now()
-    const candidates = this.listCandidates().filter(({ server, probe }) => probe === undefined || this.outliers.mayItemsProbe(server, now))
+    const open = this.listCandidates().filter(({ server, probe }) => probe === undefined || this.outliers.mayItemsProbe(server, now))
+    const candidates = [...open, ...this.listItemProbes()]
     const idle = candidates.filter(({ slots, online, batch }) => slots > online + batch)
     return planBatch(candidates, countWaiting(new Set(idle.map(({ version }) => version))))
   }
 
+  /** Lists the servers that this daemon has ejected and that one item of any daemon may probe. */
+  private listItemProbes (): readonly CandidateServer[] {
+    const { loads, ledger } = this.options
+    return this.names.flatMap(name => {
+      const candidate = loads.findItemProbe(name)
+      return candidate === undefined ? [] : [{ ...candidate, ...ledger.find(name), slots: 1, ownBatch: 0 }]
+    })
+  }
+
   /** Counts slots that no online request holds; batch can be preempted. */
   countFree (): number {
     return this.listCandidates().reduce((sum, { slots, online }) => sum + Math.max(0, slots - online), 0)
--- a/src/routing/servers/backend-server.ts
+++ b/src/routing/servers/backend-server.ts
@@ -15,4 +15,6 @@
   readonly load: number
   /** Most requests that this daemon may have in flight there; 0 while the server is ejected. */
   readonly limit: number
+  /** Whether an item may probe it although it is ejected. */
+  readonly isItemProbeDue?: boolean
 }
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -15,6 +15,7 @@
 import type { Instance } from '../../store/instance.js'
 import { InstanceList } from '../../store/instance-list.js'
 import type { BackendServer } from './backend-server.js'
+import { isItemProbeDue } from './is-item-probe-due.js'
 import { Members } from '../../peers/members.js'
 import { markSent } from '../exchanges/mark-sent.js'
 import { planDaemonLimit } from './plan-daemon-limit.js'
@@ -107,7 +108,8 @@
       leaving: state === 'leaving' || (view !== undefined && view.state !== 'open'),
       inFlight,
       load: inFlight + (others ?? 0),
-      limit: Math.min(this.readLimit(name), view === undefined ? Infinity : planLimit(view.limit, others, getIndex(), getShare()))
+      limit: Math.min(this.readLimit(name), view === undefined ? Infinity : planLimit(view.limit, others, getIndex(), getShare())),
+      isItemProbeDue: isItemProbeDue(this.health.get(name), this.clock.now())
     }
   }
 
--- a/src/routing/servers/step-server-health.ts
+++ b/src/routing/servers/step-server-health.ts
@@ -18,15 +18,15 @@
   const { failures, ejections, ejectedUntil } = health ?? { failures: 0, ejections: 0, ejectedUntil: 0 }
   switch (event) {
     case 'answered': return undefined
-    case 'unreachable': return now < ejectedUntil ? health : eject(failures + 1, ejections, now)
+    case 'unreachable': return now < ejectedUntil ? { failures, ejections, ejectedUntil, failedAt: now } : eject(failures + 1, ejections, now)
     case 'failed':
-      if (now < ejectedUntil) return health
+      if (now < ejectedUntil) return { failures, ejections, ejectedUntil, failedAt: now }
       if (ejections > 0 || failures + 1 >= MAX_FAILURES) return eject(failures + 1, ejections, now)
-      return { failures: failures + 1, ejections, ejectedUntil }
+      return { failures: failures + 1, ejections, ejectedUntil, failedAt: now }
     default: return failUnreachable(event)
   }
 }
 
 function eject (failures: number, ejections: number, now: number): ServerHealth {
-  return { failures, ejections: ejections + 1, ejectedUntil: now + Math.min(MAX_EJECTION, MIN_EJECTION * 2 ** ejections) }
+  return { failures, failedAt: now, ejections: ejections + 1, ejectedUntil: now + Math.min(MAX_EJECTION, MIN_EJECTION * 2 ** ejections) }
 }
--- a/test/helpers/slot-fleet.ts
+++ b/test/helpers/slot-fleet.ts
@@ -12,6 +12,7 @@
 import type { PeerMessage } from '../../src/peers/peer-message.js'
 import type { ExchangeObserver } from '../../src/routing/exchanges/exchange-observer.js'
 import type { ExchangeOutcome } from '../../src/routing/exchanges/exchange-outcome.js'
+import { isItemProbeDue } from '../../src/routing/servers/is-item-probe-due.js'
 import type { ServerHealth } from '../../src/routing/servers/server-health.js'
 import type { Servers } from '../../src/routing/servers/servers.js'
 import { stepServerHealth } from '../../src/routing/servers/step-server-health.js'
@@ -176,8 +177,8 @@
     const list = { all: this.instances, find: (server: string) => this.instances.find(instance => instance.name === server), findVersion: (server: string) => this.instances.find(instance => instance.name === server)?.version, subscribe: () => {} } as unknown as InstanceList
     const listed = (): readonly string[] => this.alive().filter(other => this.unlisted.get(name)?.has(other) !== true)
     const members = { all: () => listed().map(other => ({ instance: { name: other }, run: this.runs.get(other) ?? 1, state: 'alive' })), owners: listed, largeOwners: () => listLarge(listed().map(name => ({ name, cores: this.options.cores?.(name) ?? 0 }))), subscribe: (listener: () => void) => { this.listeners.push(listener) } } as unknown as Members
-    const described = this.instances.map(({ name: server, failureDomain, version }) => ({ name: server, failureDomain, version, leaving: false, inFlight: 0, limit: Infinity }))
-    const describe = (server: typeof described[number]): typeof described[number] => ({ ...server, limit: readLimit(this.health.get(`${name} ${server.name}`), clock.now()) })
+    const described = this.instances.map(({ name: server, failureDomain, version }) => ({ name: server, failureDomain, version, leaving: false, inFlight: 0, limit: Infinity, isItemProbeDue: false }))
+    const describe = (server: typeof described[number]): typeof described[number] => ({ ...server, limit: readLimit(this.health.get(`${name} ${server.name}`), clock.now()), isItemProbeDue: isItemProbeDue(this.health.get(`${name} ${server.name}`), clock.now()) })
     const servers = { inPool: () => described.map(describe), find: (server: string) => described.filter(({ name }) => name === server).map(describe)[0] } as unknown as Servers
     const loads = new ServerLoads(clock, list, servers)
     const map = new SlotMap(members, list)
--- a/test/placement/batch-finds-room.test.ts
+++ b/test/placement/batch-finds-room.test.ts
@@ -181,6 +181,22 @@
     disturb: ({ fleet, daemons, broker }, ms) => {
       if (ms < LOADED && ms % 100 === 0) for (let n = 0; n < 4; n++) fleet.recordHealth(rankBrokers(daemons).at(-1)!, `s${n}`, 'unreachable')
     }
+  },
+  {
+    name: 'the broker could not reach the servers for long',
+    servers: 4,
+    rate: () => 20,
+    disturb: ({ fleet, broker }, ms) => {
+      if (ms === LOADED - 100) for (let n = 0; n < 4; n++) fleet.health.set(`${broker} s${n}`, { failures: 7, failedAt: LOADED - 100, ejections: 7, ejectedUntil: LOADED - 100 + 30_000 })
+    }
+  },
+  {
+    name: 'one daemon could not reach the servers for long',
+    servers: 4,
+    rate: () => 20,
+    disturb: ({ fleet, broker, daemons }, ms) => {
+      if (ms === LOADED - 100) for (let n = 0; n < 4; n++) fleet.health.set(`${rankBrokers(daemons).at(-1)!} s${n}`, { failures: 7, failedAt: LOADED - 100, ejections: 7, ejectedUntil: LOADED - 100 + 30_000 })
+    }
   }
 ]
 
