--- a/src/placement/slot-group.ts
+++ b/src/placement/slot-group.ts
@@ -48,9 +48,25 @@
     })
   }
 
-  /** Returns the slots that batch may take now, and the servers that have them. */
-  planBatch (): ReturnType<typeof planBatch> {
-    return planBatch(this.listCandidates().filter(({ probe }) => probe === undefined))
+  /**
+   * Returns the slots that batch may take now, and the servers that have them. `countWaiting` counts the online requests that wait
+   * for a server of one of the versions.
+   */
+  planBatch (countWaiting: (versions: ReadonlySet<string>) => number): ReturnType<typeof planBatch> {
+    const now = this.options.clock.now()
+    const open = this.listCandidates().filter(({ server, probe }) => probe === undefined || this.outliers.mayItemsProbe(server, now))
+    const candidates = [...open, ...this.listItemProbes()]
+    const idle = candidates.filter(({ slots, online, batch }) => slots > online + batch)
+    return planBatch(candidates, countWaiting(new Set(idle.map(({ version }) => version))))
+  }
+
+  /** Lists the servers that this daemon has ejected and that one item of any daemon may probe. */
+  private listItemProbes (): readonly CandidateServer[] {
+    const { loads, ledger } = this.options
+    return this.names.flatMap(name => {
+      const candidate = loads.findItemProbe(name)
+      return candidate === undefined ? [] : [{ ...candidate, ...ledger.find(name), slots: 1, ownBatch: 0 }]
+    })
   }
 
   /** Counts slots that no online request holds; batch can be preempted. */
@@ -59,7 +75,11 @@
   }
 
   /** Records how a request ended at one of the servers; returns the change that it causes, if any. */
-  recordOutcome (server: string, outcome: ServerOutcome): 'ejected' | 'restored' | undefined {
-    return this.outliers.record(server, outcome, this.names)
+  recordOutcome (server: string, work: 'online' | 'batch', outcome: ServerOutcome): 'ejected' | 'restored' | undefined {
+    switch (work) {
+      case 'online': return this.outliers.record(server, outcome, this.names)
+      case 'batch': return this.outliers.recordItem(server, outcome, this.names)
+      default: return failUnreachable(work)
+    }
   }
 }
