--- a/src/jobs/owner-conflict-resolver.ts
+++ b/src/jobs/owner-conflict-resolver.ts
@@ -76,8 +76,8 @@
 
   /**
    * Handles a publication of a job that this daemon owns. If the sender claims it as well, both determine by rank which one keeps it. If the
-   * published owner is absent or has ended, this daemon publishes itself as the owner. It does so too if the publication is outdated: its
-   * owner may no longer have the job, and publishes a later version if it has.
+   * published owner is absent or has ended, this daemon publishes itself as the owner. An outdated publication only makes the job
+   * contested: its owner may no longer have the job, and publishes a later version if it has.
    */
   private handleUpdate (received: RegistryEntry): void {
     const { instance } = this.settings
@@ -86,8 +86,8 @@
     const isAlive = this.owner.isOwnerAlive(received)
     if (received.owner === instance && isAlive) return
     if (received.owner !== '' && received.owner !== instance) this.markContested(job)
-    const isOutdated = received.version < (this.registry.entries.get(received.id)?.version ?? 0)
-    if (!isAlive || isOutdated) return this.registry.publish(this.owner.buildKnownJob(job))
+    if (!isAlive) return this.registry.publish(this.owner.buildKnownJob(job))
+    if (received.version < (this.registry.entries.get(received.id)?.version ?? 0)) return
     if (rankOwners(received.id, [instance, received.owner])[0] === instance) return
     this.log.write('info', 'jobs', 'gave a job to its other owner', { job: job.id, to: received.owner, results: job.readPage(0).next, of: job.header.total })
     this.owner.releaseTo(job, received.owner)
--- a/src/jobs/unowned-jobs.ts
+++ b/src/jobs/unowned-jobs.ts
@@ -35,19 +35,28 @@
     metrics.gauge('jobs_unowned_seconds', () => this.findLongest() / MS_PER_S)
   }
 
-  /** Updates and returns the jobs without an owner. A job keeps its time while the reason changes. */
+  /** Updates and returns the jobs without an owner. */
   update (): readonly UnownedJob[] {
     const now = this.clock.now()
     const found = new Map<string, UnownedJob>()
     for (const job of this.registry.list()) {
       const reason = this.findReason(job)
-      if (reason !== undefined) found.set(job.id, { job, reason, since: this.found.get(job.id)?.since ?? now })
+      if (reason !== undefined) found.set(job.id, { job, reason, since: this.findStart(job.id, reason) ?? now })
     }
     this.found = found
     this.writeLog(now)
     return [...found.values()]
   }
 
+  /**
+   * Returns since when the job has had no owner, undefined if it had one before. What is known of an owner that isn't alive may change to and
+   * fro, while a job that this process doesn't hold may just have been given away.
+   */
+  private findStart (id: string, reason: UnownedReason): number | undefined {
+    const before = this.found.get(id)
+    return (before?.reason === 'not held') === (reason === 'not held') ? before?.since : undefined
+  }
+
   private findReason (job: KnownJob): UnownedReason | undefined {
     if (job.closed || this.owner.find(job.id) !== undefined) return undefined
     if (job.owner === this.settings.instance && job.run === this.members.run) return 'not held'
--- a/test/jobs/owner-always-found.test.ts
+++ b/test/jobs/owner-always-found.test.ts
@@ -1,5 +1,6 @@
 import 'reflect-metadata'
 import test from 'ava'
+import { rankOwners } from '../../src/coordination/rank-owners.js'
 import { Random } from '../../src/kernel/random.js'
 import type { PeerMessage } from '../../src/peers/peer-message.js'
 import { JobFleet } from '../helpers/job-fleet.js'
@@ -23,8 +24,8 @@
 const LONGEST = 3_000
 
 const WAYS = ['accepted', 'answer lost and sent again', 'items stored by the repeat', 'accepted while draining', 'taken over', 'two owners'] as const
-const LOST = ['nothing', 'all', 'publications', 'registry', 'calls', 'to the owner', 'from the owner', 'the owner unseen', 'half'] as const
-const ENDS = ['none', 'owner', 'confirmer', 'both at once', 'owner then next', 'owner restarts', 'all restart', 'owner pauses', 'next pauses'] as const
+const LOST = ['nothing', 'all', 'publications', 'registry', 'calls', 'to the owner', 'from the owner', 'the owner unseen', 'memberships differ', 'half'] as const
+const ENDS = ['none', 'owner', 'confirmer', 'both at once', 'owner then next', 'owner restarts', 'all restart', 'owner pauses', 'next pauses', 'owner leaves and next'] as const
 /** Number of troubles of the store that are tried with each pair. */
 const ROUNDS = 2
 const STORE = ['well', 'slow', 'away', 'away for the owner', 'answers lost', 'old listings'] as const
@@ -78,12 +79,14 @@
     if (this.trial.lost === 'nothing') return
     const end = this.extend(500 + this.random.below(LONGEST - 500))
     this.fleet.loses = (from, to, message) => this.fleet.time.now() < end && this.isLost(from, to, message)
+    const views = new Set(names.flatMap(name => names.filter(() => this.random.below(2) === 0).map(other => `${name} ${other}`)))
+    if (this.trial.lost === 'memberships differ') this.fleet.isMember = (name, other) => this.fleet.time.now() >= end || name === other || views.has(`${name} ${other}`)
     if (this.trial.lost === 'the owner unseen') this.fleet.isMember = (name, other) => this.fleet.time.now() >= end || name === other || other !== OWNER
   }
 
   private isLost (from: string, to: string, { type }: PeerMessage): boolean {
     switch (this.trial.lost) {
-      case 'nothing': return false
+      case 'nothing': case 'memberships differ': return false
       case 'all': return true
       case 'publications': return type === 'job' || type === 'job seen'
       case 'registry': return type !== 'job call' && type !== 'job answer' && type !== 'job progress'
@@ -174,6 +177,13 @@
         await fleet.time.advance(2_400 + this.random.below(800))
         await fleet.pause(this.listOwners()[0] ?? THIRD, PAUSE, this.random.below(2) === 0)
         this.extend(PAUSE)
+        break
+      }
+      case 'owner leaves and next': {
+        fleet.leave(OWNER)
+        await fleet.time.advance(this.random.below(800))
+        fleet.kill(this.listOwners().find(name => name !== OWNER) ?? rankOwners(JOB, names.slice(1))[0]!)
+        fleet.kill(OWNER)
       }
     }
   }
--- a/test/jobs/unowned-jobs.test.ts
+++ b/test/jobs/unowned-jobs.test.ts
@@ -39,3 +39,16 @@
     t.deepEqual(start(job, options).unowned.update().map(found => found.reason), reason)
   })
 }
+
+// Guards against a job that was just given away and is taken back at once, and against a wait that begins anew whenever membership changes.
+test('a job keeps its time while what is known of its owner changes, but not once this daemon is named as the owner', async t => {
+  const clock = new VirtualClock()
+  let step: { readonly owner: string, readonly latest?: number } = { owner: 'd2' }
+  const unowned = new UnownedJobs({ find: () => undefined, isOwnerAlive: () => false }, { list: () => [{ ...JOB, owner: step.owner }] }, { run: RUN, findRun: () => step.latest }, new Metrics(), { instance: SELF }, { write: () => {} }, clock)
+  const found: unknown[] = []
+  for (step of [{ owner: 'd2' }, { owner: 'd2', latest: RUN }, { owner: 'd2' }, { owner: SELF }, { owner: SELF }]) {
+    await clock.advance(500)
+    found.push(...unowned.update().map(({ reason, since }) => `${reason} since ${since}`))
+  }
+  t.deepEqual(found, ['unknown since 500', 'lost since 500', 'unknown since 500', 'not held since 2000', 'not held since 2000'])
+})
