--- a/src/jobs/waiting-log.ts
+++ b/src/jobs/waiting-log.ts
@@ -12,7 +12,7 @@
 /** Maximum number of ids in a line. */
 const MAX_IDS = 20
 
-interface Wait { readonly id: string, readonly reason: WaitingReason, readonly since: number, /** Whether a line has named an earlier reason of the same wait. */ readonly isChanged: boolean, isReported: boolean }
+interface Wait { readonly id: string, reason: WaitingReason, readonly since: number, /** Whether a line has named an earlier reason of the same wait. */ readonly isChanged: boolean, isReported: boolean }
 
 /** Records for which reason each item waits and since when, and logs long waits and their changes. */
 export class WaitingLog {
@@ -26,7 +26,7 @@
     const known = this.waits.get(state)
     if (reason === undefined) this.waits.delete(state)
     else if (known === undefined || !isSame(known.reason, reason)) this.waits.set(state, { id: state.item.id, reason, since: this.options.clock.now(), isChanged: known?.isReported ?? false, isReported: false })
-    else if (known.reason !== reason) this.waits.set(state, { ...known, reason })
+    else known.reason = reason
   }
 
   /** Returns the type of the reason for which an item waits, as last recorded. */
@@ -41,7 +41,9 @@
     for (const state of job.items) {
       const wait = this.waits.get(state)
       if (wait === undefined || (now < wait.since + REPORT_AFTER && !wait.isChanged)) continue
-      due.set(wait.reason.type, [...due.get(wait.reason.type) ?? [], wait])
+      const others = due.get(wait.reason.type)
+      if (others === undefined) due.set(wait.reason.type, [wait])
+      else others.push(wait)
     }
     for (const [type, waits] of due) this.writeReason(job, type, waits)
   }
