--- a/src/jobs/result-writer.ts
+++ b/src/jobs/result-writer.ts
@@ -10,7 +10,7 @@
 const STORE_PERIOD = 400
 /** Delay before the next write after a failed one, ms. */
 const RETRY_DELAY = 300
-/** Maximum bytes of results in one segment. */
+/** Maximum bytes of results in one segment, as stored: the store refuses values over 1 MB each time. */
 const SEGMENT_BYTES = 500_000
 
 interface ResultWriterOptions {
@@ -54,7 +54,7 @@
 
   private async storeSegment (job: OwnedJob): Promise<boolean> {
     const { records, log } = this.options
-    const [results = []] = splitBySize(job.pending, ({ text }) => text.length, SEGMENT_BYTES)
+    const [results = []] = splitBySize(job.pending, result => Buffer.byteLength(JSON.stringify(result)), SEGMENT_BYTES)
     const { segmentCount } = job
     const created = await records.createSegment(job.id, segmentCount, results)
     if (created.ok) this.addSegment(job, segmentCount, results)
