--- a/src/jobs/result-writer.ts
+++ b/src/jobs/result-writer.ts
@@ -16,7 +16,7 @@
 const RETRY_DELAY = 300
 /** Minimum time between two attempts to close a segment, ms; reads of the store answer callers meanwhile. */
 const CLOSE_PERIOD = 1_000
-/** Maximum bytes of results in one segment. */
+/** Maximum bytes of results in one segment, as stored: the store refuses values over 1 MB each time. */
 const SEGMENT_BYTES = 500_000
 
 interface ResultWriterOptions {
@@ -94,7 +94,7 @@
 
   private async storeSegment (job: OwnedJob): Promise<boolean> {
     const { records, log, clock } = this.options
-    const [results = []] = splitBySize(job.pending, ({ text }) => text.length, SEGMENT_BYTES)
+    const [results = []] = splitBySize(job.pending, result => Buffer.byteLength(JSON.stringify(result)), SEGMENT_BYTES)
     const { segmentCount, doubtSince } = job
     job.doubtSince ??= clock.now()
     const created = await records.createSegment(job.id, segmentCount, results)
