--- a/src/placement/batch-bidder.ts
+++ b/src/placement/batch-bidder.ts
@@ -31,7 +31,7 @@
   /** Sends a bid to the broker of one of the pool's groups, which may grant none and sends no response then. */
   submit (pool: string, { count, due, remaining, avoided = [] }: BatchBid): void {
     const { clock, loads, map, groups, send } = this.options
-    const group = groups.choose(pool)
+    const group = groups.chooseForBatch(pool)
     const now = clock.now()
     const broker = map.findBroker(pool, group)
     const confirm = this.contacts.recordBid(`${pool} ${group}`, now)
--- a/src/placement/group-chooser.ts
+++ b/src/placement/group-chooser.ts
@@ -1,8 +1,13 @@
+import type { Clock } from '../kernel/clock.js'
 import type { Random } from '../kernel/random.js'
 import type { ServerLoads } from './server-loads.js'
 import type { SlotMap } from './slot-map.js'
 
+/** How long free slots are considered after the last response of any broker of the pool, ms. */
+const FREE_TTL = 2_000
+
 interface GroupChooserOptions {
+  readonly clock: Clock
   readonly random: Random
   readonly loads: Pick<ServerLoads, 'listOfVersion'>
   readonly map: Pick<SlotMap, 'findGroup' | 'countGroups'>
@@ -12,11 +17,16 @@
 export class GroupChooser {
   /** Free slots in the broker's last response, by pool and group. */
   private readonly free = new Map<string, number>()
+  /** Time of the last record, by pool. */
+  private readonly recordedAt = new Map<string, number>()
+  /** Bids so far that went to the groups in turn, by pool. */
+  private readonly turns = new Map<string, number>()
 
   constructor (private readonly options: GroupChooserOptions) {}
 
   /** Records the free slots of a group. */
   record (pool: string, group: number, free: number): void {
+    this.recordedAt.set(pool, this.options.clock.now())
     this.free.set(`${pool} ${group}`, free)
   }
 
@@ -29,4 +39,16 @@
     const [first, second] = [draw(), draw()]
     return getFree(second) > getFree(first) ? second : first
   }
+
+  /**
+   * Returns the group of a bid for batch slots. Only online requests update the free slots; with jobs alone a group that was full at
+   * their end would hardly be chosen again, so bids then go to the groups in turn.
+   */
+  chooseForBatch (pool: string): number {
+    const { clock, map } = this.options
+    if (clock.now() < (this.recordedAt.get(pool) ?? -Infinity) + FREE_TTL) return this.choose(pool)
+    const turn = this.turns.get(pool) ?? 0
+    this.turns.set(pool, turn + 1)
+    return turn % map.countGroups(pool)
+  }
 }
--- a/src/placement/slot-client.ts
+++ b/src/placement/slot-client.ts
@@ -102,7 +102,7 @@
     @inject(tokens.log) private readonly log: LogSink
   ) {
     this.startedAt = clock.now()
-    this.groups = new GroupChooser({ random, loads, map })
+    this.groups = new GroupChooser({ clock, random, loads, map })
     const send = (broker: string, ask: SlotRequest): void => this.sendTo(broker, { type: REQUEST, ask })
     this.bidder = new BatchBidder({ clock, random, metrics, log, loads, map, groups: this.groups, send, onGrant: (pool, server) => this.notifyGrant(pool, server) })
     broker.setSend((daemon, answer) => this.sendResponse(daemon, answer))
