--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -1,4 +1,8 @@
+import { countMoments } from './count-moments.js'
 import { countRuns } from './count-runs.js'
+import { estimateChance } from './estimate-chance.js'
+import { hasEqualAges } from './has-equal-ages.js'
+import { isBetterCause } from './is-better-cause.js'
 import { isSameExit } from './is-same-exit.js'
 import { judgePart } from './judge-part.js'
 import { mergeLoss } from './merge-loss.js'
@@ -10,26 +14,45 @@
 import type { ServerPartLoss } from './server-part-loss.js'
 
 /** Passes at this daemon from which its traffic counts as usual. */
-const USUAL_PASSES = 20
+const USUAL_PASSES = 5
 /** How long a part is refused first, ms; it doubles each time. */
 const REFUSAL_TIME = 120_000
 /** By how much two daemons' ends of one refusal may differ, ms. */
 const LATE_TIME = 2_000
 /** Losses that two parts must have in common for one to explain the other's. */
 const MIN_COMMON_LOSSES = 2
-/** Runs in flight for each loss up to which a part may be what ends servers: one that did would leave few others beside it. */
-const MAX_RUNS_PER_LOSS = 2
 /** Maximum number of parts with evidence, and of losses for each; the oldest are forgotten first. */
 const MAX_PARTS = 300
 const MAX_LOSSES = 16
 /** How long lost servers are remembered for the share of lost runs, ms, and their maximum number. */
 const KEEP_TIME = 120_000
 const MAX_LOST = 200
+/** How long no trial of a part begins after the loss by which it is about to be refused, ms. */
+const PENDING_TIME = 400
+/** Moments of losses from which a suspect part is likely to crash servers, and the time after the first of them in which a sound one would pass, ms. */
+const LIKELY_MOMENTS = 3
+const LIKELY_TIME = 1_000
+/** Probability that a sound part was in flight at as many losses, up to which it is likely to crash servers: if it never passed, and if it did. */
+const LIKELY_CHANCE = 0.05
+const LIKELY_CHANCE_WITH_PASSES = 0.01
+/** A refused part is cleared only if its losses may well be chance, or if it passed so often for each moment of losses. */
+const MIN_CHANCE_OF_SOUND = 0.1
+const MIN_PASSES_OF_SOUND = 4
 /** How long a verdict is reused while nothing new is known, ms: waiting items ask for it many times a second. */
 const VERDICT_TIME = 100
+/** Known passes of a part up to which each daemon tells its own. */
+const ENOUGH_PASSES = 20
 const NOTHING: PartEvidence = { losses: [], passes: new Map(), refusals: 0, beside: [] }
 
-interface Judgement { readonly verdict: PartVerdict, /** The part with that verdict; undefined if all are clear. */ readonly part?: string }
+interface Judgement {
+  readonly verdict: PartVerdict
+  /** The part with that verdict; undefined if all are clear. */
+  readonly part?: string
+  /** Whether no trial may begin: the part is about to be refused, unless passes turn up. */
+  readonly isPending?: boolean
+  /** Whether a request that gets no trial is refused rather than kept waiting: several servers were lost, and the part didn't pass for long. */
+  readonly isLikely?: boolean
+}
 
 /** What this daemon knows for and against the parts of prompts, and how requests with them are treated. Free of I/O; times in monotonic ms. */
 export class BlameLedger {
@@ -54,18 +77,18 @@
       if (verdict === 'refused') return { verdict, part }
       if (verdict === 'suspect') suspect ??= part
     }
-    return suspect === undefined ? { verdict: 'clear' } : { verdict: 'suspect', part: suspect }
+    return suspect === undefined ? { verdict: 'clear' } : { verdict: 'suspect', part: suspect, isPending: this.isPending(suspect, now), isLikely: this.isLikely(suspect, now) }
   }
 
   /** Records the loss of a server. */
   addLoss ({ server, at, daemon, runs }: ServerPartLoss, now: number): void {
     const parts = new Set(runs.flatMap(run => run.parts).filter(part => at > (this.released.get(part)?.at ?? -Infinity)))
-    this.lost = mergeLoss(this.lost, { server, at, began: at, runs: new Map([[daemon, runs.length]]), beside: [] }).filter(loss => now - loss.at < KEEP_TIME).slice(-MAX_LOST)
+    this.lost = mergeLoss(this.lost, { server, at, first: at, began: at, runs: new Map([[daemon, runs.length]]), beside: [] }).filter(loss => now - loss.at < KEEP_TIME).slice(-MAX_LOST)
     for (const part of parts) {
       const own = runs.filter(run => run.parts.includes(part))
       const beside = [...parts].filter(other => other !== part && own.every(run => run.parts.includes(other)))
       const known = this.evidence.get(part) ?? NOTHING
-      this.put(part, { ...known, losses: mergeLoss(known.losses, { server, at, began: Math.max(...own.map(({ began }) => began)), runs: new Map([[daemon, own.length]]), beside }).slice(-MAX_LOSSES) })
+      this.put(part, { ...known, losses: mergeLoss(known.losses, { server, at, first: Math.min(...own.map(({ began }) => began)), began: Math.max(...own.map(({ began }) => began)), runs: new Map([[daemon, own.length]]), beside }).slice(-MAX_LOSSES) })
     }
   }
 
@@ -90,7 +113,7 @@
     return Object.entries(passes).flatMap(([part, count]) => {
       const known = this.evidence.get(part)
       if (known === undefined) return []
-      this.evidence.set(part, { ...known, passes: new Map(known.passes).set(daemon, count) })
+      this.evidence.set(part, { ...known, passes: new Map(known.passes).set(daemon, { count, total }) })
       return this.clearIfSound(part, now) ? [part] : []
     })
   }
@@ -99,7 +122,7 @@
   addRefusal ({ part, until, beside, losses }: RefusedPart, now: number): boolean {
     const known = this.evidence.get(part) ?? NOTHING
     if (until <= now || until <= (this.released.get(part)?.until ?? -Infinity) + LATE_TIME || (known.refusedUntil ?? -Infinity) >= until - LATE_TIME) return false
-    const merged = losses.reduce<readonly PartLoss[]>((all, { server, at }) => mergeLoss(all, { server, at, began: at, runs: new Map(), beside }), known.losses)
+    const merged = losses.reduce<readonly PartLoss[]>((all, { server, at }) => mergeLoss(all, { server, at, first: at, began: at, runs: new Map(), beside }), known.losses)
     this.refused.add(part)
     this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedUntil: until, refusals: known.refusals + 1, beside })
     return true
@@ -127,7 +150,7 @@
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
   countPasses (part: string, now: number): number {
     const others = [...this.evidence.get(part)?.passes.values() ?? []]
-    return others.reduce((sum, count) => sum + count, this.passes.get(part, now))
+    return others.reduce((sum, { count }) => sum + count, this.passes.get(part, now))
   }
 
   /** Returns the runs of all requests here and, as far as is known, at other daemons that passed and that were lost with their servers. */
@@ -148,7 +171,7 @@
   listSuspectLosses (now: number): readonly ServerPartLoss[] {
     return [...this.evidence].flatMap(([part, { losses }]) => this.judgeOne(part, now) !== 'suspect'
       ? []
-      : losses.flatMap(({ server, at, began, runs, beside }) => [...runs].map(([daemon, count]) => ({ server, at, daemon, runs: Array.from({ length: count }, () => ({ parts: [part, ...beside], began })) }))))
+      : losses.flatMap(({ server, at, first, began, runs, beside }) => [...runs].map(([daemon, count]) => ({ server, at, daemon, runs: Array.from({ length: count }, (_, i) => ({ parts: [part, ...beside], began: i > 0 ? first : began })) }))))
   }
 
   /** Whether all of these losses are of parts that are refused and that the request doesn't have. */
@@ -157,6 +180,18 @@
     return others.length > 0 && servers.every(server => others.some(({ losses }) => losses.some(loss => loss.server === server)))
   }
 
+  private isPending (part: string, now: number): boolean {
+    const { losses, refusedUntil = -Infinity } = this.evidence.get(part) ?? NOTHING
+    return refusedUntil <= now && now < (losses.at(-1)?.at ?? -Infinity) + PENDING_TIME && this.judgeOne(part, now) === 'refused'
+  }
+
+  private isLikely (part: string, now: number): boolean {
+    const losses = this.listOpenLosses(part, now)
+    if (countMoments(losses) < LIKELY_MOMENTS || now < losses[0]!.at + LIKELY_TIME || !hasEqualAges(losses)) return false
+    const { passes, chance, othersPass } = this.weigh(part, losses, now)
+    return othersPass && chance <= (passes > 0 ? LIKELY_CHANCE_WITH_PASSES : LIKELY_CHANCE)
+  }
+
   private judgeBeside (part: string, parts: readonly string[], now: number): PartVerdict {
     const known = this.evidence.get(part)
     if (known === undefined) return 'clear'
@@ -170,18 +205,30 @@
     if (cached !== undefined && now < cached.at + VERDICT_TIME && now >= cached.at) return cached.verdict
     const known = this.evidence.get(part) ?? NOTHING
     const losses = known.losses.filter(loss => !this.isExplained(loss, part, now))
-    const verdict = judgePart({ ...known, losses }, { passes: this.countPasses(part, now), othersPass: this.passes.total(now) >= USUAL_PASSES, all: this.countAll(now), now })
+    const verdict = judgePart({ ...known, losses }, this.weigh(part, losses, now))
     this.verdicts.set(part, { verdict, at: now })
     return verdict
   }
 
+  /** Weighs a part's losses against its passes and the other losses. */
+  private weigh (part: string, losses: readonly PartLoss[], now: number): Parameters<typeof judgePart>[1] {
+    const passes = this.countPasses(part, now)
+    const told = this.evidence.get(part)?.passes ?? new Map<string, { readonly total: number }>()
+    const passed = [...this.totals].reduce((sum, [daemon, total]) => sum + (told.get(daemon)?.total ?? (passes < ENOUGH_PASSES ? total : 0)), this.passes.total(now))
+    const others = this.lost.filter(loss => !this.findRefusedFor(loss, now).some(other => other !== part))
+    const count = hasEqualAges(losses) ? (all: readonly PartLoss[]) => all.length : countMoments
+    const chance = estimateChance({ moments: Math.max(count(others), count(losses)), own: count(losses), ownRuns: countRuns(losses) + passes, runs: countRuns(others) + passed, lostRuns: countRuns(others) })
+    const all = this.countAll(now)
+    return { passes, othersPass: all.passed >= USUAL_PASSES, all, allMoments: countMoments(others), chance, now }
+  }
+
   /**
    * Refuses parts, the one that explains most losses first: these then no longer count against the others. Parts that were always together
    * are refused together.
    */
   private refuseGuilty (parts: readonly string[], now: number): readonly RefusedPart[] {
     const guilty = parts.filter(part => (this.evidence.get(part)!.refusedUntil ?? -Infinity) <= now && this.judgeOne(part, now) === 'refused')
-    const best = guilty.filter(part => !guilty.some(other => other !== part && isBetter(this.listOpenLosses(other, now), this.listOpenLosses(part, now))))
+    const best = guilty.filter(part => !guilty.some(other => other !== part && isBetterCause(this.listOpenLosses(other, now), this.listOpenLosses(part, now))))
     return best.map(part => this.refuse(part, now))
   }
 
@@ -204,7 +251,7 @@
       if (other === part || !known.losses.some(its => isSameExit(its, loss)) || this.countPasses(other, now) > 0) return false
       const others = this.listOpenLosses(other, now)
       const common = losses.filter(its => others.some(same => isSameExit(its, same))).length
-      return others.some(its => isSameExit(its, loss)) && common >= Math.max(MIN_COMMON_LOSSES, losses.length / 2) && isBetter(others, losses)
+      return others.some(its => isSameExit(its, loss)) && common >= Math.max(MIN_COMMON_LOSSES, losses.length / 2) && isBetterCause(others, losses)
     })
   }
 
@@ -225,8 +272,10 @@
     const known = this.evidence.get(part)
     if (known?.refusedUntil === undefined) return false
     const losses = known.losses.filter(loss => !this.isExplained(loss, part, now))
-    const verdict = judgePart({ ...known, losses, refusedUntil: undefined, refusals: 0 }, { passes: this.countPasses(part, now), othersPass: this.passes.total(now) >= USUAL_PASSES, all: this.countAll(now), now })
-    return verdict === 'clear' && this.release(part, now)
+    const weights = this.weigh(part, losses, now)
+    const verdict = judgePart({ ...known, losses, refusedUntil: undefined, refusals: 0 }, weights)
+    const speaksFor = weights.chance > MIN_CHANCE_OF_SOUND || weights.passes > MIN_PASSES_OF_SOUND * countMoments(losses)
+    return verdict === 'clear' && speaksFor && this.release(part, now)
   }
 
   private findRefused (part: string, now: number): RefusedPart | undefined {
@@ -247,9 +296,3 @@
     this.verdicts.clear()
   }
 }
-
-/** Whether a part with the losses `a` explains them better than one with `b`: it had more of them, or as many with fewer runs. */
-function isBetter (a: readonly PartLoss[], b: readonly PartLoss[]): boolean {
-  if (countRuns(a) > MAX_RUNS_PER_LOSS * a.length) return false
-  return a.length > b.length || (a.length === b.length && countRuns(a) < countRuns(b))
-}
--- a/src/routing/blame/count-sequential.ts
+++ b/src/routing/blame/count-sequential.ts
@@ -8,7 +8,7 @@
   let count = 0
   let last = -Infinity
   for (const { at, began } of [...losses].sort((a, b) => a.at - b.at)) {
-    if (began <= last) continue
+    if (began < last) continue
     count++
     last = at
   }
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -42,6 +42,8 @@
 /** Known passes for each loss from which a daemon needn't tell its own, and the interval between two messages about a part, ms. */
 const ENOUGH_PASSES = 20
 const PASSES_INTERVAL = 1_000
+/** After what time a request is to come back for which a trial of its part is awaited, ms. */
+const TRIAL_TIME = 1_000
 /** Interval at which refused and suspect parts are sent to others, ms, and their number in a large fleet. */
 const RECORDS_PERIOD = 1_000
 const RECORD_RECEIVERS = 3
@@ -64,7 +66,7 @@
     peerHandlerPoint.of({ type: 'part passes', handle: (message, from) => this.receivePasses(message, from) }),
     peerHandlerPoint.of({ type: 'part refused', handle: ({ refused }) => this.receiveRefused(refused) }),
     peerHandlerPoint.of({ type: 'part released', handle: ({ part }) => this.clear(this.ledger.release(String(part), this.clock.now()) ? [String(part)] : [], false) }),
-    peerHandlerPoint.of({ type: 'part trial ask', handle: ({ part }, from) => this.trials.receiveAsk(String(part), from) }),
+    peerHandlerPoint.of({ type: 'part trial ask', handle: ({ part, begun }, from) => this.trials.receiveAsk(String(part), from, begun === true) }),
     peerHandlerPoint.of({ type: 'part trial', handle: ({ part }) => this.trials.receiveGrant(String(part)) }),
     peerHandlerPoint.of({ type: 'part trial busy', handle: ({ part }) => this.trials.receiveBusy(String(part)) }),
     peerHandlerPoint.of({ type: 'part trial done', handle: ({ part }, from) => this.trials.receiveDone(String(part), from) })
@@ -111,16 +113,17 @@
   /** Decides whether a request with these parts may run now; one with a suspect part once `begin` would be its trial. */
   check (parts: readonly string[]): PartDecision {
     const now = this.clock.now()
-    const { verdict, part } = this.ledger.judge(parts, now)
+    const { verdict, part, isPending = false, isLikely = false } = this.ledger.judge(parts, now)
     if (part === undefined || verdict === 'clear') return { type: 'clear' }
     if (verdict === 'refused') return { type: 'refused', part, left: this.ledger.listRefused(now).find(other => other.part === part)!.until - now }
-    return this.trials.mayBegin(part) ? { type: 'clear' } : { type: 'wait', part }
+    if (!isPending && this.trials.mayBegin(part)) return { type: 'clear' }
+    return isLikely && (isPending || this.trials.isBusy(part)) ? { type: 'refused', part, left: TRIAL_TIME } : { type: 'wait', part }
   }
 
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
   begin (parts: readonly string[], server: string, isSent: () => boolean): PartRun {
-    const { part: suspect, verdict } = this.ledger.judge(parts, this.clock.now())
-    const tried = verdict === 'suspect' && this.trials.take(suspect!) ? suspect : undefined
+    const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now())
+    const tried = verdict === 'suspect' && !isPending && this.trials.take(suspect!) ? suspect : undefined
     const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
     this.runs.add(run)
     let cancel = (): void => {}
--- a/src/routing/blame/part-evidence.ts
+++ b/src/routing/blame/part-evidence.ts
@@ -4,8 +4,8 @@
 export interface PartEvidence {
   /** Losses of servers with it in flight, each once, in order. */
   readonly losses: readonly PartLoss[]
-  /** Runs that passed at other daemons, by daemon. */
-  readonly passes: ReadonlyMap<string, number>
+  /** Runs that passed at other daemons, by daemon: with the part, and of all requests when that was told. */
+  readonly passes: ReadonlyMap<string, { readonly count: number, readonly total: number }>
   /** End of its refusal; undefined if it wasn't refused. */
   readonly refusedUntil?: number
   /** How often it has been refused. */
--- a/src/routing/blame/part-loss.ts
+++ b/src/routing/blame/part-loss.ts
@@ -3,7 +3,8 @@
   readonly server: string
   /** When the loss was detected. */
   readonly at: number
-  /** Beginning of the latest run there with the part. */
+  /** Beginnings of the earliest and the latest run there with the part. */
+  readonly first: number
   readonly began: number
   /** Number of runs there with the part, by daemon. */
   readonly runs: ReadonlyMap<string, number>
--- a/src/routing/blame/part-trials.ts
+++ b/src/routing/blame/part-trials.ts
@@ -5,12 +5,15 @@
 import type { PeerLinks } from '../../peers/peer-links.js'
 import type { PeerMessage } from '../../peers/peer-message.js'
 
-/** How long a grant holds if nothing is heard of its run, ms. */
-const GRANT_TIME = 5_000
+/** How long a grant holds until its run begins, and if nothing is heard of the run, ms: a request may give up while it waits for a server. */
+const GRANT_TIME = 500
+const RUN_TIME = 5_000
 /** How long a daemon asks in vain until it tries the part itself, ms: it may be cut off from the one that grants. */
 const MAX_ASK_TIME = 600
 /** Interval between two requests for a trial of the same part, ms. */
 const ASK_PERIOD = 100
+/** How long an answer holds by which another daemon tries the part, ms. */
+const BUSY_TIME = 300
 
 interface PartTrialsOptions {
   readonly clock: Clock
@@ -27,6 +30,10 @@
   /** Trials granted to this daemon that haven't begun, by part: when they end, monotonic ms. */
   private readonly granted = new Map<string, number>()
   private readonly askedAt = new Map<string, number>()
+  /** Trials that this daemon runs, by part: until when another one waits for their end, monotonic ms. */
+  private readonly running = new Map<string, number>()
+  /** Until when another daemon is taken to try the part, monotonic ms. */
+  private readonly busyUntil = new Map<string, number>()
   /** Since when this daemon asks, by part; it counts anew once an answer comes or its own trial ends. */
   private readonly askingSince = new Map<string, number>()
   /** Trials granted by this daemon, by part. */
@@ -36,29 +43,32 @@
 
   /** Whether this daemon may begin a trial of the part; asks for it if not. */
   mayBegin (part: string): boolean {
-    const { clock } = this.options
-    if (clock.now() < (this.granted.get(part) ?? -Infinity)) return true
-    if (clock.now() < (this.askedAt.get(part) ?? -Infinity) + ASK_PERIOD) return false
-    this.askedAt.set(part, clock.now())
-    const since = this.askingSince.get(part) ?? clock.now()
+    const now = this.options.clock.now()
+    if (now < (this.running.get(part) ?? -Infinity)) return false
+    const isGranted = (): boolean => now < (this.granted.get(part) ?? -Infinity)
+    if (now < (this.askedAt.get(part) ?? -Infinity) + ASK_PERIOD) return isGranted()
+    this.askedAt.set(part, now)
+    const since = this.askingSince.get(part) ?? now
     this.askingSince.set(part, since)
-    if (clock.now() >= since + MAX_ASK_TIME) this.receiveGrant(part)
-    else this.send({ type: 'part trial ask', part })
-    return clock.now() < (this.granted.get(part) ?? -Infinity)
+    if (now >= since + MAX_ASK_TIME) this.receiveGrant(part)
+    else this.send({ type: 'part trial ask', part, begun: false })
+    return isGranted()
   }
 
   /** Begins the trial, if it is granted; returns whether it is. */
   take (part: string): boolean {
-    const { clock } = this.options
-    const isGranted = this.mayBegin(part)
+    if (!this.mayBegin(part)) return false
     this.granted.delete(part)
-    this.askingSince.set(part, clock.now() + GRANT_TIME)
-    return isGranted
+    this.askingSince.delete(part)
+    this.running.set(part, this.options.clock.now() + RUN_TIME)
+    this.send({ type: 'part trial ask', part, begun: true })
+    return true
   }
 
   /** Ends a trial that `take` began. */
   end (part: string): void {
     this.askingSince.delete(part)
+    this.running.delete(part)
     this.send({ type: 'part trial done', part })
   }
 
@@ -68,23 +78,33 @@
     this.askedAt.delete(part)
     this.askingSince.delete(part)
     this.holders.delete(part)
+    this.running.delete(part)
+    this.busyUntil.delete(part)
   }
 
-  receiveAsk (part: string, from: string): void {
+  /** Another daemon, or this one, asks for a trial, or has `begun` the one that it was granted. */
+  receiveAsk (part: string, from: string, begun: boolean): void {
     const { clock } = this.options
     const holder = this.holders.get(part)
     if (holder !== undefined && holder.until > clock.now() && holder.daemon !== from) return this.answer(from, { type: 'part trial busy', part })
-    this.holders.set(part, { daemon: from, until: clock.now() + GRANT_TIME })
-    this.answer(from, { type: 'part trial', part })
+    this.holders.set(part, { daemon: from, until: clock.now() + (begun ? RUN_TIME : GRANT_TIME) })
+    if (!begun) this.answer(from, { type: 'part trial', part })
   }
 
   receiveGrant (part: string): void {
+    this.askingSince.delete(part)
     this.granted.set(part, this.options.clock.now() + GRANT_TIME)
   }
 
   /** Another daemon tries the part. */
   receiveBusy (part: string): void {
     this.askingSince.delete(part)
+    this.busyUntil.set(part, this.options.clock.now() + BUSY_TIME)
+  }
+
+  /** Whether a request tries the part now, as far as is known. */
+  isBusy (part: string): boolean {
+    return this.options.clock.now() < Math.max(this.busyUntil.get(part) ?? -Infinity, this.running.get(part) ?? -Infinity)
   }
 
   receiveDone (part: string, from: string): void {
@@ -102,7 +122,7 @@
     const { settings: { instance }, members, links } = this.options
     const granter = rankOwners(message.part, members.owners())[0] ?? instance
     if (granter !== instance) links.send(granter, message)
-    else if (message.type === 'part trial ask') this.receiveAsk(message.part, instance)
+    else if (message.type === 'part trial ask') this.receiveAsk(message.part, instance, message.begun === true)
     else this.receiveDone(message.part, instance)
   }
 }
