--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -5,6 +5,7 @@
 import { isBetterCause } from './is-better-cause.js'
 import { isSameExit } from './is-same-exit.js'
 import { judgePart } from './judge-part.js'
+import type { Judgement } from './judgement.js'
 import { mergeLoss } from './merge-loss.js'
 import type { PartEvidence } from './part-evidence.js'
 import type { PartLoss } from './part-loss.js'
@@ -44,16 +45,6 @@
 const ENOUGH_PASSES = 20
 const NOTHING: PartEvidence = { losses: [], passes: new Map(), refusals: 0, beside: [] }
 
-interface Judgement {
-  readonly verdict: PartVerdict
-  /** The part with that verdict; undefined if all are clear. */
-  readonly part?: string
-  /** Whether no trial may begin: the part is about to be refused, unless passes turn up. */
-  readonly isPending?: boolean
-  /** Whether a request that gets no trial is refused rather than kept waiting: several servers were lost, and the part didn't pass for long. */
-  readonly isLikely?: boolean
-}
-
 /** What this daemon knows for and against the parts of prompts, and how requests with them are treated. Free of I/O; times in monotonic ms. */
 export class BlameLedger {
   private readonly passes = new PassCounter()
@@ -121,21 +112,27 @@
   /** Takes over another daemon's decision; returns whether it is news. */
   addRefusal ({ part, until, beside, losses }: RefusedPart, now: number): boolean {
     const known = this.evidence.get(part) ?? NOTHING
-    if (until <= now || until <= (this.released.get(part)?.until ?? -Infinity) + LATE_TIME || (known.refusedUntil ?? -Infinity) >= until - LATE_TIME) return false
+    if (until <= now || this.findRelease(part, until) !== undefined || (known.refusedUntil ?? -Infinity) >= until - LATE_TIME) return false
     const merged = losses.reduce<readonly PartLoss[]>((all, { server, at }) => mergeLoss(all, { server, at, first: at, began: at, runs: new Map(), beside }), known.losses)
     this.refused.add(part)
     this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedUntil: until, refusals: known.refusals + 1, beside })
     return true
   }
 
-  /** Forgets what is held against a part; returns whether there was anything. */
-  release (part: string, now: number): boolean {
+  /** Forgets what is held against a part, unless it is refused beyond `until`, and remembers it; returns whether there was anything. */
+  release (part: string, now: number, until = this.evidence.get(part)?.refusedUntil ?? -Infinity): boolean {
     const known = this.evidence.get(part)
-    if (known === undefined) return false
+    if ((known?.refusedUntil ?? -Infinity) > until + LATE_TIME) return false
     this.drop(part)
-    this.released.set(part, { at: now, until: known.refusedUntil ?? -Infinity })
+    this.released.set(part, { at: now, until })
     if (this.released.size > MAX_PARTS) this.released.delete(this.released.keys().next().value!)
-    return true
+    return known !== undefined
+  }
+
+  /** Returns until when a part had been refused that was released, if it is the refusal until about `until`. */
+  findRelease (part: string, until: number): number | undefined {
+    const released = this.released.get(part)
+    return released !== undefined && until <= released.until + LATE_TIME ? released.until : undefined
   }
 
   /** Returns how many of this daemon's runs with the part passed lately. */
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -10,25 +10,25 @@
 import type { LogSink } from '../../observe/log-sink.js'
 import { Metrics } from '../../observe/metrics.js'
 import { FleetBroadcast } from '../../peers/fleet-broadcast.js'
-import { isSmallFleet } from '../../peers/is-small-fleet.js'
-import { listOthers } from '../../peers/list-others.js'
 import { Members } from '../../peers/members.js'
 import { peerHandlerPoint } from '../../peers/peer-handler-point.js'
 import { PeerLinks } from '../../peers/peer-links.js'
 import type { ObjectStore } from '../../store/object-store.js'
 import { BlameLedger } from './blame-ledger.js'
+import { chooseReceivers } from './choose-receivers.js'
 import { decodePasses } from './decode-passes.js'
 import { decodeRefusedPart } from './decode-refused-part.js'
 import { decodeServerLoss } from './decode-server-loss.js'
 import { encodeRefusedPart } from './encode-refused-part.js'
+import { encodeRelease } from './encode-release.js'
 import { encodeServerLoss } from './encode-server-loss.js'
-import { isSameExit } from './is-same-exit.js'
 import type { LostRun } from './lost-run.js'
 import type { PartDecision } from './part-decision.js'
 import type { PartRun } from './part-run.js'
 import { PartTrials } from './part-trials.js'
 import type { RefusedPart } from './refused-part.js'
 import { RefusedPartsStore } from './refused-parts-store.js'
+import { ServerExits } from './server-exits.js'
 import type { ServerPartLoss } from './server-part-loss.js'
 
 /** Time for which an answer must go on until its parts count as passed, ms: a part crashes a server as it begins to answer. */
@@ -44,9 +44,8 @@
 const PASSES_INTERVAL = 1_000
 /** After what time a request is to come back for which a trial of its part is awaited, ms. */
 const TRIAL_TIME = 1_000
-/** Interval at which refused and suspect parts are sent to others, ms, and their number in a large fleet. */
+/** Interval at which refused and suspect parts are sent to others, ms. */
 const RECORDS_PERIOD = 1_000
-const RECORD_RECEIVERS = 3
 /** Interval at which one daemon checks whether an operator has released a part, ms, and after a failed call. */
 const STORE_PERIOD = 5_000
 const STORE_RETRY = 500
@@ -64,8 +63,8 @@
   readonly extensions = [
     peerHandlerPoint.of({ type: 'part losses', handle: message => this.receiveLoss(message) }),
     peerHandlerPoint.of({ type: 'part passes', handle: (message, from) => this.receivePasses(message, from) }),
-    peerHandlerPoint.of({ type: 'part refused', handle: ({ refused }) => this.receiveRefused(refused) }),
-    peerHandlerPoint.of({ type: 'part released', handle: ({ part }) => this.clear(this.ledger.release(String(part), this.clock.now()) ? [String(part)] : [], false) }),
+    peerHandlerPoint.of({ type: 'part refused', handle: ({ refused }, from) => this.receiveRefused(refused, from) }),
+    peerHandlerPoint.of({ type: 'part released', handle: message => this.receiveRelease(message) }),
     peerHandlerPoint.of({ type: 'part trial ask', handle: ({ part, begun }, from) => this.trials.receiveAsk(String(part), from, begun === true) }),
     peerHandlerPoint.of({ type: 'part trial', handle: ({ part }) => this.trials.receiveGrant(String(part)) }),
     peerHandlerPoint.of({ type: 'part trial busy', handle: ({ part }) => this.trials.receiveBusy(String(part)) }),
@@ -76,10 +75,9 @@
   private readonly trials: PartTrials
   private readonly stored: RefusedPartsStore
   private readonly runs = new Set<Run>()
-  /** When the last loss of each server was detected. */
-  private readonly lostAt = new Map<string, number>()
+  private readonly exits = new ServerExits()
   private readonly toldAt = new Map<string, number>()
-  /** Parts that were found in the store. */
+  /** Parts that were stored, or found in the store. */
   private readonly confirmed = new Set<string>()
   private cancels: ReadonlyArray<() => void> = []
   private stopped = false
@@ -140,9 +138,7 @@
 
   /** Holds a server's loss against the parts that were in flight there, and tells the other daemons. */
   onServerLost (server: string, at = this.clock.now()): void {
-    if (isSameExit({ server, at }, { server, at: this.lostAt.get(server) ?? -Infinity })) return
-    for (const [other, lostAt] of this.lostAt) if (at > lostAt && !isSameExit({ server: other, at }, { server: other, at: lostAt })) this.lostAt.delete(other)
-    this.lostAt.set(server, at)
+    if (!this.exits.record(server, at)) return
     const runs = [...this.runs].filter(run => run.server === server && run.began <= at && run.isSent()).map(({ parts, began }) => ({ parts, began }))
     if (runs.length === 0) return
     this.addLoss({ server, at, daemon: this.settings.instance, runs })
@@ -177,8 +173,9 @@
 
   private receivePasses (message: Readonly<Record<string, unknown>>, from: string): void {
     const told = decodePasses(message)
-    if (told === undefined) return this.log.write('warn', 'blame', 'ignores a malformed count of passes', { from })
-    this.clear(this.ledger.addPasses(from, told, this.clock.now()), false)
+    // In a large fleet broadcasts come from a daemon that relays them.
+    if (told !== undefined) return this.clear(this.ledger.addPasses(typeof message.daemon === 'string' ? message.daemon : from, told, this.clock.now()), false)
+    this.log.write('warn', 'blame', 'ignores a malformed count of passes', { from })
   }
 
   private addLoss (loss: ServerPartLoss): void {
@@ -203,9 +200,10 @@
   private async store ({ part, until, beside, losses }: RefusedPart): Promise<void> {
     const offset = this.clock.date() - this.clock.now()
     const stored = { part, until: until + offset, beside, losses: losses.map(({ server, at }) => ({ server, at: at + offset })) }
-    while (!this.stopped && this.ledger.listRefused(this.clock.now()).some(other => other.part === part)) {
-      if ((await this.stored.put(stored)).ok) return
-      await pauseFor(this.clock, this.random.spread(STORE_RETRY))
+    for (let isStored = false; !isStored && !this.stopped && this.ledger.listRefused(this.clock.now()).some(other => other.part === part);) {
+      isStored = (await this.stored.put(stored)).ok
+      if (isStored) this.confirmed.add(part)
+      else await pauseFor(this.clock, this.random.spread(STORE_RETRY))
     }
   }
 
@@ -218,18 +216,26 @@
     this.clock.after(this.random.next() * PASSES_DELAY, () => {
       const needed = own.filter(part => this.ledger.countPasses(part, now) - this.ledger.countOwnPasses(part, now) < ENOUGH_PASSES * (1 + this.ledger.countLosses(part)))
       const passes = Object.fromEntries(needed.map(part => [part, this.ledger.countOwnPasses(part, this.clock.now())]))
-      if (needed.length > 0) this.broadcast.broadcast({ type: 'part passes', passes, total: this.ledger.countOwn(this.clock.now()) }, `part passes ${needed.join()}`)
+      if (needed.length > 0) this.broadcast.broadcast({ type: 'part passes', daemon: this.settings.instance, passes, total: this.ledger.countOwn(this.clock.now()) }, `part passes ${needed.join()}`)
     })
     if (this.toldAt.size > 4_000) for (const [part, at] of this.toldAt) if (now >= at + PASSES_INTERVAL) this.toldAt.delete(part)
   }
 
-  private receiveRefused (refused: unknown): void {
+  private receiveRelease ({ part, left }: Readonly<Record<string, unknown>>): void {
+    const now = this.clock.now()
+    if (typeof part === 'string' && this.ledger.release(part, now, typeof left === 'number' ? now + left : undefined)) this.clear([part], false)
+  }
+
+  private receiveRefused (refused: unknown, from?: string): void {
     if (!Array.isArray(refused)) return
     const now = this.clock.now()
     for (const value of refused) {
       const decoded = decodeRefusedPart(value, now)
-      if (decoded === undefined || !this.ledger.addRefusal(decoded, now)) continue
+      if (decoded === undefined) continue
       const { part, beside, losses } = decoded
+      const released = this.ledger.findRelease(part, decoded.until)
+      if (released !== undefined && from !== undefined) this.links.send(from, encodeRelease(part, released - now), `part released ${part}`)
+      if (!this.ledger.addRefusal(decoded, now)) continue
       this.log.write('info', 'blame', 'another daemon refuses a part that crashes servers', { prompt: part, beside, servers: losses.map(({ server }) => server) })
       this.toldAt.delete(part)
       this.tellPasses([part])
@@ -243,7 +249,7 @@
       this.trials.forget(part)
       this.confirmed.delete(part)
       if (!isOwn) continue
-      this.broadcast.broadcast({ type: 'part released', part }, `part released ${part}`)
+      this.broadcast.broadcast(encodeRelease(part, this.ledger.findRelease(part, -Infinity)! - this.clock.now()), `part released ${part}`)
       void this.stored.remove(part)
     }
   }
@@ -255,18 +261,12 @@
     const refused = this.ledger.listRefused(now)
     const suspects = this.ledger.listSuspectLosses(now)
     if (refused.length + suspects.length === 0) return
-    for (const name of this.listReceivers()) {
+    for (const name of chooseReceivers(this.members.all(), this.settings.instance, this.random)) {
       if (refused.length > 0) this.links.send(name, { type: 'part refused', refused: refused.map(part => encodeRefusedPart(part, now)) }, 'part refused')
       for (const loss of suspects) this.links.send(name, encodeServerLoss(loss, now), `part losses ${loss.server} ${loss.daemon} ${loss.runs[0]!.parts[0]!}`)
     }
   }
 
-  private listReceivers (): readonly string[] {
-    const others = [...listOthers(this.members.all(), this.settings.instance)]
-    if (isSmallFleet(this.members.all())) return others
-    return Array.from({ length: Math.min(RECORD_RECEIVERS, others.length) }, () => others.splice(this.random.below(others.length), 1)[0]!)
-  }
-
   private async loadStored (): Promise<void> {
     for (;;) {
       const listed = await this.stored.list()
