--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -40,13 +40,15 @@
 const FIRST_PAUSE = 50
 const LONGEST_PAUSE = 1_000
 
+/** How long another trial of the same part waits for an item that tries it, ms: by then its answer has begun, and it has passed or was lost. */
+const TRIAL_TIME = 2_500
 /** Maximum number of slots in one request to a broker. */
 const SLOTS_PER_REQUEST = 4
 
 /** An item with its job's route, the due time of the job in monotonic ms, and the estimated remaining run time in ms. */
 interface RunnableItem { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly due: number, readonly remaining: number, /** The part of its prompt whose trial it would be. */ readonly trial?: string | undefined }
 
-interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly run: ItemRun, readonly trial: string | undefined }
+interface Running { readonly job: OwnedJob, readonly state: ItemState, readonly route: Route, readonly run: ItemRun, readonly trial: string | undefined, /** Monotonic ms. */ readonly startedAt: number }
 
 /** Runs the items of this daemon's jobs on slots that online requests leave free, and stops items when those slots are needed. */
 @scoped(Lifecycle.ContainerScoped)
@@ -80,7 +82,7 @@
   ) {
     metrics.gauge('batch_items_running', () => this.running.size)
     for (const reason of waitingReasonTypes) metrics.gauge('batch_items_waiting', () => this.countWaiting(reason), { reason })
-    this.trials = new ItemTrials({ blame, clock, random, isTried: part => [...this.running].some(({ trial }) => trial === part) })
+    this.trials = new ItemTrials({ blame, clock, random, isTried: part => [...this.running].some(({ trial, startedAt }) => trial === part && clock.now() < startedAt + TRIAL_TIME) })
     this.versions = new ItemVersions({ loads, servers, clock })
     this.waits = new WaitingLog({ log, clock })
     this.routes = new RouteFinder({ clock, getConfiguration: () => configuration.value })
@@ -229,8 +231,8 @@
   private startItem ({ job, state, route, trial }: RunnableItem, pool: string, server: string): void {
     this.dropOtherProgress(job, state, server)
     const run = new ItemRun({ state, parts: this.listParts(state), host: job.header.host, caller: job.header.caller, pool, server, mayStart: () => this.mayStart(job) && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, dialect: this.dialect })
-    const running = { job, state, route, run, trial }
     const [startedAt, events] = [this.clock.now(), state.last ?? 0]
+    const running = { job, state, route, run, trial, startedAt }
     state.phase = 'running'
     this.running.add(running)
     this.log.write('info', 'jobs', 'started an item', { request: state.item.id, job: job.id, server, version: this.servers.find(server)?.version, events: state.last, trial })
--- a/src/routing/blame/part-trials.ts
+++ b/src/routing/blame/part-trials.ts
@@ -5,19 +5,24 @@
 import type { PeerLinks } from '../../peers/peer-links.js'
 import type { PeerMessage } from '../../peers/peer-message.js'
 
-/** How long a grant holds if nothing is heard of its run, ms. */
-const GRANT_TIME = 5_000
+/** How long a grant holds until its run begins, and if nothing is heard of the run, ms: a request may give up while it waits for a server. */
+const GRANT_TIME = 500
+const RUN_TIME = 5_000
 /** How long a daemon asks in vain until it tries the part itself, ms: it may be cut off from the one that grants. */
 const MAX_ASK_TIME = 600
+/** How long a daemon may hold a grant while others ask for it, ms. */
+const MAX_HOLD_TIME = 1_500
 /** How long after a request for a trial its daemon goes before the one that held the trial, ms. */
 const WANTED_TIME = 1_000
 /** After this long without a request for a trial, ms, a daemon counts anew since when it asks. */
 const MAX_ASK_GAP = 2_000
 /** Interval between two requests for a trial of the same part, ms. */
 const ASK_PERIOD = 100
+/** How long an answer holds by which another daemon tries the part, ms. */
+const BUSY_TIME = 300
 
-/** A daemon with a trial: until when it holds, and when another one last asked for it, monotonic ms. */
-interface Holder { readonly daemon: string, readonly until: number, readonly wantedAt?: number }
+/** A daemon with a trial: since and until when it holds, and when another one last asked for it, monotonic ms. */
+interface Holder { readonly daemon: string, readonly since: number, readonly until: number, readonly wantedAt?: number }
 
 interface PartTrialsOptions {
   readonly clock: Clock
@@ -34,6 +39,10 @@
   /** Trials granted to this daemon that haven't begun, by part: when they end, monotonic ms. */
   private readonly granted = new Map<string, number>()
   private readonly askedAt = new Map<string, number>()
+  /** Trials that this daemon runs, by part: until when another one waits for their end, monotonic ms. */
+  private readonly running = new Map<string, number>()
+  /** Until when another daemon is taken to try the part, monotonic ms. */
+  private readonly busyUntil = new Map<string, number>()
   /** Since when this daemon asks, by part; it counts anew once an answer comes or its own trial ends. */
   private readonly askingSince = new Map<string, number>()
   /** Trials granted by this daemon, by part. */
@@ -43,31 +52,34 @@
 
   /** Whether this daemon may begin a trial of the part; asks for it if not. */
   mayBegin (part: string): boolean {
-    const { clock } = this.options
-    if (clock.now() < (this.granted.get(part) ?? -Infinity)) return true
+    const now = this.options.clock.now()
+    if (now < (this.running.get(part) ?? -Infinity)) return false
+    const isGranted = (): boolean => now < (this.granted.get(part) ?? -Infinity)
     const askedAt = this.askedAt.get(part) ?? -Infinity
-    if (clock.now() < askedAt + ASK_PERIOD) return false
-    if (clock.now() >= Math.max(askedAt, this.askingSince.get(part) ?? -Infinity) + MAX_ASK_GAP) this.askingSince.delete(part)
-    this.askedAt.set(part, clock.now())
-    const since = this.askingSince.get(part) ?? clock.now()
+    if (now < askedAt + ASK_PERIOD) return isGranted()
+    if (now >= Math.max(askedAt, this.askingSince.get(part) ?? -Infinity) + MAX_ASK_GAP) this.askingSince.delete(part)
+    this.askedAt.set(part, now)
+    const since = this.askingSince.get(part) ?? now
     this.askingSince.set(part, since)
-    if (clock.now() >= since + MAX_ASK_TIME) this.receiveGrant(part)
-    else this.send({ type: 'part trial ask', part })
-    return clock.now() < (this.granted.get(part) ?? -Infinity)
+    if (now >= since + MAX_ASK_TIME) this.receiveGrant(part)
+    else this.send({ type: 'part trial ask', part, begun: false })
+    return isGranted()
   }
 
   /** Begins the trial, if it is granted; returns whether it is. */
   take (part: string): boolean {
-    const { clock } = this.options
-    const isGranted = this.mayBegin(part)
+    if (!this.mayBegin(part)) return false
     this.granted.delete(part)
-    this.askingSince.set(part, clock.now() + GRANT_TIME)
-    return isGranted
+    this.askingSince.delete(part)
+    this.running.set(part, this.options.clock.now() + RUN_TIME)
+    this.send({ type: 'part trial ask', part, begun: true })
+    return true
   }
 
   /** Ends a trial that `take` began. */
   end (part: string): void {
     this.askingSince.delete(part)
+    this.running.delete(part)
     this.send({ type: 'part trial done', part })
   }
 
@@ -77,20 +89,31 @@
     this.askedAt.delete(part)
     this.askingSince.delete(part)
     this.holders.delete(part)
+    this.running.delete(part)
+    this.busyUntil.delete(part)
   }
 
-  /** Grants a trial for `GRANT_TIME` at most: a daemon may be unable to begin it. After that another one that asks goes first. */
-  receiveAsk (part: string, from: string): void {
+  /**
+   * Another daemon, or this one, asks for a trial, or has `begun` the one that it was granted. One that can't begin it keeps the grant by asking
+   * again, but not for longer than `MAX_HOLD_TIME` while others ask.
+   */
+  receiveAsk (part: string, from: string, begun: boolean): void {
     const { clock } = this.options
     const now = clock.now()
     const holder = this.holders.get(part)
-    const isHeld = holder !== undefined && now < holder.until
-    if (isHeld && holder.daemon !== from) {
+    const isSame = holder?.daemon === from
+    if (holder !== undefined && !isSame && now < holder.until) {
       this.holders.set(part, { ...holder, wantedAt: now })
       return this.answer(from, { type: 'part trial busy', part })
     }
-    if (!isHeld && holder?.daemon === from && now < (holder.wantedAt ?? -Infinity) + WANTED_TIME) return this.answer(from, { type: 'part trial busy', part })
-    if (!isHeld) this.holders.set(part, { daemon: from, until: now + GRANT_TIME })
+    if (begun) {
+      this.holders.set(part, { daemon: from, since: now, until: now + RUN_TIME })
+      return
+    }
+    const since = isSame && now < holder.until + WANTED_TIME ? holder.since : now
+    const isWanted = isSame && now < (holder.wantedAt ?? -Infinity) + WANTED_TIME
+    if (isWanted && now >= since + MAX_HOLD_TIME) return this.answer(from, { type: 'part trial busy', part })
+    this.holders.set(part, { daemon: from, since, until: now + GRANT_TIME, ...isSame && holder.wantedAt !== undefined && { wantedAt: holder.wantedAt } })
     this.answer(from, { type: 'part trial', part })
   }
 
@@ -102,6 +125,12 @@
   /** Another daemon tries the part. */
   receiveBusy (part: string): void {
     this.askingSince.delete(part)
+    this.busyUntil.set(part, this.options.clock.now() + BUSY_TIME)
+  }
+
+  /** Whether a request tries the part now, as far as is known. */
+  isBusy (part: string): boolean {
+    return this.options.clock.now() < Math.max(this.busyUntil.get(part) ?? -Infinity, this.running.get(part) ?? -Infinity)
   }
 
   receiveDone (part: string, from: string): void {
@@ -119,7 +148,7 @@
     const { settings: { instance }, members, links } = this.options
     const granter = rankOwners(message.part, members.owners())[0] ?? instance
     if (granter !== instance) links.send(granter, message)
-    else if (message.type === 'part trial ask') this.receiveAsk(message.part, instance)
+    else if (message.type === 'part trial ask') this.receiveAsk(message.part, instance, message.begun === true)
     else this.receiveDone(message.part, instance)
   }
 }
--- a/test/jobs/result-writer.test.ts
+++ b/test/jobs/result-writer.test.ts
@@ -5,6 +5,7 @@
 import type { ListedResult } from '../../src/jobs/listed-result.js'
 import { OwnedJob } from '../../src/jobs/owned-job.js'
 import { ResultWriter } from '../../src/jobs/result-writer.js'
+import { PauseWatch } from '../../src/kernel/pause-watch.js'
 import type { StoreError } from '../../src/store/store-error.js'
 import { VirtualClock } from '../helpers/virtual-clock.js'
 
@@ -37,7 +38,7 @@
       return isTroubled() ? Err(error) : Ok(undefined)
     }
     const readSegment = async (_: string, segment: number): Promise<Result<readonly ListedResult[], StoreError>> => isTroubled() && failsReads ? Err(error) : Ok(segments[segment]!)
-    const writer = new ResultWriter({ records: { createSegment, readSegment } as unknown as JobRecords, clock, log: { write: () => {} }, isDraining: () => false, isOwned: () => true, onStored: () => {} })
+    const writer = new ResultWriter({ records: { createSegment, readSegment } as unknown as JobRecords, clock, log: { write: () => {} }, isDraining: () => false, isOwned: () => true, onStored: () => {}, pauses: new PauseWatch(clock) })
     const items = Array.from({ length: COUNT }, (_, i) => ({ id: `i${i}`, path: '/x', headers: {}, body: '', tokens: 1 }))
     const job = new OwnedJob({ id: 'j', header: { host: 'h', path: '/', submittedAt: 0, total: COUNT, tokens: 0, owner: 'd', run: 1, parts: 1 }, items, segments: [], acceptedAt: 0 })
     for (const [i, state] of job.items.entries()) {
@@ -61,7 +62,7 @@
     segments[segment] = results
     return Ok(undefined)
   }
-  const writer = new ResultWriter({ records: { createSegment } as unknown as JobRecords, clock, log: { write: () => {} }, isDraining: () => false, isOwned: () => true, onStored: () => {} })
+  const writer = new ResultWriter({ records: { createSegment } as unknown as JobRecords, clock, log: { write: () => {} }, isDraining: () => false, isOwned: () => true, onStored: () => {}, pauses: new PauseWatch(clock) })
   const items = Array.from({ length: COUNT }, (_, i) => ({ id: `i${i}`, path: '/x', headers: {}, body: '', tokens: 1 }))
   const job = new OwnedJob({ id: 'j', header: { host: 'h', path: '/', submittedAt: 0, total: COUNT, tokens: 0, owner: 'd', run: 1, parts: 1 }, items, segments: [], acceptedAt: 0 })
   for (const state of job.items) job.finish(state, { id: state.item.id, state: 'completed', text: '語'.repeat(160_000) })
