--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -134,7 +134,7 @@
     }
     const survive = (): void => {
       this.pass(run)
-      endTrial()
+      if (verdict === 'refused') endTrial()
     }
     return {
       open: () => { if (this.runs.has(run)) cancel = this.clock.after(SURVIVAL_TIME, survive) },
