--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -43,9 +43,8 @@
   readonly extensions = [peerHandlerPoint.of({ type: ProgressHandover.messageType, handle: message => this.receiveProgress(message) })]
   private readonly owned = new Map<string, OwnedJob>()
   private readonly handover: ProgressHandover
+  /** Jobs whose takeover or acceptance is in progress. */
   private readonly adopting = new Set<string>()
-  /** Jobs whose acceptance is in progress; their headers may be stored already. */
-  private readonly accepting = new Set<string>()
   private readonly writer: ResultWriter
   private draining = false
 
@@ -150,24 +149,16 @@
     const { instance: owner } = this.settings
     const findReadAt = this.pauses.beginRead()
     const header = { ...job, submittedAt: this.clock.date(), total: items.length, tokens: items.reduce((sum, { tokens }) => sum + tokens, 0), owner, run: this.members.run }
-    const created = await this.create(id, header, items)
+    this.adopting.add(id)
+    const created = await this.records.create(id, header, items).finally(() => this.adopting.delete(id))
     if (created.ok) this.addOwned(new OwnedJob({ id, header: { ...header, parts: 0 }, items, segments: [], acceptedAt: this.clock.now(), readAt: findReadAt() }))
     return created
   }
 
-  private async create (id: string, header: Omit<JobHeader, 'parts'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
-    this.accepting.add(id)
-    try {
-      return await this.records.create(id, header, items)
-    } finally {
-      this.accepting.delete(id)
-    }
-  }
-
   /** Takes over a job whose header is stored. Returns undefined for one that is being accepted or taken over, and while draining. */
   async adopt (id: string): Promise<Result<OwnedJob | undefined, StoreError>> {
     const known = this.owned.get(id)
-    if (known !== undefined || this.adopting.has(id) || this.accepting.has(id) || this.draining) return Ok(known)
+    if (known !== undefined || this.adopting.has(id) || this.draining) return Ok(known)
     this.adopting.add(id)
     try {
       return await this.load(id)
