--- a/src/jobs/stored-job-search.ts
+++ b/src/jobs/stored-job-search.ts
@@ -17,6 +17,8 @@
 const CHECK_PERIOD = 500 // ms
 /** Delay before reading the stored headers again after a failure, ms. */
 const RETRY_DELAY = 300
+/** Age from which a job that the registry lacks is published, ms: the acceptance of a younger one may be in progress. */
+const PUBLISH_AGE = 3_000
 
 /**
  * Finds jobs that only the store holds: from before a restart of the whole fleet, or of a daemon that ended before it published them. Each
@@ -121,7 +123,7 @@
     for (const [id, header] of headers) {
       if (this.registry.get(id) !== undefined) continue
       this.registry.addIfAbsent(readKnownJob(id, header, { stored: false }))
-      if (this.isStarted) this.publish(id, header.owner)
+      if (this.isStarted && this.clock.date() > header.submittedAt + PUBLISH_AGE) this.publish(id, header.owner)
     }
     this.isStarted = true
   }
