--- a/bench/soak/apply-trouble.ts
+++ b/bench/soak/apply-trouble.ts
@@ -8,6 +8,8 @@
 const RECONNECT_TIME = 3_000
 const RESTART_PAUSE = 150
 const SLOW_DELAY = 60
+const LATE_SHARE = 0.5
+const LATE_DELAY = { least: 1_000, most: 6_000 }
 const OPEN_MODE = { type: 'open' } as const
 
 /** Applies one trouble to the fleet; resolves once it is over. */
@@ -38,6 +40,18 @@
       relay.setMode(OPEN_MODE)
       return soak.recordDisturbance(trouble.daemon, from, soak.now() + RECONNECT_TIME)
     }
+    case 'store away': {
+      soak.setStoreAway(trouble.daemon, trouble.answer)
+      await wait(trouble.lasting)
+      soak.setStoreAway(trouble.daemon, undefined)
+      return soak.recordDisturbance(trouble.daemon, from, soak.now() + RECONNECT_TIME)
+    }
+    case 'part crashes': {
+      soak.sendsBadParts = true
+      await wait(trouble.lasting)
+      soak.sendsBadParts = false
+      return
+    }
     case 'engine way': {
       const relay = soak.engineRelays.get(`i-${trouble.engine}`)!
       relay.setMode(trouble.mode)
@@ -48,6 +62,7 @@
     }
     case 'engine crashed': return await soak.restartEngine(trouble.engine, trouble.lasting)
     case 'engine upgraded': return await soak.restartEngine(trouble.engine, trouble.lasting, { isUpgraded: true })
+    case 'engine moved': return await soak.restartEngine(trouble.engine, trouble.lasting, { isMoved: true })
     case 'engine leaves': return soak.drainEngine(trouble.engine)
     case 'streams break': {
       fleet.engines[trouble.engine]!.breakPoints.push(...Array.from({ length: trouble.count }, (_, i) => i * 3))
@@ -79,10 +94,16 @@
     case 'loses replies': { store.faults = { losesReplies: true }; return }
     case 'mutes watches': { store.faults = { mutesWatches: true }; return }
     case 'forgets history': { store.faults = { oldestRevision: store.objects.revision + 1 }; return }
+    case 'late writes': { store.faults = { lateWrites: drawLateWrite }; return }
     default: return failUnreachable(trouble)
   }
 }
 
+/** Half of the writes take effect 1 to 6 s later and are never answered. */
+function drawLateWrite (): number | undefined {
+  return Math.random() < LATE_SHARE ? LATE_DELAY.least + Math.random() * (LATE_DELAY.most - LATE_DELAY.least) : undefined
+}
+
 async function wait (time: number): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, time))
 }
--- a/bench/soak/check-record.ts
+++ b/bench/soak/check-record.ts
@@ -1,4 +1,6 @@
 import { EventEngine } from '../../stand-ins/machines/event-engine.js'
+import { checkLying } from './check-lying.js'
+import { checkReads } from './check-reads.js'
 import type { SentJob } from './sent-job.js'
 import type { SentRequest } from './sent-request.js'
 import type { SoakRecord } from './soak-record.js'
@@ -15,6 +17,8 @@
     ...record.exits,
     ...record.requests.flatMap(request => checkRequest(request, runs.get(request.id) ?? [], record)),
     ...record.jobs.flatMap(job => checkJob(job, runs, record)),
+    ...checkReads(record),
+    ...checkLying(record),
     ...checkUnknownRuns(record),
     ...checkVersions(record),
     ...checkCallers(record),
--- a/bench/soak/plan-troubles.ts
+++ b/bench/soak/plan-troubles.ts
@@ -10,6 +10,14 @@
   'daemon killed', 'daemon killed', 'daemon ended', 'daemon paused', 'settings changed', 'store way', 'caller way', 'engine way', 'engine way',
   'engine crashed', 'engine leaves', 'engine upgraded', 'streams break', 'unmarked answers', 'store', 'store', 'configuration', 'configuration'
 ]
+/** Troubles that were added later; drawn for themselves, so that the seeds keep their other ones. */
+const LATER_TYPES: ReadonlyArray<Trouble['type']> = ['store', 'store', 'store away', 'store away', 'engine moved', 'part crashes']
+const LATER_STORE_TROUBLE: StoreTrouble = 'late writes'
+const MAX_LATER = 2
+const LATER_SEED = 10_000
+const ANSWERS = ['busy', 'limited', 'silent'] as const
+/** Time for which the store is away, as a multiple of that of other troubles. */
+const AWAY_FACTOR = 2
 const STORE_TROUBLES: readonly StoreTrouble[] = ['busy', 'limited', 'silent', 'slow', 'loses replies', 'mutes watches', 'forgets history']
 const MODES: readonly RelayMode[] = [{ type: 'silent' }, { type: 'answers held' }, { type: 'delayed', delay: 150 }, { type: 'reset' }]
 const MIN_DURATION = 300
@@ -21,7 +29,13 @@
   const count = 2 + random.below(soakSize.maxTroubles - 1)
   const daemons = countDaemons(seed)
   const planned = Array.from({ length: count }, () => planTrouble(TYPES[random.below(TYPES.length)]!, daemons, random))
-  return planned.filter((trouble, i) => isAllowed(trouble, planned.slice(0, i))).sort((a, b) => a.at - b.at)
+  return [...planned, ...planLater(seed, daemons)].filter((trouble, i, all) => isAllowed(trouble, all.slice(0, i))).sort((a, b) => a.at - b.at)
+}
+
+function planLater (seed: number, daemons: number): readonly Trouble[] {
+  const random = new Random(seed + LATER_SEED)
+  const drawn = Array.from({ length: random.below(MAX_LATER + 1) }, () => planTrouble(LATER_TYPES[random.below(LATER_TYPES.length)]!, daemons, random))
+  return drawn.map(trouble => trouble.type === 'store' ? { ...trouble, trouble: LATER_STORE_TROUBLE } : trouble)
 }
 
 function planTrouble (type: Trouble['type'], daemons: number, random: Random): Trouble {
@@ -37,8 +51,11 @@
     case 'settings changed': return { type, at, daemon }
     case 'store way':
     case 'caller way': return { type, at, lasting, daemon, mode }
+    case 'store away': return { type, at, lasting: AWAY_FACTOR * lasting, daemon, answer: ANSWERS[random.below(ANSWERS.length)]! }
+    case 'part crashes': return { type, at, lasting }
     case 'engine way': return { type, at, lasting, engine, mode }
     case 'engine crashed':
+    case 'engine moved':
     case 'engine upgraded': return { type, at, lasting, engine }
     case 'engine leaves': return { type, at, engine }
     case 'streams break':
@@ -49,12 +66,12 @@
   }
 }
 
-/** Whether a trouble can join the plan: one for the store, one of a type per engine and relay, one kill, end or pause per daemon, and half of the engines remain. */
+/** Whether a trouble can join the plan: one for the store and one of it for a daemon, one of a type per engine and relay, one kill, end or pause per daemon, and half of the engines remain. */
 function isAllowed (trouble: Trouble, planned: readonly Trouble[]): boolean {
   const endsProcess = (other: Trouble): boolean => other.type === 'daemon killed' || other.type === 'daemon ended' || other.type === 'daemon paused'
   const isConflicting = (other: Trouble): boolean =>
     (endsProcess(trouble) && endsProcess(other) && 'daemon' in trouble && 'daemon' in other && trouble.daemon === other.daemon) ||
-    (trouble.type === other.type && (trouble.type === 'store' || ('engine' in trouble && 'engine' in other && trouble.engine === other.engine) || (trouble.type.endsWith('way') && 'daemon' in trouble && 'daemon' in other && trouble.daemon === other.daemon)))
-  const losesEngine = (other: Trouble): boolean => other.type === 'engine crashed' || other.type === 'engine upgraded' || other.type === 'engine leaves'
+    (trouble.type === other.type && (trouble.type === 'store' || trouble.type === 'store away' || trouble.type === 'part crashes' || ('engine' in trouble && 'engine' in other && trouble.engine === other.engine) || (trouble.type.endsWith('way') && 'daemon' in trouble && 'daemon' in other && trouble.daemon === other.daemon)))
+  const losesEngine = (other: Trouble): boolean => other.type === 'engine crashed' || other.type === 'engine upgraded' || other.type === 'engine moved' || other.type === 'engine leaves'
   return !planned.some(isConflicting) && (!losesEngine(trouble) || planned.filter(losesEngine).length < soakSize.engines / 2)
 }
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -12,19 +12,25 @@
 
 /** Applies the troubles of a seed to a fleet of processes under load. */
 export async function runSoak (seed: number): Promise<SoakRun> {
-  const soak = new SoakFleet(countDaemons(seed))
+  const planned = planTroubles(seed)
+  const soak = new SoakFleet(countDaemons(seed), planned.some(({ type }) => type === 'part crashes'))
   const callers = new SoakCallers(soak)
   const jobs = new SoakJobs(soak)
+  let calmFrom = 0
+  let endedAt = 0
   try {
     await soak.start()
     const loadStartedAt = soak.now()
     const end = loadStartedAt + soakSize.window + soakSize.tail
-    const troubles = planTroubles(seed).map(async trouble => {
+    const troubles = planned.map(async trouble => {
       await new Promise(resolve => setTimeout(resolve, loadStartedAt + trouble.at - soak.now()))
       await applyTrouble(soak, trouble)
     })
     await Promise.all([callers.sendAll(end), jobs.submitAll(end), ...troubles])
-    await jobs.readAll(soak.now() + soakSize.finishBound)
+    await soak.waitForEngines()
+    calmFrom = soak.now()
+    await jobs.readAll(calmFrom + soakSize.finishBound)
+    endedAt = soak.now()
     await jobs.readEverywhere()
   } finally {
     await callers.close()
@@ -33,5 +39,5 @@
   const engines = [...soak.fleet.engines, ...soak.stoppedEngines]
   const runs = engines.flatMap(({ id: engine, version, runs }) => runs.map(run => ({ ...run, engine, version: String(version) })))
   const { versions, leaving, harmed, resets, exits, lines } = soak
-  return { record: { requests: callers.requests, runs, jobs: jobs.jobs, versions, leaving, harmed, resets, exits }, lines }
+  return { record: { requests: callers.requests, runs, jobs: jobs.jobs, versions, leaving, harmed, resets, exits, calmFrom, endedAt }, lines }
 }
--- a/bench/soak/soak-callers.ts
+++ b/bench/soak/soak-callers.ts
@@ -42,18 +42,26 @@
 
   private async send (n: string, kind: string, { name, key }: { readonly name: string, readonly key: string }): Promise<void> {
     const daemon = this.turn++ % this.soak.daemons
+    const prefix = this.buildPrefix(n)
     const sent = { id: `r-${n}`, daemon, at: this.soak.now(), path: `/${kind}/${n}`, caller: name, resumable: kind !== 'berths' }
-    const answer = await this.read(sent, key)
+    const answer = await this.read(sent, key, prefix)
     this.requests.push({ ...sent, ...answer, until: this.soak.now() })
     const events = answer.text.split('\n\n').length - 1
     if (answer.outcome !== 'cut' || !sent.resumable || events === 0) return
     const resumed = { ...sent, id: `${sent.id}-again`, daemon: this.turn++ % this.soak.daemons, at: this.soak.now(), resumption: { resumes: sent.id, after: events } }
-    this.requests.push({ ...resumed, ...await this.read(resumed, key), until: this.soak.now() })
+    this.requests.push({ ...resumed, ...await this.read(resumed, key, prefix), until: this.soak.now() })
   }
 
-  private async read ({ id, daemon, path, resumption }: Pick<SentRequest, 'id' | 'daemon' | 'path' | 'resumption'>, key: string): Promise<Pick<SentRequest, 'outcome' | 'status' | 'stamp' | 'text'>> {
+  /** Returns the parts of a request's prompt: one that all have, one of its own, and for some one that crashes servers. */
+  private buildPrefix (n: string): string | undefined {
+    if (!this.soak.usesParts) return undefined
+    const isBad = this.soak.sendsBadParts && this.turn % soakSize.badEvery === 0
+    return ['common', ...isBad ? [soakSize.badPart] : [], `own-${n}`].map(part => `${part}:10`).join()
+  }
+
+  private async read ({ id, daemon, path, resumption }: Pick<SentRequest, 'id' | 'daemon' | 'path' | 'resumption'>, key: string, prefix: string | undefined): Promise<Pick<SentRequest, 'outcome' | 'status' | 'stamp' | 'text'>> {
     const none = { status: 0, stamp: undefined, text: '' }
-    const answer = await new RoutedEntryClient(this.soak.callerRelays[daemon]!.address, soakSize.deadline).openStream({ id, path, resumption, dispatcher: this.agents[daemon]!, deadline: soakSize.deadline, key })
+    const answer = await new RoutedEntryClient(this.soak.callerRelays[daemon]!.address, soakSize.deadline).openStream({ id, path, resumption, dispatcher: this.agents[daemon]!, deadline: soakSize.deadline, key, prefix })
     if (answer === undefined) return { outcome: 'no connection', ...none }
     const { status, stamp, body } = answer
     const known = { status, stamp }
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -11,6 +11,8 @@
 
 /** Second octet of the first loopback network of the relays; Linux routes all of 127.0.0.0/8 to the machine itself. */
 const FIRST_NETWORK = 40
+/** The first network of engines that were moved, from there. */
+const MOVED_NETWORK = 80
 
 /** A fleet whose connections to the store, engines and callers all pass through relays, with a record of what was done to it. */
 export class SoakFleet {
@@ -26,12 +28,26 @@
   readonly leaving: Array<{ readonly engine: string, readonly at: number, until: number }> = []
   readonly exits: string[] = []
   readonly lines: string[] = []
+  /** Whether callers send requests with a part that crashes servers. */
+  sendsBadParts = false
+  /** Ports of the store, by daemon. */
+  private readonly storePorts = new Map<number, number>()
+  /** Restarts of engines that have begun, by index. */
+  private readonly restarts = new Map<number, Promise<void>>()
+  private moves = 0
+  /** Relays at the former addresses of engines that were moved. */
+  private readonly movedRelays: RelayedPort[] = []
   private readonly expectedExits = new Set<number>()
   private readonly startedAt = performance.now()
 
-  constructor (readonly daemons: number) {
+  /** With `usesParts`, requests and items have parts of a prompt in common. */
+  constructor (readonly daemons: number, readonly usesParts: boolean) {
     this.fleet = new MachinesFleet({
-      resolveStoreAddress: async (daemon, port) => (await this.openRelay(this.storeRelays, daemon, { network: daemon, port })).address,
+      resolveStoreAddress: async daemon => {
+        const port = await this.fleet.store.openPort()
+        this.storePorts.set(daemon, port)
+        return (await this.openRelay(this.storeRelays, daemon, { network: daemon, port })).address
+      },
       resolveEngineAddress: async engine => (await this.openRelay(this.engineRelays, engine.id, { network: 20 + Number(engine.id.slice(2)), port: engine.port })).address
     })
   }
@@ -60,7 +76,7 @@
   async stop (): Promise<void> {
     for (let i = 0; i < this.daemons; i++) this.expectedExits.add(i)
     await this.fleet.stop()
-    for (const relay of [...this.storeRelays.values(), ...this.engineRelays.values(), ...this.callerRelays]) relay.close()
+    for (const relay of [...this.storeRelays.values(), ...this.engineRelays.values(), ...this.movedRelays, ...this.callerRelays]) relay.close()
   }
 
   /** Records a time span in which the bounds don't apply to a daemon, or to any daemon where it is undefined. */
@@ -88,13 +104,37 @@
     this.watchDaemon(daemon)
   }
 
-  async restartEngine (index: number, pause: number, { isUpgraded = false } = {}): Promise<void> {
+  /** Sets how the store answers all calls of a daemon while it serves the others; undefined for no fault. */
+  setStoreAway (daemon: number, answer: 'busy' | 'limited' | 'silent' | undefined): void {
+    const port = this.storePorts.get(daemon)!
+    if (answer === undefined) this.fleet.store.downAtPort.delete(port)
+    else this.fleet.store.downAtPort.set(port, answer)
+  }
+
+  /** Stops an engine and starts it again `pause` ms later; does nothing more for one that is restarting. */
+  async restartEngine (index: number, pause: number, { isUpgraded = false, isMoved = false } = {}): Promise<void> {
+    if (this.restarts.has(index)) return await this.restarts.get(index)
+    const restart = this.replaceEngine(index, pause, { isUpgraded, isMoved }).finally(() => this.restarts.delete(index))
+    this.restarts.set(index, restart)
+    await restart
+  }
+
+  /** Resolves once every engine runs. */
+  async waitForEngines (): Promise<void> {
+    await Promise.all(this.restarts.values())
+  }
+
+  private async replaceEngine (index: number, pause: number, { isUpgraded, isMoved }: { readonly isUpgraded: boolean, readonly isMoved: boolean }): Promise<void> {
     const old = this.fleet.engines[index]!
     old.stop()
     this.stoppedEngines.push(old)
     await new Promise(resolve => setTimeout(resolve, pause))
     const next = this.createEngine(old.id, Number(old.version) + Number(isUpgraded))
-    await next.start(old.port)
+    await next.start(isMoved ? 0 : old.port)
+    if (isMoved) {
+      this.movedRelays.push(this.engineRelays.get(old.id)!)
+      await this.openRelay(this.engineRelays, old.id, { network: MOVED_NETWORK + this.moves++, port: next.port })
+    }
     this.fleet.engines[index] = next
     for (const leave of this.leaving) if (leave.engine === next.id) leave.until = Math.min(leave.until, this.now())
     registerEngine(this.fleet.store, next, { address: this.engineRelays.get(next.id)!.address })
@@ -107,7 +147,10 @@
   }
 
   private createEngine (id: string, version: number): EventEngine {
-    return new EventEngine({ id, version: String(version), slots: soakSize.slots, events: soakSize.events, pause: soakSize.pause, now: () => this.now() })
+    const engine = new EventEngine({ id, version: String(version), slots: soakSize.slots, events: soakSize.events, pause: soakSize.pause, now: () => this.now() })
+    engine.crashes = parts => parts.includes(soakSize.badPart)
+    engine.onCrash = () => { void this.restartEngine(Number(id.slice(2)), soakSize.crashDowntime) }
+    return engine
   }
 
   private watchDaemon (daemon: number): void {
--- a/bench/soak/soak-jobs.ts
+++ b/bench/soak/soak-jobs.ts
@@ -38,10 +38,18 @@
     }
   }
 
-  /** Reads every accepted job once at every daemon. */
+  /** Reads every accepted job at every daemon, again after a failure. */
   async readEverywhere (): Promise<void> {
     for (const job of this.jobs.filter(({ acceptedAt }) => acceptedAt !== undefined)) {
-      for (let daemon = 0; daemon < this.soak.daemons; daemon++) await this.read(job, daemon)
+      for (let daemon = 0; daemon < this.soak.daemons; daemon++) await this.readAgain(job, daemon)
+    }
+  }
+
+  private async readAgain (job: SentJob, daemon: number): Promise<void> {
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      await this.read(job, daemon)
+      if (job.reads.at(-1)!.status === 200) return
+      await new Promise(resolve => setTimeout(resolve, READ_PERIOD))
     }
   }
 
@@ -54,7 +62,8 @@
     const items = Array.from({ length: soakSize.jobItems }, (_, i) => i === 0 && n % IMPOSSIBLE_EVERY === 0 ? `${id}-${i}/impossible` : `${id}-${i}`)
     const job: SentJob = { id, items, statuses: [], acceptedAt: undefined, endedAt: undefined, reads: [] }
     this.jobs.push(job)
-    const sent = items.map(item => ({ id: item, path: `/drafts/${item}`, tokens: 10 }))
+    const prefix = this.soak.usesParts ? { prefix: `common:10,${id}:10` } : {}
+    const sent = items.map(item => ({ id: item, path: `/drafts/${item}`, tokens: 10, ...prefix }))
     for (let attempt = 0; attempt < MAX_ATTEMPTS && job.acceptedAt === undefined; attempt++) {
       const status = await this.openClient(this.nextDaemon()).submitJob(id, sent)
       job.statuses.push(status)
--- a/bench/soak/soak-record.ts
+++ b/bench/soak/soak-record.ts
@@ -18,4 +18,7 @@
   readonly resets: ReadonlyArray<{ readonly engine: string, readonly from: number, readonly to: number }>
   /** Unexpected exits of daemons, each with the end of its error output. */
   readonly exits: readonly string[]
+  /** When load and troubles had ended, and when the last jobs were waited for; each job is then read at every daemon. */
+  readonly calmFrom: number
+  readonly endedAt: number
 }
--- a/bench/soak/soak-size.ts
+++ b/bench/soak/soak-size.ts
@@ -14,8 +14,16 @@
   requestPeriod: 60,
   jobPeriod: 700,
   jobItems: 5,
+  /** Part of a prompt that crashes servers, time until a crashed server is back, and one in how many requests has the part. */
+  badPart: 'bad',
+  crashDowntime: 1_200,
+  badEvery: 8,
   /** Time in which all accepted jobs must be complete once load and troubles have ended. */
   finishBound: 20_000,
+  /** Longest time in which no server runs any item of an incomplete job while servers are under half full, once troubles have ended: the longest reason to wait for a slot, and a look-up. */
+  lyingBound: 8_000,
+  /** Time after which what one daemon showed is shown by all. */
+  settleBound: 1_000,
   /** Deadline of the callers' requests. */
   deadline: 5_000,
   /** Bounds on applying a configuration, on draining a server and on cancelling a job, and slack for a busy machine. */
--- a/bench/soak/store-trouble.ts
+++ b/bench/soak/store-trouble.ts
@@ -1,2 +1,2 @@
 /** A fault of the store, which all daemons see. */
-export type StoreTrouble = 'busy' | 'limited' | 'silent' | 'slow' | 'loses replies' | 'mutes watches' | 'forgets history'
+export type StoreTrouble = 'busy' | 'limited' | 'silent' | 'slow' | 'loses replies' | 'mutes watches' | 'forgets history' | 'late writes'
--- a/stand-ins/machines/object-api.ts
+++ b/stand-ins/machines/object-api.ts
@@ -17,6 +17,8 @@
   refusedKind?: string
   /** Whether writes take effect and are never answered. */
   losesReplies?: boolean
+  /** Draws the time after which a write takes effect that is never answered, ms; undefined for a write without fault. */
+  lateWrites?: () => number | undefined
   /** Whether watches are never answered, those that are pending when it begins included; other calls are. */
   mutesWatches?: boolean
   /** Delay of each answer, ms. */
@@ -33,15 +35,28 @@
   port = 0
   readonly statuses = new Map<string, unknown>()
   readonly objects = new ObjectTable()
-  private readonly server: Server = createServer((req, res) => { void this.handle(req, res) })
+  /** Further ports that answer every call 503 or 429, or not at all. */
+  readonly downAtPort = new Map<number, 'busy' | 'limited' | 'silent'>()
+  private readonly servers: Server[] = []
+  private readonly late = new Set<NodeJS.Timeout>()
 
   async start (): Promise<void> {
-    this.port = await listen(this.server, '127.0.0.1', 0)
+    this.port = await this.openPort()
   }
 
   stop (): void {
-    this.server.close()
-    this.server.closeAllConnections()
+    for (const timer of this.late) clearTimeout(timer)
+    for (const server of this.servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+
+  /** Serves the same objects at one more port, so that faults can affect a part of the callers. */
+  async openPort (): Promise<number> {
+    const server = createServer((req, res) => { void this.handle(req, res) })
+    this.servers.push(server)
+    return await listen(server, '127.0.0.1', 0)
   }
 
   /** Writes an object unconditionally, as another system does. */
@@ -57,35 +72,51 @@
     const url = new URL(req.url!, 'http://store')
     const [, kind, name, status] = PATH.exec(url.pathname) ?? []
     const body = await readBody(req, MAX_BODY)
-    if (this.faults.down === 'silent') return
+    const down = this.findDown(req)
+    if (down === 'silent') return
     if (this.faults.delay !== undefined) await new Promise(resolve => setTimeout(resolve, this.faults.delay))
-    if (this.faults.down !== undefined) return sendJson(res, this.faults.down === 'busy' ? 503 : 429, {})
+    if (down !== undefined) return sendJson(res, down === 'busy' ? 503 : 429, {})
     if (kind === this.faults.refusedKind) return sendJson(res, 503, {})
     if (kind === undefined || body.err) return sendJson(res, 400, {})
     const target = { kind, name: name === undefined ? undefined : decodeURIComponent(name), isStatus: status !== undefined, query: url.searchParams }
-    if (req.method === 'GET') return await this.read(target, res)
-    const [code, answer] = this.write(req.method!, target, body.val.length === 0 ? {} : JSON.parse(body.val.toString()))
+    if (req.method === 'GET') return await this.read(target, res, () => this.findDown(req))
+    const run = (): readonly [number, unknown] => this.write(req.method!, target, body.val.length === 0 ? {} : JSON.parse(body.val.toString()))
+    const delay = this.faults.lateWrites?.()
+    if (delay !== undefined) return this.runLate(run, delay)
+    const [code, answer] = run()
     if (this.faults.losesReplies !== true) sendJson(res, code, answer)
   }
 
-  private async read ({ kind, name, query }: Target, res: ServerResponse): Promise<void> {
+  private findDown ({ socket }: IncomingMessage): ObjectApiFaults['down'] {
+    return this.faults.down ?? this.downAtPort.get(socket.localPort ?? 0)
+  }
+
+  private runLate (run: () => void, delay: number): void {
+    const timer = setTimeout(() => {
+      this.late.delete(timer)
+      run()
+    }, delay)
+    this.late.add(timer)
+  }
+
+  private async read ({ kind, name, query }: Target, res: ServerResponse, findDown: () => ObjectApiFaults['down']): Promise<void> {
     if (name !== undefined) {
       const object = this.objects.read(kind, name)
       return sendJson(res, object === undefined ? 404 : 200, object === undefined ? {} : showObject(object))
     }
-    if (query.has('watch')) return await this.watch(kind, Number(query.get('watch')), Number(query.get('wait_ms')), res)
+    if (query.has('watch')) return await this.watch(kind, Number(query.get('watch')), Number(query.get('wait_ms')), res, findDown)
     const items = this.objects.list(kind, '', query.get('after') ?? '', PAGE + 1)
     sendJson(res, 200, { items: items.slice(0, PAGE).map(showObject), more_pages: items.length > PAGE, current_rev: this.objects.revision })
   }
 
-  private async watch (kind: string, revision: number, wait: number, res: ServerResponse): Promise<void> {
+  private async watch (kind: string, revision: number, wait: number, res: ServerResponse, findDown: () => ObjectApiFaults['down']): Promise<void> {
     if (revision < (this.faults.oldestRevision ?? 0)) return sendJson(res, 410, {})
     const end = Date.now() + wait
     for (;;) {
       // A connection on which an answer is lost stays open and returns nothing further.
-      if (this.isMute) return
+      if (this.isMute || findDown() === 'silent') return
       const { changed, deleted } = this.objects.changesSince(kind, revision)
-      if (changed.length + deleted.length > 0 || Date.now() >= end || this.faults.down !== undefined) {
+      if (changed.length + deleted.length > 0 || Date.now() >= end || findDown() !== undefined) {
         const events = [...changed.map(object => ({ tombstone: false, object: showObject(object) })), ...deleted.map(name => ({ tombstone: true, object: { metadata: { name } } }))]
         return sendJson(res, 200, { events, current_rev: this.objects.revision })
       }
@@ -94,7 +125,7 @@
   }
 
   private get isMute (): boolean {
-    return this.faults.down === 'silent' || this.faults.losesReplies === true || this.faults.mutesWatches === true
+    return this.faults.losesReplies === true || this.faults.mutesWatches === true
   }
 
   private write (method: string, { kind, name, isStatus, query }: Target, body: any): readonly [number, unknown] {
--- a/stand-ins/machines/routed-entry-client.ts
+++ b/stand-ins/machines/routed-entry-client.ts
@@ -10,13 +10,16 @@
   /** Time from the request to its deadline, ms. */
   readonly deadline: number
   readonly key: string
+  /** Parts of its prompt that other requests share, as the header has them. */
+  readonly prefix?: string | undefined
   /** The stream that it resumes, and the last event received. */
   readonly resumption?: { readonly resumes: string, readonly after: number }
 }
 
 interface Stream { readonly status: number, readonly stamp: string | undefined, readonly body: AsyncIterable<Uint8Array> }
 
-interface JobItemOptions { readonly id: string, readonly path: string, readonly tokens: number }
+/** `prefix`: parts of its prompt that other requests share, as the header has them. */
+interface JobItemOptions { readonly id: string, readonly path: string, readonly tokens: number, readonly prefix?: string }
 
 interface Results {
   readonly status: number
@@ -31,15 +34,15 @@
   constructor (private readonly address: string, private readonly timeout: number, private readonly key = '') {}
 
   /** Sends a streaming request; undefined if no answer began. */
-  async openStream ({ id, path, dispatcher, deadline, key, resumption }: StreamOptions): Promise<Stream | undefined> {
+  async openStream ({ id, path, dispatcher, deadline, key, prefix, resumption }: StreamOptions): Promise<Stream | undefined> {
     const answer = await request(`http://${this.address}${path}`, {
-      method: 'POST', dispatcher, headers: { host: HOST, 'x-request-id': id, 'x-deadline-ms': String(deadline), 'x-api-key': key, ...resumption !== undefined && { resumes: resumption.resumes, 'last-event-id': String(resumption.after) } }, signal: AbortSignal.timeout(deadline)
+      method: 'POST', dispatcher, headers: { host: HOST, 'x-request-id': id, 'x-deadline-ms': String(deadline), 'x-api-key': key, ...prefix !== undefined && { 'x-prompt-prefix': prefix }, ...resumption !== undefined && { resumes: resumption.resumes, 'last-event-id': String(resumption.after) } }, signal: AbortSignal.timeout(deadline)
     }).catch(() => undefined)
     return answer === undefined ? undefined : { status: answer.statusCode, stamp: answer.headers['x-response-stamp'] as string | undefined, body: answer.body }
   }
 
   async submitJob (id: string, items: readonly JobItemOptions[]): Promise<number> {
-    const body = JSON.stringify({ items: items.map(item => ({ ...item, headers: { 'X-Model': 'm' }, body: 'eA==' })) })
+    const body = JSON.stringify({ items: items.map(({ prefix, ...item }) => ({ ...item, headers: { 'X-Model': 'm', ...prefix !== undefined && { 'X-Prompt-Prefix': prefix } }, body: 'eA==' })) })
     return (await this.call('POST', '/drafts/', id, body)).status
   }
 
--- a/stand-ins/platform/fault-plan.ts
+++ b/stand-ins/platform/fault-plan.ts
@@ -27,6 +27,12 @@
     return drawn < lostReplies + (delayedWrites?.share ?? 0) ? 'delayed' : 'normal'
   }
 
+  /** Draws the time until a delayed write is applied, ms. */
+  chooseWriteDelay (): number {
+    const { delay, most = delay } = this.faults.delayedWrites!
+    return most > delay ? delay + this.random.below(most - delay) : delay
+  }
+
   /** Draws the age of the state that a read returns, ms; 0 is the present. */
   chooseReadAge (): number {
     const { oldReads } = this.faults
--- a/stand-ins/platform/platform-faults.ts
+++ b/stand-ins/platform/platform-faults.ts
@@ -9,8 +9,11 @@
   readonly slowness?: number
   /** Share of writes that take effect and whose connection is then cut. */
   readonly lostReplies?: number
-  /** Share of writes whose connection is cut at once and that are applied `delay` ms later, if their version still matches. */
-  readonly delayedWrites?: { readonly share: number, readonly delay: number }
+  /**
+   * Share of writes that are applied `delay` ms later, or between `delay` and `most`, if their version still matches. Their
+   * connection is cut at once, or with `isSilent` stays open and brings no answer.
+   */
+  readonly delayedWrites?: { readonly share: number, readonly delay: number, readonly most?: number, readonly isSilent?: boolean }
   /** Share of gets, lists and first watches answered with the state of `lag` ms ago. */
   readonly oldReads?: { readonly share: number, readonly lag: number }
   /** Watches are accepted and never answered, not even at the end of their wait. */
--- a/stand-ins/platform/platform.ts
+++ b/stand-ins/platform/platform.ts
@@ -129,10 +129,10 @@
   private applyWrite (res: Response, run: () => { readonly status: number, readonly body: unknown }): void {
     const outcome = this.plan.chooseWriteOutcome()
     if (outcome !== 'normal') this.counts.failed++
-    if (outcome === 'delayed') setTimeout(run, this.plan.faults.delayedWrites!.delay)
+    if (outcome === 'delayed') setTimeout(run, this.plan.chooseWriteDelay())
     const answer = outcome === 'delayed' ? undefined : run()
     if (outcome === 'normal') sendJson(res, answer!.status, answer!.body)
-    else res.socket?.destroy()
+    else if (outcome !== 'delayed' || this.plan.faults.delayedWrites?.isSilent !== true) res.socket?.destroy()
   }
 
   private listObjects (req: Request, res: Response): void {
--- a/test/soak/check-record.test.ts
+++ b/test/soak/check-record.test.ts
@@ -14,7 +14,7 @@
 const request: SentRequest = { id: 'r', daemon: 0, at: 5_000, until: 5_500, path: '/quotes/1', caller: 'harbour', resumable: true, outcome: 'whole', status: 200, stamp: 'stamp-i-0', text: stream('/quotes/1') }
 const run: ObservedRun = { id: 'r', path: '/quotes/1', caller: 'harbour', key: undefined, engine: 'i-0', version: '1', at: 5_010, resumedAfter: undefined, events: soakSize.events }
 const job: SentJob = { id: 'j', items: ['j-0', 'j-1'], statuses: [202], acceptedAt: 1_000, endedAt: undefined, reads: [{ at: 9_000, daemon: 0, status: 200, total: 2, results: [result('j-0'), result('j-1')] }] }
-const empty: SoakRecord = { requests: [], runs: [], jobs: [], versions: [{ version: 1, at: 0, hasExtra: false }], leaving: [], harmed: [], resets: [], exits: [] }
+const empty: SoakRecord = { requests: [], runs: [], jobs: [], versions: [{ version: 1, at: 0, hasExtra: false }], leaving: [], harmed: [], resets: [], exits: [], calmFrom: Infinity, endedAt: Infinity }
 const reading = job.reads[0]!
 
 /** Creates a record in which so many requests of the organisation with a quota ran at once. */
@@ -55,6 +55,13 @@
   { name: 'an item never gets a result', record: { jobs: [{ ...job, reads: [{ ...reading, results: [result('j-0')] }] }] }, found: /never got a result/ },
   { name: 'an item has two results', record: { jobs: [{ ...job, reads: [{ ...reading, results: [result('j-0'), result('j-0')] }] }] }, found: /two positions/ },
   { name: 'an item that can be completed has failed', record: { jobs: [{ ...job, reads: [{ ...reading, results: [result('j-0'), { id: 'j-1', state: 'failed', text: '' }] }] }] }, found: /failed, though it can be completed/ },
+  { name: 'a result that was read is missing at another daemon in the end', record: { endedAt: 12_000, jobs: [{ ...job, reads: [reading, { ...reading, at: 12_000, daemon: 1, results: [result('j-0')] }] }] }, found: /position 1 was read before, and daemon 1 has undefined/ },
+  { name: 'a result that was read is an empty page at another daemon in the end', record: { endedAt: 12_000, jobs: [{ ...job, reads: [reading, { ...reading, at: 12_000, daemon: 1, results: [] }] }] }, found: /position 0 was read before/ },
+  { name: 'a daemon fails each read in the end', record: { endedAt: 12_000, jobs: [{ ...job, reads: [reading, { ...reading, at: 12_000, status: 503, results: [] }, { ...reading, at: 12_500, status: 503, results: [] }] }] }, found: /couldn't be read at daemon 0 in the end: 503/ },
+  { name: 'a daemon shows what was read after a failure', record: { endedAt: 12_000, jobs: [{ ...job, reads: [reading, { ...reading, at: 12_000, status: 503, results: [] }, { ...reading, at: 12_500 }] }] }, found: undefined },
+  { name: 'an item is left lying', record: { calmFrom: 2_000, endedAt: 22_000, jobs: [{ ...job, reads: [{ ...reading, at: 21_000 }] }] }, found: /no server ran any of its items for \d+ ms from 2000 ms on/ },
+  { name: 'an item is left lying between two runs', record: { calmFrom: 2_000, endedAt: 22_000, jobs: [{ ...job, reads: [{ ...reading, at: 21_000 }] }], runs: [3_000, 20_000].map(at => ({ ...run, id: 'j-0', at })) }, found: /no server ran any of its items/ },
+  { name: 'items of a job run one after the other', record: { calmFrom: 2_000, endedAt: 22_000, jobs: [{ ...job, reads: [{ ...reading, at: 21_000 }] }], runs: [3_000, 9_000, 15_000].map(at => ({ ...run, id: 'j-0', at })) }, found: undefined },
   { name: 'a refused job runs', record: { jobs: [{ ...job, acceptedAt: undefined, statuses: [503], reads: [] }], runs: [{ ...run, id: 'j-0' }] }, found: /was refused each time, and ran/ },
   { name: 'a request runs under the name of another organisation', record: { requests: [request], runs: [{ ...run, caller: 'swarm' }] }, found: /ran r for swarm/ },
   { name: 'an item runs under no name', record: { jobs: [job], runs: [{ ...run, id: 'j-0', caller: undefined }] }, found: /ran j-0 for undefined/ },
--- a/test/store/faults.test.ts
+++ b/test/store/faults.test.ts
@@ -53,6 +53,20 @@
   t.is((await call('DELETE', '/objects/k/a?version=1')).status, 429)
 })
 
+// Guards against a fault that is no late write: answered, cut like a lost reply, or applied at a time that all calls share.
+test('late writes bring no answer and are applied at different times', async t => {
+  const call = await startPlatform(t)
+  await call('POST', '/control/faults', { delayedWrites: { share: 1, delay: 350, most: 800, isSilent: true } })
+  const error = await t.throwsAsync(call('PUT', '/objects/k/late', { value: 1, version: 0 }), { any: true })
+  t.is((error as Error).name, 'TimeoutError')
+  const plan = new FaultPlan({ delayedWrites: { share: 1, delay: 1_000, most: 6_000 }, seed: 5 })
+  const delays = Array.from({ length: 100 }, () => plan.chooseWriteDelay())
+  t.true(delays.every(delay => delay >= 1_000 && delay < 6_000))
+  t.true(Math.max(...delays) - Math.min(...delays) > 3_000)
+  await call('POST', '/control/faults', {})
+  while ((await call('GET', '/objects/k/late')).status !== 200) await new Promise(resolve => setTimeout(resolve, 10))
+})
+
 test('the in-memory store applies delayed writes on demand and returns stale reads', async t => {
   const store = new MemoryStore()
   await store.put('k', 'a', 1, 0)
