--- a/bench/soak/soak-callers.ts
+++ b/bench/soak/soak-callers.ts
@@ -52,10 +52,10 @@
     this.requests.push({ ...resumed, ...await this.read(resumed, key, prefix), until: this.soak.now() })
   }
 
-  /** Returns the parts of a request's prompt: one that all have, one of its own, and for some one that crashes servers. */
+  /** Returns the parts of a request's prompt: one that all have, one of its own, and for some of the usual organisation one that crashes servers. */
   private buildPrefix (n: string): string | undefined {
     if (!this.soak.usesParts) return undefined
-    const isBad = this.soak.sendsBadParts && this.turn % soakSize.badEvery === 0
+    const isBad = this.soak.sendsBadParts && Number(n) % soakSize.badEvery === 0
     return ['common', ...isBad ? [soakSize.badPart] : [], `own-${n}`].map(part => `${part}:10`).join()
   }
 
--- a/bench/soak/soak-size.ts
+++ b/bench/soak/soak-size.ts
@@ -14,10 +14,10 @@
   requestPeriod: 60,
   jobPeriod: 700,
   jobItems: 5,
-  /** Part of a prompt that crashes servers, time until a crashed server is back, and one in how many requests has the part. */
+  /** Part of a prompt that crashes servers, time until a crashed server is back, and one in how many requests of the usual organisation has the part. */
   badPart: 'bad',
   crashDowntime: 1_200,
-  badEvery: 8,
+  badEvery: 7,
   /** Time in which all accepted jobs must be complete once load and troubles have ended. */
   finishBound: 20_000,
   /** Longest time in which no server runs any item of an incomplete job while servers are under half full, once troubles have ended: the longest reason to wait for a slot, and a look-up. */
