--- a/src/jobs/ended-job-lookup.ts
+++ b/src/jobs/ended-job-lookup.ts
@@ -81,7 +81,7 @@
     const leader = findDomainLeader(this.members.all().filter(member => asked >= (this.skippedUntil.get(member.instance.name) ?? -Infinity)), failureDomain)
     if (leader === undefined || leader === instance) return undefined
     const answer = await this.calls.call(leader, { jobs }, LEADER_TIMEOUT)
-    if (answer !== undefined) return Ok({ ended: answer.ended, owners: answer.owners ?? {}, readAt: asked - answer.age })
+    if (answer !== undefined && Number.isFinite(answer.age)) return Ok({ ended: answer.ended, owners: answer.owners ?? {}, readAt: asked - answer.age })
     this.skippedUntil.set(leader, this.clock.now() + LEADER_SKIP_TIME)
     return undefined
   }
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -75,7 +75,12 @@
       mayStart
     }, { body, fingerprint: item.id, headerTimeout: FIRST_EVENT_TIMEOUT })
     if (opened.err) return opened.val.why === 'withheld' && !this.abort.signal.aborted ? { type: 'withheld' } : this.describeLoss(opened.val.detail)
-    return await this.read(opened.val)
+    try {
+      return await this.read(opened.val)
+    } catch (error) {
+      void opened.val.fail({ why: 'cut', sent: true, detail: (error as Error).message })
+      throw error
+    }
   }
 
   private async read (open: OpenExchange): Promise<ItemOutcome> {
--- a/src/jobs/item-trials.ts
+++ b/src/jobs/item-trials.ts
@@ -9,6 +9,8 @@
  * the grant may be unable to begin, and messages may be lost. Daemons differ, so that their first runs follow one another.
  */
 const MAX_TRIAL_WAIT = 7_500
+/** How long items may then begin a trial without a grant, ms, before they wait again: the daemons that have waited must not all begin at once. */
+const START_WINDOW = 200
 /** A wait that nothing has asked about for this long has ended, ms. */
 const FORGET_AFTER = 2_000
 const MAX_WAITS = 300
@@ -46,7 +48,8 @@
     const { clock, random } = this.options
     const now = clock.now()
     const known = this.waits.get(part)
-    const wait = known !== undefined && now < known.seenAt + FORGET_AFTER ? known : { since: now, limit: random.spread(MAX_TRIAL_WAIT, 1 / 3) }
+    const isGoing = known !== undefined && now < known.seenAt + FORGET_AFTER && now < Math.max(known.since, lostAt) + known.limit + START_WINDOW
+    const wait = isGoing ? known : { since: now, limit: random.spread(MAX_TRIAL_WAIT, 1 / 3) }
     this.waits.set(part, { ...wait, seenAt: now })
     if (this.waits.size > MAX_WAITS) for (const [other, { seenAt }] of this.waits) if (now >= seenAt + FORGET_AFTER) this.waits.delete(other)
     return now >= Math.max(wait.since, lostAt) + wait.limit
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -122,28 +122,27 @@
     job.notify()
   }
 
-  /**
-   * Ensures that the job's results here include all that callers may have read at any daemon; returns the proof, or undefined if there is none.
-   * Two owners may not reach each other. A daemon that takes a job over therefore records it in the store, and where another owner may still run,
-   * it stores no result until that one can't have missed the record. Otherwise the store is read.
-   */
+  /** Ensures that the job's results here include all that callers may have read at any daemon; returns the proof, or undefined if there is none. */
   async ensureCurrent (job: OwnedJob): Promise<PageProof | undefined> {
     return await this.writer.confirmCurrent(job)
   }
 
-  /** Applies the stored record of the processes that took a job over. */
+  /** Applies the stored record of the processes that took a job over. The last one may have stored results that are missing here, also if it has ended. */
   applyRecordedOwners (id: string, processes: readonly OwnerProcess[]): void {
     const job = this.owned.get(id)
-    const other = processes.find(process => this.mayRun(process))
+    const other = processes.find(process => this.mayRun(process)) ?? processes.slice(-1).find(process => !this.isSelf(process))
     if (job === undefined || job.isShared || other === undefined) return
     this.log.write('info', 'jobs', 'found another owner of a job in the store', { job: id, owner: other.owner })
     job.isShared = true
   }
 
   /** Whether this is another process than this one and may still run. */
-  private mayRun ({ owner, run }: OwnerProcess): boolean {
-    const isSelf = owner === this.settings.instance && run === this.members.run
-    return !isSelf && findOwnerStatus({ owner, run }, this.members.findRun(owner)) !== 'ended'
+  private mayRun (process: OwnerProcess): boolean {
+    return !this.isSelf(process) && findOwnerStatus(process, this.members.findRun(process.owner)) !== 'ended'
+  }
+
+  private isSelf ({ owner, run }: OwnerProcess): boolean {
+    return owner === this.settings.instance && run === this.members.run
   }
 
   /** Accepts a job. `Ok` means that it is stored durably, `conflict` that it was accepted before. */
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -173,11 +173,8 @@
   async remove (id: string): Promise<Result<void, StoreError>> {
     const header = await this.readHeader(id)
     if (header.err) return header
-    for (let segment = 0; ; segment++) {
-      const removed = await this.removeOne(RESULTS, `${id}.${segment}`)
-      if (removed.err && removed.val.type === 'missing') break
-      if (removed.err) return removed
-    }
+    const removed = await this.removeSegments(id)
+    if (removed.err) return removed
     const rest: ReadonlyArray<readonly [string, string]> = [...Array.from({ length: header.val.parts }, (_, i): [string, string] => [ITEMS, `${id}.${i}`]), [PROGRESS, id], [ENDS, JobRecords.buildOwnerName(id)], [ENDS, id], [HEADERS, id]]
     for (const [kind, name] of rest) {
       const removed = await this.removeOne(kind, name)
@@ -186,6 +183,22 @@
     return Ok(undefined)
   }
 
+  /** Removes the segments from the last to the first, so that an interrupted removal leaves none behind a gap. */
+  private async removeSegments (id: string): Promise<Result<void, StoreError>> {
+    const versions: number[] = []
+    for (;;) {
+      const segment = await this.store.get(RESULTS, `${id}.${versions.length}`, 'background')
+      if (segment.err && segment.val.type === 'missing') break
+      if (segment.err) return segment
+      versions.push(segment.val.version)
+    }
+    for (const [segment, version] of [...versions.entries()].reverse()) {
+      const removed = await this.store.delete(RESULTS, `${id}.${segment}`, version, 'background')
+      if (removed.err && removed.val.type !== 'missing') return removed
+    }
+    return Ok(undefined)
+  }
+
   private async removeOne (kind: string, name: string): Promise<Result<void, StoreError>> {
     const object = await this.store.get(kind, name, 'background')
     return object.err ? object : await this.store.delete(kind, name, object.val.version, 'background')
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -39,7 +39,6 @@
 /** Backoff of an item after an unsuccessful run, ms; it doubles with each consecutive one. */
 const FIRST_PAUSE = 50
 const LONGEST_PAUSE = 1_000
-
 /** How long another trial of the same part waits for an item that tries it, ms: by then its answer has begun, and it has passed or was lost. */
 const TRIAL_TIME = 2_500
 /** Maximum number of slots in one request to a broker. */
@@ -181,9 +180,7 @@
   }
 
   private countWaiting (reason: WaitingReason['type']): number {
-    let count = 0
-    for (const job of this.jobs) for (const state of job.items) if (this.waits.find(state) === reason) count++
-    return count
+    return [...this.jobs].reduce((sum, { items }) => sum + items.filter(state => this.waits.find(state) === reason).length, 0)
   }
 
   /** Lists the parts of the item's prompt that other requests may share. */
@@ -202,7 +199,8 @@
   private useGrant (pool: string, server: string): void {
     if (this.draining || !this.loads.isOpen(server)) return
     const items = this.listWaiting().filter(({ route, state }) => route.services.some(({ service, weight }) => service === pool && weight > 0) && this.versions.mayRunAt(state, pool, server))
-    const item = items.find(({ state }) => this.versions.keepsProgress(state, server)) ?? items[0]
+    const now = this.clock.now()
+    const item = items.find(({ state }) => this.versions.keepsProgress(state, server) || now >= (this.versions.findBoundUntil(state) ?? Infinity)) ?? items[0]
     if (item !== undefined) this.startItem(item, pool, server)
   }
 
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -167,7 +167,7 @@
     const results: ListedResult[] = []
     let size = 0
     for (const result of this.results.slice(after)) {
-      size += result.text.length
+      size += Buffer.byteLength(result.text)
       if (results.length > 0 && size > PAGE_BYTES) break
       results.push(result)
     }
--- a/src/placement/slot-client.ts
+++ b/src/placement/slot-client.ts
@@ -35,8 +35,7 @@
 /** Interval at which a bypassed broker is probed, ms. */
 const PROBE_PERIOD = 500
 /** Brokers that a request tries before it falls back to local selection; fewer in the first `START_TIME` ms of a process. */
-const MAX_BROKERS = 2
-const MAX_BROKERS_AT_START = 1
+const MAX_BROKERS = { atStart: 1, later: 2 }
 const START_TIME = 2_000
 /** Interval at which a request queued at its broker is sent again, ms, in case the broker has stopped. */
 const QUEUED_RETRY_PERIOD = 1_000
@@ -132,7 +131,7 @@
    * and one that is placed by its daemon finds a slot.
    */
   private get maxBrokers (): number {
-    return this.clock.now() < this.startedAt + START_TIME ? MAX_BROKERS_AT_START : MAX_BROKERS
+    return this.clock.now() < this.startedAt + START_TIME ? MAX_BROKERS.atStart : MAX_BROKERS.later
   }
 
   private requestFromGroup (group: number, request: PlacementRequest, fallBack: () => void, triedBrokers: number): void {
--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -3,9 +3,11 @@
 import { estimateChance } from './estimate-chance.js'
 import { hasEqualAges } from './has-equal-ages.js'
 import { isBetterCause } from './is-better-cause.js'
+import { isLikelyCause } from './is-likely-cause.js'
 import { isSameExit } from './is-same-exit.js'
 import { judgePart } from './judge-part.js'
 import type { Judgement } from './judgement.js'
+import { mayTryRefused } from './may-try-refused.js'
 import { mergeLoss } from './merge-loss.js'
 import type { PartEvidence } from './part-evidence.js'
 import type { PartLoss } from './part-loss.js'
@@ -28,19 +30,8 @@
 /** How long lost servers are remembered for the share of lost runs, ms, and their maximum number. */
 const KEEP_TIME = 120_000
 const MAX_LOST = 200
-/** How long after its refusal items may try a part, ms, and up to how long after it runs may begin that count as in flight then. */
-const TRY_AFTER = 10_000
-const IN_FLIGHT_TIME = 1_000
-/** Losses from which items don't try a refused part: a sixth server must not be lost to it. */
-const MAX_LOSSES_TO_TRY = 5
 /** How long no trial of a part begins after the loss by which it is about to be refused, ms. */
 const PENDING_TIME = 400
-/** Moments of losses from which a suspect part is likely to crash servers, and the time after the first of them in which a sound one would pass, ms. */
-const LIKELY_MOMENTS = 3
-const LIKELY_TIME = 1_000
-/** Probability that a sound part was in flight at as many losses, up to which it is likely to crash servers: if it never passed, and if it did. */
-const LIKELY_CHANCE = 0.05
-const LIKELY_CHANCE_WITH_PASSES = 0.01
 /** A refused part is cleared only if its losses may well be chance, or if it passed so often for each moment of losses. */
 const MIN_CHANCE_OF_SOUND = 0.1
 const MIN_PASSES_OF_SOUND = 4
@@ -154,10 +145,9 @@
     return this.evidence.get(part)?.losses.at(-1)?.at
   }
 
-  /** Whether items may try a refused part that cost few servers, one at a time: some time after its refusal, until a run that began since is lost with its server. */
+  /** Whether items may try a refused part, one at a time. */
   mayTryRefused (part: string, now: number): boolean {
-    const { refusedAt = Infinity, losses } = this.evidence.get(part) ?? NOTHING
-    return now >= refusedAt + TRY_AFTER && losses.length < MAX_LOSSES_TO_TRY && losses.every(({ began }) => began <= refusedAt + IN_FLIGHT_TIME)
+    return mayTryRefused(this.evidence.get(part) ?? NOTHING, now)
   }
 
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
@@ -200,9 +190,7 @@
 
   private isLikely (part: string, now: number): boolean {
     const losses = this.listOpenLosses(part, now)
-    if (countMoments(losses) < LIKELY_MOMENTS || now < losses[0]!.at + LIKELY_TIME || !hasEqualAges(losses)) return false
-    const { passes, chance, othersPass } = this.weigh(part, losses, now)
-    return othersPass && chance <= (passes > 0 ? LIKELY_CHANCE_WITH_PASSES : LIKELY_CHANCE)
+    return isLikelyCause(losses, now, () => this.weigh(part, losses, now))
   }
 
   private judgeBeside (part: string, parts: readonly string[], now: number): PartVerdict {
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -16,6 +16,7 @@
 import type { ObjectStore } from '../../store/object-store.js'
 import { BlameLedger } from './blame-ledger.js'
 import { chooseReceivers } from './choose-receivers.js'
+import { createPartRun } from './create-part-run.js'
 import { decodePasses } from './decode-passes.js'
 import { decodeRefusedPart } from './decode-refused-part.js'
 import { decodeServerLoss } from './decode-server-loss.js'
@@ -31,8 +32,6 @@
 import { ServerExits } from './server-exits.js'
 import type { ServerPartLoss } from './server-part-loss.js'
 
-/** Time for which an answer must go on until its parts count as passed, ms: a part crashes a server as it begins to answer. */
-const SURVIVAL_TIME = 1_500
 /** Delays after which the report of a loss is sent again, ms. */
 const RESEND_DELAYS = [500, 2_000]
 /** Longest delay before a daemon tells its passes, ms: those that others have told meanwhile suffice. */
@@ -126,25 +125,8 @@
     const tried = verdict !== 'clear' && !isPending && this.trials.take(suspect!) ? suspect : undefined
     const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
     this.runs.add(run)
-    let cancel = (): void => {}
-    let isTrial = tried !== undefined
-    const endTrial = (): void => {
-      if (isTrial) this.trials.end(tried!)
-      isTrial = false
-    }
-    const survive = (): void => {
-      this.pass(run)
-      if (verdict === 'refused') endTrial()
-    }
-    return {
-      open: () => { if (this.runs.has(run)) cancel = this.clock.after(SURVIVAL_TIME, survive) },
-      end: outcome => {
-        cancel()
-        if (!this.runs.delete(run)) return
-        if (outcome === 'passed') this.pass(run)
-        endTrial()
-      }
-    }
+    const endTrial = (): void => { if (tried !== undefined) this.trials.end(tried) }
+    return createPartRun({ clock: this.clock, remove: () => this.runs.delete(run), pass: () => this.pass(run), endTrial, isShortTrial: verdict === 'refused' })
   }
 
   /** Holds a server's loss against the parts that were in flight there, and tells the other daemons. */
