Blame: items may try a refused part whatever it cost; their wait has an end

What callers saw: accepted items at no server for 50 s and more after servers had crashed under them or beside their prompts' parts, though all was calm and servers had room.

Cause: items tried a refused part only if it had cost fewer than five servers, and never again once a run that had begun after the refusal was lost; else they waited for the end of the refusal, 120 s, then 240 s and so on. A burst of crashes gets a sound part refused now and then, and it gives it five losses or more. The class: a hold on accepted work that ends only with a belief which crashes prolong.

Now: 10 s after the last loss, 20 s once such a trial was lost with its server.

Failed try: doubling the wait for every loss whose run began a second after the refusal. Only losses after 10 s of calm count now.

--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -1,13 +1,13 @@
 import { countMoments } from './count-moments.js'
 import { countRuns } from './count-runs.js'
 import { estimateChance } from './estimate-chance.js'
+import { findTrialTime } from './find-trial-time.js'
 import { hasEqualAges } from './has-equal-ages.js'
 import { isBetterCause } from './is-better-cause.js'
 import { isLikelyCause } from './is-likely-cause.js'
 import { isSameExit } from './is-same-exit.js'
 import { judgePart } from './judge-part.js'
 import type { Judgement } from './judgement.js'
-import { mayTryRefused } from './may-try-refused.js'
 import { mergeLoss } from './merge-loss.js'
 import type { PartEvidence } from './part-evidence.js'
 import type { PartLoss } from './part-loss.js'
@@ -145,9 +145,9 @@
     return this.evidence.get(part)?.losses.at(-1)?.at
   }
 
-  /** Whether items may try a refused part, one at a time. */
-  mayTryRefused (part: string, now: number): boolean {
-    return mayTryRefused(this.evidence.get(part) ?? NOTHING, now)
+  /** Returns from when on items may try a refused part, monotonic ms. */
+  findTrialTime (part: string): number {
+    return findTrialTime(this.evidence.get(part) ?? NOTHING)
   }
 
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -112,13 +112,20 @@
     const now = this.clock.now()
     const { verdict, part, isPending = false, isLikely = false } = this.ledger.judge(parts, now)
     if (part === undefined || verdict === 'clear') return { type: 'clear' }
-    const mayTry = verdict === 'suspect' ? !isPending : isItem && this.ledger.mayTryRefused(part, now)
-    if (mayTry && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
-    if (verdict === 'refused') return { type: 'refused', part, left: this.ledger.listRefused(now).find(other => other.part === part)!.until - now }
+    if (verdict === 'refused') return this.checkRefused(part, isItem, now)
+    if (!isPending && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
     if (isLikely && !isItem && (isPending || this.trials.isBusy(part))) return { type: 'refused', part, left: TRIAL_TIME }
     return { type: 'wait', part, lostAt: this.ledger.findLastLoss(part) }
   }
 
+  private checkRefused (part: string, isItem: boolean, now: number): PartDecision {
+    const left = this.ledger.listRefused(now).find(other => other.part === part)!.until - now
+    if (!isItem) return { type: 'refused', part, left }
+    const wait = this.ledger.findTrialTime(part) - now
+    if (wait <= 0 && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
+    return { type: 'refused', part, left: wait > 0 ? Math.min(wait, left) : left }
+  }
+
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
   begin (parts: readonly string[], server: string, isSent: () => boolean): PartRun {
     const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now())
--- a/src/routing/blame/part-decision.ts
+++ b/src/routing/blame/part-decision.ts
@@ -2,4 +2,4 @@
 export type PartDecision =
   | { readonly type: 'clear', /** The part whose trial the request would be. */ readonly trial?: string }
   | { readonly type: 'wait', readonly part: string, /** When the last server with the part in flight was lost, monotonic ms. */ readonly lostAt?: number }
-  | { readonly type: 'refused', readonly part: string, /** Time until it may run again, ms. */ readonly left: number }
+  | { readonly type: 'refused', readonly part: string, /** Time until it may run again, or be tried by an item, ms. */ readonly left: number }
