Blame: once an item has shown that a refused part is sound, its others follow in growing numbers

What callers saw: after a wrong refusal items ran one after the other in the whole fleet, each once the one before had passed, until some twenty passes cleared the part: with 128 items at eight daemons 3 ended in 5 s while 124 waited, though eleven of twelve servers were idle.

Cause: the trial of a refused part is exclusive, and what it shows was used only by the judgement, which takes four passes for each loss.

Now each trial that passes, counted since the last loss and told to the others, doubles how many items of the part run at each daemon; a loss begins this anew. The bound of the test is the users': of what waits, a tenth ends in 5 s.

--- a/src/jobs/item-trials.ts
+++ b/src/jobs/item-trials.ts
@@ -21,8 +21,8 @@
   readonly blame: Pick<PartBlame, 'check'>
   readonly clock: Pick<Clock, 'now'>
   readonly random: Random
-  /** Whether an item of this daemon runs as a trial of the part. */
-  readonly isTried: (part: string) => boolean
+  /** Counts this daemon's items that run as trials of the part. */
+  readonly countTrials: (part: string) => number
 }
 
 /** Decides whether items run by the parts of their prompts. Unlike requests, items have no deadline, so that each wait has an end of its own. */
@@ -31,14 +31,14 @@
 
   constructor (private readonly options: ItemTrialsOptions) {}
 
-  /** Decides whether an item with these parts may start now. One with a part that is tried starts only while no other trial of it runs here. */
+  /** Decides whether an item with these parts may start now. One with a part that is tried starts only while no more trials of it run here than are allowed. */
   check (parts: readonly string[]): PartDecision {
-    const { blame, isTried } = this.options
+    const { blame, countTrials } = this.options
     const decision = blame.check(parts, { isItem: true })
     switch (decision.type) {
       case 'refused': return decision
-      case 'clear': return decision.trial !== undefined && isTried(decision.trial) ? { type: 'wait', part: decision.trial } : decision
-      case 'wait': return this.hasWaited(decision) && !isTried(decision.part) ? { type: 'clear', trial: decision.part } : decision
+      case 'clear': return decision.trial !== undefined && countTrials(decision.trial) >= (decision.limit ?? 1) ? { type: 'wait', part: decision.trial } : decision
+      case 'wait': return this.hasWaited(decision) && countTrials(decision.part) === 0 ? { type: 'clear', trial: decision.part } : decision
       default: return failUnreachable(decision)
     }
   }
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -81,7 +81,7 @@
   ) {
     metrics.gauge('batch_items_running', () => this.running.size)
     for (const reason of waitingReasonTypes) metrics.gauge('batch_items_waiting', () => this.countWaiting(reason), { reason })
-    this.trials = new ItemTrials({ blame, clock, random, isTried: part => [...this.running].some(({ trial, startedAt }) => trial === part && clock.now() < startedAt + TRIAL_TIME) })
+    this.trials = new ItemTrials({ blame, clock, random, countTrials: part => [...this.running].filter(({ trial, startedAt }) => trial === part && clock.now() < startedAt + TRIAL_TIME).length })
     this.versions = new ItemVersions({ loads, servers, clock })
     this.waits = new WaitingLog({ log, clock })
     this.routes = new RouteFinder({ clock, getConfiguration: () => configuration.value })
--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -37,6 +37,8 @@
 const MIN_PASSES_OF_SOUND = 4
 /** How long a verdict is reused while nothing new is known, ms: waiting items ask for it many times a second. */
 const VERDICT_TIME = 100
+/** Trials of a refused part that passed, from which more make no difference. */
+const MAX_TRIALS_PASSED = 6
 /** Known passes of a part up to which each daemon tells its own. */
 const ENOUGH_PASSES = 20
 const NOTHING: PartEvidence = { losses: [], passes: new Map(), refusals: 0, beside: [] }
@@ -75,7 +77,7 @@
       const own = runs.filter(run => run.parts.includes(part))
       const beside = [...parts].filter(other => other !== part && own.every(run => run.parts.includes(other)))
       const known = this.evidence.get(part) ?? NOTHING
-      this.put(part, { ...known, losses: mergeLoss(known.losses, { server, at, first: Math.min(...own.map(({ began }) => began)), began: Math.max(...own.map(({ began }) => began)), runs: new Map([[daemon, own.length]]), beside }).slice(-MAX_LOSSES) })
+      this.put(part, { ...known, losses: mergeLoss(known.losses, { server, at, first: Math.min(...own.map(({ began }) => began)), began: Math.max(...own.map(({ began }) => began)), runs: new Map([[daemon, own.length]]), beside }).slice(-MAX_LOSSES), trialsPassed: 0 })
     }
   }
 
@@ -111,7 +113,7 @@
     if (until <= now || this.findRelease(part, until) !== undefined || (known.refusedUntil ?? -Infinity) >= until - LATE_TIME) return false
     const merged = losses.reduce<readonly PartLoss[]>((all, { server, at }) => mergeLoss(all, { server, at, first: at, began: at, runs: new Map(), beside }), known.losses)
     this.refused.add(part)
-    this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedAt: now, refusedUntil: until, refusals: known.refusals + 1, beside })
+    this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedAt: now, refusedUntil: until, refusals: known.refusals + 1, beside, trialsPassed: 0 })
     return true
   }
 
@@ -150,6 +152,21 @@
     return findTrialTime(this.evidence.get(part) ?? NOTHING)
   }
 
+  /** Returns how many items may try a refused part at once: one in the whole fleet until the first trial has passed, then twice as many at each daemon after each one. */
+  countTrialsAllowed (part: string): number {
+    return 2 ** (this.evidence.get(part)?.trialsPassed ?? 0)
+  }
+
+  /** Records that an item's trial of a refused part, begun then, has passed; returns whether other daemons should be told. */
+  addTrialPass (part: string, began: number, now: number): boolean {
+    const known = this.evidence.get(part)
+    if (known === undefined || this.findRefused(part, now) === undefined || began < findTrialTime(known)) return false
+    const trialsPassed = known.trialsPassed ?? 0
+    if (trialsPassed >= MAX_TRIALS_PASSED) return false
+    this.evidence.set(part, { ...known, trialsPassed: trialsPassed + 1 })
+    return true
+  }
+
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
   countPasses (part: string, now: number): number {
     const others = [...this.evidence.get(part)?.passes.values() ?? []]
@@ -239,7 +256,7 @@
     const beside = common.filter(other => this.countPasses(other, now) === 0)
     this.refused.add(part)
     this.verdicts.clear()
-    this.evidence.set(part, { ...known, refusedAt: now, refusedUntil: now + REFUSAL_TIME * 2 ** known.refusals, refusals: known.refusals + 1, beside })
+    this.evidence.set(part, { ...known, refusedAt: now, refusedUntil: now + REFUSAL_TIME * 2 ** known.refusals, refusals: known.refusals + 1, beside, trialsPassed: 0 })
     return this.findRefused(part, now)!
   }
 
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -64,6 +64,7 @@
     peerHandlerPoint.of({ type: 'part passes', handle: (message, from) => this.receivePasses(message, from) }),
     peerHandlerPoint.of({ type: 'part refused', handle: ({ refused }, from) => this.receiveRefused(refused, from) }),
     peerHandlerPoint.of({ type: 'part released', handle: message => this.receiveRelease(message) }),
+    peerHandlerPoint.of({ type: 'part trial passed', handle: ({ part }) => { this.ledger.addTrialPass(String(part), this.clock.now(), this.clock.now()) } }),
     peerHandlerPoint.of({ type: 'part trial ask', handle: ({ part, begun }, from) => this.trials.receiveAsk(String(part), from, begun === true) }),
     peerHandlerPoint.of({ type: 'part trial', handle: ({ part }) => this.trials.receiveGrant(String(part)) }),
     peerHandlerPoint.of({ type: 'part trial busy', handle: ({ part }) => this.trials.receiveBusy(String(part)) }),
@@ -122,14 +123,16 @@
     const left = this.ledger.listRefused(now).find(other => other.part === part)!.until - now
     if (!isItem) return { type: 'refused', part, left }
     const wait = this.ledger.findTrialTime(part) - now
-    if (wait <= 0 && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
+    const limit = this.ledger.countTrialsAllowed(part)
+    if (wait <= 0 && (limit > 1 || this.trials.mayBegin(part))) return { type: 'clear', trial: part, limit }
     return { type: 'refused', part, left: wait > 0 ? Math.min(wait, left) : left }
   }
 
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
   begin (parts: readonly string[], server: string, isSent: () => boolean): PartRun {
     const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now())
-    const tried = verdict !== 'clear' && !isPending && this.trials.take(suspect!) ? suspect : undefined
+    const needsTrial = verdict === 'suspect' ? !isPending : verdict === 'refused' && this.ledger.countTrialsAllowed(suspect!) === 1
+    const tried = needsTrial && this.trials.take(suspect!) ? suspect : undefined
     const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
     this.runs.add(run)
     const endTrial = (): void => { if (tried !== undefined) this.trials.end(tried) }
@@ -161,7 +164,9 @@
   private pass (run: Run): void {
     if (run.hasPassed) return
     run.hasPassed = true
-    this.clear(this.ledger.addPass(run.parts, this.clock.now()), true)
+    const now = this.clock.now()
+    this.clear(this.ledger.addPass(run.parts, now), true)
+    for (const part of run.parts) if (this.ledger.addTrialPass(part, run.began, now)) this.broadcast.broadcast({ type: 'part trial passed', part }, `part trial passed ${part}`)
   }
 
   private receiveLoss (message: Readonly<Record<string, unknown>>): void {
--- a/src/routing/blame/part-evidence.ts
+++ b/src/routing/blame/part-evidence.ts
@@ -10,6 +10,8 @@
   readonly refusedAt?: number
   /** End of its refusal; undefined if it wasn't refused. */
   readonly refusedUntil?: number
+  /** Trials by items that have passed since its refusal and its last loss. */
+  readonly trialsPassed?: number
   /** How often it has been refused. */
   readonly refusals: number
   /** Parts that were beside it in all of its losses and have passed nowhere: a request is refused only if it has them all. */
--- a/test/helpers/simulate-part-crashes.ts
+++ b/test/helpers/simulate-part-crashes.ts
@@ -87,8 +87,9 @@
   const fleet = Array.from({ length: engines }, (_, i): Engine => ({ id: `engine-${i}`, isUp: true, runs: new Set() }))
   const blames = new Map<string, PartBlame>()
   const trials = new Map<string, ItemTrials>()
-  /** Trials that run as items, as `DAEMON PART`. */
-  const tried = new Set<string>()
+  /** How many trials run as items, by `DAEMON PART`. */
+  const tried = new Map<string, number>()
+  const countTrial = (trial: string, change: 1 | -1): void => { tried.set(trial, (tried.get(trial) ?? 0) + change) }
   const [crashed, outcomes, dangerous]: [number[], Outcome[], Array<{ at: number, daemon: number }>] = [[], [], []]
   let [messages, inForce, births]: [number, number | undefined, number] = [0, undefined, 0]
 
@@ -108,7 +109,7 @@
     const members = { all: () => names.map(instance => ({ instance: { name: instance }, state: 'alive' })), owners: () => names } as unknown as Members
     const blame = new PartBlame(members, links, broadcast, store as unknown as ObjectStore, { instance: name } as unknown as Settings, new Metrics(), { write: () => {} }, clock, new Random(seed + blames.size))
     blames.set(name, blame)
-    trials.set(name, new ItemTrials({ blame, clock, random: new Random(seed + blames.size), isTried: part => tried.has(`${name} ${part}`) }))
+    trials.set(name, new ItemTrials({ blame, clock, random: new Random(seed + blames.size), countTrials: part => tried.get(`${name} ${part}`) ?? 0 }))
     void blame.start()
   }
   for (const name of names) start(name)
@@ -147,7 +148,7 @@
     const partRun = blame.begin(parts, server, () => true)
     clock.after(20, () => partRun.open())
     const trial = isItem && decision.type === 'clear' && decision.trial !== undefined ? `${name} ${decision.trial}` : undefined
-    if (trial !== undefined) tried.add(trial)
+    if (trial !== undefined) countTrial(trial, 1)
     let ended = false
     const lose = (): void => {
       if (ended) return
@@ -155,7 +156,7 @@
       clock.after(DETECTION + random.below(10), () => {
         blame.onServerLost(server)
         partRun.end('ended')
-        if (trial !== undefined) tried.delete(trial)
+        if (trial !== undefined) countTrial(trial, -1)
         if (attempt + 1 < attempts) run(daemon, { parts: () => parts, rate: 0, time, attempts, isItem }, parts, at, attempt + 1)
         else finish('lost')
       })
@@ -171,7 +172,7 @@
       ended = true
       engine.runs.delete(lose)
       partRun.end('passed')
-      if (trial !== undefined) tried.delete(trial)
+      if (trial !== undefined) countTrial(trial, -1)
       finish(attempt === 0 ? 'first' : 'again')
     })
   }
--- a/test/jobs/crashed-items.test.ts
+++ b/test/jobs/crashed-items.test.ts
@@ -47,3 +47,27 @@
     t.deepEqual(await play(one), [])
   })
 }
+
+/** Items that must end in each span, as a share of those that wait at its end: what the users take for progress. */
+const SPAN = 5_000
+const MIN_SHARE = 0.1
+const ITEMS_EACH = 16
+
+// Guards against items of a part that is refused wrongly which run one after the other though servers are free.
+test('once an item has shown that a refused part is sound, the others follow quickly', async t => {
+  const servers: SimulatedServer[] = Array.from({ length: SERVERS }, (_, i) => ({ name: `a${i}`, pool: 'a', version: 'new', isListed: true, isLeaving: false, isGranted: true, behaviour: 'serves', batch: 0, online: 0 }))
+  const { clock, names, routes, pass, lose, addJob, sends, blames } = await simulateItems({ seed: 1, servers, daemons: DAEMONS })
+  routes.a = createJobRoute('/a/', [{ service: 'a', weight: 1 }])
+  for (let i = 0; i < 30 * DAEMONS; i++) clock.after((i % 100) * 4, () => pass(names[i % DAEMONS]!, ['sound']))
+  for (let i = 0; i < 5; i++) clock.after(700 + i * 450, () => lose(['part'], `lost-${i}`))
+  await clock.advance(3_000)
+  t.is(blames.get('entry-1')!.listRefused().length, 1)
+  const items = names.flatMap(name => addJob(`j-${name}`, { daemon: name, items: Array.from({ length: ITEMS_EACH }, (_, i) => ({ id: `${name}.${i}`, path: '/x', headers: { parts: 'part' }, body: 'eA==', tokens: 10 })) }).items)
+  const count = (phase: OwnedJob['items'][number]['phase']): number => items.filter(state => state.phase === phase).length
+  while (sends.length === 0) await clock.advance(100)
+  while (count('waiting') > 0) {
+    const before = count('ended')
+    await clock.advance(SPAN)
+    t.true(count('ended') - before >= MIN_SHARE * count('waiting'), `${count('ended') - before} ended, ${count('waiting')} wait`)
+  }
+})
