--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -8,13 +8,16 @@
 import { isSameExit } from './is-same-exit.js'
 import { judgePart } from './judge-part.js'
 import type { Judgement } from './judgement.js'
+import { listPartLosses } from './list-part-losses.js'
 import { mergeLoss } from './merge-loss.js'
 import type { PartEvidence } from './part-evidence.js'
 import type { PartLoss } from './part-loss.js'
 import type { PartVerdict } from './part-verdict.js'
 import { PassCounter } from './pass-counter.js'
 import type { RefusedPart } from './refused-part.js'
+import { ReleasedParts } from './released-parts.js'
 import type { ServerPartLoss } from './server-part-loss.js'
+import { splitLosses } from './split-losses.js'
 
 /** Passes at this daemon from which its traffic counts as usual. */
 const USUAL_PASSES = 5
@@ -45,7 +48,8 @@
 
 /** What this daemon knows for and against the parts of prompts, and how requests with them are treated. Free of I/O; times in monotonic ms. */
 export class BlameLedger {
-  private readonly passes = new PassCounter()
+  /** The runs here that passed lately. */
+  readonly passes = new PassCounter()
   private readonly evidence = new Map<string, PartEvidence>()
   /** Passes of all parts at other daemons, by daemon. */
   private readonly totals = new Map<string, number>()
@@ -54,8 +58,7 @@
   /** Parts that have been refused, also those whose refusal has ended. */
   private readonly refused = new Set<string>()
   private readonly verdicts = new Map<string, { readonly verdict: PartVerdict, readonly at: number }>()
-  /** Parts that were released: when, and until when they had been refused. Late messages must not accuse them again. */
-  private readonly released = new Map<string, { readonly at: number, readonly until: number }>()
+  private readonly released = new ReleasedParts({ lateTime: LATE_TIME, maxParts: MAX_PARTS })
 
   /** Judges a request by its parts. */
   judge (parts: readonly string[], now: number): Judgement {
@@ -71,13 +74,11 @@
 
   /** Records the loss of a server. */
   addLoss ({ server, at, daemon, runs }: ServerPartLoss, now: number): void {
-    const parts = new Set(runs.flatMap(run => run.parts).filter(part => at > (this.released.get(part)?.at ?? -Infinity)))
+    const parts = new Set(runs.flatMap(run => run.parts).filter(part => at > this.released.findTime(part)))
     this.lost = mergeLoss(this.lost, { server, at, first: at, began: at, runs: new Map([[daemon, runs.length]]), beside: [] }).filter(loss => now - loss.at < KEEP_TIME).slice(-MAX_LOST)
-    for (const part of parts) {
-      const own = runs.filter(run => run.parts.includes(part))
-      const beside = [...parts].filter(other => other !== part && own.every(run => run.parts.includes(other)))
+    for (const [part, loss] of listPartLosses({ server, at, daemon, runs }, parts)) {
       const known = this.evidence.get(part) ?? NOTHING
-      this.put(part, { ...known, losses: mergeLoss(known.losses, { server, at, first: Math.min(...own.map(({ began }) => began)), began: Math.max(...own.map(({ began }) => began)), runs: new Map([[daemon, own.length]]), beside }).slice(-MAX_LOSSES), trialsPassed: 0 })
+      this.put(part, { ...known, losses: mergeLoss(known.losses, loss).slice(-MAX_LOSSES), trialsPassed: 0 })
     }
   }
 
@@ -122,20 +123,13 @@
     const known = this.evidence.get(part)
     if ((known?.refusedUntil ?? -Infinity) > until + LATE_TIME) return false
     this.drop(part)
-    this.released.set(part, { at: now, until })
-    if (this.released.size > MAX_PARTS) this.released.delete(this.released.keys().next().value!)
+    this.released.record(part, { at: now, until })
     return known !== undefined
   }
 
   /** Returns until when a part had been refused that was released, if it is the refusal until about `until`. */
   findRelease (part: string, until: number): number | undefined {
-    const released = this.released.get(part)
-    return released !== undefined && until <= released.until + LATE_TIME ? released.until : undefined
-  }
-
-  /** Returns how many of this daemon's runs with the part passed lately. */
-  countOwnPasses (part: string, now: number): number {
-    return this.passes.get(part, now)
+    return this.released.findEnd(part, until)
   }
 
   countLosses (part: string): number {
@@ -147,22 +141,17 @@
     return this.evidence.get(part)?.losses.at(-1)?.at
   }
 
-  /** Returns from when on items may try a refused part, monotonic ms. */
-  findTrialTime (part: string): number {
-    return findTrialTime(this.evidence.get(part) ?? NOTHING)
-  }
-
-  /** Returns how many items may try a refused part at once: one in the whole fleet until the first trial has passed, then twice as many at each daemon after each one. */
-  countTrialsAllowed (part: string): number {
-    return 2 ** (this.evidence.get(part)?.trialsPassed ?? 0)
+  /** Returns from when on items may try a refused part, monotonic ms, and how many at once at each daemon; while it is 1, only one in the whole fleet. */
+  findTrials (part: string): { readonly from: number, readonly limit: number } {
+    const known = this.evidence.get(part) ?? NOTHING
+    return { from: findTrialTime(known), limit: 2 ** (known.trialsPassed ?? 0) }
   }
 
   /** Records that an item's trial of a refused part, begun then, has passed; returns whether other daemons should be told. */
   addTrialPass (part: string, began: number, now: number): boolean {
     const known = this.evidence.get(part)
-    if (known === undefined || this.findRefused(part, now) === undefined || began < findTrialTime(known)) return false
-    const trialsPassed = known.trialsPassed ?? 0
-    if (trialsPassed >= MAX_TRIALS_PASSED) return false
+    const { trialsPassed = 0 } = known ?? NOTHING
+    if (known === undefined || trialsPassed >= MAX_TRIALS_PASSED || this.findRefused(part, now) === undefined || began < findTrialTime(known)) return false
     this.evidence.set(part, { ...known, trialsPassed: trialsPassed + 1 })
     return true
   }
@@ -178,20 +167,13 @@
     return { lost: countRuns(this.lost), passed: [...this.totals.values()].reduce((sum, count) => sum + count, this.passes.total(now)) }
   }
 
-  /** Returns the number of this daemon's runs that passed lately. */
-  countOwn (now: number): number {
-    return this.passes.total(now)
-  }
-
   listRefused (now: number): readonly RefusedPart[] {
     return [...this.refused].flatMap(part => this.findRefused(part, now) ?? [])
   }
 
   /** Lists the losses of parts that are suspect, for daemons that missed their reports. */
   listSuspectLosses (now: number): readonly ServerPartLoss[] {
-    return [...this.evidence].flatMap(([part, { losses }]) => this.judgeOne(part, now) !== 'suspect'
-      ? []
-      : losses.flatMap(({ server, at, first, began, runs, beside }) => [...runs].map(([daemon, count]) => ({ server, at, daemon, runs: Array.from({ length: count }, (_, i) => ({ parts: [part, ...beside], began: i > 0 ? first : began })) }))))
+    return [...this.evidence].flatMap(([part, { losses }]) => this.judgeOne(part, now) === 'suspect' ? splitLosses(part, losses) : [])
   }
 
   /** Whether all of these losses are of parts that are refused and that the request doesn't have. */
--- /dev/null
+++ b/src/routing/blame/judge-refused-part.ts
@@ -0,0 +1,21 @@
+import type { PartDecision } from './part-decision.js'
+
+interface RefusedPartInputs {
+  readonly part: string
+  readonly isItem: boolean
+  /** End of the refusal, monotonic ms. */
+  readonly until: number
+  /** From when on items may try the part, monotonic ms, and how many at once at this daemon; 1 stands for one in the whole fleet. */
+  readonly trials: { readonly from: number, readonly limit: number }
+  /** Whether the only trial in the fleet may begin here; called only if it is needed, since it may ask for it. */
+  readonly mayBegin: () => boolean
+  readonly now: number
+}
+
+/** Decides whether a request with a refused part may run: only items do, as trials of the part. */
+export function judgeRefusedPart ({ part, isItem, until, trials: { from, limit }, mayBegin, now }: RefusedPartInputs): PartDecision {
+  const refused: PartDecision = { type: 'refused', part, left: until - now }
+  if (!isItem) return refused
+  if (now < from) return { ...refused, left: Math.min(from, until) - now }
+  return limit > 1 || mayBegin() ? { type: 'clear', trial: part, limit } : refused
+}
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -23,6 +23,7 @@
 import { encodeRefusedPart } from './encode-refused-part.js'
 import { encodeRelease } from './encode-release.js'
 import { encodeServerLoss } from './encode-server-loss.js'
+import { judgeRefusedPart } from './judge-refused-part.js'
 import type { LostRun } from './lost-run.js'
 import type { PartDecision } from './part-decision.js'
 import type { PartRun } from './part-run.js'
@@ -113,25 +114,19 @@
     const now = this.clock.now()
     const { verdict, part, isPending = false, isLikely = false } = this.ledger.judge(parts, now)
     if (part === undefined || verdict === 'clear') return { type: 'clear' }
-    if (verdict === 'refused') return this.checkRefused(part, isItem, now)
+    if (verdict === 'refused') {
+      const { until } = this.ledger.listRefused(now).find(other => other.part === part)!
+      return judgeRefusedPart({ part, isItem, until, now, trials: this.ledger.findTrials(part), mayBegin: () => this.trials.mayBegin(part) })
+    }
     if (!isPending && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
     if (isLikely && !isItem && (isPending || this.trials.isBusy(part))) return { type: 'refused', part, left: TRIAL_TIME }
     return { type: 'wait', part, lostAt: this.ledger.findLastLoss(part) }
   }
 
-  private checkRefused (part: string, isItem: boolean, now: number): PartDecision {
-    const left = this.ledger.listRefused(now).find(other => other.part === part)!.until - now
-    if (!isItem) return { type: 'refused', part, left }
-    const wait = this.ledger.findTrialTime(part) - now
-    const limit = this.ledger.countTrialsAllowed(part)
-    if (wait <= 0 && (limit > 1 || this.trials.mayBegin(part))) return { type: 'clear', trial: part, limit }
-    return { type: 'refused', part, left: wait > 0 ? Math.min(wait, left) : left }
-  }
-
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
   begin (parts: readonly string[], server: string, isSent: () => boolean): PartRun {
     const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now())
-    const needsTrial = verdict === 'suspect' ? !isPending : verdict === 'refused' && this.ledger.countTrialsAllowed(suspect!) === 1
+    const needsTrial = verdict === 'suspect' ? !isPending : verdict === 'refused' && this.ledger.findTrials(suspect!).limit === 1
     const tried = needsTrial && this.trials.take(suspect!) ? suspect : undefined
     const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
     this.runs.add(run)
@@ -164,9 +159,8 @@
   private pass (run: Run): void {
     if (run.hasPassed) return
     run.hasPassed = true
-    const now = this.clock.now()
-    this.clear(this.ledger.addPass(run.parts, now), true)
-    for (const part of run.parts) if (this.ledger.addTrialPass(part, run.began, now)) this.broadcast.broadcast({ type: 'part trial passed', part }, `part trial passed ${part}`)
+    this.clear(this.ledger.addPass(run.parts, this.clock.now()), true)
+    for (const part of run.parts) if (this.ledger.addTrialPass(part, run.began, this.clock.now())) this.broadcast.broadcast({ type: 'part trial passed', part }, `part trial passed ${part}`)
   }
 
   private receiveLoss (message: Readonly<Record<string, unknown>>): void {
@@ -215,13 +209,13 @@
   /** Tells the other daemons how often parts passed here, unless others have told enough. */
   private tellPasses (parts: readonly string[]): void {
     const now = this.clock.now()
-    const own = parts.filter(part => this.ledger.countOwnPasses(part, now) > 0 && now >= (this.toldAt.get(part) ?? -Infinity) + PASSES_INTERVAL)
+    const own = parts.filter(part => this.ledger.passes.get(part, now) > 0 && now >= (this.toldAt.get(part) ?? -Infinity) + PASSES_INTERVAL)
     if (own.length === 0) return
     for (const part of own) this.toldAt.set(part, now)
     this.clock.after(this.random.next() * PASSES_DELAY, () => {
-      const needed = own.filter(part => this.ledger.countPasses(part, now) - this.ledger.countOwnPasses(part, now) < ENOUGH_PASSES * (1 + this.ledger.countLosses(part)))
-      const passes = Object.fromEntries(needed.map(part => [part, this.ledger.countOwnPasses(part, this.clock.now())]))
-      if (needed.length > 0) this.broadcast.broadcast({ type: 'part passes', daemon: this.settings.instance, passes, total: this.ledger.countOwn(this.clock.now()) }, `part passes ${needed.join()}`)
+      const needed = own.filter(part => this.ledger.countPasses(part, now) - this.ledger.passes.get(part, now) < ENOUGH_PASSES * (1 + this.ledger.countLosses(part)))
+      const passes = Object.fromEntries(needed.map(part => [part, this.ledger.passes.get(part, this.clock.now())]))
+      if (needed.length > 0) this.broadcast.broadcast({ type: 'part passes', daemon: this.settings.instance, passes, total: this.ledger.passes.total(this.clock.now()) }, `part passes ${needed.join()}`)
     })
     if (this.toldAt.size > 4_000) for (const [part, at] of this.toldAt) if (now >= at + PASSES_INTERVAL) this.toldAt.delete(part)
   }
