Blame: a daemon whose item begins a trial without a grant tells the others

Now the first one tells the others, whose items wait for its trial up to 2.5 s; the window goes on after that, so that no wait becomes longer than stated.

The report of passes and the handlers of trial messages moved to files of their own.

--- a/src/jobs/item-trials.ts
+++ b/src/jobs/item-trials.ts
@@ -18,7 +18,7 @@
 interface Wait { readonly since: number, readonly limit: number, readonly seenAt: number }
 
 interface ItemTrialsOptions {
-  readonly blame: Pick<PartBlame, 'check'>
+  readonly blame: Pick<PartBlame, 'check' | 'tellTrial'>
   readonly clock: Pick<Clock, 'now'>
   readonly random: Random
   /** Counts this daemon's items that run as trials of the part. */
@@ -43,15 +43,20 @@
     }
   }
 
-  /** Whether items have waited long enough since the last server that the part cost. */
-  private hasWaited ({ part, lostAt = -Infinity }: Extract<PartDecision, { type: 'wait' }>): boolean {
+  /** Tells the other daemons that an item begins as a trial of the part, so that their items don't begin theirs as well. */
+  begin (part: string): void {
+    this.options.blame.tellTrial(part)
+  }
+
+  /** Whether items have waited long enough since the last server that the part cost, and no other daemon has just begun a trial. */
+  private hasWaited ({ part, lostAt = -Infinity, begunUntil = -Infinity }: Extract<PartDecision, { type: 'wait' }>): boolean {
     const { clock, random } = this.options
     const now = clock.now()
     const known = this.waits.get(part)
-    const isGoing = known !== undefined && now < known.seenAt + FORGET_AFTER && now < Math.max(known.since, lostAt) + known.limit + START_WINDOW
+    const isGoing = known !== undefined && now < known.seenAt + FORGET_AFTER && now < Math.max(known.since + known.limit, lostAt + known.limit, begunUntil) + START_WINDOW
     const wait = isGoing ? known : { since: now, limit: random.spread(MAX_TRIAL_WAIT, 1 / 3) }
     this.waits.set(part, { ...wait, seenAt: now })
     if (this.waits.size > MAX_WAITS) for (const [other, { seenAt }] of this.waits) if (now >= seenAt + FORGET_AFTER) this.waits.delete(other)
-    return now >= Math.max(wait.since, lostAt) + wait.limit
+    return now >= Math.max(wait.since, lostAt) + wait.limit && now >= begunUntil
   }
 }
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -69,7 +69,7 @@
     @inject(SlotClient) private readonly slots: SlotClient,
     @inject(Sender) private readonly sender: Sender,
     @inject(Servers) private readonly servers: Servers,
-    @inject(PartBlame) blame: Pick<PartBlame, 'check'>,
+    @inject(PartBlame) blame: Pick<PartBlame, 'check' | 'tellTrial'>,
     @inject(ConfigurationHolder) configuration: ConfigurationHolder,
     @inject(ItemDurationEstimator) private readonly durations: ItemDurationEstimator,
     @inject(PauseWatch) private readonly pauses: PauseWatch,
@@ -233,6 +233,7 @@
     const running = { job, state, route, run, trial, startedAt }
     state.phase = 'running'
     this.running.add(running)
+    if (trial !== undefined) this.trials.begin(trial)
     this.log.write('info', 'jobs', 'started an item', { request: state.item.id, job: job.id, server, version: this.servers.find(server)?.version, events: state.last, trial })
     void this.runItem(running).then(outcome => {
       this.running.delete(running)
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -17,6 +17,7 @@
 import { BlameLedger } from './blame-ledger.js'
 import { chooseReceivers } from './choose-receivers.js'
 import { createPartRun } from './create-part-run.js'
+import { createTrialHandlers } from './create-trial-handlers.js'
 import { decodePasses } from './decode-passes.js'
 import { decodeRefusedPart } from './decode-refused-part.js'
 import { decodeServerLoss } from './decode-server-loss.js'
@@ -28,6 +29,7 @@
 import type { PartDecision } from './part-decision.js'
 import type { PartRun } from './part-run.js'
 import { PartTrials } from './part-trials.js'
+import { PassReporter } from './pass-reporter.js'
 import type { RefusedPart } from './refused-part.js'
 import { RefusedPartsStore } from './refused-parts-store.js'
 import { ServerExits } from './server-exits.js'
@@ -35,13 +37,8 @@
 
 /** Delays after which the report of a loss is sent again, ms. */
 const RESEND_DELAYS = [500, 2_000]
-/** Longest delay before a daemon tells its passes, ms: those that others have told meanwhile suffice. */
-const PASSES_DELAY = 60
 /** Time from the report of a loss until parts are judged by it, ms: others tell their passes meanwhile, and suspect parts run one at a time. */
 const JUDGE_DELAY = 100
-/** Known passes for each loss from which a daemon needn't tell its own, and the interval between two messages about a part, ms. */
-const ENOUGH_PASSES = 20
-const PASSES_INTERVAL = 1_000
 /** After what time a request is to come back for which a trial of its part is awaited, ms. */
 const TRIAL_TIME = 1_000
 /** Interval at which refused and suspect parts are sent to others, ms. */
@@ -66,18 +63,15 @@
     peerHandlerPoint.of({ type: 'part refused', handle: ({ refused }, from) => this.receiveRefused(refused, from) }),
     peerHandlerPoint.of({ type: 'part released', handle: message => this.receiveRelease(message) }),
     peerHandlerPoint.of({ type: 'part trial passed', handle: ({ part }) => { this.ledger.addTrialPass(String(part), this.clock.now(), this.clock.now()) } }),
-    peerHandlerPoint.of({ type: 'part trial ask', handle: ({ part, begun }, from) => this.trials.receiveAsk(String(part), from, begun === true) }),
-    peerHandlerPoint.of({ type: 'part trial', handle: ({ part }) => this.trials.receiveGrant(String(part)) }),
-    peerHandlerPoint.of({ type: 'part trial busy', handle: ({ part }) => this.trials.receiveBusy(String(part)) }),
-    peerHandlerPoint.of({ type: 'part trial done', handle: ({ part }, from) => this.trials.receiveDone(String(part), from) })
+    ...createTrialHandlers(() => this.trials)
   ]
 
   private readonly ledger = new BlameLedger()
   private readonly trials: PartTrials
+  private readonly passes: PassReporter
   private readonly stored: RefusedPartsStore
   private readonly runs = new Set<Run>()
   private readonly exits = new ServerExits()
-  private readonly toldAt = new Map<string, number>()
   /** Parts that were stored, or found in the store. */
   private readonly confirmed = new Set<string>()
   private cancels: ReadonlyArray<() => void> = []
@@ -94,6 +88,7 @@
     @inject(tokens.clock) private readonly clock: Clock,
     @inject(tokens.random) private readonly random: Random
   ) {
+    this.passes = new PassReporter({ ledger: this.ledger, broadcast, clock, random, instance: settings.instance })
     this.trials = new PartTrials({ clock, settings, members, links })
     this.stored = new RefusedPartsStore(store)
     metrics.gauge('parts_refused', () => this.ledger.listRefused(clock.now()).length)
@@ -120,7 +115,12 @@
     }
     if (!isPending && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
     if (isLikely && !isItem && (isPending || this.trials.isBusy(part))) return { type: 'refused', part, left: TRIAL_TIME }
-    return { type: 'wait', part, lostAt: this.ledger.findLastLoss(part) }
+    return { type: 'wait', part, lostAt: this.ledger.findLastLoss(part), begunUntil: this.trials.findBegunUntil(part) }
+  }
+
+  /** Tells the other daemons of an item's trial that begins here, unless it was granted. */
+  tellTrial (part: string): void {
+    if (!this.trials.mayBegin(part) && this.ledger.judge([part], this.clock.now()).verdict === 'suspect') this.broadcast.broadcast({ type: 'part trial begun', part }, `part trial begun ${part}`)
   }
 
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
@@ -178,7 +178,7 @@
   }
 
   private addLoss (loss: ServerPartLoss): void {
-    this.tellPasses([...new Set(loss.runs.flatMap(({ parts }) => parts))])
+    this.passes.report([...new Set(loss.runs.flatMap(({ parts }) => parts))])
     this.ledger.addLoss(loss, this.clock.now())
     this.clock.after(JUDGE_DELAY, () => this.review())
   }
@@ -206,20 +206,6 @@
     }
   }
 
-  /** Tells the other daemons how often parts passed here, unless others have told enough. */
-  private tellPasses (parts: readonly string[]): void {
-    const now = this.clock.now()
-    const own = parts.filter(part => this.ledger.passes.get(part, now) > 0 && now >= (this.toldAt.get(part) ?? -Infinity) + PASSES_INTERVAL)
-    if (own.length === 0) return
-    for (const part of own) this.toldAt.set(part, now)
-    this.clock.after(this.random.next() * PASSES_DELAY, () => {
-      const needed = own.filter(part => this.ledger.countPasses(part, now) - this.ledger.passes.get(part, now) < ENOUGH_PASSES * (1 + this.ledger.countLosses(part)))
-      const passes = Object.fromEntries(needed.map(part => [part, this.ledger.passes.get(part, this.clock.now())]))
-      if (needed.length > 0) this.broadcast.broadcast({ type: 'part passes', daemon: this.settings.instance, passes, total: this.ledger.passes.total(this.clock.now()) }, `part passes ${needed.join()}`)
-    })
-    if (this.toldAt.size > 4_000) for (const [part, at] of this.toldAt) if (now >= at + PASSES_INTERVAL) this.toldAt.delete(part)
-  }
-
   private receiveRelease ({ part, left }: Readonly<Record<string, unknown>>): void {
     const now = this.clock.now()
     if (typeof part === 'string' && this.ledger.release(part, now, typeof left === 'number' ? now + left : undefined)) this.clear([part], false)
@@ -236,8 +222,8 @@
       if (released !== undefined && from !== undefined) this.links.send(from, encodeRelease(part, released - now), `part released ${part}`)
       if (!this.ledger.addRefusal(decoded, now)) continue
       this.log.write('info', 'blame', 'another daemon refuses a part that crashes servers', { prompt: part, beside, servers: losses.map(({ server }) => server) })
-      this.toldAt.delete(part)
-      this.tellPasses([part])
+      this.passes.forget(part)
+      this.passes.report([part])
     }
   }
 
--- a/src/routing/blame/part-trials.ts
+++ b/src/routing/blame/part-trials.ts
@@ -18,8 +18,9 @@
 const MAX_ASK_GAP = 2_000
 /** Interval between two requests for a trial of the same part, ms. */
 const ASK_PERIOD = 100
-/** How long an answer holds by which another daemon tries the part, ms. */
+/** How long an answer holds by which another daemon tries the part, and its word that it has begun without a grant, ms. */
 const BUSY_TIME = 300
+const BEGUN_TIME = 2_500
 
 /** A daemon with a trial: since and until when it holds, and when another one last asked for it, monotonic ms. */
 interface Holder { readonly daemon: string, readonly since: number, readonly until: number, readonly wantedAt?: number }
@@ -43,6 +44,8 @@
   private readonly running = new Map<string, number>()
   /** Until when another daemon is taken to try the part, monotonic ms. */
   private readonly busyUntil = new Map<string, number>()
+  /** Until when another daemon is taken to try the part without a grant, monotonic ms. */
+  private readonly begunUntil = new Map<string, number>()
   /** Since when this daemon asks, by part; it counts anew once an answer comes or its own trial ends. */
   private readonly askingSince = new Map<string, number>()
   /** Trials granted by this daemon, by part. */
@@ -91,6 +94,7 @@
     this.holders.delete(part)
     this.running.delete(part)
     this.busyUntil.delete(part)
+    this.begunUntil.delete(part)
   }
 
   /**
@@ -128,6 +132,16 @@
     this.busyUntil.set(part, this.options.clock.now() + BUSY_TIME)
   }
 
+  /** Another daemon has begun a trial without a grant. */
+  receiveBegun (part: string): void {
+    this.begunUntil.set(part, this.options.clock.now() + BEGUN_TIME)
+  }
+
+  /** Returns until when another daemon's trial without a grant is taken to run, monotonic ms. */
+  findBegunUntil (part: string): number {
+    return this.begunUntil.get(part) ?? -Infinity
+  }
+
   /** Whether a request tries the part now, as far as is known. */
   isBusy (part: string): boolean {
     return this.options.clock.now() < Math.max(this.busyUntil.get(part) ?? -Infinity, this.running.get(part) ?? -Infinity)
--- a/test/jobs/job-runner.test.ts
+++ b/test/jobs/job-runner.test.ts
@@ -51,7 +51,7 @@
     { subscribe: (listener: typeof listeners[number]) => listeners.push(listener), requestBatchSlots: () => { asked++ } } as unknown as SlotClient,
     { send } as unknown as Sender,
     { find: () => ({ name: SERVER, url: '' }) } as unknown as Servers,
-    { check: () => ({ type: 'clear' }) },
+    { check: () => ({ type: 'clear' }), tellTrial: () => {} },
     configuration, new ItemDurationEstimator(), new PauseWatch(clock), new Metrics(), { buildHeaders: () => ({}), listSharedParts: () => [] } as unknown as ServerDialect, { write: () => {} }, clock, new Random(1))
   await runner.start()
   const header = { host: 'h', path: '/jobs/', submittedAt: 0, total: 1, tokens: 10, owner: 'd', run: 1, parts: 1 }
