Routing: a request that the HTTP client refuses to send ejects no server

Callers saw: one item or request with a header, path or id that undici refuses (say a character beyond Latin-1) made each server that it was meant for count as unreachable, so that it was ejected for everybody; the request itself was refused as "no server" or 502, and an item ejected one server after the other for as long as it waited.

Cause: `Exchange` took each failure before the first byte for a connection that couldn't be opened.

Accepted by Node and refused by the client are `OPTIONS *`, a scheme in capitals, `upgrade` and `keep-alive`: the first two match no route, the others aren't forwarded. So the entry for routes lets nothing through but the name of a caller (X-Tenant); items of jobs come as JSON and can hold anything; a custom_id goes into a request id.

Change: undici's refusal of a request is the failure `invalid`: it counts against no server and isn't tried elsewhere. Online requests get 400, lines of batch files fail with `invalid request`. Jobs with an item that can't be sent are refused with 400, unless they are stored already; 503 while the store can't tell. Headers of items that concern one connection or frame the body are left out, as for online requests; before, an item with `Keep-Alive` or `Expect` never ran.

--- a/src/entry/response-sink.ts
+++ b/src/entry/response-sink.ts
@@ -3,7 +3,7 @@
 import type { AnswerSink } from '../routing/exchanges/answer-sink.js'
 import type { WholeBody } from '../routing/exchanges/whole-body.js'
 import { closeIncomplete } from './close-incomplete.js'
-import { dropConnectionHeaders } from './drop-connection-headers.js'
+import { dropConnectionHeaders } from '../http/drop-connection-headers.js'
 import { sendRoutedRefusal } from './send-routed-refusal.js'
 import { writeUnmarkedHead } from './write-unmarked-head.js'
 
--- a/src/entry/send-refusal.ts
+++ b/src/entry/send-refusal.ts
@@ -12,13 +12,14 @@
     status: readStatus(refusal.cause),
     code: refusal.cause.replaceAll(' ', '-'),
     detail: refusal.detail,
-    retryAfter: refusal.retryAfter,
+    retryAfter: refusal.cause === 'invalid request' ? undefined : refusal.retryAfter,
     more: { ran: refusal.ran, retryAfter: Math.round(refusal.retryAfter) }
   })
 }
 
 function readStatus (cause: Refusal['cause']): number {
   switch (cause) {
+    case 'invalid request': return 400
     case 'overloaded':
     case 'over quota': return 429
     case 'quarantined': return 422
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -7,6 +7,7 @@
 import type { Sender } from '../routing/exchanges/sender.js'
 import type { ServerDialect } from '../routing/exchanges/server-dialect.js'
 import type { Servers } from '../routing/servers/servers.js'
+import { buildItemHeaders } from './build-item-headers.js'
 import type { ItemOutcome } from './item-outcome.js'
 import type { ItemState } from './item-state.js'
 
@@ -58,7 +59,6 @@
     const target = servers.find(server)
     if (target === undefined) return { type: 'lost', detail: 'the server is unknown' }
     if (last !== undefined && target.version !== version) return { type: 'lost', detail: 'the server has another version' }
-    const headers = Object.fromEntries(Object.entries(item.headers).map(([name, value]) => [name.toLowerCase(), value]))
     const body = Buffer.from(item.body, 'base64')
     const opened = await sender.send(target, {
       id: item.id,
@@ -68,7 +68,7 @@
       work: 'batch',
       method: 'POST',
       path: item.path,
-      headers: { ...headers, host, ...dialect.buildHeaders({ instance: server, resumeAfter: last === undefined ? undefined : String(last), caller }) },
+      headers: { ...buildItemHeaders(item), host, ...dialect.buildHeaders({ instance: server, resumeAfter: last === undefined ? undefined : String(last), caller }) },
       body,
       parts,
       idempotent: true,
--- a/src/jobs/job-request-handler.ts
+++ b/src/jobs/job-request-handler.ts
@@ -13,6 +13,7 @@
 import type { LogSink } from '../observe/log-sink.js'
 import { Metrics } from '../observe/metrics.js'
 import { JobRegistry } from './registry/job-registry.js'
+import { findItemFault } from './find-item-fault.js'
 import type { JobCall } from './job-call.js'
 import type { JobItem } from './job-item.js'
 import { JobOwner } from './job-owner.js'
@@ -66,6 +67,8 @@
     const known = this.registry.get(id)
     if (known !== undefined && !mayUse(known, caller)) return this.answerFailure('missing', id, res)
     if (known?.stored === true) return this.confirm(id, res, 'known')
+    const fault = findJobFault(items)
+    if (fault !== undefined && await this.refuseFaulty(id, fault, res)) return
     const size = items.reduce((sum, item) => sum + item.tokens, 0)
     if (!this.fits({ route, caller, size }) && !await this.isStored(id)) return this.refuseOverLimit(id, size, res)
     this.accepting.set(id, { host: route.host, path, caller, tokens: size })
@@ -165,6 +168,20 @@
     return header.ok || header.val.type !== 'missing'
   }
 
+  /** Refuses a job of which an item can't be sent, unless it was accepted before. Returns whether it did. */
+  private async refuseFaulty (id: string, fault: string, res: ServerResponse): Promise<boolean> {
+    const header = await this.records.readHeader(id)
+    if (header.ok) return false
+    if (header.val.type !== 'missing') {
+      this.refuse(id, res, 'not run', header.val.type)
+      return true
+    }
+    this.log.write('warn', 'jobs', 'refused a job', { request: id, cause: fault })
+    this.metrics.count('jobs_total', { outcome: 'bad job' })
+    sendJson(res, BAD_REQUEST, { cause: 'bad job', detail: fault })
+    return true
+  }
+
   private refuseOverLimit (id: string, size: number, res: ServerResponse): void {
     this.log.write('warn', 'jobs', 'refused a job', { request: id, cause: 'too many tokens wait', tokens: size })
     this.metrics.count('jobs_total', { outcome: 'full' })
@@ -184,6 +201,15 @@
   }
 }
 
+/** Returns why one of the items can't be sent to any server. */
+function findJobFault (items: readonly JobItem[]): string | undefined {
+  for (const item of items) {
+    const fault = findItemFault(item)
+    if (fault !== undefined) return `item ${JSON.stringify(item.id)}: ${fault}`
+  }
+  return undefined
+}
+
 function mayUse (job: Pick<KnownJob, 'caller'>, caller: string | undefined): boolean {
   return job.caller === undefined || job.caller === caller
 }
--- a/src/ownership/batch/batch-run.ts
+++ b/src/ownership/batch/batch-run.ts
@@ -139,7 +139,8 @@
     return this.buildStoppedOutcome(true)
   }
 
-  private buildUnopenedOutcome ({ why, sent }: SendFailure): BatchOutcome {
+  private buildUnopenedOutcome ({ why, sent, detail }: SendFailure): BatchOutcome {
+    if (why === 'invalid') return { type: 'finished', result: { type: 'failed', cause: 'invalid request', detail } }
     return why === 'unreachable' || why === 'withheld' ? { type: why } : this.buildStoppedOutcome(sent)
   }
 
--- a/src/report/find-advice.ts
+++ b/src/report/find-advice.ts
@@ -5,6 +5,7 @@
   deadline: 'answers took longer than limits.deadline: check the response times and look for slow servers',
   'server failed': 'a server failed after the request was sent, and the request must not be retried or its retries failed too: check for lost servers',
   quarantined: 'the request crashed servers that ran it and is quarantined: see docs/OPERATIONS/quarantine.md',
+  'invalid request': 'the request can not be sent as it came, for example because of a character in a header: fix the caller',
   draining: 'the daemon was shutting down: the caller should refresh its list of addresses more often',
   platform: 'the platform could not be reached for a request with an idempotency key: see docs/OPERATIONS/platform-outage.md',
   'bad key': 'the caller sent an empty or overlong idempotency key: fix the caller',
--- a/src/routing/exchanges/exchange.ts
+++ b/src/routing/exchanges/exchange.ts
@@ -4,6 +4,7 @@
 import { HeldBody } from '../../http/held-body.js'
 import { readFraming } from '../../http/read-framing.js'
 import type { Clock } from '../../kernel/clock.js'
+import { isUnsendable } from './is-unsendable.js'
 import type { SendFailure } from './send-failure.js'
 
 interface ExchangeOptions {
@@ -108,13 +109,17 @@
     return may
   }
 
+  private findReason (error: Error): SendFailure['why'] {
+    if (this.sendState.sent || this.failureReason !== 'cut') return this.failureReason
+    return isUnsendable(error, this.options.origin) ? 'invalid' : 'unreachable'
+  }
+
   private async withTimeout<T> (timeout: number, wait: () => Promise<T>): Promise<Result<T, SendFailure>> {
     const cancel = this.options.clock.after(timeout, () => this.abandon('silent'))
     try {
       return Ok(await wait())
     } catch (error) {
-      const { sent } = this.sendState
-      return Err({ sent, why: !sent && this.failureReason === 'cut' ? 'unreachable' : this.failureReason, detail: (error as Error).message })
+      return Err({ sent: this.sendState.sent, why: this.findReason(error as Error), detail: (error as Error).message })
     } finally {
       cancel()
     }
--- a/src/routing/exchanges/sender.ts
+++ b/src/routing/exchanges/sender.ts
@@ -108,7 +108,7 @@
     const fail = async (failure: SendFailure): Promise<void> => {
       if (ended) return
       this.timeline.record({ part: 'routing', what: 'send failed', request: request.id, server: server.name, detail: `${failure.why}: ${failure.detail}` })
-      if (failure.why === 'abandoned' || failure.why === 'withheld') return end('abandoned')
+      if (failure.why === 'abandoned' || failure.why === 'withheld' || failure.why === 'invalid') return end('abandoned')
       this.servers.recordOutcome(server.name, failure.why === 'unreachable' ? 'unreachable' : 'failed')
       if (failure.why === 'cut') await this.probe(server)
       end('failed')
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -259,7 +259,7 @@
     const plan = planResend(failure, { idempotent: route.idempotent, resumable: route.resumable, begun: this.begun, runs: this.runs, attempts: route.attempts, sends: this.tried.length, abandoned: this.abort.signal.aborted })
     log.write('info', 'routing', 'a send failed', { request: this.request.id, server, version: this.tools.servers.find(server)?.version, why: failure.why, detail: failure.detail, sent: failure.sent, parts: this.parts, runs: this.runs, after: Math.round(clock.now() - this.request.arrived), next: plan })
     if (plan === 'send') return true
-    this.finish(this.refuse(this.timedOut ? 'deadline' : 'server failed', failure.detail))
+    this.finish(this.refuse(this.timedOut ? 'deadline' : failure.why === 'invalid' ? 'invalid request' : 'server failed', failure.detail))
     return false
   }
 
--- a/src/routing/plan-resend.ts
+++ b/src/routing/plan-resend.ts
@@ -21,10 +21,10 @@
 /**
  * Decides whether a routed request is sent again after a failure. A request that certainly hasn't run may go to any other
  * server. One that may have run is sent again only if its route is idempotent and allows another run. A stream that has
- * begun must also be resumable after its last event.
+ * begun must also be resumable after its last event. One that can't be sent as it is can't be sent to any server.
  */
 export function planResend (failure: SendFailure, { idempotent, resumable, begun, runs, attempts, sends, abandoned }: ResendState): 'send' | 'give up' {
-  if (abandoned || sends >= MAX_SENDS) return 'give up'
+  if (abandoned || sends >= MAX_SENDS || failure.why === 'invalid') return 'give up'
   if (begun && !resumable) return 'give up'
   if (!failure.sent && runs === 0) return 'send'
   return idempotent && runs < attempts ? 'send' : 'give up'
--- a/src/routing/plan-retry.ts
+++ b/src/routing/plan-retry.ts
@@ -7,7 +7,7 @@
 
 type Plan =
   | { readonly type: 'send' }
-  | { readonly type: 'give up', readonly cause: 'deadline' | 'server failed', readonly detail: string }
+  | { readonly type: 'give up', readonly cause: 'deadline' | 'server failed' | 'invalid request', readonly detail: string }
 
 /**
  * Decides whether a request is sent again after a failure: only before its deadline, if it certainly hasn't run or is
@@ -18,6 +18,7 @@
   switch (failure.why) {
     case 'abandoned': return giveUp('server failed', 'the caller went away')
     case 'withheld': return giveUp('server failed', 'it may not begin any more')
+    case 'invalid': return giveUp('invalid request', failure.detail)
     case 'unreachable':
     case 'cut':
     case 'silent': break
@@ -28,6 +29,6 @@
   return takeRetry() ? { type: 'send' } : giveUp('server failed', `the server failed (${failure.why}) and too many requests are being repeated`)
 }
 
-function giveUp (cause: 'deadline' | 'server failed', detail: string): Plan {
+function giveUp (cause: Extract<Plan, { type: 'give up' }>['cause'], detail: string): Plan {
   return { type: 'give up', cause, detail }
 }
--- a/test/routing/forwarding-outcomes.test.ts
+++ b/test/routing/forwarding-outcomes.test.ts
@@ -1,21 +1,24 @@
 import 'reflect-metadata'
 import test from 'ava'
-import { Ok } from 'ts-results'
+import { Err, Ok } from 'ts-results'
+import type { Refusal } from '../../src/admission/refusal.js'
 import type { Route } from '../../src/config/route.js'
 import { Random } from '../../src/kernel/random.js'
 import { Metrics } from '../../src/observe/metrics.js'
 import { OutcomeCounter } from '../../src/placement/outcome-counter.js'
+import type { SendFailure } from '../../src/routing/exchanges/send-failure.js'
 import { Forwarding } from '../../src/routing/forwarding.js'
 import { VirtualClock } from '../helpers/virtual-clock.js'
 
 type Tools = ConstructorParameters<typeof Forwarding>[3]
 
-/** Forwards one request that may run only once to a server that answers with `status` after `delay` ms. */
-function forward ({ status, delay }: { readonly status: number, readonly delay: number }) {
+/** Forwards one request that may run only once to a server that answers with `status` after `delay` ms, or to which the send fails. */
+function forward ({ status, delay, failure }: { readonly status: number, readonly delay: number, readonly failure?: SendFailure }) {
   const clock = new VirtualClock()
   const outcomes = new OutcomeCounter()
   const ends: string[] = []
   const answers: number[] = []
+  const refusals: string[] = []
   const exchange = { status, headers: {}, framing: 'length', isStream: () => false, read: async () => Ok(undefined) }
   const tools = {
     clock,
@@ -23,7 +26,7 @@
     log: { write: () => {} },
     metrics: new Metrics(),
     dialect: { buildHeaders: () => ({}), isNotRun: () => false, readRequestId: () => undefined, listSharedParts: () => [] },
-    sender: { send: async () => await new Promise(resolve => { clock.after(delay, () => resolve(Ok({ server: { name: 's' }, exchange, sentAt: 0, end: (outcome: string) => ends.push(outcome), fail: async () => {} }))) }) },
+    sender: { send: async () => await new Promise(resolve => { clock.after(delay, () => resolve(failure !== undefined ? Err(failure) : Ok({ server: { name: 's' }, exchange, sentAt: 0, end: (outcome: string) => ends.push(outcome), fail: async () => {} }))) }) },
     servers: { find: () => ({ name: 's' }) },
     blame: { check: () => ({ type: 'clear' }) },
     quarantine: { check: () => 'clear' },
@@ -32,9 +35,9 @@
   } as unknown as Tools
   const route: Route = { host: 'h', pathPrefix: '/', services: [], streamed: true, idempotent: false, resumable: false, attempts: 1, timeout: 5_000, target: 300, priority: 0 }
   const request = { id: 'r', route, priority: 0, method: 'POST', path: '/', headers: {}, arrived: 0, deadline: 5_000, asked: 0, signal: new AbortController().signal }
-  const sink = { answer: (code: number) => { answers.push(code) }, refuse: () => {}, begin: () => {}, write: async () => {}, end: () => {}, abort: () => {} }
+  const sink = { answer: (code: number) => { answers.push(code) }, refuse: ({ cause, ran }: Refusal) => { refusals.push(`${cause}, ${ran}`) }, begin: () => {}, write: async () => {}, end: () => {}, abort: () => {} }
   const done = new Forwarding(request, 'p', sink, tools).run()
-  return { clock, done, ends, answers, outcomes }
+  return { clock, done, ends, answers, outcomes, refusals }
 }
 
 // Guards against a server that never loses its requests because an error that is relayed counts as an answer.
@@ -62,3 +65,11 @@
   t.deepEqual([...outcomes.takeReports(() => 'b')], [])
   t.deepEqual(ends, ['answered'])
 })
+
+// Guards against a request that can't be sent and is tried at one server after the other.
+test('a request that the client can not send is refused as invalid at its first server', async t => {
+  const { clock, done, refusals } = forward({ status: 200, delay: 1, failure: { why: 'invalid', sent: false, detail: 'invalid x-tenant header' } })
+  await clock.advance(10)
+  await done
+  t.deepEqual(refusals, ['invalid request, not run'])
+})
