Jobs: a result over the store's largest value is stored in pieces and delays no other

Callers saw (by test): once an item's output passed 1 MB, its job listed nothing more, however many other items ended.

Cause: a result larger than a segment was a segment of its own, first in the list of what waits; the store refuses a value over 1 MB each time, so the same write was tried for ever. Within PROTOCOL.md it can occur: no bound on an item's output in bytes.

Change: `planSegment` puts results of up to 900,000 bytes (as stored) first; a larger one follows in pieces of 500,000 bytes in consecutive segments and takes its position with the last piece (`ResultPieces`). Segments are numbered and created once, as before, so all daemons join the same text. An owner continues pieces only if they are the beginning of its own text, otherwise it begins anew: two owners that ran an item differently never join two runs, whatever the order of their writes. Job owners count whole results when they take a job over. Larger than 1 MB in a message ended the connection between daemons at each read and at each handover of progress; these aren't sent now, the reader reads the store, such progress begins anew.

Evidence: test/jobs/result-writer (12 rows of six texts with and without lost answers, and 40 random orders of two owners): all 13 new tests failed before, 18 of 18 pass. test/jobs/large-results: the read at each daemon and the split of progress failed before; the six rows of an owner killed between two pieces passed before too, as there were no pieces to lose: they guard the new code. Beside them empty-pages, job-owner, job-reader, two-owners, job-checkpointer, missed-takeover, job-ends, owner-always-found and read-again (9 tests): all pass.

Weighed: parts in objects of their own, named by the segment. They need names that two owners can't share, an entry for each writer, and their own removal with orphans after a kill; consecutive segments need none of it. Cutting the text isn't allowed. Open: daemons of an earlier release list pieces as results while a fleet is updated.

--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -24,12 +24,13 @@
 import { JobRecords } from './job-records.js'
 import { JobRunner } from './job-runner.js'
 import type { KnownJob } from './registry/known-job.js'
-import type { ListedResult } from './listed-result.js'
+import { listWholeResults } from './list-whole-results.js'
 import type { OwnerProcess } from './owner-process.js'
 import { OwnedJob } from './owned-job.js'
 import type { PageProof } from './page-proof.js'
 import { ProgressHandover } from './progress-handover.js'
 import { ResultWriter } from './result-writer.js'
+import type { StoredResult } from './stored-result.js'
 
 /** How long a shutdown waits for results to be stored, and how often it checks, ms. */
 const STORE_WAIT = 1_500
@@ -215,7 +216,7 @@
     if (header.err) return header
     const segments = await this.records.readSegments(id)
     if (segments.err) return segments
-    if (segments.val.flat().length >= header.val.total) return Ok(this.addDone(id, header.val, segments.val))
+    if (listWholeResults(segments.val).length >= header.val.total) return Ok(this.addDone(id, header.val, segments.val))
     const formerOwner = this.registry.get(id) ?? header.val
     const [items, ended, checkpoint, others] = await Promise.all([
       this.records.readItems(id, header.val),
@@ -242,7 +243,7 @@
   }
 
   /** Adds a finished job for its readers. Its items are most of its data and aren't loaded. */
-  private addDone (id: string, header: JobHeader, segments: ReadonlyArray<readonly ListedResult[]>): OwnedJob {
+  private addDone (id: string, header: JobHeader, segments: ReadonlyArray<readonly StoredResult[]>): OwnedJob {
     const job = new OwnedJob({ id, header, items: [], segments, acceptedAt: this.clock.now() })
     this.handover.take(id)
     this.addOwned(job)
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -14,6 +14,7 @@
 import { MemberCalls } from '../peers/member-calls.js'
 import { PeerLinks } from '../peers/peer-links.js'
 import type { StoreError } from '../store/store-error.js'
+import { fitsMessage } from './fits-message.js'
 import { findPageProof } from './find-page-proof.js'
 import { isProofRecent } from './is-proof-recent.js'
 import { JobRegistry } from './registry/job-registry.js'
@@ -68,7 +69,7 @@
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
-    this.calls = new MemberCalls({ links, clock, name: 'job', handle: async request => await this.answer(request) })
+    this.calls = new MemberCalls({ links, clock, name: 'job', handle: async request => await this.answerIfItFits(request) })
     this.extensions = this.calls.extensions
   }
 
@@ -186,6 +187,12 @@
     return await this.calls.call(known.owner, request, wait + CALL_SLACK)
   }
 
+  /** Answers another daemon; undefined where the response is too large for a message, so that the daemon reads the store. */
+  private async answerIfItFits (request: OwnerRequest): Promise<OwnerResponse | undefined> {
+    const response = await this.answer(request)
+    return response !== undefined && fitsMessage(response) ? response : undefined
+  }
+
   private async answer (request: OwnerRequest): Promise<OwnerResponse | undefined> {
     switch (request.type) {
       case 'read': {
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -5,12 +5,12 @@
 import { listPages } from '../store/list-pages.js'
 import type { StoreError } from '../store/store-error.js'
 import type { WatchBatch } from '../store/watch-batch.js'
-import type { ListedResult } from './listed-result.js'
 import type { ItemProgress } from './item-progress.js'
 import type { JobHeader } from './job-header.js'
 import type { JobItem } from './job-item.js'
 import type { OwnerProcess } from './owner-process.js'
 import { splitBySize } from './split-by-size.js'
+import type { StoredResult } from './stored-result.js'
 
 const HEADERS = 'jobs'
 const ITEMS = 'job-items'
@@ -38,7 +38,8 @@
 /**
  * The stored form of jobs. Every object but the progress is created once and never changed, so that no write depends on an earlier read:
  * header and items, written concurrently, which are a job once all exist; numbered segments of results, each created by a daemon that has read
- * all earlier ones, so that two daemons that run the same job can't both create a segment; and the end. The progress of the items is replaced:
+ * all earlier ones, so that two daemons that run the same job can't both create a segment, and a large result as pieces in several of them; and
+ * the end. The progress of the items is replaced:
  * any version of it is valid, since any server can resume after any event. The processes that took a job over are replaced as well; they are
  * stored beside the ends, which every owner looks up all the time.
  */
@@ -89,13 +90,13 @@
   }
 
   /** Reads the results of one segment; `missing` after the last. */
-  async readSegment (id: string, segment: number): Promise<Result<readonly ListedResult[], StoreError>> {
-    return (await this.store.get<readonly ListedResult[]>(RESULTS, `${id}.${segment}`, 'caller')).map(({ value }) => value)
+  async readSegment (id: string, segment: number): Promise<Result<readonly StoredResult[], StoreError>> {
+    return (await this.store.get<readonly StoredResult[]>(RESULTS, `${id}.${segment}`, 'caller')).map(({ value }) => value)
   }
 
   /** Reads all segments from `first` on. */
-  async readSegments (id: string, first = 0): Promise<Result<ReadonlyArray<readonly ListedResult[]>, StoreError>> {
-    const segments: Array<readonly ListedResult[]> = []
+  async readSegments (id: string, first = 0): Promise<Result<ReadonlyArray<readonly StoredResult[]>, StoreError>> {
+    const segments: Array<readonly StoredResult[]> = []
     for (;;) {
       const segment = await this.readSegment(id, first + segments.length)
       if (segment.ok) segments.push(segment.val)
@@ -104,7 +105,7 @@
   }
 
   /** Creates a segment; `conflict` means that it exists already. */
-  async createSegment (id: string, segment: number, results: readonly ListedResult[]): Promise<Result<void, StoreError>> {
+  async createSegment (id: string, segment: number, results: readonly StoredResult[]): Promise<Result<void, StoreError>> {
     return await this.createOnce(RESULTS, `${id}.${segment}`, results)
   }
 
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -1,12 +1,15 @@
 import type { LastRead } from '../coordination/versions/last-read.js'
 import { mayStart } from '../coordination/claims/may-start.js'
 import type { ItemProgress } from './item-progress.js'
+import { listWholeResults } from './list-whole-results.js'
 import type { ListedResult } from './listed-result.js'
 import type { ItemState } from './item-state.js'
 import type { JobHeader } from './job-header.js'
 import type { JobItem } from './job-item.js'
 import type { OwnerProcess } from './owner-process.js'
+import { ResultPieces } from './result-pieces.js'
 import type { ResultsPage } from './results-page.js'
+import type { StoredResult } from './stored-result.js'
 
 /** Maximum size of one page of results, in bytes. */
 const PAGE_BYTES = 500_000
@@ -19,7 +22,7 @@
   readonly id: string
   readonly header: JobHeader
   readonly items: readonly JobItem[]
-  readonly segments: ReadonlyArray<readonly ListedResult[]>
+  readonly segments: ReadonlyArray<readonly StoredResult[]>
   /** Time of acceptance, monotonic ms. */
   readonly acceptedAt: number
   /** When the store held no end of the job, monotonic ms. */
@@ -59,6 +62,8 @@
   readUntil = -Infinity
   /** The pending read of the store for new segments: when it began, monotonic ms, and the number of segments that it adds, undefined if it fails. */
   reading: { readonly began: number, readonly added: Promise<number | undefined> } | undefined
+  /** The stored pieces of results that aren't whole yet. */
+  readonly pieces = new ResultPieces()
   /** Results still to be stored. */
   readonly pending: ListedResult[] = []
   /** Number of stored segments. */
@@ -75,7 +80,7 @@
     this.lastRead = { seen: readAt, unreachable: false }
     this.doubtSince = formerOwner === undefined ? undefined : -Infinity
     this.segmentCount = segments.length
-    this.results = segments.flat()
+    this.results = listWholeResults(segments, this.pieces)
     this.listed = new Set(this.results.map(result => result.id))
     this.items = items.map(item => ({ item, last: undefined, texts: [], failures: 0, losses: 0, notBefore: 0, phase: this.listed.has(item.id) ? 'ended' : 'waiting' }))
   }
@@ -148,11 +153,11 @@
    * Adds stored segment number `segment`, created by this daemon or another, and drops its results from those still to be stored. A segment
    * that was added before is ignored, since two reads may overlap.
    */
-  addSegment (segment: number, results: readonly ListedResult[]): void {
+  addSegment (segment: number, results: readonly StoredResult[]): void {
     if (segment !== this.segmentCount) return
     this.segmentCount++
     this.doubtSince = undefined
-    for (const result of results) {
+    for (const result of listWholeResults([results], this.pieces)) {
       this.results.push(result)
       this.listed.add(result.id)
       const state = this.items.find(({ item }) => item.id === result.id)
--- a/src/jobs/result-writer.ts
+++ b/src/jobs/result-writer.ts
@@ -4,11 +4,11 @@
 import type { LogSink } from '../observe/log-sink.js'
 import { findPageProof } from './find-page-proof.js'
 import type { JobRecords } from './job-records.js'
-import type { ListedResult } from './listed-result.js'
 import type { OwnedJob } from './owned-job.js'
 import type { PageProof } from './page-proof.js'
+import { planSegment } from './plan-segment.js'
 import { readNewSegments } from './read-new-segments.js'
-import { splitBySize } from './split-by-size.js'
+import type { StoredResult } from './stored-result.js'
 
 /** Minimum time between two segments of a job, ms. Each segment costs a write, and callers poll about twice a second. */
 const STORE_PERIOD = 400
@@ -16,8 +16,6 @@
 const RETRY_DELAY = 300
 /** Minimum time between two attempts to close a segment, ms; reads of the store answer callers meanwhile. */
 const CLOSE_PERIOD = 1_000
-/** Maximum bytes of results in one segment, as stored: the store refuses values over 1 MB each time. */
-const SEGMENT_BYTES = 500_000
 
 interface ResultWriterOptions {
   readonly records: JobRecords
@@ -94,7 +92,7 @@
 
   private async storeSegment (job: OwnedJob): Promise<boolean> {
     const { records, log, clock } = this.options
-    const [results = []] = splitBySize(job.pending, result => Buffer.byteLength(JSON.stringify(result)), SEGMENT_BYTES)
+    const results = planSegment(job.pending, job.pieces)
     const { segmentCount, doubtSince } = job
     job.doubtSince ??= clock.now()
     const created = await records.createSegment(job.id, segmentCount, results)
@@ -114,7 +112,7 @@
     return read.ok
   }
 
-  private addSegment (job: OwnedJob, segment: number, results: readonly ListedResult[]): void {
+  private addSegment (job: OwnedJob, segment: number, results: readonly StoredResult[]): void {
     job.addSegment(segment, results)
     if (this.options.isOwned(job)) this.options.onStored(job)
   }
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -52,6 +52,8 @@
   loses: (from: string, to: string, message: PeerMessage) => boolean = () => false
   /** Latency of a message between two daemons, ms. */
   findLatency: (from: string, to: string) => number = () => 1
+  /** The text of an item's result when a daemon finishes it. */
+  findText: (item: string, daemon: string) => string = (_, daemon) => `by ${daemon}`
   /** Messages sent between daemons. */
   sent = 0
   /** Opens a daemon's way to the store. */
@@ -187,7 +189,7 @@
       const job = owner.find('j')
       const state = job?.items.find(other => other.item.id === item)
       if (job === undefined || state === undefined || state.phase === 'ended' || clock.isPaused) return
-      job.finish(state, { id: item, state: 'completed', text: `by ${name}` })
+      job.finish(state, { id: item, state: 'completed', text: this.findText(item, name) })
       onResult(job)
     }
     const drain = async (): Promise<void> => {
