Jobs: one retry of a failed look-up waits at a time

Callers: while the store refuses look-ups to a daemon, its budget for reads goes to repeated look-ups, and reads of results compete with them.

Cause: each failed check scheduled a further one after 300 ms, and the check of the period (1.1 s) began another chain whenever it failed too. No chain ended before the store answered.

Why it works: a new retry cancels the one that waits. The check of the period goes on, so that a retry is never needed for progress.

--- a/src/jobs/ended-job-watch.ts
+++ b/src/jobs/ended-job-watch.ts
@@ -32,6 +32,7 @@
   private checking = false
   private failing = false
   private cancel = (): void => {}
+  private cancelRetry = (): void => {}
 
   constructor (
     @inject(JobOwner) private readonly owner: Pick<JobOwner, 'list' | 'end' | 'forget' | 'applyRecordedOwners'>,
@@ -56,6 +57,7 @@
 
   async stop (): Promise<void> {
     this.cancel()
+    this.cancelRetry()
   }
 
   private async check (): Promise<void> {
@@ -86,7 +88,8 @@
     if (!this.failing) this.log.write('warn', 'jobs', 'could not look up whether jobs have ended', { error: type, jobs: jobs.length, age: Math.round(this.findReadAge()) })
     this.failing = true
     for (const job of jobs) job.lastRead = { ...job.lastRead, unreachable: type === 'unavailable' }
-    this.clock.after(RETRY_DELAY, () => { void this.check() })
+    this.cancelRetry()
+    this.cancelRetry = this.clock.after(RETRY_DELAY, () => { void this.check() })
   }
 
   /** Whether the job may have been ended and then removed from the store since the last read. */
--- a/test/jobs/ended-job-watch.test.ts
+++ b/test/jobs/ended-job-watch.test.ts
@@ -10,6 +10,9 @@
 const ENDS = 'job-ends'
 /** How long items may start without a successful read while the store is unavailable, ms. */
 const OUTAGE_BOUND = 60_000
+/** Time between two checks, and until the next one after a failure, ms. */
+const CHECK_PERIOD = 1_100
+const RETRY_DELAY = 300
 
 async function accept (fleet: JobFleet, owners: readonly string[] = [OWNER]): Promise<void> {
   await fleet.start()
@@ -108,3 +111,22 @@
   t.true(reads <= 70, `${reads} reads in 20 s, 90 by five daemons that each read for themselves`)
   t.true(mayStart(fleet))
 })
+
+// Guards against look-ups that become more frequent the longer the store refuses them.
+test('failed look-ups are repeated at the same rate however long the store refuses them', async t => {
+  const fleet = new JobFleet()
+  await accept(fleet)
+  let reads = 0
+  fleet.storeFault = (daemon, { kind }) => {
+    if (daemon === OWNER && kind === ENDS) reads++
+    return kind === ENDS ? { fail: { type: 'limited', retryAfter: 100 } } : 'none'
+  }
+  const counts: number[] = []
+  for (let i = 0; i < 6; i++) {
+    reads = 0
+    await fleet.time.advance(10_000)
+    counts.push(reads)
+  }
+  const most = 10_000 / RETRY_DELAY + 10_000 / CHECK_PERIOD
+  t.true(counts.every(count => count <= most), `${counts.join(', ')} reads in 10 s each, ${Math.floor(most)} at most`)
+})
