Jobs: a look-up that the store refuses is relayed by another daemon

Callers: items at no server though servers have room, as long as the store refuses look-ups to the owner's failure domain, or to the daemon that leads it.

Cause: an owner starts items only on a recent read of the ends. It got one from its domain leader or from the store; a leader that alone was refused, and every daemon of a refused failure domain, had no third way.

Why it works: a store that refuses some serves others, and the answer's age counts back from the time of the request, as a leader's does, so that nothing starts later after an end than by an own read.

Tests changed: constructors get a log; ended-job-lookup's pair can lie in two failure domains, or have one daemon refused. JobFleet has failure domains.

--- a/test/fleet/other-kinds-in-time.test.ts
+++ b/test/fleet/other-kinds-in-time.test.ts
@@ -51,7 +51,7 @@
       const owner = { list: () => [job], end: () => { job.ended = true }, applyRecordedOwners: () => {}, forget: () => {} } as unknown as JobOwner
       const pauses = new PauseWatch(clock)
       const records = new JobRecords(client)
-      const lookup = new EndedJobLookup(records, noMembers, noLinks, pauses, settings, clock)
+      const lookup = new EndedJobLookup(records, noMembers, noLinks, pauses, settings, { write: () => {} }, clock)
       void new EndedJobWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: 120_000 }, log, clock).start()
       return { change: () => store.put('job-ends', 'j', true), isKnown: () => job.ended }
     }
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -56,6 +56,8 @@
   sent = 0
   /** Opens a daemon's way to the store. */
   openStore: (name: string, clock: Clock) => ObjectStore = (name, clock) => this.connect(name, clock)
+  /** Returns the failure domain of a daemon; set before `start`. */
+  findDomain: (name: string) => string = () => 'z'
   /** Whether the daemon `name` has `other` among its members. */
   isMember: (name: string, other: string) => boolean = () => true
   /** The effect of a fault on a daemon's call to the store; unset where the fault of the store itself applies. */
@@ -152,7 +154,7 @@
     }
     const members = {
       run,
-      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: 'z' }, state: this.leaving.has(instance) ? 'leaving' : 'alive', run: this.runs.get(instance)! })),
+      all: () => listKnown().map(instance => ({ instance: { name: instance, failureDomain: this.findDomain(instance) }, state: this.leaving.has(instance) ? 'leaving' : 'alive', run: this.runs.get(instance)! })),
       owners: () => listKnown().filter(other => !this.leaving.has(other)),
       findRun: (other: string) => known.get(other),
       subscribe: () => () => {}
@@ -164,11 +166,11 @@
     const registry = new JobRegistry(fleetBroadcast, clock)
     const registrySync = new JobRegistrySync(registry, members, links, { instance: name }, new Random(NAMES.indexOf(name)), clock)
     const records = new JobRecords(this.openStore(name, clock))
-    const settings = { instance: name, failureDomain: 'z' } as unknown as Settings
+    const settings = { instance: name, failureDomain: this.findDomain(name) } as unknown as Settings
     const pauses = new PauseWatch(clock)
     const owner = new JobOwner(records, runner, registry, members, links, pauses, settings, { write: () => {} }, clock)
     const conflicts = new OwnerConflictResolver(owner, registry, pauses, settings, { write: () => {} }, clock)
-    const lookup = new EndedJobLookup(records, members, links, pauses, settings, clock)
+    const lookup = new EndedJobLookup(records, members, links, pauses, settings, { write: () => {} }, clock)
     const endedJobs = new EndedJobWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: RESULT_KEEP }, { write: () => {} }, clock)
     const metrics = new Metrics()
     const unowned = new UnownedJobs(owner, registry, members, metrics, settings, { write: () => {} }, clock)
--- a/test/jobs/ended-job-lookup.test.ts
+++ b/test/jobs/ended-job-lookup.test.ts
@@ -1,6 +1,6 @@
 import 'reflect-metadata'
 import test from 'ava'
-import { Ok, type Result } from 'ts-results'
+import { Err, Ok, type Result } from 'ts-results'
 import { EndedJobLookup } from '../../src/jobs/ended-job-lookup.js'
 import { JobRecords } from '../../src/jobs/job-records.js'
 import { PauseWatch } from '../../src/kernel/pause-watch.js'
@@ -15,7 +15,7 @@
 
 const JOB = 'j'
 const NAMES = ['d1', 'd2']
-const MEMBERS = NAMES.map(name => ({ instance: { name, failureDomain: 'z' }, state: 'alive', run: 1 })) as unknown as readonly Member[]
+const MEMBERS = listMembers('z')
 const LEADER = findDomainLeader(MEMBERS, 'z')!
 const FOLLOWER = NAMES.find(name => name !== LEADER)!
 
@@ -28,8 +28,21 @@
   readonly find: (name: string) => ReturnType<EndedJobLookup['find']>
 }
 
-/** A domain leader and a follower, with a store that reads at once and answers after a delay. */
-function createPair (): Pair {
+/** Lists both daemons, the first one in failure domain z. */
+function listMembers (domain: string): readonly Member[] {
+  return NAMES.map((name, i) => ({ instance: { name, failureDomain: i === 0 ? 'z' : domain }, state: 'alive', run: 1 })) as unknown as readonly Member[]
+}
+
+interface PairOptions {
+  /** Failure domain of the second daemon. */
+  readonly domain?: string
+  /** The daemon that the store refuses. */
+  readonly refused?: string
+}
+
+/** A domain leader and a follower, or the leaders of two failure domains, with a store that reads at once and answers after a delay. */
+function createPair ({ domain = 'z', refused }: PairOptions = {}): Pair {
+  const members = listMembers(domain)
   const clock = new VirtualClock()
   const store = new MemoryStore()
   const delays = { read: 0, message: 1 }
@@ -46,7 +59,9 @@
     const send = (to: string, message: PeerMessage): void => {
       clock.after(delays.message, () => { for (const handler of handlers.get(to)!) if (handler.type === message.type) handler.handle(message, name) })
     }
-    const lookup = new EndedJobLookup(records, { all: () => MEMBERS }, { send }, pauses, { instance: name, failureDomain: 'z' }, clock)
+    const reachable: Pick<JobRecords, 'readEndedJobs'> = name === refused ? { readEndedJobs: async () => Err({ type: 'limited', retryAfter: 100 }) } : records
+    const { failureDomain } = members.find(({ instance }) => instance.name === name)!.instance
+    const lookup = new EndedJobLookup(reachable, { all: () => members }, { send }, pauses, { instance: name, failureDomain }, { write: () => {} }, clock)
     handlers.set(name, lookup.extensions.map(({ value }) => value as PeerHandler))
     return [name, lookup]
   }))
@@ -92,6 +107,25 @@
   t.deepEqual((await advanceUntil(clock, find(FOLLOWER))).unwrap().ended, [JOB])
 })
 
+// Guards against a read for another daemon that counts from its response: an end stored after the read would then be missed.
+for (const [title, refused, domain] of [['the next in rank', LEADER, 'z'], ['the leader of another failure domain', NAMES[0]!, 'y'], ['the first leader, for another failure domain', NAMES[1]!, 'y']] as const) {
+  test(`a shared read of a relay counts from when it was made: ${title}`, async t => {
+    const { clock, records, delays, find } = createPair({ refused, domain })
+    const relay = NAMES.find(name => name !== refused)!
+    delays.message = 100
+    await advanceUntil(clock, find(relay))
+    const read = clock.now()
+    await clock.advance(400)
+    await records.end(JOB)
+    for (const pause of [0, 0, 1_000]) {
+      await clock.advance(pause)
+      const found = (await advanceUntil(clock, find(refused))).unwrap()
+      t.deepEqual(found.ended, pause === 0 ? [] : [JOB])
+      if (pause === 0) t.true(found.readAt <= read, `a read of ${read} ms counts from ${found.readAt} ms`)
+    }
+  })
+}
+
 // Guards against a response from before a pause of the process that is used after it.
 test('a read during which the process was paused is repeated', async t => {
   const { clock, records, pauses, delays, find } = createPair()
@@ -110,7 +144,7 @@
   const [clock, records] = [new VirtualClock(), new JobRecords(store)]
   let missed = 0
   const suspended = { now: () => clock.now() - missed, date: () => clock.date(), after: clock.after.bind(clock), every: clock.every.bind(clock) }
-  const lookup = new EndedJobLookup(records, { all: () => [] }, { send: () => {} }, new PauseWatch(suspended), { instance: 'd1', failureDomain: 'z' }, suspended)
+  const lookup = new EndedJobLookup(records, { all: () => [] }, { send: () => {} }, new PauseWatch(suspended), { instance: 'd1', failureDomain: 'z' }, { write: () => {} }, suspended)
   t.deepEqual(await lookup.find([JOB]), Ok({ ended: [], owners: {}, readAt: 0 }))
   await records.end(JOB)
   clock.pause(20_000)
--- a/test/jobs/ended-job-watch-outage.test.ts
+++ b/test/jobs/ended-job-watch-outage.test.ts
@@ -31,7 +31,7 @@
   const job = new OwnedJob({ id: 'j', header: { host: 'h', path: '/', submittedAt: 0, total: 1, tokens: 1, owner: 'd', run: 1, parts: 1 }, items: [], segments: [], acceptedAt: 0, readAt: 0 })
   const owner = { list: () => [job], end: () => { job.ended = true } } as unknown as JobOwner
   const pauses = new PauseWatch(clock)
-  const lookup = new EndedJobLookup(new JobRecords(store), { all: () => [] } as unknown as Members, { send: () => {} } as unknown as PeerLinks, pauses, { instance: 'd', failureDomain: 'z' } as unknown as Settings, clock)
+  const lookup = new EndedJobLookup(new JobRecords(store), { all: () => [] } as unknown as Members, { send: () => {} } as unknown as PeerLinks, pauses, { instance: 'd', failureDomain: 'z' } as unknown as Settings, { write: () => {} }, clock)
   const watch = new EndedJobWatch(owner, new JobRecords(store), lookup, pauses, new Metrics(), { resultKeep: 120_000 }, { write: () => {} }, clock)
   await pauses.start()
   await watch.start()
