--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -30,7 +30,6 @@
 import type { PageProof } from './page-proof.js'
 import { ProgressHandover } from './progress-handover.js'
 import { ResultWriter } from './result-writer.js'
-import type { StoredResult } from './stored-result.js'
 
 /** How long a shutdown waits for results to be stored, and how often it checks, ms. */
 const STORE_WAIT = 1_500
@@ -243,7 +242,7 @@
   }
 
   /** Adds a finished job for its readers. Its items are most of its data and aren't loaded. */
-  private addDone (id: string, header: JobHeader, segments: ReadonlyArray<readonly StoredResult[]>): OwnedJob {
+  private addDone (id: string, header: JobHeader, segments: Parameters<typeof listWholeResults>[0]): OwnedJob {
     const job = new OwnedJob({ id, header, items: [], segments, acceptedAt: this.clock.now() })
     this.handover.take(id)
     this.addOwned(job)
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -14,7 +14,7 @@
 import { MemberCalls } from '../peers/member-calls.js'
 import { PeerLinks } from '../peers/peer-links.js'
 import type { StoreError } from '../store/store-error.js'
-import { fitsMessage } from './fits-message.js'
+import { isMessageSized } from './is-message-sized.js'
 import { findPageProof } from './find-page-proof.js'
 import { isProofRecent } from './is-proof-recent.js'
 import { JobRegistry } from './registry/job-registry.js'
@@ -190,7 +190,7 @@
   /** Answers another daemon; undefined where the response is too large for a message, so that the daemon reads the store. */
   private async answerIfItFits (request: OwnerRequest): Promise<OwnerResponse | undefined> {
     const response = await this.answer(request)
-    return response !== undefined && fitsMessage(response) ? response : undefined
+    return response !== undefined && isMessageSized(response) ? response : undefined
   }
 
   private async answer (request: OwnerRequest): Promise<OwnerResponse | undefined> {
--- a/src/jobs/plan-segment.ts
+++ b/src/jobs/plan-segment.ts
@@ -1,4 +1,5 @@
-import { cutText } from './cut-text.js'
+import { countJsonBytes } from './count-json-bytes.js'
+import { readTextPiece } from './read-text-piece.js'
 import type { ListedResult } from './listed-result.js'
 import type { ResultPieces } from './result-pieces.js'
 import { splitBySize } from './split-by-size.js'
@@ -14,14 +15,10 @@
  * then takes several segments.
  */
 export function planSegment (pending: readonly ListedResult[], pieces: Pick<ResultPieces, 'findNext'>): readonly StoredResult[] {
-  const [whole = []] = splitBySize(pending.filter(result => measure(result) <= WHOLE_BYTES), measure, SEGMENT_BYTES)
+  const [whole = []] = splitBySize(pending.filter(result => countJsonBytes(result) <= WHOLE_BYTES), countJsonBytes, SEGMENT_BYTES)
   const [large] = pending
   if (whole.length > 0 || large === undefined) return whole
   const { n, from } = pieces.findNext(large)
-  const text = cutText(large.text, from, SEGMENT_BYTES)
+  const text = readTextPiece(large.text, from, SEGMENT_BYTES)
   return [{ ...large, text, piece: { n, isLast: from + text.length === large.text.length } }]
 }
-
-function measure (result: ListedResult): number {
-  return Buffer.byteLength(JSON.stringify(result))
-}
--- a/src/jobs/cut-text.ts
+++ b/src/jobs/read-text-piece.ts
@@ -2,7 +2,7 @@
 const LAST_LOW_SURROGATE = 0xdfff
 
 /** Returns as much of `text` from position `from` on as has at most `limit` bytes in JSON, one character at least. Characters outside the BMP stay whole. */
-export function cutText (text: string, from: number, limit: number): string {
+export function readTextPiece (text: string, from: number, limit: number): string {
   for (let length = Math.min(limit, text.length - from); ;) {
     const part = text.slice(from, findBoundary(text, from, from + length))
     const size = Buffer.byteLength(JSON.stringify(part))
--- a/src/jobs/split-progress.ts
+++ b/src/jobs/split-progress.ts
@@ -1,3 +1,4 @@
+import { countJsonBytes } from './count-json-bytes.js'
 import type { ItemProgress } from './item-progress.js'
 import { splitBySize } from './split-by-size.js'
 
@@ -9,9 +10,5 @@
  * anew: a larger message would end the connection, and a larger object is refused each time.
  */
 export function splitProgress (progress: readonly ItemProgress[]): ReadonlyArray<readonly ItemProgress[]> {
-  return splitBySize(progress.filter(item => measure(item) <= MAX_PART_BYTES), measure, MAX_PART_BYTES)
-}
-
-function measure (item: ItemProgress): number {
-  return Buffer.byteLength(JSON.stringify(item))
+  return splitBySize(progress.filter(item => countJsonBytes(item) <= MAX_PART_BYTES), countJsonBytes, MAX_PART_BYTES)
 }
