Test (known red): a stream whose server is silent for a second is cut while no other server has a slot

The test has one real server, silent for 1.2 s after 4 of 12 events, and a queue that refuses: cut on.

--- /dev/null
+++ b/test/helpers/pausing-server.ts
@@ -0,0 +1,80 @@
+import { createServer, type ServerResponse } from 'node:http'
+import { listen } from '../../src/http/listen.js'
+
+/** Events of a whole stream, and the parts of a whole answer. */
+const PIECES = 12
+/** Time between two pieces, ms. */
+const INTERVAL = 15
+const HEAD = { 'x-request-id': '' }
+
+/** One request at a server that began to work on it. Times in monotonic ms. */
+export interface PausedRun {
+  readonly path: string
+  readonly server: number
+  /** Pieces after which it began. */
+  readonly after: number
+  readonly from: number
+  /** When it had sent all, or when its connection closed; undefined while it works. */
+  until?: number
+}
+
+interface PausingServerOptions {
+  readonly server: number
+  readonly runs: PausedRun[]
+  /** Pieces after which the first run of each path falls silent; -1 before its head. */
+  readonly pauseAfter: number
+  /** How long it is silent, ms. */
+  readonly pause: number
+  /** Whether the server refuses a request as full. */
+  readonly isFull: (path: string) => boolean
+}
+
+function buildPiece (kind: string, n: number): string {
+  return kind === 'stream' ? `id: ${n}\ndata: piece ${n}\n\n` : `piece ${n}\n`
+}
+
+/** The body of a whole answer; paths of streams begin with `/stream`. */
+export function buildWholeBody (path: string): string {
+  return Array.from({ length: PIECES }, (_, i) => buildPiece(path.split('/')[1]!, i + 1)).join('')
+}
+
+/** A server that answers with a few pieces. The first run of each path at any server with the same `runs` is silent for a while. */
+export async function startPausingServer ({ server, runs, pauseAfter, pause, isFull }: PausingServerOptions): Promise<{ readonly port: number, close: () => void }> {
+  const http = createServer((req, res) => {
+    const path = req.url!
+    req.resume()
+    const id = { ...HEAD, 'x-request-id': String(req.headers['x-request-id']) }
+    if (isFull(path)) return res.writeHead(503, { ...id, 'x-not-executed': '1', 'content-length': 0 }).end()
+    const run: PausedRun = { path, server, after: Number(req.headers['last-event-id'] ?? 0), from: performance.now() }
+    const pauses = runs.every(other => other.path !== path)
+    runs.push(run)
+    res.once('close', () => { run.until ??= performance.now() })
+    void answer(res, { run, id, pauseAfter: pauses ? pauseAfter : undefined, pause })
+  })
+  return {
+    port: await listen(http, '127.0.0.1', 0),
+    close: () => {
+      http.close()
+      http.closeAllConnections()
+    }
+  }
+}
+
+interface Answer { readonly run: PausedRun, readonly id: Readonly<Record<string, string>>, readonly pauseAfter: number | undefined, readonly pause: number }
+
+async function answer (res: ServerResponse, { run, id, pauseAfter, pause }: Answer): Promise<void> {
+  const kind = run.path.split('/')[1]!
+  const frame = kind === 'stream' ? { 'content-type': 'text/event-stream' } : { 'content-type': 'text/plain', 'content-length': buildWholeBody(run.path).length }
+  if (pauseAfter === -1) await wait(pause)
+  res.writeHead(200, { ...id, ...frame })
+  res.flushHeaders()
+  for (let n = run.after; n < PIECES && !res.destroyed; n++) {
+    await wait(n === pauseAfter ? pause : INTERVAL)
+    if (!res.destroyed) res.write(buildPiece(kind, n + 1))
+  }
+  if (!res.destroyed) res.end()
+}
+
+async function wait (time: number): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, time).unref() })
+}
--- a/test/helpers/route-bench.ts
+++ b/test/helpers/route-bench.ts
@@ -19,6 +19,10 @@
   readonly route?: Partial<Route>
   /** Longest time until the whole answer, ms. */
   readonly time?: number
+  /** Places a request that needs a slot; if omitted, each server has one. */
+  readonly place?: (asked: PlacementRequest) => void
+  /** Returns the live servers of a version; all if omitted. */
+  readonly listOfVersion?: () => readonly unknown[]
 }
 
 const POOL = 'pool'
@@ -35,8 +39,8 @@
     this.bench = new DispatchBench({ ports: options.ports })
     const container = this.bench.container
     container.registerInstance(tokens.serverDialect, serverDialect)
-    container.registerInstance(ServerLoads, { outcomes: { record: () => {} }, intervals: { record: () => {} }, markFull: () => {}, listOfVersion: () => options.ports } as unknown as ServerLoads)
-    container.registerInstance(PlacementQueue, { request: (asked: PlacementRequest) => asked.start(this.choose(asked)), recordHoldTime: () => {} } as unknown as PlacementQueue)
+    container.registerInstance(ServerLoads, { outcomes: { record: () => {} }, intervals: { record: () => {} }, markFull: () => {}, listOfVersion: options.listOfVersion ?? (() => options.ports) } as unknown as ServerLoads)
+    container.registerInstance(PlacementQueue, { request: options.place ?? ((asked: PlacementRequest) => asked.start(this.choose(asked))), recordHoldTime: () => {} } as unknown as PlacementQueue)
     container.registerInstance(StreamOrigins, { find: async () => ({ type: 'unknown' }), record: () => {} } as unknown as StreamOrigins)
     const forwarder = container.resolve(Forwarder)
     this.server = createServer((req, res) => { void this.forward(forwarder, req, res) })
