A silent server is left only for a slot elsewhere; a begun stream asks for one until its deadline

Cause: 0.6 s without a byte (0.9 s before the first) closed the connection to the server first and asked for a slot elsewhere afterwards. Where none was free the queue's refusal ended the stream; where a server still was about to preempt an item, its `503, not run` counted as one of six sends, and six took 90 ms. The same held for safe answers, before their head and in their body, and for streams before their first event: 502 to the caller. An answer that may run once waits for its deadline as before.

Now a silent server is listened to while the request waits for a slot at another one. Only when that is granted is the connection closed and, in the same turn, the request sent there, after the events that came meanwhile: never two at work. Bytes that come first withdraw the wait. While it waits, the slot of the silent server stays counted, its silence counts against it after 0.1 s, and the broker is told not to grant this server (`excluded`; one that doesn't know the field may, and the grant isn't used), until 2 s have passed: then the connection may be what is lost. A begun stream that has left its server asks again after a pause until its deadline, unless no server has its version or its prompt is blamed.

Failed try: a grant at the silent server that isn't used (`avoided` is only a preference) would have preempted an item there each 150 ms; hence `excluded`.

The limit of six sends stays for requests without a part of their answer.

--- a/src/placement/build-slot-request.ts
+++ b/src/placement/build-slot-request.ts
@@ -13,7 +13,7 @@
 
 /** Builds the message that asks a group's broker for a slot. */
 export function buildSlotRequest ({ n, group, request, unavailable, now }: AskedSlot): SlotRequest {
-  const { pool, key, version, caller, isCounted = false, size, avoided, arrived, asked, deadline, beginBy, target, priority, returning, repeatable } = request
+  const { pool, key, version, caller, isCounted = false, size, avoided, excluded, arrived, asked, deadline, beginBy, target, priority, returning, repeatable } = request
   return {
     work: 'online',
     n,
@@ -31,6 +31,7 @@
     ...key !== undefined && { key },
     ...version !== undefined && { version },
     ...caller !== undefined && { caller },
+    ...excluded !== undefined && { excluded },
     ...isCounted && { isCounted },
     ...size !== undefined && { size }
   }
--- a/src/placement/placement-request.ts
+++ b/src/placement/placement-request.ts
@@ -14,6 +14,8 @@
   readonly version?: string
   /** Servers to use only if no other server has a slot. */
   readonly avoided: readonly string[]
+  /** The server that has it and may still answer; it must not get the request again. */
+  readonly excluded?: string
   readonly arrived: number
   readonly deadline: number
   /** Latest start at which a first event can reach its caller before the caller's timeout. */
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -142,7 +142,7 @@
     const { listCandidates, clock, random } = this.options
     if (waiting.version !== undefined && this.options.hasVersion?.(waiting.version) === false) return this.buildRefusal('no server', random.spread(NO_SERVER_RETRY_AFTER, NO_SERVER_JITTER), `no server has version ${waiting.version}`)
     const all = listCandidates()
-    const candidates = filterVersion(all, waiting.version)
+    const candidates = filterUsable(all, waiting)
     if (candidates.length === 0 && !waiting.returning) return this.buildRefusal('no server', random.spread(NO_SERVER_RETRY_AFTER, NO_SERVER_JITTER), 'no server of the pool is open')
     const now = clock.now()
     const plan = planWait({
@@ -211,15 +211,16 @@
     })
   }
 
-  private choose ({ key, version, avoided, repeatable }: PlacementRequest, candidates: readonly CandidateServer[]): CandidateServer | undefined {
-    return chooseCandidate(filterVersion(candidates, version), { random: this.options.random, key, avoided, repeatable })
+  private choose (request: PlacementRequest, candidates: readonly CandidateServer[]): CandidateServer | undefined {
+    const { key, avoided, repeatable } = request
+    return chooseCandidate(filterUsable(candidates, request), { random: this.options.random, key, avoided, repeatable })
   }
 
   private grantFree (): void {
     while (this.queue.length > 0 && this.grantNext()) continue
   }
 
-  /** Grants a slot to the first request in order that can have one; those bound to a version without a free slot are passed over. Returns whether it did. */
+  /** Grants a slot to the first request in order that can have one; those that may not use the free ones are passed over. Returns whether it did. */
   private grantNext (): boolean {
     const { clock, listCandidates, metrics } = this.options
     const now = clock.now()
@@ -232,7 +233,7 @@
       }
       if (this.isWithheld(waiting.flow, waiting, candidates)) continue
       const chosen = this.choose(waiting, candidates)
-      if (chosen === undefined && waiting.version === undefined) return false
+      if (chosen === undefined && waiting.version === undefined && waiting.excluded === undefined) return false
       if (chosen === undefined) continue
       if (late) this.lateLimiter.recordStart(now)
       this.remove(waiting)
@@ -251,8 +252,9 @@
   return isShareUsed ? `; ${flow} had its share` : `; ${flow} was below its share`
 }
 
-function filterVersion (candidates: readonly CandidateServer[], version: string | undefined): readonly CandidateServer[] {
-  return version === undefined ? candidates : candidates.filter(candidate => candidate.version === version)
+/** Returns the candidates that may run the request. */
+function filterUsable (candidates: readonly CandidateServer[], { version, excluded }: Pick<PlacementRequest, 'version' | 'excluded'>): readonly CandidateServer[] {
+  return version === undefined && excluded === undefined ? candidates : candidates.filter(({ server, version: own }) => server !== excluded && (version === undefined || own === version))
 }
 
 /** Estimates the share of a slot that `other` takes of those with the version, which are `part` of all slots. */
--- a/src/placement/slot-request.ts
+++ b/src/placement/slot-request.ts
@@ -16,6 +16,8 @@
     /** Its size, see `estimateSize`; omitted if it doesn't tell. */
     readonly size?: number
     readonly avoided: readonly string[]
+    /** The server that has it; it must not get the request again. */
+    readonly excluded?: string
     readonly waited: number
     /** Time since its caller's first attempt. */
     readonly sinceAsked: number
--- a/src/routing/exchanges/exchange.ts
+++ b/src/routing/exchanges/exchange.ts
@@ -5,6 +5,7 @@
 import { readFraming } from '../../http/read-framing.js'
 import type { Clock } from '../../kernel/clock.js'
 import type { SendFailure } from './send-failure.js'
+import type { Silence } from './silence.js'
 
 interface ExchangeOptions {
   readonly clock: Clock
@@ -20,6 +21,8 @@
   readonly signal?: AbortSignal
   /** Checked right before the first byte is written, and before a last byte that was held back; if it returns false, no more is sent. */
   readonly mayStart?: () => boolean
+  /** Called when no byte has arrived within a timeout; without it, the exchange is abandoned. */
+  readonly onSilent?: (silence: Silence) => void
 }
 
 /** The server name of TLS, which plain HTTP doesn't use; without one undici examines the `Host` header, slowly at first. */
@@ -47,7 +50,7 @@
     else signal.addEventListener('abort', onAbort, { once: true, signal: this.abort.signal })
   }
 
-  /** Sends the request and waits up to `timeout` ms for the answer's status and headers. */
+  /** Sends the request and waits up to `timeout` ms for the answer's status and headers, or longer as `onSilent` decides. */
   async open (timeout: number): Promise<Result<void, SendFailure>> {
     const { agent, origin, path, method, headers, body } = this.options
     const length = this.requestBody === undefined ? {} : { 'content-length': String(body!.length) }
@@ -71,7 +74,7 @@
     })
   }
 
-  /** Returns the next bytes of the body, undefined at its end; fails as `silent` if none arrive within `timeout` ms. */
+  /** Returns the next bytes of the body, undefined at its end; fails as `silent` if none arrive within `timeout` ms, or when `onSilent` decides. */
   async read (timeout: number): Promise<Result<Buffer | undefined, SendFailure>> {
     return await this.withTimeout(timeout, async () => {
       const next = await this.body!.next()
@@ -109,7 +112,8 @@
   }
 
   private async withTimeout<T> (timeout: number, wait: () => Promise<T>): Promise<Result<T, SendFailure>> {
-    const cancel = this.options.clock.after(timeout, () => this.abandon('silent'))
+    const arrival = new AbortController()
+    const cancel = this.options.clock.after(timeout, () => this.handleSilence(arrival.signal))
     try {
       return Ok(await wait())
     } catch (error) {
@@ -117,6 +121,13 @@
       return Err({ sent, why: !sent && this.failureReason === 'cut' ? 'unreachable' : this.failureReason, detail: (error as Error).message })
     } finally {
       cancel()
+      arrival.abort()
     }
   }
+
+  private handleSilence (signal: AbortSignal): void {
+    const abandon = (): void => this.abandon('silent')
+    if (this.options.onSilent === undefined) abandon()
+    else this.options.onSilent({ abandon, signal })
+  }
 }
--- a/src/routing/exchanges/sender.ts
+++ b/src/routing/exchanges/sender.ts
@@ -15,6 +15,7 @@
 import { Quarantine } from '../quarantine/quarantine.js'
 import type { SendFailure } from './send-failure.js'
 import type { ServerRequest } from './server-request.js'
+import type { Silence } from './silence.js'
 import { ServerViews } from '../servers/server-views.js'
 import { Servers } from '../servers/servers.js'
 
@@ -24,13 +25,15 @@
 const FIRST_SUCCESS = 200
 const FIRST_REDIRECTION = 300
 
-interface Begun { readonly exchange: Exchange, readonly fingerprint: string, readonly run: PartRun | undefined }
+interface Begun { readonly exchange: Exchange, readonly fingerprint: string, readonly run: PartRun | undefined, readonly movesItself: boolean }
 
 interface SendOptions {
   readonly body: Buffer | null
   readonly fingerprint: string
   /** Longest wait for the answer's status and headers, ms. */
   readonly headerTimeout: number
+  /** Called when the server is silent for a timeout; without it, the exchange is abandoned then, or earlier if the server is found down. */
+  readonly onSilent?: (silence: Silence) => void
 }
 
 /** Sends a request to a server and reports the exchange to server health, quarantine and observers. */
@@ -53,7 +56,7 @@
   }
 
   /** Sends the request. Counts it at the server before the first await, so that the choice of the server still holds. */
-  async send (server: BackendServer, request: ServerRequest, { body, fingerprint, headerTimeout }: SendOptions): Promise<Result<OpenExchange, SendFailure>> {
+  async send (server: BackendServer, request: ServerRequest, { body, fingerprint, headerTimeout, onSilent }: SendOptions): Promise<Result<OpenExchange, SendFailure>> {
     const work = request.paced === true ? 'paced' : request.work
     const exchange = new Exchange({
       clock: this.clock,
@@ -65,10 +68,11 @@
       body,
       getHoldTime: this.servers.planHold(server.url, work),
       signal: request.signal,
-      mayStart: request.mayStart
+      mayStart: request.mayStart,
+      onSilent
     })
     const run = request.parts === undefined || request.parts.length === 0 ? undefined : this.blame.begin(request.parts, server.name, () => exchange.isSent())
-    const open = this.begin(server, request, { exchange, fingerprint, run })
+    const open = this.begin(server, request, { exchange, fingerprint, run, movesItself: onSilent !== undefined })
     this.timeline.record({ part: 'routing', what: 'sent', request: request.id, server: server.name })
     const opened = await exchange.open(headerTimeout)
     if (opened.ok) {
@@ -84,13 +88,13 @@
     if (await isServerGone(url)) await this.quarantine.waitForLossReports(name)
   }
 
-  private begin (server: BackendServer, request: ServerRequest, { exchange, fingerprint, run }: Begun): OpenExchange {
+  private begin (server: BackendServer, request: ServerRequest, { exchange, fingerprint, run, movesItself }: Begun): OpenExchange {
     const observers = this.extensions.collect(exchangeObserverPoint)
     // Batch requests are preempted by online requests, so they don't count towards a server's online limit.
     const release = request.work === 'online' ? this.servers.begin(server.name) : () => {}
     const forget = this.quarantine.begin(fingerprint, server.name, () => exchange.isSent())
     for (const observer of observers) observer.onBegin(request, server.name)
-    if (request.idempotent) this.repeatable.set(exchange, server.name)
+    if (request.idempotent && !movesItself) this.repeatable.set(exchange, server.name)
     let ended = false
     const end = (outcome: ExchangeOutcome): void => {
       if (ended) return
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -1,6 +1,5 @@
 import type { Refusal } from '../admission/refusal.js'
 import { StreamPace } from '../placement/pace/stream-pace.js'
-import { buildPlacementTerms } from './build-placement-terms.js'
 import type { AnswerSink } from './exchanges/answer-sink.js'
 import { PartGate } from './blame/part-gate.js'
 import { EventRun } from './streams/event-run.js'
@@ -13,7 +12,8 @@
 import { RequestOrigin } from './origins/request-origin.js'
 import type { RoutedRequest } from './routed-request.js'
 import type { SendFailure } from './exchanges/send-failure.js'
-import type { StartedSend } from './exchanges/started-send.js'
+import type { Silence } from './exchanges/silence.js'
+import { SlotSearch } from './slot-search.js'
 import type { WholeBody } from './exchanges/whole-body.js'
 
 /** Longest waits for the first byte and for the next ones, ms, while another server may still run the request. */
@@ -37,7 +37,6 @@
   private readonly tried: string[] = []
   private readonly fingerprint: string
   private readonly parts: readonly string[]
-  private readonly gate: PartGate
   private readonly abort = new AbortController()
   private timedOut = false
   /** Failed sends that the servers may have run. */
@@ -47,13 +46,17 @@
   /** Whether a length or a last chunk ends the stream that the caller receives, and not only its connection. */
   private isEndMarked = true
   private lastEventId: number | undefined
+  /** When the last event was relayed, monotonic ms. */
+  private progressAt: number | undefined
   private readonly origin: RequestOrigin
+  private readonly slots: SlotSearch
 
   constructor (private readonly request: RoutedRequest, private service: string, private readonly sink: AnswerSink, private readonly tools: ForwardingTools) {
     this.origin = new RequestOrigin(request, tools)
     this.parts = tools.dialect.listSharedParts(request.headers)
     this.fingerprint = hashRequest({ caller: request.route.host, service, path: request.path, body: request.body })
-    this.gate = new PartGate({ ...tools, parts: this.parts, fingerprint: this.fingerprint, signal: this.abort.signal, refuse: detail => this.refuse('quarantined', detail) })
+    const gate = new PartGate({ ...tools, parts: this.parts, fingerprint: this.fingerprint, signal: this.abort.signal, refuse: detail => this.refuse('quarantined', detail) })
+    this.slots = new SlotSearch({ request, tools, origin: this.origin, gate, signal: this.abort.signal, refuse: (cause, detail) => this.refuse(cause, detail), open: async server => await this.open(server) })
   }
 
   /** Resolves when the caller has its final answer. */
@@ -69,6 +72,7 @@
       await this.send()
     } finally {
       cancel()
+      this.dropMoved()
       request.signal.removeEventListener('abort', onCallerLeft)
     }
   }
@@ -78,9 +82,7 @@
     if (found.type === 'lost') return this.finish(this.refuse('no server', found.detail))
     this.service = found.service
     for (;;) {
-      const blamed = await this.gate.wait()
-      if (blamed !== undefined) return this.finish(blamed)
-      const slot = await this.waitForSlot()
+      const slot = this.slots.takeMoved() ?? await this.slots.wait(this.state)
       if (slot === undefined) continue
       if ('cause' in slot) return this.finish(slot)
       const sentAt = this.tools.clock.now()
@@ -88,35 +90,17 @@
       const failure = opened.err ? opened.val : await this.relay(opened.val)
       if (failure === undefined) return this.tools.queue.recordHoldTime(this.service, this.tools.clock.now() - sentAt, this.request.size)
       if (!this.plan(failure, slot.server)) return
+      // A server that was full is mostly so for the next milliseconds as well; a request that has run can't be refused as not run.
+      if (!failure.sent && this.runs > 0) await this.slots.pause()
     }
   }
 
-  /** Waits for a slot; undefined if the request must wait for its parts instead. The send starts in the same turn of the event loop in which the slot is granted. */
-  private async waitForSlot (): Promise<StartedSend | Refusal | undefined> {
-    const { request, tools, origin } = this
-    const lack = origin.findLack()
-    if (lack !== undefined) return this.refuse('no server', lack)
-    return await new Promise(resolve => {
-      tools.queue.request({
-        pool: this.service,
-        ...buildPlacementTerms(request),
-        isCounted: this.tried.length > 0,
-        version: origin.version,
-        avoided: this.tried,
-        returning: request.asked < request.arrived || this.tried.length > 0,
-        repeatable: this.mayRetry(),
-        signal: this.abort.signal,
-        start: server => resolve(this.startAt(server)),
-        refuse: refusal => resolve(refusal)
-      })
-    })
-  }
-
-  private startAt (server: string): StartedSend | Refusal | undefined {
-    const blamed = this.gate.check()
-    if (blamed !== undefined) return blamed === 'wait' ? undefined : blamed
-    const mismatch = this.origin.findMismatch(server)
-    return mismatch === undefined ? { server, opened: this.open(server) } : this.refuse('no server', mismatch)
+  /** Ends a send that was started elsewhere in the moment in which the request ended. */
+  private dropMoved (): void {
+    const moved = this.slots.takeMoved()
+    if (moved === undefined) return
+    this.abort.abort()
+    void moved.opened.then(opened => { if (opened.ok) opened.val.end('abandoned') })
   }
 
   private async open (server: string): Promise<OpenedExchange> {
@@ -150,14 +134,22 @@
       deadline: request.deadline,
       limit: Infinity,
       signal: this.abort.signal
-    }, { body: request.body ?? null, fingerprint: this.fingerprint, headerTimeout: this.getTimeout(FIRST_BYTE_TIMEOUT) })
+    }, { body: request.body ?? null, fingerprint: this.fingerprint, headerTimeout: this.getTimeout(FIRST_BYTE_TIMEOUT), onSilent: silence => this.moveElsewhere(server, silence) })
   }
 
-  /** Returns `preferred` while another server may run the request after this one; otherwise waits until the deadline. */
+  /** How long a server may be silent before another one is looked for, ms: `preferred` while another may run the request, otherwise until the deadline. */
   private getTimeout (preferred: number): number {
-    const { request: { route, deadline }, tools: { clock } } = this
-    const left = Math.max(1, deadline - clock.now())
-    return route.idempotent && this.runs + 1 < route.attempts ? Math.min(preferred, left) : left
+    const left = Math.max(1, this.request.deadline - this.tools.clock.now())
+    return this.mayRetry() ? Math.min(preferred, left) : left
+  }
+
+  private moveElsewhere (server: string, silence: Silence): void {
+    void this.slots.waitElsewhere(server, silence, () => this.state)
+  }
+
+  private get state (): Parameters<SlotSearch['wait']>[0] {
+    const { service, tried, progressAt } = this
+    return { service, tried, progressAt, mayRetry: this.mayRetry() }
   }
 
   private async relay (open: OpenExchange): Promise<SendFailure | undefined> {
@@ -214,6 +206,7 @@
       if (events.val.length === 0) continue
       pace.record(events.val.length)
       this.lastEventId = run.last
+      this.progressAt = this.tools.clock.now()
       this.origin.record(this.service, open.server.version)
       if (!this.begun) this.begin(open)
       await this.sink.write(Buffer.concat(events.val.map(event => event.bytes)))
@@ -247,7 +240,8 @@
 
   /** Whether another server may run the request after this one has failed. */
   private mayRetry (): boolean {
-    return this.request.route.idempotent && this.runs + 1 < this.request.route.attempts && !this.abort.signal.aborted
+    const { route: { idempotent, resumable, attempts } } = this.request
+    return idempotent && (resumable || !this.begun) && this.runs + 1 < attempts && !this.abort.signal.aborted
   }
 
   /** Handles a failed send: returns whether to send again, and otherwise finishes the request. */
--- a/src/routing/plan-resend.ts
+++ b/src/routing/plan-resend.ts
@@ -1,6 +1,6 @@
 import type { SendFailure } from './exchanges/send-failure.js'
 
-/** Sends after which a request is abandoned, even if no server ran it. */
+/** Sends after which a request that has no part of its answer is abandoned, even if no server ran it. */
 const MAX_SENDS = 6
 
 interface ResendState {
@@ -21,11 +21,11 @@
 /**
  * Decides whether a routed request is sent again after a failure. A request that certainly hasn't run may go to any other
  * server. One that may have run is sent again only if its route is idempotent and allows another run. A stream that has
- * begun must also be resumable after its last event.
+ * begun must also be resumable after its last event, and is then sent until a server takes it: nothing else completes it.
  */
 export function planResend (failure: SendFailure, { idempotent, resumable, begun, runs, attempts, sends, abandoned }: ResendState): 'send' | 'give up' {
-  if (abandoned || sends >= MAX_SENDS) return 'give up'
-  if (begun && !resumable) return 'give up'
+  if (abandoned) return 'give up'
+  if (begun ? !resumable : sends >= MAX_SENDS) return 'give up'
   if (!failure.sent && runs === 0) return 'send'
   return idempotent && runs < attempts ? 'send' : 'give up'
 }
--- /dev/null
+++ b/src/routing/slot-search.ts
@@ -0,0 +1,151 @@
+import type { Refusal } from '../admission/refusal.js'
+import { givenUpRefusal } from '../placement/given-up-refusal.js'
+import type { PlacementRequest } from '../placement/placement-request.js'
+import type { PartGate } from './blame/part-gate.js'
+import { buildPlacementTerms } from './build-placement-terms.js'
+import type { OpenedExchange } from './exchanges/opened-exchange.js'
+import type { Silence } from './exchanges/silence.js'
+import type { StartedSend } from './exchanges/started-send.js'
+import type { ForwardingTools } from './forwarding-tools.js'
+import type { RequestOrigin } from './origins/request-origin.js'
+import type { RoutedRequest } from './routed-request.js'
+
+/** Mean pause after a slot was refused or couldn't be used, ms. */
+const ASK_AGAIN = 150
+/** Silence after which a request may begin again at the same server, ms: its connection may be lost. */
+const SAME_SERVER_SILENCE = 2_000
+/** How long one wait for a slot elsewhere lasts, ms: the next one may be at another group of servers. */
+const WAIT_ELSEWHERE = 500
+/** How long a request whose server is silent asks for another slot before the silence counts against the server, ms. */
+const REPORT_SILENCE = 100
+
+interface SlotSearchOptions {
+  readonly request: RoutedRequest
+  readonly tools: ForwardingTools
+  readonly origin: RequestOrigin
+  readonly gate: PartGate
+  /** Aborted when the caller has left or the deadline has passed. */
+  readonly signal: AbortSignal
+  readonly refuse: (cause: Refusal['cause'], detail: string) => Refusal
+  /** Sends the request; counts it at the server before it returns. */
+  readonly open: (server: string) => Promise<OpenedExchange>
+}
+
+/** What has become of the request so far. */
+interface SendState {
+  readonly service: string
+  readonly tried: readonly string[]
+  /** When the last event of a stream was relayed to the caller, monotonic ms; undefined before the first. */
+  readonly progressAt: number | undefined
+  /** Whether another server may run it after the one that has it, or that had it last. */
+  readonly mayRetry: boolean
+  /** A server that must not get it. */
+  readonly excluded?: string
+}
+
+type Start = (server: string) => StartedSend | Refusal | undefined
+
+/** Finds slots for one request. A send starts in the same turn of the event loop in which its slot is granted. */
+export class SlotSearch {
+  private moved: StartedSend | undefined
+
+  constructor (private readonly options: SlotSearchOptions) {}
+
+  /** Waits for a slot; undefined if it must be asked for again: the request must wait for its parts, or its stream has begun and may not end here. */
+  async wait (state: SendState): Promise<StartedSend | Refusal | undefined> {
+    const { gate, origin, signal } = this.options
+    const blamed = await gate.wait()
+    if (blamed !== undefined) return blamed
+    const slot = await this.ask(state, signal, server => this.startAt(server))
+    const isFinal = slot === undefined || 'server' in slot || state.progressAt === undefined || slot.cause === 'quarantined' || signal.aborted || origin.findLack() !== undefined
+    if (!isFinal) await this.pause()
+    return isFinal ? slot : undefined
+  }
+
+  /**
+   * Waits for a slot at another server than `server`, which is silent but may go on. Only once the request has the slot is the
+   * silent server given up; `takeMoved` then returns the new send. Ends when bytes arrive.
+   */
+  async waitElsewhere (server: string, { abandon, signal }: Silence, getState: () => SendState): Promise<void> {
+    const { request, tools: { clock, loads, log } } = this.options
+    const since = clock.now()
+    log.write('info', 'routing', 'a server is silent', { request: request.id, server, next: getState().mayRetry ? 'ask elsewhere' : 'wait', after: Math.round(since - request.arrived) })
+    signal.addEventListener('abort', clock.after(REPORT_SILENCE, () => loads.outcomes.record(server, true)), { once: true })
+    for (let state = getState(); !signal.aborted && state.mayRetry; state = getState()) {
+      const excluded = clock.now() < since + SAME_SERVER_SILENCE ? server : undefined
+      const turn = new AbortController()
+      const cancel = clock.after(WAIT_ELSEWHERE, () => turn.abort())
+      const slot = await this.ask({ ...state, tried: [...state.tried, server], excluded }, AbortSignal.any([signal, turn.signal]), granted => {
+        if (signal.aborted || granted === excluded) return undefined
+        this.moved = this.startElsewhere(granted, abandon)
+        return this.moved
+      })
+      cancel()
+      if (slot !== undefined && 'server' in slot) return
+      await this.pause()
+    }
+  }
+
+  /** Takes the send that `waitElsewhere` has started, if any. */
+  takeMoved (): StartedSend | undefined {
+    const { moved } = this
+    this.moved = undefined
+    return moved
+  }
+
+  /** Pauses before a further try at servers that were full. */
+  async pause (): Promise<void> {
+    const { signal, tools: { clock, random } } = this.options
+    if (signal.aborted) return
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        cancel()
+        signal.removeEventListener('abort', end)
+        resolve()
+      }
+      const cancel = clock.after(random.spread(ASK_AGAIN, 0.5), end)
+      signal.addEventListener('abort', end)
+    })
+  }
+
+  private async ask ({ service, tried, progressAt, mayRetry, excluded }: SendState, signal: AbortSignal, start: Start): Promise<StartedSend | Refusal | undefined> {
+    const { request, tools, origin } = this.options
+    const lack = origin.findLack()
+    if (lack !== undefined) return this.options.refuse('no server', lack)
+    if (signal.aborted) return givenUpRefusal
+    return await new Promise(resolve => {
+      const asked: PlacementRequest = {
+        pool: service,
+        ...buildPlacementTerms(request),
+        // The caller of a stream that has begun waits for its next event.
+        ...progressAt !== undefined && { beginBy: progressAt + (request.route.silence ?? Infinity) },
+        isCounted: tried.length > 0,
+        version: origin.version,
+        avoided: tried,
+        excluded,
+        returning: request.asked < request.arrived || tried.length > 0,
+        repeatable: mayRetry,
+        signal,
+        start: server => resolve(start(server)),
+        refuse: resolve
+      }
+      tools.queue.request(asked)
+    })
+  }
+
+  private startAt (server: string): StartedSend | Refusal | undefined {
+    const { gate, origin, refuse, open } = this.options
+    const blamed = gate.check()
+    if (blamed !== undefined) return blamed === 'wait' ? undefined : blamed
+    const mismatch = origin.findMismatch(server)
+    return mismatch === undefined ? { server, opened: open(server) } : refuse('no server', mismatch)
+  }
+
+  /** Gives the silent server up right before the request goes to another one: two are never at work on it. */
+  private startElsewhere (server: string, abandon: () => void): StartedSend | undefined {
+    const { gate, origin, open } = this.options
+    if (gate.check() !== undefined || origin.findMismatch(server) !== undefined) return undefined
+    abandon()
+    return { server, opened: open(server) }
+  }
+}
--- a/test/helpers/pausing-server.ts
+++ b/test/helpers/pausing-server.ts
@@ -76,5 +76,6 @@
 }
 
 async function wait (time: number): Promise<void> {
-  await new Promise(resolve => { setTimeout(resolve, time).unref() })
+  if (time !== Infinity) await new Promise(resolve => { setTimeout(resolve, time).unref() })
+  else await new Promise(() => {})
 }
--- a/test/helpers/route-bench.ts
+++ b/test/helpers/route-bench.ts
@@ -32,7 +32,7 @@
 export class RouteBench {
   private readonly bench: DispatchBench
   private readonly server: Server
-  private port = 0
+  port = 0
   private turn = 0
 
   private constructor (private readonly options: RouteBenchOptions) {
--- a/test/placement/slot-queue.test.ts
+++ b/test/placement/slot-queue.test.ts
@@ -186,3 +186,20 @@
   t.is(waits.length, 100)
   t.true(waits.slice(10).every(wait => wait <= 100), JSON.stringify(waits))
 })
+
+// Guards against a request that is sent again to the silent server which it waits to leave, and against others that wait behind it.
+test('a request isn\'t granted a slot of the server that is excluded, and those after it are', t => {
+  const clock = new VirtualClock()
+  const free = new Map([['s0', 1], ['s1', 0]])
+  const listCandidates = () => [...free].map(([server, slots]) => ({ server, failureDomain: 'a', version: '', slots, online: 0, batch: 0, ownBatch: 0 }))
+  const queue = new SlotQueue({ listCandidates, getHoldTime: () => HOLD_TIME, clock, random: new Random(1), metrics: new Metrics() })
+  const started: string[] = []
+  const submit = (name: string, excluded?: string): void => queue.request({ pool: 'p', avoided: [], excluded, arrived: 0, asked: 0, deadline: 10_000, beginBy: 10_000, target: TARGET, priority: 0, returning: true, repeatable: true, signal: new AbortController().signal, refuse: () => started.push(`${name} refused`), start: server => { started.push(`${name} ${server}`); free.set(server, 0) } })
+  submit('leaving', 's0')
+  submit('other')
+  queue.grantAll()
+  t.deepEqual(started, ['other s0'])
+  free.set('s1', 1)
+  queue.grantAll()
+  t.deepEqual(started, ['other s0', 'leaving s1'])
+})
--- a/test/routing/event-stream.test.ts
+++ b/test/routing/event-stream.test.ts
@@ -37,7 +37,8 @@
   ['a begun stream that can be resumed', {}, { idempotent: true, resumable: true, begun: true }, 'send'],
   ['a begun stream that can not be resumed', {}, { idempotent: true, begun: true }, 'give up'],
   ['its caller has left', { sent: false }, { runs: 0, abandoned: true }, 'give up'],
-  ['the limit of sends is reached', { sent: false }, { runs: 0, sends: 6 }, 'give up']
+  ['the limit of sends is reached', { sent: false }, { runs: 0, sends: 6 }, 'give up'],
+  ['a begun stream after six servers that were full', { sent: false }, { idempotent: true, resumable: true, begun: true, sends: 6 }, 'send']
 ]
 
 for (const [name, why, change, plan] of plans) {
