Jobs: every daemon in rank takes a job over, failure domains in turn

Callers: items of a job at no server for good, after its owner has ended and the first three in rank can't take it over, though other daemons could.

Cause: isAdoptionDue admitted the first three in rank only.

Not built: the daemon that fails asks the next one; in an outage each retry would begin a chain of messages.

Tests changed: is-adoption-due said that the fourth in rank never takes a job over, which is the fault; it now states when (9 s), and two more rows.

--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -1,5 +1,4 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
-import { rankOwners } from '../coordination/rank-owners.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -9,6 +8,7 @@
 import { isAdoptionDue } from './is-adoption-due.js'
 import { JobRegistry } from './registry/job-registry.js'
 import { JobOwner } from './job-owner.js'
+import { rankSuccessors } from './rank-successors.js'
 import type { UnownedJob } from './unowned-job.js'
 import { UnownedJobs } from './unowned-jobs.js'
 
@@ -18,7 +18,10 @@
 /** Delay before another attempt to take over a job that could not be read, ms: the store is unavailable, or the items were never stored. */
 const UNAVAILABLE_DELAY = 1_000
 const MISSING_DELAY = 4_000
-/** Further delay of a daemon for each one that ranks before it, ms, so that these take a job over first once the store is available again. */
+/**
+ * Further delay of a daemon for each one that ranks before it, ms, so that these take a job over first once the store is available again. For
+ * items that were never stored the whole delay grows with the square of the rank: each daemon finds the same, and the first goes on looking.
+ */
 const RANK_DELAY = 4_000
 /** Number of jobs that are taken over concurrently. */
 const MAX_CONCURRENT = 2
@@ -50,7 +53,7 @@
     @inject(JobOwner) private readonly owner: Pick<JobOwner, 'adopt'>,
     @inject(JobRegistry) private readonly registry: Pick<JobRegistry, 'publishSeen'>,
     @inject(UnownedJobs) private readonly unowned: Pick<UnownedJobs, 'update'>,
-    @inject(Members) private readonly members: Pick<Members, 'owners'>,
+    @inject(Members) private readonly members: Pick<Members, 'owners' | 'all'>,
     @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance'>,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
@@ -67,7 +70,8 @@
 
   private check (): void {
     const names = this.listCandidates()
-    const unowned = this.unowned.update().map(found => ({ ...found, position: rankOwners(found.job.id, names).indexOf(this.settings.instance) }))
+    const members = this.members.all()
+    const unowned = this.unowned.update().map(found => ({ ...found, position: rankSuccessors(found.job.id, names, members).indexOf(this.settings.instance) }))
     const now = this.clock.now()
     this.due = orderAdoptions(unowned.filter(({ reason, since, position }) => isAdoptionDue(reason, { age: now - since, position })))
     while (this.running < MAX_CONCURRENT && this.due.length > 0) void this.adoptDue()
@@ -97,8 +101,9 @@
       this.retryAt.delete(id)
       return
     }
-    const delay = adopted.val.type === 'missing' ? MISSING_DELAY : UNAVAILABLE_DELAY
-    this.retryAt.set(id, this.clock.now() + delay + Math.max(0, position) * RANK_DELAY)
+    const rank = Math.max(0, position)
+    const delay = adopted.val.type === 'missing' ? MISSING_DELAY * (1 + rank) ** 2 : UNAVAILABLE_DELAY + rank * RANK_DELAY
+    this.retryAt.set(id, this.clock.now() + delay)
   }
 
   /** Publishes jobs whose owner has ended, because the daemon that should take one over may not know it. */
--- a/test/jobs/is-adoption-due.test.ts
+++ b/test/jobs/is-adoption-due.test.ts
@@ -7,10 +7,12 @@
   ['ended', 0, 0],
   ['lost', 1, 4_000],
   ['ended', 2, 8_000],
-  ['lost', 3, Infinity],
+  ['lost', 3, 9_000],
+  ['ended', 9, 15_000],
   ['lost', -1, Infinity],
   ['unknown', 0, 5_000],
   ['unknown', 1, 9_000],
+  ['unknown', 3, 14_000],
   ['not held', 0, 2_000],
   ['not held', 4, 2_000],
   ['not held', -1, 2_000]
--- a/test/jobs/job-adoption.test.ts
+++ b/test/jobs/job-adoption.test.ts
@@ -41,7 +41,7 @@
     }
   }
   const list = (): readonly UnownedJob[] => jobs.filter((_, i) => clock.now() >= i * 1_000).map((id, i) => ({ job: { id, submittedAt: i } as unknown as KnownJob, reason: 'ended', since: 0 }))
-  void new JobAdoption(owner, { publishSeen: () => {} }, { update: list }, { owners: () => ['d'] }, { instance: 'd' }, clock).start()
+  void new JobAdoption(owner, { publishSeen: () => {} }, { update: list }, { owners: () => ['d'], all: () => [] }, { instance: 'd' }, clock).start()
   await clock.advance(advance)
   return attempts
 }
