Placement: a stream bound to a version of slow servers runs at one of them

Callers saw: while a server's software was being replaced, a stream that had begun at the old version was refused with "no server of the pool is open" when the servers of that version left were far too slow, though they had free slots.

Cause: a server that is too slow isn't among the candidates of any online request. For a request bound to a version this left an empty list, which `plan` takes for a pool without servers.

Change: `SlotGroup.listSlow` lists these servers with all of their slots, and `SlotQueue` uses them for a request bound to a version that no other candidate has. Requests that may run elsewhere still never begin there; counts of free slots and the plan of batch are as before (one item a slow server). Ejected servers stay out. Estimates of what waits ahead count only the slots that requests of any version share.

Open: a group's broker knows its own servers only; a usual server of the version in another group isn't considered.

--- a/src/placement/slot-broker.ts
+++ b/src/placement/slot-broker.ts
@@ -195,6 +195,7 @@
     const servers = new SlotGroup({ pool, group, clock, loads, map, ledger, log: this.log })
     const queue = new SlotQueue({
       listCandidates: () => servers.listCandidates(),
+      listSlow: () => servers.listSlow(),
       hasVersion: version => this.loads.listOfVersion(pool, version).length > 0,
       getHoldTime: () => this.holdTimes.find(pool),
       getMeanSize: () => this.holdTimes.findSize(pool),
--- a/src/placement/slot-group.ts
+++ b/src/placement/slot-group.ts
@@ -32,7 +32,7 @@
     return this.options.map.listServers(this.options.pool, this.options.group)
   }
 
-  /** Lists the servers that requests may be granted slots of. */
+  /** Lists the servers that requests may be granted slots of, except those of `listSlow`. */
   listCandidates (): readonly CandidateServer[] {
     const { clock, loads, ledger } = this.options
     const now = clock.now()
@@ -59,7 +59,8 @@
   planBatch (countWaiting: (versions: ReadonlySet<string>) => number): ReturnType<typeof planBatch> {
     const now = this.options.clock.now()
     const open = this.listCandidates().filter(({ server, probe }) => probe === undefined || this.outliers.mayItemsProbe(server, now))
-    const candidates = [...open, ...this.listSlow(now), ...this.listItemProbes()]
+    const slow = this.listSlow().map(candidate => ({ ...candidate, ...this.options.ledger.find(candidate.server), slots: 1 }))
+    const candidates = [...open, ...slow, ...this.listItemProbes()]
     const idle = candidates.filter(({ slots, online, batch }) => slots > online + batch)
     return planBatch(candidates, countWaiting(new Set(idle.map(({ version }) => version))))
   }
@@ -95,12 +96,14 @@
     }
   }
 
-  /** Lists the servers that are too slow for online requests; one item at each shows when that has passed. */
-  private listSlow (now: number): readonly CandidateServer[] {
-    const { loads, ledger } = this.options
+  /** Lists the servers that are too slow for online requests which may run elsewhere; one item at each shows when that has passed. */
+  listSlow (): readonly CandidateServer[] {
+    const { clock, loads, ledger } = this.options
+    const now = clock.now()
+    const unresponsive = ledger.listUnresponsive(now)
     return this.names.flatMap(name => {
       const candidate = this.outliers.getStanding(name, now) === 'open' && this.paces.find(name, now) === 'too slow' ? loads.findCandidate(name) : undefined
-      return candidate === undefined ? [] : [{ ...candidate, ...ledger.find(name), slots: 1, ownBatch: 0 }]
+      return candidate === undefined ? [] : [{ ...candidate, ...ledger.find(name, unresponsive), ownBatch: 0 }]
     })
   }
 
--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -30,6 +30,8 @@
 interface SlotQueueOptions {
   /** Returns the servers that the queue grants slots of, with their current counts. */
   readonly listCandidates: () => readonly CandidateServer[]
+  /** Returns the servers that are too slow for requests which may run elsewhere; none by default. */
+  readonly listSlow?: () => readonly CandidateServer[]
   /** Whether a live server has the version. */
   readonly hasVersion?: (version: string) => boolean
   /** Returns the mean slot hold time, ms. */
@@ -82,7 +84,8 @@
     const isFirst = this.queue.length === 0 && !late
     const flow = this.findFlow(request)
     const candidates = isFirst ? this.options.listCandidates() : []
-    const chosen = this.isWithheld(flow, request, candidates) ? undefined : this.choose(request, candidates)
+    const usable = isFirst ? this.listUsable(candidates, request.version) : []
+    const chosen = this.isWithheld(flow, request, candidates) ? undefined : this.choose(request, usable)
     if (chosen !== undefined) {
       this.shares.recordStart(flow, request.size)
       return request.start(chosen.server)
@@ -142,11 +145,11 @@
     const { listCandidates, clock, random } = this.options
     if (waiting.version !== undefined && this.options.hasVersion?.(waiting.version) === false) return this.buildRefusal('no server', random.spread(NO_SERVER_RETRY_AFTER, NO_SERVER_JITTER), `no server has version ${waiting.version}`)
     const all = listCandidates()
-    const candidates = filterVersion(all, waiting.version)
+    const candidates = this.listUsable(all, waiting.version)
     if (candidates.length === 0 && !waiting.returning) return this.buildRefusal('no server', random.spread(NO_SERVER_RETRY_AFTER, NO_SERVER_JITTER), 'no server of the pool is open')
     const now = clock.now()
     const plan = planWait({
-      ahead: this.estimateAhead(waiting, countSlots(candidates) / Math.max(1, countSlots(all))),
+      ahead: this.estimateAhead(waiting, countSlots(candidates.filter(candidate => all.includes(candidate))) / Math.max(1, countSlots(all))),
       interval: this.estimateInterval(candidates),
       holdTime: this.options.getHoldTime(),
       waited: now - waiting.targetStart,
@@ -211,8 +214,18 @@
     })
   }
 
-  private choose ({ key, version, avoided, repeatable }: PlacementRequest, candidates: readonly CandidateServer[]): CandidateServer | undefined {
-    return chooseCandidate(filterVersion(candidates, version), { random: this.options.random, key, avoided, repeatable })
+  private choose ({ key, avoided, repeatable }: PlacementRequest, usable: readonly CandidateServer[]): CandidateServer | undefined {
+    return chooseCandidate(usable, { random: this.options.random, key, avoided, repeatable })
+  }
+
+  /**
+   * Returns the candidates that may run a request of the version. Where only slow servers have it, those are usable: the request can run nowhere
+   * else, and late is better than refused.
+   */
+  private listUsable (candidates: readonly CandidateServer[], version: string | undefined): readonly CandidateServer[] {
+    if (version === undefined) return candidates
+    const usual = filterVersion(candidates, version)
+    return usual.length > 0 ? usual : filterVersion(this.options.listSlow?.() ?? [], version)
   }
 
   private grantFree (): void {
@@ -231,7 +244,7 @@
         return false
       }
       if (this.isWithheld(waiting.flow, waiting, candidates)) continue
-      const chosen = this.choose(waiting, candidates)
+      const chosen = this.choose(waiting, this.listUsable(candidates, waiting.version))
       if (chosen === undefined && waiting.version === undefined) return false
       if (chosen === undefined) continue
       if (late) this.lateLimiter.recordStart(now)
@@ -251,8 +264,8 @@
   return isShareUsed ? `; ${flow} had its share` : `; ${flow} was below its share`
 }
 
-function filterVersion (candidates: readonly CandidateServer[], version: string | undefined): readonly CandidateServer[] {
-  return version === undefined ? candidates : candidates.filter(candidate => candidate.version === version)
+function filterVersion (candidates: readonly CandidateServer[], version: string): readonly CandidateServer[] {
+  return candidates.filter(candidate => candidate.version === version)
 }
 
 /** Estimates the share of a slot that `other` takes of those with the version, which are `part` of all slots. */
