--- a/src/placement/slot-queue.ts
+++ b/src/placement/slot-queue.ts
@@ -4,6 +4,8 @@
 import type { Metrics } from '../observe/metrics.js'
 import type { CandidateServer } from './candidate-server.js'
 import { chooseCandidate } from './choose-candidate.js'
+import { countSlots } from './count-slots.js'
+import { filterUsable } from './filter-usable.js'
 import { givenUpRefusal } from './given-up-refusal.js'
 import { LateLimiter } from './late-limiter.js'
 import type { PlacementRequest } from './placement-request.js'
@@ -30,6 +32,8 @@
 interface SlotQueueOptions {
   /** Returns the servers that the queue grants slots of, with their current counts. */
   readonly listCandidates: () => readonly CandidateServer[]
+  /** Returns the servers that are too slow for requests which may run elsewhere; none by default. */
+  readonly listSlow?: () => readonly CandidateServer[]
   /** Whether a live server has the version. */
   readonly hasVersion?: (version: string) => boolean
   /** Returns the mean slot hold time, ms. */
@@ -82,7 +86,8 @@
     const isFirst = this.queue.length === 0 && !late
     const flow = this.findFlow(request)
     const candidates = isFirst ? this.options.listCandidates() : []
-    const chosen = this.isWithheld(flow, request, candidates) ? undefined : this.choose(request, candidates)
+    const usable = isFirst ? this.listUsable(candidates, request) : []
+    const chosen = this.isWithheld(flow, request, candidates) ? undefined : this.choose(request, usable)
     if (chosen !== undefined) {
       this.shares.recordStart(flow, request.size)
       return request.start(chosen.server)
@@ -142,11 +147,11 @@
     const { listCandidates, clock, random } = this.options
     if (waiting.version !== undefined && this.options.hasVersion?.(waiting.version) === false) return this.buildRefusal('no server', random.spread(NO_SERVER_RETRY_AFTER, NO_SERVER_JITTER), `no server has version ${waiting.version}`)
     const all = listCandidates()
-    const candidates = filterUsable(all, waiting)
+    const candidates = this.listUsable(all, waiting)
     if (candidates.length === 0 && !waiting.returning) return this.buildRefusal('no server', random.spread(NO_SERVER_RETRY_AFTER, NO_SERVER_JITTER), 'no server of the pool is open')
     const now = clock.now()
     const plan = planWait({
-      ahead: this.estimateAhead(waiting, countSlots(candidates) / Math.max(1, countSlots(all))),
+      ahead: this.estimateAhead(waiting, countSlots(candidates.filter(candidate => all.includes(candidate))) / Math.max(1, countSlots(all))),
       interval: this.estimateInterval(candidates),
       holdTime: this.options.getHoldTime(),
       waited: now - waiting.targetStart,
@@ -211,9 +216,18 @@
     })
   }
 
-  private choose (request: PlacementRequest, candidates: readonly CandidateServer[]): CandidateServer | undefined {
-    const { key, avoided, repeatable } = request
-    return chooseCandidate(filterUsable(candidates, request), { random: this.options.random, key, avoided, repeatable })
+  private choose ({ key, avoided, repeatable }: PlacementRequest, usable: readonly CandidateServer[]): CandidateServer | undefined {
+    return chooseCandidate(usable, { random: this.options.random, key, avoided, repeatable })
+  }
+
+  /**
+   * Returns the candidates that may run a request. Where only slow servers have its version, those are usable: the request can run nowhere
+   * else, and late is better than refused.
+   */
+  private listUsable (candidates: readonly CandidateServer[], request: Pick<PlacementRequest, 'version' | 'excluded'>): readonly CandidateServer[] {
+    const { version } = request
+    const isUsual = version === undefined || candidates.some(candidate => candidate.version === version)
+    return filterUsable(isUsual ? candidates : this.options.listSlow?.() ?? [], request)
   }
 
   private grantFree (): void {
@@ -232,7 +246,7 @@
         return false
       }
       if (this.isWithheld(waiting.flow, waiting, candidates)) continue
-      const chosen = this.choose(waiting, candidates)
+      const chosen = this.choose(waiting, this.listUsable(candidates, waiting))
       if (chosen === undefined && waiting.version === undefined && waiting.excluded === undefined) return false
       if (chosen === undefined) continue
       if (late) this.lateLimiter.recordStart(now)
@@ -252,21 +266,12 @@
   return isShareUsed ? `; ${flow} had its share` : `; ${flow} was below its share`
 }
 
-/** Returns the candidates that may run the request. */
-function filterUsable (candidates: readonly CandidateServer[], { version, excluded }: Pick<PlacementRequest, 'version' | 'excluded'>): readonly CandidateServer[] {
-  return version === undefined && excluded === undefined ? candidates : candidates.filter(({ server, version: own }) => server !== excluded && (version === undefined || own === version))
-}
-
 /** Estimates the share of a slot that `other` takes of those with the version, which are `part` of all slots. */
 function estimateUse ({ version: other }: PlacementRequest, version: string | undefined, part: number): number {
   if (other === version) return 1
   return other === undefined ? part : 0
 }
 
-function countSlots (candidates: readonly CandidateServer[]): number {
-  return candidates.reduce((sum, { slots }) => sum + slots, 0)
-}
-
 function countOnline (candidates: readonly CandidateServer[]): number {
   return candidates.reduce((sum, { slots, online }) => sum + Math.min(slots, online), 0)
 }
