Blame: items whose trial of a refused part another daemon holds run without it after a while

What callers saw: none yet; found by review.

Cause: until a trial has passed, a refused part is tried by one daemon in the fleet. A daemon that can't begin (no slots, a service without servers, an item bound to a version) asks for the trial and holds it, 5 s each time, as with suspect parts before; the way out of ItemTrials acted for these only.

--- a/src/routing/blame/judge-refused-part.ts
+++ b/src/routing/blame/judge-refused-part.ts
@@ -12,10 +12,10 @@
   readonly now: number
 }
 
-/** Decides whether a request with a refused part may run: only items do, as trials of the part. */
+/** Decides whether a request with a refused part may run: only items do, as trials of the part. Where another daemon holds the trial, the wait counts from when trials may begin. */
 export function judgeRefusedPart ({ part, isItem, until, trials: { from, limit }, mayBegin, now }: RefusedPartInputs): PartDecision {
   const refused: PartDecision = { type: 'refused', part, left: until - now }
   if (!isItem) return refused
   if (now < from) return { ...refused, left: Math.min(from, until) - now }
-  return limit > 1 || mayBegin() ? { type: 'clear', trial: part, limit } : refused
+  return limit > 1 || mayBegin() ? { type: 'clear', trial: part, limit } : { type: 'wait', part, lostAt: from }
 }
