Blame: an item with several blamed parts is judged by the strictest

What callers saw: none yet; found by review. An item with a refused part whose trials had passed ran at once, up to 64 at each daemon, though another part of it was refused 1 s before, or suspect: each such run may crash a server.

Cause: the first refused part of a prompt decided alone, and a refused one before a suspect one. It mattered little while each trial was exclusive.

--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -1,6 +1,7 @@
 import { countMoments } from './count-moments.js'
 import { countRuns } from './count-runs.js'
 import { estimateChance } from './estimate-chance.js'
+import { findStrictest } from './find-strictest.js'
 import { findTrialTime } from './find-trial-time.js'
 import { hasEqualAges } from './has-equal-ages.js'
 import { isBetterCause } from './is-better-cause.js'
@@ -60,15 +61,13 @@
   private readonly verdicts = new Map<string, { readonly verdict: PartVerdict, readonly at: number }>()
   private readonly released = new ReleasedParts({ lateTime: LATE_TIME, maxParts: MAX_PARTS })
 
-  /** Judges a request by its parts. */
-  judge (parts: readonly string[], now: number): Judgement {
+  /** Judges a request by its parts. One that `mayTry` refused parts is judged by a suspect one where trials of all its refused ones have passed. */
+  judge (parts: readonly string[], now: number, { mayTry = false }: { readonly mayTry?: boolean } = {}): Judgement {
     if (this.evidence.size === 0) return { verdict: 'clear' }
-    let suspect: string | undefined
-    for (const part of parts) {
-      const verdict = this.judgeBeside(part, parts, now)
-      if (verdict === 'refused') return { verdict, part }
-      if (verdict === 'suspect') suspect ??= part
-    }
+    const verdicts = parts.map(part => this.judgeBeside(part, parts, now))
+    const suspect = parts.find((_, i) => verdicts[i] === 'suspect')
+    const strictest = findStrictest(parts.filter((_, i) => verdicts[i] === 'refused').map(part => ({ part, ...this.findTrials(part) })), now)
+    if (strictest !== undefined && !(mayTry && suspect !== undefined && now >= strictest.from && strictest.limit > 1)) return { verdict: 'refused', part: strictest.part }
     return suspect === undefined ? { verdict: 'clear' } : { verdict: 'suspect', part: suspect, isPending: this.isPending(suspect, now), isLikely: this.isLikely(suspect, now) }
   }
 
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -112,7 +112,7 @@
   /** Decides whether a request with these parts may run now; one with a suspect part, and an item with a refused one, once `begin` would be its trial. */
   check (parts: readonly string[], { isItem = false }: { readonly isItem?: boolean } = {}): PartDecision {
     const now = this.clock.now()
-    const { verdict, part, isPending = false, isLikely = false } = this.ledger.judge(parts, now)
+    const { verdict, part, isPending = false, isLikely = false } = this.ledger.judge(parts, now, { mayTry: isItem })
     if (part === undefined || verdict === 'clear') return { type: 'clear' }
     if (verdict === 'refused') {
       const { until } = this.ledger.listRefused(now).find(other => other.part === part)!
@@ -125,7 +125,7 @@
 
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
   begin (parts: readonly string[], server: string, isSent: () => boolean): PartRun {
-    const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now())
+    const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now(), { mayTry: true })
     const needsTrial = verdict === 'suspect' ? !isPending : verdict === 'refused' && this.ledger.findTrials(suspect!).limit === 1
     const tried = needsTrial && this.trials.take(suspect!) ? suspect : undefined
     const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
