Blame: a late report of a refusal doesn't begin the wait of its items anew

Cause: a report tells the time that is left. One that arrives over 2 s late tells a later end, which counted as a new refusal: at the daemon that was stopped, and by its records, sent each second, at all others. Each began the wait of 10 s anew; losses told late counted again as later ones.

--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -111,9 +111,12 @@
   addRefusal ({ part, until, beside, losses }: RefusedPart, now: number): boolean {
     const known = this.evidence.get(part) ?? NOTHING
     if (until <= now || this.findRelease(part, until) !== undefined || (known.refusedUntil ?? -Infinity) >= until - LATE_TIME) return false
-    const merged = losses.reduce<readonly PartLoss[]>((all, { server, at }) => mergeLoss(all, { server, at, first: at, began: at, runs: new Map(), beside }), known.losses)
+    // Reports that arrive late tell a later end and later losses of the same refusal; items must not wait anew for them.
+    const isSame = now < (known.refusedUntil ?? -Infinity) && until < known.refusedUntil! + REFUSAL_TIME
+    const added = isSame ? losses.filter(({ server }) => !known.losses.some(loss => loss.server === server)) : losses
+    const merged = added.reduce<readonly PartLoss[]>((all, { server, at }) => mergeLoss(all, { server, at, first: at, began: at, runs: new Map(), beside }), known.losses)
     this.refused.add(part)
-    this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedAt: now, refusedUntil: until, refusals: known.refusals + 1, beside, trialsPassed: 0 })
+    this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedUntil: until, beside, ...!isSame && { refusedAt: now, refusals: known.refusals + 1, trialsPassed: 0 } })
     return true
   }
 
--- a/test/helpers/simulate-items.ts
+++ b/test/helpers/simulate-items.ts
@@ -53,6 +53,8 @@
   readonly starved: Set<string>
   /** Shares of the messages between daemons, and of grants, that are lost. */
   readonly lost: { messages: number, grants: number }
+  /** How long messages to a daemon take beyond the usual time, ms, as while it is stopped. */
+  readonly delays: Map<string, number>
   /** Jobs whose look-ups fail. */
   readonly unread: Set<OwnedJob>
   readonly addJob: (id: string, job: { readonly daemon: string, readonly items: readonly JobItem[], readonly path?: string, readonly acceptedAt?: number }) => OwnedJob
@@ -85,6 +87,7 @@
   const [blames, runners, metrics] = [new Map<string, PartBlame>(), new Map<string, JobRunner>(), new Map<string, Metrics>()]
   const [sends, lines, jobs]: [Send[], Array<Record<string, unknown>>, OwnedJob[]] = [[], [], []]
   const [starved, lost, unread] = [new Set<string>(), { messages: 0, grants: 0 }, new Set<OwnedJob>()]
+  const delays = new Map<string, number>()
   const listeners = new Map<string, Parameters<SlotClient['subscribe']>[0]>()
   const health = new Map<string, ServerHealth | undefined>()
   const recordOutcome = (daemon: string, server: string, event: 'answered' | 'failed'): void => { health.set(`${daemon} ${server}`, stepServerHealth(health.get(`${daemon} ${server}`), event, clock.now())) }
@@ -95,7 +98,7 @@
   const send = (from: string, to: string, message: PeerMessage): void => {
     if (random.next() < lost.messages) return
     const arriving = structuredClone(message)
-    clock.after(LINK_DELAY + random.below(3), () => {
+    clock.after(LINK_DELAY + random.below(3) + (delays.get(to) ?? 0), () => {
       for (const { value } of blames.get(to)?.extensions ?? []) if ((value as PeerHandler).type === arriving.type) (value as PeerHandler).handle(arriving, from)
     })
   }
@@ -212,6 +215,7 @@
     lines,
     starved,
     lost,
+    delays,
     unread,
     addJob: (id, { daemon, items, path = '/a/', acceptedAt = clock.now() }) => {
       const header = { host: 'h', path, submittedAt: clock.date(), total: items.length, tokens: 0, owner: daemon, run: 1, parts: 1 }
