--- a/src/routing/blame/judge-refused-part.ts
+++ b/src/routing/blame/judge-refused-part.ts
@@ -9,13 +9,15 @@
   readonly trials: { readonly from: number, readonly limit: number }
   /** Whether the only trial in the fleet may begin here; called only if it is needed, since it may ask for it. */
   readonly mayBegin: () => boolean
+  /** Until when another daemon is taken to try the part without a grant, monotonic ms. */
+  readonly begunUntil: number
   readonly now: number
 }
 
-/** Decides whether a request with a refused part may run: only items do, as trials of the part. */
-export function judgeRefusedPart ({ part, isItem, until, trials: { from, limit }, mayBegin, now }: RefusedPartInputs): PartDecision {
+/** Decides whether a request with a refused part may run: only items do, as trials of the part. Where another daemon holds the trial, the wait counts from when trials may begin. */
+export function judgeRefusedPart ({ part, isItem, until, trials: { from, limit }, mayBegin, begunUntil, now }: RefusedPartInputs): PartDecision {
   const refused: PartDecision = { type: 'refused', part, left: until - now }
   if (!isItem) return refused
   if (now < from) return { ...refused, left: Math.min(from, until) - now }
-  return limit > 1 || mayBegin() ? { type: 'clear', trial: part, limit } : refused
+  return limit > 1 || mayBegin() ? { type: 'clear', trial: part, limit } : { type: 'wait', part, lostAt: from, begunUntil }
 }
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -107,11 +107,11 @@
   /** Decides whether a request with these parts may run now; one with a suspect part, and an item with a refused one, once `begin` would be its trial. */
   check (parts: readonly string[], { isItem = false }: { readonly isItem?: boolean } = {}): PartDecision {
     const now = this.clock.now()
-    const { verdict, part, isPending = false, isLikely = false } = this.ledger.judge(parts, now)
+    const { verdict, part, isPending = false, isLikely = false } = this.ledger.judge(parts, now, { mayTry: isItem })
     if (part === undefined || verdict === 'clear') return { type: 'clear' }
     if (verdict === 'refused') {
       const { until } = this.ledger.listRefused(now).find(other => other.part === part)!
-      return judgeRefusedPart({ part, isItem, until, now, trials: this.ledger.findTrials(part), mayBegin: () => this.trials.mayBegin(part) })
+      return judgeRefusedPart({ part, isItem, until, now, trials: this.ledger.findTrials(part), mayBegin: () => this.trials.mayBegin(part), begunUntil: this.trials.findBegunUntil(part) })
     }
     if (!isPending && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
     if (isLikely && !isItem && (isPending || this.trials.isBusy(part))) return { type: 'refused', part, left: TRIAL_TIME }
@@ -120,12 +120,12 @@
 
   /** Tells the other daemons of an item's trial that begins here, unless it was granted. */
   tellTrial (part: string): void {
-    if (!this.trials.mayBegin(part) && this.ledger.judge([part], this.clock.now()).verdict === 'suspect') this.broadcast.broadcast({ type: 'part trial begun', part }, `part trial begun ${part}`)
+    if (!this.trials.mayBegin(part) && this.ledger.findTrials(part).limit === 1) this.broadcast.broadcast({ type: 'part trial begun', part }, `part trial begun ${part}`)
   }
 
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
   begin (parts: readonly string[], server: string, isSent: () => boolean): PartRun {
-    const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now())
+    const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now(), { mayTry: true })
     const needsTrial = verdict === 'suspect' ? !isPending : verdict === 'refused' && this.ledger.findTrials(suspect!).limit === 1
     const tried = needsTrial && this.trials.take(suspect!) ? suspect : undefined
     const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
