Blame: after a trial that passed, items of a refused part grow in number at its daemon only

Grown at the daemon whose trial passed, the others by the trial of their own, both bounds hold: at most five, and a tenth of what waits ends in 5 s (crashed-items). No message is needed.

--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -143,19 +143,19 @@
     return this.evidence.get(part)?.losses.at(-1)?.at
   }
 
-  /** Returns from when on items may try a refused part, monotonic ms, and how many at once at each daemon; while it is 1, only one in the whole fleet. */
+  /** Returns from when on items may try a refused part, monotonic ms, and how many at once at this daemon; while it is 1, only one in the whole fleet. */
   findTrials (part: string): { readonly from: number, readonly limit: number } {
     const known = this.evidence.get(part) ?? NOTHING
     return { from: findTrialTime(known), limit: 2 ** (known.trialsPassed ?? 0) }
   }
 
-  /** Records that an item's trial of a refused part, begun then, has passed; returns whether other daemons should be told. */
-  addTrialPass (part: string, began: number, now: number): boolean {
-    const known = this.evidence.get(part)
-    const { trialsPassed = 0 } = known ?? NOTHING
-    if (known === undefined || trialsPassed >= MAX_TRIALS_PASSED || this.findRefused(part, now) === undefined || began < findTrialTime(known)) return false
-    this.evidence.set(part, { ...known, trialsPassed: trialsPassed + 1 })
-    return true
+  /** Records that an item of this daemon with these parts, begun then, has passed as a trial of the refused ones. */
+  addTrialPasses (parts: readonly string[], began: number, now: number): void {
+    for (const part of parts) {
+      const { trialsPassed = 0, ...known } = this.evidence.get(part) ?? NOTHING
+      if (this.findRefused(part, now) === undefined || began < findTrialTime(known)) continue
+      this.evidence.set(part, { ...known, trialsPassed: Math.min(MAX_TRIALS_PASSED, trialsPassed + 1) })
+    }
   }
 
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -62,7 +62,6 @@
     peerHandlerPoint.of({ type: 'part passes', handle: (message, from) => this.receivePasses(message, from) }),
     peerHandlerPoint.of({ type: 'part refused', handle: ({ refused }, from) => this.receiveRefused(refused, from) }),
     peerHandlerPoint.of({ type: 'part released', handle: message => this.receiveRelease(message) }),
-    peerHandlerPoint.of({ type: 'part trial passed', handle: ({ part }) => { this.ledger.addTrialPass(String(part), this.clock.now(), this.clock.now()) } }),
     ...createTrialHandlers(() => this.trials)
   ]
 
@@ -160,7 +159,7 @@
     if (run.hasPassed) return
     run.hasPassed = true
     this.clear(this.ledger.addPass(run.parts, this.clock.now()), true)
-    for (const part of run.parts) if (this.ledger.addTrialPass(part, run.began, this.clock.now())) this.broadcast.broadcast({ type: 'part trial passed', part }, `part trial passed ${part}`)
+    this.ledger.addTrialPasses(run.parts, run.began, this.clock.now())
   }
 
   private receiveLoss (message: Readonly<Record<string, unknown>>): void {
