The rest of a refused body is read at a limited rate

Cause: refused bodies were read and dropped at full speed. Each chunk is memory until it is collected, and the allocator keeps most of it for the process. Eight bodies of 20 MB come over loopback within a few tenths of a second, while the collector waits for the processor.

Change: `dropBody` reads 1 MB, then pauses 100 ms, for each connection; used where a body is over its limit and where a request is refused before its body is read (401, 404, 503 at both entries). The answer is sent at once as before, and the connection is kept. Before, the HTTP server itself read the bodies of the 401s.

Run besides: test/entry/{caller-connections,addresses,shutdown}, test/http, all passed.

Not covered: authorized requests whose handler reads no body.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -3,6 +3,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import { createAppServer } from '../http/create-app-server.js'
+import { dropBody } from '../http/drop-body.js'
 import { listen } from '../http/listen.js'
 import type { Clock } from '../kernel/clock.js'
 import { Extensions } from '../kernel/extensions.js'
@@ -56,7 +57,7 @@
 
   async start (): Promise<void> {
     for (const route of this.added.collect(routePoint)) this.addRoute(route)
-    this.app.noMatchHandler = (_req, res) => sendProblem(res, { status: 404, code: 'no-such-path', detail: 'there is nothing at this path' })
+    this.app.noMatchHandler = (req, res) => refuse(req, res, { status: 404, code: 'no-such-path', detail: 'there is nothing at this path' })
     this.port = await listen(this.server, this.settings.listen.host, this.settings.listen.port)
     this.log.write('info', 'entry', 'listening', { port: this.port })
     this.members.update({ port: this.port })
@@ -96,16 +97,22 @@
       }
       case 'caller': {
         if (this.configuration.value.version === 0) {
-          sendProblem(res, { status: 503, code: 'not-ready', detail: 'this daemon knows no configuration yet', retryAfter: NOT_READY_RETRY, more: { ran: 'not run' } })
+          refuse(req, res, { status: 503, code: 'not-ready', detail: 'this daemon knows no configuration yet', retryAfter: NOT_READY_RETRY, more: { ran: 'not run' } })
           return undefined
         }
         const caller = authenticate(req, this.configuration.value)
         if (caller !== undefined) return caller
       }
     }
-    sendProblem(res, { status: 401, code: 'wrong-token', detail: 'the bearer token is missing or not known' })
+    refuse(req, res, { status: 401, code: 'wrong-token', detail: 'the bearer token is missing or not known' })
     return undefined
   }
 }
 
+/** Refuses a request whose body isn't read. */
+function refuse (req: Request, res: Response, problem: Parameters<typeof sendProblem>[1]): void {
+  dropBody(req)
+  sendProblem(res, problem)
+}
+
 partRegistry.register({ name: 'entry', part: EntryServer, needs: ['configuration', 'dispatcher', 'peer links', 'members'] })
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -6,6 +6,7 @@
 import { Gate } from '../admission/gate.js'
 import { ConfigurationHolder } from '../config/configuration-holder.js'
 import type { Service } from '../config/service.js'
+import { dropBody } from '../http/drop-body.js'
 import { readBody } from '../http/read-body.js'
 import { sendJson } from '../http/send-json.js'
 import type { Clock } from '../kernel/clock.js'
@@ -77,7 +78,10 @@
   private async callService (req: Request, res: Response, caller: string): Promise<void> {
     const name = req.params.name!
     const service = this.configuration.value.services[name]
-    if (service?.kind !== 'plain') return sendProblem(res, { status: 404, code: 'no-such-service', detail: `there is no plain service ${name}` })
+    if (service?.kind !== 'plain') {
+      dropBody(req)
+      return sendProblem(res, { status: 404, code: 'no-such-service', detail: `there is no plain service ${name}` })
+    }
     const body = await this.readBody(req, res)
     if (body === undefined) return
     await this.forward(req, res, caller, { name, service, path: req.url.slice(`/services/${name}`.length) }, body)
--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -8,6 +8,7 @@
 import { findRoute } from '../config/find-route.js'
 import type { Route } from '../config/route.js'
 import { createAppServer } from '../http/create-app-server.js'
+import { dropBody } from '../http/drop-body.js'
 import type { EarlyServer } from '../http/early-server.js'
 import { listen } from '../http/listen.js'
 import { readBody } from '../http/read-body.js'
@@ -139,7 +140,7 @@
     const route = findRoute(routes, head.host, head.path)
     if (route === undefined) {
       this.log.write('info', 'entry', 'found no route', { request: head.id, host: head.host, path: head.path, configuration: version })
-      req.resume()
+      dropBody(req)
       return sendJson(res, 404, { cause: 'no route', detail: 'no route takes this host and path' })
     }
     const caller = await this.checkKey(req, route)
@@ -199,7 +200,7 @@
 
   private refuseKey (reason: 'unknown' | 'unsure', req: IncomingMessage, res: ServerResponse): void {
     if (reason === 'unsure') return this.refuseUnready(req, res)
-    req.resume()
+    dropBody(req)
     this.log.write('info', 'entry', 'refused an unknown key', { path: req.url, configuration: this.configuration.value.version })
     sendJson(res, UNAUTHORIZED, { cause: 'unknown key', detail: 'no caller has this key' })
   }
@@ -213,7 +214,7 @@
   }
 
   private refuseUnready (req: IncomingMessage, res: ServerResponse): void {
-    req.resume()
+    dropBody(req)
     sendRoutedRefusal(res, { cause: 'platform', ran: 'not run', retryAfter: this.forwarder.random.spread(this.startWait.retryAfter, NOT_READY_SPREAD), detail: 'this daemon knows no configuration yet, or can\'t tell whether it is the newest' })
   }
 }
