A stream that has begun isn't held back as late or as a retry when it waits for another server

Cause: its target time, for the first event, was over, so that it counted as late, and as a retry: both go behind all new requests, and late ones are held back until shortly before their callers leave. New requests come without end under overload.

Now its target starts anew with each ask, and it ranks as a first attempt by its own arrival. Each ask lasts half a second, since another group may have a free slot.

Failed tries: the new target alone (still behind all first attempts, `returning`); a deadline in place of the time at which its caller leaves, by reading: it would be held back for longer.

--- a/src/routing/slot-search.ts
+++ b/src/routing/slot-search.ts
@@ -14,8 +14,10 @@
 const ASK_AGAIN = 150
 /** Silence after which a request may begin again at the same server, ms: its connection may be lost. */
 const SAME_SERVER_SILENCE = 2_000
-/** How long one wait for a slot elsewhere lasts, ms: the next one may be at another group of servers. */
-const WAIT_ELSEWHERE = 500
+/** How long a request that a server has had waits at one group of servers, ms. */
+const MAX_TURN = 500
+/** Time within which a stream that has begun is to go on, ms, counted from each time it asks for a slot. */
+const GO_ON_WITHIN = 1_000
 /** How long a request whose server is silent asks for another slot before the silence counts against the server, ms. */
 const REPORT_SILENCE = 100
 
@@ -56,7 +58,7 @@
     const { gate, origin, signal } = this.options
     const blamed = await gate.wait()
     if (blamed !== undefined) return blamed
-    const slot = await this.ask(state, signal, server => this.startAt(server))
+    const slot = await (state.progressAt === undefined ? this.ask(state, signal, server => this.startAt(server)) : this.askForTurn(state, signal, server => this.startAt(server)))
     const isFinal = slot === undefined || 'server' in slot || state.progressAt === undefined || slot.cause === 'quarantined' || signal.aborted || origin.findLack() !== undefined
     if (!isFinal) await this.pause()
     return isFinal ? slot : undefined
@@ -73,14 +75,11 @@
     signal.addEventListener('abort', clock.after(REPORT_SILENCE, () => loads.outcomes.record(server, true)), { once: true })
     for (let state = getState(); !signal.aborted && state.mayRetry; state = getState()) {
       const excluded = clock.now() < since + SAME_SERVER_SILENCE ? server : undefined
-      const turn = new AbortController()
-      const cancel = clock.after(WAIT_ELSEWHERE, () => turn.abort())
-      const slot = await this.ask({ ...state, tried: [...state.tried, server], excluded }, AbortSignal.any([signal, turn.signal]), granted => {
+      const slot = await this.askForTurn({ ...state, tried: [...state.tried, server], excluded }, signal, granted => {
         if (signal.aborted || granted === excluded) return undefined
         this.moved = this.startElsewhere(granted, abandon)
         return this.moved
       })
-      cancel()
       if (slot !== undefined && 'server' in slot) return
       await this.pause()
     }
@@ -108,6 +107,17 @@
     })
   }
 
+  /** Asks for a slot, and gives up after a while: the next one may be free at another group of servers. */
+  private async askForTurn (state: SendState, signal: AbortSignal, start: Start): Promise<StartedSend | Refusal | undefined> {
+    const turn = new AbortController()
+    const cancel = this.options.tools.clock.after(MAX_TURN, () => turn.abort())
+    try {
+      return await this.ask(state, AbortSignal.any([signal, turn.signal]), start)
+    } finally {
+      cancel()
+    }
+  }
+
   private async ask ({ service, tried, progressAt, mayRetry, excluded }: SendState, signal: AbortSignal, start: Start): Promise<StartedSend | Refusal | undefined> {
     const { request, tools, origin } = this.options
     const lack = origin.findLack()
@@ -117,14 +127,13 @@
       const asked: PlacementRequest = {
         pool: service,
         ...buildPlacementTerms(request),
-        // The caller of a stream that has begun waits for its next event.
-        ...progressAt !== undefined && { beginBy: progressAt + (request.route.silence ?? Infinity) },
         isCounted: tried.length > 0,
         version: origin.version,
         avoided: tried,
         excluded,
         returning: request.asked < request.arrived || tried.length > 0,
         repeatable: mayRetry,
+        ...progressAt !== undefined && this.buildBegunTerms(progressAt),
         signal,
         start: server => resolve(start(server)),
         refuse: resolve
@@ -133,6 +142,16 @@
     })
   }
 
+  /**
+   * The terms of a stream that has begun: its target is the next event, not the first one. As a late request, or as one that its caller
+   * sends again, it would wait behind all new ones until its caller leaves, and the work done for it would be lost.
+   */
+  private buildBegunTerms (progressAt: number): Pick<PlacementRequest, 'asked' | 'beginBy' | 'returning'> {
+    const { request: { route }, tools: { clock } } = this.options
+    const now = clock.now()
+    return { asked: now, beginBy: Math.max(progressAt + (route.silence ?? 0), now + GO_ON_WITHIN), returning: false }
+  }
+
   private startAt (server: string): StartedSend | Refusal | undefined {
     const { gate, origin, refuse, open } = this.options
     const blamed = gate.check()
