An item waits longer for its first event after each run that brought none

Found by reading for silent servers: a run of an item waits 1.5 s for its first event, each time. Where every server needs longer (a long prompt, a slow or loaded server) no run brings an event, and the item is run again without end; its result never comes, and each run costs a server the whole prompt. Not shown to have been seen by callers.

The time doubles with each run without an event, up to the 30 s that an answer may go on without one, and begins anew with an event.

Between two events nothing loops: each run brings one at least, so that the item gets further, though a server that is silent for over 1 s between all its events is left after each (not mended).

--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -10,7 +10,7 @@
 import type { ItemOutcome } from './item-outcome.js'
 import type { ItemState } from './item-state.js'
 
-/** Timeouts until the first event and between two events, ms. */
+/** Timeouts until the first event, doubled with each run without one before, and between two events, ms. */
 const FIRST_EVENT_TIMEOUT = 1_500
 const EVENT_TIMEOUT = 1_000
 const DEADLINE = 600_000
@@ -77,7 +77,7 @@
       signal: this.abort.signal,
       paced: true,
       mayStart
-    }, { body, fingerprint: item.id, headerTimeout: FIRST_EVENT_TIMEOUT })
+    }, { body, fingerprint: item.id, headerTimeout: this.firstEventTimeout })
     if (opened.err) return opened.val.why === 'withheld' && !this.abort.signal.aborted ? { type: 'withheld' } : this.describeLoss(opened.val.detail)
     try {
       return await this.read(opened.val)
@@ -87,6 +87,11 @@
     }
   }
 
+  /** Servers that all need longer for a first event than a run waits would otherwise run the item without end. */
+  private get firstEventTimeout (): number {
+    return Math.min(PROGRESS_TIMEOUT, FIRST_EVENT_TIMEOUT * 2 ** this.options.state.losses)
+  }
+
   private async read (open: OpenExchange): Promise<ItemOutcome> {
     const { status, headers } = open.exchange
     const { dialect, clock, state: { item } } = this.options
@@ -107,7 +112,7 @@
     const run = new EventRun(state.last)
     const pace = new StreamPace(clock, (count, time) => intervals.record(open.server.name, count, time))
     let progressAt = clock.now()
-    for (let timeout = FIRST_EVENT_TIMEOUT; ; timeout = EVENT_TIMEOUT) {
+    for (let timeout = this.firstEventTimeout; ; timeout = EVENT_TIMEOUT) {
       const bytes = await open.exchange.read(timeout)
       if (bytes.err) return this.fail(open, bytes.val.detail)
       if (bytes.val === undefined) return this.endEvents(open, run)
