--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -60,6 +60,8 @@
   onCrash: () => void = () => {}
   private readonly server: Server = createServer((req, res) => { void this.handle(req, res) })
   private running = 0
+  /** Open answers whose end nothing but their connection marks. */
+  private readonly unmarked = new Set<ServerResponse>()
 
   constructor (private readonly options: EventEngineOptions) {}
 
@@ -75,9 +77,10 @@
     this.port = await listen(this.server, '127.0.0.1', port)
   }
 
-  /** Stops as a crashed process does: every connection is reset. */
+  /** Stops as a crashed process does. Answers whose end only their connection marks are reset, since a regular close is their end. */
   stop (): void {
     this.server.close()
+    for (const res of this.unmarked) closeIncomplete(res, false)
     this.server.closeAllConnections()
   }
 
@@ -106,7 +109,11 @@
     const headers = { 'content-type': 'text/event-stream', 'x-request-id': run.id, 'x-response-stamp': `stamp-${id}` }
     if (isMarked) res.writeHead(200, headers)
     else writeUnmarkedHead(res, 200, headers)
-    if (!isMarked) this.unmarkedRuns--
+    if (!isMarked) {
+      this.unmarkedRuns--
+      this.unmarked.add(res)
+      res.on('close', () => this.unmarked.delete(res))
+    }
     await this.stream(run, res, isMarked)
   }
 
