Jobs: an owner that lacks a job and can't read it releases it

Callers: a job that was confirmed with 202 and of which no item begins, as long as the store refuses one daemon.

Cause: where the registry names a live process that doesn't have the job, that process alone takes it over; every other daemon leaves the job to it. If the store refuses it, nothing ends that. It arises when the process's write of the job is reported as unknown and a repeat elsewhere confirms it.

Unchanged where the store serves the owner.

Why it works: the release has a later version than the entry that names this process, so that registries agree on it, and the job then has an end of its waiting in isAdoptionDue at every daemon. A daemon that has the job after all publishes itself in response. A job that isn't stored whole stays.

Not shown to be what the users saw: their record has no log of a daemon.

--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -4,7 +4,9 @@
 import { partRegistry } from '../kernel/part-registry.js'
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
+import type { LogSink } from '../observe/log-sink.js'
 import { Members } from '../peers/members.js'
+import type { StoreError } from '../store/store-error.js'
 import { isAdoptionDue } from './is-adoption-due.js'
 import { JobRegistry } from './registry/job-registry.js'
 import { JobOwner } from './job-owner.js'
@@ -36,7 +38,7 @@
 /**
  * Takes over jobs that no live daemon runs: those whose owner process has ended, by rank, and those that the registry attributes to this
  * process although it doesn't have them. The latter were stored by a write that was reported as failed, or released by a daemon that took
- * this one for their owner.
+ * this one for their owner. One of these that it can't read is released, for a daemon that can.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class JobAdoption implements Part {
@@ -50,11 +52,12 @@
   private cancel = (): void => {}
 
   constructor (
-    @inject(JobOwner) private readonly owner: Pick<JobOwner, 'adopt'>,
-    @inject(JobRegistry) private readonly registry: Pick<JobRegistry, 'publishSeen'>,
+    @inject(JobOwner) private readonly owner: Pick<JobOwner, 'adopt' | 'find'>,
+    @inject(JobRegistry) private readonly registry: Pick<JobRegistry, 'get' | 'publish' | 'publishSeen'>,
     @inject(UnownedJobs) private readonly unowned: Pick<UnownedJobs, 'update'>,
     @inject(Members) private readonly members: Pick<Members, 'owners' | 'all'>,
     @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance'>,
+    @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
     this.startedAt = clock.now()
@@ -94,7 +97,7 @@
     }
   }
 
-  private async adopt ({ job: { id }, position }: Adoption): Promise<void> {
+  private async adopt ({ job: { id }, reason, position }: Adoption): Promise<void> {
     if (this.clock.now() < (this.retryAt.get(id) ?? 0)) return
     const adopted = await this.owner.adopt(id)
     if (adopted.ok) {
@@ -104,6 +107,15 @@
     const rank = Math.max(0, position)
     const delay = adopted.val.type === 'missing' ? MISSING_DELAY * (1 + rank) ** 2 : UNAVAILABLE_DELAY + rank * RANK_DELAY
     this.retryAt.set(id, this.clock.now() + delay)
+    if (reason === 'not held' && adopted.val.type !== 'missing') this.release(id, adopted.val.type)
+  }
+
+  /** Publishes a job without an owner that the registry attributes to this process: the others leave it to this one, which can't read it. */
+  private release (id: string, error: StoreError['type']): void {
+    const known = this.registry.get(id)
+    if (known === undefined || known.owner !== this.settings.instance || this.owner.find(id) !== undefined) return
+    this.log.write('info', 'jobs', 'released a job that could not be read', { job: id, error })
+    this.registry.publish({ ...known, owner: '', run: 0 })
   }
 
   /** Publishes jobs whose owner has ended, because the daemon that should take one over may not know it. */
--- a/test/helpers/job-fleet.ts
+++ b/test/helpers/job-fleet.ts
@@ -174,7 +174,7 @@
     const endedJobs = new EndedJobWatch(owner, records, lookup, pauses, new Metrics(), { resultKeep: RESULT_KEEP }, { write: () => {} }, clock)
     const metrics = new Metrics()
     const unowned = new UnownedJobs(owner, registry, members, metrics, settings, { write: () => {} }, clock)
-    const adoption = new JobAdoption(owner, registry, unowned, members, settings, clock)
+    const adoption = new JobAdoption(owner, registry, unowned, members, settings, { write: () => {} }, clock)
     const search = new StoredJobSearch(registry, records, members, settings, { write: () => {} }, clock)
     const reader = new JobReader(owner, registry, records, links, pauses, metrics, { resultKeep: RESULT_KEEP }, settings, { write: () => {} }, clock)
     this.handlers.set(name, [...registry.extensions, ...registrySync.extensions, ...owner.extensions, ...reader.extensions, ...lookup.extensions].map(({ value }) => value as PeerHandler))
--- a/test/jobs/job-adoption.test.ts
+++ b/test/jobs/job-adoption.test.ts
@@ -34,6 +34,7 @@
 async function adopt (jobs: readonly string[], { time, advance }: { readonly time: (id: string) => number, readonly advance: number }): Promise<readonly string[]> {
   const [clock, attempts] = [new VirtualClock(), [] as string[]]
   const owner = {
+    find: () => undefined,
     adopt: async (id: string) => {
       attempts.push(`${id} at ${clock.now()}`)
       await pauseFor(clock, time(id))
@@ -41,7 +42,7 @@
     }
   }
   const list = (): readonly UnownedJob[] => jobs.filter((_, i) => clock.now() >= i * 1_000).map((id, i) => ({ job: { id, submittedAt: i } as unknown as KnownJob, reason: 'ended', since: 0 }))
-  void new JobAdoption(owner, { publishSeen: () => {} }, { update: list }, { owners: () => ['d'], all: () => [] }, { instance: 'd' }, clock).start()
+  void new JobAdoption(owner, { get: () => undefined, publish: () => {}, publishSeen: () => {} }, { update: list }, { owners: () => ['d'], all: () => [] }, { instance: 'd' }, { write: () => {} }, clock).start()
   await clock.advance(advance)
   return attempts
 }
--- a/test/jobs/job-owner.test.ts
+++ b/test/jobs/job-owner.test.ts
@@ -40,7 +40,7 @@
     this.owner = new JobOwner(records, runner as unknown as JobRunner, registry as unknown as JobRegistry, all as unknown as Members, { send: (to, message) => this.sent.push({ to, message }) }, new PauseWatch(clock), settings, { write: () => {} }, clock)
     void this.owner.start()
     const unowned = new UnownedJobs(this.owner, registry, all, new Metrics(), settings, { write: () => {} }, clock)
-    void new JobAdoption(this.owner, registry, unowned, all as unknown as Members, settings, clock).start()
+    void new JobAdoption(this.owner, registry, unowned, all as unknown as Members, settings, { write: () => {} }, clock).start()
     void new StoredJobSearch(registry, records, all as unknown as Members, settings, { write: () => {} }, clock).start()
   }
 
