Blame: a report of a loss counts once however late it arrives

One loss, told late to one of four daemons that is stopped 4 s in 8, had all four refuse the part after 22 s. By reading, it also accused that daemon's later runs on a server that was back under its id.

Now a report bears an id of its daemon, which records pass on; known ids are skipped. Daemons that send none are treated as before.

--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -6,11 +6,13 @@
 import { hasEqualAges } from './has-equal-ages.js'
 import { isBetterCause } from './is-better-cause.js'
 import { isLikelyCause } from './is-likely-cause.js'
+import { isReported } from './is-reported.js'
 import { isSameExit } from './is-same-exit.js'
 import { judgePart } from './judge-part.js'
 import type { Judgement } from './judgement.js'
 import { listPartLosses } from './list-part-losses.js'
 import { mergeLoss } from './merge-loss.js'
+import { mergeRefusedLosses } from './merge-refused-losses.js'
 import type { PartEvidence } from './part-evidence.js'
 import type { PartLoss } from './part-loss.js'
 import type { PartVerdict } from './part-verdict.js'
@@ -71,14 +73,17 @@
     return suspect === undefined ? { verdict: 'clear' } : { verdict: 'suspect', part: suspect, isPending: this.isPending(suspect, now), isLikely: this.isLikely(suspect, now) }
   }
 
-  /** Records the loss of a server. */
-  addLoss ({ server, at, daemon, runs }: ServerPartLoss, now: number): void {
+  /** Records the loss of a server; returns whether its report is new. */
+  addLoss (report: ServerPartLoss, now: number): boolean {
+    const { server, at, daemon, runs } = report
     const parts = new Set(runs.flatMap(run => run.parts).filter(part => at > this.released.findTime(part)))
-    this.lost = mergeLoss(this.lost, { server, at, first: at, began: at, runs: new Map([[daemon, runs.length]]), beside: [] }).filter(loss => now - loss.at < KEEP_TIME).slice(-MAX_LOST)
-    for (const [part, loss] of listPartLosses({ server, at, daemon, runs }, parts)) {
+    const isNew = !isReported(this.lost, report)
+    if (isNew) this.lost = mergeLoss(this.lost, { server, at, first: at, began: at, runs: new Map([[daemon, runs.length]]), ids: new Map(report.id === undefined ? [] : [[daemon, report.id]]), beside: [] }).filter(loss => now - loss.at < KEEP_TIME).slice(-MAX_LOST)
+    for (const [part, loss] of listPartLosses(report, parts)) {
       const known = this.evidence.get(part) ?? NOTHING
-      this.put(part, { ...known, losses: mergeLoss(known.losses, loss).slice(-MAX_LOSSES), trialsPassed: 0 })
+      if (!isReported(known.losses, report)) this.put(part, { ...known, losses: mergeLoss(known.losses, loss).slice(-MAX_LOSSES), trialsPassed: 0 })
     }
+    return isNew
   }
 
   /** Judges all parts by what is known now; returns those that are refused since. */
@@ -111,12 +116,10 @@
   addRefusal ({ part, until, beside, losses }: RefusedPart, now: number): boolean {
     const known = this.evidence.get(part) ?? NOTHING
     if (until <= now || this.findRelease(part, until) !== undefined || (known.refusedUntil ?? -Infinity) >= until - LATE_TIME) return false
-    // Reports that arrive late tell a later end and later losses of the same refusal; items must not wait anew for them.
+    // A report that arrives late tells a later end of the same refusal, for which items must not wait anew.
     const isSame = now < (known.refusedUntil ?? -Infinity) && until < known.refusedUntil! + REFUSAL_TIME
-    const added = isSame ? losses.filter(({ server }) => !known.losses.some(loss => loss.server === server)) : losses
-    const merged = added.reduce<readonly PartLoss[]>((all, { server, at }) => mergeLoss(all, { server, at, first: at, began: at, runs: new Map(), beside }), known.losses)
     this.refused.add(part)
-    this.put(part, { ...known, losses: merged.slice(-MAX_LOSSES), refusedUntil: until, beside, ...!isSame && { refusedAt: now, refusals: known.refusals + 1, trialsPassed: 0 } })
+    this.put(part, { ...known, losses: mergeRefusedLosses(known.losses, { losses, beside }, isSame).slice(-MAX_LOSSES), refusedUntil: until, beside, ...!isSame && { refusedAt: now, refusals: known.refusals + 1, trialsPassed: 0 } })
     return true
   }
 
@@ -134,13 +137,9 @@
     return this.released.findEnd(part, until)
   }
 
-  countLosses (part: string): number {
-    return this.evidence.get(part)?.losses.length ?? 0
-  }
-
-  /** Returns when the last server with the part in flight was lost. */
-  findLastLoss (part: string): number | undefined {
-    return this.evidence.get(part)?.losses.at(-1)?.at
+  /** Lists the losses of servers with the part in flight, in order. */
+  listLosses (part: string): readonly PartLoss[] {
+    return this.evidence.get(part)?.losses ?? []
   }
 
   /** Returns from when on items may try a refused part, monotonic ms, and how many at once at this daemon; while it is 1, only one in the whole fleet. */
@@ -259,7 +258,7 @@
 
   /** Lists a part's losses that aren't held against another one that is refused. */
   private listOpenLosses (part: string, now: number): readonly PartLoss[] {
-    return (this.evidence.get(part)?.losses ?? []).filter(loss => !this.findRefusedFor(loss, now).some(other => other !== part))
+    return this.listLosses(part).filter(loss => !this.findRefusedFor(loss, now).some(other => other !== part))
   }
 
   private findRefusedFor (loss: PartLoss, now: number): readonly string[] {
--- a/src/routing/blame/merge-loss.ts
+++ b/src/routing/blame/merge-loss.ts
@@ -11,6 +11,6 @@
   const at = Math.min(same.at, loss.at)
   const first = at - Math.max(same.at - same.first, loss.at - loss.first)
   const began = at - Math.min(same.at - same.began, loss.at - loss.began)
-  const merged = { ...same, at, first, began, runs: new Map([...same.runs, ...loss.runs]), beside: same.beside.filter(other => loss.beside.includes(other)) }
+  const merged = { ...same, at, first, began, runs: new Map([...same.runs, ...loss.runs]), ids: new Map([...same.ids ?? [], ...loss.ids ?? []]), beside: same.beside.filter(other => loss.beside.includes(other)) }
   return losses.map(other => other === same ? merged : other)
 }
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -114,7 +114,7 @@
     }
     if (!isPending && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
     if (isLikely && !isItem && (isPending || this.trials.isBusy(part))) return { type: 'refused', part, left: TRIAL_TIME }
-    return { type: 'wait', part, lostAt: this.ledger.findLastLoss(part), begunUntil: this.trials.findBegunUntil(part) }
+    return { type: 'wait', part, lostAt: this.ledger.listLosses(part).at(-1)?.at, begunUntil: this.trials.findBegunUntil(part) }
   }
 
   /** Tells the other daemons of an item's trial that begins here, unless it was granted. */
@@ -138,9 +138,10 @@
     if (!this.exits.record(server, at)) return
     const runs = [...this.runs].filter(run => run.server === server && run.began <= at && run.isSent()).map(({ parts, began }) => ({ parts, began }))
     if (runs.length === 0) return
-    this.addLoss({ server, at, daemon: this.settings.instance, runs })
+    const report = { server, at, daemon: this.settings.instance, id: Math.round(this.clock.date()), runs }
+    this.addLoss(report)
     this.log.write('warn', 'blame', 'a server was lost with prompt parts in flight', { server, runs: runs.length, parts: [...new Set(runs.flatMap(({ parts }) => parts))] })
-    const send = (): void => this.broadcast.broadcast(encodeServerLoss({ server, at, daemon: this.settings.instance, runs }, this.clock.now()), `part losses ${server}`)
+    const send = (): void => this.broadcast.broadcast(encodeServerLoss(report, this.clock.now()), `part losses ${server}`)
     send()
     for (const delay of RESEND_DELAYS) this.clock.after(delay, send)
   }
@@ -165,8 +166,7 @@
   private receiveLoss (message: Readonly<Record<string, unknown>>): void {
     const loss = decodeServerLoss(message, this.clock.now())
     if (loss === undefined) return this.log.write('warn', 'blame', 'ignores a malformed report of a loss')
-    this.onServerLost(loss.server, loss.at)
-    this.addLoss(loss)
+    if (this.addLoss(loss)) this.onServerLost(loss.server, loss.at)
   }
 
   private receivePasses (message: Readonly<Record<string, unknown>>, from: string): void {
@@ -176,10 +176,11 @@
     this.log.write('warn', 'blame', 'ignores a malformed count of passes', { from })
   }
 
-  private addLoss (loss: ServerPartLoss): void {
+  /** Returns whether the report is new. */
+  private addLoss (loss: ServerPartLoss): boolean {
     this.passes.report([...new Set(loss.runs.flatMap(({ parts }) => parts))])
-    this.ledger.addLoss(loss, this.clock.now())
     this.clock.after(JUDGE_DELAY, () => this.review())
+    return this.ledger.addLoss(loss, this.clock.now())
   }
 
   private review (): void {
--- a/src/routing/blame/part-loss.ts
+++ b/src/routing/blame/part-loss.ts
@@ -8,6 +8,8 @@
   readonly began: number
   /** Number of runs there with the part, by daemon. */
   readonly runs: ReadonlyMap<string, number>
+  /** Ids of the daemons' reports, by daemon. */
+  readonly ids?: ReadonlyMap<string, number>
   /** The other parts that all runs there with this one had. */
   readonly beside: readonly string[]
 }
--- a/src/routing/blame/pass-reporter.ts
+++ b/src/routing/blame/pass-reporter.ts
@@ -43,7 +43,7 @@
   private send (parts: readonly string[], askedAt: number): void {
     const { ledger, broadcast, clock, instance } = this.options
     const now = clock.now()
-    const needed = parts.filter(part => ledger.countPasses(part, askedAt) - ledger.passes.get(part, askedAt) < ENOUGH_PASSES * (1 + ledger.countLosses(part)))
+    const needed = parts.filter(part => ledger.countPasses(part, askedAt) - ledger.passes.get(part, askedAt) < ENOUGH_PASSES * (1 + ledger.listLosses(part).length))
     const passes = Object.fromEntries(needed.map(part => [part, ledger.passes.get(part, now)]))
     if (needed.length > 0) broadcast.broadcast({ type: 'part passes', daemon: instance, passes, total: ledger.passes.total(now) }, `part passes ${needed.join()}`)
   }
