Blame: how often a part is in flight by chance counts the time of its runs, not only their number

Cause: the probability that a sound part is in flight at so many losses came from its share of all runs. An item lasts some ten times as long as an online request, so that its part is in flight ten times as often for the same number of runs; runs that are stopped for online requests before 1.5 s counted as none. So parts of items looked guilty wherever servers ended often.

Change: each daemon adds up how long runs with each part, and all runs, were in flight, and tells it with its passes ('part passes', new fields that earlier releases ignore). The larger of the two shares counts. After equal times the share of runs alone counts as before, since long runs don't make equal times more probable.

--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -15,10 +15,12 @@
 import { mergeRefusedLosses } from './merge-refused-losses.js'
 import type { PartEvidence } from './part-evidence.js'
 import type { PartLoss } from './part-loss.js'
+import { PartTotals } from './part-totals.js'
 import type { PartVerdict } from './part-verdict.js'
 import { PassCounter } from './pass-counter.js'
 import type { RefusedPart } from './refused-part.js'
 import { ReleasedParts } from './released-parts.js'
+import type { ToldPasses } from './told-passes.js'
 import type { ServerPartLoss } from './server-part-loss.js'
 import { splitLosses } from './split-losses.js'
 
@@ -53,9 +55,11 @@
 export class BlameLedger {
   /** The runs here that passed lately. */
   readonly passes = new PassCounter()
+  /** Time that runs here were in flight, ms. */
+  readonly times = new PartTotals()
   private readonly evidence = new Map<string, PartEvidence>()
-  /** Passes of all parts at other daemons, by daemon. */
-  private readonly totals = new Map<string, number>()
+  /** Passes and time in flight of all runs at other daemons, by daemon. */
+  private readonly totals = new Map<string, { readonly passes: number, readonly time: number }>()
   /** Runs that were lost with each server, as one entry for all requests. */
   private lost: readonly PartLoss[] = []
   /** Parts that have been refused, also those whose refusal has ended. */
@@ -101,13 +105,13 @@
   }
 
   /** Records how many runs passed at another daemon; returns the parts that are no longer refused since. */
-  addPasses (daemon: string, { passes, total }: { readonly passes: Readonly<Record<string, number>>, readonly total: number }, now: number): readonly string[] {
-    this.totals.set(daemon, total)
+  addPasses (daemon: string, { passes, total, times = {}, totalTime = 0 }: ToldPasses, now: number): readonly string[] {
+    this.totals.set(daemon, { passes: total, time: totalTime })
     this.verdicts.clear()
     return Object.entries(passes).flatMap(([part, count]) => {
       const known = this.evidence.get(part)
       if (known === undefined) return []
-      this.evidence.set(part, { ...known, passes: new Map(known.passes).set(daemon, { count, total }) })
+      this.evidence.set(part, { ...known, passes: new Map(known.passes).set(daemon, { count, total, time: times[part] ?? 0, totalTime }) })
       return this.clearIfSound(part, now) ? [part] : []
     })
   }
@@ -165,7 +169,7 @@
 
   /** Returns the runs of all requests here and, as far as is known, at other daemons that passed and that were lost with their servers. */
   countAll (now: number): { readonly lost: number, readonly passed: number } {
-    return { lost: countRuns(this.lost), passed: [...this.totals.values()].reduce((sum, count) => sum + count, this.passes.total(now)) }
+    return { lost: countRuns(this.lost), passed: [...this.totals.values()].reduce((sum, { passes }) => sum + passes, this.passes.total(now)) }
   }
 
   listRefused (now: number): readonly RefusedPart[] {
@@ -214,11 +218,16 @@
   /** Weighs a part's losses against its passes and the other losses. */
   private weigh (part: string, losses: readonly PartLoss[], now: number): Parameters<typeof judgePart>[1] {
     const passes = this.countPasses(part, now)
-    const told = this.evidence.get(part)?.passes ?? new Map<string, { readonly total: number }>()
-    const passed = [...this.totals].reduce((sum, [daemon, total]) => sum + (told.get(daemon)?.total ?? (passes < ENOUGH_PASSES ? total : 0)), this.passes.total(now))
+    const told = this.evidence.get(part)?.passes ?? NOTHING.passes
+    const totals = [...this.totals].map(([daemon, all]) => told.get(daemon) ?? { total: passes < ENOUGH_PASSES ? all.passes : 0, totalTime: passes < ENOUGH_PASSES ? all.time : 0 })
+    const passed = totals.reduce((sum, { total }) => sum + total, this.passes.total(now))
     const others = this.lost.filter(loss => !this.findRefusedFor(loss, now).some(other => other !== part))
-    const count = hasEqualAges(losses) ? (all: readonly PartLoss[]) => all.length : countMoments
-    const chance = estimateChance({ moments: Math.max(count(others), count(losses)), own: count(losses), ownRuns: countRuns(losses) + passes, runs: countRuns(others) + passed, lostRuns: countRuns(others) })
+    const isEqual = hasEqualAges(losses)
+    const count = isEqual ? (all: readonly PartLoss[]) => all.length : countMoments
+    const shareOfRuns = (countRuns(losses) + passes) / Math.max(1, countRuns(others) + passed)
+    const ownTime = [...told.values()].reduce((sum, { time }) => sum + time, this.times.get(part, now))
+    const shareOfTime = ownTime / Math.max(1, totals.reduce((sum, { totalTime }) => sum + totalTime, this.times.total(now)))
+    const chance = estimateChance({ moments: Math.max(count(others), count(losses)), own: count(losses), share: isEqual ? shareOfRuns : Math.max(shareOfRuns, shareOfTime), lostRuns: countRuns(others) })
     const all = this.countAll(now)
     return { passes, othersPass: all.passed >= USUAL_PASSES, all, allMoments: countMoments(others), chance, now }
   }
--- a/src/routing/blame/estimate-chance.ts
+++ b/src/routing/blame/estimate-chance.ts
@@ -2,18 +2,17 @@
   /** Moments at which servers were lost, and those among them with the part in flight there. */
   readonly moments: number
   readonly own: number
-  /** Runs with the part, and of all requests; those of all requests that were lost. */
-  readonly ownRuns: number
-  readonly runs: number
+  /** Share of the runs in flight that had the part, and the number of runs that were lost. */
+  readonly share: number
   readonly lostRuns: number
 }
 
 /**
- * Estimates how probable it is that a sound part was in flight at so many of the moments at which servers were lost: the more runs had
- * it, the more often it is there by chance. The first moment with it is left out, as it brought the part under suspicion.
+ * Estimates how probable it is that a sound part was in flight at so many of the moments at which servers were lost: the more runs in
+ * flight had it, the more often it is there by chance. The first moment with it is left out, as it brought the part under suspicion.
  */
-export function estimateChance ({ moments, own, ownRuns, runs, lostRuns }: LossCounts): number {
-  const expected = ownRuns / Math.max(1, runs) * lostRuns / Math.max(1, moments)
+export function estimateChance ({ moments, own, share, lostRuns }: LossCounts): number {
+  const expected = share * lostRuns / Math.max(1, moments)
   return estimateTail(own - 1, moments - 1, 1 - Math.exp(-expected))
 }
 
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -47,7 +47,7 @@
 const STORE_PERIOD = 5_000
 const STORE_RETRY = 500
 
-interface Run extends LostRun { readonly server: string, readonly isSent: () => boolean, hasPassed: boolean }
+interface Run extends LostRun { readonly server: string, readonly isSent: () => boolean, hasPassed: boolean, /** Until when its time in flight has been recorded, monotonic ms. */ recordedUntil: number }
 
 /**
  * Refuses requests whose prompts have a part that crashes each server which begins to answer them. No two such requests need be alike, and
@@ -127,10 +127,11 @@
     const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now(), { mayTry: true })
     const needsTrial = verdict === 'suspect' ? !isPending : verdict === 'refused' && this.ledger.findTrials(suspect!).limit === 1
     const tried = needsTrial && this.trials.take(suspect!) ? suspect : undefined
-    const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
+    const now = this.clock.now()
+    const run: Run = { parts, server, began: now, isSent, hasPassed: false, recordedUntil: now }
     this.runs.add(run)
     const endTrial = (): void => { if (tried !== undefined) this.trials.end(tried) }
-    return createPartRun({ clock: this.clock, remove: () => this.runs.delete(run), pass: () => this.pass(run), endTrial, isShortTrial: verdict === 'refused' })
+    return createPartRun({ clock: this.clock, remove: () => this.remove(run), pass: () => this.pass(run), endTrial, isShortTrial: verdict === 'refused' })
   }
 
   /** Holds a server's loss against the parts that were in flight there, and tells the other daemons. */
@@ -176,8 +177,20 @@
     this.log.write('warn', 'blame', 'ignores a malformed count of passes', { from })
   }
 
+  private remove (run: Run): boolean {
+    this.recordTime(run)
+    return this.runs.delete(run)
+  }
+
+  private recordTime (run: Run): void {
+    const now = this.clock.now()
+    if (now > run.recordedUntil) this.ledger.times.record(run.parts, now - run.recordedUntil, now)
+    run.recordedUntil = now
+  }
+
   /** Returns whether the report is new. */
   private addLoss (loss: ServerPartLoss): boolean {
+    for (const run of this.runs) this.recordTime(run)
     this.passes.report([...new Set(loss.runs.flatMap(({ parts }) => parts))])
     this.clock.after(JUDGE_DELAY, () => this.review())
     return this.ledger.addLoss(loss, this.clock.now())
--- a/src/routing/blame/part-evidence.ts
+++ b/src/routing/blame/part-evidence.ts
@@ -4,8 +4,8 @@
 export interface PartEvidence {
   /** Losses of servers with it in flight, each once, in order. */
   readonly losses: readonly PartLoss[]
-  /** Runs that passed at other daemons, by daemon: with the part, and of all requests when that was told. */
-  readonly passes: ReadonlyMap<string, { readonly count: number, readonly total: number }>
+  /** Runs that passed at other daemons, and their time in flight, ms, by daemon: with the part, and of all requests when that was told. */
+  readonly passes: ReadonlyMap<string, { readonly count: number, readonly total: number, readonly time: number, readonly totalTime: number }>
   /** When this daemon began to refuse it; undefined if it wasn't refused. */
   readonly refusedAt?: number
   /** End of its refusal; undefined if it wasn't refused. */
--- a/src/routing/blame/pass-reporter.ts
+++ b/src/routing/blame/pass-reporter.ts
@@ -8,6 +8,8 @@
 /** Known passes for each loss from which a daemon needn't tell its own, and the interval between two messages about a part, ms. */
 const ENOUGH_PASSES = 20
 const PASSES_INTERVAL = 1_000
+/** Time in flight from which a daemon tells it, though no run with the part has passed there, ms. */
+const MIN_TIME = 1_000
 /** Number of parts from which those told about longer ago than the interval are forgotten. */
 const MAX_PARTS = 4_000
 
@@ -19,7 +21,7 @@
   readonly instance: string
 }
 
-/** Tells the other daemons how often parts passed here, unless others have told enough. */
+/** Tells the other daemons how often parts passed here, and how long runs with them were in flight, unless others have told enough. */
 export class PassReporter {
   private readonly toldAt = new Map<string, number>()
 
@@ -28,7 +30,7 @@
   report (parts: readonly string[]): void {
     const { ledger, clock, random } = this.options
     const now = clock.now()
-    const own = parts.filter(part => ledger.passes.get(part, now) > 0 && now >= (this.toldAt.get(part) ?? -Infinity) + PASSES_INTERVAL)
+    const own = parts.filter(part => (ledger.passes.get(part, now) > 0 || ledger.times.get(part, now) >= MIN_TIME) && now >= (this.toldAt.get(part) ?? -Infinity) + PASSES_INTERVAL)
     if (own.length === 0) return
     for (const part of own) this.toldAt.set(part, now)
     clock.after(random.next() * PASSES_DELAY, () => this.send(own, now))
@@ -45,6 +47,7 @@
     const now = clock.now()
     const needed = parts.filter(part => ledger.countPasses(part, askedAt) - ledger.passes.get(part, askedAt) < ENOUGH_PASSES * (1 + ledger.listLosses(part).length))
     const passes = Object.fromEntries(needed.map(part => [part, ledger.passes.get(part, now)]))
-    if (needed.length > 0) broadcast.broadcast({ type: 'part passes', daemon: instance, passes, total: ledger.passes.total(now) }, `part passes ${needed.join()}`)
+    const times = Object.fromEntries(needed.map(part => [part, Math.round(ledger.times.get(part, now))]))
+    if (needed.length > 0) broadcast.broadcast({ type: 'part passes', daemon: instance, passes, total: ledger.passes.total(now), times, time: Math.round(ledger.times.total(now)) }, `part passes ${needed.join()}`)
   }
 }
--- a/test/routing/decode-part-messages.test.ts
+++ b/test/routing/decode-part-messages.test.ts
@@ -17,4 +17,5 @@
   t.deepEqual(decodeServerLoss({ server: 's', daemon: 'd', ago: 20, runs: [{ parts: ['a', 'b'], ago: 120 }] }, NOW), { server: 's', daemon: 'd', at: 9_980, runs: [{ parts: ['a', 'b'], began: 9_880 }] })
   t.deepEqual(decodeRefusedPart({ part: 'a', left: 500, beside: ['b'], losses: [{ server: 's', ago: 20 }, {}] }, NOW), { part: 'a', until: 10_500, beside: ['b'], losses: [{ server: 's', at: 9_980 }] })
   t.deepEqual(decodePasses({ passes: { a: 3 }, total: 9 }), { passes: { a: 3 }, total: 9 })
+  t.deepEqual(decodePasses({ passes: { a: 3 }, total: 9, times: { a: 700 }, time: 5_000 }), { passes: { a: 3 }, total: 9, times: { a: 700 }, totalTime: 5_000 })
 })
