Jobs: a look-up of ends that throws counts as failed, and is made again

Callers would see: after one malformed batch of changes of the ends, or one malformed answer of a domain leader, an unhandled rejection in the daemon that reads it; if the process goes on, no item of its jobs starts any more.

Cause: EndedJobWatch.check sets `checking` and cleared it only where the look-up resolved. EndedJobLookup applied what it read without a check.

Change: the look-up returns `invalid` for a batch that can't be applied, skips an answer without a list of ends, and leaves a malformed record of owners out; the watch takes any exception for a failed look-up.

Test: test/jobs/ended-job-watch-throws. On the code before 3 of its 4 tests failed and 8 unhandled rejections ended the file with an error (the fourth, the leader's answer, by those alone); after, 4 of 4 pass, as do the 54 tests of ended-job-*.test.ts.

--- a/src/jobs/ended-job-lookup.ts
+++ b/src/jobs/ended-job-lookup.ts
@@ -1,5 +1,5 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
-import { Ok, type Result } from 'ts-results'
+import { Ok, Result } from 'ts-results'
 import { rankOwners } from '../coordination/rank-owners.js'
 import type { Clock } from '../kernel/clock.js'
 import { partRegistry } from '../kernel/part-registry.js'
@@ -15,6 +15,7 @@
 import { PeerLinks } from '../peers/peer-links.js'
 import type { StoreError } from '../store/store-error.js'
 import { StoreMirror } from '../store/store-mirror.js'
+import type { WatchBatch } from '../store/watch-batch.js'
 import { JobRecords } from './job-records.js'
 import type { OwnerProcess } from './owner-process.js'
 
@@ -152,7 +153,7 @@
   private async ask (name: string, jobs: readonly string[]): Promise<EndedJobs | undefined> {
     const asked = this.clock.now()
     const answer = await this.calls.call(name, { jobs }, CALL_TIMEOUT)
-    if (answer !== undefined && Number.isFinite(answer.age)) return { ended: answer.ended, owners: answer.owners ?? {}, readAt: asked - answer.age }
+    if (answer !== undefined && Number.isFinite(answer.age) && Array.isArray(answer.ended)) return { ended: answer.ended, owners: answer.owners ?? {}, readAt: asked - answer.age }
     this.skippedUntil.set(name, this.clock.now() + SKIP_TIME)
     return undefined
   }
@@ -166,7 +167,7 @@
   private findStored (jobs: readonly string[]): StoredEnds {
     const owners = jobs.flatMap(job => {
       const recorded = this.mirror.get(JobRecords.buildOwnerName(job))
-      return recorded === undefined || recorded === true ? [] : [[job, recorded] as const]
+      return Array.isArray(recorded) ? [[job, recorded] as const] : []
     })
     return { ended: jobs.filter(job => this.mirror.get(job) === true), owners: Object.fromEntries(owners) }
   }
@@ -186,15 +187,19 @@
     const batch = await this.records.readEndedJobs(this.mirror.cursor)
     this.pauses.check()
     if (count !== this.pauses.count) return await this.readStore()
-    if (batch.err) {
+    const applied = batch.andThen(changes => this.apply(changes))
+    if (applied.err) {
       this.failedAt = this.clock.now()
-      return batch
+      return applied
     }
-    this.mirror.apply(batch.val)
     this.readAt = began
     this.failedAt = -Infinity
     return Ok(began)
   }
+
+  private apply (changes: WatchBatch<true | readonly OwnerProcess[]>): Result<unknown, StoreError> {
+    return Result.wrap(() => this.mirror.apply(changes)).mapErr(error => ({ type: 'invalid', reason: String(error) }))
+  }
 }
 
 partRegistry.register({ name: 'end lookup', part: EndedJobLookup, needs: ['members', 'peer links', 'pause watch'] })
--- a/src/jobs/ended-job-watch.ts
+++ b/src/jobs/ended-job-watch.ts
@@ -1,4 +1,5 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import { Err } from 'ts-results'
 import type { RoutedSettings } from '../entry/routed-settings.js'
 import type { Clock } from '../kernel/clock.js'
 import type { Part } from '../kernel/part.js'
@@ -22,6 +23,8 @@
 /** After this long without a successful read, ms, a job may have been ended and removed from the store meanwhile. */
 const MAX_READ_GAP = 10_000
 
+type Lookup = Awaited<ReturnType<EndedJobLookup['find']>>
+
 /**
  * Checks periodically whether the jobs that this daemon owns have been ended by their callers or taken over by other daemons. Messages between daemons make an owner stop
  * sooner but don't suffice: the daemon that acknowledges the end may not know the job or all of its owners, and a message may be lost. An owner
@@ -66,14 +69,23 @@
     if (this.checking || jobs.length === 0) return
     this.checking = true
     const { count } = this.pauses
-    const found = await this.lookup.find(jobs.map(({ id }) => id))
+    const found = await this.find(jobs)
     this.pauses.check()
     this.checking = false
     if (count === this.pauses.count) this.applyRead(jobs, found)
     else await this.check()
   }
 
-  private applyRead (jobs: readonly OwnedJob[], found: Awaited<ReturnType<EndedJobLookup['find']>>): void {
+  /** Looks the ends up. An exception counts as a failed look-up, so that further ones are made. */
+  private async find (jobs: readonly OwnedJob[]): Promise<Lookup> {
+    try {
+      return await this.lookup.find(jobs.map(({ id }) => id))
+    } catch (error) {
+      return Err({ type: 'invalid', reason: String(error) })
+    }
+  }
+
+  private applyRead (jobs: readonly OwnedJob[], found: Lookup): void {
     if (found.err) return this.recordFailure(jobs, found.val)
     this.failing = false
     for (const job of jobs) {
