Soak: a job whose cancellation was asked for may have ended

The check knew confirmed ends only and took the job for open, so that it demanded results that nobody owed.

--- a/bench/soak/sent-job.ts
+++ b/bench/soak/sent-job.ts
@@ -7,6 +7,8 @@
   /** Statuses of its submissions in order: 202 where it was accepted, 0 where no response came. */
   readonly statuses: number[]
   acceptedAt: number | undefined
+  /** When its cancellation was first asked for. From then on it may have ended, whether or not the caller gets an answer. */
+  endAskedAt?: number
   /** When its cancellation was confirmed. */
   endedAt: number | undefined
   readonly reads: JobReading[]
