Store: writes that the platform refuses to one daemon go through another

Callers: items that have ended stay unlisted (`storing`) as long as the store answers the writes of their owner with 429, or with 503 for writes alone; a job that stays so past the end is lost.

Cause: a caller's write went through a peer only while the circuit was open or where an attempt had no answer. A refusal is an answer, and other answers keep the circuit closed.

Change: store/refused-writes. Once all own writes of the last second were refused, a refused write of a caller is sent through a peer, which then serves the writes of 5 s before this daemon sends one itself again; a peer is searched once a second at most.

Why it works: a refused write has not taken effect and keeps its id over all paths, so that one attempt at most takes effect, as for relayed writes before.

Not shortened: a store silent to results of all but one daemon, up to 9.5 s.

--- a/src/store/call-gate.ts
+++ b/src/store/call-gate.ts
@@ -9,6 +9,7 @@
 import type { CallPriority } from './call-priority.js'
 import { Circuit } from './circuit.js'
 import { planRestartRate } from './plan-restart-rate.js'
+import { RefusedWrites } from './refused-writes.js'
 
 /** Initial rates, calls a second. */
 const READ_BUDGET = { rate: 200 }
@@ -37,6 +38,7 @@
 export class CallGate {
   private readonly budgets = { reads: new CallBudget(READ_BUDGET), writes: new CallBudget(WRITE_BUDGET) }
   private readonly circuit: Circuit
+  private readonly refusedWrites = new RefusedWrites()
   private readonly clock: Clock
   private readonly random: Random
   private readonly metrics: Metrics
@@ -73,11 +75,24 @@
 
   /**
    * Sends a call. A caller's call goes through the relay, if there is one, while the platform is unavailable to this daemon or
-   * where `relayed` is true; it is sent directly where the relay has no answer.
+   * where `relayed` is true; it is sent directly where the relay has no answer. A caller's write that the platform refuses to
+   * this daemon, for the rate limit or as unavailable, goes through the relay as well.
    */
   async send (call: ApiCall, priority: CallPriority, timeout: number, { relayed = this.isOut }: { readonly relayed?: boolean } = {}): Promise<ApiAnswer> {
-    const answer = relayed && priority === 'caller' ? await this.relay?.(call, timeout) : undefined
-    return answer ?? await this.sendDirect(call, priority, timeout)
+    const isWrite = this.isWrite(call)
+    if (priority !== 'caller') return await this.sendDirect(call, priority, timeout)
+    if (relayed) return await this.relay?.(call, timeout) ?? await this.sendDirect(call, priority, timeout)
+    const relayedAnswer = isWrite && this.refusedWrites.isRelayed(this.clock.now()) ? await this.relayRefused(call, timeout) : undefined
+    if (relayedAnswer !== undefined) return relayedAnswer
+    const answer = await this.sendDirect(call, priority, timeout)
+    const isSearch = isWrite && isRefusal(answer) && this.refusedWrites.beginSearch(this.clock.now())
+    return isSearch ? await this.relayRefused(call, timeout) ?? answer : answer
+  }
+
+  private async relayRefused (call: ApiCall, timeout: number): Promise<ApiAnswer | undefined> {
+    const answer = await this.relay?.(call, timeout)
+    this.refusedWrites.recordRelay(answer?.type === 'answered', this.clock.now())
+    return answer
   }
 
   /** Sends a call directly to the platform. */
@@ -118,13 +133,18 @@
     return PRIORITIES.slice(0, PRIORITIES.indexOf(priority)).some(before => this.waiting[before] > 0)
   }
 
-  private chooseBudget ({ type }: ApiCall): CallBudget {
-    return type === 'put' || type === 'put status' || type === 'delete' ? this.budgets.writes : this.budgets.reads
+  private chooseBudget (call: ApiCall): CallBudget {
+    return this.isWrite(call) ? this.budgets.writes : this.budgets.reads
+  }
+
+  private isWrite ({ type }: ApiCall): boolean {
+    return type === 'put' || type === 'put status' || type === 'delete'
   }
 
   /** An unanswered watch doesn't count as a failure of the platform: that watch alone may hang. */
   private record (call: ApiCall, answer: ApiAnswer): void {
     const now = this.clock.now()
+    if (this.isWrite(call) && answer.type !== 'no answer') this.refusedWrites.recordAnswer(isRefusal(answer), now)
     if (answer.type === 'answered' || answer.type === 'limited') {
       if (answer.type === 'limited') this.chooseBudget(call).onRefused(this.random.spread(answer.retryAfter, JITTER), now)
       if (this.circuit.onAnswer(now)) this.restartBudgets(now)
@@ -151,6 +171,11 @@
   }
 }
 
+/** Whether the platform, or this daemon's budget, refused the call, so that it hasn't taken effect. */
+function isRefusal ({ type }: ApiAnswer): boolean {
+  return type === 'limited' || type === 'out'
+}
+
 /**
  * Whether a call went unanswered because this process was paused: when it resumes, the timeout fires before the answer
  * in the socket buffer is read. Counted as failures, two such calls would open the circuit of a platform that is up.
