Jobs: stored headers are listed from time to time, whatever is open

Callers would see: an accepted job that nobody runs, as long as no daemon begins or ends, where its owner ended before its publication reached anyone and the store refused all listings of the next 30 s, or listed an old state.

Cause: later than 30 s after the last change of processes headers were listed only while a registry had an open job. The job that no registry has isn't known to be open.

Change: one daemon lists them each 20 s, without that condition.

--- a/src/jobs/stored-job-search.ts
+++ b/src/jobs/stored-job-search.ts
@@ -41,7 +41,7 @@
   private cancel = (): void => {}
 
   constructor (
-    @inject(JobRegistry) private readonly registry: Pick<JobRegistry, 'get' | 'list' | 'addIfAbsent' | 'publishSeen'>,
+    @inject(JobRegistry) private readonly registry: Pick<JobRegistry, 'get' | 'addIfAbsent' | 'publishSeen'>,
     @inject(JobRecords) private readonly records: Pick<JobRecords, 'listHeaders'>,
     @inject(Members) private readonly members: Pick<Members, 'all' | 'owners'>,
     @inject(tokens.settings) private readonly settings: Pick<Settings, 'instance'>,
@@ -77,12 +77,8 @@
 
   /** Whether a turn has begun in which this daemon searches. */
   private isTurn (names: readonly string[]): boolean {
-    const turn = findSearchTurn({
-      date: this.clock.date(),
-      sinceChange: this.clock.now() - this.changedAt,
-      hasOpenJobs: this.registry.list().some(({ closed }) => !closed)
-    })
-    if (turn === undefined || turn === this.turn) return false
+    const turn = findSearchTurn({ date: this.clock.date(), sinceChange: this.clock.now() - this.changedAt })
+    if (turn === this.turn) return false
     this.turn = turn
     return this.isFirst(turn, names)
   }
