A write whose attempts were all refused is refused, also where a refusal comes late

Callers saw: 502 (outcome unknown) for a job that the store had refused, in place of 503 (not run) with when to come back.

Cause: a caller's write ended its first attempt after 250 ms. A refusal that came later reached nobody, and the refusals of the further attempts, which came at once, say nothing about the first, so that the outcome counted as unknown.

Change: CallGate leaves a caller's write open for 1 s after its timeout, four at most at once, and PlatformClient waits for the late answers where the last attempt was refused. All refused: unavailable or limited. One of them taken: written. Else unknown, as before. The timeout counts against the platform when it did before. platform_late_answers_total counts late answers.

Evidence: test/whole/slow-refusals (a store that answers 503 after 400 ms), 502 on the bundle before, 503 after it, one run each. test/store/late-answers on virtual time: 2 of 4 tests failed before, all pass. test/store and test/jobs pass (371 tests, rc 0).

--- a/src/store/call-gate.ts
+++ b/src/store/call-gate.ts
@@ -26,11 +26,21 @@
 const YIELD_DELAY = 50
 /** A timeout that fires this late means that this process was paused, ms. */
 const LATE_THRESHOLD = 500
+/** How long a call stays open after its timeout where its late answer is of use, ms. */
+const LATE_WAIT = 1_000
+/** Most calls that stay open after their timeouts at once, so that a slow platform's late answers don't occupy all connections. */
+const MAX_LATE_CALLS = 4
 const OUT: ApiAnswer = { type: 'not sent', reason: 'the platform is out' }
 
 /** The platform's rate limits for all daemons together, calls a second. */
 interface FleetRates { readonly reads: number, readonly writes: number }
 
+/** `signal` ends a call without an answer; `onLate` is given the answer that a call may get after its timeout, if the call stays open for it. */
+interface DirectOptions {
+  readonly signal?: AbortSignal
+  readonly onLate?: (answer: Promise<ApiAnswer>) => void
+}
+
 type Relay = (call: ApiCall, timeout: number) => Promise<ApiAnswer | undefined>
 
 /** Sends calls to the platform within the budget, and refuses them at once while the platform is unavailable. */
@@ -45,6 +55,7 @@
   private relay: Relay | undefined
   private readonly fleetRates: FleetRates | undefined
   private countDaemons = (): number => 1
+  private lateCalls = 0
 
   constructor (private readonly transport: ApiTransport, { clock, random, metrics, maxProbeDelay, fleetRates }: { readonly clock: Clock, readonly random: Random, readonly metrics: Metrics, readonly maxProbeDelay?: number, readonly fleetRates?: FleetRates }) {
     this.clock = clock
@@ -75,20 +86,20 @@
    * Sends a call. A caller's call goes through the relay, if there is one, while the platform is unavailable to this daemon or
    * where `relayed` is true; it is sent directly where the relay has no answer.
    */
-  async send (call: ApiCall, priority: CallPriority, timeout: number, { relayed = this.isOut }: { readonly relayed?: boolean } = {}): Promise<ApiAnswer> {
+  async send (call: ApiCall, priority: CallPriority, timeout: number, { relayed = this.isOut, onLate }: Pick<DirectOptions, 'onLate'> & { readonly relayed?: boolean } = {}): Promise<ApiAnswer> {
     const answer = relayed && priority === 'caller' ? await this.relay?.(call, timeout) : undefined
-    return answer ?? await this.sendDirect(call, priority, timeout)
+    return answer ?? await this.sendDirect(call, priority, timeout, { onLate })
   }
 
   /** Sends a call directly to the platform. */
-  async sendDirect (call: ApiCall, priority: CallPriority, timeout: number, signal?: AbortSignal): Promise<ApiAnswer> {
+  async sendDirect (call: ApiCall, priority: CallPriority, timeout: number, { signal, onLate }: DirectOptions = {}): Promise<ApiAnswer> {
     const refusal = priority === 'probe' ? undefined : await this.admit(call, priority)
     if (refusal !== undefined) {
       this.metrics.count('platform_calls_refused_total', { call: call.type, priority, cause: refusal.type === 'limited' ? 'budget' : 'out' })
       return refusal
     }
     const startedAt = this.clock.now()
-    const answer = await this.transport.send(call, timeout, signal)
+    const answer = onLate === undefined ? await this.transport.send(call, timeout, signal) : await this.sendKept(call, timeout, onLate)
     this.metrics.count('platform_calls_total', { call: call.type, outcome: answer.type })
     if (call.type !== 'watch') this.metrics.observe('platform_call_ms', this.clock.now() - startedAt, { call: call.type })
     if (!isLocalDelay(answer, this.clock.now() - startedAt, timeout)) this.record(call, answer)
@@ -99,6 +110,30 @@
     this.cancelProbe()
   }
 
+  /** Sends a call that may stay open after its timeout. */
+  private async sendKept (call: ApiCall, timeout: number, onLate: (answer: Promise<ApiAnswer>) => void): Promise<ApiAnswer> {
+    const end = new AbortController()
+    const sent = this.transport.send(call, timeout + LATE_WAIT, end.signal)
+    let cancel = (): void => {}
+    const timedOut = new Promise<undefined>(resolve => { cancel = this.clock.after(timeout, () => resolve(undefined)) })
+    const answer = await Promise.race([sent, timedOut])
+    cancel()
+    if (answer !== undefined) return answer
+    if (this.lateCalls < MAX_LATE_CALLS) onLate(this.receiveLate(call, sent))
+    else end.abort(new Error('no answer in time'))
+    return { type: 'no answer', reason: 'no answer in time' }
+  }
+
+  /** A late answer shows that the platform is available; that the call failed in time is recorded before. */
+  private async receiveLate (call: ApiCall, sent: Promise<ApiAnswer>): Promise<ApiAnswer> {
+    this.lateCalls++
+    const answer = await sent
+    this.lateCalls--
+    this.metrics.count('platform_late_answers_total', { call: call.type, outcome: answer.type })
+    if (answer.type === 'answered' || answer.type === 'limited') this.record(call, answer)
+    return answer
+  }
+
   private async admit (call: ApiCall, priority: CallPriority): Promise<ApiAnswer | undefined> {
     const end = this.clock.now() + MAX_WAITS[priority]
     for (;;) {
--- a/src/store/platform-client.ts
+++ b/src/store/platform-client.ts
@@ -47,6 +47,8 @@
 
 type Put = Extract<ApiCall, { type: 'put' }>
 
+interface WriteOutcome { readonly answer: ApiAnswer, readonly lost: boolean }
+
 /**
  * A client of the platform's object API with a call budget, a circuit breaker for outages, and a reliable outcome for
  * writes whose reply is lost.
@@ -54,7 +56,8 @@
  * A write without an answer may have taken effect, or may do so later. It is resent with the same id: as it is
  * conditional, at most one attempt takes effect, and none can after that. A conflict on a later attempt is settled by the
  * write id stored with the object: if it is this write's, the write succeeded; if it is another's, this write may have
- * preceded it, so that the outcome is `unknown`. It is `unknown` too where no attempt is answered. `conflict`, `limited`
+ * preceded it, so that the outcome is `unknown`. It is `unknown` too where no attempt is answered. Where the last attempt of
+ * a caller's write is refused, late answers of earlier ones are waited for: they tell whether those were refused as well. `conflict`, `limited`
  * and `unavailable` are returned only for writes that have not taken effect and never will.
  */
 export class PlatformClient implements ObjectStore {
@@ -119,7 +122,7 @@
 
   /** Waits for changes; to resume after a failure, call it again with the last revision. */
   async watch<T> (kind: string, revision: number, wait: number, { priority = 'background', timeout = wait + WATCH_SLACK, signal }: WatchOptions = {}): Promise<Result<WatchBatch<T>, StoreError>> {
-    return readResult(await this.gate.sendDirect({ type: 'watch', kind, revision, wait }, priority, timeout, signal))
+    return readResult(await this.gate.sendDirect({ type: 'watch', kind, revision, wait }, priority, timeout, { signal }))
   }
 
   async listInstances (): Promise<Result<readonly Instance[], StoreError>> {
@@ -144,17 +147,19 @@
    * Sends a write until it is answered or its attempts are used up; under `callerTimeout` every second attempt goes through
    * a peer. `lost` means that an earlier attempt may have taken effect.
    */
-  private async sendWrite (call: ApiCall, priority: CallPriority): Promise<{ readonly answer: ApiAnswer, readonly lost: boolean }> {
-    let lost = false
+  private async sendWrite (call: ApiCall, priority: CallPriority): Promise<WriteOutcome> {
+    let lost = 0
+    const late: Array<Promise<ApiAnswer>> = []
     const shortTimeout = priority === 'caller' ? this.callerTimeout : undefined
+    const maxAttempts = shortTimeout === undefined ? MAX_ATTEMPTS : MAX_CALLER_ATTEMPTS
     const isRelayed = (attempt: number): boolean | undefined => shortTimeout !== undefined && attempt % 2 === 0 ? true : undefined
     for (let attempt = 1; ; attempt++) {
-      const answer = await this.gate.send(call, priority, shortTimeout === undefined ? CALL_TIMEOUT : shortTimeout * 2 ** (attempt - 1), { relayed: isRelayed(attempt) })
-      const mustResend = answer.type === 'no answer' || (lost && answer.type !== 'answered')
-      if (!mustResend) return { answer, lost }
-      lost = true
-      const isLast = attempt >= (shortTimeout === undefined ? MAX_ATTEMPTS : MAX_CALLER_ATTEMPTS)
-      if (isLast || (this.gate.isOut && isRelayed(attempt + 1) === undefined)) return { answer, lost }
+      const onLate = shortTimeout === undefined || attempt === maxAttempts ? undefined : (answer: Promise<ApiAnswer>): void => { late.push(answer) }
+      const answer = await this.gate.send(call, priority, shortTimeout === undefined ? CALL_TIMEOUT : shortTimeout * 2 ** (attempt - 1), { relayed: isRelayed(attempt), onLate })
+      const mustResend = answer.type === 'no answer' || (lost > 0 && answer.type !== 'answered')
+      if (!mustResend) return { answer, lost: lost > 0 }
+      if (answer.type === 'no answer') lost++
+      if (attempt >= maxAttempts || (this.gate.isOut && isRelayed(attempt + 1) === undefined)) return await settleLost({ answer, lost, late })
       if (shortTimeout === undefined) await this.pause()
     }
   }
@@ -174,3 +179,16 @@
 function readResult<T> (answer: ApiAnswer): Result<T, StoreError> {
   return answer.type === 'answered' && answer.status < REDIRECTION ? Ok(answer.body as T) : Err(readStoreError(answer))
 }
+
+/** Settles a write whose last attempt is `answer` and of which `lost` attempts had no answer in time; `late` are the answers that some of these may still get. */
+async function settleLost ({ answer, lost, late }: { readonly answer: ApiAnswer, readonly lost: number, readonly late: ReadonlyArray<Promise<ApiAnswer>> }): Promise<WriteOutcome> {
+  if (answer.type === 'no answer') return { answer, lost: true }
+  const answers = await Promise.all(late)
+  const answered = answers.filter(({ type }) => type === 'answered')
+  if (answered.length > 0) return { answer: answered.find(isSuccess) ?? answered[0]!, lost: true }
+  return { answer, lost: answers.filter(({ type }) => type !== 'no answer').length < lost }
+}
+
+function isSuccess (answer: ApiAnswer): boolean {
+  return answer.type === 'answered' && answer.status < REDIRECTION
+}
