Tests of broken streams and of a stopping daemon: the engines run in threads of their own

Cause: the engines ran in the test's process, where nine fleets start at once, and stood still with it. Daemons act rightly on that: - A server that is silent for 0.7 to 0.9 s is left for another. The route allows two runs, so that the planned break then ends the stream.

Change: ThreadedEngine runs an EventEngine in a worker thread and answers when it has done what it was asked.

--- a/harness/machines-fleet.ts
+++ b/harness/machines-fleet.ts
@@ -2,13 +2,14 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { request } from 'undici'
-import { EventEngine } from '../stand-ins/machines/event-engine.js'
+import type { EventEngine } from '../stand-ins/machines/event-engine.js'
 import { ObjectApi } from '../stand-ins/machines/object-api.js'
 import { listAddresses } from '../stand-ins/machines/list-addresses.js'
 import type { DaemonPorts } from '../stand-ins/machines/daemon-ports.js'
 import { registerEngine } from '../stand-ins/machines/register-engine.js'
 import { formatSettings } from '../stand-ins/machines/format-settings.js'
 import { Child } from './child.js'
+import type { FleetEngine } from './fleet-engine.js'
 import { PortAllocator } from './port-allocator.js'
 
 const PROGRAM = [process.execPath, 'target/citronwheel.cjs']
@@ -29,13 +30,13 @@
 /** Addresses, HOST:PORT, at which a daemon reaches the store and at which all daemons reach an engine; direct ones by default. */
 interface MachinesFleetOptions {
   readonly resolveStoreAddress?: (daemon: number, port: number) => Promise<string>
-  readonly resolveEngineAddress?: (engine: EventEngine) => Promise<string>
+  readonly resolveEngineAddress?: (engine: FleetEngine) => Promise<string>
 }
 
 /** Store, engines and daemons of the users' platform on loopback. Daemons are processes; the stand-in store and engines run in this one. */
-export class MachinesFleet {
+export class MachinesFleet<E extends FleetEngine = EventEngine> {
   readonly store = new ObjectApi()
-  readonly engines: EventEngine[] = []
+  readonly engines: E[] = []
   readonly daemons: FleetDaemon[] = []
   private readonly folder = mkdtempSync(join(tmpdir(), 'citronwheel-'))
   private readonly options: Required<MachinesFleetOptions>
@@ -44,7 +45,7 @@
     this.options = { resolveStoreAddress, resolveEngineAddress }
   }
 
-  async start ({ daemons, engines }: { readonly daemons: number, readonly engines: readonly EventEngine[] }): Promise<void> {
+  async start ({ daemons, engines }: { readonly daemons: number, readonly engines: readonly E[] }): Promise<void> {
     await this.store.start()
     for (const engine of engines) await this.addEngine(engine)
     for (let i = 0; i < daemons; i++) await this.addDaemon(i)
@@ -92,7 +93,7 @@
     }
   }
 
-  private async addEngine (engine: EventEngine): Promise<void> {
+  private async addEngine (engine: E): Promise<void> {
     await engine.start()
     this.engines.push(engine)
     registerEngine(this.store, engine, { address: await this.options.resolveEngineAddress(engine) })
--- /dev/null
+++ b/test/helpers/run-engine-thread.ts
@@ -0,0 +1,22 @@
+import { parentPort, workerData } from 'node:worker_threads'
+import { EventEngine } from '../../stand-ins/machines/event-engine.js'
+import type { EngineCall } from './engine-call.js'
+
+/** Entry point of the thread of a `ThreadedEngine`: runs an engine and answers each call, in order. */
+const engine = new EventEngine(workerData)
+
+parentPort!.on('message', (call: EngineCall) => {
+  void run(call).then(answer => parentPort!.postMessage(answer))
+})
+
+async function run (call: EngineCall): Promise<unknown> {
+  switch (call.type) {
+    case 'start':
+      await engine.start(call.port)
+      return engine.port
+    case 'break':
+      engine.breakPoints = [...call.after]
+      return undefined
+    case 'runs': return engine.runs
+  }
+}
--- a/test/helpers/start-machines.ts
+++ b/test/helpers/start-machines.ts
@@ -1,10 +1,10 @@
+import type { FleetEngine } from '../../harness/fleet-engine.js'
 import { MachinesFleet } from '../../harness/machines-fleet.js'
-import type { EventEngine } from '../../stand-ins/machines/event-engine.js'
 import { createWireConfiguration } from './create-wire-configuration.js'
 
 /** Starts a fleet of processes; resolves once all daemons see each other. `configuration` is added to the operator's. */
-export async function startMachines (daemons: number, engines: readonly EventEngine[], options?: ConstructorParameters<typeof MachinesFleet>[0], configuration: object = {}): Promise<MachinesFleet> {
-  const fleet = new MachinesFleet(options)
+export async function startMachines<E extends FleetEngine> (daemons: number, engines: readonly E[], options?: ConstructorParameters<typeof MachinesFleet>[0], configuration: object = {}): Promise<MachinesFleet<E>> {
+  const fleet = new MachinesFleet<E>(options)
   const started = fleet.start({ daemons, engines })
   await fleet.waitUntil('the store runs', () => fleet.store.port > 0)
   fleet.store.put('config', 'main', createWireConfiguration(1, configuration))
--- a/test/whole/machines.test.ts
+++ b/test/whole/machines.test.ts
@@ -9,27 +9,32 @@
 import { callDaemon, type DaemonAnswer } from '../helpers/call-daemon.js'
 import { createWireConfiguration } from '../helpers/create-wire-configuration.js'
 import { startMachines } from '../helpers/start-machines.js'
+import { ThreadedEngine } from '../helpers/threaded-engine.js'
 import { writeLogs } from '../helpers/write-logs.js'
 
 const writeStream = (path: string, events: number): string => Array.from({ length: events }, (_, i) => `id: ${i + 1}\ndata: ${EventEngine.buildEventData(path, i + 1)}\n\n`).join('')
 
+async function readRuns (engines: readonly ThreadedEngine[]): Promise<ReadonlyArray<EventEngine['runs'][number] & { readonly server: string }>> {
+  return (await Promise.all(engines.map(async engine => (await engine.readRuns()).map(run => ({ ...run, server: engine.id }))))).flat()
+}
+
 // A server breaks off in the middle of an event. The stream must continue on the other server after the last complete event,
 // with the first server's response headers. A stream of a route that isn't resumable must be cut.
 test('broken streams are resumed on resumable routes and cut on others', async t => {
-  const engines = ['i-1', 'i-2'].map(id => new EventEngine({ id }))
+  const engines = ['i-1', 'i-2'].map(id => new ThreadedEngine({ id }))
   const fleet = await startMachines(1, engines)
   const { front } = fleet.daemons[0]!.ports
   try {
     t.like(await callDaemon(front, '/quotes/1'), { status: 200, text: writeStream('/quotes/1', 6) })
-    for (const engine of engines) engine.breakPoints = [3]
+    for (const engine of engines) await engine.setBreakPoints([3])
     const resumed = await callDaemon(front, '/quotes/2')
     t.like(resumed, { status: 200, text: writeStream('/quotes/2', 6) })
-    const runs = engines.flatMap(({ id, runs }) => runs.filter(({ path }) => path === '/quotes/2').map(run => ({ ...run, server: id })))
+    const runs = (await readRuns(engines)).filter(({ path }) => path === '/quotes/2')
     t.deepEqual(runs.map(({ resumedAfter }) => resumedAfter).sort(), [3, undefined])
     t.is(resumed.headers['x-response-stamp'], `stamp-${runs.find(({ resumedAfter }) => resumedAfter === undefined)!.server}`)
-    for (const engine of engines) engine.breakPoints = [3]
+    for (const engine of engines) await engine.setBreakPoints([3])
     await t.throwsAsync(callDaemon(front, '/berths/1'))
-    t.is(engines.flatMap(({ runs }) => runs).filter(({ path }) => path === '/berths/1').length, 1)
+    t.is((await readRuns(engines)).filter(({ path }) => path === '/berths/1').length, 1)
     t.is((await callDaemon(front, '/nowhere/1')).status, 404)
   } finally {
     await fleet.stop()
@@ -153,12 +158,12 @@
 // A daemon that gets SIGTERM must stop being announced at once, serve while callers may still cache its address, cut no stream,
 // and exit. The other daemon must apply a change of the configuration and the removal of a server.
 test('a stopping daemon cuts no stream, and the other daemon follows changes in the store', async t => {
-  const engines = ['i-1', 'i-2'].map(id => new EventEngine({ id, events: 100, pause: 20 }))
+  const engines = ['i-1', 'i-2'].map(id => new ThreadedEngine({ id, events: 100, pause: 20 }))
   const fleet = await startMachines(2, engines)
   const [first, second] = fleet.daemons as [typeof fleet.daemons[0], typeof fleet.daemons[0]]
   try {
     const streams = [callDaemon(first.ports.front, '/quotes/1'), callDaemon(first.ports.front, '/berths/2')]
-    await fleet.waitUntil('both run', () => engines.flatMap(({ runs }) => runs).length === 2)
+    await fleet.waitUntil('both run', async () => (await readRuns(engines)).length === 2)
     first.child!.signal('SIGTERM')
     await fleet.waitUntil('it is no longer ready', async () => !await fleet.isReady(first))
     await fleet.waitUntil('it is no longer announced', async () => (await fleet.listAddresses(second)).length === 1)
@@ -169,9 +174,9 @@
     fleet.store.put('config', 'main', createWireConfiguration(3))
     fleet.store.remove('servers', 'i-1')
     await fleet.waitUntil('the routes are back', async () => (await callDaemon(second.ports.front, '/quotes/3', { id: 'probe' })).status === 200)
-    const before = engines[0]!.runs.length
+    const before = (await engines[0]!.readRuns()).length
     await Promise.all(Array.from({ length: 6 }, async (_, i) => await callDaemon(second.ports.front, `/quotes/after-${i}`)))
-    t.is(engines[0]!.runs.length, before)
+    t.is((await engines[0]!.readRuns()).length, before)
   } finally {
     await fleet.stop()
   }
