Jobs: a daemon that ranks late for jobs tries one of them again each 9 s

Callers would see: jobs of an ended owner that nobody runs for up to 93 s (24 daemons) after a store that refused all daemons serves one again, if that one ranks late.

Cause: a retry waited 1 s and 4 s for each daemon that ranks before, so that calls to a store that refuses all wouldn't grow with the fleet.

Change: from the third in rank on the delay is one of the daemon instead of one of each job: it tries one of its jobs each 9 s, the one tried least recently, and all once one succeeds. The first two in rank try as before.

--- a/src/jobs/job-adoption.ts
+++ b/src/jobs/job-adoption.ts
@@ -25,6 +25,12 @@
  * items that were never stored the whole delay grows with the square of the rank: each daemon finds the same, and the first goes on looking.
  */
 const RANK_DELAY = 4_000
+/**
+ * Rank from which a daemon tries any one of its jobs again at a time, and the delay between two attempts, ms. So the calls to a store that
+ * refuses all daemons don't grow with the jobs, and a job waits no longer for the only daemon that the store serves, however late that ranks.
+ */
+const LATER_POSITION = 2
+const LATER_DELAY = 9_000
 /** Number of jobs that are taken over concurrently. */
 const MAX_CONCURRENT = 2
 /** Time between two publications of jobs without an owner, ms. */
@@ -45,6 +51,8 @@
   private readonly startedAt: number
   /** By job that could not be taken over: when to retry, monotonic ms. */
   private readonly retryAt = new Map<string, number>()
+  /** When to try the next of the jobs for which this daemon ranks late, monotonic ms; -Infinity while none has failed since one succeeded. */
+  private laterRetryAt = -Infinity
   /** The adoptions that are due, the next one first. */
   private due: Adoption[] = []
   private running = 0
@@ -76,11 +84,25 @@
     const members = this.members.all()
     const unowned = this.unowned.update().map(found => ({ ...found, position: rankSuccessors(found.job, names, members).indexOf(this.settings.instance) }))
     const now = this.clock.now()
-    this.due = orderAdoptions(unowned.filter(({ reason, since, position }) => isAdoptionDue(reason, { age: now - since, position })))
+    this.due = this.order(unowned.filter(({ reason, since, position }) => isAdoptionDue(reason, { age: now - since, position })))
     while (this.running < MAX_CONCURRENT && this.due.length > 0) void this.adoptDue()
     this.publishOrphans(unowned)
   }
 
+  /**
+   * Orders adoptions, the first ones in rank first and of these the newest. After a restart of the whole fleet most jobs are finished or overdue,
+   * and reading all of them at once would delay the first online requests of a daemon that has just started. Those of a later rank begin with
+   * the one tried least recently, and of these with the oldest, since the daemon before takes the newest over.
+   */
+  private order (adoptions: readonly Adoption[]): Adoption[] {
+    const findTriedAt = ({ job: { id } }: Adoption): number => this.retryAt.get(id) ?? 0
+    return [...adoptions].sort((a, b) => {
+      const [isFirst, isOtherFirst] = [a.position <= 0, b.position <= 0]
+      if (isFirst !== isOtherFirst) return isFirst ? -1 : 1
+      return isFirst ? b.job.submittedAt - a.job.submittedAt : findTriedAt(a) - findTriedAt(b) || a.job.submittedAt - b.job.submittedAt
+    })
+  }
+
   private listCandidates (): readonly string[] {
     const owners = this.members.owners()
     if (owners.length > 0) return owners
@@ -97,19 +119,33 @@
     }
   }
 
-  private async adopt ({ job: { id }, reason, position }: Adoption): Promise<void> {
-    if (this.clock.now() < (this.retryAt.get(id) ?? 0)) return
+  private async adopt (adoption: Adoption): Promise<void> {
+    const { job: { id }, reason } = adoption
+    const now = this.clock.now()
+    if (now < Math.max(this.retryAt.get(id) ?? 0, isLater(adoption) ? this.laterRetryAt : 0)) return
+    if (isLater(adoption) && this.laterRetryAt !== -Infinity) this.laterRetryAt = now + LATER_DELAY
     const adopted = await this.owner.adopt(id)
     if (adopted.ok) {
       this.retryAt.delete(id)
+      this.laterRetryAt = -Infinity
       return
     }
-    const rank = Math.max(0, position)
-    const delay = adopted.val.type === 'missing' ? MISSING_DELAY * (1 + rank) ** 2 : UNAVAILABLE_DELAY + rank * RANK_DELAY
-    this.retryAt.set(id, this.clock.now() + delay)
+    this.postpone(adoption, adopted.val.type)
     if (reason === 'not held' && adopted.val.type !== 'missing') this.release(id, adopted.val.type)
   }
 
+  private postpone (adoption: Adoption, error: StoreError['type']): void {
+    const { job: { id }, position } = adoption
+    const rank = Math.max(0, position)
+    const now = this.clock.now()
+    if (error === 'missing') this.retryAt.set(id, now + MISSING_DELAY * (1 + rank) ** 2)
+    else if (!isLater(adoption)) this.retryAt.set(id, now + UNAVAILABLE_DELAY + rank * RANK_DELAY)
+    else {
+      this.retryAt.set(id, now)
+      this.laterRetryAt = now + LATER_DELAY
+    }
+  }
+
   /** Publishes a job that the registry attributes to this process as released by it: the others leave it to this one, which can't read it. */
   private release (id: string, error: StoreError['type']): void {
     const known = this.registry.get(id)
@@ -127,17 +163,9 @@
   }
 }
 
-/**
- * Orders adoptions, the first ones in rank first and of these the newest. After a restart of the whole fleet most jobs are finished or overdue,
- * and reading all of them at once would delay the first online requests of a daemon that has just started. Those of a later rank begin with the
- * oldest, since the daemon before takes the newest over.
- */
-function orderAdoptions (adoptions: readonly Adoption[]): Adoption[] {
-  return [...adoptions].sort((a, b) => {
-    const [isFirst, isOtherFirst] = [a.position <= 0, b.position <= 0]
-    if (isFirst !== isOtherFirst) return isFirst ? -1 : 1
-    return isFirst ? b.job.submittedAt - a.job.submittedAt : a.job.submittedAt - b.job.submittedAt
-  })
+/** Whether the daemon ranks late for a job that any of several daemons may take over. */
+function isLater ({ reason, position }: Adoption): boolean {
+  return reason !== 'not held' && position >= LATER_POSITION
 }
 
 partRegistry.register({ name: 'job adoption', part: JobAdoption, needs: ['job owner', 'members'] })
