--- a/scripts/bundle-machines.mjs
+++ b/scripts/bundle-machines.mjs
@@ -1,8 +1,9 @@
-// Bundles the daemon for the users' machines into target/, with the V8 code cache that its loader uses.
+// Bundles the daemon for the users' machines into target/, with the V8 code cache of each role, which its loader uses.
 import { build } from 'esbuild'
-import { writeFileSync } from 'node:fs'
+import { execFileSync } from 'node:child_process'
+import { readFileSync, writeFileSync } from 'node:fs'
 import { resolve } from 'node:path'
-import { createCodeCache } from './create-code-cache.mjs'
+import { parse } from 'smol-toml'
 
 /** Replacements of packages by the one module of each that the daemon uses, so that it loads less code when it starts. */
 const replacements = {
@@ -36,4 +37,7 @@
 const program = `(function (require, module, exports) {${bundle.text}\n})`
 await build({ entryPoints: ['platform/load.cjs'], outfile: 'target/citronwheel.cjs', format: 'cjs', platform: 'node', target: 'node20' })
 writeFileSync('target/program.js', program)
-writeFileSync('target/program.cache', createCodeCache(program, 'program.js'))
+for (const { run } of Object.values(parse(readFileSync('deploy/system.toml', 'utf8')).roles)) {
+  const [, flags, role] = /^node (.*)target\/citronwheel\.cjs (\w+)$/.exec(run)
+  execFileSync(process.execPath, [...flags.trim().split(' '), 'scripts/create-code-cache.mjs', 'target/program.js', `target/program-${role}.cache`])
+}
