Test: whole requests on kept connections while configurations change, servers fall silent and slots are taken

The table, over two daemons as processes and six servers: six configurations in force for a second (changed routes, smaller limits, other keys, 4,000 more routes, no services, no change) x seven changes of a route x five kinds x what the first server does (answers, silent for 1.25 s before the head, before the first piece and in the middle, breaks off) x slots elsewhere free or taken. 700 requests for each configuration. None may be cut before seven tenths of its time, nor be answered as failed for its server's silence; each cut that is allowed has one line in the log.

The first form of the check also took a 502 for a safe request whose server broke off, and a 503 where servers were ejected, for faults; both are answers, which the rule allows, so it doesn't now.

--- a/test/helpers/pausing-server.ts
+++ b/test/helpers/pausing-server.ts
@@ -3,7 +3,7 @@
 
 /** Events of a whole stream, and the parts of a whole answer. */
 const PIECES = 12
-/** Time between two pieces, ms. */
+/** Time between two pieces by default, ms. */
 const INTERVAL = 15
 const HEAD = { 'x-request-id': '' }
 
@@ -21,8 +21,12 @@
 interface PausingServerOptions {
   readonly server: number
   readonly runs: PausedRun[]
-  /** Pieces after which the first run of each path falls silent; -1 before its head. */
-  readonly pauseAfter: number
+  /** Pieces after which the first run of each path falls silent, the same for all or by the path; -1 before its head. */
+  readonly pauseAfter: number | ((path: string) => number | undefined)
+  /** Pieces after which the first run of a path breaks off; it doesn't by default. */
+  readonly breakAfter?: (path: string) => number | undefined
+  /** Time between two pieces, ms. */
+  readonly interval?: number
   /** How long it is silent, ms. */
   readonly pause: number
   /** Whether the server refuses a request as full. */
@@ -39,17 +43,18 @@
 }
 
 /** A server that answers with a few pieces. The first run of each path at any server with the same `runs` is silent for a while. */
-export async function startPausingServer ({ server, runs, pauseAfter, pause, isFull }: PausingServerOptions): Promise<{ readonly port: number, close: () => void }> {
+export async function startPausingServer ({ server, runs, pauseAfter, breakAfter = () => undefined, interval = INTERVAL, pause, isFull }: PausingServerOptions): Promise<{ readonly port: number, close: () => void }> {
   const http = createServer((req, res) => {
     const path = req.url!
     req.resume()
     const id = { ...HEAD, 'x-request-id': String(req.headers['x-request-id']) }
     if (isFull(path)) return res.writeHead(503, { ...id, 'x-not-executed': '1', 'content-length': 0 }).end()
     const run: PausedRun = { path, server, after: Number(req.headers['last-event-id'] ?? 0), from: performance.now() }
-    const pauses = runs.every(other => other.path !== path)
+    const isFirst = runs.every(other => other.path !== path)
+    const findPause = typeof pauseAfter === 'number' ? () => pauseAfter : pauseAfter
     runs.push(run)
     res.once('close', () => { run.until ??= performance.now() })
-    void answer(res, { run, id, pauseAfter: pauses ? pauseAfter : undefined, pause })
+    void answer(res, { run, id, pauseAfter: isFirst ? findPause(path) : undefined, breakAfter: isFirst ? breakAfter(path) : undefined, interval, pause })
   })
   return {
     port: await listen(http, '127.0.0.1', 0),
@@ -60,16 +65,17 @@
   }
 }
 
-interface Answer { readonly run: PausedRun, readonly id: Readonly<Record<string, string>>, readonly pauseAfter: number | undefined, readonly pause: number }
+interface Answer { readonly run: PausedRun, readonly id: Readonly<Record<string, string>>, readonly pauseAfter: number | undefined, readonly breakAfter: number | undefined, readonly interval: number, readonly pause: number }
 
-async function answer (res: ServerResponse, { run, id, pauseAfter, pause }: Answer): Promise<void> {
+async function answer (res: ServerResponse, { run, id, pauseAfter, breakAfter, interval, pause }: Answer): Promise<void> {
   const kind = run.path.split('/')[1]!
   const frame = kind === 'stream' ? { 'content-type': 'text/event-stream' } : { 'content-type': 'text/plain', 'content-length': buildWholeBody(run.path).length }
   if (pauseAfter === -1) await wait(pause)
   res.writeHead(200, { ...id, ...frame })
   res.flushHeaders()
   for (let n = run.after; n < PIECES && !res.destroyed; n++) {
-    await wait(n === pauseAfter ? pause : INTERVAL)
+    await wait(n === pauseAfter ? pause : interval)
+    if (n === breakAfter) res.destroy()
     if (!res.destroyed) res.write(buildPiece(kind, n + 1))
   }
   if (!res.destroyed) res.end()
