Entry: each request that is cut has a line in the log with its cause, and counts in requests_cut_total

'abandoned a request' with 'begun' stays the line of a stream that a server didn't finish; 'cut a request' is the line of all others, with 'shutdown', 'malformed bytes' or 'error'. Closing a connection for bytes that are no request is logged as well.

--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -1,4 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { App } from '@tinyhttp/app'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { Err, Ok, type Result } from 'ts-results'
@@ -29,12 +31,15 @@
 import { Forwarder } from '../routing/forwarder.js'
 import { CallerConnections } from './caller-connections.js'
 import type { EntryDialect } from './entry-dialect.js'
+import { OpenRequests } from './open-requests.js'
 import { ResponseSink } from './response-sink.js'
 import type { RoutedSettings } from './routed-settings.js'
 import { sendRoutedRefusal } from './send-routed-refusal.js'
 import { StartWait } from './start-wait.js'
 
 const UNAUTHORIZED = 401
+/** Errors of a connection that its caller has closed. */
+const CALLER_LEFT = ['ECONNRESET', 'EPIPE', 'HPE_INVALID_EOF_STATE']
 const HEADERS_TIMEOUT = 10_000 // ms
 const TIMEOUT_CHECK = 1_000 // ms
 const MAX_HEADER_BYTES = 65_536
@@ -61,6 +66,7 @@
 export class RoutedEntry implements Part {
   private readonly server: Server
   private readonly connections: CallerConnections
+  private readonly requests: OpenRequests
   private readonly startWait: StartWait
   /** By route of the current configuration: the longest timeout that a caller has sent, ms. */
   private readonly longestTimeouts = new WeakMap<Route, number>()
@@ -82,7 +88,8 @@
     app.use((req, res) => { void this.handle(req, res) })
     this.server = createAppServer(app, { headersTimeout: HEADERS_TIMEOUT, connectionsCheckingInterval: TIMEOUT_CHECK, keepAliveTimeout: KEEP_ALIVE_TIMEOUT, maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 })
     this.connections = new CallerConnections(this.server, clock, { keepAlive: KEEP_ALIVE, closeIdleAfter: CLOSE_IDLE_AFTER })
-    this.server.on('clientError', (_error, socket) => socket.destroy())
+    this.requests = new OpenRequests({ clock, log, metrics, readId: req => dialect.readHead(req).id })
+    this.server.on('clientError', (error, socket) => this.closeFaulty(error, socket))
     this.startWait = new StartWait({
       clock,
       isLoaded: () => configuration.value.version > 0 && fleet.hasServers,
@@ -112,6 +119,16 @@
     await pauseFor(this.clock, ADDRESS_KEEP_FACTOR * addressKeep + NETWORK_DELAY)
     this.log.write('info', 'entry', 'closing connections', { connections: this.connections.size })
     await Promise.race([this.connections.close(), pauseFor(this.clock, Math.max(0, end - this.clock.now()))])
+    this.requests.recordCuts('shutdown')
+  }
+
+  /** Closes the connection of a caller that has left, or whose bytes are no request or come too slowly. */
+  private closeFaulty ({ code }: NodeJS.ErrnoException, socket: Duplex): void {
+    if (code !== undefined && !CALLER_LEFT.includes(code)) {
+      this.requests.recordCuts('malformed bytes', socket as Socket)
+      this.log.write('info', 'entry', 'closed a connection without a whole request', { code })
+    }
+    socket.destroy()
   }
 
   private async handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -119,13 +136,15 @@
       res.destroy()
       return
     }
+    this.requests.add(req, res)
     const arrived = this.clock.now()
     try {
       await this.serve(req, res, arrived)
     } catch (error) {
       this.log.write('error', 'entry', 'a request failed', { path: req.url, error: (error as Error).stack })
-      if (res.headersSent) res.destroy()
-      else sendRoutedRefusal(res, { cause: 'server failed', ran: 'unknown', retryAfter: 0, detail: 'an error of ours; its cause is in the log' })
+      if (!res.headersSent) return sendRoutedRefusal(res, { cause: 'server failed', ran: 'unknown', retryAfter: 0, detail: 'an error of ours; its cause is in the log' })
+      this.requests.recordCuts('error', res.socket)
+      res.destroy()
     }
   }
 
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -273,6 +273,7 @@
     const outcome = callerLeft ? 'caller left' : this.timedOut ? 'deadline' : refusal.cause
     log.write('warn', 'routing', 'abandoned a request', { request: this.request.id, caller: this.request.caller, cause: outcome, ran: this.ran, begun: this.begun, waited: Math.round(clock.now() - this.request.arrived), tried: this.tried, detail: refusal.detail, prompt: refusal.part })
     this.count(outcome)
+    if (this.begun && !callerLeft) this.tools.metrics.count('requests_cut_total', { cause: outcome })
     if (this.begun) this.sink.abort()
     else if (!callerLeft) this.sink.refuse({ ...refusal, cause: this.timedOut ? 'deadline' : refusal.cause, ran: this.ran })
   }
--- a/test/whole/whole-request-cut.test.ts
+++ b/test/whole/whole-request-cut.test.ts
@@ -1,6 +1,8 @@
 import 'reflect-metadata'
 import test from 'ava'
+import { once } from 'node:events'
 import { Agent, request } from 'node:http'
+import { connect } from 'node:net'
 import type { MachinesFleet } from '../../harness/machines-fleet.js'
 import { buildWholeBody, startPausingServer, type PausedRun } from '../helpers/pausing-server.js'
 import { startMachines } from '../helpers/start-machines.js'
@@ -86,6 +88,8 @@
 const allRuns: Readonly<Record<keyof typeof SLOTS, PausedRun[]>> = { roomy: [], full: [], other: [] }
 /** Reasons of requests that ended without a whole answer, by request, as the daemons log them. */
 const reasons = new Map<string, string[]>()
+/** Failed sends, by request, as the daemons log them. */
+const sends = new Map<string, string[]>()
 let fleet: MachinesFleet
 let agents: readonly Agent[] = []
 let stopServers = (): void => {}
@@ -109,9 +113,13 @@
 }
 
 function readLine (line: string): void {
-  if (!line.includes('"abandoned a request"')) return
+  if (line.includes('"a send failed"')) {
+    const { request: id, server, why, detail, after } = JSON.parse(line)
+    sends.set(id, [...sends.get(id) ?? [], `${server} ${why} after ${after} ms (${detail})`])
+  }
+  if (!line.includes('"abandoned a request"') && !line.includes('"cut a request"')) return
   const { request: id, cause, ran, detail } = JSON.parse(line)
-  reasons.set(id, [...reasons.get(id) ?? [], `${cause}, ${ran}: ${detail}`])
+  reasons.set(id, [...reasons.get(id) ?? [], `${cause}, ran ${ran}: ${detail}`])
 }
 
 /** Sends a request on a kept connection. */
@@ -135,7 +143,7 @@
 
 /** Returns what is wrong with an outcome, if anything is. */
 function findFault ({ kind, state, change }: Row, { id, status, body, isComplete, took }: Outcome): string | undefined {
-  const reason = reasons.get(id)?.join('; ') ?? 'not in the log'
+  const reason = [...reasons.get(id) ?? ['not in the log'], ...sends.get(id) ?? []].join('; ')
   if (isComplete && status === 200) return body === buildWholeBody(`/${kinds[kind].form}/`) ? undefined : 'completed with other bytes'
   const isOver = took >= USED_SHARE * (change === 'shorter timeout' ? SHORT_TIME : TIME)
   const isBroken = state === 'breaks off'
@@ -146,6 +154,12 @@
   return mayEnd || isBroken || REFUSALS.includes(status) ? undefined : `answered ${status} after ${Math.round(took)} ms, ${reason}`
 }
 
+/** Returns how many requests the daemons have counted as cut. */
+async function countCuts (): Promise<number> {
+  const texts = await Promise.all(fleet.daemons.map(async ({ ports }) => await (await fetch(`http://127.0.0.1:${ports.metrics}/metrics`)).text()))
+  return texts.flatMap(text => [...text.matchAll(/requests_cut_total\{.*\} (\d+)/g)]).reduce((sum, [, count]) => sum + Number(count), 0)
+}
+
 test.before(async () => {
   fleet = await startMachines(2, [], undefined, usual)
   agents = fleet.daemons.map(() => new Agent({ keepAlive: true, maxFreeSockets: Infinity }))
@@ -163,7 +177,7 @@
 
 for (const [name, configuration] of Object.entries(configurations)) {
   test.serial(`${name}: a whole request on a kept connection is answered or refused`, async t => {
-    const reusedBefore = reused
+    const [reusedBefore, cutsBefore] = [reused, await countCuts()]
     for (const runs of Object.values(allRuns)) runs.length = 0
     const sending = BATCHES.map(async time => {
       await pause(time - BATCHES[0]!)
@@ -179,7 +193,20 @@
       const fault = findFault(row, outcome)
       return fault === undefined ? [] : [`${row.change}, ${row.load}: ${row.kind}, its server ${row.state}: ${fault}`]
     })
-    t.log({ requests: all.length, reused: reused - reusedBefore, whole: all.filter(({ outcome: { status } }) => status === 200).length, faults: faults.length })
+    const cuts = all.filter(({ outcome: { isComplete } }) => !isComplete).length
+    t.log({ requests: all.length, cuts, reused: reused - reusedBefore, whole: all.filter(({ outcome: { status } }) => status === 200).length, faults: faults.length })
+    t.is(await countCuts() - cutsBefore, cuts)
     t.deepEqual(faults.slice(0, MAX_SHOWN), [], `${faults.length} of ${all.length} requests`)
   })
 }
+
+test.serial('a request that ends with its connection for malformed bytes behind it is in the log', async t => {
+  const path = `${buildPrefix({ kind: 'stream', load: 'roomy' })}answers/malformed`
+  const socket = connect(fleet.daemons[0]!.ports.front, '127.0.0.1')
+  socket.write(`POST ${path} HTTP/1.1\r\nhost: ${buildHost('none')}\r\nx-request-id: ${path}\r\nx-api-key: key\r\ncontent-length: 0\r\n\r\n`)
+  await once(socket, 'data')
+  socket.write('no request\r\n\r\n')
+  await once(socket, 'close')
+  await pause(100)
+  t.regex(reasons.get(path)?.[0] ?? 'not in the log', /^malformed bytes/)
+})
