A daemon whose items all wait for a trial notices its grant before it lapses

A grant holds 500 ms, so that the daemon that asked found it lapsed, and so did the next; the trial began 1.5 s late, without a grant.

Change: while items wait for a trial, the runner looks each 50 ms, as while they wait for a slot.

--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -144,7 +144,7 @@
     })
   }
 
-  /** Requests slots for the waiting items, from each service that one of them runs at; returns whether there are any. */
+  /** Requests slots for the waiting items, from each service that one of them runs at; returns whether there are any, or items that wait for a trial: a grant of it lapses soon. */
   private requestSlots (): boolean {
     if (this.draining) return false
     const waiting = this.listWaiting()
@@ -152,7 +152,7 @@
       const { due, remaining } = items[0]!
       this.slots.requestBatchSlots(pool, { count: Math.min(SLOTS_PER_REQUEST, items.length), due, remaining, avoided: this.versions.listAvoided(pool, items) })
     }
-    return waiting.length > 0
+    return waiting.length > 0 || this.countWaiting('suspect part') > 0
   }
 
   /** Lists the items that could start now, in scheduling order. */
