Trials of a refused part grow over the whole fleet, and go round among jobs

Cause: after a trial that passed only its daemon ran more at once. Each other daemon still needed the one grant of the fleet, one after the other, each for about 2 s; and a daemon that tried a part always took the items of its most urgent job first, so that its other jobs had none at a server.

Change: a trial that passed is told to all (`part trial passed`). A slot goes to an item of the job with the fewest items running, there to the one whose runs were lost the fewest times (`chooseItem`), so that one item isn't the trial each time.

`routing/refused-parts-together` read that an item may try a part at once after others have passed; now it asks for a grant first, as the second test of the file does for a suspect part, so it looks 50 ms later for the same answer.

--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -17,6 +17,7 @@
 import { Sender } from '../routing/exchanges/sender.js'
 import type { ServerDialect } from '../routing/exchanges/server-dialect.js'
 import { Servers } from '../routing/servers/servers.js'
+import { chooseItem } from './choose-item.js'
 import { findAbandonReason } from './find-abandon-reason.js'
 import type { ItemOutcome } from './item-outcome.js'
 import { ItemDurationEstimator } from './item-duration-estimator.js'
@@ -200,7 +201,8 @@
     if (this.draining || !this.loads.isOpen(server)) return
     const items = this.listWaiting().filter(({ route, state }) => route.services.some(({ service, weight }) => service === pool && weight > 0) && this.versions.mayRunAt(state, pool, server))
     const now = this.clock.now()
-    const item = items.find(({ state }) => this.versions.keepsProgress(state, server) || now >= (this.versions.findBoundUntil(state) ?? Infinity)) ?? items[0]
+    const fitting = items.filter(({ state }) => this.versions.keepsProgress(state, server) || now >= (this.versions.findBoundUntil(state) ?? Infinity))
+    const item = chooseItem(fitting.length > 0 ? fitting : items, job => [...this.running].filter(other => other.job === job).length)
     if (item !== undefined) this.startItem(item, pool, server)
   }
 
--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -43,8 +43,9 @@
 const MIN_PASSES_OF_SOUND = 4
 /** How long a verdict is reused while nothing new is known, ms: waiting items ask for it many times a second. */
 const VERDICT_TIME = 100
-/** Trials of a refused part that passed, from which more make no difference. */
-const MAX_TRIALS_PASSED = 6
+/** By how many more trials of a refused part may run at a time for each one that passed, and the number of them from which more make no difference. */
+const MORE_TRIALS = 2
+const MAX_TRIALS_PASSED = 30
 /** Known passes of a part up to which each daemon tells its own. */
 const ENOUGH_PASSES = 20
 const NOTHING: PartEvidence = { losses: [], passes: new Map(), refusals: 0, beside: [] }
@@ -142,19 +143,26 @@
     return this.evidence.get(part)?.losses ?? []
   }
 
-  /** Returns from when on items may try a refused part, monotonic ms, and how many at once at this daemon; while it is 1, only one in the whole fleet. */
+  /** Returns from when on items may try a refused part, monotonic ms, and how many at once in the whole fleet. */
   findTrials (part: string): { readonly from: number, readonly limit: number } {
     const known = this.evidence.get(part) ?? NOTHING
-    return { from: findTrialTime(known), limit: 2 ** (known.trialsPassed ?? 0) }
+    return { from: findTrialTime(known), limit: 1 + MORE_TRIALS * (known.trialsPassed ?? 0) }
   }
 
-  /** Records that an item of this daemon with these parts, begun then, has passed as a trial of the refused ones. */
-  addTrialPasses (parts: readonly string[], began: number, now: number): void {
-    for (const part of parts) {
-      const { trialsPassed = 0, ...known } = this.evidence.get(part) ?? NOTHING
-      if (this.findRefused(part, now) === undefined || began < findTrialTime(known)) continue
-      this.evidence.set(part, { ...known, trialsPassed: Math.min(MAX_TRIALS_PASSED, trialsPassed + 1) })
-    }
+  /** Returns how many trials of a part may run at once in the whole fleet; undefined if it isn't refused. */
+  findTrialLimit (part: string, now: number): number | undefined {
+    return now < (this.evidence.get(part)?.refusedUntil ?? -Infinity) ? this.findTrials(part).limit : undefined
+  }
+
+  /** Lists those of the parts whose trial a run was that began then and has passed. */
+  listTried (parts: readonly string[], began: number, now: number): readonly string[] {
+    return parts.filter(part => this.findRefused(part, now) !== undefined && began >= this.findTrials(part).from && (this.evidence.get(part)!.trialsPassed ?? 0) < MAX_TRIALS_PASSED)
+  }
+
+  /** Records that an item of any daemon has passed as a trial of a refused part. */
+  addTrialPass (part: string, now: number): void {
+    const known = this.evidence.get(part)
+    if (known !== undefined && now >= findTrialTime(known)) this.evidence.set(part, { ...known, trialsPassed: Math.min(MAX_TRIALS_PASSED, (known.trialsPassed ?? 0) + 1) })
   }
 
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
--- a/src/routing/blame/judge-refused-part.ts
+++ b/src/routing/blame/judge-refused-part.ts
@@ -5,9 +5,9 @@
   readonly isItem: boolean
   /** End of the refusal, monotonic ms. */
   readonly until: number
-  /** From when on items may try the part, monotonic ms, and how many at once at this daemon; 1 stands for one in the whole fleet. */
+  /** From when on items may try the part, monotonic ms, and how many at once in the whole fleet. */
   readonly trials: { readonly from: number, readonly limit: number }
-  /** Whether the only trial in the fleet may begin here; called only if it is needed, since it may ask for it. */
+  /** Whether one more trial in the fleet may begin here; called only if it is needed, since it may ask for it. */
   readonly mayBegin: () => boolean
   /** Until when another daemon is taken to try the part without a grant, monotonic ms. */
   readonly begunUntil: number
@@ -19,5 +19,5 @@
   const refused: PartDecision = { type: 'refused', part, left: until - now }
   if (!isItem) return refused
   if (now < from) return { ...refused, left: Math.min(from, until) - now }
-  return limit > 1 || mayBegin() ? { type: 'clear', trial: part, limit } : { type: 'wait', part, lostAt: from, begunUntil }
+  return mayBegin() ? { type: 'clear', trial: part, limit } : { type: 'wait', part, lostAt: from, begunUntil }
 }
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -62,6 +62,7 @@
     peerHandlerPoint.of({ type: 'part passes', handle: (message, from) => this.receivePasses(message, from) }),
     peerHandlerPoint.of({ type: 'part refused', handle: ({ refused }, from) => this.receiveRefused(refused, from) }),
     peerHandlerPoint.of({ type: 'part released', handle: message => this.receiveRelease(message) }),
+    peerHandlerPoint.of({ type: 'part trial passed', handle: ({ part }) => this.ledger.addTrialPass(String(part), this.clock.now()) }),
     ...createTrialHandlers(() => this.trials)
   ]
 
@@ -88,7 +89,7 @@
     @inject(tokens.random) private readonly random: Random
   ) {
     this.passes = new PassReporter({ ledger: this.ledger, broadcast, clock, random, instance: settings.instance })
-    this.trials = new PartTrials({ clock, settings, members, links })
+    this.trials = new PartTrials({ clock, settings, members, links, findLimit: part => this.ledger.findTrialLimit(part, clock.now()) })
     this.stored = new RefusedPartsStore(store)
     metrics.gauge('parts_refused', () => this.ledger.listRefused(clock.now()).length)
   }
@@ -125,7 +126,7 @@
   /** Records that a request is in flight at a server; `isSent` returns whether any byte of it may have been sent. Begins its trial where it needs one. */
   begin (parts: readonly string[], server: string, isSent: () => boolean): PartRun {
     const { part: suspect, verdict, isPending = false } = this.ledger.judge(parts, this.clock.now(), { mayTry: true })
-    const needsTrial = verdict === 'suspect' ? !isPending : verdict === 'refused' && this.ledger.findTrials(suspect!).limit === 1
+    const needsTrial = verdict === 'refused' || (verdict === 'suspect' && !isPending)
     const tried = needsTrial && this.trials.take(suspect!) ? suspect : undefined
     const run: Run = { parts, server, began: this.clock.now(), isSent, hasPassed: false }
     this.runs.add(run)
@@ -159,8 +160,12 @@
   private pass (run: Run): void {
     if (run.hasPassed) return
     run.hasPassed = true
+    const tried = this.ledger.listTried(run.parts, run.began, this.clock.now())
     this.clear(this.ledger.addPass(run.parts, this.clock.now()), true)
-    this.ledger.addTrialPasses(run.parts, run.began, this.clock.now())
+    for (const part of tried) {
+      this.ledger.addTrialPass(part, this.clock.now())
+      this.broadcast.broadcast({ type: 'part trial passed', part }, `part trial passed ${part} ${this.ledger.findTrials(part).limit}`)
+    }
   }
 
   private receiveLoss (message: Readonly<Record<string, unknown>>): void {
--- a/src/routing/blame/part-trials.ts
+++ b/src/routing/blame/part-trials.ts
@@ -23,26 +23,29 @@
 /** How long another daemon's trial without a grant is taken to run, ms. */
 const BEGUN_TIME = 2_500
 
-/** A daemon with a trial: since and until when it holds, and when another one last asked for it, monotonic ms. */
-interface Holder { readonly daemon: string, readonly since: number, readonly until: number, readonly wantedAt?: number }
+/** A daemon with a trial, granted or begun: since and until when it holds, and when another one last asked for it, monotonic ms. */
+interface Holder { readonly daemon: string, readonly hasBegun: boolean, readonly since: number, readonly until: number, readonly wantedAt?: number }
 
 interface PartTrialsOptions {
   readonly clock: Clock
   readonly settings: Pick<Settings, 'instance'>
   readonly members: Pick<Members, 'owners'>
   readonly links: Pick<PeerLinks, 'send'>
+  /** Returns how many trials of a refused part may run at a time in the fleet; undefined for a suspect one, of which only one may. */
+  readonly findLimit?: (part: string) => number | undefined
 }
 
 /**
- * Lets one request with a suspect part run at a time in the whole fleet. For each part one daemon, by rendezvous hashing, grants its trials;
- * a daemon that it leaves without an answer tries the part itself. Then, and while daemons disagree about the members, there may be several.
+ * Lets one request with a suspect part run at a time in the whole fleet, or as many items with a refused one as its trials that passed allow.
+ * For each part one daemon, by rendezvous hashing, grants its trials; a daemon that it leaves without an answer tries the part itself. Then,
+ * and while daemons disagree about the members, there may be more.
  */
 export class PartTrials {
   /** Trials granted to this daemon that haven't begun, by part: when they end, monotonic ms. */
   private readonly granted = new Map<string, number>()
   private readonly askedAt = new Map<string, number>()
-  /** Trials that this daemon runs, by part: until when another one waits for their end, monotonic ms. */
-  private readonly running = new Map<string, number>()
+  /** Trials that this daemon runs, by part: until when others wait for their end, monotonic ms, in order. */
+  private readonly running = new Map<string, readonly number[]>()
   /** Until when another daemon is taken to try the part, monotonic ms. */
   private readonly busyUntil = new Map<string, number>()
   /** Until when another daemon is taken to try the part without a grant, monotonic ms. */
@@ -50,14 +53,14 @@
   /** Since when this daemon asks, by part; it counts anew once an answer comes or its own trial ends. */
   private readonly askingSince = new Map<string, number>()
   /** Trials granted by this daemon, by part. */
-  private readonly holders = new Map<string, Holder>()
+  private readonly holders = new Map<string, readonly Holder[]>()
 
   constructor (private readonly options: PartTrialsOptions) {}
 
   /** Whether this daemon may begin a trial of the part; asks for it if not. */
   mayBegin (part: string): boolean {
     const now = this.options.clock.now()
-    if (now < (this.running.get(part) ?? -Infinity)) return false
+    if (this.listRunning(part).length >= this.findLimit(part)) return false
     const isGranted = (): boolean => now < (this.granted.get(part) ?? -Infinity)
     const askedAt = this.askedAt.get(part) ?? -Infinity
     if (now < askedAt + ASK_PERIOD) return isGranted()
@@ -75,7 +78,7 @@
     if (!this.mayBegin(part)) return false
     this.granted.delete(part)
     this.askingSince.delete(part)
-    this.running.set(part, this.options.clock.now() + RUN_TIME)
+    this.running.set(part, [...this.listRunning(part), this.options.clock.now() + RUN_TIME])
     this.send({ type: 'part trial ask', part, begun: true })
     return true
   }
@@ -83,7 +86,9 @@
   /** Ends a trial that `take` began. */
   end (part: string): void {
     this.askingSince.delete(part)
-    this.running.delete(part)
+    const others = this.listRunning(part).slice(1)
+    if (others.length > 0) this.running.set(part, others)
+    else this.running.delete(part)
     this.send({ type: 'part trial done', part })
   }
 
@@ -103,22 +108,22 @@
    * again, but not for longer than `MAX_HOLD_TIME` while others ask.
    */
   receiveAsk (part: string, from: string, begun: boolean): void {
-    const { clock } = this.options
-    const now = clock.now()
-    const holder = this.holders.get(part)
-    const isSame = holder?.daemon === from
-    if (holder !== undefined && !isSame && now < holder.until) {
-      this.holders.set(part, { ...holder, wantedAt: now })
+    const now = this.options.clock.now()
+    const holders = this.holders.get(part) ?? []
+    const own = holders.find(({ daemon, hasBegun }) => daemon === from && !hasBegun)
+    const others = holders.filter(holder => holder !== own && now < holder.until)
+    if (others.length >= this.findLimit(part)) {
+      this.holders.set(part, others.map(holder => ({ ...holder, wantedAt: now })))
       return this.answer(from, { type: 'part trial busy', part })
     }
     if (begun) {
-      this.holders.set(part, { daemon: from, since: now, until: now + RUN_TIME })
+      this.holders.set(part, [...others, { daemon: from, hasBegun: true, since: now, until: now + RUN_TIME }])
       return
     }
-    const since = isSame && now < holder.until + WANTED_TIME ? holder.since : now
-    const isWanted = isSame && now < (holder.wantedAt ?? -Infinity) + WANTED_TIME
+    const since = own !== undefined && now < own.until + WANTED_TIME ? own.since : now
+    const isWanted = now < (own?.wantedAt ?? -Infinity) + WANTED_TIME
     if (isWanted && now >= since + MAX_HOLD_TIME) return this.answer(from, { type: 'part trial busy', part })
-    this.holders.set(part, { daemon: from, since, until: now + GRANT_TIME, ...isSame && holder.wantedAt !== undefined && { wantedAt: holder.wantedAt } })
+    this.holders.set(part, [...others, { daemon: from, hasBegun: false, since, until: now + GRANT_TIME, ...own?.wantedAt !== undefined && { wantedAt: own.wantedAt } }])
     this.answer(from, { type: 'part trial', part })
   }
 
@@ -145,11 +150,23 @@
 
   /** Whether a request tries the part now, as far as is known. */
   isBusy (part: string): boolean {
-    return this.options.clock.now() < Math.max(this.busyUntil.get(part) ?? -Infinity, this.running.get(part) ?? -Infinity)
+    return this.options.clock.now() < (this.busyUntil.get(part) ?? -Infinity) || this.listRunning(part).length > 0
   }
 
   receiveDone (part: string, from: string): void {
-    if (this.holders.get(part)?.daemon === from) this.holders.delete(part)
+    const holders = this.holders.get(part) ?? []
+    const ended = holders.find(({ daemon, hasBegun }) => daemon === from && hasBegun) ?? holders.find(({ daemon }) => daemon === from)
+    const others = holders.filter(holder => holder !== ended)
+    if (others.length > 0) this.holders.set(part, others)
+    else this.holders.delete(part)
+  }
+
+  private findLimit (part: string): number {
+    return this.options.findLimit?.(part) ?? 1
+  }
+
+  private listRunning (part: string): readonly number[] {
+    return (this.running.get(part) ?? []).filter(until => this.options.clock.now() < until)
   }
 
   private answer (to: string, message: PeerMessage & { readonly part: string }): void {
--- a/test/helpers/simulate-items.ts
+++ b/test/helpers/simulate-items.ts
@@ -79,7 +79,7 @@
 }
 
 /** Simulates daemons that run items of jobs on virtual time: runners and blame are the real ones; brokers, servers and look-ups are models. */
-export async function simulateItems ({ seed, daemons = 3, servers }: { readonly seed: number, readonly daemons?: number, readonly servers: SimulatedServer[] }): Promise<ItemFleet> {
+export async function simulateItems ({ seed, daemons = 3, servers, events = EVENTS }: { readonly seed: number, readonly daemons?: number, readonly servers: SimulatedServer[], /** Number of events of an item, one each 100 ms. */ readonly events?: number }): Promise<ItemFleet> {
   const clock = new VirtualClock()
   const random = new Random(seed)
   const names = Array.from({ length: daemons }, (_, i) => `entry-${i}`)
@@ -151,7 +151,7 @@
       if (request.signal?.aborted === true) return Err({ why: 'abandoned', sent: true, detail: '' })
       if (behaviour === 'breaks off' && next > 3) return Err({ why: 'cut', sent: true, detail: 'cut' })
       recordOutcome(daemon, server.name, 'answered')
-      if (next > EVENTS) return Ok(undefined)
+      if (next > events) return Ok(undefined)
       const event = `id: ${next}\ndata: x\n\n`
       next++
       return Ok(Buffer.from(event))
--- a/test/routing/refused-parts-together.test.ts
+++ b/test/routing/refused-parts-together.test.ts
@@ -28,6 +28,8 @@
   await clock.advance(3_000)
   const blame = blames.get(names[0]!)!
   t.deepEqual(blame.listRefused().map(({ part }) => part).sort(), ['former', 'latter'])
+  blame.check(['former'], { isItem: true })
+  await clock.advance(50)
   t.is(blame.check(['former'], { isItem: true }).type, 'clear')
   t.is(blame.check(['latter'], { isItem: true }).type, 'refused')
   t.is(blame.check(['former', 'latter'], { isItem: true }).type, 'refused')
