--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -17,6 +17,7 @@
 import { Sender } from '../routing/exchanges/sender.js'
 import type { ServerDialect } from '../routing/exchanges/server-dialect.js'
 import { Servers } from '../routing/servers/servers.js'
+import { chooseItem } from './choose-item.js'
 import { findAbandonReason } from './find-abandon-reason.js'
 import type { ItemOutcome } from './item-outcome.js'
 import { ItemDurationEstimator } from './item-duration-estimator.js'
@@ -144,7 +145,7 @@
     })
   }
 
-  /** Requests slots for the waiting items, from each service that one of them runs at; returns whether there are any. */
+  /** Requests slots for the waiting items, from each service that one of them runs at; returns whether there are any, or items that wait for a trial: a grant of it lapses soon. */
   private requestSlots (): boolean {
     if (this.draining) return false
     const waiting = this.listWaiting()
@@ -152,7 +153,7 @@
       const { due, remaining } = items[0]!
       this.slots.requestBatchSlots(pool, { count: Math.min(SLOTS_PER_REQUEST, items.length), due, remaining, avoided: this.versions.listAvoided(pool, items) })
     }
-    return waiting.length > 0
+    return waiting.length > 0 || this.countWaiting('suspect part') > 0
   }
 
   /** Lists the items that could start now, in scheduling order. */
@@ -200,7 +201,8 @@
     if (this.draining || !this.loads.isOpen(server)) return
     const items = this.listWaiting().filter(({ route, state }) => route.services.some(({ service, weight }) => service === pool && weight > 0) && this.versions.mayRunAt(state, pool, server))
     const now = this.clock.now()
-    const item = items.find(({ state }) => this.versions.keepsProgress(state, server) || now >= (this.versions.findBoundUntil(state) ?? Infinity)) ?? items[0]
+    const fitting = items.filter(({ state }) => this.versions.keepsProgress(state, server) || now >= (this.versions.findBoundUntil(state) ?? Infinity))
+    const item = chooseItem(fitting.length > 0 ? fitting : items, job => [...this.running].filter(other => other.job === job).length)
     if (item !== undefined) this.startItem(item, pool, server)
   }
 
