--- a/scripts/bundle-machines.mjs
+++ b/scripts/bundle-machines.mjs
@@ -9,7 +9,9 @@
 const replacements = {
   undici: 'scripts/undici-core.cjs',
   'node:http2': 'scripts/no-http2.cjs',
-  'hdr-histogram-js': 'node_modules/hdr-histogram-js/dist/HistogramBuilder.js'
+  'hdr-histogram-js': 'node_modules/hdr-histogram-js/dist/HistogramBuilder.js',
+  '@dabh/diagnostics': 'scripts/no-diagnostics.cjs',
+  '@colors/colors/safe': 'scripts/no-colors.cjs'
 }
 const replaceModules = {
   name: 'use parts',
--- /dev/null
+++ b/scripts/no-colors.cjs
@@ -0,0 +1,2 @@
+// Replaces the colours of winston's text format; the daemon writes JSON.
+module.exports = {}
--- /dev/null
+++ b/scripts/no-diagnostics.cjs
@@ -0,0 +1,2 @@
+// Replaces winston's debug output, which the daemon never turns on.
+module.exports = () => () => {}
