Items that pass as trials of a refused part clear it in the whole fleet

What callers saw: online requests with a part that was refused wrongly got 503 to the end of the refusal, two minutes, though items with it had passed since.

Cause: a part is cleared once its passes are more than four for each moment of its losses, but daemons tell their passes only when a server is lost. Each knew its own alone: 48 items of six daemons passed, and none of them cleared the part.

Change: the message by which a daemon tells of a trial that passed also tells how often the part has passed there. And the daemon that grants trials gives none while, as it knows, a loss is under 10 s old: one that missed the report of a lost trial asks in vain.

Daemons that hear from no other: each tries a part that crashes servers once in 10 s (before too).

The stand-in for runs that crash their server reported the loss under the server's next id where another run had crashed it before; it now reports each under its own.

--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -149,9 +149,11 @@
     return { from: findTrialTime(known), limit: 1 + MORE_TRIALS * (known.trialsPassed ?? 0) }
   }
 
-  /** Returns how many trials of a part may run at once in the whole fleet; undefined if it isn't refused. */
+  /** Returns how many trials of a part may run now in the whole fleet; undefined if it isn't refused. */
   findTrialLimit (part: string, now: number): number | undefined {
-    return now < (this.evidence.get(part)?.refusedUntil ?? -Infinity) ? this.findTrials(part).limit : undefined
+    const { from, limit } = this.findTrials(part)
+    if (now >= (this.evidence.get(part)?.refusedUntil ?? -Infinity)) return undefined
+    return now < from ? 0 : limit
   }
 
   /** Lists those of the parts whose trial a run was that began then and has passed. */
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -62,7 +62,7 @@
     peerHandlerPoint.of({ type: 'part passes', handle: (message, from) => this.receivePasses(message, from) }),
     peerHandlerPoint.of({ type: 'part refused', handle: ({ refused }, from) => this.receiveRefused(refused, from) }),
     peerHandlerPoint.of({ type: 'part released', handle: message => this.receiveRelease(message) }),
-    peerHandlerPoint.of({ type: 'part trial passed', handle: ({ part }) => this.ledger.addTrialPass(String(part), this.clock.now()) }),
+    peerHandlerPoint.of({ type: 'part trial passed', handle: (message, from) => this.receiveTrialPass(message, from) }),
     ...createTrialHandlers(() => this.trials)
   ]
 
@@ -166,7 +166,8 @@
     this.clear(this.ledger.addPass(run.parts, this.clock.now()), true)
     for (const part of tried) {
       this.ledger.addTrialPass(part, this.clock.now())
-      this.broadcast.broadcast({ type: 'part trial passed', part }, `part trial passed ${part} ${this.ledger.findTrials(part).limit}`)
+      const [passes, total] = [this.ledger.passes.get(part, this.clock.now()), this.ledger.passes.total(this.clock.now())]
+      this.broadcast.broadcast({ type: 'part trial passed', part, daemon: this.settings.instance, passes: { [part]: passes }, total }, `part trial passed ${part} ${passes}`)
     }
   }
 
@@ -183,6 +184,11 @@
     this.log.write('warn', 'blame', 'ignores a malformed count of passes', { from })
   }
 
+  private receiveTrialPass (message: Readonly<Record<string, unknown>>, from: string): void {
+    this.ledger.addTrialPass(String(message.part), this.clock.now())
+    this.receivePasses(message, from)
+  }
+
   /** Returns whether the report is new. */
   private addLoss (loss: ServerPartLoss): boolean {
     this.passes.report([...new Set(loss.runs.flatMap(({ parts }) => parts))])
--- a/test/helpers/simulate-items.ts
+++ b/test/helpers/simulate-items.ts
@@ -131,8 +131,8 @@
     await wait(behaviour === 'is silent' ? 1_500 : 20)
     if (behaviour === 'crashes') {
       await wait(90)
-      blames.get(daemon)!.onServerLost(server.name)
-      server.name = `${server.name}+`
+      blames.get(daemon)!.onServerLost(id)
+      if (server.name === id) server.name = `${id}+`
     }
     if (behaviour === 'is silent' || behaviour === 'cuts' || behaviour === 'crashes' || server.name !== id) {
       end('ended')
