--- a/src/routing/blame/pass-reporter.ts
+++ b/src/routing/blame/pass-reporter.ts
@@ -42,12 +42,18 @@
     this.toldAt.delete(part)
   }
 
-  private send (parts: readonly string[], askedAt: number): void {
-    const { ledger, broadcast, clock, instance } = this.options
+  /** Describes how often the parts passed here and how long runs with them were in flight, as told to other daemons. */
+  describe (parts: readonly string[]): Readonly<Record<string, unknown>> {
+    const { ledger, clock, instance } = this.options
     const now = clock.now()
+    const passes = Object.fromEntries(parts.map(part => [part, ledger.passes.get(part, now)]))
+    const times = Object.fromEntries(parts.map(part => [part, Math.round(ledger.times.get(part, now))]))
+    return { daemon: instance, passes, total: ledger.passes.total(now), times, time: Math.round(ledger.times.total(now)) }
+  }
+
+  private send (parts: readonly string[], askedAt: number): void {
+    const { ledger, broadcast } = this.options
     const needed = parts.filter(part => ledger.countPasses(part, askedAt) - ledger.passes.get(part, askedAt) < ENOUGH_PASSES * (1 + ledger.listLosses(part).length))
-    const passes = Object.fromEntries(needed.map(part => [part, ledger.passes.get(part, now)]))
-    const times = Object.fromEntries(needed.map(part => [part, Math.round(ledger.times.get(part, now))]))
-    if (needed.length > 0) broadcast.broadcast({ type: 'part passes', daemon: instance, passes, total: ledger.passes.total(now), times, time: Math.round(ledger.times.total(now)) }, `part passes ${needed.join()}`)
+    if (needed.length > 0) broadcast.broadcast({ type: 'part passes', ...this.describe(needed) }, `part passes ${needed.join()}`)
   }
 }
