Store: a conflict at a peer after another peer had no answer doesn't settle a write

Callers would see: a write that took effect is told as one that never will ('conflict'), so that a daemon doesn't own the job or the key that it has just created.

Cause: a call goes through up to three peers. Where the first had no answer and may have written, the second one's conflict, which may be with that very write, was returned as the answer to a first attempt, and no read settled it. That was possible while the store was away from a daemon; writes that the store refuses made the way common.

Change: such a conflict counts as no answer, so that the write is sent again and the conflict of that attempt is settled by the write's id.

No other answer is concerned: a success settles the call, and refusals are no answers of the store to it.

--- a/src/store/store-relay.ts
+++ b/src/store/store-relay.ts
@@ -20,6 +20,7 @@
 const PEER_ROUND_TRIP = 50
 /** Least interval between log lines on relayed calls, ms. */
 const LOG_PERIOD = 5_000
+const CONFLICT = 409
 
 interface RelayedCall { readonly call: ApiCall, readonly timeout: number }
 
@@ -57,7 +58,7 @@
     this.store.useRelay(async (call, timeout) => await this.send(call, timeout))
   }
 
-  /** Returns the store's answer to a peer; `no answer` where a peer's call may have taken effect; undefined where no peer could send it. */
+  /** Returns the store's answer to a peer; `no answer` where a peer's call may have taken effect that this answer doesn't tell of; undefined where no peer could send it. */
   private async send (call: ApiCall, timeout: number): Promise<ApiAnswer | undefined> {
     let uncertain: ApiAnswer | undefined
     const tried = new Set([this.settings.instance])
@@ -68,7 +69,8 @@
       const answer = await this.calls.call(peer, { call, timeout }, timeout + PEER_ROUND_TRIP)
       if (answer?.type === 'answered') {
         this.recordRelay(peer, call)
-        return answer
+        // A conflict may be with the write of an earlier peer, so that its answer doesn't settle the call.
+        return uncertain !== undefined && answer.status === CONFLICT ? uncertain : answer
       }
       if (this.lastPeer === peer) this.lastPeer = undefined
       if (answer === undefined || answer.type === 'no answer') uncertain = { type: 'no answer', reason: `${peer} had no answer` }
