Trials of a suspect part grow too, once no server with it has been lost for 5 s

Callers would see (rule LOST): jobs of which no item is at a server 13 to 18 s after the last crash, as their sound part stays suspect.

Cause: a part with a few passes and many losses is suspect, not refused, until it has passed twice for each moment of losses. Meanwhile one request with it ran at a time in the whole fleet, an item to its end. With twelve moments that takes 25 passes, of one item each.

Change: from 5 s after its last loss a trial ends once the part has passed, and each one that passed lets two more run at a time in the fleet, as for refused parts. Before, and after each further loss, one runs at a time as it did. A part that crashes its servers now and then loses one within that time, so that its trials don't grow.

--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -147,25 +147,25 @@
     return this.evidence.get(part)?.losses ?? []
   }
 
-  /** Returns from when on items may try a refused part, monotonic ms, and how many at once in the whole fleet. */
+  /** Returns from when on a part may be tried by more requests for each that passed, monotonic ms, if it is refused by items alone, and how many at once in the whole fleet. */
   findTrials (part: string): { readonly from: number, readonly limit: number } {
     const known = this.evidence.get(part) ?? NOTHING
     return { from: findTrialTime(known), limit: 1 + MORE_TRIALS * (known.trialsPassed ?? 0) }
   }
 
-  /** Returns how many trials of a part may run now in the whole fleet; undefined if it isn't refused. */
+  /** Returns how many trials of a part may run now in the whole fleet; undefined if it isn't refused and was in flight at a lost server a short while ago. */
   findTrialLimit (part: string, now: number): number | undefined {
     const { from, limit } = this.findTrials(part)
-    if (now >= (this.evidence.get(part)?.refusedUntil ?? -Infinity)) return undefined
-    return now < from ? 0 : limit
+    if (now >= from) return limit
+    return this.findRefused(part, now) === undefined ? undefined : 0
   }
 
   /** Lists those of the parts whose trial a run was that began then and has passed. */
   listTried (parts: readonly string[], began: number, now: number): readonly string[] {
-    return parts.filter(part => this.findRefused(part, now) !== undefined && began >= this.findTrials(part).from && (this.evidence.get(part)!.trialsPassed ?? 0) < MAX_TRIALS_PASSED)
+    return parts.filter(part => this.evidence.has(part) && began >= this.findTrials(part).from && (this.evidence.get(part)!.trialsPassed ?? 0) < MAX_TRIALS_PASSED && this.judgeOne(part, now) !== 'clear')
   }
 
-  /** Records that an item of any daemon has passed as a trial of a refused part. */
+  /** Records that a request of any daemon has passed as a trial of the part. */
   addTrialPass (part: string, now: number): void {
     const known = this.evidence.get(part)
     if (known !== undefined && now >= findTrialTime(known)) this.evidence.set(part, { ...known, trialsPassed: Math.min(MAX_TRIALS_PASSED, (known.trialsPassed ?? 0) + 1) })
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -113,7 +113,7 @@
       const { until } = this.ledger.listRefused(now).find(other => other.part === part)!
       return judgeRefusedPart({ part, isItem, until, now, trials: this.ledger.findTrials(part), mayBegin: () => this.trials.mayBegin(part), begunUntil: this.trials.findBegunUntil(part) })
     }
-    if (!isPending && this.trials.mayBegin(part)) return { type: 'clear', trial: part }
+    if (!isPending && this.trials.mayBegin(part)) return { type: 'clear', trial: part, limit: this.ledger.findTrialLimit(part, now) }
     if (isLikely && !isItem && (isPending || this.trials.isBusy(part))) return { type: 'refused', part, left: TRIAL_TIME }
     return { type: 'wait', part, lostAt: this.ledger.listLosses(part).at(-1)?.at, begunUntil: this.trials.findBegunUntil(part) }
   }
@@ -134,7 +134,7 @@
     const run: Run = { parts, server, began: now, isSent, hasPassed: false, recordedUntil: now }
     this.runs.add(run)
     const endTrial = (): void => { if (tried !== undefined) this.trials.end(tried) }
-    return createPartRun({ clock: this.clock, remove: () => this.remove(run), pass: () => this.pass(run), endTrial, isShortTrial: verdict === 'refused' })
+    return createPartRun({ clock: this.clock, remove: () => this.remove(run), pass: () => this.pass(run), endTrial, isShortTrial: tried !== undefined && this.ledger.findTrialLimit(tried, now) !== undefined })
   }
 
   /** Holds a server's loss against the parts that were in flight there, and tells the other daemons. */
