Test of refused jobs: the store and the engine run in threads of their own

Cause of the 503: the store ran in the test's process. A daemon whose store doesn't answer can't prove that an empty page lacks nothing, and answers 503, as it must.

Change: ThreadedStore runs an ObjectApi in a worker thread; calls take effect in order, setFaults resolves once they do. MachinesFleet takes its store as an option. Steps, checks and bounds are as they were. test/stand-ins/threaded-store guards the order.

--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -1,6 +1,7 @@
 import { MachinesFleet } from '../../harness/machines-fleet.js'
 import { RelayedPort } from '../../harness/relayed-port.js'
 import { EventEngine } from '../../stand-ins/machines/event-engine.js'
+import { ObjectApi } from '../../stand-ins/machines/object-api.js'
 import { registerEngine } from '../../stand-ins/machines/register-engine.js'
 import { createConfiguration } from '../../stand-ins/machines/create-configuration.js'
 import type { Disturbance } from './disturbance.js'
@@ -43,6 +44,7 @@
   /** With `usesParts`, requests and items have parts of a prompt in common. */
   constructor (readonly daemons: number, readonly usesParts: boolean) {
     this.fleet = new MachinesFleet({
+      store: new ObjectApi(),
       resolveStoreAddress: async daemon => {
         const port = await this.fleet.store.openPort()
         this.storePorts.set(daemon, port)
--- a/harness/machines-fleet.ts
+++ b/harness/machines-fleet.ts
@@ -3,13 +3,14 @@
 import { join } from 'node:path'
 import { request } from 'undici'
 import type { EventEngine } from '../stand-ins/machines/event-engine.js'
-import { ObjectApi } from '../stand-ins/machines/object-api.js'
+import type { ObjectApi } from '../stand-ins/machines/object-api.js'
 import { listAddresses } from '../stand-ins/machines/list-addresses.js'
 import type { DaemonPorts } from '../stand-ins/machines/daemon-ports.js'
 import { registerEngine } from '../stand-ins/machines/register-engine.js'
 import { formatSettings } from '../stand-ins/machines/format-settings.js'
 import { Child } from './child.js'
 import type { FleetEngine } from './fleet-engine.js'
+import type { FleetStore } from './fleet-store.js'
 import { PortAllocator } from './port-allocator.js'
 
 const PROGRAM = [process.execPath, 'target/citronwheel.cjs']
@@ -27,21 +28,24 @@
   child?: Child
 }
 
-/** Addresses, HOST:PORT, at which a daemon reaches the store and at which all daemons reach an engine; direct ones by default. */
-interface MachinesFleetOptions {
+/** The store, and addresses, HOST:PORT, at which a daemon reaches it and at which all daemons reach an engine; direct ones by default. */
+interface MachinesFleetOptions<S> {
+  /** Is started and stopped with the fleet. */
+  readonly store: S
   readonly resolveStoreAddress?: (daemon: number, port: number) => Promise<string>
   readonly resolveEngineAddress?: (engine: FleetEngine) => Promise<string>
 }
 
-/** Store, engines and daemons of the users' platform on loopback. Daemons are processes; the stand-in store and engines run in this one. */
-export class MachinesFleet<E extends FleetEngine = EventEngine> {
-  readonly store = new ObjectApi()
+/** Store, engines and daemons of the users' platform on loopback. Daemons are processes. */
+export class MachinesFleet<E extends FleetEngine = EventEngine, S extends FleetStore = ObjectApi> {
+  readonly store: S
   readonly engines: E[] = []
   readonly daemons: FleetDaemon[] = []
   private readonly folder = mkdtempSync(join(tmpdir(), 'citronwheel-'))
-  private readonly options: Required<MachinesFleetOptions>
+  private readonly options: Required<Omit<MachinesFleetOptions<S>, 'store'>>
 
-  constructor ({ resolveStoreAddress = async (_daemon, port) => `127.0.0.1:${port}`, resolveEngineAddress = async ({ port }) => `127.0.0.1:${port}` }: MachinesFleetOptions = {}) {
+  constructor ({ store, resolveStoreAddress = async (_daemon, port) => `127.0.0.1:${port}`, resolveEngineAddress = async ({ port }) => `127.0.0.1:${port}` }: MachinesFleetOptions<S>) {
+    this.store = store
     this.options = { resolveStoreAddress, resolveEngineAddress }
   }
 
--- a/stand-ins/machines/register-engine.ts
+++ b/stand-ins/machines/register-engine.ts
@@ -8,6 +8,6 @@
 }
 
 /** Writes an engine's object to the store, as the users' engines do themselves. */
-export function registerEngine (store: ObjectApi, { id, port, version, startedAt }: Pick<EventEngine, 'id' | 'port' | 'version' | 'startedAt'>, { address = `127.0.0.1:${port}`, state = 'ready' }: RegistrationOptions = {}): void {
+export function registerEngine (store: Pick<ObjectApi, 'put'>, { id, port, version, startedAt }: Pick<EventEngine, 'id' | 'port' | 'version' | 'startedAt'>, { address = `127.0.0.1:${port}`, state = 'ready' }: RegistrationOptions = {}): void {
   store.put('servers', id, { service: 'helm', addr: address, zone: 'a', version, slots: 8, state, cold_left_ms: 0, seq: 1, born: startedAt })
 }
--- a/test/helpers/run-engine-thread.ts
+++ b/test/helpers/run-engine-thread.ts
@@ -2,8 +2,8 @@
 import { EventEngine } from '../../stand-ins/machines/event-engine.js'
 import type { EngineCall } from './engine-call.js'
 
-/** Entry point of the thread of a `ThreadedEngine`: runs an engine and answers each call, in order. */
-const engine = new EventEngine(workerData)
+/** Entry point of the thread of a `ThreadedEngine`: runs an engine and answers each call. */
+const engine = new EventEngine(workerData.options)
 
 parentPort!.on('message', (call: EngineCall) => {
   void run(call).then(answer => parentPort!.postMessage(answer))
--- a/test/helpers/threaded-engine.ts
+++ b/test/helpers/threaded-engine.ts
@@ -1,7 +1,6 @@
-import { once } from 'node:events'
-import { Worker } from 'node:worker_threads'
 import type { EventEngine } from '../../stand-ins/machines/event-engine.js'
 import type { EngineCall } from './engine-call.js'
+import { ThreadCalls } from './thread-calls.js'
 
 type Options = Omit<ConstructorParameters<typeof EventEngine>[0], 'now'>
 
@@ -13,12 +12,10 @@
   port = 0
   /** Start of its process, Unix ms. */
   readonly startedAt = Date.now()
-  private readonly worker: Worker
-  /** The last call; calls are answered in order. */
-  private last: Promise<unknown> = Promise.resolve()
+  private readonly calls: ThreadCalls<EngineCall>
 
   constructor (private readonly options: Options) {
-    this.worker = new Worker(new URL('./engine-thread.mjs', import.meta.url), { workerData: options })
+    this.calls = new ThreadCalls(new URL('./run-engine-thread.ts', import.meta.url), options)
   }
 
   get id (): string {
@@ -30,30 +27,19 @@
   }
 
   async start (port = 0): Promise<void> {
-    this.port = await this.call({ type: 'start', port })
+    this.port = await this.calls.call({ type: 'start', port })
   }
 
-  /** Ends the thread and with it all connections. */
   stop (): void {
-    void this.worker.terminate()
+    this.calls.stop()
   }
 
   /** Sets the numbers of events after which the next runs break off, one number for each run. */
   async setBreakPoints (after: readonly number[]): Promise<void> {
-    await this.call({ type: 'break', after })
+    await this.calls.call({ type: 'break', after })
   }
 
   async readRuns (): Promise<EventEngine['runs']> {
-    return await this.call({ type: 'runs' })
-  }
-
-  private async call<T> (call: EngineCall): Promise<T> {
-    const answer = this.last.then(async () => {
-      this.worker.postMessage(call)
-      const [value] = await once(this.worker, 'message')
-      return value as T
-    })
-    this.last = answer
-    return await answer
+    return await this.calls.call({ type: 'runs' })
   }
 }
--- a/test/helpers/typescript-thread.mjs
+++ b/test/helpers/typescript-thread.mjs
@@ -1,5 +1,6 @@
-// Loads the thread of an engine with the loader for TypeScript, which threads don't inherit.
+// Runs a module in a thread with the loader for TypeScript, which threads don't inherit.
+import { workerData } from 'node:worker_threads'
 import { register } from 'tsx/esm/api'
 
 register()
-await import('./run-engine-thread.ts')
+await import(workerData.module)
--- a/test/whole/machines.test.ts
+++ b/test/whole/machines.test.ts
@@ -2,14 +2,17 @@
 import { once } from 'node:events'
 import { readFileSync, writeFileSync } from 'node:fs'
 import { request } from 'undici'
+import { MachinesFleet } from '../../harness/machines-fleet.js'
 import { RelayedPort } from '../../harness/relayed-port.js'
 import 'reflect-metadata'
 import { readTrace } from '../../src/observe/trace/read-trace.js'
 import { EventEngine } from '../../stand-ins/machines/event-engine.js'
 import { callDaemon, type DaemonAnswer } from '../helpers/call-daemon.js'
 import { createWireConfiguration } from '../helpers/create-wire-configuration.js'
+import { startFleet } from '../helpers/start-fleet.js'
 import { startMachines } from '../helpers/start-machines.js'
 import { ThreadedEngine } from '../helpers/threaded-engine.js'
+import { ThreadedStore } from '../helpers/threaded-store.js'
 import { writeLogs } from '../helpers/write-logs.js'
 
 const writeStream = (path: string, events: number): string => Array.from({ length: events }, (_, i) => `id: ${i + 1}\ndata: ${EventEngine.buildEventData(path, i + 1)}\n\n`).join('')
@@ -107,23 +110,23 @@
 // While the store refuses calls, a job must be refused with a time to retry. A job that exceeds the cap on waiting tokens must be
 // refused as well. An ended job must stop its item and stay readable.
 test('jobs are refused while the store is unavailable or too many tokens wait, and stop when ended', async t => {
-  const engine = new EventEngine({ id: 'i-1', events: 200, pause: 50 })
-  const fleet = await startMachines(1, [engine])
+  const engine = new ThreadedEngine({ id: 'i-1', events: 200, pause: 50 })
+  const fleet = await startFleet(new MachinesFleet<ThreadedEngine, ThreadedStore>({ store: new ThreadedStore() }), { daemons: 1, engines: [engine] })
   const { front } = fleet.daemons[0]!.ports
   const job = (id: string, tokens = 10): [string, { id: string, body: object }] => ['/drafts/', { id, body: { items: [{ id: `${id}-1`, path: `/drafts/${id}`, headers: {}, body: 'eA==', tokens }] } }]
   try {
-    fleet.store.faults = { down: 'busy' }
+    await fleet.store.setFaults({ down: 'busy' })
     const refused = await callDaemon(front, ...job('early'))
     t.is(refused.status, 503)
     t.true(Number(refused.headers['retry-after']) > 0)
-    fleet.store.faults = {}
+    await fleet.store.setFaults({})
     await fleet.waitUntil('jobs are accepted again', async () => (await callDaemon(front, ...job('later'))).status === 202)
     t.is((await callDaemon(front, ...job('large', 995))).status, 429)
-    await fleet.waitUntil('its item runs', () => engine.runs.some(({ path }) => path === '/drafts/later'))
+    await fleet.waitUntil('its item runs', async () => (await engine.readRuns()).some(({ path }) => path === '/drafts/later'))
     // The owners of the job are recorded under this name.
     t.is((await callDaemon(front, ...job('later.owner'))).status, 400)
     t.is((await callDaemon(front, '/api/lots/later', { method: 'DELETE' })).status, 200)
-    await fleet.waitUntil('its item is stopped', () => engine.runs.every(({ outcome }) => outcome !== 'running'))
+    await fleet.waitUntil('its item is stopped', async () => (await engine.readRuns()).every(({ outcome }) => outcome !== 'running'))
     t.is((await callDaemon(front, '/api/lots/later', { method: 'GET' })).status, 200)
     t.is((await callDaemon(front, '/api/lots/never', { method: 'GET' })).status, 404)
   } finally {
