--- a/src/jobs/item-trials.ts
+++ b/src/jobs/item-trials.ts
@@ -11,8 +11,12 @@
 const MAX_TRIAL_WAIT = 7_500
 /** The same for trials of a refused part, for which items have waited before, ms, by up to two thirds more or less. */
 const MAX_REFUSED_TRIAL_WAIT = 1_500
-/** Share of that wait for which items may then begin a trial without a grant, before they wait again: the daemons that have waited must not all begin at once. */
-const START_SHARE = 1 / 15
+/**
+ * How long items may then begin a trial without a grant, ms, before they wait again: the daemons that have waited must not all begin at once.
+ * The shorter one, for a refused part, is a few requests for slots long.
+ */
+const START_WINDOW = 500
+const REFUSED_START_WINDOW = 200
 /** A wait that nothing has asked about for this long has ended, ms. */
 const FORGET_AFTER = 2_000
 const MAX_WAITS = 300
@@ -55,7 +59,7 @@
     const { clock, random } = this.options
     const now = clock.now()
     const known = this.waits.get(part)
-    const isGoing = known !== undefined && now < known.seenAt + FORGET_AFTER && now < Math.max(known.since + known.limit, lostAt + known.limit, begunUntil) + known.limit * START_SHARE
+    const isGoing = known !== undefined && now < known.seenAt + FORGET_AFTER && now < Math.max(known.since + known.limit, lostAt + known.limit, begunUntil) + (isRefused ? REFUSED_START_WINDOW : START_WINDOW)
     const wait = isGoing ? known : { since: now, limit: isRefused ? random.spread(MAX_REFUSED_TRIAL_WAIT, 2 / 3) : random.spread(MAX_TRIAL_WAIT, 1 / 3) }
     this.waits.set(part, { ...wait, seenAt: now })
     if (this.waits.size > MAX_WAITS) for (const [other, { seenAt }] of this.waits) if (now >= seenAt + FORGET_AFTER) this.waits.delete(other)
