--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -200,8 +200,7 @@
   private useGrant (pool: string, server: string): void {
     if (this.draining || !this.loads.isOpen(server)) return
     const items = this.listWaiting().filter(({ route, state }) => route.services.some(({ service, weight }) => service === pool && weight > 0) && this.versions.mayRunAt(state, pool, server))
-    const now = this.clock.now()
-    const fitting = items.filter(({ state }) => this.versions.keepsProgress(state, server) || now >= (this.versions.findBoundUntil(state) ?? Infinity))
+    const fitting = items.filter(({ state }) => this.versions.keepsProgress(state, server) || this.clock.now() >= (this.versions.findBoundUntil(state) ?? Infinity))
     const item = chooseItem(fitting.length > 0 ? fitting : items, job => [...this.running].filter(other => other.job === job).length)
     if (item !== undefined) this.startItem(item, pool, server)
   }
@@ -273,8 +272,7 @@
         return
       }
       case 'failed': {
-        state.failures++
-        if (state.failures >= route.attempts) return this.finish(job, state, 'failed', '')
+        if (++state.failures >= route.attempts) return this.finish(job, state, 'failed', '')
         return this.pause(state)
       }
       case 'lost': {
--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -2,10 +2,12 @@
 import { countRuns } from './count-runs.js'
 import { estimateChance } from './estimate-chance.js'
 import { findStrictest } from './find-strictest.js'
-import { findTrialTime } from './find-trial-time.js'
+import { findTrialLimit } from './find-trial-limit.js'
+import { findTrials } from './find-trials.js'
 import { hasEqualAges } from './has-equal-ages.js'
 import { isBetterCause } from './is-better-cause.js'
 import { isLikelyCause } from './is-likely-cause.js'
+import { isProvedSound } from './is-proved-sound.js'
 import { isReported } from './is-reported.js'
 import { isSameExit } from './is-same-exit.js'
 import { judgePart } from './judge-part.js'
@@ -38,13 +40,9 @@
 const MAX_LOST = 200
 /** How long no trial of a part begins after the loss by which it is about to be refused, ms. */
 const PENDING_TIME = 400
-/** A refused part is cleared only if its losses may well be chance, or if it passed so often for each moment of losses. */
-const MIN_CHANCE_OF_SOUND = 0.1
-const MIN_PASSES_OF_SOUND = 4
 /** How long a verdict is reused while nothing new is known, ms: waiting items ask for it many times a second. */
 const VERDICT_TIME = 100
-/** By how many more trials of a refused part may run at a time for each one that passed, and the number of them from which more make no difference. */
-const MORE_TRIALS = 2
+/** Trials of a refused part that passed, from which more make no difference. */
 const MAX_TRIALS_PASSED = 30
 /** Known passes of a part up to which each daemon tells its own. */
 const ENOUGH_PASSES = 20
@@ -71,7 +69,7 @@
     const suspect = parts.find((_, i) => verdicts[i] === 'suspect')
     const strictest = findStrictest(parts.filter((_, i) => verdicts[i] === 'refused').map(part => ({ part, ...this.findTrials(part) })), now)
     if (strictest !== undefined && !(mayTry && suspect !== undefined && now >= strictest.from && strictest.limit > 1)) return { verdict: 'refused', part: strictest.part }
-    return suspect === undefined ? { verdict: 'clear' } : { verdict: 'suspect', part: suspect, isPending: this.isPending(suspect, now), isLikely: this.isLikely(suspect, now) }
+    return suspect === undefined ? { verdict: 'clear' } : { verdict: 'suspect', part: suspect, isPending: this.isPending(suspect, now), isLikely: isLikelyCause(this.listOpenLosses(suspect, now), now, () => this.weigh(suspect, this.listOpenLosses(suspect, now), now)) }
   }
 
   /** Records the loss of a server; returns whether its report is new. */
@@ -145,26 +143,23 @@
 
   /** Returns from when on items may try a refused part, monotonic ms, and how many at once in the whole fleet. */
   findTrials (part: string): { readonly from: number, readonly limit: number } {
-    const known = this.evidence.get(part) ?? NOTHING
-    return { from: findTrialTime(known), limit: 1 + MORE_TRIALS * (known.trialsPassed ?? 0) }
+    return findTrials(this.evidence.get(part) ?? NOTHING)
   }
 
   /** Returns how many trials of a part may run now in the whole fleet; undefined if it isn't refused. */
   findTrialLimit (part: string, now: number): number | undefined {
-    const { from, limit } = this.findTrials(part)
-    if (now >= (this.evidence.get(part)?.refusedUntil ?? -Infinity)) return undefined
-    return now < from ? 0 : limit
+    return findTrialLimit(this.evidence.get(part) ?? NOTHING, now)
   }
 
   /** Lists those of the parts whose trial a run was that began then and has passed. */
   listTried (parts: readonly string[], began: number, now: number): readonly string[] {
-    return parts.filter(part => this.findRefused(part, now) !== undefined && began >= this.findTrials(part).from && (this.evidence.get(part)!.trialsPassed ?? 0) < MAX_TRIALS_PASSED)
+    return parts.filter(part => this.findTrialLimit(part, now) !== undefined && began >= this.findTrials(part).from && (this.evidence.get(part)!.trialsPassed ?? 0) < MAX_TRIALS_PASSED)
   }
 
   /** Records that an item of any daemon has passed as a trial of a refused part. */
   addTrialPass (part: string, now: number): void {
     const known = this.evidence.get(part)
-    if (known !== undefined && now >= findTrialTime(known)) this.evidence.set(part, { ...known, trialsPassed: Math.min(MAX_TRIALS_PASSED, (known.trialsPassed ?? 0) + 1) })
+    if (known !== undefined && now >= findTrials(known).from) this.evidence.set(part, { ...known, trialsPassed: Math.min(MAX_TRIALS_PASSED, (known.trialsPassed ?? 0) + 1) })
   }
 
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
@@ -198,11 +193,6 @@
     return refusedUntil <= now && now < (losses.at(-1)?.at ?? -Infinity) + PENDING_TIME && this.judgeOne(part, now) === 'refused'
   }
 
-  private isLikely (part: string, now: number): boolean {
-    const losses = this.listOpenLosses(part, now)
-    return isLikelyCause(losses, now, () => this.weigh(part, losses, now))
-  }
-
   private judgeBeside (part: string, parts: readonly string[], now: number): PartVerdict {
     const known = this.evidence.get(part)
     if (known === undefined) return 'clear'
@@ -285,8 +275,7 @@
     const losses = known.losses.filter(loss => !this.isExplained(loss, part, now))
     const weights = this.weigh(part, losses, now)
     const verdict = judgePart({ ...known, losses, refusedUntil: undefined, refusals: 0 }, weights)
-    const speaksFor = weights.chance > MIN_CHANCE_OF_SOUND || weights.passes > MIN_PASSES_OF_SOUND * countMoments(losses)
-    return verdict === 'clear' && speaksFor && this.release(part, now)
+    return verdict === 'clear' && isProvedSound(weights, countMoments(losses)) && this.release(part, now)
   }
 
   private findRefused (part: string, now: number): RefusedPart | undefined {
--- /dev/null
+++ b/src/routing/blame/find-trial-limit.ts
@@ -0,0 +1,14 @@
+import { findTrials } from './find-trials.js'
+import type { PartEvidence } from './part-evidence.js'
+
+/**
+ * Finds how many trials of a part may run now in the whole fleet; undefined if it isn't refused.
+ *
+ * @example
+ * findTrialLimit({ refusedAt: 5_000, refusedUntil: 125_000, losses: [] }, 16_000) // 1
+ */
+export function findTrialLimit (known: Pick<PartEvidence, 'refusedAt' | 'refusedUntil' | 'losses' | 'trialsPassed'>, now: number): number | undefined {
+  const { from, limit } = findTrials(known)
+  if (now >= (known.refusedUntil ?? -Infinity)) return undefined
+  return now < from ? 0 : limit
+}
