--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -1,11 +1,12 @@
 import { countMoments } from './count-moments.js'
 import { countRuns } from './count-runs.js'
-import { estimateChance } from './estimate-chance.js'
+import { estimatePartChance } from './estimate-part-chance.js'
 import { findStrictest } from './find-strictest.js'
-import { findTrialTime } from './find-trial-time.js'
-import { hasEqualAges } from './has-equal-ages.js'
+import { findTrialLimit } from './find-trial-limit.js'
+import { findTrials } from './find-trials.js'
 import { isBetterCause } from './is-better-cause.js'
 import { isLikelyCause } from './is-likely-cause.js'
+import { isProvedSound } from './is-proved-sound.js'
 import { isReported } from './is-reported.js'
 import { isSameExit } from './is-same-exit.js'
 import { judgePart } from './judge-part.js'
@@ -40,13 +41,9 @@
 const MAX_LOST = 200
 /** How long no trial of a part begins after the loss by which it is about to be refused, ms. */
 const PENDING_TIME = 400
-/** A refused part is cleared only if its losses may well be chance, or if it passed so often for each moment of losses. */
-const MIN_CHANCE_OF_SOUND = 0.1
-const MIN_PASSES_OF_SOUND = 4
 /** How long a verdict is reused while nothing new is known, ms: waiting items ask for it many times a second. */
 const VERDICT_TIME = 100
-/** By how many more trials of a refused part may run at a time for each one that passed, and the number of them from which more make no difference. */
-const MORE_TRIALS = 2
+/** Trials of a refused part that passed, from which more make no difference. */
 const MAX_TRIALS_PASSED = 30
 /** Known passes of a part up to which each daemon tells its own. */
 const ENOUGH_PASSES = 20
@@ -75,7 +72,7 @@
     const suspect = parts.find((_, i) => verdicts[i] === 'suspect')
     const strictest = findStrictest(parts.filter((_, i) => verdicts[i] === 'refused').map(part => ({ part, ...this.findTrials(part) })), now)
     if (strictest !== undefined && !(mayTry && suspect !== undefined && now >= strictest.from && strictest.limit > 1)) return { verdict: 'refused', part: strictest.part }
-    return suspect === undefined ? { verdict: 'clear' } : { verdict: 'suspect', part: suspect, isPending: this.isPending(suspect, now), isLikely: this.isLikely(suspect, now) }
+    return suspect === undefined ? { verdict: 'clear' } : { verdict: 'suspect', part: suspect, isPending: this.isPending(suspect, now), isLikely: isLikelyCause(this.listOpenLosses(suspect, now), now, () => this.weigh(suspect, this.listOpenLosses(suspect, now), now)) }
   }
 
   /** Records the loss of a server; returns whether its report is new. */
@@ -149,15 +146,12 @@
 
   /** Returns from when on a part may be tried by more requests for each that passed, monotonic ms, if it is refused by items alone, and how many at once in the whole fleet. */
   findTrials (part: string): { readonly from: number, readonly limit: number } {
-    const known = this.evidence.get(part) ?? NOTHING
-    return { from: findTrialTime(known), limit: 1 + MORE_TRIALS * (known.trialsPassed ?? 0) }
+    return findTrials(this.evidence.get(part) ?? NOTHING)
   }
 
   /** Returns how many trials of a part may run now in the whole fleet; undefined if it isn't refused and was in flight at a lost server a short while ago. */
   findTrialLimit (part: string, now: number): number | undefined {
-    const { from, limit } = this.findTrials(part)
-    if (now >= from) return limit
-    return this.findRefused(part, now) === undefined ? undefined : 0
+    return this.evidence.has(part) ? findTrialLimit(this.evidence.get(part)!, now) : undefined
   }
 
   /** Lists those of the parts whose trial a run was that began then and has passed. */
@@ -168,13 +162,12 @@
   /** Records that a request of any daemon has passed as a trial of the part. */
   addTrialPass (part: string, now: number): void {
     const known = this.evidence.get(part)
-    if (known !== undefined && now >= findTrialTime(known)) this.evidence.set(part, { ...known, trialsPassed: Math.min(MAX_TRIALS_PASSED, (known.trialsPassed ?? 0) + 1) })
+    if (known !== undefined && now >= findTrials(known).from) this.evidence.set(part, { ...known, trialsPassed: Math.min(MAX_TRIALS_PASSED, (known.trialsPassed ?? 0) + 1) })
   }
 
   /** Returns how many runs with the part passed lately, here and as far as is known elsewhere. */
   countPasses (part: string, now: number): number {
-    const others = [...this.evidence.get(part)?.passes.values() ?? []]
-    return others.reduce((sum, { count }) => sum + count, this.passes.get(part, now))
+    return [...this.evidence.get(part)?.passes.values() ?? []].reduce((sum, { count }) => sum + count, this.passes.get(part, now))
   }
 
   /** Returns the runs of all requests here and, as far as is known, at other daemons that passed and that were lost with their servers. */
@@ -202,11 +195,6 @@
     return refusedUntil <= now && now < (losses.at(-1)?.at ?? -Infinity) + PENDING_TIME && this.judgeOne(part, now) === 'refused'
   }
 
-  private isLikely (part: string, now: number): boolean {
-    const losses = this.listOpenLosses(part, now)
-    return isLikelyCause(losses, now, () => this.weigh(part, losses, now))
-  }
-
   private judgeBeside (part: string, parts: readonly string[], now: number): PartVerdict {
     const known = this.evidence.get(part)
     if (known === undefined) return 'clear'
@@ -230,14 +218,9 @@
     const passes = this.countPasses(part, now)
     const told = this.evidence.get(part)?.passes ?? NOTHING.passes
     const totals = [...this.totals].map(([daemon, all]) => told.get(daemon) ?? { total: passes < ENOUGH_PASSES ? all.passes : 0, totalTime: passes < ENOUGH_PASSES ? all.time : 0 })
-    const passed = totals.reduce((sum, { total }) => sum + total, this.passes.total(now))
     const others = this.lost.filter(loss => !this.findRefusedFor(loss, now).some(other => other !== part))
-    const isEqual = hasEqualAges(losses)
-    const count = isEqual ? (all: readonly PartLoss[]) => all.length : countMoments
-    const shareOfRuns = (countRuns(losses) + passes) / Math.max(1, countRuns(others) + passed)
-    const ownTime = [...told.values()].reduce((sum, { time }) => sum + time, this.times.get(part, now))
-    const shareOfTime = ownTime / Math.max(1, totals.reduce((sum, { totalTime }) => sum + totalTime, this.times.total(now)))
-    const chance = estimateChance({ moments: Math.max(count(others), count(losses)), own: count(losses), share: isEqual ? shareOfRuns : Math.max(shareOfRuns, shareOfTime), lostRuns: countRuns(others) })
+    const time = { own: [...told.values()].reduce((sum, { time }) => sum + time, this.times.get(part, now)), all: totals.reduce((sum, { totalTime }) => sum + totalTime, this.times.total(now)) }
+    const chance = estimatePartChance({ losses, allLosses: others, passes: { own: passes, all: totals.reduce((sum, { total }) => sum + total, this.passes.total(now)) }, time })
     const all = this.countAll(now)
     return { passes, othersPass: all.passed >= USUAL_PASSES, all, allMoments: countMoments(others), chance, now }
   }
@@ -293,9 +276,7 @@
     if (known?.refusedUntil === undefined) return false
     const losses = known.losses.filter(loss => !this.isExplained(loss, part, now))
     const weights = this.weigh(part, losses, now)
-    const verdict = judgePart({ ...known, losses, refusedUntil: undefined, refusals: 0 }, weights)
-    const speaksFor = weights.chance > MIN_CHANCE_OF_SOUND || weights.passes > MIN_PASSES_OF_SOUND * countMoments(losses)
-    return verdict === 'clear' && speaksFor && this.release(part, now)
+    return judgePart({ ...known, losses, refusedUntil: undefined, refusals: 0 }, weights) === 'clear' && isProvedSound(weights, countMoments(losses)) && this.release(part, now)
   }
 
   private findRefused (part: string, now: number): RefusedPart | undefined {
--- a/src/routing/blame/part-blame.ts
+++ b/src/routing/blame/part-blame.ts
@@ -25,13 +25,14 @@
 import { encodeRelease } from './encode-release.js'
 import { encodeServerLoss } from './encode-server-loss.js'
 import { judgeRefusedPart } from './judge-refused-part.js'
-import type { LostRun } from './lost-run.js'
 import type { PartDecision } from './part-decision.js'
 import type { PartRun } from './part-run.js'
 import { PartTrials } from './part-trials.js'
 import { PassReporter } from './pass-reporter.js'
 import type { RefusedPart } from './refused-part.js'
 import { RefusedPartsStore } from './refused-parts-store.js'
+import type { RunInFlight } from './run-in-flight.js'
+import { RunsInFlight } from './runs-in-flight.js'
 import { ServerExits } from './server-exits.js'
 import type { ServerPartLoss } from './server-part-loss.js'
 
@@ -47,8 +48,6 @@
 const STORE_PERIOD = 5_000
 const STORE_RETRY = 500
 
-interface Run extends LostRun { readonly server: string, readonly isSent: () => boolean, hasPassed: boolean, /** Until when its time in flight has been recorded, monotonic ms. */ recordedUntil: number }
-
 /**
  * Refuses requests whose prompts have a part that crashes each server which begins to answer them. No two such requests need be alike, and
  * sound ones share everything else with them; so the losses of servers are held against the parts in flight there, and runs that pass
@@ -70,7 +69,7 @@
   private readonly trials: PartTrials
   private readonly passes: PassReporter
   private readonly stored: RefusedPartsStore
-  private readonly runs = new Set<Run>()
+  private readonly runs = new RunsInFlight(this.ledger.times)
   private readonly exits = new ServerExits()
   /** Parts that were stored, or found in the store. */
   private readonly confirmed = new Set<string>()
@@ -131,16 +130,15 @@
     const needsTrial = verdict === 'refused' || (verdict === 'suspect' && !isPending)
     const tried = needsTrial && this.trials.take(suspect!) ? suspect : undefined
     const now = this.clock.now()
-    const run: Run = { parts, server, began: now, isSent, hasPassed: false, recordedUntil: now }
-    this.runs.add(run)
+    const run = this.runs.add({ parts, server, began: now, isSent })
     const endTrial = (): void => { if (tried !== undefined) this.trials.end(tried) }
-    return createPartRun({ clock: this.clock, remove: () => this.remove(run), pass: () => this.pass(run), endTrial, isShortTrial: tried !== undefined && this.ledger.findTrialLimit(tried, now) !== undefined })
+    return createPartRun({ clock: this.clock, remove: () => this.runs.remove(run, this.clock.now()), pass: () => this.pass(run), endTrial, isShortTrial: tried !== undefined && this.ledger.findTrialLimit(tried, now) !== undefined })
   }
 
   /** Holds a server's loss against the parts that were in flight there, and tells the other daemons. */
   onServerLost (server: string, at = this.clock.now()): void {
     if (!this.exits.record(server, at)) return
-    const runs = [...this.runs].filter(run => run.server === server && run.began <= at && run.isSent()).map(({ parts, began }) => ({ parts, began }))
+    const runs = this.runs.listLost(server, at)
     if (runs.length === 0) return
     const report = { server, at, daemon: this.settings.instance, id: Math.round(this.clock.date()), runs }
     this.addLoss(report)
@@ -160,7 +158,7 @@
     return this.ledger.explainsLosses(servers, parts, this.clock.now())
   }
 
-  private pass (run: Run): void {
+  private pass (run: RunInFlight): void {
     if (run.hasPassed) return
     run.hasPassed = true
     const tried = this.ledger.listTried(run.parts, run.began, this.clock.now())
@@ -184,17 +182,6 @@
     this.log.write('warn', 'blame', 'ignores a malformed count of passes', { from })
   }
 
-  private remove (run: Run): boolean {
-    this.recordTime(run)
-    return this.runs.delete(run)
-  }
-
-  private recordTime (run: Run): void {
-    const now = this.clock.now()
-    if (now > run.recordedUntil) this.ledger.times.record(run.parts, now - run.recordedUntil, now)
-    run.recordedUntil = now
-  }
-
   private receiveTrialPass (message: Readonly<Record<string, unknown>>, from: string): void {
     this.ledger.addTrialPass(String(message.part), this.clock.now())
     this.receivePasses(message, from)
@@ -202,7 +189,7 @@
 
   /** Returns whether the report is new. */
   private addLoss (loss: ServerPartLoss): boolean {
-    for (const run of this.runs) this.recordTime(run)
+    this.runs.recordTimes(this.clock.now())
     this.passes.report([...new Set(loss.runs.flatMap(({ parts }) => parts))])
     this.clock.after(JUDGE_DELAY, () => this.review())
     return this.ledger.addLoss(loss, this.clock.now())
