--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -18,7 +18,6 @@
 import type { PartLoss } from './part-loss.js'
 import { PartTotals } from './part-totals.js'
 import type { PartVerdict } from './part-verdict.js'
-import { PassCounter } from './pass-counter.js'
 import type { RefusedPart } from './refused-part.js'
 import { ReleasedParts } from './released-parts.js'
 import type { ToldPasses } from './told-passes.js'
@@ -43,7 +42,7 @@
 const PENDING_TIME = 400
 /** How long a verdict is reused while nothing new is known, ms: waiting items ask for it many times a second. */
 const VERDICT_TIME = 100
-/** Trials of a refused part that passed, from which more make no difference. */
+/** Trials of a part that passed, from which more make no difference. */
 const MAX_TRIALS_PASSED = 30
 /** Known passes of a part up to which each daemon tells its own. */
 const ENOUGH_PASSES = 20
@@ -52,7 +51,7 @@
 /** What this daemon knows for and against the parts of prompts, and how requests with them are treated. Free of I/O; times in monotonic ms. */
 export class BlameLedger {
   /** The runs here that passed lately. */
-  readonly passes = new PassCounter()
+  readonly passes = new PartTotals()
   /** Time that runs here were in flight, ms. */
   readonly times = new PartTotals()
   private readonly evidence = new Map<string, PartEvidence>()
@@ -96,7 +95,7 @@
 
   /** Records a run here that passed; returns the parts that are no longer refused since. */
   addPass (parts: readonly string[], now: number): readonly string[] {
-    for (const part of parts) this.passes.record(part, now)
+    for (const part of parts) this.passes.record([part], 1, now)
     if (!parts.some(part => this.evidence.has(part))) return []
     this.verdicts.clear()
     return parts.filter(part => this.clearIfSound(part, now))
--- a/src/routing/blame/part-totals.ts
+++ b/src/routing/blame/part-totals.ts
@@ -3,14 +3,14 @@
 /** Maximum number of parts in each of two periods; the ones recorded longest ago are forgotten first. */
 const MAX_PARTS = 4_000
 
-/** Adds up an amount that runs bring, such as their time, by part and for all runs over the last one to two minutes. */
+/** Adds up an amount that runs bring, such as their number or time, by part and in all over the last one to two minutes. */
 export class PartTotals {
   private current = new Map<string, number>()
   private former: ReadonlyMap<string, number> = new Map()
   private totals = { current: 0, former: 0 }
   private beganAt = -Infinity
 
-  /** Records the amount of one run for each of its parts, and once for all runs. */
+  /** Records the amount of one run for each of its parts, and once for the total. */
   record (parts: readonly string[], amount: number, now: number): void {
     this.rotate(now)
     this.totals.current += amount
@@ -27,7 +27,6 @@
     return (this.current.get(part) ?? 0) + (this.former.get(part) ?? 0)
   }
 
-  /** Returns the amount of all runs. */
   total (now: number): number {
     this.rotate(now)
     return this.totals.current + this.totals.former
