--- a/src/routing/blame/part-trials.ts
+++ b/src/routing/blame/part-trials.ts
@@ -10,9 +10,9 @@
 const RUN_TIME = 5_000
 /** How long a daemon asks in vain until it tries the part itself, ms: it may be cut off from the one that grants. */
 const MAX_ASK_TIME = 600
-/** How long a daemon may hold a grant while others ask for it, ms: of a suspect part, and of a refused one, for which items have waited before. */
+/** How long a daemon may hold a grant while others ask for it, ms: of a part that was in flight at a lost server a short while ago, and later. */
 const MAX_HOLD_TIME = 5_000
-const MAX_REFUSED_HOLD_TIME = 500
+const MAX_CALM_HOLD_TIME = 500
 /** How long after a request for a trial its daemon goes before the one that held the trial, ms. */
 const WANTED_TIME = 1_000
 /** After this long without a request for a trial, ms, a daemon counts anew since when it asks. */
@@ -32,12 +32,12 @@
   readonly settings: Pick<Settings, 'instance'>
   readonly members: Pick<Members, 'owners'>
   readonly links: Pick<PeerLinks, 'send'>
-  /** Returns how many trials of a refused part may run at a time in the fleet; undefined for a suspect one, of which only one may. */
+  /** Returns how many trials of a part may run at a time in the fleet; undefined for a suspect one that was in flight at a lost server a short while ago, of which only one may. */
   readonly findLimit?: (part: string) => number | undefined
 }
 
 /**
- * Lets one request with a suspect part run at a time in the whole fleet, or as many items with a refused one as its trials that passed allow.
+ * Lets one request with a suspect part run at a time in the whole fleet, or as many, and items with a refused one, as its trials that passed allow.
  * For each part one daemon, by rendezvous hashing, grants its trials; a daemon that it leaves without an answer tries the part itself. Then,
  * and while daemons disagree about the members, there may be more.
  */
@@ -123,7 +123,7 @@
     }
     const since = own !== undefined && now < own.until + WANTED_TIME ? own.since : now
     const isWanted = now < (own?.wantedAt ?? -Infinity) + WANTED_TIME
-    if (isWanted && now >= since + (this.options.findLimit?.(part) === undefined ? MAX_HOLD_TIME : MAX_REFUSED_HOLD_TIME)) return this.answer(from, { type: 'part trial busy', part })
+    if (isWanted && now >= since + (this.options.findLimit?.(part) === undefined ? MAX_HOLD_TIME : MAX_CALM_HOLD_TIME)) return this.answer(from, { type: 'part trial busy', part })
     this.holders.set(part, [...others, { daemon: from, hasBegun: false, since, until: now + GRANT_TIME, ...own?.wantedAt !== undefined && { wantedAt: own.wantedAt } }])
     this.answer(from, { type: 'part trial', part })
   }
