--- a/src/routing/blame/blame-ledger.ts
+++ b/src/routing/blame/blame-ledger.ts
@@ -143,12 +143,12 @@
     return this.evidence.get(part)?.losses ?? []
   }
 
-  /** Returns from when on a part may be tried by more requests for each that passed, monotonic ms, if it is refused by items alone, and how many at once in the whole fleet. */
+  /** Returns from when on several trials of a part may run at a time, monotonic ms, and how many in the whole fleet. Only items try a refused part. */
   findTrials (part: string): { readonly from: number, readonly limit: number } {
     return findTrials(this.evidence.get(part) ?? NOTHING)
   }
 
-  /** Returns how many trials of a part may run now in the whole fleet; undefined if it isn't refused and was in flight at a lost server a short while ago. */
+  /** Returns how many trials of a part may run now in the whole fleet; undefined for a suspect one until several may. */
   findTrialLimit (part: string, now: number): number | undefined {
     return this.evidence.has(part) ? findTrialLimit(this.evidence.get(part)!, now) : undefined
   }
--- a/src/routing/blame/find-trial-limit.ts
+++ b/src/routing/blame/find-trial-limit.ts
@@ -2,8 +2,7 @@
 import type { PartEvidence } from './part-evidence.js'
 
 /**
- * Finds how many trials of a part may run now in the whole fleet; undefined if it isn't refused and was in flight at a lost server a short
- * while ago.
+ * Finds how many trials of a part may run now in the whole fleet; undefined for a suspect one until several may.
  *
  * @example
  * findTrialLimit({ refusedAt: 5_000, refusedUntil: 125_000, losses: [] }, 16_000) // 1
--- a/src/routing/blame/find-trials.ts
+++ b/src/routing/blame/find-trials.ts
@@ -5,7 +5,7 @@
 const MORE_TRIALS = 2
 
 /**
- * Finds from when on trials of a part may grow in number, monotonic ms, if it is refused by items alone, and how many may run at a time in the whole fleet.
+ * Finds from when on several trials of a part may run at a time, monotonic ms, and how many in the whole fleet. Only items try a refused part.
  *
  * @example
  * findTrials({ refusedAt: 5_000, losses: [], trialsPassed: 1 }) // { from: 15_000, limit: 3 }
--- a/src/routing/blame/part-evidence.ts
+++ b/src/routing/blame/part-evidence.ts
@@ -10,7 +10,7 @@
   readonly refusedAt?: number
   /** End of its refusal; undefined if it wasn't refused. */
   readonly refusedUntil?: number
-  /** Trials by items that have passed, as far as is known, since its refusal and its last loss. */
+  /** Trials that have passed, as far as is known, since its refusal and its last loss. */
   readonly trialsPassed?: number
   /** How often it has been refused. */
   readonly refusals: number
--- a/src/routing/blame/part-trials.ts
+++ b/src/routing/blame/part-trials.ts
@@ -10,7 +10,7 @@
 const RUN_TIME = 5_000
 /** How long a daemon asks in vain until it tries the part itself, ms: it may be cut off from the one that grants. */
 const MAX_ASK_TIME = 600
-/** How long a daemon may hold a grant while others ask for it, ms: of a part that was in flight at a lost server a short while ago, and later. */
+/** How long a daemon may hold a grant while others ask for it, ms: of a suspect part until several trials may run, and otherwise. */
 const MAX_HOLD_TIME = 5_000
 const MAX_CALM_HOLD_TIME = 500
 /** How long after a request for a trial its daemon goes before the one that held the trial, ms. */
@@ -32,12 +32,12 @@
   readonly settings: Pick<Settings, 'instance'>
   readonly members: Pick<Members, 'owners'>
   readonly links: Pick<PeerLinks, 'send'>
-  /** Returns how many trials of a part may run at a time in the fleet; undefined for a suspect one that was in flight at a lost server a short while ago, of which only one may. */
+  /** Returns how many trials of a part may run at a time in the fleet; undefined for a suspect one until several may. */
   readonly findLimit?: (part: string) => number | undefined
 }
 
 /**
- * Lets one request with a suspect part run at a time in the whole fleet, or as many, and items with a refused one, as its trials that passed allow.
+ * Limits how many requests with a suspect part, and items with a refused one, run at a time in the whole fleet: one, and more once trials pass.
  * For each part one daemon, by rendezvous hashing, grants its trials; a daemon that it leaves without an answer tries the part itself. Then,
  * and while daemons disagree about the members, there may be more.
  */
@@ -106,7 +106,7 @@
 
   /**
    * Another daemon, or this one, asks for a trial, or has `begun` the one that it was granted. One that can't begin it keeps the grant by asking
-   * again, but not for longer than `MAX_HOLD_TIME` while others ask.
+   * again, but not for long while others ask.
    */
   receiveAsk (part: string, from: string, begun: boolean): void {
     const now = this.options.clock.now()
