--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -79,7 +79,7 @@
   async startStore () {
     const [port] = await claimPorts(1)
     this.store = `127.0.0.1:${port}`
-    this.spawn(process.execPath, [join(here, 'store.mjs'), String(port)])
+    this.storeProcess = this.spawn(process.execPath, [join(here, 'store.mjs'), String(port)])
     await this.waitFor(async () => (await call(this.store, { path: '/api/objects/config' })).status === 200)
   }
 
@@ -87,6 +87,11 @@
     await call(this.store, { method: 'PUT', path: '/control', body: JSON.stringify(faults) })
   }
 
+  signalStore (signal) {
+    this.record({ type: signal, store: this.store })
+    this.storeProcess.kill(signal)
+  }
+
   async putConfiguration (spec) {
     const made = await call(this.store, { method: 'POST', path: '/api/objects/config', body: JSON.stringify({ metadata: { name: 'main' }, spec }) })
     if (made.status === 409) await call(this.store, { method: 'PUT', path: '/api/objects/config/main', body: JSON.stringify({ metadata: { name: 'main' }, spec }) })
