--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -163,6 +163,25 @@
     await this.waitFor(async () => (await call(daemon.readiness, { path: '/api/ready', timeout: 1000 })).status === 200)
   }
 
+  /** Starts the storage role on a machine with an empty disk. */
+  async startStorage () {
+    if (this.storageFile === undefined) {
+      const [front] = await claimPorts(1)
+      this.storageFile = join(this.temporary, 'storage.toml')
+      const entry = readFileSync(this.daemons[0].file, 'utf8')
+      writeFileSync(this.storageFile, entry.replace('node = "edge-0"', 'node = "storage-0"').replace(/^\[listen\][^[]*/m, `data_dir = "${this.temporary}"\n[listen]\n`).replace(/^seeds.*$/m, `seeds = ["127.0.0.1:${front}"]`))
+    }
+    const [program, ...args] = readCommand('storage')
+    this.storage = this.spawn(program === 'node' ? process.execPath : program, args, { env: { CITRONWHEEL_BOOT: this.storageFile } })
+  }
+
+  /** A store machine loses its disk, and is back after `time` ms. */
+  loseStorage (time) {
+    this.record({ type: 'killed', machine: 'storage-0' })
+    this.storage.kill('SIGKILL')
+    setTimeout(() => this.startStorage().catch(() => {}), time)
+  }
+
   async waitFor (check, time = 20000) {
     const end = Date.now() + time
     while (!await check()) {
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -13,8 +13,8 @@
 const say = line => process.stdout.write(`${JSON.stringify({ at: Date.now(), server: id, ...line })}\n`)
 const pause = time => new Promise(resolve => setTimeout(resolve, time))
 
-/** The data of event `n` of a request, which any server gives alike. */
-const dataOf = (request, n) => `${request} piece ${n}`
+/** The data of event `n` of a request, which any server of a service gives alike. */
+const dataOf = (request, n) => `${request} piece ${n}${options.voice ?? ''}`
 
 function call (method, path, body) {
   return new Promise(resolve => {
