Review, case 4: items go on at another version of the servers' software

Cause: the version of a server is taken from the list of servers at the time of the send, and what a run brought isn't dropped when the list shows that the server had started again with another version before it.

--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -105,8 +105,10 @@
     await this.startServer(options.id)
   }
 
-  async startServer (id) {
+  /** Starts the server's process, with other options if there are any. */
+  async startServer (id, changed = {}) {
     const server = this.servers.get(id)
+    Object.assign(server.options, changed)
     server.child = this.spawn(process.execPath, [join(here, 'server.mjs'), JSON.stringify(server.options)], {
       onLine: line => {
         const { at, ...rest } = JSON.parse(line)
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -1,6 +1,7 @@
 // A stand-in for one model server (PROTOCOL.md): registers itself in the store, runs `slots` requests at once, streams numbered events,
 // goes on at `Last-Event-Id`, expects its own instance, and writes a line for each run to standard output.
-// The argument is a JSON object: id, port, store, service, zone, slots, queue, firstMs, pauseMs, events, framing, beatMs.
+// The argument is a JSON object: id, port, store, service, zone, version, slots, queue, firstMs, pauseMs, events, framing, beatMs, firstBeatMs
+// (how long after its start it writes its entry first) and voice (added to each event's data).
 import { createServer, request } from 'node:http'
 
 const options = { service: 'helm', zone: 'a', slots: 8, queue: 24, firstMs: 50, pauseMs: 10, events: 20, framing: 'chunks', beatMs: 1200, version: 'v1', ...JSON.parse(process.argv[2]) }
@@ -114,6 +115,7 @@
 })
 server.keepAliveTimeout = 5000
 server.listen(port, '127.0.0.1', async () => {
+  if (options.firstBeatMs !== undefined) await pause(options.firstBeatMs)
   await beat()
   setInterval(beat, beatMs)
 })
