Answers to callers always mark their end

No server failed.

Cause: such answers were passed on in the form of their server, ended by the connection only, and the system closes the connections of a killed process regularly. The same kill with servers that answer in chunks shows nothing, and SIGKILL leaves the daemon no time to end anything itself.

Now a body that is complete here is sent with its length, and streams and long bodies in chunks, for routed requests, keyed ones and the product's own entry. The form of a server's end (isEndMarked) is no longer kept.

--- a/src/entry/keyed-claim.ts
+++ b/src/entry/keyed-claim.ts
@@ -1,8 +1,8 @@
 /** The recorded outcome of the run that a claim covers. */
 type ClaimOutcome =
   | { readonly type: 'open' }
-  /** `body` in base64; absent where it was too long to be recorded. `isEndMarked` is false where nothing but the end of its connection showed that it was complete. */
-  | { readonly type: 'answered', readonly status: number, readonly contentType?: string, readonly body?: string, readonly isEndMarked?: boolean }
+  /** `body` in base64; absent where it was too long to be recorded. */
+  | { readonly type: 'answered', readonly status: number, readonly contentType?: string, readonly body?: string }
   | { readonly type: 'unknown', readonly cause: string }
 
 /**
--- a/src/entry/keyed-requests.ts
+++ b/src/entry/keyed-requests.ts
@@ -132,9 +132,8 @@
     const { status, headers: { 'content-type': type } } = answer
     const contentType = type === undefined ? undefined : String(type)
     const body = collected.type === 'whole' ? collected.body.toString('base64') : undefined
-    const unmarked = answer.isEndMarked === false ? { isEndMarked: false } : {}
-    await this.settle(stored, { type: 'answered', status, contentType, body, ...unmarked })
-    return { type: 'answered', status, contentType, body: collected.body, ...unmarked, replayed: false, run: answer }
+    await this.settle(stored, { type: 'answered', status, contentType, body })
+    return { type: 'answered', status, contentType, body: collected.body, replayed: false, run: answer }
   }
 
   /** Returns the outcome of the stored claim, the version at which to take the key, or -1 to wait. */
@@ -182,9 +181,9 @@
 
 function readOutcome ({ outcome }: KeyedClaim): KeyedOutcome {
   if (outcome.type !== 'answered') return { type: 'unknown', cause: outcome.type === 'unknown' ? outcome.cause : '' }
-  const { status, contentType, body, isEndMarked } = outcome
+  const { status, contentType, body } = outcome
   if (body === undefined) return { type: 'not kept', status }
-  return { type: 'answered', status, contentType, body: Buffer.from(body, 'base64'), isEndMarked, replayed: true }
+  return { type: 'answered', status, contentType, body: Buffer.from(body, 'base64'), replayed: true }
 }
 
 function hash (...parts: readonly (string | Uint8Array)[]): string {
--- a/src/entry/online-routes.ts
+++ b/src/entry/online-routes.ts
@@ -1,5 +1,6 @@
 import type { Request, Response } from '@tinyhttp/app'
 import { randomUUID } from 'node:crypto'
+import { pipeline } from 'node:stream/promises'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import type { AccountEntry } from '../admission/account/account-entry.js'
 import { Account } from '../admission/account/account.js'
@@ -16,17 +17,14 @@
 import { Timeline } from '../observe/timeline/timeline.js'
 import type { ServerAnswer } from '../routing/exchanges/server-answer.js'
 import type { ServerRequest } from '../routing/exchanges/server-request.js'
-import { closeIncomplete } from './close-incomplete.js'
 import { findAccountEntry } from './find-account-entry.js'
 import type { KeyedOutcome } from './keyed-outcome.js'
 import { KeyedRequests } from './keyed-requests.js'
 import type { HttpRoute } from './http-route.js'
-import { relayBody } from './relay-body.js'
 import { routePoint } from './route-point.js'
 import { sendKeyedOutcome } from './send-keyed-outcome.js'
 import { sendProblem } from './send-problem.js'
 import { sendRefusal } from './send-refusal.js'
-import { writeUnmarkedHead } from './write-unmarked-head.js'
 
 const PLAIN_LIMIT = 64 // requests in flight per server
 const KEY_LENGTH = 255
@@ -147,12 +145,11 @@
     const { 'content-type': type, 'content-length': length } = answer.headers
     if (type !== undefined) res.setHeader('content-type', type)
     if (length !== undefined) res.setHeader('content-length', length)
-    if (answer.isEndMarked === false) writeUnmarkedHead(res, answer.status, {})
-    else res.writeHead(answer.status)
+    res.writeHead(answer.status)
     let first: number | undefined
     if (String(type).startsWith(STREAM_TYPE)) answer.body.once('data', () => { first = this.clock.now() - asked })
     try {
-      await relayBody(answer.body, res, answer.isEndMarked)
+      await pipeline(answer.body, res)
       answer.end(true)
       const failure = answer.findFailure?.()
       const whole = this.clock.now() - asked
@@ -161,7 +158,7 @@
       if (failure !== undefined) res.req.socket.end()
     } catch {
       answer.end(false)
-      closeIncomplete(res, answer.isEndMarked)
+      res.destroy()
       this.account.count(caller, service, 'online', { type: 'failed', cause: 'cut' })
       this.timeline.record({ part: 'entry', what: 'cut', request: id })
     }
--- a/src/entry/response-sink.ts
+++ b/src/entry/response-sink.ts
@@ -1,26 +1,23 @@
 import type { ServerResponse } from 'node:http'
 import type { Refusal } from '../admission/refusal.js'
 import type { AnswerSink } from '../routing/exchanges/answer-sink.js'
-import type { WholeBody } from '../routing/exchanges/whole-body.js'
-import { closeIncomplete } from './close-incomplete.js'
 import { dropConnectionHeaders } from '../http/drop-connection-headers.js'
 import { sendRoutedRefusal } from './send-routed-refusal.js'
-import { writeUnmarkedHead } from './write-unmarked-head.js'
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>
 
-/** Writes a routed answer to the caller's response. Errors after the caller has disconnected are ignored. */
+/**
+ * Writes a routed answer to the caller's response. A length or a last chunk marks its end, however its server marked it: the system closes
+ * the connections of a killed process regularly. Errors after the caller has disconnected are ignored.
+ */
 export class ResponseSink implements AnswerSink {
-  private isEndMarked = true
-
   constructor (private readonly res: ServerResponse) {
     res.on('error', () => {})
   }
 
-  answer (status: number, headers: Headers, { body, isEndMarked }: WholeBody): void {
+  answer (status: number, headers: Headers, body: Buffer): void {
     if (this.res.destroyed) return
-    if (isEndMarked) this.res.writeHead(status, { ...dropConnectionHeaders(headers), 'content-length': body.length })
-    else writeUnmarkedHead(this.res, status, dropConnectionHeaders(headers))
+    this.res.writeHead(status, { ...dropConnectionHeaders(headers), 'content-length': body.length })
     this.res.end(body)
   }
 
@@ -29,11 +26,9 @@
   }
 
   /** Starts a streamed answer without its length, which would be wrong once another server resumes the stream. */
-  begin (status: number, headers: Headers, isEndMarked: boolean): void {
+  begin (status: number, headers: Headers): void {
     const { 'content-length': _length, ...rest } = dropConnectionHeaders(headers)
-    this.isEndMarked = isEndMarked
-    if (isEndMarked) this.res.writeHead(status, rest)
-    else writeUnmarkedHead(this.res, status, rest)
+    this.res.writeHead(status, rest)
   }
 
   async write (bytes: Buffer): Promise<void> {
@@ -55,6 +50,6 @@
   }
 
   abort (): void {
-    closeIncomplete(this.res, this.isEndMarked)
+    this.res.destroy()
   }
 }
--- a/src/entry/send-keyed-outcome.ts
+++ b/src/entry/send-keyed-outcome.ts
@@ -1,11 +1,9 @@
 import type { ServerResponse } from 'node:http'
+import { pipeline } from 'node:stream/promises'
 import { failUnreachable } from '../kernel/unreachable.js'
-import { closeIncomplete } from './close-incomplete.js'
 import type { KeyedOutcome } from './keyed-outcome.js'
-import { relayBody } from './relay-body.js'
 import { sendProblem } from './send-problem.js'
 import { sendRefusal } from './send-refusal.js'
-import { writeUnmarkedHead } from './write-unmarked-head.js'
 
 const IN_PROGRESS_RETRY = 2_000 // ms
 
@@ -22,12 +20,11 @@
   }
 }
 
-async function sendAnswer (res: ServerResponse, { status, contentType, body, isEndMarked = true, replayed }: Extract<KeyedOutcome, { type: 'answered' }>): Promise<void> {
+async function sendAnswer (res: ServerResponse, { status, contentType, body, replayed }: Extract<KeyedOutcome, { type: 'answered' }>): Promise<void> {
   if (contentType !== undefined) res.setHeader('content-type', contentType)
   if (replayed) res.setHeader('idempotency-replayed', 'true')
-  if (!isEndMarked) writeUnmarkedHead(res, status, {})
-  else if (Buffer.isBuffer(body)) res.writeHead(status, { 'content-length': body.length })
+  if (Buffer.isBuffer(body)) res.writeHead(status, { 'content-length': body.length })
   else res.writeHead(status)
   if (Buffer.isBuffer(body)) res.end(body)
-  else await relayBody(body, res, isEndMarked).catch(() => closeIncomplete(res, isEndMarked))
+  else await pipeline(body, res).catch(() => res.destroy())
 }
--- a/src/ownership/batch/batch-run.ts
+++ b/src/ownership/batch/batch-run.ts
@@ -127,7 +127,7 @@
     const whole = await readToEnd(open.exchange, () => FIRST_TOKEN_TIMEOUT)
     if (whole.err) return await this.fail(open, whole.val)
     const { status } = open.exchange
-    const body = parse(whole.val.body.toString())
+    const body = parse(whole.val.toString())
     if (body === undefined || status >= 500 || RETRYABLE_STATUSES.includes(status)) return await this.fail(open, { why: 'cut', sent: true, detail: `status ${status}` })
     open.end('answered')
     if (status < 300) return { type: 'finished', result: { type: 'completed', status, body } }
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -100,14 +100,14 @@
     for (let open = first; ;) {
       const read = await readWholeAnswer(open, () => delivery.getTimeout())
       if (read.ok) {
-        const { body, tokens, isEndMarked } = read.val
+        const { body, tokens } = read.val
         const { server, exchange: { status, headers } } = open
         if (model !== undefined && tokens > 0) this.servers.recordLatencyRatio(server.name, (this.clock.now() - open.sentAt) / (model.firstToken + tokens * model.betweenTokens), delivery.request.limit)
         const end = (whole: boolean): void => {
           open.end(whole ? 'answered' : 'abandoned')
           delivery.end(whole && status < 500)
         }
-        return Ok({ server: server.name, status, headers, body, isEndMarked, end, countTokens: () => tokens })
+        return Ok({ server: server.name, status, headers, body, end, countTokens: () => tokens })
       }
       await open.fail(read.val)
       const refusal = delivery.plan(read.val)
--- a/src/routing/exchanges/read-to-end.ts
+++ b/src/routing/exchanges/read-to-end.ts
@@ -2,13 +2,12 @@
 import { checkBody } from './check-body.js'
 import type { Exchange } from './exchange.js'
 import type { SendFailure } from './send-failure.js'
-import type { WholeBody } from './whole-body.js'
 
 /** Longest body that is read, bytes; a faulty server may send one without end. */
 const MAX_BODY_BYTES = 16_000_000
 
 /** Reads the rest of an answer's body; fails if it is cut or too long. `getTimeout` returns the longest wait for each read, ms. */
-export async function readToEnd (exchange: Pick<Exchange, 'read' | 'framing' | 'headers'>, getTimeout: () => number): Promise<Result<WholeBody, SendFailure>> {
+export async function readToEnd (exchange: Pick<Exchange, 'read' | 'framing' | 'headers'>, getTimeout: () => number): Promise<Result<Buffer, SendFailure>> {
   const parts: Buffer[] = []
   let size = 0
   for (;;) {
--- a/src/routing/exchanges/read-whole-answer.ts
+++ b/src/routing/exchanges/read-whole-answer.ts
@@ -13,8 +13,6 @@
   readonly body: Readable
   /** Completion tokens as counted by the server; 0 if it reports none. */
   readonly tokens: number
-  /** False if nothing but the end of its connection shows that the body is complete. */
-  readonly isEndMarked: boolean
 }
 
 /**
@@ -31,13 +29,13 @@
     if (bytes.val === undefined) {
       const whole = checkBody(open.exchange, Buffer.concat(parts))
       if (whole.err) return whole
-      const { body, isEndMarked } = whole.val
-      return Ok({ body: Readable.from([body], { objectMode: false }), tokens: readTokens(body), isEndMarked })
+      const body = whole.val
+      return Ok({ body: Readable.from([body], { objectMode: false }), tokens: readTokens(body) })
     }
     parts.push(bytes.val)
     size += bytes.val.length
   }
-  return Ok({ body: Readable.from(readRest(open, parts, getTimeout), { objectMode: false }), tokens: 0, isEndMarked: open.exchange.framing !== 'connection' })
+  return Ok({ body: Readable.from(readRest(open, parts, getTimeout), { objectMode: false }), tokens: 0 })
 }
 
 async function * readRest (open: OpenExchange, parts: readonly Buffer[], getTimeout: () => number): AsyncGenerator<Buffer> {
--- a/src/routing/exchanges/server-answer.ts
+++ b/src/routing/exchanges/server-answer.ts
@@ -9,8 +9,6 @@
   readonly status: number
   readonly headers: Readonly<Record<string, string | string[] | undefined>>
   readonly body: Readable
-  /** False if nothing but the end of its connection shows that the body is complete. */
-  readonly isEndMarked?: boolean
   end (whole: boolean): void
   /** Returns the completion tokens relayed so far; present for answers of a model. */
   readonly countTokens?: () => number
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -14,7 +14,6 @@
 import type { SendFailure } from './exchanges/send-failure.js'
 import type { Silence } from './exchanges/silence.js'
 import { SlotSearch } from './slot-search.js'
-import type { WholeBody } from './exchanges/whole-body.js'
 
 /** Longest waits for the first byte and for the next ones, ms, while another server may still run the request. */
 const FIRST_BYTE_TIMEOUT = 900
@@ -43,8 +42,6 @@
   private runs = 0
   /** Whether part of a stream has been relayed to the caller. */
   private begun = false
-  /** Whether a length or a last chunk ends the stream that the caller receives, and not only its connection. */
-  private isEndMarked = true
   private lastEventId: number | undefined
   /** When the last event was relayed, monotonic ms. */
   private progressAt: number | undefined
@@ -189,7 +186,7 @@
     return undefined
   }
 
-  private async readAll (open: OpenExchange): Promise<WholeBody | undefined> {
+  private async readAll (open: OpenExchange): Promise<Buffer | undefined> {
     const body = await readToEnd(open.exchange, () => this.getTimeout(READ_TIMEOUT))
     return body.ok ? body.val : undefined
   }
@@ -213,18 +210,14 @@
     }
   }
 
-  private begin ({ exchange: { status, headers, framing } }: OpenExchange): void {
+  private begin ({ exchange: { status, headers } }: OpenExchange): void {
     this.begun = true
-    this.isEndMarked = framing !== 'connection'
     this.tools.metrics.observe('first_event_ms', this.tools.clock.now() - this.request.arrived)
-    this.sink.begin(status, headers, this.isEndMarked)
+    this.sink.begin(status, headers)
   }
 
   private async endEvents (open: OpenExchange, run: EventRun): Promise<SendFailure | undefined> {
-    const { framing } = open.exchange
-    // The caller's stream would end with a last chunk, though no server has sent one.
-    const isUnmarked = this.begun && this.isEndMarked && framing === 'connection'
-    const fault = run.findFault(framing) ?? (isUnmarked ? 'nothing marks its end' : undefined)
+    const fault = run.findFault(open.exchange.framing)
     if (fault !== undefined) return await this.fail(open, { why: 'cut', sent: true, detail: fault })
     open.end('answered')
     if (!this.begun) this.begin(open)
--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -1,9 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { closeIncomplete } from '../../src/entry/close-incomplete.js'
-import { writeUnmarkedHead } from '../../src/entry/write-unmarked-head.js'
 import { listen } from '../../src/http/listen.js'
 import { readBody } from '../../src/http/read-body.js'
 import { sendJson } from '../../src/http/send-json.js'
+import { closeIncomplete } from './close-incomplete.js'
+import { writeUnmarkedHead } from './write-unmarked-head.js'
 
 const MAX_BODY = 2_000_000 // bytes
 /** Time from the beginning of a run until a part of its prompt crashes the engine, ms. */
