A stream's version outlives all daemons

Cause: what began a stream was known to daemons only. A daemon took its own view since its start, once that was as old as the route's timeout, for all that can have been; callers may have more attempts than one.

Now each pool whose streams may be resumed has a default version in the store, set while its servers have one version. A stream at another version is recorded there before its first event is relayed, so that one without a record is of the default, whoever began it. The default changes once no server has had it for as long as its streams may be resumed. With one version there are no calls but a read at a daemon's start.

--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -115,6 +115,7 @@
   private async sendTo (server: string): Promise<OpenedExchange> {
     const { request, tools: { dialect, sender, servers, clock } } = this
     const target = servers.find(server)!
+    this.origin.prepare(this.service, target.version)
     const resumeAfter = this.lastEventId === undefined ? request.resumeAfter : String(this.lastEventId)
     return await sender.send(target, {
       id: request.id,
@@ -204,7 +205,7 @@
       pace.record(events.val.length)
       this.lastEventId = run.last
       this.progressAt = this.tools.clock.now()
-      this.origin.record(this.service, open.server.version)
+      await this.origin.record(this.service, open.server.version)
       if (!this.begun) this.begin(open)
       await this.sink.write(Buffer.concat(events.val.map(event => event.bytes)))
     }
--- a/src/routing/origins/request-origin.ts
+++ b/src/routing/origins/request-origin.ts
@@ -38,13 +38,19 @@
     return route.services.some(other => other.service === pool) ? { type: 'service', service: pool } : { type: 'lost', detail: 'the route no longer names the service that began the stream' }
   }
 
-  /** Records where the stream began, before its first event is relayed. */
-  record (pool: string, version: string): void {
+  /** Begins to record where the stream begins if the server that gets it answers. */
+  prepare (pool: string, version: string): void {
+    const { request: { id, route }, tools: { origins } } = this
+    if (route.resumable && this.origin === undefined) origins.prepare(id, { pool, version })
+  }
+
+  /** Records where the stream began; its first event must not be relayed before this resolves. */
+  async record (pool: string, version: string): Promise<void> {
     const { request: { id, route, resumes }, tools: { origins } } = this
     if (this.isRecorded || !route.resumable) return
     this.isRecorded = true
     this.origin ??= { pool, version }
-    origins.record({ id: resumes ?? id, origin: this.origin, span: this.span })
+    await origins.record({ id: resumes ?? id, origin: this.origin, span: this.span })
   }
 
   /** Returns why no server can run the request, if so: none has its version. */
--- /dev/null
+++ b/src/routing/origins/stored-origins.ts
@@ -0,0 +1,9 @@
+import type { StreamOrigin } from './stream-origin.js'
+
+/** What the store holds about the origins of streams. */
+export interface StoredOrigins {
+  /** By pool, the version at which every stream began that has no record. */
+  readonly defaults: ReadonlyMap<string, string>
+  /** Records by the id of the attempt that brought the first event. */
+  readonly records: ReadonlyMap<string, StreamOrigin>
+}
--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -1,4 +1,5 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
+import { ConfigurationHolder } from '../../config/configuration-holder.js'
 import { rankOwners } from '../../coordination/rank-owners.js'
 import { FleetWatch } from '../../fleet/fleet-watch.js'
 import type { Clock } from '../../kernel/clock.js'
@@ -6,6 +7,7 @@
 import { partRegistry } from '../../kernel/part-registry.js'
 import type { Settings } from '../../kernel/settings.js'
 import { tokens } from '../../kernel/tokens.js'
+import type { LogSink } from '../../observe/log-sink.js'
 import { Metrics } from '../../observe/metrics.js'
 import { listOthers } from '../../peers/list-others.js'
 import { MemberCalls } from '../../peers/member-calls.js'
@@ -14,12 +16,18 @@
 import { PeerLinks } from '../../peers/peer-links.js'
 import type { PeerMessage } from '../../peers/peer-message.js'
 import { InstanceList } from '../../store/instance-list.js'
+import type { ObjectStore } from '../../store/object-store.js'
+import { DurableOrigins } from './durable-origins.js'
 import type { FoundOrigin } from './found-origin.js'
 import { OriginRecords } from './origin-records.js'
+import { planDefaultVersion } from './plan-default-version.js'
+import { listResumablePools } from './list-resumable-pools.js'
+import type { StoredOrigins } from './stored-origins.js'
 import type { StreamOrigin } from './stream-origin.js'
 import { VersionHistory } from './version-history.js'
 
 const TOLD = 'stream origin'
+const DEFAULT_CHANGED = 'stream default'
 /** Daemons that are told of each stream of a pool with several versions. */
 const HOLDERS = 3
 /** Size of a fleet up to which all other daemons are asked for the origin of a stream. */
@@ -30,9 +38,11 @@
 const ASK_TIMEOUT = 150
 /** Age of the list of servers above which it may lack a version, ms. */
 const MAX_LIST_AGE = 6_000
-/** Added to the time for which a stream may be resumed, ms: its caller's clock starts earlier or later. */
-const MARGIN = 1_000
+/** How long after its last event a caller may resume a stream, ms: callers say how long they wait, and nothing says for how many attempts. */
+const RESUMPTION_TIME = 60_000
 const CHECK_PERIOD = 1_000
+/** Period of reads while a pool has no default, or one that none of its servers has, ms: another daemon may have changed it unheard. */
+const READ_PERIOD = 10_000
 
 /** Without an id, it is asked for the only version. */
 interface Question { readonly id: string | undefined, readonly pool: string, readonly span: number }
@@ -43,15 +53,15 @@
   /** The attempt that brought the first event. */
   readonly id: string
   readonly origin: StreamOrigin
-  /** How long its caller may resume it, ms. */
+  /** Longest time of one attempt, ms. */
   readonly span: number
 }
 
 /**
  * Knows at which version of a server's software a stream began, so that it goes on at no other. The daemon that relays a stream keeps
- * its origin. Where the pool's servers have several versions, it tells a few other daemons before it relays the first event, which
- * rank by the stream's id, so that any daemon finds them again after the first one has ended. Where they have had one for as long as a stream may
- * be resumed, nobody is told or asked.
+ * its origin, and records it in the store unless it is the pool's default version; see `DurableOrigins`. Where the pool's servers have
+ * several versions, it also tells a few other daemons, which rank by the stream's id: the store may be away. Where they have had one, the
+ * default, for as long as a stream may be resumed, nobody is told or asked.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class StreamOrigins implements Part {
@@ -59,26 +69,36 @@
   private readonly history = new VersionHistory()
   private readonly calls: MemberCalls<Question, Answer>
   readonly extensions
+  private readonly durable: DurableOrigins
   private listedAt: number | undefined
+  private readAt = -Infinity
   private cancel = (): void => {}
 
   constructor (
     @inject(InstanceList) private readonly list: InstanceList,
     @inject(FleetWatch) private readonly fleet: FleetWatch,
+    @inject(ConfigurationHolder) private readonly configuration: ConfigurationHolder,
     @inject(Members) private readonly members: Members,
     @inject(PeerLinks) private readonly links: PeerLinks,
     @inject(Metrics) private readonly metrics: Metrics,
+    @inject(tokens.store) store: ObjectStore,
+    @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.clock) private readonly clock: Clock
   ) {
+    this.durable = new DurableOrigins({ store, clock, instance: settings.instance, keep: RESUMPTION_TIME, countDaemons: () => members.all().length })
     this.calls = new MemberCalls({ links, clock, name: 'stream origin', handle: async question => this.answer(question) })
-    this.extensions = [...this.calls.extensions, peerHandlerPoint.of({ type: TOLD, handle: message => this.receive(message) })]
+    this.extensions = [...this.calls.extensions, peerHandlerPoint.of({ type: TOLD, handle: message => this.receive(message) }), peerHandlerPoint.of({ type: DEFAULT_CHANGED, handle: () => { void this.read() } })]
   }
 
   async start (): Promise<void> {
     const stopListening = this.list.subscribe(() => this.recordList())
     this.recordList()
-    const stopChecking = this.clock.every(CHECK_PERIOD, () => this.records.dropExpired(this.clock.now()))
+    const stopChecking = this.clock.every(CHECK_PERIOD, () => {
+      this.records.dropExpired(this.now)
+      void this.checkDefaults()
+    })
+    void this.read()
     this.cancel = () => {
       stopListening()
       stopChecking()
@@ -89,40 +109,103 @@
     this.cancel()
   }
 
-  /** Records the origin of a stream whose first event is about to be relayed; tells other daemons if it isn't the only version. */
-  record ({ id, origin, span }: StreamStart): void {
-    const { now } = this
-    this.records.put(id, origin, now + span + MARGIN)
-    if (!this.isOnlyVersion(origin.pool, span)) this.tell(id, origin, span + MARGIN)
+  /** Begins to record where a stream is expected to begin. */
+  prepare (id: string, origin: StreamOrigin): void {
+    this.durable.prepare(id, origin)
+  }
+
+  /** Records the origin of a stream; its first event must not be relayed before this resolves. Tells other daemons if it isn't the only version. */
+  async record ({ id, origin, span }: StreamStart): Promise<void> {
+    this.records.put(id, origin, this.now + span + RESUMPTION_TIME)
+    if (this.findOnlyVersion(origin.pool, span) === undefined) this.tell(id, origin, span + RESUMPTION_TIME)
+    await this.durable.record(id, origin)
   }
 
-  /** Finds the origin of a stream that a caller resumes; `span` is the longest time for which it may, ms. Resolves within `ASK_TIMEOUT`. */
-  async find ({ id, pool, span }: { readonly id: string | undefined, readonly pool: string, readonly span: number }): Promise<FoundOrigin> {
+  /** Finds the origin of a stream that a caller resumes; `span` is the longest time of one attempt, ms. */
+  async find (question: Question): Promise<FoundOrigin> {
+    const { id, pool, span } = question
     const own = id === undefined ? undefined : this.records.find(id)
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
     const only = this.findOnlyVersion(pool, span)
     if (only !== undefined) return { type: 'known', origin: only, by: 'only version' }
-    const origin = await this.ask({ id, pool, span })
-    return origin === undefined ? { type: 'unknown' } : { type: 'known', origin, by: 'peer' }
+    const asked = this.ask(question)
+    const stored = id === undefined ? undefined : await this.findStored(id, pool)
+    if (stored?.by === 'stored record') return stored
+    const answer = await asked
+    if (answer?.isRecorded === true || (answer !== undefined && stored === undefined)) return { type: 'known', origin: answer.origin, by: 'peer' }
+    return stored ?? { type: 'unknown' }
+  }
+
+  /** Finds the origin of a stream in the store: its record, or the pool's default, which needs none. */
+  private async findStored (id: string, pool: string): Promise<Extract<FoundOrigin, { type: 'known' }> | undefined> {
+    const stored = await this.read()
+    const recorded = stored?.records.get(id)
+    if (recorded !== undefined) return { type: 'known', origin: recorded, by: 'stored record' }
+    const version = stored?.defaults.get(pool)
+    return version === undefined ? undefined : { type: 'known', origin: { pool, version }, by: 'default version' }
   }
 
   private get now (): number {
     return this.clock.now()
   }
 
-  private isOnlyVersion (pool: string, span: number): boolean {
-    return this.findOnlyVersion(pool, span) !== undefined
+  /** Reads the store's records into this daemon's; those of daemons that have ended are found nowhere else. */
+  private async read (): Promise<StoredOrigins | undefined> {
+    const stored = await this.durable.read()
+    for (const [id, origin] of stored?.records ?? []) if (this.records.find(id) === undefined) this.records.put(id, origin, this.now + RESUMPTION_TIME)
+    return stored
   }
 
   /**
-   * Returns the origin of any stream of the pool if its servers have had one version for as long as a stream lasts. A daemon that has
-   * just started doesn't know, nor does one whose list is old.
+   * Returns the origin of any stream of the pool if its servers have had one version for as long as a stream may be resumed, the pool's
+   * default, so that this also holds for the time before this daemon started. One that has just started doesn't know of streams that
+   * others have begun, nor does one whose list is old.
    */
   private findOnlyVersion (pool: string, span: number): StreamOrigin | undefined {
-    const { now } = this
-    if (this.listedAt === undefined || now - this.listedAt < span || this.fleet.readServersAge() > MAX_LIST_AGE) return undefined
-    const versions = this.history.list(pool, now, span)
-    return versions.length === 1 ? { pool, version: versions[0]! } : undefined
+    const version = this.durable.defaults?.get(pool)
+    if (version === undefined || this.age < span || this.isListOld || this.listRecent(pool, span).some(other => other !== version)) return undefined
+    return { pool, version }
+  }
+
+  /** Lists the versions that the pool's servers have or had while a stream of theirs may still be resumed. */
+  private listRecent (pool: string, span: number): readonly string[] {
+    return this.history.list(pool, this.now, span + RESUMPTION_TIME)
+  }
+
+  /** How long this daemon has known the servers, ms. */
+  private get age (): number {
+    return this.listedAt === undefined ? 0 : this.now - this.listedAt
+  }
+
+  private get isListOld (): boolean {
+    return this.fleet.readServersAge() > MAX_LIST_AGE
+  }
+
+  /** Sets or changes the defaults of pools with one version; the daemon that ranks first for a pool does so. */
+  private async checkDefaults (): Promise<void> {
+    for (const [pool, span] of listResumablePools(this.configuration.value)) {
+      const current = this.durable.defaults?.get(pool)
+      const recent = this.listRecent(pool, span)
+      if (this.isListOld || (current !== undefined && recent.includes(current))) continue
+      if (this.now >= this.readAt + READ_PERIOD) {
+        this.readAt = this.now
+        await this.read()
+      }
+      const planned = planDefaultVersion({ current: this.durable.defaults?.get(pool), recent, isWholeTimeKnown: this.age >= span + RESUMPTION_TIME })
+      if (planned !== undefined && this.durable.defaults !== undefined && this.isFirst(pool)) await this.changeDefault(pool, planned)
+    }
+  }
+
+  private isFirst (pool: string): boolean {
+    const { instance } = this.settings
+    return rankOwners(pool, [instance, ...listOthers(this.members.all(), instance)])[0] === instance
+  }
+
+  private async changeDefault (pool: string, version: string): Promise<void> {
+    const { log, members, settings, links } = this
+    await this.durable.putDefault(pool, version)
+    log.write('info', 'routing', 'changed the default version of streams', { pool, planned: version, stored: this.durable.defaults?.get(pool) })
+    for (const name of listOthers(members.all(), settings.instance)) links.send(name, { type: DEFAULT_CHANGED })
   }
 
   private recordList (): void {
@@ -155,22 +238,20 @@
 
   /** Whether this daemon has seen no other version either; the daemon that answers may not have heard of one yet. */
   private agrees ({ origin: { pool, version }, isRecorded }: Answer, span: number): boolean {
-    return isRecorded || this.history.list(pool, this.now, span).every(other => other === version)
+    return isRecorded || this.listRecent(pool, span).every(other => other === version)
   }
 
-  /** Asks other daemons; resolves with the first origin, or undefined once none has one. */
-  private async ask (question: Question): Promise<StreamOrigin | undefined> {
+  /** Asks other daemons; resolves within `ASK_TIMEOUT` with the first origin, or undefined once none has one. */
+  private async ask (question: Question): Promise<Answer | undefined> {
     const others = listOthers(this.members.all(), this.settings.instance)
     const asked = others.length < MAX_ASKED ? others : rankOwners(question.id ?? this.settings.instance, others).slice(0, ASKED_OF_LARGE_FLEET)
     const calls = asked.map(async name => {
       this.metrics.count('stream_origin_messages_total', { type: 'asked' })
       const answer = await this.calls.call(name, question, ASK_TIMEOUT)
       if (answer === undefined || !this.agrees(answer, question.span)) throw new Error(`${name} has no record of the stream`)
-      return answer.origin
+      return answer
     })
-    const origin = await Promise.any(calls).catch(() => undefined)
-    if (origin !== undefined && question.id !== undefined) this.records.put(question.id, origin, this.now + question.span + MARGIN)
-    return origin
+    return await Promise.any(calls).catch(() => undefined)
   }
 }
 
--- a/test/whole/stream-versions.test.ts
+++ b/test/whole/stream-versions.test.ts
@@ -167,6 +167,84 @@
   t.true((await readStream(fleet.port(1), { id: 'n', path: '/quotes/new' })).whole)
 })
 
+/** Ends all daemons at once and starts them again. */
+async function restartAll ({ fleet }: Fleet): Promise<void> {
+  for (const { child } of fleet.daemons) child!.signal('SIGKILL')
+  await Promise.all(fleet.daemons.map(async ({ child }) => await child!.waitForExit()))
+  await Promise.all(fleet.daemons.map(async daemon => await fleet.startDaemon(daemon)))
+}
+
+async function addEngines ({ fleet, engines }: Fleet, version: string): Promise<void> {
+  for (const n of [0, 1]) {
+    const engine = new EventEngine({ id: `${version}-${n}`, version, events: EVENTS, pause: PAUSE, slots: 64 })
+    await engine.start()
+    fleet.engines.push(engine)
+    engines.push(engine)
+    registerEngine(fleet.store, engine)
+  }
+}
+
+function removeEngines ({ fleet, engines }: Fleet, version: string): void {
+  for (const engine of engines.filter(other => other.version === version)) {
+    fleet.store.remove('servers', engine.id)
+    engine.stop()
+  }
+}
+
+/** Waits until the streams of version v1 need no record. */
+async function waitForDefault ({ fleet }: Fleet): Promise<void> {
+  await fleet.waitUntil('v1 is the default', () => fleet.store.objects.read('stream-origins', 'defaults') !== undefined)
+}
+
+// Guards against streams that go on at another version once a daemon has run for one attempt's time, though their callers have more attempts.
+test.serial('after a kill of all daemons, with the servers of the version that began them gone, streams are refused however late they are resumed', async t => {
+  const fleet = await start(t, ['v1', 'v1'])
+  await waitForDefault(fleet)
+  const paths = await beginStreams(fleet)
+  await addEngines(fleet, 'v2')
+  removeEngines(fleet, 'v1')
+  await restartAll(fleet)
+  for (const attempt of ['b', 'c']) {
+    const readings = await resumeAll(fleet.port(1), paths, { attempt })
+    t.deepEqual(listMixed(fleet.engines), [])
+    t.true(readings.every(({ status, time }) => status === 503 && time < PROMPT))
+    t.true((await readStream(fleet.port(1), { id: `new-${attempt}`, path: `/quotes/new-${attempt}` })).whole)
+    if (attempt === 'b') await new Promise(resolve => setTimeout(resolve, 6_500))
+  }
+})
+
+// Guards against a refusal of every stream that is resumed after all daemons have ended, while both versions serve.
+for (const [name, versions] of [['began beside servers of two versions', two], ['began while there was one version', ['v1', 'v1']]] as const) {
+  test.serial(`after a kill of all daemons streams that ${name} go on at the version that began them`, async t => {
+    const fleet = await start(t, versions)
+    if (versions !== two) await waitForDefault(fleet)
+    const paths = await beginStreams(fleet)
+    if (versions !== two) await addEngines(fleet, 'v2')
+    await restartAll(fleet)
+    await fleet.fleet.waitUntil('servers are known', async () => (await readStream(fleet.port(1), { id: 'new', path: '/quotes/new' })).whole)
+    const readings = await resumeAll(fleet.port(1), paths)
+    t.deepEqual(listMixed(fleet.engines), [])
+    t.is(readings.filter(({ whole }) => whole).length, STREAMS)
+  })
+}
+
+test.serial('a second release: streams that began before it, at either version, go on after a kill of all daemons', async t => {
+  const fleet = await start(t, ['v1', 'v1'])
+  await waitForDefault(fleet)
+  const first = await beginStreams(fleet)
+  await addEngines(fleet, 'v2')
+  await new Promise(resolve => setTimeout(resolve, 1_000))
+  const second = listPaths('b')
+  await Promise.all(second.map(async path => await readStream(fleet.port(2), { id: path, path, leaveAfter: 3 })))
+  await restartAll(fleet)
+  const paths = [...first, ...second]
+  await fleet.fleet.waitUntil('servers are known', async () => (await readStream(fleet.port(1), { id: 'new', path: '/quotes/new' })).whole)
+  const readings = await resumeAll(fleet.port(1), paths)
+  t.deepEqual(listMixed(fleet.engines), [])
+  t.is(readings.filter(({ whole }) => whole).length, paths.length)
+  t.true(fleet.engines.filter(({ version }) => version === 'v2').some(({ runs }) => runs.length > 0))
+})
+
 test.serial('a stream whose attempt is unknown or unnamed is refused where there are two versions, and not held', async t => {
   const fleet = await start(t, two)
   for (const resumes of ['unknown', undefined]) {
