An answer whose server has exited is broken off, however it ended

All answers end with their connection only.

Cause: the system closes the connections of a process that exits regularly. An item's second run from its last event, which was to prove that there are no more, ended so before its first event. Streams and whole answers believed the first such end.

Now a regular end that nothing else marks is followed by the probe that also follows a cut; a server that has exited has broken off its answer. This is done where all answers of servers are read.

--- a/src/routing/exchanges/exchange.ts
+++ b/src/routing/exchanges/exchange.ts
@@ -22,6 +22,8 @@
   readonly signal?: AbortSignal
   /** Checked right before the first byte is written, and before a last byte that was held back; if it returns false, no more is sent. */
   readonly mayStart?: () => boolean
+  /** Returns whether the server's process has exited; asked at a regular end of the connection that nothing else marks. */
+  readonly isServerGone?: () => Promise<boolean>
   /** Called when no byte has arrived within a timeout; without it, the exchange is abandoned. */
   readonly onSilent?: (silence: Silence) => void
 }
@@ -79,8 +81,10 @@
   async read (timeout: number): Promise<Result<Buffer | undefined, SendFailure>> {
     return await this.withTimeout(timeout, async () => {
       const next = await this.body!.next()
-      if (next.done === true) this.requestBody?.onEnd()
-      return next.done === true ? undefined : next.value
+      if (next.done !== true) return next.value
+      this.requestBody?.onEnd()
+      await this.checkEnd()
+      return undefined
     })
   }
 
@@ -106,6 +110,11 @@
     this.requestBody?.onEnd()
   }
 
+  /** Fails if only the connection marks the end and the server's process has exited: the system closes its connections regularly. */
+  private async checkEnd (): Promise<void> {
+    if (this.framing === 'connection' && await this.options.isServerGone?.() === true) throw new Error('its server exited')
+  }
+
   private confirmStart (): boolean {
     const may = this.options.mayStart?.() ?? true
     if (!may) this.failureReason = 'withheld'
--- a/src/routing/exchanges/sender.ts
+++ b/src/routing/exchanges/sender.ts
@@ -69,6 +69,7 @@
       getHoldTime: this.servers.planHold(server.url, work),
       signal: request.signal,
       mayStart: request.mayStart,
+      isServerGone: async () => await isServerGone(server.url),
       onSilent
     })
     const run = request.parts === undefined || request.parts.length === 0 ? undefined : this.blame.begin(request.parts, server.name, () => exchange.isSent())
--- a/test/helpers/raw-server.ts
+++ b/test/helpers/raw-server.ts
@@ -32,6 +32,11 @@
     return [...this.sockets].filter(({ destroyed }) => !destroyed).length
   }
 
+  /** Refuses new connections; open ones stay. */
+  stopListening (): void {
+    this.server.close()
+  }
+
   close (): void {
     this.server.close()
     for (const socket of this.sockets) socket.destroy()
