The end of a job whose outcome is unknown isn't refused as not run

Cause: the handler took every failed end for not run, also one whose write may still take effect. Submissions told the two apart.

Now one function decides it from the store's error, for both: 502 where the end may have been carried out or may be, 503 only where it never is.

--- a/src/jobs/job-request-handler.ts
+++ b/src/jobs/job-request-handler.ts
@@ -82,15 +82,8 @@
     if (accepted.ok || accepted.val.type !== 'conflict') this.accepting.delete(id)
     this.metrics.observe('job_accept_ms', this.clock.now() - arrived)
     if (accepted.ok) return this.confirm(id, res, 'accepted', items)
-    switch (accepted.val.type) {
-      case 'conflict': return await this.confirmStored(id, caller, res)
-      case 'limited':
-      case 'unavailable': return this.refuse(id, res, 'not run', accepted.val.type)
-      case 'unknown':
-      case 'missing':
-      case 'invalid': return this.refuse(id, res, 'unknown', accepted.val.type)
-      default: return failUnreachable(accepted.val)
-    }
+    if (accepted.val.type === 'conflict') return await this.confirmStored(id, caller, res)
+    this.refuse(id, res, mayHaveRun(accepted.val) ? 'unknown' : 'not run', accepted.val.type)
   }
 
   /** Answers a request about a job; a job of another caller is answered like one that doesn't exist. */
@@ -144,16 +137,21 @@
       this.registry.addIfAbsent(readKnownJob(job, header.val, { stored: true }))
     }
     const ended = await this.records.end(job)
-    if (ended.err) return this.answerFailure('unsure', job, res)
+    if (ended.err) return this.answerUnsure(job, res, mayHaveRun(ended.val) ? 'unknown' : 'not run')
     this.log.write('info', 'jobs', 'a caller ended a job', { job, owner: known?.owner, known: known !== undefined })
     void this.reader.stopAtOwner(job)
     sendJson(res, 200, {})
   }
 
   private answerFailure (failure: 'missing' | 'unsure', job: string, res: ServerResponse): void {
+    if (failure === 'unsure') return this.answerUnsure(job, res, 'not run')
     this.log.write('info', 'jobs', 'could not answer a request about a job', { job, failure })
-    if (failure === 'missing') return sendJson(res, NOT_FOUND, { cause: 'no such job or item' })
-    sendRoutedRefusal(res, { cause: 'platform', ran: 'not run', retryAfter: this.random.spread(STORE_RETRY, 0.5), detail: 'the store does not answer' })
+    sendJson(res, NOT_FOUND, { cause: 'no such job or item' })
+  }
+
+  private answerUnsure (job: string, res: ServerResponse, ran: 'not run' | 'unknown'): void {
+    this.log.write('info', 'jobs', 'could not answer a request about a job', { job, failure: 'unsure', ran })
+    sendRoutedRefusal(res, { cause: 'platform', ran, retryAfter: this.random.spread(STORE_RETRY, 0.5), detail: 'the store does not answer' })
   }
 
   /** Whether the route's limit admits the job besides all others. */
@@ -225,6 +223,19 @@
   return undefined
 }
 
+/** Whether a failed request may have taken effect, or may still do so. */
+function mayHaveRun (error: StoreError): boolean {
+  switch (error.type) {
+    case 'limited':
+    case 'unavailable': return false
+    case 'conflict':
+    case 'unknown':
+    case 'missing':
+    case 'invalid': return true
+    default: return failUnreachable(error)
+  }
+}
+
 function mayUse (job: Pick<KnownJob, 'caller'>, caller: string | undefined): boolean {
   return job.caller === undefined || job.caller === caller
 }
