Stand-in: an ended socket is closed, not reset

Its callers had gone, so that their end was being sent when `stop` reset them; Node doesn't release a socket then.

--- a/stand-ins/machines/close-incomplete.ts
+++ b/stand-ins/machines/close-incomplete.ts
@@ -5,6 +5,7 @@
  * others are closed, which loses no byte that was written.
  */
 export function closeIncomplete (res: ServerResponse, isEndMarked = true): void {
-  if (isEndMarked || res.socket === null) res.destroy()
+  // Node never releases a socket that is reset while its end is still being sent.
+  if (isEndMarked || res.socket === null || res.socket.writableEnded) res.destroy()
   else res.socket.resetAndDestroy()
 }
