--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -9,6 +9,7 @@
 const MAX_BODY = 2_000_000 // bytes
 /** Time from the beginning of a run until a part of its prompt crashes the engine, ms. */
 const CRASH_DELAY = 40
+const REPORT_PATH = '/api/report'
 /** Paths of requests that always fail. */
 const IMPOSSIBLE = /\/impossible$/
 
@@ -58,6 +59,10 @@
    * answer twice.
    */
   refusesFirst = false
+  /** Whether it refuses all requests as not executed. */
+  isFull = false
+  /** Whether its report states the start of its process. */
+  reportsStart = true
   /** Factor by which the time between two events is longer. */
   slowdown = 1
   /** Returns whether a run with these parts of a prompt crashes the engine as it begins its answer. */
@@ -105,8 +110,9 @@
     if (body.err) return
     if (expected !== undefined && expected !== id) return sendJson(res, 421, {}, { 'x-instance-id': id, 'x-request-id': String(request) })
     this.repeatRefusal(res.socket!)
+    if (req.url === REPORT_PATH) return sendJson(res, 200, { num_running: this.running, ...this.reportsStart && { born: this.startedAt } })
     if (this.refusesFirst && !this.refused.has(String(request))) return this.refuseFirst(String(request), res)
-    if (this.running >= slots) return sendJson(res, 503, {}, { 'x-not-executed': '1', 'x-request-id': String(request) })
+    if (this.isFull || this.running >= slots) return sendJson(res, 503, {}, { 'x-not-executed': '1', 'x-request-id': String(request) })
     if (IMPOSSIBLE.test(req.url!)) return sendJson(res, 422, {}, { 'x-request-id': String(request) })
     const run: EngineRun = { id: String(request), path: req.url!, parts: (readHeader(req, 'x-prompt-prefix') ?? '').split(',').map(part => part.split(':')[0]!), caller: readHeader(req, 'x-tenant'), key: readHeader(req, 'x-api-key'), resumedAfter: resume === undefined ? undefined : Number(resume), resumes: readHeader(req, 'resumes'), at: now(), events: 0, outcome: 'running' }
     this.runs.push(run)
