--- a/src/http/ask-on-connection.ts
+++ b/src/http/ask-on-connection.ts
@@ -12,11 +12,15 @@
   readonly maxBody: number
 }
 
-interface Answer { readonly status: number, readonly body: Buffer }
+interface Answer {
+  readonly status: number
+  readonly body: Buffer
+  /** Whether the connection can carry another request. */
+  readonly isOpen: boolean
+}
 
 /**
- * Sends a request as the first one on a connection and reads the answer. The connection carries others after that; if there is no whole
- * answer, or the peer closes the connection behind it, it is destroyed.
+ * Sends a request as the first one on a connection and reads the answer; without a whole one, the connection is destroyed.
  *
  * @example
  * const answer = await askOnConnection(socket, { path: '/health', host: '10.0.0.2:80', timeout: 1_000, maxBody: 10_000 })
@@ -24,19 +28,25 @@
 export async function askOnConnection (socket: Socket, { path, host, timeout, maxBody }: Question): Promise<Result<Answer, Error>> {
   try {
     return Ok(await new Promise<Answer>((resolve, reject) => {
-      const sent = request({ createConnection: () => socket, path, headers: { host, connection: 'keep-alive' } }, answer => {
+      const sent = request({ createConnection: () => socket, path, headers: { host, connection: 'keep-alive' } })
+      let hasAnswer = false
+      const timer = setTimeout(() => sent.destroy(new Error(`no answer on a new connection within ${timeout} ms`)), timeout)
+      sent.once('response', answer => {
+        hasAnswer = true
         const reading = readBody(answer, maxBody)
-        socket.once('free', () => {
+        const settle = (): void => {
           socket.pause()
-          void reading.then(body => body.ok ? resolve({ status: answer.statusCode!, body: body.val }) : reject(new Error(`the first answer on a connection was ${body.val}`)))
-        })
+          void reading.then(body => body.ok ? resolve({ status: answer.statusCode!, body: body.val, isOpen: !socket.destroyed }) : reject(new Error(`the first answer on a connection was ${body.val}`)))
+        }
+        void reading.then(body => { if (body.err) sent.destroy() })
+        // `free` where the connection stays open.
+        socket.once('free', settle)
+        socket.once('close', settle)
       })
-      const timer = setTimeout(() => sent.destroy(new Error(`no answer on a new connection within ${timeout} ms`)), timeout)
       sent.once('error', reject)
-      // Emitted before `free` where the connection stays open, and alone where it doesn't.
       sent.once('close', () => {
         clearTimeout(timer)
-        if (socket.destroyed || socket.readableEnded) reject(new Error('the connection was closed behind its first answer'))
+        if (!hasAnswer) reject(new Error('a new connection was closed without an answer'))
       })
       sent.end()
     }))
--- a/src/routing/servers/check-process.ts
+++ b/src/routing/servers/check-process.ts
@@ -5,7 +5,7 @@
 
 /** Longest wait for a server's report, ms. */
 const REPORT_TIMEOUT = 1_000
-const MAX_REPORT = 1_000_000 // bytes
+const MAX_REPORT = 256_000 // bytes
 const OK = 200
 /** Connections tried where a server closes them behind its report. */
 const ATTEMPTS = 3
@@ -38,12 +38,14 @@
 }
 
 async function check (socket: Socket, address: string, { report, listStarts, onOther }: CheckProcessOptions): Promise<{ readonly error: Error, readonly isFinal: boolean } | undefined> {
-  const began = performance.now()
   const answer = await askOnConnection(socket, { path: report.path, host: address, timeout: REPORT_TIMEOUT, maxBody: MAX_REPORT })
-  if (answer.err) return { error: answer.val, isFinal: performance.now() - began >= REPORT_TIMEOUT }
-  const startedAt = answer.val.status === OK ? report.readStart(answer.val.body) : undefined
-  if (startedAt === undefined || listStarts(address)?.includes(startedAt) !== false) return undefined
-  socket.destroy()
-  onOther(address, startedAt)
-  return { error: new Error('the process at the address is not the listed one'), isFinal: true }
+  if (answer.err) return { error: answer.val, isFinal: true }
+  const { status, body, isOpen } = answer.val
+  const startedAt = status === OK ? report.readStart(body) : undefined
+  if (startedAt !== undefined && listStarts(address)?.includes(startedAt) === false) {
+    socket.destroy()
+    onOther(address, startedAt)
+    return { error: new Error('the process at the address is not the listed one'), isFinal: true }
+  }
+  return isOpen ? undefined : { error: new Error('the connection was closed behind the report'), isFinal: false }
 }
