A server whose report and entry state different starts is used again, as a version of its own

An entry may come from another writer, or stay old while the store is away.

Change: a process that reports another start than the entry is left out for as long as a new entry may take (5 s). If none comes, it is used, as a version of its own: what begins there goes on there only. Whether a request may start is compared with that process.

--- a/src/placement/server-loads.ts
+++ b/src/placement/server-loads.ts
@@ -88,7 +88,7 @@
 
   /** Lists the live servers of the pool whose software has the version. */
   listOfVersion (pool: string, version: string): readonly string[] {
-    return this.list.all.filter(({ name, pool: other, state }) => other === pool && state === 'live' && this.list.findVersion(name) === version).map(({ name }) => name)
+    return this.list.all.filter(({ name, pool: other, state }) => other === pool && state === 'live' && this.servers.findVersion(name) === version).map(({ name }) => name)
   }
 
   /** Lists the servers of the pool that `listCandidates` leaves out. */
--- a/src/routing/exchanges/sender.ts
+++ b/src/routing/exchanges/sender.ts
@@ -69,7 +69,7 @@
       body,
       getHoldTime: request.isRepeated === true ? undefined : this.servers.planHold(server.url, work),
       signal: request.signal,
-      mayStart: () => this.servers.isListed(server) && (request.mayStart?.() ?? true),
+      mayStart: () => this.servers.isCurrent(server) && (request.mayStart?.() ?? true),
       isServerGone: async () => await isServerGone(server.url),
       onSilent
     })
--- a/src/routing/servers/backend-server.ts
+++ b/src/routing/servers/backend-server.ts
@@ -5,7 +5,7 @@
   readonly failureDomain: string
   /** Version of its software, for comparison with that of other servers. */
   readonly version: string
-  /** Start of the listed process, Unix ms by the server's clock; undefined where the list doesn't state it. */
+  /** Start of its process, Unix ms by the server's clock; undefined where the list doesn't state it. */
   readonly startedAt?: number
   /** Base URL. */
   readonly url: string
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -52,6 +52,9 @@
 
 interface ExitedProcess { readonly startedAt: number, readonly until: number }
 
+/** A process whose report states another start than its server's entry, `listed`. */
+interface UnlistedProcess { readonly listed: number | undefined, readonly startedAt: number }
+
 /** This daemon's part of a pool's limits: the reserved fraction, if set, and its position among the daemons. */
 interface Share { readonly fraction: number | undefined, readonly daemons: number, readonly daemon: number }
 
@@ -86,6 +89,7 @@
   private readonly others = new Map<string, { readonly count: number, readonly at: number }>()
   private readonly listeners = new Set<() => void>()
   private readonly exited = new Map<string, ExitedProcess>()
+  private readonly unlisted = new Map<string, UnlistedProcess>()
   /** By server: when its entry showed another start, monotonic ms. */
   private readonly restartedAt = new Map<string, number>()
   /** By pool: the fraction of its servers' limits reserved for this daemon, if set. */
@@ -124,7 +128,7 @@
 
   /** `getIndex`, the server's position in its pool, and `getShare` are called only for a server whose owner reports a limit. */
   private describe (instance: Instance, getIndex: () => number, getShare: () => Share): BackendServer {
-    const { name, pool, host, port, failureDomain, state, startedAt } = instance
+    const { name, pool, host, port, failureDomain, state } = instance
     const view = this.views.get(name)
     const inFlight = this.counts.get(name) ?? 0
     const others = this.countOthers(name)
@@ -132,8 +136,8 @@
       name,
       pool,
       failureDomain,
-      version: this.list.findVersion(name) ?? '',
-      startedAt,
+      version: this.findVersion(name) ?? '',
+      startedAt: this.findStart(instance),
       url: `http://${host}:${port}`,
       leaving: state === 'leaving' || this.hasExited(instance) || (view !== undefined && view.state !== 'open'),
       inFlight,
@@ -200,9 +204,10 @@
   }
 
   private forgetRemoved (): void {
-    for (const server of [...this.exited.keys(), ...this.restartedAt.keys()]) {
+    for (const server of [...this.exited.keys(), ...this.restartedAt.keys(), ...this.unlisted.keys()]) {
       if (this.list.find(server) !== undefined) continue
       this.exited.delete(server)
+      this.unlisted.delete(server)
       this.restartedAt.delete(server)
     }
   }
@@ -241,27 +246,44 @@
     await waitForNotification(this.clock, listener => this.subscribe(listener), timeout)
   }
 
-  /** Whether the list still shows the process of the server. */
-  isListed ({ name, startedAt }: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
-    const listed = this.list.find(name)
-    return listed !== undefined && listed.startedAt === startedAt
+  /** Returns the version of the software of a server's process, see `InstanceList.findVersion`; an unlisted process is a version of its own. */
+  findVersion (server: string): string | undefined {
+    const instance = this.list.find(server)
+    const unlisted = instance === undefined ? undefined : this.findUnlisted(instance)
+    return unlisted === undefined ? this.list.findVersion(server) : `?${server}@${unlisted.startedAt}`
+  }
+
+  /** Whether the server's process is still the one that requests go to. */
+  isCurrent ({ name, startedAt }: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
+    const instance = this.list.find(name)
+    return instance !== undefined && this.findStart(instance) === startedAt
+  }
+
+  private findUnlisted ({ name, startedAt }: Instance): UnlistedProcess | undefined {
+    const unlisted = this.unlisted.get(name)
+    return unlisted?.listed === startedAt ? unlisted : undefined
+  }
+
+  private findStart (instance: Instance): number | undefined {
+    return this.findUnlisted(instance)?.startedAt ?? instance.startedAt
   }
 
   private listAt (address: string): readonly Instance[] {
     return this.list.all.filter(({ host, port }) => `${host}:${port}` === address)
   }
 
-  /** Returns a connector whose connections lead to the listed processes, where both the list and the servers state their starts. */
+  /** Returns a connector whose connections lead to the known processes, where both the list and the servers state their starts. */
   private checkProcesses (connect: buildConnector.connector): buildConnector.connector {
     const listStarts = (address: string): readonly number[] | undefined => {
       const listed = this.listAt(address)
-      const starts = listed.flatMap(({ startedAt }) => startedAt ?? [])
+      const starts = listed.flatMap(instance => this.findStart(instance) ?? [])
       return starts.length === 0 || starts.length < listed.length ? undefined : starts
     }
     const onOther = (address: string, startedAt: number): void => {
       for (const { name, startedAt: listed } of this.listAt(address)) {
         this.log.write('info', 'routing', 'another process than the listed one listens', { server: name, listed, startedAt })
         this.recordExit(name, 0)
+        this.unlisted.set(name, { listed, startedAt })
       }
     }
     return (target, callback) => {
--- a/test/whole/stale-entries.test.ts
+++ b/test/whole/stale-entries.test.ts
@@ -117,3 +117,18 @@
   })
   t.deepEqual(listMixed(fleet.all), [])
 })
+
+// Guards against servers that stay unused because their entries and their reports state different starts.
+test.serial('a server whose entry never shows its process is used again after a while', async t => {
+  const engine = open('i-0', 'v1')
+  const fleet = await startMachines(2, [engine])
+  t.teardown(async () => await fleet.stop())
+  registerEngine(fleet.store, { id: engine.id, port: engine.port, version: 'v1', startedAt: engine.startedAt - 1 })
+  await fleet.waitUntil('its runs are whole', async () => {
+    await callDaemon(fleet.daemons[0]!.ports.front, '/quotes/a', { id: 'a' }).catch(() => {})
+    return engine.runs.some(({ outcome }) => outcome === 'whole')
+  })
+  engine.breakPoints = [3]
+  t.is((await callDaemon(fleet.daemons[0]!.ports.front, '/quotes/b', { id: 'b' })).status, 200)
+  t.is(engine.runs.filter(({ path }) => path === '/quotes/b').length, 2)
+})
