--- a/test/helpers/slot-fleet.ts
+++ b/test/helpers/slot-fleet.ts
@@ -186,7 +186,7 @@
     const members = { all: () => listed().map(other => ({ instance: { name: other }, run: this.runs.get(other) ?? 1, state: 'alive' })), owners: listed, largeOwners: () => listLarge(listed().map(name => ({ name, cores: this.options.cores?.(name) ?? 0 }))), subscribe: (listener: () => void) => { this.listeners.push(listener) } } as unknown as Members
     const described = this.instances.map(({ name: server, failureDomain, version }) => ({ name: server, failureDomain, version, leaving: false, inFlight: 0, limit: Infinity, isItemProbeDue: false }))
     const describe = (server: typeof described[number]): typeof described[number] => ({ ...server, limit: readLimit(this.health.get(`${name} ${server.name}`), clock.now()), isItemProbeDue: isItemProbeDue(this.health.get(`${name} ${server.name}`), clock.now()) })
-    const servers = { hasExited: () => false, inPool: () => described.map(describe), find: (server: string) => described.filter(({ name }) => name === server).map(describe)[0] } as unknown as Servers
+    const servers = { hasExited: () => false, findVersion: (server: string) => list.findVersion(server), inPool: () => described.map(describe), find: (server: string) => described.filter(({ name }) => name === server).map(describe)[0] } as unknown as Servers
     const loads = new ServerLoads(clock, list, servers)
     const map = new SlotMap(members, list)
     void map.start()
