Where a stream was expected to begin no longer counts as where it began

Cause: a stream's origin is stored as soon as it is sent to a server, so that its first event needn't wait. If that server refuses, falls silent or exits, and the stream begins at another version, the store's record is corrected before the first event. Daemons that had read the store in between, for any other caller, had taken the record into their own, where nothing corrected it unless they were among the three that are told; they used it before all else, and answered other daemons with it.

Change: what was read from the store is kept apart, replaced by each read, and used only where neither the store nor a daemon's own record answers.

--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -66,6 +66,8 @@
 @scoped(Lifecycle.ContainerScoped)
 export class StreamOrigins implements Part {
   private readonly records = new OriginRecords()
+  /** As last read from the store, for when it is away and no daemon has a record. A stream may have begun elsewhere than was expected by then. */
+  private lastRead: StoredOrigins['records'] = new Map()
   private readonly history = new VersionHistory()
   private readonly calls: MemberCalls<Question, Answer>
   readonly extensions
@@ -126,13 +128,16 @@
     const { id, pool, span } = question
     const own = id === undefined ? undefined : this.records.find(id)
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
+    const read = id === undefined ? undefined : this.lastRead.get(id)
     const only = this.findOnlyVersion(pool, span)
-    if (only !== undefined) return { type: 'known', origin: only, by: 'only version' }
+    if (only !== undefined && read === undefined) return { type: 'known', origin: only, by: 'only version' }
     const asked = this.ask(question)
     const stored = id === undefined ? undefined : await this.findStored(id, pool)
     if (stored?.by === 'stored record') return stored
     const answer = await asked
-    if (answer?.isRecorded === true || (answer !== undefined && stored === undefined)) return { type: 'known', origin: answer.origin, by: 'peer' }
+    if (answer?.isRecorded === true) return { type: 'known', origin: answer.origin, by: 'peer' }
+    if (stored === undefined && read !== undefined) return { type: 'known', origin: read, by: 'stored record' }
+    if (answer !== undefined && stored === undefined) return { type: 'known', origin: answer.origin, by: 'peer' }
     return stored ?? { type: 'unknown' }
   }
 
@@ -149,10 +154,10 @@
     return this.clock.now()
   }
 
-  /** Reads the store's records into this daemon's; those of daemons that have ended are found nowhere else. */
+  /** Reads the store's records, apart from those of streams that have begun: one is stored as soon as its stream is sent to a server. */
   private async read (): Promise<StoredOrigins | undefined> {
     const stored = await this.durable.read()
-    for (const [id, origin] of stored?.records ?? []) if (this.records.find(id) === undefined) this.records.put(id, origin, this.now + RESUMPTION_TIME)
+    if (stored !== undefined) this.lastRead = stored.records
     return stored
   }
 
