Test: requests whose servers are removed from the list before or while they are sent

On one of which only the last byte is held back is cut, and one that waits for its connection is refused although another server is sound, at the entry that uses Delivery.

--- /dev/null
+++ b/test/routing/unlisted-servers.test.ts
@@ -0,0 +1,46 @@
+import test from 'ava'
+import { DispatchBench } from '../helpers/dispatch-bench.js'
+import { Servers } from '../../src/routing/servers/servers.js'
+import { InstanceList } from '../../src/store/instance-list.js'
+import { RawServer } from '../helpers/raw-server.js'
+
+// Guards against a request that its server has all but the last byte of and that is cut because the server's entry is removed.
+test.serial('a request whose server is removed from the list while its last byte is held back is answered', async t => {
+  const remove = (): void => {
+    const list = bench.container.resolve(InstanceList)
+    list.all = []
+  }
+  const server = await RawServer.start((socket, text) => {
+    if (text.includes('held')) remove()
+    if (text.endsWith('}')) socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole')
+  })
+  const bench = new DispatchBench({ ports: [server.port] })
+  t.teardown(async () => {
+    await bench.stop()
+    server.close()
+  })
+  const first = (await bench.dispatcher.send(bench.request('first'))).unwrap()
+  await first.body.toArray()
+  first.end(true)
+  const answer = await bench.dispatcher.send(bench.request('held', { idempotent: false }))
+  t.like(answer.val, { status: 200 })
+  if (answer.ok) answer.val.end(true)
+})
+
+// Guards against a refusal because one of several servers has left the list meanwhile.
+test.serial('a request whose server is removed from the list before it is sent goes to another server', async t => {
+  const servers = await Promise.all(['a', 'b'].map(async () => await RawServer.start(socket => { socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole') })))
+  const bench = new DispatchBench({ ports: servers.map(({ port }) => port) })
+  t.teardown(async () => {
+    await bench.stop()
+    for (const server of servers) server.close()
+  })
+  const list = bench.container.resolve(InstanceList)
+  const sending = bench.dispatcher.send(bench.request('ask', { idempotent: false }))
+  const chosen = bench.container.resolve(Servers).inPool('pool').find(({ inFlight }) => inFlight > 0)
+  list.all = list.all.filter(({ name }) => name !== chosen?.name)
+  const answer = await sending
+  t.is(list.all.length, 1)
+  t.like(answer.val, { status: 200 })
+  if (answer.ok) answer.val.end(true)
+})
