A request that is partly sent isn't cut because its server leaves the list

What callers saw: 'server failed', may have run, for a request whose server's entry is removed or replaced while the last byte of its body is held back (up to 20 ms), on a connection that leads to a sound server.

Cause: the check against the list ran again before the last byte; before the first byte it is needed, after it the connection decides.

--- a/src/routing/exchanges/sender.ts
+++ b/src/routing/exchanges/sender.ts
@@ -59,7 +59,7 @@
   /** Sends the request. Counts it at the server before the first await, so that the choice of the server still holds. */
   async send (server: BackendServer, request: ServerRequest, { body, fingerprint, headerTimeout, onSilent }: SendOptions): Promise<Result<OpenExchange, SendFailure>> {
     const work = request.paced === true ? 'paced' : request.work
-    const exchange = new Exchange({
+    const exchange: Exchange = new Exchange({
       clock: this.clock,
       agent: (request.isRepeated === true ? this.servers.singleUseAgents : this.servers.agents)[work],
       origin: server.url,
@@ -69,7 +69,8 @@
       body,
       getHoldTime: request.isRepeated === true ? undefined : this.servers.planHold(server.url, work),
       signal: request.signal,
-      mayStart: () => this.servers.isListed(server) && (request.mayStart?.() ?? true),
+      // A request that is partly sent has the process that was listed.
+      mayStart: () => (exchange.isSent() || this.servers.isListed(server)) && (request.mayStart?.() ?? true),
       isServerGone: async () => await isServerGone(server.url),
       onSilent
     })
