--- a/src/http/ask-on-connection.ts
+++ b/src/http/ask-on-connection.ts
@@ -36,11 +36,15 @@
         const reading = readBody(answer, maxBody)
         const settle = (): void => {
           socket.pause()
-          void reading.then(body => body.ok ? resolve({ status: answer.statusCode!, body: body.val, isOpen: !socket.destroyed }) : reject(new Error(`the first answer on a connection was ${body.val}`)))
+          socket.off('error', reject)
+          void reading.then(body => body.ok ? resolve({ status: answer.statusCode!, body: body.val, isOpen: !socket.destroyed && !socket.readableEnded }) : reject(new Error(`the first answer on a connection was ${body.val}`)))
         }
         void reading.then(body => { if (body.err) sent.destroy() })
-        // `free` where the connection stays open.
-        socket.once('free', settle)
+        // Emitted where the connection stays open. Its end may have arrived with the answer, and is read in one of the next two turns.
+        socket.once('free', () => {
+          socket.on('error', reject)
+          setImmediate(() => setImmediate(settle))
+        })
         socket.once('close', settle)
       })
       sent.once('error', reject)
--- a/src/routing/servers/check-process.ts
+++ b/src/routing/servers/check-process.ts
@@ -4,11 +4,9 @@
 import type { ServerReport } from '../exchanges/server-report.js'
 
 /** Longest wait for a server's report, ms. */
-const REPORT_TIMEOUT = 1_000
+const REPORT_TIMEOUT = 2_000
 const MAX_REPORT = 256_000 // bytes
 const OK = 200
-/** Connections tried where a server closes them behind its report. */
-const ATTEMPTS = 3
 
 interface CheckProcessOptions {
   readonly report: ServerReport
@@ -18,34 +16,65 @@
   readonly onOther: (address: string, startedAt: number) => void
 }
 
+type Outcome = { readonly type: 'listed', readonly isOpen: boolean } | { readonly type: 'failed', readonly error: Error }
+
 /**
  * Returns a connector whose connections lead to the listed process: the first answer on each states when the process behind it started. An
  * entry of the list may be older than the process that listens at its address, and a connection doesn't outlive its process.
+ *
+ * Where a server closes connections behind its report, the report comes on a second connection that is opened after the first: an address
+ * has one process at a time, so that the first leads to the same one, or to one that has exited and answers nothing.
  */
 export function checkProcess (connect: buildConnector.connector, options: CheckProcessOptions): buildConnector.connector {
   return (target, callback) => {
-    const address = target.host!
-    const tryConnect = (attempts: number): void => connect(target, (...[error, socket]: Parameters<buildConnector.Callback>) => {
-      if (error !== null || options.listStarts(address) === undefined) return callback(...[error, socket] as Parameters<buildConnector.Callback>)
-      void check(socket!, address, options).then(failure => {
-        if (failure === undefined) callback(null, socket!)
-        else if (failure.isFinal || attempts === 1) callback(failure.error, null)
-        else tryConnect(attempts - 1)
-      })
-    })
-    tryConnect(ATTEMPTS)
+    void openChecked(async () => await open(connect, target), target.host!, options).then(socket => callback(null, socket), (error: Error) => callback(error, null))
   }
 }
 
-async function check (socket: Socket, address: string, { report, listStarts, onOther }: CheckProcessOptions): Promise<{ readonly error: Error, readonly isFinal: boolean } | undefined> {
+async function openChecked (open: () => Promise<Socket>, address: string, options: CheckProcessOptions): Promise<Socket> {
+  const socket = await open()
+  if (options.listStarts(address) === undefined) return socket
+  const outcome = await check(socket, address, options)
+  if (outcome.type === 'failed') throw outcome.error
+  return outcome.isOpen ? socket : await openBefore(open, address, options)
+}
+
+/** Opens a connection, and returns it once a report on a later one shows that it leads to the listed process. */
+async function openBefore (open: () => Promise<Socket>, address: string, options: CheckProcessOptions): Promise<Socket> {
+  const socket = await open()
+  let failure: Error | undefined
+  const onError = (error: Error): void => { failure = error }
+  socket.on('error', onError)
+  try {
+    const later = await open()
+    const outcome = await check(later, address, options)
+    later.destroy()
+    if (outcome.type === 'failed') throw outcome.error
+    if (socket.destroyed) throw failure ?? new Error('the connection was closed while its server was asked')
+  } catch (error) {
+    socket.destroy()
+    throw error
+  }
+  socket.off('error', onError)
+  return socket
+}
+
+async function open (connect: buildConnector.connector, target: buildConnector.Options): Promise<Socket> {
+  return await new Promise((resolve, reject) => {
+    connect(target, (...[error, socket]: Parameters<buildConnector.Callback>) => error === null ? resolve(socket!) : reject(error))
+  })
+}
+
+async function check (socket: Socket, address: string, { report, listStarts, onOther }: CheckProcessOptions): Promise<Outcome> {
+  const before = listStarts(address)
   const answer = await askOnConnection(socket, { path: report.path, host: address, timeout: REPORT_TIMEOUT, maxBody: MAX_REPORT })
-  if (answer.err) return { error: answer.val, isFinal: true }
+  if (answer.err) return { type: 'failed', error: answer.val }
   const { status, body, isOpen } = answer.val
   const startedAt = status === OK ? report.readStart(body) : undefined
-  if (startedAt !== undefined && listStarts(address)?.includes(startedAt) === false) {
-    socket.destroy()
-    onOther(address, startedAt)
-    return { error: new Error('the process at the address is not the listed one'), isFinal: true }
-  }
-  return isOpen ? undefined : { error: new Error('the connection was closed behind the report'), isFinal: false }
+  const listed = listStarts(address)
+  if (startedAt === undefined || listed?.includes(startedAt) !== false) return { type: 'listed', isOpen }
+  socket.destroy()
+  // A list that has changed meanwhile may show the successor of the process that answered.
+  if (String(listed) === String(before)) onOther(address, startedAt)
+  return { type: 'failed', error: new Error('the process at the address is not the listed one') }
 }
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -253,10 +253,10 @@
     return unlisted === undefined ? this.list.findVersion(server) : `?${server}@${unlisted.startedAt}`
   }
 
-  /** Whether the server's process is still the one that requests go to. */
+  /** Whether the server's process is still the one that requests go to; always where its start wasn't listed. */
   isCurrent ({ name, startedAt }: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
     const instance = this.list.find(name)
-    return instance !== undefined && this.findStart(instance) === startedAt
+    return startedAt === undefined || (instance !== undefined && this.findStart(instance) === startedAt)
   }
 
   private findUnlisted ({ name, startedAt }: Instance): UnlistedProcess | undefined {
--- a/test/http/ask-on-connection.test.ts
+++ b/test/http/ask-on-connection.test.ts
@@ -34,6 +34,7 @@
   'one in pieces': [socket => { for (const [i, piece] of [...ANSWER].entries()) setTimeout(() => socket.write(piece), i * 2) }, 'open'],
   'one that closes the connection': [socket => socket.end(ANSWER.replace('\r\n\r\n', '\r\nconnection: close\r\n\r\n')), 'closed'],
   'one that only its connection ends': [socket => socket.end('HTTP/1.1 200 OK\r\n\r\n{}'), 'closed'],
+  'one with a regular close behind it': [socket => socket.end(ANSWER), 'closed'],
   'none, and silence': [() => {}, 'error'],
   'none, and a regular close': [socket => socket.end(), 'error'],
   'none, and a reset': [socket => socket.resetAndDestroy(), 'error'],
