--- a/harness/child.ts
+++ b/harness/child.ts
@@ -43,7 +43,7 @@
     this.process.stdout!.pause()
   }
 
-  signal (signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+  signal (signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP' | 'SIGUSR2'): void {
     this.process.kill(signal)
   }
 
--- a/harness/machines-fleet.ts
+++ b/harness/machines-fleet.ts
@@ -34,6 +34,8 @@
   readonly store: S
   readonly resolveStoreAddress?: (daemon: number, port: number) => Promise<string>
   readonly resolveEngineAddress?: (engine: FleetEngine) => Promise<string>
+  /** Returns further environment variables of a daemon's process; all daemons have their ports by then. */
+  readonly getEnvironment?: (daemon: number) => Readonly<Record<string, string>>
 }
 
 /** Store, engines and daemons of the users' platform on loopback. Daemons are processes. */
@@ -44,9 +46,9 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'citronwheel-'))
   private readonly options: Required<Omit<MachinesFleetOptions<S>, 'store'>>
 
-  constructor ({ store, resolveStoreAddress = async (_daemon, port) => `127.0.0.1:${port}`, resolveEngineAddress = async ({ port }) => `127.0.0.1:${port}` }: MachinesFleetOptions<S>) {
+  constructor ({ store, resolveStoreAddress = async (_daemon, port) => `127.0.0.1:${port}`, resolveEngineAddress = async ({ port }) => `127.0.0.1:${port}`, getEnvironment = () => ({}) }: MachinesFleetOptions<S>) {
     this.store = store
-    this.options = { resolveStoreAddress, resolveEngineAddress }
+    this.options = { resolveStoreAddress, resolveEngineAddress, getEnvironment }
   }
 
   async start ({ daemons, engines }: { readonly daemons: number, readonly engines: readonly E[] }): Promise<void> {
@@ -67,7 +69,7 @@
 
   /** Starts the process and waits until it is ready. */
   async startDaemon (daemon: FleetDaemon): Promise<void> {
-    const { child } = await Child.start(['entry'], { program: PROGRAM, env: { CITRONWHEEL_BOOT: daemon.settings } })
+    const { child } = await Child.start(['entry'], { program: PROGRAM, env: { ...this.options.getEnvironment(this.daemons.indexOf(daemon)), CITRONWHEEL_BOOT: daemon.settings } })
     daemon.child = child
     let ended: number | undefined
     void child.waitForExit().then(code => { ended = code })
--- a/test/whole/stream-versions.test.ts
+++ b/test/whole/stream-versions.test.ts
@@ -1,9 +1,10 @@
 import test, { type ExecutionContext } from 'ava'
-import { request } from 'node:http'
 import type { MachinesFleet } from '../../harness/machines-fleet.js'
 import { EventEngine } from '../../stand-ins/machines/event-engine.js'
 import { registerEngine } from '../../stand-ins/machines/register-engine.js'
 import { callDaemon } from '../helpers/call-daemon.js'
+import { listMixedStreams } from '../helpers/list-mixed-streams.js'
+import { readStream, type StreamReading } from '../helpers/read-stream.js'
 import { startMachines } from '../helpers/start-machines.js'
 
 // Guards against streams that go on at another version of a server's software than the one that began them.
@@ -16,32 +17,6 @@
 const PROMPT = 1_000
 const SIGNALS = { kill: 'SIGKILL', restart: 'SIGTERM' } as const
 
-interface Reading { readonly status: number, readonly last: number, readonly whole: boolean, readonly time: number }
-interface StreamCall { readonly id: string, readonly path: string, readonly resumes?: string, readonly after?: number, /** Events after which the caller closes its connection. */ readonly leaveAfter?: number }
-
-/** Sends a stream request and reads it to its end, or leaves after some events. */
-async function readStream (port: number, { id, path, resumes, after, leaveAfter = Infinity }: StreamCall): Promise<Reading> {
-  const began = performance.now()
-  const resumption = after === undefined ? {} : { 'last-event-id': String(after), ...resumes !== undefined && { resumes } }
-  return await new Promise(resolve => {
-    const settle = (status: number, last: number, whole: boolean): void => resolve({ status, last, whole, time: performance.now() - began })
-    const sent = request({ port, path, method: 'POST', agent: false, headers: { host: 'desk.example', 'x-request-id': id, 'x-deadline-ms': '5000', ...resumption } }, answer => {
-      let last = after ?? 0
-      answer.on('data', (bytes: Buffer) => {
-        // Events beyond those after which the caller leaves may come in the same chunk; it takes no notice of them.
-        last = Math.min(last + bytes.toString().split('\n\n').length - 1, (after ?? 0) + leaveAfter)
-        if (last - (after ?? 0) < leaveAfter) return
-        sent.destroy()
-        settle(answer.statusCode!, last, false)
-      })
-      answer.on('end', () => settle(answer.statusCode!, last, answer.statusCode === 200 && answer.complete))
-      answer.on('error', () => settle(answer.statusCode!, last, false))
-    })
-    sent.on('error', () => settle(0, after ?? 0, false))
-    sent.end('x')
-  })
-}
-
 interface Fleet { readonly fleet: MachinesFleet, readonly engines: EventEngine[], readonly port: (daemon: number) => number }
 
 async function start (t: ExecutionContext, versions: readonly unknown[], daemons = 3): Promise<Fleet> {
@@ -51,17 +26,6 @@
   return { fleet, engines, port: daemon => fleet.daemons[daemon]!.ports.front }
 }
 
-/** Lists the versions of the runs of each path since its last run from the beginning, where there are several. */
-function listMixed (engines: readonly EventEngine[]): readonly string[] {
-  const runs = engines.flatMap(engine => engine.runs.map(run => ({ ...run, version: typeof engine.version === 'string' && engine.version !== '' ? engine.version : `?${engine.id}` }))).sort((a, b) => a.at - b.at)
-  return [...new Set(runs.map(({ path }) => path))].flatMap(path => {
-    const own = runs.filter(run => run.path === path)
-    const begin = own.findLastIndex(({ resumedAfter }) => resumedAfter === undefined)
-    const versions = new Set(own.slice(Math.max(0, begin)).filter(({ events, resumedAfter }) => events > 0 || resumedAfter !== undefined).map(({ version }) => version))
-    return versions.size > 1 ? [`${path}: ${[...versions].join(', ')}`] : []
-  })
-}
-
 function listPaths (name: string): readonly string[] {
   return Array.from({ length: STREAMS }, (_, i) => `/quotes/${name}-${i}`)
 }
@@ -78,7 +42,7 @@
     const { engines, port } = await start(t, versions, 1)
     for (const engine of engines) engine.breakPoints = [3, 0, 3]
     const readings = await Promise.all(listPaths('a').map(async path => await readStream(port(0), { id: path, path })))
-    t.deepEqual(listMixed(engines), [])
+    t.deepEqual(listMixedStreams(engines), [])
     t.true(readings.some(({ whole }) => whole))
   })
 }
@@ -112,7 +76,7 @@
   return paths
 }
 
-async function resumeAll (port: number, paths: readonly string[], { after = 3, attempt = 'b', leaveAfter }: { readonly after?: number, readonly attempt?: string, readonly leaveAfter?: number } = {}): Promise<readonly Reading[]> {
+async function resumeAll (port: number, paths: readonly string[], { after = 3, attempt = 'b', leaveAfter }: { readonly after?: number, readonly attempt?: string, readonly leaveAfter?: number } = {}): Promise<readonly StreamReading[]> {
   return await Promise.all(paths.map(async path => await readStream(port, { id: `${path}-${attempt}`, path, resumes: path, after, leaveAfter })))
 }
 
@@ -126,7 +90,7 @@
 test.serial('at another daemon: a stream goes on at the version that began it', async t => {
   const fleet = await start(t, two)
   const readings = await resumeAll(fleet.port(1), await beginStreams(fleet))
-  t.deepEqual(listMixed(fleet.engines), [])
+  t.deepEqual(listMixedStreams(fleet.engines), [])
   t.is(readings.filter(({ whole }) => whole).length, STREAMS)
   // Each stream is told to the two other daemons.
   t.true(await countMessages(fleet) >= 2 * STREAMS)
@@ -138,7 +102,7 @@
   const paths = await beginStreams(fleet)
   await resumeAll(fleet.port(1), paths, { leaveAfter: 3 })
   const readings = await resumeAll(fleet.port(2), paths, { after: 6, attempt: 'c' })
-  t.deepEqual(listMixed(fleet.engines), [])
+  t.deepEqual(listMixedStreams(fleet.engines), [])
   t.is(readings.filter(({ whole }) => whole).length, STREAMS)
 })
 
@@ -148,7 +112,7 @@
     const paths = await beginStreams(fleet)
     fleet.fleet.daemons[0]!.child!.signal(signal)
     const readings = await resumeAll(fleet.port(1), paths)
-    t.deepEqual(listMixed(fleet.engines), [])
+    t.deepEqual(listMixedStreams(fleet.engines), [])
     t.true(readings.filter(({ whole }) => whole).length >= STREAMS / 2)
   })
 }
@@ -162,7 +126,7 @@
     await fleet.fleet.startDaemon(daemon)
   }
   const readings = await resumeAll(fleet.port(1), paths)
-  t.deepEqual(listMixed(fleet.engines), [])
+  t.deepEqual(listMixedStreams(fleet.engines), [])
   t.true(readings.every(({ whole, status }) => whole || status === 503))
   t.true((await readStream(fleet.port(1), { id: 'n', path: '/quotes/new' })).whole)
 })
@@ -206,7 +170,7 @@
   await restartAll(fleet)
   for (const attempt of ['b', 'c']) {
     const readings = await resumeAll(fleet.port(1), paths, { attempt })
-    t.deepEqual(listMixed(fleet.engines), [])
+    t.deepEqual(listMixedStreams(fleet.engines), [])
     t.true(readings.every(({ status, time }) => status === 503 && time < PROMPT))
     t.true((await readStream(fleet.port(1), { id: `new-${attempt}`, path: `/quotes/new-${attempt}` })).whole)
     if (attempt === 'b') await new Promise(resolve => setTimeout(resolve, 6_500))
@@ -223,7 +187,7 @@
     await restartAll(fleet)
     await fleet.fleet.waitUntil('servers are known', async () => (await readStream(fleet.port(1), { id: 'new', path: '/quotes/new' })).whole)
     const readings = await resumeAll(fleet.port(1), paths)
-    t.deepEqual(listMixed(fleet.engines), [])
+    t.deepEqual(listMixedStreams(fleet.engines), [])
     t.is(readings.filter(({ whole }) => whole).length, STREAMS)
   })
 }
@@ -240,7 +204,7 @@
   const paths = [...first, ...second]
   await fleet.fleet.waitUntil('servers are known', async () => (await readStream(fleet.port(1), { id: 'new', path: '/quotes/new' })).whole)
   const readings = await resumeAll(fleet.port(1), paths)
-  t.deepEqual(listMixed(fleet.engines), [])
+  t.deepEqual(listMixedStreams(fleet.engines), [])
   t.is(readings.filter(({ whole }) => whole).length, paths.length)
   t.true(fleet.engines.filter(({ version }) => version === 'v2').some(({ runs }) => runs.length > 0))
 })
@@ -264,7 +228,7 @@
   t.is((await resumeAll(fleet.port(1), paths, { leaveAfter: 3 })).filter(({ last }) => last === 6).length, STREAMS)
   for (const engine of fleet.engines.filter(({ version }) => version === 'v1')) fleet.fleet.store.remove('servers', engine.id)
   const readings = await resumeAll(fleet.port(2), paths, { after: 6, attempt: 'c' })
-  t.deepEqual(listMixed(fleet.engines), [])
+  t.deepEqual(listMixedStreams(fleet.engines), [])
   t.true(fleet.engines.some(began))
   t.true(readings.every(({ whole, status, time }) => whole || (status === 503 && time < PROMPT)))
   t.true(readings.some(({ whole }) => whole) && readings.some(({ status }) => status === 503))
@@ -279,7 +243,7 @@
   await reborn.start()
   registerEngine(fleet.fleet.store, reborn)
   await resumeAll(fleet.port(1), paths)
-  t.deepEqual(listMixed([old, other, reborn]), [])
+  t.deepEqual(listMixedStreams([old, other, reborn]), [])
   reborn.stop()
 })
 
@@ -314,5 +278,5 @@
   fleet.fleet.daemons[0]!.child!.signal('SIGTERM')
   const read = async (): Promise<number> => JSON.parse((await callDaemon(fleet.port(1), '/api/lots/job-1?after=0', { method: 'GET' })).text).results.length
   await fleet.fleet.waitUntil('all items are done', async () => await read().catch(() => 0) === STREAMS)
-  t.deepEqual(listMixed(fleet.engines), [])
+  t.deepEqual(listMixedStreams(fleet.engines), [])
 })
