Where a resumed stream goes on is decided by a record or by the store as read then, not by a view of the servers

Callers saw: streams of a new version that they took up at a daemon which received nothing from the store and the other daemons went on with 200 at a server of the old version.

Cause: `findOnlyVersion` took the daemon's own list of servers, up to 6 s old, for proof that there had been one version, and decided before the store or another daemon was asked. Another daemon's only version, which was taken where the store had no answer, is as old.

Change: a record decides (this daemon's, one in the store, one of another daemon), or the pool's default as the store holds it. The read of the store begins after the caller has come: reads are shared only by those that wait for the running one to end (`DurableOrigins.read`, unchanged). As each stream of another version is in the store before its first event is relayed, a stream without a record is of the default. One whose caller doesn't name it is of the default if no record in that read is of another version. Without the store only records decide; otherwise the caller is refused, after 0.5 s at most. Answers of daemons of an earlier version that tell their only version are ignored. The read has a caller's priority now, so that it goes through another daemon where the store doesn't answer this one. Whether other daemons are told when a stream begins still follows this daemon's view, but compares the stream's own version with it: one that began at another version than the seemingly only one was not told.

`resumes a stream` says by what it was decided: own record, stored record, default version, peer (a record), nobody.

--- a/src/routing/origins/origin-store.ts
+++ b/src/routing/origins/origin-store.ts
@@ -26,7 +26,7 @@
   async list (): Promise<Result<StoredOrigins, StoreError>> {
     const defaults = new Map<string, string>()
     const records = new Map<string, StreamOrigin>()
-    for await (const page of listPages<OriginObject>(this.store, KIND)) {
+    for await (const page of listPages<OriginObject>(this.store, KIND, { priority: 'caller' })) {
       if (page.err) return page
       for (const { name, value } of page.val) {
         if (name === DEFAULTS) for (const [pool, version] of listDefaults(value)) defaults.set(pool, version)
--- a/src/routing/origins/request-origin.ts
+++ b/src/routing/origins/request-origin.ts
@@ -31,7 +31,7 @@
   async find (service: string): Promise<{ readonly type: 'service', readonly service: string } | { readonly type: 'lost', readonly detail: string }> {
     const { request: { id, route, resumeAfter, resumes }, tools: { log, origins } } = this
     if (!route.resumable || resumeAfter === undefined) return { type: 'service', service }
-    const found = await origins.find({ id: resumes, pool: service, span: this.span })
+    const found = await origins.find({ id: resumes, pool: service })
     log.write('info', 'routing', 'resumes a stream', { request: id, stream: resumes, events: resumeAfter, ...found.type === 'known' ? { ...found.origin, by: found.by } : { by: 'nobody' } })
     if (found.type === 'unknown') return { type: 'lost', detail: 'the version that began the stream is not known' }
     const { pool } = this.origin = found.origin
--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -18,6 +18,7 @@
 import { InstanceList } from '../../store/instance-list.js'
 import type { ObjectStore } from '../../store/object-store.js'
 import { DurableOrigins } from './durable-origins.js'
+import { findStoredOrigin } from './find-stored-origin.js'
 import type { FoundOrigin } from './found-origin.js'
 import { listResumablePools } from './list-resumable-pools.js'
 import { OriginRecords } from './origin-records.js'
@@ -44,10 +45,11 @@
 /** Period of reads while a pool's default is missing or none of its servers' versions, ms: the message that it has changed may be lost. */
 const READ_PERIOD = 10_000
 
-/** Without an id, it is asked for the only version. */
-interface Question { readonly id: string | undefined, readonly pool: string, readonly span: number }
-/** `isRecorded`: of this stream; otherwise it is the only version that the daemon knows of. */
+interface Question { readonly id: string, readonly pool: string }
+/** Only a record of the stream counts: what another daemon sees of the servers may be as old as this one's view. */
 interface Answer { readonly origin: StreamOrigin, readonly isRecorded: boolean }
+/** A stream that a caller resumes, by the id of the attempt that brought its first event, if the caller names it. */
+interface ResumedStream { readonly id: string | undefined, readonly pool: string }
 
 interface StreamStart {
   /** The attempt that brought the first event. */
@@ -60,8 +62,9 @@
 /**
  * Knows at which version of a server's software a stream began, so that it goes on at no other. The daemon that relays a stream keeps
  * its origin, and records it in the store unless it is the pool's default version; see `DurableOrigins`. Where the pool's servers have
- * several versions, it also tells a few other daemons, which rank by the stream's id: the store may be away. Where they have had one, the
- * default, for as long as a stream may be resumed, nobody is told or asked.
+ * several versions, it also tells a few other daemons, which rank by the stream's id: the store may be away. Where it sees one, the
+ * default, nobody is told. What a daemon sees of the servers may be out of date, so it never decides where a stream goes on: a record
+ * does, or the store as read after the caller has come.
  */
 @scoped(Lifecycle.ContainerScoped)
 export class StreamOrigins implements Part {
@@ -114,37 +117,25 @@
     this.durable.beginRecord(id, origin)
   }
 
-  /** Records the origin of a stream; its first event must not be relayed before this resolves. Tells other daemons if it isn't the only version. */
+  /** Records the origin of a stream; its first event must not be relayed before this resolves. Tells other daemons unless its version seems to be the only one. */
   async record ({ id, origin, span }: StreamStart): Promise<void> {
     this.records.put(id, origin, this.now + span + RESUMPTION_TIME)
-    if (this.findOnlyVersion(origin.pool, span) === undefined) this.tell(id, origin, span + RESUMPTION_TIME)
+    if (!this.isOnlyVersion(origin, span)) this.tell(id, origin, span + RESUMPTION_TIME)
     await this.durable.record(id, origin)
   }
 
-  /** Finds the origin of a stream that a caller resumes; `span` is the longest time of one attempt, ms. */
-  async find (question: Question): Promise<FoundOrigin> {
-    const { id, pool, span } = question
+  /** Finds the origin of a stream that a caller resumes. */
+  async find ({ id, pool }: ResumedStream): Promise<FoundOrigin> {
     const own = id === undefined ? undefined : this.records.find(id)
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
-    const only = this.findOnlyVersion(pool, span)
-    if (only !== undefined) return { type: 'known', origin: only, by: 'only version' }
-    const asked = this.ask(question)
-    const stored = id === undefined ? undefined : await this.findStored(id, pool)
+    const asked = id === undefined ? undefined : this.ask({ id, pool })
+    const stored = findStoredOrigin(await this.read(), { id, pool })
     if (stored?.by === 'stored record') return stored
     const answer = await asked
-    if (answer?.isRecorded === true || (answer !== undefined && stored === undefined)) return { type: 'known', origin: answer.origin, by: 'peer' }
+    if (answer !== undefined) return { type: 'known', origin: answer.origin, by: 'peer' }
     return stored ?? { type: 'unknown' }
   }
 
-  /** Finds the origin of a stream in the store: its record, or the pool's default, which needs none. */
-  private async findStored (id: string, pool: string): Promise<Extract<FoundOrigin, { type: 'known' }> | undefined> {
-    const stored = await this.read()
-    const recorded = stored?.records.get(id)
-    if (recorded !== undefined) return { type: 'known', origin: recorded, by: 'stored record' }
-    const version = stored?.defaults.get(pool)
-    return version === undefined ? undefined : { type: 'known', origin: { pool, version }, by: 'default version' }
-  }
-
   private get now (): number {
     return this.clock.now()
   }
@@ -156,15 +147,9 @@
     return stored
   }
 
-  /**
-   * Returns the origin of any stream of the pool if its servers have had one version for as long as a stream may be resumed, the pool's
-   * default, so that this also holds for the time before this daemon started. One that has just started doesn't know of streams that
-   * others have begun, nor does one whose list is old.
-   */
-  private findOnlyVersion (pool: string, span: number): StreamOrigin | undefined {
-    const version = this.durable.defaults?.get(pool)
-    if (version === undefined || this.age < span || this.isListOld || this.listRecent(pool, span).some(other => other !== version)) return undefined
-    return { pool, version }
+  /** Whether all that this daemon has seen of the pool's servers, for one attempt's time at least, is of this version, the pool's default. */
+  private isOnlyVersion ({ pool, version }: StreamOrigin, span: number): boolean {
+    return this.durable.defaults?.get(pool) === version && this.age >= span && !this.isListOld && this.listRecent(pool, span).every(other => other === version)
   }
 
   /** Lists the versions that the pool's servers have or had while a stream of theirs may still be resumed. */
@@ -229,26 +214,19 @@
     this.records.put(id, { pool, version }, this.now + Number(keep))
   }
 
-  private answer ({ id, pool, span }: Question): Answer | undefined {
-    const recorded = id === undefined ? undefined : this.records.find(id)
-    if (recorded !== undefined) return { origin: recorded, isRecorded: true }
-    const only = this.findOnlyVersion(pool, span)
-    return only === undefined ? undefined : { origin: only, isRecorded: false }
-  }
-
-  /** Whether this daemon has seen no other version either; the daemon that answers may not have heard of one yet. */
-  private agrees ({ origin: { pool, version }, isRecorded }: Answer, span: number): boolean {
-    return isRecorded || this.listRecent(pool, span).every(other => other === version)
+  private answer ({ id }: Partial<Question>): Answer | undefined {
+    const origin = id === undefined ? undefined : this.records.find(id)
+    return origin === undefined ? undefined : { origin, isRecorded: true }
   }
 
-  /** Asks other daemons; resolves within `ASK_TIMEOUT` with the first origin, or undefined once none has one. */
+  /** Asks other daemons; resolves within `ASK_TIMEOUT` with the first record, or undefined once none has one. */
   private async ask (question: Question): Promise<Answer | undefined> {
     const others = listOthers(this.members.all(), this.settings.instance)
-    const asked = others.length < MAX_ASKED ? others : rankOwners(question.id ?? this.settings.instance, others).slice(0, ASKED_OF_LARGE_FLEET)
+    const asked = others.length < MAX_ASKED ? others : rankOwners(question.id, others).slice(0, ASKED_OF_LARGE_FLEET)
     const calls = asked.map(async name => {
       this.metrics.count('stream_origin_messages_total', { type: 'asked' })
       const answer = await this.calls.call(name, question, ASK_TIMEOUT)
-      if (answer === undefined || !this.agrees(answer, question.span)) throw new Error(`${name} has no record of the stream`)
+      if (answer?.isRecorded !== true) throw new Error(`${name} has no record of the stream`)
       return answer
     })
     return await Promise.any(calls).catch(() => undefined)
--- a/src/store/object-store.ts
+++ b/src/store/object-store.ts
@@ -16,7 +16,7 @@
   /** Deletes the object if its version is `version`. */
   delete (kind: string, name: string, version: number, priority?: CallPriority): Promise<Result<void, StoreError>>
   /** Lists objects of `kind` whose names begin with `prefix` and follow `after`, ordered by name, at most `limit`. */
-  list<T> (kind: string, options?: { readonly prefix?: string, readonly after?: string, readonly limit?: number }): Promise<Result<readonly StoredObject<T>[], StoreError>>
+  list<T> (kind: string, options?: { readonly prefix?: string, readonly after?: string, readonly limit?: number, readonly priority?: CallPriority }): Promise<Result<readonly StoredObject<T>[], StoreError>>
   /** Waits up to `wait` ms for changes of `kind` after `revision`; -1 returns the current state at once. */
   watch<T> (kind: string, revision: number, wait: number, options?: WatchOptions): Promise<Result<WatchBatch<T>, StoreError>>
   /** Lists the platform's instances. The list lags behind their actual state. */
--- a/src/store/platform-client.ts
+++ b/src/store/platform-client.ts
@@ -116,8 +116,8 @@
     return Err({ type: 'unknown', reason: 'no reply came, or the object has been written since' })
   }
 
-  async list<T> (kind: string, { prefix = '', after = '', limit = 500 } = {}): Promise<Result<readonly StoredObject<T>[], StoreError>> {
-    return (await this.read<{ objects: StoredObject<T>[] }>({ type: 'list', kind, prefix, after, limit }, 'background')).map(({ objects }) => objects)
+  async list<T> (kind: string, { prefix = '', after = '', limit = 500, priority = 'background' }: Parameters<ObjectStore['list']>[1] = {}): Promise<Result<readonly StoredObject<T>[], StoreError>> {
+    return (await this.read<{ objects: StoredObject<T>[] }>({ type: 'list', kind, prefix, after, limit }, priority)).map(({ objects }) => objects)
   }
 
   /** Waits for changes; to resume after a failure, call it again with the last revision. */
