--- a/test/whole/daemon-out-of-step.test.ts
+++ b/test/whole/daemon-out-of-step.test.ts
@@ -28,7 +28,7 @@
 const RETRIES = 5
 const RETRY_PAUSE = 200
 
-type State = 'in step' | 'cut off from the store and the other daemons' | 'cut off from the store' | 'standing still'
+type State = 'in step' | 'cut off from the store and the other daemons' | 'cut off from the store' | 'standing still' | 'without the store, as all others'
 type Fate = 'live' | 'are killed'
 interface Fleet { readonly fleet: MachinesFleet, readonly engines: EventEngine[] }
 
@@ -56,10 +56,13 @@
   return fleet.daemons[daemon]!.ports.front
 }
 
-function signal ({ fleet }: Fleet, state: State, moment: 'begins' | 'ends'): void {
+function disturb ({ fleet }: Fleet, state: State, moment: 'begins' | 'ends'): void {
   const { child } = fleet.daemons[LATE]!
   switch (state) {
     case 'in step': return
+    case 'without the store, as all others':
+      fleet.store.faults.down = moment === 'begins' ? 'silent' : undefined
+      return
     case 'standing still': return child!.signal(moment === 'begins' ? 'SIGSTOP' : 'SIGCONT')
     case 'cut off from the store':
     case 'cut off from the store and the other daemons': child!.signal('SIGUSR2')
@@ -131,17 +134,17 @@
     test.serial(`a daemon ${state}, while servers of a new version join: streams whose daemons ${fate} go on there at the version that began them`, async t => {
       const trial = await start(t, state)
       const decided = countDecisions(trial)
-      signal(trial, state, 'begins')
+      disturb(trial, state, 'begins')
       await release(trial)
       const paths = await beginStreams(trial)
       if (fate === 'are killed') for (const daemon of RELAYING) trial.fleet.daemons[daemon]!.child!.signal('SIGKILL')
       const taken = takeUp(trial, paths, 0)
       if (state === 'standing still') {
         await pause(STILL_TIME)
-        signal(trial, state, 'ends')
+        disturb(trial, state, 'ends')
       }
       const readings = await taken
-      if (state !== 'standing still') signal(trial, state, 'ends')
+      if (state !== 'standing still') disturb(trial, state, 'ends')
       const whole = countWhole(readings)
       const began = trial.engines.filter(({ version }) => version === 'v2').flatMap(({ runs }) => runs.filter(({ path, resumedAfter }) => paths.includes(path) && resumedAfter === undefined)).length
       const goneOn = await takeUpRefused(trial, readings)
@@ -154,20 +157,28 @@
   }
 }
 
-// Guards against refusals of streams of a fleet's only version where a daemon still reaches the store, or another daemon that does.
-for (const state of ['in step', 'cut off from the store and the other daemons', 'cut off from the store'] satisfies State[]) {
-  test.serial(`a daemon ${state}, where all servers have one version: streams of daemons that are killed go on there once the store answers`, async t => {
+// Guards against refusals of streams of a fleet's only version where the daemon that relayed them, or the store, can tell where they began.
+const single: ReadonlyArray<readonly [State, Fate]> = [
+  ['in step', 'are killed'],
+  ['cut off from the store and the other daemons', 'are killed'],
+  ['cut off from the store', 'are killed'],
+  ['without the store, as all others', 'live'],
+  ['without the store, as all others', 'are killed']
+]
+for (const [state, fate] of single) {
+  test.serial(`a daemon ${state}, where all servers have one version: streams whose daemons ${fate} go on there once it is in step, and are refused at once before`, async t => {
     const trial = await start(t, state)
     const decided = countDecisions(trial)
-    signal(trial, state, 'begins')
+    disturb(trial, state, 'begins')
     await pause(STILL_TIME)
     const paths = await beginStreams(trial)
-    for (const daemon of RELAYING) trial.fleet.daemons[daemon]!.child!.signal('SIGKILL')
+    if (fate === 'are killed') for (const daemon of RELAYING) trial.fleet.daemons[daemon]!.child!.signal('SIGKILL')
     const readings = await takeUp(trial, paths, 0)
-    if (state === 'cut off from the store and the other daemons') signal(trial, state, 'ends')
+    if (state !== 'cut off from the store') disturb(trial, state, 'ends')
     const goneOn = await takeUpRefused(trial, readings)
     t.log({ whole: countWhole(readings), goneOn, decided, longest: Math.round(Math.max(...[...readings.values()].map(({ time }) => time))) })
     t.deepEqual(listUntold(readings, PROMPT), [])
     t.true(goneOn >= STREAMS / 2, `${goneOn} of ${STREAMS} went on`)
+    if (fate === 'live') t.true(countWhole(readings) >= STREAMS / 2)
   })
 }
