--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -41,6 +41,8 @@
   readonly events?: number
   /** Time between two events, ms. */
   readonly pause?: number
+  /** Of a request by its path: its events, `events` by default, and whether they come as one answer at the end, no stream. */
+  readonly plan?: (path: string) => { readonly events?: number, readonly isWhole?: boolean }
   readonly now?: () => number
 }
 
@@ -122,6 +124,7 @@
       if (run.outcome === 'running') run.outcome = 'closed'
     })
     if (this.crashes(run.parts)) setTimeout(() => this.crash(run), CRASH_DELAY)
+    if (this.options.plan?.(run.path).isWhole === true) return await this.answerWhole(run, res)
     const isMarked = this.unmarkedRuns === 0
     const headers = { 'content-type': 'text/event-stream', 'x-request-id': run.id, 'x-response-stamp': `stamp-${id}` }
     if (isMarked) res.writeHead(200, headers)
@@ -153,8 +156,20 @@
     this.onCrash()
   }
 
+  private countEvents (path: string): number {
+    return this.options.plan?.(path).events ?? this.options.events ?? 6
+  }
+
+  private async answerWhole (run: EngineRun, res: ServerResponse): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, this.countEvents(run.path) * (this.options.pause ?? 10)))
+    if (run.outcome !== 'running') return
+    run.outcome = 'whole'
+    sendJson(res, 200, {}, { 'x-request-id': run.id, 'x-response-stamp': `stamp-${this.id}` })
+  }
+
   private async stream (run: EngineRun, res: ServerResponse, isMarked: boolean): Promise<void> {
-    const { events = 6, pause = 10 } = this.options
+    const { pause = 10 } = this.options
+    const events = this.countEvents(run.path)
     const breakAfter = this.breakPoints.shift()
     for (let n = (run.resumedAfter ?? 0) + 1; n <= events; n++) {
       await new Promise(resolve => setTimeout(resolve, pause * this.slowdown))
