Requests that wouldn't end before their daemon does are refused at once

Callers saw: in a planned stop in calm, requests that came late in the grace were taken, passed on and cut at its end, without an answer; those that may not be repeated were lost.

Cause: nothing compared the time that a request takes with the time that its process has left. Answers that began before the daemon closes its connections announce Keep-Alive, so that such a connection brings one more request when its stream ends, up to the end of the grace. Requests whose body was arriving, and those without a byte of their answer yet, were closed without an answer as well.

Change: `routing/ending` knows when the process ends, and how long the last 64 runs of each route took. A request may start while its own time budget or its route's timeout ends before that, or the longest of those runs, with a fifth more where it may not be repeated and a twentieth where it may, still fits; where fewer than four runs are known, only its budget counts. It is asked once the body is read, again in the moment in which a slot is granted, and while it waits for its body or a slot. Too late is 503, not run, Retry-After 0.05 to 0.15 s, Connection: close, before a byte goes to a server. At the end requests in progress are given up: without a byte of their answer they get 502. The process uses the grace up to 0.3 s (was 0.7 s) before it would be killed; the wait for the addresses ends there as well. Log lines and requests_total{outcome="draining"} tell these refusals from others.

Ruled out: refusing all from the SIGTERM on (callers have cached addresses for 3 s); no new connections sooner (kept ones bring them).

Body not whole: 503, was cut; running without an answer: 502, was cut.

--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -28,6 +28,7 @@
 import { Members } from '../peers/members.js'
 import { estimateSize } from '../placement/estimate-size.js'
 import { FleetWatch } from '../fleet/fleet-watch.js'
+import { Ending } from '../routing/ending/ending.js'
 import { Forwarder } from '../routing/forwarder.js'
 import { CallerConnections } from './caller-connections.js'
 import type { EntryDialect } from './entry-dialect.js'
@@ -52,8 +53,13 @@
 const NETWORK_DELAY = 300
 /** Idle time after which a connection is closed while draining, ms: several round trips, so that no request is in flight to it. */
 const CLOSE_IDLE_AFTER = 400
-/** How long before the process would be killed the requests still in progress are cut, ms. */
-const SHUTDOWN_MARGIN = 700
+/** How long before the process would be killed the requests still in progress are given up, and how long their last bytes are sent, ms. */
+const SHUTDOWN_MARGIN = 300
+const LAST_BYTES = 100
+/** How long the body of a request that comes too late is read, ms: while it arrives, its caller may not read a refusal. */
+const LATE_BODY = 150
+/** Mean retry delay of a request that comes too late, ms: others can take it at once. */
+const RETRY_ELSEWHERE = 100
 const NO_SERVICE_RETRY = 300
 /** Relative spread of the retry delay while this daemon has no configuration yet. */
 const NOT_READY_SPREAD = 0.3
@@ -82,7 +88,8 @@
     @inject(JobRequestHandler) private readonly jobs: JobRequestHandler,
     @inject(Members) private readonly members: Members,
     @inject(FleetWatch) private readonly fleet: FleetWatch,
-    @inject(Metrics) metrics: Metrics
+    @inject(Ending) private readonly ending: Ending,
+    @inject(Metrics) private readonly metrics: Metrics
   ) {
     const app = new App()
     app.use((req, res) => { void this.handle(req, res) })
@@ -110,15 +117,20 @@
 
   /**
    * Announces that this daemon is leaving, serves until no cached answer with addresses names it, then closes each connection after its last
-   * response. Requests still in progress shortly before the process would be killed are cut.
+   * response. Requests that can't be expected to be done by then are refused; those still in progress shortly before the process would be
+   * killed are given up.
    */
   async drain (): Promise<void> {
     const { addressKeep, shutdownTime } = this.settings
     const end = this.clock.now() + shutdownTime - SHUTDOWN_MARGIN
+    this.ending.begin(end)
     void this.members.leave()
-    await pauseFor(this.clock, ADDRESS_KEEP_FACTOR * addressKeep + NETWORK_DELAY)
+    await pauseFor(this.clock, Math.min(shutdownTime - SHUTDOWN_MARGIN, ADDRESS_KEEP_FACTOR * addressKeep + NETWORK_DELAY))
     this.log.write('info', 'entry', 'closing connections', { connections: this.connections.size })
-    await Promise.race([this.connections.close(), pauseFor(this.clock, Math.max(0, end - this.clock.now()))])
+    const closed = this.connections.close()
+    await Promise.race([closed, pauseFor(this.clock, Math.max(0, end - this.clock.now()))])
+    this.ending.finish()
+    await Promise.race([closed, pauseFor(this.clock, LAST_BYTES)])
     this.requests.recordCuts('shutdown')
   }
 
@@ -154,8 +166,9 @@
     if (!await this.startWait.wait() && this.configuration.value.version === 0) return this.refuseUnready(req, res)
     const { version, routes = {}, limits, callers } = this.configuration.value
     const call = this.dialect.readJobCall(req)
-    if (call !== undefined) return await this.answerJobCall(call, req, res)
     const head = this.dialect.readHead(req)
+    if (call !== undefined && this.ending.isTooLate({ deadline: Infinity })) return this.refuseLate(head.id, req, res)
+    if (call !== undefined) return await this.answerJobCall(call, req, res)
     const route = findRoute(routes, head.host, head.path)
     if (route === undefined) {
       this.log.write('info', 'entry', 'found no route', { request: head.id, host: head.host, path: head.path, configuration: version })
@@ -164,14 +177,17 @@
     }
     const caller = await this.checkKey(req, route)
     if (caller.err) return this.refuseKey(caller.val, req, res)
-    const body = await readBody(req, limits.bodyBytes)
+    const left = Math.min(head.timeLeft ?? DEFAULT_DEADLINE, route.timeout > 0 ? route.timeout : Infinity)
+    const deadline = arrived + left
+    const body = await this.readBodyInTime(req, { route, deadline })
     if (body.err) {
       if (body.val === 'cut') res.destroy()
+      else if (body.val === 'late') this.refuseLate(head.id, req, res)
       else sendJson(res, 413, { cause: 'body too large', detail: `over ${limits.bodyBytes} bytes` })
       return
     }
+    if (this.ending.isTooLate({ route, deadline })) return this.refuseLate(head.id, req, res)
     if (route.jobs !== undefined) return await this.jobs.submit({ id: head.id, route, path: head.path, caller: caller.val, body: body.val, arrived }, res)
-    const left = Math.min(head.timeLeft ?? DEFAULT_DEADLINE, route.timeout > 0 ? route.timeout : Infinity)
     const service = chooseService(route.services, this.forwarder.random)
     if (service === undefined) return sendRoutedRefusal(res, { cause: 'no server', ran: 'not run', retryAfter: NO_SERVICE_RETRY, detail: 'the route names no service' })
     await this.forwarder.forward({
@@ -189,11 +205,31 @@
       size: head.tokens === undefined ? undefined : estimateSize(head.tokens),
       arrived,
       asked: arrived - this.estimateElapsed(route, head.timeLeft),
-      deadline: arrived + left,
+      deadline,
       signal: disconnected.signal
     }, service, new ResponseSink(res))
   }
 
+  /** Reads the body, unless it isn't whole when it is too late for the request to start. */
+  private async readBodyInTime (req: IncomingMessage, request: { readonly route: Route, readonly deadline: number }): Promise<Result<Buffer, 'too large' | 'cut' | 'late'>> {
+    let stop = (): void => {}
+    const late = new Promise<Result<Buffer, 'late'>>(resolve => {
+      stop = this.ending.watchStart(request, () => { this.clock.after(LATE_BODY, () => resolve(Err('late'))) })
+    })
+    try {
+      return await Promise.race([readBody(req, this.configuration.value.limits.bodyBytes), late])
+    } finally {
+      stop()
+    }
+  }
+
+  private refuseLate (id: string, req: IncomingMessage, res: ServerResponse): void {
+    dropBody(req)
+    this.log.write('info', 'entry', 'refused a request that would not end before this daemon does', { request: id, path: req.url })
+    this.metrics.count('requests_total', { outcome: 'draining' })
+    sendRoutedRefusal(res, { cause: 'draining', ran: 'not run', retryAfter: this.forwarder.random.spread(RETRY_ELSEWHERE, 0.5), detail: 'this daemon ends before the request could' })
+  }
+
   private async answerJobCall (call: JobCall, req: IncomingMessage, res: ServerResponse): Promise<void> {
     const isPublic = this.dialect.readKey(req) === undefined && this.jobs.isPublic(call.job)
     const caller = isPublic ? Ok(undefined) : await this.checkKey(req)
--- a/src/routing/forwarder.ts
+++ b/src/routing/forwarder.ts
@@ -8,6 +8,7 @@
 import { PlacementQueue } from '../placement/placement-queue.js'
 import { ServerLoads } from '../placement/server-loads.js'
 import { PartBlame } from './blame/part-blame.js'
+import { Ending } from './ending/ending.js'
 import type { AnswerSink } from './exchanges/answer-sink.js'
 import { Forwarding } from './forwarding.js'
 import { Quarantine } from './quarantine/quarantine.js'
@@ -32,7 +33,8 @@
     @inject(PartBlame) readonly blame: PartBlame,
     @inject(PlacementQueue) readonly queue: PlacementQueue,
     @inject(ServerLoads) readonly loads: ServerLoads,
-    @inject(StreamOrigins) readonly origins: StreamOrigins
+    @inject(StreamOrigins) readonly origins: StreamOrigins,
+    @inject(Ending) readonly ending: Ending
   ) {}
 
   /** Resolves when the caller has its final answer. */
--- a/src/routing/forwarding-tools.ts
+++ b/src/routing/forwarding-tools.ts
@@ -5,6 +5,7 @@
 import type { PlacementQueue } from '../placement/placement-queue.js'
 import type { ServerLoads } from '../placement/server-loads.js'
 import type { PartBlame } from './blame/part-blame.js'
+import type { Ending } from './ending/ending.js'
 import type { Sender } from './exchanges/sender.js'
 import type { ServerDialect } from './exchanges/server-dialect.js'
 import type { StreamOrigins } from './origins/stream-origins.js'
@@ -25,4 +26,5 @@
   readonly queue: PlacementQueue
   readonly loads: ServerLoads
   readonly origins: StreamOrigins
+  readonly ending: Ending
 }
--- a/src/routing/slot-search.ts
+++ b/src/routing/slot-search.ts
@@ -29,6 +29,8 @@
   /** Aborted when the caller has left or the deadline has passed. */
   readonly signal: AbortSignal
   readonly refuse: (cause: Refusal['cause'], detail: string) => Refusal
+  /** Returns a refusal where the request may no longer start. */
+  readonly refuseLate: () => Refusal | undefined
   /** Sends the request; counts it at the server before it returns. */
   readonly open: (server: string) => Promise<OpenedExchange>
 }
@@ -153,7 +155,9 @@
   }
 
   private startAt (server: string): StartedSend | Refusal | undefined {
-    const { gate, origin, refuse, open } = this.options
+    const { gate, origin, refuse, refuseLate, open } = this.options
+    const late = refuseLate()
+    if (late !== undefined) return late
     const blamed = gate.check()
     if (blamed !== undefined) return blamed === 'wait' ? undefined : blamed
     const mismatch = origin.findMismatch(server)
