--- a/test/helpers/dispatch-bench.ts
+++ b/test/helpers/dispatch-bench.ts
@@ -6,6 +6,7 @@
 import { Random } from '../../src/kernel/random.js'
 import { SystemClock } from '../../src/kernel/system-clock.js'
 import { tokens } from '../../src/kernel/tokens.js'
+import { serverDialect } from '../../platform/server-dialect.js'
 import { InstanceList } from '../../src/store/instance-list.js'
 import { Dispatcher } from '../../src/routing/dispatcher.js'
 import type { ServerRequest } from '../../src/routing/exchanges/server-request.js'
@@ -16,7 +17,13 @@
 const POOL = 'pool'
 const CLOCK = tokens.clock
 
-interface BenchOptions { readonly ports: readonly number[], readonly resume?: boolean, readonly maxInFlight?: number }
+interface BenchOptions {
+  readonly ports: readonly number[]
+  readonly resume?: boolean
+  readonly maxInFlight?: number
+  /** Start of the servers' processes as the list states it, Unix ms; not stated if omitted. */
+  readonly startedAt?: number | undefined
+}
 
 /** The request dispatch of one daemon, run in this process against servers on `ports`. */
 export class DispatchBench {
@@ -24,13 +31,14 @@
   readonly dispatcher: Dispatcher
   private sequence = 0
 
-  constructor ({ ports, resume = true, maxInFlight = 8 }: BenchOptions) {
-    const instances = ports.map((port, i) => ({ name: `server-${i}`, pool: POOL, host: '127.0.0.1', port, failureDomain: `domain-${i}`, region: 'region-1', state: 'live' as const }))
+  constructor ({ ports, resume = true, maxInFlight = 8, startedAt }: BenchOptions) {
+    const instances = ports.map((port, i) => ({ name: `server-${i}`, pool: POOL, host: '127.0.0.1', port, failureDomain: `domain-${i}`, region: 'region-1', state: 'live' as const, ...startedAt !== undefined && { startedAt } }))
     this.container.registerInstance(tokens.clock, new SystemClock())
     this.container.registerInstance(tokens.random, new Random(1))
     this.container.registerInstance(tokens.store, new MemoryStore())
     this.container.registerInstance(tokens.log, { write: () => {} })
     this.container.registerInstance(tokens.settings, { instance: 'entry-0', failureDomain: 'domain-0', region: 'region-1', listen: { host: '127.0.0.1', port: 0, peerPort: 0 }, platform: '', peerKey: '', operatorToken: '', log: { level: 'error', format: 'text' } })
+    if (startedAt !== undefined) this.container.registerInstance(tokens.serverDialect, serverDialect)
     this.container.registerInstance(Extensions, new Extensions())
     this.container.resolve(InstanceList).all = instances
     this.container.resolve(ConfigurationHolder).offer({
--- a/test/helpers/route-bench.ts
+++ b/test/helpers/route-bench.ts
@@ -21,6 +21,8 @@
   readonly time?: number
   /** Places a request that needs a slot; if omitted, each server has one. */
   readonly place?: (asked: PlacementRequest) => void
+  /** Start of the servers' processes as the list states it, Unix ms; not stated if omitted. */
+  readonly startedAt?: number
   /** Returns the live servers of a version; all if omitted. */
   readonly listOfVersion?: () => readonly unknown[]
 }
@@ -36,7 +38,7 @@
   private turn = 0
 
   private constructor (private readonly options: RouteBenchOptions) {
-    this.bench = new DispatchBench({ ports: options.ports })
+    this.bench = new DispatchBench({ ports: options.ports, startedAt: options.startedAt })
     const container = this.bench.container
     container.registerInstance(tokens.serverDialect, serverDialect)
     container.registerInstance(ServerLoads, { outcomes: { record: () => {} }, intervals: { record: () => {} }, markFull: () => {}, listOfVersion: options.listOfVersion ?? (() => options.ports) } as unknown as ServerLoads)
