The end of an unmarked answer counts only if the process that began it still answers

Cause: where only its connection ends an answer, the server was asked whether it still runs. Another process that listens at its address by then answered for it, so that a part was passed on as whole.

Change: where the list and the report state the start of a process, the report is asked for on a new connection. Another start, or nothing that listens, means that the answer was broken off. A process that doesn't answer, or states no start, counts as before. What follows a cut is as before: another process that listens isn't recorded as exited.

--- a/src/routing/exchanges/exchange.ts
+++ b/src/routing/exchanges/exchange.ts
@@ -23,7 +23,7 @@
   /** Checked right before the first byte is written, and before a last byte that was held back; if it returns false, no more is sent. */
   readonly mayStart?: () => boolean
   /** Returns whether the server's process has exited; asked at a regular end of the connection that nothing else marks. */
-  readonly isServerGone?: () => Promise<boolean>
+  readonly hasServerExited?: () => Promise<boolean>
   /** Called when no byte has arrived within a timeout; without it, the exchange is abandoned. */
   readonly onSilent?: (silence: Silence) => void
 }
@@ -119,7 +119,7 @@
 
   /** Fails if only the connection marks the end and the server's process has exited: the system closes its connections regularly. */
   private async checkEnd (): Promise<void> {
-    if (this.framing === 'connection' && await this.options.isServerGone?.() === true) throw new Error('its server exited')
+    if (this.framing === 'connection' && await this.options.hasServerExited?.() === true) throw new Error('its server exited')
   }
 
   private confirmStart (): boolean {
--- a/src/routing/exchanges/sender.ts
+++ b/src/routing/exchanges/sender.ts
@@ -10,10 +10,12 @@
 import { Exchange } from './exchange.js'
 import type { ExchangeOutcome } from './exchange-outcome.js'
 import { exchangeObserverPoint } from './exchange-observer-point.js'
+import { hasProcessExited } from '../servers/has-process-exited.js'
 import { isServerGone } from '../servers/is-server-gone.js'
 import type { OpenExchange } from './open-exchange.js'
 import { Quarantine } from '../quarantine/quarantine.js'
 import type { SendFailure } from './send-failure.js'
+import type { ServerDialect } from './server-dialect.js'
 import type { ServerRequest } from './server-request.js'
 import type { Silence } from './silence.js'
 import { ServerViews } from '../servers/server-views.js'
@@ -50,7 +52,8 @@
     @inject(Extensions) private readonly extensions: Extensions,
     @inject(Timeline) private readonly timeline: Timeline,
     @inject(ServerViews) views: ServerViews,
-    @inject(tokens.clock) private readonly clock: Clock
+    @inject(tokens.clock) private readonly clock: Clock,
+    @inject(tokens.serverDialect, { isOptional: true }) private readonly dialect?: Pick<ServerDialect, 'report'>
   ) {
     quarantine.subscribeLosses((server, ago) => servers.recordExit(server, ago))
     views.subscribe(({ server, state }) => { if (state === 'down') this.abandonRepeatable(server) })
@@ -70,7 +73,7 @@
       getHoldTime: request.isRepeated === true ? undefined : this.servers.planHold(server.url, work),
       signal: request.signal,
       mayStart: () => this.servers.isListed(server) && (request.mayStart?.() ?? true),
-      isServerGone: async () => await isServerGone(server.url),
+      hasServerExited: async () => await hasProcessExited(server, this.dialect?.report),
       onSilent
     })
     const run = request.parts === undefined || request.parts.length === 0 ? undefined : this.blame.begin(request.parts, server.name, () => exchange.isSent())
