Test: streams at two versions of servers under mixed faults, over processes

Six daemons as processes, ten servers and the store in threads of their own that can stand still; callers leave and go on elsewhere. Faults come in series that overlap: servers killed and back under their id and address with either version, their entries late; servers, daemons and the store standing still; daemons killed.

The report of an engine in a thread states the start that the engine is registered with; the two differed, so that daemons rightly left it out.

--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -41,6 +41,10 @@
   readonly events?: number
   /** Time between two events, ms. */
   readonly pause?: number
+  /** Start of its process, Unix ms; now by default. */
+  readonly startedAt?: number
+  /** Whether the data of its events name its version. */
+  readonly showsVersion?: boolean
   readonly now?: () => number
 }
 
@@ -48,7 +52,7 @@
 export class EventEngine {
   port = 0
   /** Start of its process, Unix ms. */
-  readonly startedAt = Date.now()
+  readonly startedAt: number
   readonly runs: EngineRun[] = []
   /** Numbers of events after which the next runs break off, one number for each run. */
   breakPoints: number[] = []
@@ -77,7 +81,9 @@
   /** Open answers whose end nothing but their connection marks. */
   private readonly unmarked = new Set<ServerResponse>()
 
-  constructor (private readonly options: EventEngineOptions) {}
+  constructor (private readonly options: EventEngineOptions) {
+    this.startedAt = options.startedAt ?? Date.now()
+  }
 
   get id (): string {
     return this.options.id
@@ -154,7 +160,8 @@
   }
 
   private async stream (run: EngineRun, res: ServerResponse, isMarked: boolean): Promise<void> {
-    const { events = 6, pause = 10 } = this.options
+    const { events = 6, pause = 10, showsVersion = false } = this.options
+    const mark = showsVersion ? ` of ${String(this.version)}` : ''
     const breakAfter = this.breakPoints.shift()
     for (let n = (run.resumedAfter ?? 0) + 1; n <= events; n++) {
       await new Promise(resolve => setTimeout(resolve, pause * this.slowdown))
@@ -165,7 +172,7 @@
         res.write(isMarked ? `id: ${n}\nda` : `id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`, () => closeIncomplete(res, isMarked))
         return
       }
-      res.write(`id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`)
+      res.write(`id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}${mark}\n\n`)
       run.events++
     }
     run.outcome = 'whole'
--- a/test/helpers/run-engine-thread.ts
+++ b/test/helpers/run-engine-thread.ts
@@ -1,5 +1,6 @@
 import { parentPort, workerData } from 'node:worker_threads'
 import { EventEngine } from '../../stand-ins/machines/event-engine.js'
+import { blockThread } from './block-thread.js'
 import type { EngineCall } from './engine-call.js'
 
 /** Entry point of the thread of a `ThreadedEngine`: runs an engine and answers each call. */
@@ -17,6 +18,10 @@
     case 'break':
       engine.breakPoints = [...call.after]
       return undefined
+    case 'unmarked':
+      engine.unmarkedRuns = Infinity
+      return undefined
+    case 'stand still': return blockThread(call.time)
     case 'runs': return engine.runs
   }
 }
--- a/test/helpers/run-store-thread.ts
+++ b/test/helpers/run-store-thread.ts
@@ -1,5 +1,6 @@
 import { parentPort } from 'node:worker_threads'
 import { ObjectApi } from '../../stand-ins/machines/object-api.js'
+import { blockThread } from './block-thread.js'
 import type { StoreCall } from './store-call.js'
 
 /** Entry point of the thread of a `ThreadedStore`: runs a store and answers each call. */
@@ -16,6 +17,7 @@
       return store.port
     case 'put': return store.put(call.kind, call.name, call.spec)
     case 'remove': return store.remove(call.kind, call.name)
+    case 'stand still': return blockThread(call.time)
     case 'faults':
       store.faults = call.faults
       return undefined
--- a/test/helpers/threaded-engine.ts
+++ b/test/helpers/threaded-engine.ts
@@ -2,7 +2,7 @@
 import type { EngineCall } from './engine-call.js'
 import { ThreadCalls } from './thread-calls.js'
 
-type Options = Omit<ConstructorParameters<typeof EventEngine>[0], 'now'>
+type Options = Omit<ConstructorParameters<typeof EventEngine>[0], 'now' | 'startedAt'>
 
 /**
  * An engine in a thread of its own, which keeps its pace while the test's thread is busy. In that thread, where several fleets start at
@@ -15,7 +15,7 @@
   private readonly calls: ThreadCalls<EngineCall>
 
   constructor (private readonly options: Options) {
-    this.calls = new ThreadCalls(new URL('./run-engine-thread.ts', import.meta.url), options)
+    this.calls = new ThreadCalls(new URL('./run-engine-thread.ts', import.meta.url), { ...options, startedAt: this.startedAt })
   }
 
   get id (): string {
@@ -39,6 +39,16 @@
     await this.calls.call({ type: 'break', after })
   }
 
+  /** Lets all of its answers end with their connections. */
+  async leaveUnmarked (): Promise<void> {
+    await this.calls.call({ type: 'unmarked' })
+  }
+
+  /** Stands still for `time` ms; its connections stay open. */
+  standStill (time: number): void {
+    void this.calls.call({ type: 'stand still', time })
+  }
+
   async readRuns (): Promise<EventEngine['runs']> {
     return await this.calls.call({ type: 'runs' })
   }
--- a/test/helpers/threaded-store.ts
+++ b/test/helpers/threaded-store.ts
@@ -26,6 +26,11 @@
     void this.calls.call({ type: 'remove', kind, name })
   }
 
+  /** Stands still for `time` ms; its connections stay open. */
+  standStill (time: number): void {
+    void this.calls.call({ type: 'stand still', time })
+  }
+
   /** Resolves once the faults are in force. */
   async setFaults (faults: Extract<StoreCall, { type: 'faults' }>['faults']): Promise<void> {
     await this.calls.call({ type: 'faults', faults })
