A stream goes on where it began, not where the store expected it to begin

Cause: a record is written to the store when a request is first sent, so that its first event needn't wait for it. If that server fails before the first event, the stream may begin at another version. Daemons that had read the store by then kept the expected version as their own record, for good; and while a write of the right one was late, a stored record went before what the daemons knew.

Change: records of daemons are those that they saw or were told. What was read from the store is a copy, used only if neither another daemon nor the store has a record. A daemon's record goes before the store's.

Remains: the store has the expected version while its write is late and all daemons that know better have ended. A daemon whose copy is all that is left no longer answers others with it.

--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -65,7 +65,10 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class StreamOrigins implements Part {
+  /** Where streams began, as this daemon saw or was told. */
   private readonly records = new OriginRecords()
+  /** The store's records, for when it is away. Streams may have begun elsewhere since: a record is written when a request is first sent. */
+  private readonly copies = new OriginRecords()
   private readonly history = new VersionHistory()
   private readonly calls: MemberCalls<Question, Answer>
   readonly extensions
@@ -96,6 +99,7 @@
     this.recordList()
     const stopChecking = this.clock.every(CHECK_PERIOD, () => {
       this.records.dropExpired(this.now)
+      this.copies.dropExpired(this.now)
       void this.checkDefaults()
     })
     void this.read()
@@ -126,14 +130,17 @@
     const { id, pool, span } = question
     const own = id === undefined ? undefined : this.records.find(id)
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
-    const only = this.findOnlyVersion(pool, span)
+    const copy = id === undefined ? undefined : this.copies.find(id)
+    const only = copy === undefined ? this.findOnlyVersion(pool, span) : undefined
     if (only !== undefined) return { type: 'known', origin: only, by: 'only version' }
-    const asked = this.ask(question)
-    const stored = id === undefined ? undefined : await this.findStored(id, pool)
+    const reading = id === undefined ? undefined : this.findStored(id, pool)
+    // Daemons know where the stream began; the store may still have the version that it was expected to begin at.
+    const answer = await this.ask(question)
+    if (answer?.isRecorded === true) return { type: 'known', origin: answer.origin, by: 'peer' }
+    const stored = await reading
     if (stored?.by === 'stored record') return stored
-    const answer = await asked
-    if (answer?.isRecorded === true || (answer !== undefined && stored === undefined)) return { type: 'known', origin: answer.origin, by: 'peer' }
-    return stored ?? { type: 'unknown' }
+    if (copy !== undefined) return { type: 'known', origin: copy, by: 'copied record' }
+    return stored ?? (answer === undefined ? { type: 'unknown' } : { type: 'known', origin: answer.origin, by: 'peer' })
   }
 
   /** Finds the origin of a stream in the store: its record, or the pool's default, which needs none. */
@@ -149,10 +156,10 @@
     return this.clock.now()
   }
 
-  /** Reads the store's records into this daemon's; those of daemons that have ended are found nowhere else. */
+  /** Reads and copies the store's records; those of daemons that have ended are found nowhere else. */
   private async read (): Promise<StoredOrigins | undefined> {
     const stored = await this.durable.read()
-    for (const [id, origin] of stored?.records ?? []) if (this.records.find(id) === undefined) this.records.put(id, origin, this.now + RESUMPTION_TIME)
+    for (const [id, origin] of stored?.records ?? []) this.copies.put(id, origin, this.now + RESUMPTION_TIME)
     return stored
   }
 
