--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -43,6 +43,10 @@
   readonly pause?: number
   /** Of a request by its path: its events, `events` by default, and whether they come as one answer at the end, no stream. */
   readonly plan?: (path: string) => { readonly events?: number, readonly isWhole?: boolean }
+  /** Start of its process, Unix ms; now by default. */
+  readonly startedAt?: number
+  /** Whether the data of its events name its version. */
+  readonly showsVersion?: boolean
   readonly now?: () => number
 }
 
@@ -50,7 +54,7 @@
 export class EventEngine {
   port = 0
   /** Start of its process, Unix ms. */
-  readonly startedAt = Date.now()
+  readonly startedAt: number
   readonly runs: EngineRun[] = []
   /** Numbers of events after which the next runs break off, one number for each run. */
   breakPoints: number[] = []
@@ -79,7 +83,9 @@
   /** Open answers whose end nothing but their connection marks. */
   private readonly unmarked = new Set<ServerResponse>()
 
-  constructor (private readonly options: EventEngineOptions) {}
+  constructor (private readonly options: EventEngineOptions) {
+    this.startedAt = options.startedAt ?? Date.now()
+  }
 
   get id (): string {
     return this.options.id
@@ -168,7 +174,8 @@
   }
 
   private async stream (run: EngineRun, res: ServerResponse, isMarked: boolean): Promise<void> {
-    const { pause = 10 } = this.options
+    const { pause = 10, showsVersion = false } = this.options
+    const mark = showsVersion ? ` of ${String(this.version)}` : ''
     const events = this.countEvents(run.path)
     const breakAfter = this.breakPoints.shift()
     for (let n = (run.resumedAfter ?? 0) + 1; n <= events; n++) {
@@ -180,7 +187,7 @@
         res.write(isMarked ? `id: ${n}\nda` : `id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`, () => closeIncomplete(res, isMarked))
         return
       }
-      res.write(`id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`)
+      res.write(`id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}${mark}\n\n`)
       run.events++
     }
     run.outcome = 'whole'
