Records read from the store decide only for the stream that they were read for

Cause: each read of the store was copied into the daemon's own records, where it stayed for 60 s, although a record is replaced in the store where another server than expected begins the stream. A copy then decided as this daemon's own record, or answered another daemon. Change: own records are those of streams that this daemon relayed or was told of; the store is read again for each stream that is taken up and that it has no record of (shared as before). Not seen in processes. Cost: a stream that would have been found in a copy is asked for and read.

--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -23,7 +23,6 @@
 import { listResumablePools } from './list-resumable-pools.js'
 import { OriginRecords } from './origin-records.js'
 import { planDefaultVersion } from './plan-default-version.js'
-import type { StoredOrigins } from './stored-origins.js'
 import type { StreamOrigin } from './stream-origin.js'
 import { VersionHistory } from './version-history.js'
 
@@ -68,6 +67,7 @@
  */
 @scoped(Lifecycle.ContainerScoped)
 export class StreamOrigins implements Part {
+  /** Of streams that this daemon relayed, and of those that others told it. Not what it read from the store, which may be replaced there. */
   private readonly records = new OriginRecords()
   private readonly history = new VersionHistory()
   private readonly calls: MemberCalls<Question, Answer>
@@ -91,7 +91,7 @@
   ) {
     this.durable = new DurableOrigins({ store, clock, instance: settings.instance, keep: RESUMPTION_TIME, countDaemons: () => members.all().length })
     this.calls = new MemberCalls({ links, clock, name: 'stream origin', handle: async question => this.answer(question) })
-    this.extensions = [...this.calls.extensions, peerHandlerPoint.of({ type: TOLD, handle: message => this.receive(message) }), peerHandlerPoint.of({ type: DEFAULT_CHANGED, handle: () => { void this.read() } })]
+    this.extensions = [...this.calls.extensions, peerHandlerPoint.of({ type: TOLD, handle: message => this.receive(message) }), peerHandlerPoint.of({ type: DEFAULT_CHANGED, handle: () => { void this.durable.read() } })]
   }
 
   async start (): Promise<void> {
@@ -101,7 +101,7 @@
       this.records.dropExpired(this.now)
       void this.checkDefaults()
     })
-    void this.read()
+    void this.durable.read()
     this.cancel = () => {
       stopListening()
       stopChecking()
@@ -129,7 +129,7 @@
     const own = id === undefined ? undefined : this.records.find(id)
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
     const asked = id === undefined ? undefined : this.ask({ id, pool })
-    const stored = findStoredOrigin(await this.read(), { id, pool })
+    const stored = findStoredOrigin(await this.durable.read(), { id, pool })
     if (stored?.by === 'stored record') return stored
     const answer = await asked
     if (answer !== undefined) return { type: 'known', origin: answer.origin, by: 'peer' }
@@ -140,13 +140,6 @@
     return this.clock.now()
   }
 
-  /** Reads the store's records into this daemon's; those of daemons that have ended are found nowhere else. */
-  private async read (): Promise<StoredOrigins | undefined> {
-    const stored = await this.durable.read()
-    for (const [id, origin] of stored?.records ?? []) if (this.records.find(id) === undefined) this.records.put(id, origin, this.now + RESUMPTION_TIME)
-    return stored
-  }
-
   /** Whether all that this daemon has seen of the pool's servers, for one attempt's time at least, is of this version, the pool's default. */
   private isOnlyVersion ({ pool, version }: StreamOrigin, span: number): boolean {
     return this.durable.defaults?.get(pool) === version && this.age >= span && !this.isListOld && this.listRecent(pool, span).every(other => other === version)
@@ -174,7 +167,7 @@
       if (this.isListOld || (current !== undefined && recent.includes(current))) continue
       if (this.now >= this.readAt + READ_PERIOD) {
         this.readAt = this.now
-        await this.read()
+        await this.durable.read()
       }
       const planned = planDefaultVersion({ current: this.durable.defaults?.get(pool), recent, isWholeTimeKnown: this.age >= span + RESUMPTION_TIME })
       if (planned !== undefined && this.durable.defaults !== undefined && this.isFirst(pool)) await this.setDefault(pool, planned)
