--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -128,12 +128,11 @@
   async find ({ id, pool }: ResumedStream): Promise<FoundOrigin> {
     const own = id === undefined ? undefined : this.records.find(id)
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
-    const asked = id === undefined ? undefined : this.ask({ id, pool })
-    const stored = findStoredOrigin(await this.durable.read(), { id, pool })
-    if (stored?.by === 'stored record') return stored
-    const answer = await asked
+    const reading = this.durable.read()
+    // Daemons know where the stream began; the store may still have the version that it was expected to begin at.
+    const answer = id === undefined ? undefined : await this.ask({ id, pool })
     if (answer !== undefined) return { type: 'known', origin: answer.origin, by: 'peer' }
-    return stored ?? { type: 'unknown' }
+    return findStoredOrigin(await reading, { id, pool }) ?? { type: 'unknown' }
   }
 
   private get now (): number {
