--- a/test/helpers/engine-call.ts
+++ b/test/helpers/engine-call.ts
@@ -1,6 +1,6 @@
 /**
  * A call to the thread of a `ThreadedEngine`.
- * - `start`: listens; answered with the port.
+ * - `start`: listens; answered with the port and the engine's start.
  * - `break`: sets the numbers of events after which the next runs break off.
  * - `runs`: answered with all runs so far.
  */
--- a/test/helpers/run-engine-thread.ts
+++ b/test/helpers/run-engine-thread.ts
@@ -13,7 +13,7 @@
   switch (call.type) {
     case 'start':
       await engine.start(call.port)
-      return engine.port
+      return { port: engine.port, startedAt: engine.startedAt }
     case 'break':
       engine.breakPoints = [...call.after]
       return undefined
--- a/test/helpers/threaded-engine.ts
+++ b/test/helpers/threaded-engine.ts
@@ -10,8 +10,8 @@
  */
 export class ThreadedEngine {
   port = 0
-  /** Start of its process, Unix ms. */
-  readonly startedAt = Date.now()
+  /** Start of the engine as its report states it, Unix ms. */
+  startedAt = 0
   private readonly calls: ThreadCalls<EngineCall>
 
   constructor (private readonly options: Options) {
@@ -27,7 +27,9 @@
   }
 
   async start (port = 0): Promise<void> {
-    this.port = await this.calls.call({ type: 'start', port })
+    const { port: opened, startedAt } = await this.calls.call<{ readonly port: number, readonly startedAt: number }>({ type: 'start', port })
+    this.port = opened
+    this.startedAt = startedAt
   }
 
   stop (): void {
