Test: requests at sound servers while other servers answer without end

Servers in threads of their own write without end, as fast as a daemon reads: events without data, an event once more, events without an id, chunks of one byte, empty lines, interim heads, and any of them as their report.

--- /dev/null
+++ b/test/helpers/flood.ts
@@ -0,0 +1,8 @@
+/** What a flooding server writes without end, `text`, after `begin`. */
+export interface Flood {
+  /** Returns what precedes the flood in the answer to a request. */
+  readonly begin: 'events' | 'chunked events' | 'nothing'
+  readonly text: string
+  /** Whether it floods the requests for its report too. */
+  readonly floodsReports?: boolean
+}
--- /dev/null
+++ b/test/helpers/threaded-flood.ts
@@ -0,0 +1,23 @@
+import type { Flood } from './flood.js'
+import { ThreadCalls } from './thread-calls.js'
+
+/** A server in a thread of its own that answers without end, as fast as its connections take the bytes. */
+export class ThreadedFlood {
+  port = 0
+  /** Start of its process, Unix ms. */
+  readonly startedAt = Date.now()
+  readonly version = 'v1'
+  private readonly calls: ThreadCalls<undefined>
+
+  constructor (readonly id: string, flood: Flood) {
+    this.calls = new ThreadCalls(new URL('./run-flood-thread.ts', import.meta.url), { flood, startedAt: this.startedAt })
+  }
+
+  async start (): Promise<void> {
+    this.port = await this.calls.call(undefined)
+  }
+
+  stop (): void {
+    this.calls.stop()
+  }
+}
