Answers of ever more interim heads or tiny chunks are broken off

Callers saw requests at sound servers late by seconds while other servers of the same daemon wrote interim heads or chunks of one byte without end. Cause: each head and each chunk costs a call of the HTTP client, so that one read of 64 kB takes some ten ms, and several such connections are read in each turn of the event loop; nothing bounded them, as neither adds to a body's length quickly. An agent of create-agent now aborts an answer with 100 interim heads or 4,000 parts of under 64 bytes within a second, which closes its connection and counts as broken off: resent or cut as before, noted by the server's health.

--- a/src/http/create-agent.ts
+++ b/src/http/create-agent.ts
@@ -1,4 +1,5 @@
-import { Agent, buildConnector } from 'undici'
+import { buildConnector, type Agent } from 'undici'
+import { BoundedAgent } from './bounded-agent.js'
 import { watchResets } from './watch-resets.js'
 
 interface AgentOptions extends Omit<Agent.Options, 'connect'> {
@@ -10,9 +11,9 @@
 }
 
 /**
- * Creates an undici agent that fails an answer whose connection is reset, however the answer is framed. Answers are read by such
- * agents only.
+ * Creates an undici agent that fails an answer whose connection is reset, however the answer is framed, and one of interim heads or tiny
+ * chunks without end. Answers are read by such agents only.
  */
 export function createAgent ({ connectTimeout, connect = buildConnector({ timeout: connectTimeout }), onReset, ...options }: AgentOptions = {}): Agent {
-  return new Agent({ ...options, connect: watchResets(connect, onReset) })
+  return new BoundedAgent({ ...options, connect: watchResets(connect, onReset) })
 }
