A stream whose events bring nothing new without end is broken off

Callers saw requests at sound servers late, or without an end, while other servers of the same daemon wrote comments (`: more`) as fast as the connection took them. Cause: each event without data was decoded, counted as progress and relayed, so that a flood took the event loop until the deadline; besides, it entered the server's pace, which made it look like the fastest. Events that the caller already has were dropped, as many as came. EventRun, which requests and items share, now bounds events that bring nothing new: comments, events without an id between numbered ones, and ids that the run has sent before. Comments are no progress.

--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -2,6 +2,7 @@
 import type { EventIntervals } from '../placement/pace/event-intervals.js'
 import { StreamPace } from '../placement/pace/stream-pace.js'
 import { EventRun } from '../routing/streams/event-run.js'
+import { isProgress } from '../routing/streams/is-progress.js'
 import { judgeAnswer } from '../routing/exchanges/judge-answer.js'
 import type { OpenExchange } from '../routing/exchanges/open-exchange.js'
 import { readToEnd } from '../routing/exchanges/read-to-end.js'
@@ -111,7 +112,7 @@
 
   private async readEvents (open: OpenExchange): Promise<ItemOutcome> {
     const { state, clock, intervals } = this.options
-    const run = new EventRun(state.last)
+    const run = new EventRun(state.last, () => clock.now())
     const pace = new StreamPace(clock, (count, time) => intervals.record(open.server.name, count, time))
     let progressAt = clock.now()
     for (let timeout = this.firstEventTimeout; ; timeout = EVENT_TIMEOUT) {
@@ -120,8 +121,7 @@
       if (bytes.val === undefined) return this.endEvents(open, run)
       const events = run.push(bytes.val)
       if (events.err) return this.fail(open, events.val)
-      // Comments, which keep a connection open, come as events without an id and data.
-      const fresh = events.val.filter(({ id, data }) => id !== undefined || data !== '')
+      const fresh = events.val.filter(isProgress)
       if (fresh.length === 0 && clock.now() >= progressAt + PROGRESS_TIMEOUT) return this.fail(open, 'no new event for too long')
       if (fresh.length === 0) continue
       pace.record(fresh.length)
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -5,6 +5,7 @@
 import type { AnswerSink } from './exchanges/answer-sink.js'
 import { PartGate } from './blame/part-gate.js'
 import { EventRun } from './streams/event-run.js'
+import { isProgress } from './streams/is-progress.js'
 import type { ForwardingTools } from './forwarding-tools.js'
 import { hashRequest } from './hash-request.js'
 import { judgeAnswer } from './exchanges/judge-answer.js'
@@ -206,7 +207,7 @@
   }
 
   private async relayEvents (open: OpenExchange): Promise<SendFailure | undefined> {
-    const run = new EventRun(this.lastEventId)
+    const run = new EventRun(this.lastEventId, () => this.tools.clock.now())
     const pace = new StreamPace(this.tools.clock, (count, time) => this.tools.loads.intervals.record(open.server.name, count, time))
     for (;;) {
       const bytes = await open.exchange.read(this.getTimeout(this.lastEventId === undefined ? FIRST_BYTE_TIMEOUT : READ_TIMEOUT))
@@ -215,10 +216,13 @@
       const events = run.push(bytes.val)
       if (events.err) return await this.fail(open, { why: 'cut', sent: true, detail: events.val })
       if (events.val.length === 0) continue
-      pace.record(events.val.length)
-      this.lastEventId = run.last
-      this.progressAt = this.tools.clock.now()
-      await this.origin.record(this.service, open.server.version)
+      const freshCount = events.val.filter(isProgress).length
+      if (freshCount > 0) {
+        pace.record(freshCount)
+        this.lastEventId = run.last
+        this.progressAt = this.tools.clock.now()
+        await this.origin.record(this.service, open.server.version)
+      }
       if (!this.begun) this.begin(open)
       await this.sink.write(Buffer.concat(events.val.map(event => event.bytes)))
     }
--- a/src/routing/streams/sse-splitter.ts
+++ b/src/routing/streams/sse-splitter.ts
@@ -36,7 +36,12 @@
 
   /** Adds bytes and returns the events that they complete. */
   push (bytes: Buffer): readonly RawEvent[] {
-    return this.buffer.push(bytes.toString('latin1')).map(({ whole }) => readEvent(whole))
+    return [...this.read(bytes)]
+  }
+
+  /** Adds bytes and decodes the events that they complete one by one, so that those after the last one that is wanted cost nothing. */
+  * read (bytes: Buffer): Generator<RawEvent> {
+    for (const { whole } of this.buffer.push(bytes.toString('latin1'))) yield readEvent(whole)
   }
 }
 
