Reports of ever more interim heads or parts end the check of a connection

Callers saw requests at sound servers late by seconds while other servers wrote interim heads in place of their report.

--- a/src/routing/servers/check-process.ts
+++ b/src/routing/servers/check-process.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net'
 import type { buildConnector } from 'undici'
 import { askOnConnection } from '../../http/ask-on-connection.js'
+import { EndlessAnswer } from '../../http/endless-answer.js'
 import type { ServerReport } from '../exchanges/server-report.js'
 
 /** Longest wait for a server's report, ms. */
@@ -40,7 +41,7 @@
 async function check (socket: Socket, address: string, { report, listStarts, onOther }: CheckProcessOptions): Promise<{ readonly error: Error, readonly isFinal: boolean } | undefined> {
   const began = performance.now()
   const answer = await askOnConnection(socket, { path: report.path, host: address, timeout: REPORT_TIMEOUT, maxBody: MAX_REPORT })
-  if (answer.err) return { error: answer.val, isFinal: performance.now() - began >= REPORT_TIMEOUT }
+  if (answer.err) return { error: answer.val, isFinal: answer.val instanceof EndlessAnswer || performance.now() - began >= REPORT_TIMEOUT }
   const startedAt = answer.val.status === OK ? report.readStart(answer.val.body) : undefined
   if (startedAt === undefined || listStarts(address)?.includes(startedAt) !== false) return undefined
   socket.destroy()
