--- a/src/http/ask-on-connection.ts
+++ b/src/http/ask-on-connection.ts
@@ -1,8 +1,13 @@
 import { request } from 'node:http'
 import type { Socket } from 'node:net'
 import { Err, Ok, type Result } from 'ts-results'
+import { BurstLimit } from '../kernel/burst-limit.js'
 import { readBody } from './read-body.js'
 
+/** Most interim heads and parts of a body that an answer may have in a second; each costs a call. */
+const INTERIM_HEADS = { count: 100, period: 1_000 }
+const PARTS = { count: 1_000, period: 1_000 }
+
 interface Question {
   readonly path: string
   readonly host: string
@@ -29,11 +34,14 @@
   try {
     return Ok(await new Promise<Answer>((resolve, reject) => {
       const sent = request({ createConnection: () => socket, path, headers: { host, connection: 'keep-alive' } })
+      const heads = new BurstLimit(INTERIM_HEADS)
+      const parts = new BurstLimit(PARTS)
       let hasAnswer = false
       const timer = setTimeout(() => sent.destroy(new Error(`no answer on a new connection within ${timeout} ms`)), timeout)
       sent.once('response', answer => {
         hasAnswer = true
         const reading = readBody(answer, maxBody)
+        answer.on('data', () => { if (parts.isPassed()) sent.destroy(new Error('the parts of the first answer on a connection have no end')) })
         const settle = (): void => {
           socket.pause()
           socket.off('error', reject)
@@ -47,6 +55,7 @@
         })
         socket.once('close', settle)
       })
+      sent.on('information', () => { if (heads.isPassed()) sent.destroy(new Error('the interim heads of the first answer on a connection have no end')) })
       sent.once('error', reject)
       sent.once('close', () => {
         clearTimeout(timer)
