--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -5,6 +5,7 @@
 import type { AnswerSink } from './exchanges/answer-sink.js'
 import { PartGate } from './blame/part-gate.js'
 import { EventRun } from './streams/event-run.js'
+import { RequestEnding } from './ending/request-ending.js'
 import type { ForwardingTools } from './forwarding-tools.js'
 import { hashRequest } from './hash-request.js'
 import { judgeAnswer } from './exchanges/judge-answer.js'
@@ -23,8 +24,6 @@
 const READ_TIMEOUT = 600
 /** Mean of the retry delay suggested to a refused caller, ms. */
 const RETRY_AFTER = 500
-/** The same where this process ends, and others can take the request at once. */
-const RETRY_ELSEWHERE = 100
 /** Lowest status that reports a failed run. */
 const SERVER_ERROR = 500
 /** Lowest status that isn't a success. */
@@ -42,10 +41,6 @@
   private readonly parts: readonly string[]
   private readonly abort = new AbortController()
   private timedOut = false
-  /** When a server got the request first, monotonic ms. */
-  private sentAt: number | undefined
-  /** Whether this process ends before the request can: it waits no longer, or is given up. */
-  private isEnding = false
   /** Failed sends that the servers may have run. */
   private runs = 0
   /** Whether part of a stream has been relayed to the caller. */
@@ -57,13 +52,15 @@
   private head: AnswerHead | undefined
   private readonly origin: RequestOrigin
   private readonly slots: SlotSearch
+  private readonly ending: RequestEnding
 
   constructor (private readonly request: RoutedRequest, private service: string, private readonly sink: AnswerSink, private readonly tools: ForwardingTools) {
     this.origin = new RequestOrigin(request, tools)
     this.parts = tools.dialect.listSharedParts(request.headers)
     this.fingerprint = hashRequest({ caller: request.route.host, service, path: request.path, body: request.body })
     const gate = new PartGate({ ...tools, parts: this.parts, fingerprint: this.fingerprint, signal: this.abort.signal, refuse: detail => this.refuse('quarantined', detail) })
-    this.slots = new SlotSearch({ request, tools, origin: this.origin, gate, signal: this.abort.signal, refuse: (cause, detail) => this.refuse(cause, detail), refuseLate: () => this.refuseLate(), open: async server => await this.open(server) })
+    this.ending = new RequestEnding({ request, tools, mayRefuse: () => this.runs === 0 && !this.begun, refuse: (cause, detail) => this.refuse(cause, detail), abort: () => this.abort.abort() })
+    this.slots = new SlotSearch({ request, tools, origin: this.origin, gate, signal: this.abort.signal, refuse: (cause, detail) => this.refuse(cause, detail), refuseLate: () => this.ending.refuseLate(), open: async server => await this.open(server) })
   }
 
   /** Resolves when the caller has its final answer. */
@@ -75,13 +72,13 @@
       this.timedOut = true
       this.abort.abort()
     })
-    const stop = this.tools.ending.watchEnd(() => this.giveUp())
+    const stop = this.ending.watch()
     try {
       await this.send()
     } finally {
       stop()
       cancel()
-      this.dropMoved()
+      this.slots.dropMoved(() => this.abort.abort())
       request.signal.removeEventListener('abort', onCallerLeft)
     }
   }
@@ -91,7 +88,7 @@
     if (found.type === 'lost') return this.finish(this.refuse('no server', found.detail))
     this.service = found.service
     for (;;) {
-      const slot = this.slots.takeMoved() ?? await this.waitForSlot()
+      const slot = this.slots.takeMoved() ?? await this.ending.wait(async () => await this.slots.wait(this.state))
       if (slot === undefined) continue
       if ('cause' in slot) return this.finish(slot)
       const sentAt = this.tools.clock.now()
@@ -105,40 +102,6 @@
     }
   }
 
-  /** Waits for a slot for as long as the request may start before this process ends. */
-  private async waitForSlot (): ReturnType<SlotSearch['wait']> {
-    const late = this.refuseLate()
-    if (late !== undefined) return late
-    const stop = this.tools.ending.watchStart(this.request, () => { if (this.mayRefuse) this.giveUp() })
-    try {
-      return await this.slots.wait(this.state)
-    } finally {
-      stop()
-    }
-  }
-
-  private get mayRefuse (): boolean {
-    return this.runs === 0 && !this.begun
-  }
-
-  private refuseLate (): Refusal | undefined {
-    const isLate = this.mayRefuse && this.tools.ending.isTooLate(this.request)
-    return isLate ? this.refuse('draining', 'this daemon ends before the request could') : undefined
-  }
-
-  private giveUp (): void {
-    this.isEnding = true
-    this.abort.abort()
-  }
-
-  /** Ends a send that was started elsewhere in the moment in which the request ended. */
-  private dropMoved (): void {
-    const moved = this.slots.takeMoved()
-    if (moved === undefined) return
-    this.abort.abort()
-    void moved.opened.then(opened => { if (opened.ok) opened.val.end('abandoned') })
-  }
-
   private async open (server: string): Promise<OpenedExchange> {
     const { clock, loads } = this.tools
     // A request that may not run elsewhere waits for as long as its caller; the silence counts against the server long before.
@@ -155,7 +118,7 @@
     const { request, tools: { dialect, sender, servers, clock } } = this
     const target = servers.find(server)!
     this.origin.beginRecord(this.service, target.version)
-    this.sentAt ??= clock.now()
+    this.ending.beginRun()
     const resumeAfter = this.lastEventId === undefined ? request.resumeAfter : String(this.lastEventId)
     return await sender.send(target, {
       id: request.id,
@@ -306,14 +269,14 @@
   }
 
   private refuse (cause: Refusal['cause'], detail: string): Refusal {
-    return { cause, ran: this.ran, retryAfter: this.tools.random.spread(cause === 'draining' ? RETRY_ELSEWHERE : RETRY_AFTER, 0.5), detail }
+    return { cause, ran: this.ran, retryAfter: this.tools.random.spread(RETRY_AFTER, 0.5), detail }
   }
 
   /** Logs the failure and sends the caller a refusal, or aborts the stream if it has begun. */
   private finish (reason: Refusal): void {
     const { log, clock } = this.tools
-    const refusal = this.isEnding ? this.refuse('draining', 'this daemon ends before the request could') : reason
-    if (this.timedOut) this.recordRunTime()
+    const refusal = this.ending.findReason(reason)
+    if (this.timedOut) this.ending.recordRun()
     const callerLeft = this.request.signal.aborted
     const outcome = callerLeft ? 'caller left' : this.timedOut ? 'deadline' : refusal.cause
     log.write('warn', 'routing', 'abandoned a request', { request: this.request.id, caller: this.request.caller, cause: outcome, ran: this.ran, begun: this.begun, waited: Math.round(clock.now() - this.request.arrived), tried: this.tried, detail: refusal.detail, prompt: refusal.part })
@@ -323,17 +286,12 @@
     else if (!callerLeft) this.sink.refuse({ ...refusal, cause: this.timedOut ? 'deadline' : refusal.cause, ran: this.ran })
   }
 
-  private recordRunTime (): void {
-    const { request: { route }, tools: { clock, ending } } = this
-    if (this.sentAt !== undefined) ending.times.record(route, clock.now() - this.sentAt)
-  }
-
   private recordAnswer ({ server, exchange: { status, framing }, sentAt }: OpenExchange): void {
     const { request: { id, caller, arrived }, tools: { log, clock, metrics, quarantine } } = this
     // A stream that went on elsewhere may have crashed its first server.
     if (status < SERVER_ERROR && this.runs === 0) quarantine.pass(this.fingerprint)
     log.write('info', 'routing', 'answered a request', { request: id, caller, service: this.service, server: server.name, version: server.version, startedAt: server.startedAt, status, tried: this.tried.length, sentAfter: Math.round(sentAt - arrived), after: Math.round(clock.now() - arrived), events: this.lastEventId, framing })
     metrics.count('requests_total', { outcome: 'answered' })
-    if (status < REDIRECTED) this.recordRunTime()
+    if (status < REDIRECTED) this.ending.recordRun()
   }
 }
--- a/src/routing/slot-search.ts
+++ b/src/routing/slot-search.ts
@@ -94,6 +94,14 @@
     return moved
   }
 
+  /** Ends a send that was started elsewhere in the moment in which the request ended. */
+  dropMoved (abort: () => void): void {
+    const moved = this.takeMoved()
+    if (moved === undefined) return
+    abort()
+    void moved.opened.then(opened => { if (opened.ok) opened.val.end('abandoned') })
+  }
+
   /** Pauses before a further try at servers that were full. */
   async pause (): Promise<void> {
     const { signal, tools: { clock, random } } = this.options
