A server's report is waited for 1 s again; known failures of floods

With 2 s a request at a server that writes without end had no answer for 2.2 and 3.0 s (whole/endless-answers, two rows, bound 2.0), as its next connection waited for a report that doesn't come; with 1 s these pass.

--- a/src/routing/servers/check-process.ts
+++ b/src/routing/servers/check-process.ts
@@ -4,7 +4,7 @@
 import type { ServerReport } from '../exchanges/server-report.js'
 
 /** Longest wait for a server's report, ms. */
-const REPORT_TIMEOUT = 2_000
+const REPORT_TIMEOUT = 1_000
 const MAX_REPORT = 256_000 // bytes
 const OK = 200
 
--- a/test/whole/stale-entries.test.ts
+++ b/test/whole/stale-entries.test.ts
@@ -128,4 +128,5 @@
     await callDaemon(fleet.daemons[0]!.ports.front, '/quotes/a', { id: 'a' }).catch(() => {})
     return engine.runs.some(({ outcome }) => outcome === 'whole')
   })
+  t.is((await callDaemon(fleet.daemons[0]!.ports.front, '/quotes/b', { id: 'b' })).status, 200)
 })
