--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -5,6 +5,8 @@
 import type { AnswerSink } from './exchanges/answer-sink.js'
 import { PartGate } from './blame/part-gate.js'
 import { EventRun } from './streams/event-run.js'
+import { isProgress } from './streams/is-progress.js'
+import { RequestEnding } from './ending/request-ending.js'
 import type { ForwardingTools } from './forwarding-tools.js'
 import { hashRequest } from './hash-request.js'
 import { judgeAnswer } from './exchanges/judge-answer.js'
@@ -51,13 +53,15 @@
   private head: AnswerHead | undefined
   private readonly origin: RequestOrigin
   private readonly slots: SlotSearch
+  private readonly ending: RequestEnding
 
   constructor (private readonly request: RoutedRequest, private service: string, private readonly sink: AnswerSink, private readonly tools: ForwardingTools) {
     this.origin = new RequestOrigin(request, tools)
     this.parts = tools.dialect.listSharedParts(request.headers)
     this.fingerprint = hashRequest({ caller: request.route.host, service, path: request.path, body: request.body })
     const gate = new PartGate({ ...tools, parts: this.parts, fingerprint: this.fingerprint, signal: this.abort.signal, refuse: detail => this.refuse('quarantined', detail) })
-    this.slots = new SlotSearch({ request, tools, origin: this.origin, gate, signal: this.abort.signal, refuse: (cause, detail) => this.refuse(cause, detail), open: async server => await this.open(server) })
+    this.ending = new RequestEnding({ request, tools, mayRefuse: () => this.runs === 0 && !this.begun, refuse: (cause, detail) => this.refuse(cause, detail), abort: () => this.abort.abort() })
+    this.slots = new SlotSearch({ request, tools, origin: this.origin, gate, signal: this.abort.signal, refuse: (cause, detail) => this.refuse(cause, detail), refuseLate: () => this.ending.refuseLate(), open: async server => await this.open(server) })
   }
 
   /** Resolves when the caller has its final answer. */
@@ -69,11 +73,13 @@
       this.timedOut = true
       this.abort.abort()
     })
+    const stop = this.ending.watch()
     try {
       await this.send()
     } finally {
+      stop()
       cancel()
-      this.dropMoved()
+      this.slots.dropMoved(() => this.abort.abort())
       request.signal.removeEventListener('abort', onCallerLeft)
     }
   }
@@ -83,7 +89,7 @@
     if (found.type === 'lost') return this.finish(this.refuse('no server', found.detail))
     this.service = found.service
     for (;;) {
-      const slot = this.slots.takeMoved() ?? await this.slots.wait(this.state)
+      const slot = this.slots.takeMoved() ?? await this.ending.wait(async () => await this.slots.wait(this.state))
       if (slot === undefined) continue
       if ('cause' in slot) return this.finish(slot)
       const sentAt = this.tools.clock.now()
@@ -97,14 +103,6 @@
     }
   }
 
-  /** Ends a send that was started elsewhere in the moment in which the request ended. */
-  private dropMoved (): void {
-    const moved = this.slots.takeMoved()
-    if (moved === undefined) return
-    this.abort.abort()
-    void moved.opened.then(opened => { if (opened.ok) opened.val.end('abandoned') })
-  }
-
   private async open (server: string): Promise<OpenedExchange> {
     const { clock, loads } = this.tools
     // A request that may not run elsewhere waits for as long as its caller; the silence counts against the server long before.
@@ -121,6 +119,7 @@
     const { request, tools: { dialect, sender, servers, clock } } = this
     const target = servers.find(server)!
     this.origin.beginRecord(this.service, target.version)
+    this.ending.beginRun()
     const resumeAfter = this.lastEventId === undefined ? request.resumeAfter : String(this.lastEventId)
     return await sender.send(target, {
       id: request.id,
@@ -206,7 +205,7 @@
   }
 
   private async relayEvents (open: OpenExchange): Promise<SendFailure | undefined> {
-    const run = new EventRun(this.lastEventId)
+    const run = new EventRun(this.lastEventId, () => this.tools.clock.now())
     const pace = new StreamPace(this.tools.clock, (count, time) => this.tools.loads.intervals.record(open.server.name, count, time))
     for (;;) {
       const bytes = await open.exchange.read(this.getTimeout(this.lastEventId === undefined ? FIRST_BYTE_TIMEOUT : READ_TIMEOUT))
@@ -215,10 +214,13 @@
       const events = run.push(bytes.val)
       if (events.err) return await this.fail(open, { why: 'cut', sent: true, detail: events.val })
       if (events.val.length === 0) continue
-      pace.record(events.val.length)
-      this.lastEventId = run.last
-      this.progressAt = this.tools.clock.now()
-      await this.origin.record(this.service, open.server.version)
+      const freshCount = events.val.filter(isProgress).length
+      if (freshCount > 0) {
+        pace.record(freshCount)
+        this.lastEventId = run.last
+        this.progressAt = this.tools.clock.now()
+        await this.origin.record(this.service, open.server.version)
+      }
       if (!this.begun) this.begin(open)
       await this.sink.write(Buffer.concat(events.val.map(event => event.bytes)))
     }
@@ -259,7 +261,7 @@
     this.tried.push(server)
     const { route } = this.request
     const plan = planResend(failure, { idempotent: route.idempotent, resumable: route.resumable, begun: this.begun, runs: this.runs, attempts: route.attempts, sends: this.tried.length, abandoned: this.abort.signal.aborted })
-    log.write('info', 'routing', 'a send failed', { request: this.request.id, server, version: this.tools.servers.find(server)?.version, why: failure.why, detail: failure.detail, sent: failure.sent, again, ...showAnswerHead(this.request.id, this.head), parts: this.parts, runs: this.runs, after: Math.round(clock.now() - this.request.arrived), next: plan })
+    log.write('info', 'routing', 'a send failed', { request: this.request.id, server, version: this.tools.servers.find(server)?.version, startedAt: this.tools.servers.find(server)?.startedAt, why: failure.why, detail: failure.detail, sent: failure.sent, again, ...showAnswerHead(this.request.id, this.head), parts: this.parts, runs: this.runs, after: Math.round(clock.now() - this.request.arrived), next: plan })
     if (plan === 'send') return true
     this.finish(this.refuse(this.timedOut ? 'deadline' : failure.why === 'invalid' ? 'invalid request' : 'server failed', failure.detail))
     return false
@@ -275,8 +277,10 @@
   }
 
   /** Logs the failure and sends the caller a refusal, or aborts the stream if it has begun. */
-  private finish (refusal: Refusal): void {
+  private finish (reason: Refusal): void {
     const { log, clock } = this.tools
+    const refusal = this.ending.findReason(reason)
+    if (this.timedOut) this.ending.recordRun()
     const callerLeft = this.request.signal.aborted
     const outcome = callerLeft ? 'caller left' : this.timedOut ? 'deadline' : refusal.cause
     log.write('warn', 'routing', 'abandoned a request', { request: this.request.id, caller: this.request.caller, cause: outcome, ran: this.ran, begun: this.begun, waited: Math.round(clock.now() - this.request.arrived), tried: this.tried, detail: refusal.detail, prompt: refusal.part })
@@ -290,7 +294,8 @@
     const { request: { id, caller, arrived }, tools: { log, clock, metrics, quarantine } } = this
     // A stream that went on elsewhere may have crashed its first server.
     if (status < SERVER_ERROR && this.runs === 0) quarantine.pass(this.fingerprint)
-    log.write('info', 'routing', 'answered a request', { request: id, caller, service: this.service, server: server.name, version: server.version, status, tried: this.tried.length, sentAfter: Math.round(sentAt - arrived), after: Math.round(clock.now() - arrived), events: this.lastEventId, framing })
+    log.write('info', 'routing', 'answered a request', { request: id, caller, service: this.service, server: server.name, version: server.version, startedAt: server.startedAt, status, tried: this.tried.length, sentAfter: Math.round(sentAt - arrived), after: Math.round(clock.now() - arrived), events: this.lastEventId, framing })
     metrics.count('requests_total', { outcome: 'answered' })
+    if (status < REDIRECTED) this.ending.recordRun()
   }
 }
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -11,10 +11,12 @@
 import { tokens } from '../../kernel/tokens.js'
 import { waitForNotification } from '../../kernel/wait-for-notification.js'
 import type { LogSink } from '../../observe/log-sink.js'
+import type { ServerDialect } from '../exchanges/server-dialect.js'
 import { createPacedConnector } from '../exchanges/create-paced-connector.js'
 import type { Instance } from '../../store/instance.js'
 import { InstanceList } from '../../store/instance-list.js'
 import type { BackendServer } from './backend-server.js'
+import { checkProcess } from './check-process.js'
 import { isItemProbeDue } from './is-item-probe-due.js'
 import { Members } from '../../peers/members.js'
 import { markSent } from '../exchanges/mark-sent.js'
@@ -50,6 +52,9 @@
 
 interface ExitedProcess { readonly startedAt: number, readonly until: number }
 
+/** A process whose report states another start than its server's entry, `listed`. */
+interface UnlistedProcess { readonly listed: number | undefined, readonly startedAt: number }
+
 /** This daemon's part of a pool's limits: the reserved fraction, if set, and its position among the daemons. */
 interface Share { readonly fraction: number | undefined, readonly daemons: number, readonly daemon: number }
 
@@ -84,6 +89,7 @@
   private readonly others = new Map<string, { readonly count: number, readonly at: number }>()
   private readonly listeners = new Set<() => void>()
   private readonly exited = new Map<string, ExitedProcess>()
+  private readonly unlisted = new Map<string, UnlistedProcess>()
   /** By server: when its entry showed another start, monotonic ms. */
   private readonly restartedAt = new Map<string, number>()
   /** By pool: the fraction of its servers' limits reserved for this daemon, if set. */
@@ -95,7 +101,8 @@
     @inject(Members) private readonly members: Members,
     @inject(tokens.settings) private readonly settings: Settings,
     @inject(tokens.clock) private readonly clock: Clock,
-    @inject(tokens.log) private readonly log: LogSink
+    @inject(tokens.log) private readonly log: LogSink,
+    @inject(tokens.serverDialect, { isOptional: true }) private readonly dialect?: Pick<ServerDialect, 'report'>
   ) {
     list.subscribeRestarts(server => {
       this.health.delete(server)
@@ -129,7 +136,8 @@
       name,
       pool,
       failureDomain,
-      version: this.list.findVersion(name) ?? '',
+      version: this.findVersion(name) ?? '',
+      startedAt: this.findStart(instance),
       url: `http://${host}:${port}`,
       leaving: state === 'leaving' || this.hasExited(instance) || (view !== undefined && view.state !== 'open'),
       inFlight,
@@ -196,9 +204,10 @@
   }
 
   private forgetRemoved (): void {
-    for (const server of [...this.exited.keys(), ...this.restartedAt.keys()]) {
+    for (const server of [...this.exited.keys(), ...this.restartedAt.keys(), ...this.unlisted.keys()]) {
       if (this.list.find(server) !== undefined) continue
       this.exited.delete(server)
+      this.unlisted.delete(server)
       this.restartedAt.delete(server)
     }
   }
@@ -237,12 +246,56 @@
     await waitForNotification(this.clock, listener => this.subscribe(listener), timeout)
   }
 
-  private createAgent (connections: number, connect: buildConnector.connector, pipelining = 1): Agent {
-    const onReset = (address: string): void => {
-      const server = this.list.all.find(({ host, port }) => `${host}:${port}` === address)?.name
-      this.log.write('info', 'routing', 'a server reset a connection', { server, address })
+  /** Returns the version of the software of a server's process, see `InstanceList.findVersion`; an unlisted process is a version of its own. */
+  findVersion (server: string): string | undefined {
+    const instance = this.list.find(server)
+    const unlisted = instance === undefined ? undefined : this.findUnlisted(instance)
+    return unlisted === undefined ? this.list.findVersion(server) : `?${server}@${unlisted.startedAt}`
+  }
+
+  /** Whether the server's process is still the one that requests go to; always where its start wasn't listed. */
+  isCurrent ({ name, startedAt }: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
+    const instance = this.list.find(name)
+    return startedAt === undefined || (instance !== undefined && this.findStart(instance) === startedAt)
+  }
+
+  private findUnlisted ({ name, startedAt }: Instance): UnlistedProcess | undefined {
+    const unlisted = this.unlisted.get(name)
+    return unlisted?.listed === startedAt ? unlisted : undefined
+  }
+
+  private findStart (instance: Instance): number | undefined {
+    return this.findUnlisted(instance)?.startedAt ?? instance.startedAt
+  }
+
+  private listAt (address: string): readonly Instance[] {
+    return this.list.all.filter(({ host, port }) => `${host}:${port}` === address)
+  }
+
+  /** Returns a connector whose connections lead to the known processes, where both the list and the servers state their starts. */
+  private checkProcesses (connect: buildConnector.connector): buildConnector.connector {
+    const listStarts = (address: string): readonly number[] | undefined => {
+      const listed = this.listAt(address)
+      const starts = listed.flatMap(instance => this.findStart(instance) ?? [])
+      return starts.length === 0 || starts.length < listed.length ? undefined : starts
+    }
+    const onOther = (address: string, startedAt: number): void => {
+      for (const { name, startedAt: listed } of this.listAt(address)) {
+        this.log.write('info', 'routing', 'another process than the listed one listens', { server: name, listed, startedAt })
+        this.recordExit(name, 0)
+        this.unlisted.set(name, { listed, startedAt })
+      }
     }
-    return createAgent({ factory: (origin, options) => new SteadyPool(origin, options), connections, connect, onReset, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining })
+    return (target, callback) => {
+      const report = this.dialect?.report
+      const checked = report === undefined ? connect : checkProcess(connect, { report, listStarts, onOther })
+      checked(target, callback)
+    }
+  }
+
+  private createAgent (connections: number, connect: buildConnector.connector, pipelining = 1): Agent {
+    const onReset = (address: string): void => this.log.write('info', 'routing', 'a server reset a connection', { server: this.listAt(address)[0]?.name, address })
+    return createAgent({ factory: (origin, options) => new SteadyPool(origin, options), connections, connect: this.checkProcesses(connect), onReset, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining })
   }
 
   /** Returns the other daemons' requests in flight at the server; undefined if the last view is too old. */
--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -9,6 +9,7 @@
 const MAX_BODY = 2_000_000 // bytes
 /** Time from the beginning of a run until a part of its prompt crashes the engine, ms. */
 const CRASH_DELAY = 40
+const REPORT_PATH = '/api/report'
 /** Paths of requests that always fail. */
 const IMPOSSIBLE = /\/impossible$/
 
@@ -40,6 +41,12 @@
   readonly events?: number
   /** Time between two events, ms. */
   readonly pause?: number
+  /** Of a request by its path: its events, `events` by default, and whether they come as one answer at the end, no stream. */
+  readonly plan?: (path: string) => { readonly events?: number, readonly isWhole?: boolean }
+  /** Start of its process, Unix ms; now by default. */
+  readonly startedAt?: number
+  /** Whether the data of its events name its version. */
+  readonly showsVersion?: boolean
   readonly now?: () => number
 }
 
@@ -47,7 +54,7 @@
 export class EventEngine {
   port = 0
   /** Start of its process, Unix ms. */
-  readonly startedAt = Date.now()
+  readonly startedAt: number
   readonly runs: EngineRun[] = []
   /** Numbers of events after which the next runs break off, one number for each run. */
   breakPoints: number[] = []
@@ -58,6 +65,10 @@
    * answer twice.
    */
   refusesFirst = false
+  /** Whether it refuses all requests as not executed. */
+  isFull = false
+  /** Whether its report states the start of its process. */
+  reportsStart = true
   /** Factor by which the time between two events is longer. */
   slowdown = 1
   /** Returns whether a run with these parts of a prompt crashes the engine as it begins its answer. */
@@ -72,7 +83,9 @@
   /** Open answers whose end nothing but their connection marks. */
   private readonly unmarked = new Set<ServerResponse>()
 
-  constructor (private readonly options: EventEngineOptions) {}
+  constructor (private readonly options: EventEngineOptions) {
+    this.startedAt = options.startedAt ?? Date.now()
+  }
 
   get id (): string {
     return this.options.id
@@ -105,8 +118,9 @@
     if (body.err) return
     if (expected !== undefined && expected !== id) return sendJson(res, 421, {}, { 'x-instance-id': id, 'x-request-id': String(request) })
     this.repeatRefusal(res.socket!)
+    if (req.url === REPORT_PATH) return sendJson(res, 200, { num_running: this.running, ...this.reportsStart && { born: this.startedAt } })
     if (this.refusesFirst && !this.refused.has(String(request))) return this.refuseFirst(String(request), res)
-    if (this.running >= slots) return sendJson(res, 503, {}, { 'x-not-executed': '1', 'x-request-id': String(request) })
+    if (this.isFull || this.running >= slots) return sendJson(res, 503, {}, { 'x-not-executed': '1', 'x-request-id': String(request) })
     if (IMPOSSIBLE.test(req.url!)) return sendJson(res, 422, {}, { 'x-request-id': String(request) })
     const run: EngineRun = { id: String(request), path: req.url!, parts: (readHeader(req, 'x-prompt-prefix') ?? '').split(',').map(part => part.split(':')[0]!), caller: readHeader(req, 'x-tenant'), key: readHeader(req, 'x-api-key'), resumedAfter: resume === undefined ? undefined : Number(resume), resumes: readHeader(req, 'resumes'), at: now(), events: 0, outcome: 'running' }
     this.runs.push(run)
@@ -116,6 +130,7 @@
       if (run.outcome === 'running') run.outcome = 'closed'
     })
     if (this.crashes(run.parts)) setTimeout(() => this.crash(run), CRASH_DELAY)
+    if (this.options.plan?.(run.path).isWhole === true) return await this.answerWhole(run, res)
     const isMarked = this.unmarkedRuns === 0
     const headers = { 'content-type': 'text/event-stream', 'x-request-id': run.id, 'x-response-stamp': `stamp-${id}` }
     if (isMarked) res.writeHead(200, headers)
@@ -147,8 +162,21 @@
     this.onCrash()
   }
 
+  private countEvents (path: string): number {
+    return this.options.plan?.(path).events ?? this.options.events ?? 6
+  }
+
+  private async answerWhole (run: EngineRun, res: ServerResponse): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, this.countEvents(run.path) * (this.options.pause ?? 10)))
+    if (run.outcome !== 'running') return
+    run.outcome = 'whole'
+    sendJson(res, 200, {}, { 'x-request-id': run.id, 'x-response-stamp': `stamp-${this.id}` })
+  }
+
   private async stream (run: EngineRun, res: ServerResponse, isMarked: boolean): Promise<void> {
-    const { events = 6, pause = 10 } = this.options
+    const { pause = 10, showsVersion = false } = this.options
+    const mark = showsVersion ? ` of ${String(this.version)}` : ''
+    const events = this.countEvents(run.path)
     const breakAfter = this.breakPoints.shift()
     for (let n = (run.resumedAfter ?? 0) + 1; n <= events; n++) {
       await new Promise(resolve => setTimeout(resolve, pause * this.slowdown))
@@ -159,7 +187,7 @@
         res.write(isMarked ? `id: ${n}\nda` : `id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`, () => closeIncomplete(res, isMarked))
         return
       }
-      res.write(`id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}\n\n`)
+      res.write(`id: ${n}\ndata: ${EventEngine.buildEventData(run.path, n)}${mark}\n\n`)
       run.events++
     }
     run.outcome = 'whole'
