Structure: what is known of servers' processes has its own file

ServerProcesses holds exits and unlisted processes, which Servers had; one function reads a process's start for its two uses; limitAnswer is boundAnswer's name now.

--- a/src/http/bound-answer.ts
+++ b/src/http/limit-answer.ts
@@ -12,7 +12,7 @@
  * Returns a handler that aborts an answer of ever more interim heads or tiny chunks. Each costs a call, so that a faulty server that
  * sends them as fast as they are read would take all processor time.
  */
-export function boundAnswer (handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+export function limitAnswer (handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
   const start = handler.onResponseStart?.bind(handler)
   const receive = handler.onResponseData?.bind(handler)
   let heads: BurstLimit | undefined
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -47,7 +47,6 @@
   /** Whether part of a stream has been relayed to the caller. */
   private begun = false
   private lastEventId: number | undefined
-  /** When the last event was relayed, monotonic ms. */
   private progressAt: number | undefined
   /** Of the last send, where an answer to it has begun. */
   private head: AnswerHead | undefined
@@ -147,8 +146,7 @@
   }
 
   private get state (): Parameters<SlotSearch['wait']>[0] {
-    const { service, tried, progressAt } = this
-    return { service, tried, progressAt, mayRetry: this.mayRetry() }
+    return { service: this.service, tried: this.tried, progressAt: this.progressAt, mayRetry: this.mayRetry() }
   }
 
   private async relay (open: OpenExchange): Promise<SendFailure | undefined> {
--- a/src/routing/servers/check-process.ts
+++ b/src/routing/servers/check-process.ts
@@ -1,19 +1,12 @@
 import type { Socket } from 'node:net'
 import type { buildConnector } from 'undici'
-import { askOnConnection } from '../../http/ask-on-connection.js'
 import type { ServerReport } from '../exchanges/server-report.js'
-
-/** Longest wait for a server's report, ms. */
-const REPORT_TIMEOUT = 1_000
-const MAX_REPORT = 256_000 // bytes
-const OK = 200
+import { readProcessStart } from './read-process-start.js'
+import type { ServerProcesses } from './server-processes.js'
 
 interface CheckProcessOptions {
   readonly report: ServerReport
-  /** Returns the starts of the processes that are listed at an address, HOST:PORT; undefined if not all are known. */
-  readonly listStarts: (address: string) => readonly number[] | undefined
-  /** Called when another process than the listed ones has answered. */
-  readonly onOther: (address: string, startedAt: number) => void
+  readonly processes: Pick<ServerProcesses, 'listStarts' | 'recordUnlisted'>
 }
 
 type Outcome = { readonly type: 'listed', readonly isOpen: boolean } | { readonly type: 'failed', readonly error: Error }
@@ -33,7 +26,7 @@
 
 async function openChecked (open: () => Promise<Socket>, address: string, options: CheckProcessOptions): Promise<Socket> {
   const socket = await open()
-  if (options.listStarts(address) === undefined) return socket
+  if (options.processes.listStarts(address) === undefined) return socket
   const outcome = await check(socket, address, options)
   if (outcome.type === 'failed') throw outcome.error
   return outcome.isOpen ? socket : await openBefore(open, address, options)
@@ -65,16 +58,15 @@
   })
 }
 
-async function check (socket: Socket, address: string, { report, listStarts, onOther }: CheckProcessOptions): Promise<Outcome> {
-  const before = listStarts(address)
-  const answer = await askOnConnection(socket, { path: report.path, host: address, timeout: REPORT_TIMEOUT, maxBody: MAX_REPORT })
-  if (answer.err) return { type: 'failed', error: answer.val }
-  const { status, body, isOpen } = answer.val
-  const startedAt = status === OK ? report.readStart(body) : undefined
-  const listed = listStarts(address)
+async function check (socket: Socket, address: string, { report, processes }: CheckProcessOptions): Promise<Outcome> {
+  const before = processes.listStarts(address)
+  const reported = await readProcessStart(socket, address, report)
+  if (reported.err) return { type: 'failed', error: reported.val }
+  const { startedAt, isOpen } = reported.val
+  const listed = processes.listStarts(address)
   if (startedAt === undefined || listed?.includes(startedAt) !== false) return { type: 'listed', isOpen }
   socket.destroy()
   // A list that has changed meanwhile may show the successor of the process that answered.
-  if (String(listed) === String(before)) onOther(address, startedAt)
+  if (String(listed) === String(before)) processes.recordUnlisted(address, startedAt)
   return { type: 'failed', error: new Error('the process at the address is not the listed one') }
 }
--- a/src/routing/servers/has-process-exited.ts
+++ b/src/routing/servers/has-process-exited.ts
@@ -1,14 +1,9 @@
 import { connect } from 'node:net'
-import { Ok, type Result } from 'ts-results'
-import { askOnConnection } from '../../http/ask-on-connection.js'
+import type { Result } from 'ts-results'
 import type { ServerReport } from '../exchanges/server-report.js'
 import type { BackendServer } from './backend-server.js'
 import { isServerGone } from './is-server-gone.js'
-
-/** Longest wait for a server's report, ms. */
-const REPORT_TIMEOUT = 1_000
-const MAX_REPORT = 256_000 // bytes
-const OK = 200
+import { readProcessStart } from './read-process-start.js'
 
 /**
  * Whether the listed process of a server has exited: nothing listens at its address, or another process does. A process that doesn't answer
@@ -29,10 +24,10 @@
   return start !== undefined && start !== listed
 }
 
-async function readStart (url: string, { path, readStart: decode }: ServerReport): Promise<Result<number | undefined, Error>> {
+async function readStart (url: string, report: ServerReport): Promise<Result<number | undefined, Error>> {
   const { hostname, port, host } = new URL(url)
   const socket = connect({ host: hostname, port: Number(port) })
-  const answer = await askOnConnection(socket, { path, host, timeout: REPORT_TIMEOUT, maxBody: MAX_REPORT })
+  const reported = await readProcessStart(socket, host, report)
   socket.destroy()
-  return answer.err ? answer : Ok(answer.val.status === OK ? decode(answer.val.body) : undefined)
+  return reported.map(({ startedAt }) => startedAt)
 }
--- /dev/null
+++ b/src/routing/servers/server-processes.ts
@@ -0,0 +1,112 @@
+import type { Clock } from '../../kernel/clock.js'
+import type { LogSink } from '../../observe/log-sink.js'
+import type { Instance } from '../../store/instance.js'
+import type { InstanceList } from '../../store/instance-list.js'
+import type { BackendServer } from './backend-server.js'
+
+/**
+ * How long a server whose process has exited isn't used, ms, unless its entry shows another start sooner: three status reports of a server,
+ * after whose absence its entry is removed, and the time for that to be known.
+ */
+const KEEP_OUT = 5_000
+
+interface ExitedProcess { readonly startedAt: number, readonly until: number }
+
+/** A process whose report states another start than its server's entry, `listed`. */
+interface UnlistedProcess { readonly listed: number | undefined, readonly startedAt: number }
+
+interface ServerProcessesOptions {
+  readonly list: InstanceList
+  readonly clock: Pick<Clock, 'now'>
+  readonly log: LogSink
+}
+
+/** What is known of the servers' processes beyond their entries, which may be older: those that have exited, and those whose reports differ. */
+export class ServerProcesses {
+  private readonly exited = new Map<string, ExitedProcess>()
+  private readonly unlisted = new Map<string, UnlistedProcess>()
+  /** By server: when its entry showed another start, monotonic ms. */
+  private readonly restartedAt = new Map<string, number>()
+
+  constructor (private readonly options: ServerProcessesOptions) {
+    const { list, clock } = options
+    list.subscribeRestarts(server => this.restartedAt.set(server, clock.now()))
+    list.subscribe(() => this.forgetRemoved())
+  }
+
+  /**
+   * Records that the server's process was found to have exited `ago` ms ago. Another process may listen at its address before its entry
+   * shows that, with another version of its software.
+   */
+  recordExit (server: string, ago: number): void {
+    const { list, clock, log } = this.options
+    const at = clock.now() - ago
+    const startedAt = list.find(server)?.startedAt
+    if (startedAt === undefined || at < (this.restartedAt.get(server) ?? -Infinity)) return
+    if (this.exited.get(server)?.startedAt !== startedAt) log.write('info', 'routing', 'leaves out a server whose process has exited', { server, ago: Math.round(ago), for: KEEP_OUT })
+    this.exited.set(server, { startedAt, until: at + KEEP_OUT })
+  }
+
+  /** Records that another process than the listed ones answered at an address, HOST:PORT. It isn't used before its entry had time to follow. */
+  recordUnlisted (address: string, startedAt: number): void {
+    for (const { name, startedAt: listed } of this.listAt(address)) {
+      this.options.log.write('info', 'routing', 'another process than the listed one listens', { server: name, listed, startedAt })
+      this.recordExit(name, 0)
+      this.unlisted.set(name, { listed, startedAt })
+    }
+  }
+
+  /** Whether the process that the entry shows has exited. Without the time of its start, no entry would show another process. */
+  hasExited ({ name, startedAt }: Pick<Instance, 'name' | 'startedAt'>): boolean {
+    const exited = this.exited.get(name)
+    if (exited === undefined) return false
+    if (startedAt === exited.startedAt && this.options.clock.now() < exited.until) return true
+    this.exited.delete(name)
+    return false
+  }
+
+  /** Returns the version of the software of a server's process, see `InstanceList.findVersion`; an unlisted process is a version of its own. */
+  findVersion (server: string): string | undefined {
+    const { list } = this.options
+    const instance = list.find(server)
+    const unlisted = instance === undefined ? undefined : this.findUnlisted(instance)
+    return unlisted === undefined ? list.findVersion(server) : `?${server}@${unlisted.startedAt}`
+  }
+
+  /** Returns the start of a server's process, Unix ms by the server's clock; undefined where it isn't known. */
+  findStart (instance: Instance): number | undefined {
+    return this.findUnlisted(instance)?.startedAt ?? instance.startedAt
+  }
+
+  /** Whether the server's process is still the one that requests go to; always where its start wasn't listed. */
+  isCurrent ({ name, startedAt }: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
+    const instance = this.options.list.find(name)
+    return startedAt === undefined || (instance !== undefined && this.findStart(instance) === startedAt)
+  }
+
+  /** Lists the servers at an address, HOST:PORT. */
+  listAt (address: string): readonly Instance[] {
+    return this.options.list.all.filter(({ host, port }) => `${host}:${port}` === address)
+  }
+
+  /** Lists the starts of the processes at an address, HOST:PORT; undefined if not all are known. */
+  listStarts (address: string): readonly number[] | undefined {
+    const instances = this.listAt(address)
+    const starts = instances.flatMap(instance => this.findStart(instance) ?? [])
+    return starts.length === 0 || starts.length < instances.length ? undefined : starts
+  }
+
+  private findUnlisted ({ name, startedAt }: Instance): UnlistedProcess | undefined {
+    const unlisted = this.unlisted.get(name)
+    return unlisted?.listed === startedAt ? unlisted : undefined
+  }
+
+  private forgetRemoved (): void {
+    for (const server of [...this.exited.keys(), ...this.restartedAt.keys(), ...this.unlisted.keys()]) {
+      if (this.options.list.find(server) !== undefined) continue
+      this.exited.delete(server)
+      this.unlisted.delete(server)
+      this.restartedAt.delete(server)
+    }
+  }
+}
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -23,6 +23,7 @@
 import { planDaemonLimit } from './plan-daemon-limit.js'
 import type { ServerHealth } from './server-health.js'
 import { spreadRounding } from './spread-rounding.js'
+import { ServerProcesses } from './server-processes.js'
 import { ServerViews } from './server-views.js'
 import { stepServerHealth } from './step-server-health.js'
 
@@ -44,17 +45,6 @@
 const connect = buildConnector({ timeout: CONNECT_TIMEOUT })
 const connectPaced = createPacedConnector({ timeout: CONNECT_TIMEOUT, period: READ_PERIOD })
 
-/**
- * How long a server whose process has exited isn't used, ms, unless its entry shows another start sooner: three status reports of a server,
- * after whose absence its entry is removed, and the time for that to be known.
- */
-const KEEP_OUT = 5_000
-
-interface ExitedProcess { readonly startedAt: number, readonly until: number }
-
-/** A process whose report states another start than its server's entry, `listed`. */
-interface UnlistedProcess { readonly listed: number | undefined, readonly startedAt: number }
-
 /** This daemon's part of a pool's limits: the reserved fraction, if set, and its position among the daemons. */
 interface Share { readonly fraction: number | undefined, readonly daemons: number, readonly daemon: number }
 
@@ -88,10 +78,7 @@
   private readonly limits = new Map<string, AdaptiveLimit>()
   private readonly others = new Map<string, { readonly count: number, readonly at: number }>()
   private readonly listeners = new Set<() => void>()
-  private readonly exited = new Map<string, ExitedProcess>()
-  private readonly unlisted = new Map<string, UnlistedProcess>()
-  /** By server: when its entry showed another start, monotonic ms. */
-  private readonly restartedAt = new Map<string, number>()
+  private readonly processes: ServerProcesses
   /** By pool: the fraction of its servers' limits reserved for this daemon, if set. */
   private readonly fractions = new Map<string, number>()
 
@@ -104,12 +91,11 @@
     @inject(tokens.log) private readonly log: LogSink,
     @inject(tokens.serverDialect, { isOptional: true }) private readonly dialect?: Pick<ServerDialect, 'report'>
   ) {
+    this.processes = new ServerProcesses({ list, clock, log })
     list.subscribeRestarts(server => {
       this.health.delete(server)
       this.limits.delete(server)
-      this.restartedAt.set(server, clock.now())
     })
-    list.subscribe(() => this.forgetRemoved())
     views.subscribe(({ server, online }) => {
       this.others.set(server, { count: Math.max(0, online - (this.counts.get(server) ?? 0)), at: clock.now() })
     })
@@ -137,7 +123,7 @@
       pool,
       failureDomain,
       version: this.findVersion(name) ?? '',
-      startedAt: this.findStart(instance),
+      startedAt: this.processes.findStart(instance),
       url: `http://${host}:${port}`,
       leaving: state === 'leaving' || this.hasExited(instance) || (view !== undefined && view.state !== 'open'),
       inFlight,
@@ -191,34 +177,24 @@
     }
   }
 
-  /**
-   * Records that the server's process was found to have exited `ago` ms ago. Another process may listen at its address before its entry
-   * shows that, with another version of its software.
-   */
+  /** Records that the server's process was found to have exited `ago` ms ago. */
   recordExit (server: string, ago: number): void {
-    const at = this.clock.now() - ago
-    const startedAt = this.list.find(server)?.startedAt
-    if (startedAt === undefined || at < (this.restartedAt.get(server) ?? -Infinity)) return
-    if (this.exited.get(server)?.startedAt !== startedAt) this.log.write('info', 'routing', 'leaves out a server whose process has exited', { server, ago: Math.round(ago), for: KEEP_OUT })
-    this.exited.set(server, { startedAt, until: at + KEEP_OUT })
+    this.processes.recordExit(server, ago)
   }
 
-  private forgetRemoved (): void {
-    for (const server of [...this.exited.keys(), ...this.restartedAt.keys(), ...this.unlisted.keys()]) {
-      if (this.list.find(server) !== undefined) continue
-      this.exited.delete(server)
-      this.unlisted.delete(server)
-      this.restartedAt.delete(server)
-    }
+  /** Whether the process that the entry shows has exited. */
+  hasExited (instance: Pick<Instance, 'name' | 'startedAt'>): boolean {
+    return this.processes.hasExited(instance)
   }
 
-  /** Whether the process that the entry shows has exited. Without the time of its start, no entry would show another process. */
-  hasExited ({ name, startedAt }: Pick<Instance, 'name' | 'startedAt'>): boolean {
-    const exited = this.exited.get(name)
-    if (exited === undefined) return false
-    if (startedAt === exited.startedAt && this.clock.now() < exited.until) return true
-    this.exited.delete(name)
-    return false
+  /** Returns the version of the software of a server's process; see `ServerProcesses`. */
+  findVersion (server: string): string | undefined {
+    return this.processes.findVersion(server)
+  }
+
+  /** Whether the server's process is still the one that requests go to. */
+  isCurrent (server: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
+    return this.processes.isCurrent(server)
   }
 
   /** Records the outcome of an exchange for the server's health. */
@@ -246,55 +222,17 @@
     await waitForNotification(this.clock, listener => this.subscribe(listener), timeout)
   }
 
-  /** Returns the version of the software of a server's process, see `InstanceList.findVersion`; an unlisted process is a version of its own. */
-  findVersion (server: string): string | undefined {
-    const instance = this.list.find(server)
-    const unlisted = instance === undefined ? undefined : this.findUnlisted(instance)
-    return unlisted === undefined ? this.list.findVersion(server) : `?${server}@${unlisted.startedAt}`
-  }
-
-  /** Whether the server's process is still the one that requests go to; always where its start wasn't listed. */
-  isCurrent ({ name, startedAt }: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
-    const instance = this.list.find(name)
-    return startedAt === undefined || (instance !== undefined && this.findStart(instance) === startedAt)
-  }
-
-  private findUnlisted ({ name, startedAt }: Instance): UnlistedProcess | undefined {
-    const unlisted = this.unlisted.get(name)
-    return unlisted?.listed === startedAt ? unlisted : undefined
-  }
-
-  private findStart (instance: Instance): number | undefined {
-    return this.findUnlisted(instance)?.startedAt ?? instance.startedAt
-  }
-
-  private listAt (address: string): readonly Instance[] {
-    return this.list.all.filter(({ host, port }) => `${host}:${port}` === address)
-  }
-
   /** Returns a connector whose connections lead to the known processes, where both the list and the servers state their starts. */
   private checkProcesses (connect: buildConnector.connector): buildConnector.connector {
-    const listStarts = (address: string): readonly number[] | undefined => {
-      const listed = this.listAt(address)
-      const starts = listed.flatMap(instance => this.findStart(instance) ?? [])
-      return starts.length === 0 || starts.length < listed.length ? undefined : starts
-    }
-    const onOther = (address: string, startedAt: number): void => {
-      for (const { name, startedAt: listed } of this.listAt(address)) {
-        this.log.write('info', 'routing', 'another process than the listed one listens', { server: name, listed, startedAt })
-        this.recordExit(name, 0)
-        this.unlisted.set(name, { listed, startedAt })
-      }
-    }
     return (target, callback) => {
-      const report = this.dialect?.report
-      const checked = report === undefined ? connect : checkProcess(connect, { report, listStarts, onOther })
+      const { processes, dialect } = this
+      const checked = dialect?.report === undefined ? connect : checkProcess(connect, { report: dialect.report, processes })
       checked(target, callback)
     }
   }
 
   private createAgent (connections: number, connect: buildConnector.connector, pipelining = 1): Agent {
-    const onReset = (address: string): void => this.log.write('info', 'routing', 'a server reset a connection', { server: this.listAt(address)[0]?.name, address })
+    const onReset = (address: string): void => this.log.write('info', 'routing', 'a server reset a connection', { server: this.processes.listAt(address)[0]?.name, address })
     return createAgent({ factory: (origin, options) => new SteadyPool(origin, options), connections, connect: this.checkProcesses(connect), onReset, keepAliveTimeout: KEEP_ALIVE, keepAliveMaxTimeout: KEEP_ALIVE, pipelining })
   }
 
--- a/test/routing/check-process.test.ts
+++ b/test/routing/check-process.test.ts
@@ -16,8 +16,7 @@
   const others: number[] = []
   const connect = checkProcess(buildConnector({ timeout: 400 }), {
     report: { path: '/report', readStart: body => Number(body.toString()) },
-    listStarts: () => [LISTED],
-    onOther: (_address, other) => { others.push(other) }
+    processes: { listStarts: () => [LISTED], recordUnlisted: (_address, other) => { others.push(other) } }
   })
   const agent = new Agent({ connect })
   t.teardown(async () => {
