--- a/test/helpers/pausing-server.ts
+++ b/test/helpers/pausing-server.ts
@@ -6,6 +6,7 @@
 /** Time between two pieces by default, ms. */
 const INTERVAL = 15
 const HEAD = { 'x-request-id': '' }
+const REPORT_PATH = '/api/report'
 
 /** One request at a server that began to work on it. Times in monotonic ms. */
 export interface PausedRun {
@@ -31,6 +32,8 @@
   readonly pause: number
   /** Whether the server refuses a request as full. */
   readonly isFull: (path: string) => boolean
+  /** Start that its report states, Unix ms. */
+  readonly startedAt?: number
 }
 
 function buildPiece (kind: string, n: number): string {
@@ -43,10 +46,11 @@
 }
 
 /** A server that answers with a few pieces. The first run of each path at any server with the same `runs` is silent for a while. */
-export async function startPausingServer ({ server, runs, pauseAfter, breakAfter = () => undefined, interval = INTERVAL, pause, isFull }: PausingServerOptions): Promise<{ readonly port: number, close: () => void }> {
+export async function startPausingServer ({ server, runs, pauseAfter, breakAfter = () => undefined, interval = INTERVAL, pause, isFull, startedAt = Date.now() }: PausingServerOptions): Promise<{ readonly port: number, close: () => void }> {
   const http = createServer((req, res) => {
     const path = req.url!
     req.resume()
+    if (path === REPORT_PATH) return res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({ num_running: 0, born: startedAt }))
     const id = { ...HEAD, 'x-request-id': String(req.headers['x-request-id']) }
     if (isFull(path)) return res.writeHead(503, { ...id, 'x-not-executed': '1', 'content-length': 0 }).end()
     const run: PausedRun = { path, server, after: Number(req.headers['last-event-id'] ?? 0), from: performance.now() }
--- a/test/whole/whole-request-cut.test.ts
+++ b/test/whole/whole-request-cut.test.ts
@@ -111,8 +111,9 @@
 async function startServer (service: keyof typeof SLOTS, n: number): Promise<() => void> {
   const isFull = (): boolean => runs.filter(({ server, until }) => until === undefined && server === n).length >= SLOTS[service]
   const runs = allRuns[service]
-  const server = await startPausingServer({ server: n, runs, pause: SILENCE, interval: INTERVAL, pauseAfter: path => findState(path).pauseAfter, breakAfter: path => findState(path).breakAfter, isFull })
-  fleet.store.put('servers', `${service}-${n}`, { service, addr: `127.0.0.1:${server.port}`, zone: 'a', version: 'v1', slots: SLOTS[service], state: 'ready', cold_left_ms: 0, seq: 1, born: Date.now() })
+  const startedAt = Date.now()
+  const server = await startPausingServer({ startedAt, server: n, runs, pause: SILENCE, interval: INTERVAL, pauseAfter: path => findState(path).pauseAfter, breakAfter: path => findState(path).breakAfter, isFull })
+  fleet.store.put('servers', `${service}-${n}`, { service, addr: `127.0.0.1:${server.port}`, zone: 'a', version: 'v1', slots: SLOTS[service], state: 'ready', cold_left_ms: 0, seq: 1, born: startedAt })
   return () => server.close()
 }
 
