--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -6,6 +6,7 @@
 import { SoakJobs } from './soak-jobs.js'
 import type { SoakRecord } from './soak-record.js'
 import { soakSize } from './soak-size.js'
+import { Standstills } from './standstills.js'
 
 /** The record of a soak and the log lines of its daemons. */
 interface SoakRun { readonly record: SoakRecord, readonly lines: readonly string[] }
@@ -16,6 +17,7 @@
   const soak = new SoakFleet(countDaemons(seed), planned.some(({ type }) => type === 'part crashes'))
   const callers = new SoakCallers(soak)
   const jobs = new SoakJobs(soak)
+  const standstills = new Standstills(() => soak.now())
   let calmFrom = 0
   let endedAt = 0
   try {
@@ -33,11 +35,12 @@
     endedAt = soak.now()
     await jobs.readEverywhere()
   } finally {
+    standstills.stop()
     await callers.close()
     await soak.stop()
   }
   const engines = [...soak.fleet.engines, ...soak.stoppedEngines]
   const runs = engines.flatMap(({ id: engine, version, runs }) => runs.map(run => ({ ...run, engine, version: String(version) })))
   const { versions, leaving, harmed, resets, exits, lines } = soak
-  return { record: { requests: callers.requests, runs, jobs: jobs.jobs, versions, leaving, harmed, resets, exits, calmFrom, endedAt }, lines }
+  return { record: { requests: callers.requests, runs, jobs: jobs.jobs, versions, leaving, harmed, resets, standstills: standstills.all, exits, calmFrom, endedAt }, lines }
 }
--- a/bench/soak/soak-record.ts
+++ b/bench/soak/soak-record.ts
@@ -16,6 +16,8 @@
   readonly harmed: readonly Disturbance[]
   /** Times in which connections to an engine were reset. */
   readonly resets: ReadonlyArray<{ readonly engine: string, readonly from: number, readonly to: number }>
+  /** Times in which the soak's process, and with it callers, relays, servers and the store, did nothing. */
+  readonly standstills: ReadonlyArray<{ readonly from: number, readonly to: number }>
   /** Unexpected exits of daemons, each with the end of its error output. */
   readonly exits: readonly string[]
   /** When load and troubles had ended, and when the last jobs were waited for; each job is then read at every daemon. */
--- a/test/soak/check-record.test.ts
+++ b/test/soak/check-record.test.ts
@@ -14,7 +14,7 @@
 const request: SentRequest = { id: 'r', daemon: 0, at: 5_000, until: 5_500, path: '/quotes/1', caller: 'harbour', resumable: true, outcome: 'whole', status: 200, stamp: 'stamp-i-0', text: stream('/quotes/1') }
 const run: ObservedRun = { id: 'r', path: '/quotes/1', caller: 'harbour', key: undefined, engine: 'i-0', version: '1', at: 5_010, resumedAfter: undefined, events: soakSize.events }
 const job: SentJob = { id: 'j', items: ['j-0', 'j-1'], statuses: [202], acceptedAt: 1_000, endedAt: undefined, reads: [{ at: 9_000, daemon: 0, status: 200, total: 2, results: [result('j-0'), result('j-1')] }] }
-const empty: SoakRecord = { requests: [], runs: [], jobs: [], versions: [{ version: 1, at: 0, hasExtra: false }], leaving: [], harmed: [], resets: [], exits: [], calmFrom: Infinity, endedAt: Infinity }
+const empty: SoakRecord = { requests: [], runs: [], jobs: [], versions: [{ version: 1, at: 0, hasExtra: false }], leaving: [], harmed: [], resets: [], standstills: [], exits: [], calmFrom: Infinity, endedAt: Infinity }
 const reading = job.reads[0]!
 
 /** Creates a record in which so many requests of the organisation with a quota ran at once. */
