--- a/bench/soak/check-record.ts
+++ b/bench/soak/check-record.ts
@@ -40,7 +40,7 @@
 }
 
 /** Returns how long the soak's process did nothing within a time span, ms. */
-function sumStandstills ({ standstills }: SoakRecord, from: number, to: number): number {
+function getStandstill ({ standstills }: SoakRecord, from: number, to: number): number {
   return standstills.reduce((sum, standstill) => sum + Math.max(0, Math.min(to, standstill.to) - Math.max(from, standstill.from)), 0)
 }
 
@@ -76,7 +76,7 @@
   const disturbances = record.harmed.filter(disturbance => disturbance.daemon === daemon && disturbance.from <= until && disturbance.to >= at)
   const cutByServer = runs.some(({ events }) => events < soakSize.events)
   const cutByReset = runs.some(run => record.resets.some(({ engine, from, to }) => engine === run.engine && run.at <= to && until >= from && until <= to + soakSize.slack))
-  return cutByReset || disturbances.length > 0 || cutByServer || isDisturbed(record, undefined, at, until) ? [] : [`${id} ${path} at daemon ${daemon}, ${at} ms: was cut at ${until} ms after ${text.length} bytes, though its server sent all; the soak stood still for ${sumStandstills(record, at, until)} ms meanwhile`]
+  return cutByReset || disturbances.length > 0 || cutByServer || isDisturbed(record, undefined, at, until) ? [] : [`${id} ${path} at daemon ${daemon}, ${at} ms: was cut at ${until} ms after ${text.length} bytes, though its server sent all; the soak stood still for ${getStandstill(record, at, until)} ms meanwhile`]
 }
 
 function checkJob (job: SentJob, runs: ReadonlyMap<string, Runs>, record: SoakRecord): readonly string[] {
