Routing: a server that began to leave gets no request that waits for a connection to it

On the product's own entry, a request whose server's process was replaced before the first byte was refused although another server was open.

Cause: a server is chosen by its state, and then come a connect (up to 0.4 s) and a report (up to 1 s), both twice where the server closes connections behind its report. At the first byte only the start of the process was compared again, and that as `withheld`, which ends a delivery.

Why it works: Exchange asks Servers.isOpen where undici starts to write, after all waits. Such a failure is `closed`: not run, so that any request may go elsewhere; it counts neither against the server nor as a run or a loss of an item.

--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -6,6 +6,7 @@
 import { judgeAnswer } from '../routing/exchanges/judge-answer.js'
 import type { OpenExchange } from '../routing/exchanges/open-exchange.js'
 import { readToEnd } from '../routing/exchanges/read-to-end.js'
+import type { SendFailure } from '../routing/exchanges/send-failure.js'
 import type { Sender } from '../routing/exchanges/sender.js'
 import type { ServerDialect } from '../routing/exchanges/server-dialect.js'
 import type { Servers } from '../routing/servers/servers.js'
@@ -81,7 +82,7 @@
       paced: true,
       mayStart
     }, { body, fingerprint: item.id, headerTimeout: this.firstEventTimeout })
-    if (opened.err) return opened.val.why === 'withheld' && !this.abort.signal.aborted ? { type: 'withheld' } : this.describeLoss(opened.val.detail)
+    if (opened.err) return this.describeUnopened(opened.val)
     try {
       return await this.read(opened.val)
     } catch (error) {
@@ -90,6 +91,11 @@
     }
   }
 
+  private describeUnopened ({ why, detail }: SendFailure): ItemOutcome {
+    const isUnsent = why === 'withheld' || why === 'closed'
+    return isUnsent && !this.abort.signal.aborted ? { type: 'withheld', detail: why } : this.describeLoss(detail)
+  }
+
   /** Servers that all need longer for a first event than a run waits would otherwise run the item without end. */
   private get firstEventTimeout (): number {
     return Math.min(PROGRESS_TIMEOUT, FIRST_EVENT_TIMEOUT * 2 ** this.options.state.losses)
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -267,7 +267,7 @@
         return this.loads.markFull(run.server)
       }
       case 'withheld': {
-        this.log.write('info', 'jobs', 'withheld an item', { request: state.item.id, job: job.id, server: run.server, ended: job.ended, lookAge: Math.round(this.clock.now() - (job.lastRead.seen ?? -Infinity)) })
+        this.log.write('info', 'jobs', 'withheld an item', { request: state.item.id, job: job.id, server: run.server, detail: outcome.detail, ended: job.ended, lookAge: Math.round(this.clock.now() - (job.lastRead.seen ?? -Infinity)) })
         state.notBefore = this.clock.now() + FIRST_PAUSE
         return
       }
--- a/src/ownership/batch/batch-run.ts
+++ b/src/ownership/batch/batch-run.ts
@@ -141,6 +141,7 @@
 
   private buildUnopenedOutcome ({ why, sent, detail }: SendFailure): BatchOutcome {
     if (why === 'invalid') return { type: 'finished', result: { type: 'failed', cause: 'invalid request', detail } }
+    if (why === 'closed') return { type: 'withheld' }
     return why === 'unreachable' || why === 'withheld' ? { type: why } : this.buildStoppedOutcome(sent)
   }
 
--- a/src/routing/exchanges/exchange.ts
+++ b/src/routing/exchanges/exchange.ts
@@ -20,6 +20,8 @@
   /** Returns how long the last byte of the body is held back, ms; see `HeldBody`. */
   readonly getHoldTime?: () => number | undefined
   readonly signal?: AbortSignal
+  /** Whether the server takes new requests; checked right before the first byte is written, after all waits for a connection. */
+  readonly isServerOpen?: () => boolean
   /** Checked right before the first byte is written, and before a last byte that was held back; if it returns false, no more is sent. */
   readonly mayStart?: () => boolean
   /** Returns whether the server's process has exited; asked at a regular end of the connection that nothing else marks. */
@@ -123,9 +125,15 @@
   }
 
   private confirmStart (): boolean {
-    const may = this.options.mayStart?.() ?? true
-    if (!may) this.failureReason = 'withheld'
-    return may
+    const hindrance = this.findHindrance()
+    if (hindrance !== undefined) this.failureReason = hindrance
+    return hindrance === undefined
+  }
+
+  private findHindrance (): 'closed' | 'withheld' | undefined {
+    // Once it is partly sent, its connection decides.
+    if (!this.sendState.sent && this.options.isServerOpen?.() === false) return 'closed'
+    return this.options.mayStart?.() === false ? 'withheld' : undefined
   }
 
   private findReason (error: Error): SendFailure['why'] {
--- a/src/routing/exchanges/sender.ts
+++ b/src/routing/exchanges/sender.ts
@@ -62,7 +62,7 @@
   /** Sends the request. Counts it at the server before the first await, so that the choice of the server still holds. */
   async send (server: BackendServer, request: ServerRequest, { body, fingerprint, headerTimeout, onSilent }: SendOptions): Promise<Result<OpenExchange, SendFailure>> {
     const work = request.paced === true ? 'paced' : request.work
-    const exchange: Exchange = new Exchange({
+    const exchange = new Exchange({
       clock: this.clock,
       agent: (request.isRepeated === true ? this.servers.singleUseAgents : this.servers.agents)[work],
       origin: server.url,
@@ -72,8 +72,8 @@
       body,
       getHoldTime: request.isRepeated === true ? undefined : this.servers.planHold(server.url, work),
       signal: request.signal,
-      // Once it is partly sent, its connection decides.
-      mayStart: () => (exchange.isSent() || this.servers.isCurrent(server)) && (request.mayStart?.() ?? true),
+      isServerOpen: () => this.servers.isOpen(server),
+      mayStart: request.mayStart,
       hasServerExited: async () => await hasProcessExited(server, this.dialect?.report),
       onSilent
     })
@@ -118,7 +118,7 @@
     const fail = async (failure: SendFailure): Promise<void> => {
       if (ended) return
       this.timeline.record({ part: 'routing', what: 'send failed', request: request.id, server: server.name, detail: `${failure.why}: ${failure.detail}` })
-      if (failure.why === 'abandoned' || failure.why === 'withheld' || failure.why === 'invalid') return end('abandoned')
+      if (failure.why === 'abandoned' || failure.why === 'withheld' || failure.why === 'closed' || failure.why === 'invalid') return end('abandoned')
       this.servers.recordOutcome(server.name, failure.why === 'unreachable' ? 'unreachable' : 'failed')
       if (failure.why === 'cut') await this.probe(server)
       end('failed')
--- a/src/routing/plan-retry.ts
+++ b/src/routing/plan-retry.ts
@@ -20,6 +20,7 @@
     case 'withheld': return giveUp('server failed', 'it may not begin any more')
     case 'invalid': return giveUp('invalid request', failure.detail)
     case 'unreachable':
+    case 'closed':
     case 'cut':
     case 'silent': break
     default: return failUnreachable(failure.why)
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -114,7 +114,7 @@
 
   /** `getIndex`, the server's position in its pool, and `getShare` are called only for a server whose owner reports a limit. */
   private describe (instance: Instance, getIndex: () => number, getShare: () => Share): BackendServer {
-    const { name, pool, host, port, failureDomain, state } = instance
+    const { name, pool, host, port, failureDomain } = instance
     const view = this.views.get(name)
     const inFlight = this.counts.get(name) ?? 0
     const others = this.countOthers(name)
@@ -125,7 +125,7 @@
       version: this.findVersion(name) ?? '',
       startedAt: this.processes.findStart(instance),
       url: `http://${host}:${port}`,
-      leaving: state === 'leaving' || this.hasExited(instance) || (view !== undefined && view.state !== 'open'),
+      leaving: this.isLeaving(instance),
       inFlight,
       load: inFlight + (others ?? 0),
       limit: Math.min(this.readLimit(name), view === undefined ? Infinity : planLimit(view.limit, others, getIndex(), getShare())),
@@ -133,6 +133,11 @@
     }
   }
 
+  private isLeaving (instance: Instance): boolean {
+    const view = this.views.get(instance.name)
+    return instance.state === 'leaving' || this.hasExited(instance) || (view !== undefined && view.state !== 'open')
+  }
+
   private readShare (pool: string): Share {
     const fraction = this.fractions.get(pool)
     const owners = this.members.owners()
@@ -192,9 +197,10 @@
     return this.processes.findVersion(server)
   }
 
-  /** Whether the server's process is still the one that requests go to. */
-  isCurrent (server: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
-    return this.processes.isCurrent(server)
+  /** Whether the server takes new requests, and its process is still the one that requests go to. */
+  isOpen (server: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
+    const instance = this.list.find(server.name)
+    return instance !== undefined && !this.isLeaving(instance) && this.processes.isCurrent(server)
   }
 
   /** Records the outcome of an exchange for the server's health. */
--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -69,6 +69,12 @@
   isFull = false
   /** Whether its report states the start of its process. */
   reportsStart = true
+  /** Time until it answers a request for its report, ms. */
+  reportDelay = 0
+  /** Whether it closes each connection behind its report. */
+  closesReports = false
+  /** Number of requests for its report. */
+  reports = 0
   /** Factor by which the time between two events is longer. */
   slowdown = 1
   /** Returns whether a run with these parts of a prompt crashes the engine as it begins its answer. */
@@ -118,7 +124,7 @@
     if (body.err) return
     if (expected !== undefined && expected !== id) return sendJson(res, 421, {}, { 'x-instance-id': id, 'x-request-id': String(request) })
     this.repeatRefusal(res.socket!)
-    if (req.url === REPORT_PATH) return sendJson(res, 200, { num_running: this.running, ...this.reportsStart && { born: this.startedAt } })
+    if (req.url === REPORT_PATH) return await this.sendReport(res)
     if (this.refusesFirst && !this.refused.has(String(request))) return this.refuseFirst(String(request), res)
     if (this.isFull || this.running >= slots) return sendJson(res, 503, {}, { 'x-not-executed': '1', 'x-request-id': String(request) })
     if (IMPOSSIBLE.test(req.url!)) return sendJson(res, 422, {}, { 'x-request-id': String(request) })
@@ -143,6 +149,12 @@
     await this.stream(run, res, isMarked)
   }
 
+  private async sendReport (res: ServerResponse): Promise<void> {
+    this.reports++
+    if (this.reportDelay > 0) await new Promise(resolve => setTimeout(resolve, this.reportDelay))
+    sendJson(res, 200, { num_running: this.running, ...this.reportsStart && { born: this.startedAt } }, this.closesReports ? { connection: 'close' } : {})
+  }
+
   private refuseFirst (request: string, res: ServerResponse): void {
     const refusal = `HTTP/1.1 503 Service Unavailable\r\nx-request-id: ${request}\r\nx-not-executed: 1\r\ncontent-length: 2\r\n\r\n{}`
     this.refused.add(request)
--- a/test/routing/unlisted-servers.test.ts
+++ b/test/routing/unlisted-servers.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { DispatchBench } from '../helpers/dispatch-bench.js'
 import { Servers } from '../../src/routing/servers/servers.js'
+import type { Instance } from '../../src/store/instance.js'
 import { InstanceList } from '../../src/store/instance-list.js'
 import { RawServer } from '../helpers/raw-server.js'
 
@@ -44,3 +45,28 @@
   t.like(answer.val, { status: 200 })
   if (answer.ok) answer.val.end(true)
 })
+
+for (const [name, change] of Object.entries({
+  'begins to leave': (instance: Instance) => [{ ...instance, state: 'leaving' as const }],
+  'is removed': () => [],
+  'is replaced by another process': (instance: Instance) => [{ ...instance, startedAt: 2 }]
+})) {
+  // Guards against a request that goes to a server which takes no new ones any more, and against a refusal where another server is open.
+  test.serial(`a request whose server ${name} before it is sent runs at another server once`, async t => {
+    const servers = await Promise.all(['a', 'b'].map(async () => await RawServer.start(socket => { socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole') })))
+    const bench = new DispatchBench({ ports: servers.map(({ port }) => port) })
+    t.teardown(async () => {
+      await bench.stop()
+      for (const server of servers) server.close()
+    })
+    const list = bench.container.resolve(InstanceList)
+    list.all = list.all.map(instance => ({ ...instance, startedAt: 1 }))
+    const sending = bench.dispatcher.send(bench.request('ask', { idempotent: false }))
+    const chosen = bench.container.resolve(Servers).inPool('pool').find(({ inFlight }) => inFlight > 0)
+    list.all = list.all.flatMap(instance => instance.name === chosen?.name ? change(instance) : [instance])
+    const answer = await sending
+    t.like(answer.val, { status: 200 })
+    t.deepEqual(servers.map(({ requests }) => requests.length), servers.map((_, i) => `server-${i}` === chosen?.name ? 0 : 1))
+    if (answer.ok) answer.val.end(true)
+  })
+}
