Reports: the parser of a first answer gets 4 kB at a time, and nothing once it is given up

Callers saw requests at sound servers late by up to 2.9 s while four other servers wrote interim heads in place of their report. Cause: Node's client reads all that a read of the socket brought, up to 64 kB and 2,400 heads with a call each, also after the answer was given up at the 100th. splitReads hands the connection's bytes on in pieces and stops where the connection is destroyed; the connection goes back as it was.

--- a/src/http/ask-on-connection.ts
+++ b/src/http/ask-on-connection.ts
@@ -3,10 +3,13 @@
 import { Err, Ok, type Result } from 'ts-results'
 import { BurstLimit } from '../kernel/burst-limit.js'
 import { readBody } from './read-body.js'
+import { splitReads } from './split-reads.js'
 
 /** Most interim heads and parts of a body that an answer may have in a second; each costs a call. */
 const INTERIM_HEADS = { count: 100, period: 1_000 }
 const PARTS = { count: 1_000, period: 1_000 }
+/** Most that the parser gets at a time, bytes: it reads what it has got to its end, however early the answer is given up. */
+const MAX_READ = 4_096
 
 interface Question {
   readonly path: string
@@ -31,6 +34,7 @@
  * const answer = await askOnConnection(socket, { path: '/health', host: '10.0.0.2:80', timeout: 1_000, maxBody: 10_000 })
  */
 export async function askOnConnection (socket: Socket, { path, host, timeout, maxBody }: Question): Promise<Result<Answer, Error>> {
+  const join = splitReads(socket, MAX_READ)
   try {
     return Ok(await new Promise<Answer>((resolve, reject) => {
       const sent = request({ createConnection: () => socket, path, headers: { host, connection: 'keep-alive' } })
@@ -66,5 +70,7 @@
   } catch (error) {
     socket.destroy()
     return Err(error as Error)
+  } finally {
+    join()
   }
 }
--- a/test/http/ask-on-connection.test.ts
+++ b/test/http/ask-on-connection.test.ts
@@ -5,6 +5,9 @@
 import { listen } from '../../src/http/listen.js'
 
 const LIMITS = { path: '/report', host: 'server', timeout: 300, maxBody: 1_000 }
+const INTERIM_HEAD = 'HTTP/1.1 102 Processing\r\n\r\n'
+/** Most of a flood of interim heads that may be read, bytes. */
+const MAX_FLOOD = 8_192
 const ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
 
 async function open (t: ExecutionContext, answer: (socket: Socket) => void): Promise<Socket> {
@@ -44,7 +47,7 @@
   'one with bytes behind it': [socket => socket.write(`${ANSWER}${ANSWER}`), 'closed'],
   'a body without end': [socket => flood(socket, 'HTTP/1.1 200 OK\r\n\r\n', 'x'), 'error'],
   'a head without end': [socket => flood(socket, 'HTTP/1.1 200 OK\r\n', 'x: y\r\n'), 'error'],
-  'interim heads without end': [socket => flood(socket, '', 'HTTP/1.1 102 Processing\r\n\r\n'), 'error']
+  'interim heads without end': [socket => flood(socket, '', INTERIM_HEAD), 'error']
 }
 
 for (const [name, [answer, expected]] of Object.entries(answers)) {
@@ -59,3 +62,12 @@
     if (answered.ok) t.is(answered.val.body.toString(), '{}')
   })
 }
+
+// Guards against a flood of heads that is read on after it is given up, one call for each head of 64 kB.
+test.serial('the first answer on a connection is given up: little of what has arrived is read on', async t => {
+  const socket = await open(t, server => flood(server, '', INTERIM_HEAD))
+  let read = 0
+  socket.on('data', part => { read += part.length })
+  t.true((await askOnConnection(socket, LIMITS)).err)
+  t.true(read < MAX_FLOOD, `${read} bytes were read`)
+})
