Jobs: an item that waits for a connection isn't sent to a service to which its route no longer leads

Items reached a service 1.4 s after the configuration had taken it, or the whole route, from them.

Cause: the service is taken from the route when a slot is granted, and up to 2.8 s of connects and reports later only the job, the item's phase and the server were looked at again.

Why it works: `mayStart` is asked at the first byte, after all waits, and looks the route up in the configuration in force. Online requests keep the route that they found: the rule counts when their caller sent them.

--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -229,7 +229,7 @@
 
   private startItem ({ job, state, route, trial }: RunnableItem, pool: string, server: string): void {
     this.dropOtherProgress(job, state, server)
-    const run = new ItemRun({ state, parts: this.listParts(state), host: job.header.host, caller: job.header.caller, pool, server, mayStart: () => this.mayStart(job) && state.phase === 'running', clock: this.clock, sender: this.sender, servers: this.servers, intervals: this.loads.intervals, dialect: this.dialect })
+    const run = new ItemRun({ state, parts: this.listParts(state), host: job.header.host, caller: job.header.caller, pool, server, mayStart: () => this.mayStart(job) && state.phase === 'running' && this.routes.hasService(job, pool), clock: this.clock, sender: this.sender, servers: this.servers, intervals: this.loads.intervals, dialect: this.dialect })
     const [startedAt, events] = [this.clock.now(), state.last ?? 0]
     const running = { job, state, route, run, trial, startedAt }
     state.phase = 'running'
--- a/src/jobs/route-finder.ts
+++ b/src/jobs/route-finder.ts
@@ -27,6 +27,11 @@
     return route
   }
 
+  /** Whether the route of a job leads to the service. */
+  hasService (job: OwnedJob, service: string): boolean {
+    return this.find(job)?.services.some(({ service: other, weight }) => other === service && weight > 0) === true
+  }
+
   /** Returns since when the job has had no route, monotonic ms; undefined where it has one. */
   findMissedAt (job: OwnedJob): number | undefined {
     return this.missedAt.get(job)
