Quarantine: a wait for the reports of a loss ends when the loss is forgotten

Callers saw: nothing on record. On the product's own entry a request could stay without an answer or an end, whatever its deadline (by reading: Delivery.open awaits this without a limit).

Cause: a request whose server's process is gone waits for the other daemons' reports, 1 s at most. An answer of the server meanwhile forgets the loss together with the functions that end the waits, and the timer finds none.

Evidence: routing/forgotten-loss-reports, two waits still open after 1 s before, ended after. routing/crashes passes (6 tests).

Why it works: forgetting ends the waits first; a request then goes on as after the timeout.

Beside it, looked for and not found: joined signals that lose their end to garbage collection. `AbortSignal.any` is left at two places, and both join signals of controllers that something holds. routing/collected-turns has 20 searches ask in turns of 0.5 s while garbage is collected every 50 ms: all go on. It passes on the code before as well, and stays as a guard.

--- a/src/routing/quarantine/loss-reports.ts
+++ b/src/routing/quarantine/loss-reports.ts
@@ -31,8 +31,9 @@
     else reports.waiting.push(resolve)
   }
 
-  /** Forgets the loss, so that the next one is asked about again. */
+  /** Ends all waits and forgets the loss, so that the next one is asked about again. */
   forget (server: string): void {
+    this.finish(server)
     this.pending.delete(server)
   }
 }
