--- a/test/http/running-clock.test.ts
+++ b/test/http/running-clock.test.ts
@@ -25,3 +25,16 @@
   t.true(waited >= 190 - delayed, `${waited} ms, ${delayed} ms without the processor`)
   t.true(clock.now() - began - waited >= 95)
 })
+
+// Guards against timers that fire because the system ran other processes for a while, or never.
+test('a timer fires once its time has passed on this clock', async t => {
+  const clock = new RunningClock()
+  const began = clock.now()
+  const stopped = clock.after(20, () => t.fail('was cancelled'))
+  const fired = await new Promise<number>(resolve => {
+    clock.after(100, () => resolve(clock.now()))
+    stopped()
+  })
+  t.true(fired - began >= 100, `${fired - began} ms`)
+  t.true(fired - began < 200, `${fired - began} ms`)
+})
