A report without a start doesn't confirm a stale entry

PROTOCOL: the report "does not need a slot", so that a full server has no reason to refuse it; it names no status but 200 for it and says nowhere that a server may lack it. A server may truncate, garble and reset. So 404 has no case of its own: every answer without a start leaves the connection unconfirmed, and it is closed unsent, as one that failed. The server is left out for 0.5 s, and while it states no start for as long again as it has not (asked at 0, 0.5, 1, 2 and 4 s), so that a server that was busy for a moment is soon used by its entry; requests that run on confirmed connections go on. After 5 s without one stated start it is a version of its own, `?NAME@unstated`, as unlisted processes are; it is asked on, and has the version of its entry again once it states the listed start. A request chosen before its server's start was known, or wasn't any more, is sent elsewhere.

Evidence: whole/stale-entries, rows with servers that state no starts, refuse reports (503) or have none (404), load 20 to 30.

Tried before: not leaving the server out.

The stub of routing/check-process has the two new methods; its checks are as they were.

--- a/src/routing/servers/check-process.ts
+++ b/src/routing/servers/check-process.ts
@@ -6,7 +6,7 @@
 
 interface CheckProcessOptions {
   readonly report: ServerReport
-  readonly processes: Pick<ServerProcesses, 'listStarts' | 'recordUnlisted'>
+  readonly processes: Pick<ServerProcesses, 'listStarts' | 'recordStated' | 'recordUnlisted' | 'recordUnstated'>
 }
 
 type Outcome = { readonly type: 'listed', readonly isOpen: boolean } | { readonly type: 'failed', readonly error: Error }
@@ -63,10 +63,18 @@
   const reported = await readProcessStart(socket, address, report)
   if (reported.err) return { type: 'failed', error: reported.val }
   const { startedAt, isOpen } = reported.val
+  if (startedAt === undefined) processes.recordUnstated(address)
+  else processes.recordStated(address)
   const listed = processes.listStarts(address)
-  if (startedAt === undefined || listed?.includes(startedAt) !== false) return { type: 'listed', isOpen }
+  if (listed === undefined || isListed(listed, startedAt)) return { type: 'listed', isOpen }
   socket.destroy()
+  if (startedAt === undefined) return { type: 'failed', error: new Error('the process at the address did not state its start') }
   // A list that has changed meanwhile may show the successor of the process that answered.
   if (String(listed) === String(before)) processes.recordUnlisted(address, startedAt)
   return { type: 'failed', error: new Error('the process at the address is not the listed one') }
 }
+
+/** A process that states no start is taken for none that has one. */
+function isListed (starts: ReadonlyArray<number | undefined>, startedAt: number | undefined): boolean {
+  return startedAt === undefined ? starts.every(start => start === undefined) : starts.includes(startedAt)
+}
--- a/src/routing/servers/server-processes.ts
+++ b/src/routing/servers/server-processes.ts
@@ -9,11 +9,16 @@
  * after whose absence its entry is removed, and the time for that to be known.
  */
 const KEEP_OUT = 5_000
+/** Shortest time for which a server that did not state its start isn't used, ms; later as long as it has not for. */
+const MIN_UNSTATED = 500
+
+/** A process whose reports have stated no start from `since` on and that isn't asked again before `until`, monotonic ms. */
+interface UnstatedProcess { readonly since: number, readonly until: number }
 
 interface ExitedProcess { readonly startedAt: number, readonly until: number }
 
-/** A process whose report states another start than its server's entry, `listed`. */
-interface UnlistedProcess { readonly listed: number | undefined, readonly startedAt: number }
+/** A process whose report states another start than its server's entry, `listed`; none where `startedAt` is undefined. */
+interface UnlistedProcess { readonly listed: number | undefined, readonly startedAt: number | undefined }
 
 interface ServerProcessesOptions {
   readonly list: InstanceList
@@ -25,12 +30,16 @@
 export class ServerProcesses {
   private readonly exited = new Map<string, ExitedProcess>()
   private readonly unlisted = new Map<string, UnlistedProcess>()
+  private readonly unstated = new Map<string, UnstatedProcess>()
   /** By server: when its entry showed another start, monotonic ms. */
   private readonly restartedAt = new Map<string, number>()
 
   constructor (private readonly options: ServerProcessesOptions) {
     const { list, clock } = options
-    list.subscribeRestarts(server => this.restartedAt.set(server, clock.now()))
+    list.subscribeRestarts(server => {
+      this.restartedAt.set(server, clock.now())
+      this.unstated.delete(server)
+    })
     list.subscribe(() => this.forgetRemoved())
   }
 
@@ -50,14 +59,44 @@
   /** Records that another process than the listed ones answered at an address, HOST:PORT. It isn't used before its entry had time to follow. */
   recordUnlisted (address: string, startedAt: number): void {
     for (const { name, startedAt: listed } of this.listAt(address)) {
+      if (listed === startedAt) {
+        this.unlisted.delete(name)
+        continue
+      }
       this.options.log.write('info', 'routing', 'another process than the listed one listens', { server: name, listed, startedAt })
       this.recordExit(name, 0)
       this.unlisted.set(name, { listed, startedAt })
     }
   }
 
-  /** Whether the process that the entry shows has exited. Without the time of its start, no entry would show another process. */
+  /** Records that the process at an address, HOST:PORT, stated its start. */
+  recordStated (address: string): void {
+    for (const { name } of this.listAt(address)) this.unstated.delete(name)
+  }
+
+  /**
+   * Records that the process at an address, HOST:PORT, answered without its start. A busy server may refuse some reports, and is used again
+   * soon; one that goes on to state none is used as an unlisted process then.
+   */
+  recordUnstated (address: string): void {
+    const now = this.options.clock.now()
+    for (const instance of this.listAt(address)) {
+      const { name, startedAt: listed } = instance
+      if (this.findStart(instance) === undefined) continue
+      const since = this.unstated.get(name)?.since ?? now
+      const until = Math.min(since + KEEP_OUT, now + Math.max(MIN_UNSTATED, now - since))
+      this.unstated.set(name, { since, until })
+      this.options.log.write('info', 'routing', 'a process did not state its start', { server: name, listed, since: Math.round(now - since), for: Math.round(until - now) })
+      if (now >= since + KEEP_OUT) this.unlisted.set(name, { listed, startedAt: undefined })
+    }
+  }
+
+  /**
+   * Whether the process that the entry shows has exited, or may have, as the one at its address did not state its start. Without the time of
+   * its start, no entry would show another process.
+   */
   hasExited ({ name, startedAt }: Pick<Instance, 'name' | 'startedAt'>): boolean {
+    if (this.options.clock.now() < (this.unstated.get(name)?.until ?? -Infinity)) return true
     const exited = this.exited.get(name)
     if (exited === undefined) return false
     if (startedAt === exited.startedAt && this.options.clock.now() < exited.until) return true
@@ -70,18 +109,19 @@
     const { list } = this.options
     const instance = list.find(server)
     const unlisted = instance === undefined ? undefined : this.findUnlisted(instance)
-    return unlisted === undefined ? list.findVersion(server) : `?${server}@${unlisted.startedAt}`
+    return unlisted === undefined ? list.findVersion(server) : `?${server}@${unlisted.startedAt ?? 'unstated'}`
   }
 
   /** Returns the start of a server's process, Unix ms by the server's clock; undefined where it isn't known. */
   findStart (instance: Instance): number | undefined {
-    return this.findUnlisted(instance)?.startedAt ?? instance.startedAt
+    const unlisted = this.findUnlisted(instance)
+    return unlisted === undefined ? instance.startedAt : unlisted.startedAt
   }
 
-  /** Whether the server's process is still the one that requests go to; always where its start wasn't listed. */
+  /** Whether the server's process is still the one that requests go to; always for a removed server whose start wasn't known. */
   isCurrent ({ name, startedAt }: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
     const instance = this.options.list.find(name)
-    return startedAt === undefined || (instance !== undefined && this.findStart(instance) === startedAt)
+    return instance === undefined ? startedAt === undefined : this.findStart(instance) === startedAt
   }
 
   /** Lists the servers at an address, HOST:PORT. */
@@ -89,11 +129,14 @@
     return this.options.list.all.filter(({ host, port }) => `${host}:${port}` === address)
   }
 
-  /** Lists the starts of the processes at an address, HOST:PORT; undefined if not all are known. */
-  listStarts (address: string): readonly number[] | undefined {
+  /**
+   * Lists the starts of the processes of the servers at an address, HOST:PORT; of a process that states none, undefined. Undefined if not all
+   * entries there show one, so that there is nothing to compare.
+   */
+  listStarts (address: string): ReadonlyArray<number | undefined> | undefined {
     const instances = this.listAt(address)
-    const starts = instances.flatMap(instance => this.findStart(instance) ?? [])
-    return starts.length === 0 || starts.length < instances.length ? undefined : starts
+    const isComparable = instances.length > 0 && instances.every(({ startedAt }) => startedAt !== undefined)
+    return isComparable ? instances.map(instance => this.findStart(instance)) : undefined
   }
 
   private findUnlisted ({ name, startedAt }: Instance): UnlistedProcess | undefined {
@@ -102,10 +145,11 @@
   }
 
   private forgetRemoved (): void {
-    for (const server of [...this.exited.keys(), ...this.restartedAt.keys(), ...this.unlisted.keys()]) {
+    for (const server of [...this.exited.keys(), ...this.restartedAt.keys(), ...this.unlisted.keys(), ...this.unstated.keys()]) {
       if (this.options.list.find(server) !== undefined) continue
       this.exited.delete(server)
       this.unlisted.delete(server)
+      this.unstated.delete(server)
       this.restartedAt.delete(server)
     }
   }
--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -69,6 +69,8 @@
   isFull = false
   /** Whether its report states the start of its process. */
   reportsStart = true
+  /** Status of the answers to requests for its report. */
+  reportStatus = 200
   /** Factor by which the time between two events is longer. */
   slowdown = 1
   /** Returns whether a run with these parts of a prompt crashes the engine as it begins its answer. */
@@ -118,7 +120,7 @@
     if (body.err) return
     if (expected !== undefined && expected !== id) return sendJson(res, 421, {}, { 'x-instance-id': id, 'x-request-id': String(request) })
     this.repeatRefusal(res.socket!)
-    if (req.url === REPORT_PATH) return sendJson(res, 200, { num_running: this.running, ...this.reportsStart && { born: this.startedAt } })
+    if (req.url === REPORT_PATH) return sendJson(res, this.reportStatus, { num_running: this.running, ...this.reportsStart && { born: this.startedAt } })
     if (this.refusesFirst && !this.refused.has(String(request))) return this.refuseFirst(String(request), res)
     if (this.isFull || this.running >= slots) return sendJson(res, 503, {}, { 'x-not-executed': '1', 'x-request-id': String(request) })
     if (IMPOSSIBLE.test(req.url!)) return sendJson(res, 422, {}, { 'x-request-id': String(request) })
--- a/test/routing/check-process.test.ts
+++ b/test/routing/check-process.test.ts
@@ -16,7 +16,7 @@
   const others: number[] = []
   const connect = checkProcess(buildConnector({ timeout: 400 }), {
     report: { path: '/report', readStart: body => Number(body.toString()) },
-    processes: { listStarts: () => [LISTED], recordUnlisted: (_address, other) => { others.push(other) } }
+    processes: { listStarts: () => [LISTED], recordStated: () => {}, recordUnlisted: (_address, other) => { others.push(other) }, recordUnstated: () => {} }
   })
   const agent = new Agent({ connect })
   t.teardown(async () => {
--- a/test/whole/stale-entries.test.ts
+++ b/test/whole/stale-entries.test.ts
@@ -2,6 +2,7 @@
 import type { MachinesFleet } from '../../harness/machines-fleet.js'
 import { EventEngine } from '../../stand-ins/machines/event-engine.js'
 import { registerEngine } from '../../stand-ins/machines/register-engine.js'
+import { failUnreachable } from '../../src/kernel/unreachable.js'
 import { callDaemon } from '../helpers/call-daemon.js'
 import { startMachines } from '../helpers/start-machines.js'
 
@@ -19,6 +20,8 @@
 type Work = 'streams' | 'items'
 /** `begin`: the requests are sent after the restart; `go on`: they have events of the former version by then. */
 type Moment = 'begin' | 'go on'
+/** What the processes after the restart answer when they are asked for their starts. */
+type Report = 'state their starts' | 'state no starts' | 'refuse reports' | 'have no reports'
 interface Fleet { readonly fleet: MachinesFleet, readonly engines: EventEngine[], readonly all: EventEngine[] }
 
 const pause = async (time: number): Promise<void> => await new Promise(resolve => setTimeout(resolve, time))
@@ -38,13 +41,30 @@
   return { fleet, engines, all }
 }
 
+function setReport (engine: EventEngine, report: Report): void {
+  switch (report) {
+    case 'state their starts': return
+    case 'state no starts':
+      engine.reportsStart = false
+      return
+    case 'refuse reports':
+      engine.reportStatus = 503
+      return
+    case 'have no reports':
+      engine.reportStatus = 404
+      return
+    default: failUnreachable(report)
+  }
+}
+
 /** Replaces the processes of the first servers, which are idle, by others of the next version under their ids and addresses; their entries stay as they were. */
-async function upgradeUnseen ({ engines, all }: Fleet, count: number): Promise<readonly EventEngine[]> {
+async function upgradeUnseen ({ engines, all }: Fleet, count: number, report: Report = 'state their starts'): Promise<readonly EventEngine[]> {
   await pause(IDLE_TIME)
   return await Promise.all(engines.slice(0, count).map(async former => {
     former.stop()
     const next = open(former.id, 'v2')
     all.push(next)
+    setReport(next, report)
     await next.start(former.port)
     return next
   }))
@@ -77,17 +97,17 @@
 }
 
 /** Sends the requests, and brings about that runs break off while a server has another version than its entry shows. */
-async function play (fleet: Fleet, work: Work, moment: Moment): Promise<number> {
+async function play (fleet: Fleet, work: Work, moment: Moment, report?: Report): Promise<number> {
   const { engines } = fleet
   if (moment === 'begin') {
-    for (const next of await upgradeUnseen(fleet, 2)) next.breakPoints = Array.from({ length: REQUESTS }, (_, i) => 2 + i % 5)
+    for (const next of await upgradeUnseen(fleet, 2, report)) next.breakPoints = Array.from({ length: REQUESTS }, (_, i) => 2 + i % 5)
     return await waitForEnd(fleet, work, sendAll(fleet, work))
   }
   for (const engine of engines.slice(0, 2)) engine.isFull = true
   engines[2]!.breakPoints = Array.from({ length: REQUESTS }, () => LATE_BREAK)
   const sent = sendAll(fleet, work)
   await fleet.fleet.waitUntil('all run', () => engines[2]!.runs.filter(({ events }) => events > 2).length === REQUESTS)
-  await upgradeUnseen(fleet, 2)
+  await upgradeUnseen(fleet, 2, report)
   // Items wait long enough for the only sound server; without it for a while, they look for others.
   engines[2]!.isFull = work === 'items'
   setTimeout(() => { engines[2]!.isFull = false }, FULL_TIME)
@@ -105,6 +125,30 @@
   }
 }
 
+for (const report of ['state no starts', 'refuse reports', 'have no reports'] as const) {
+  for (const moment of ['begin', 'go on'] as const) {
+    // Guards against a stale entry that is taken for the version of a process that doesn't say otherwise.
+    test.serial(`streams that ${moment} while idle servers run another version than their entries show, and ${report}, hold events of one version`, async t => {
+      const fleet = await start(t)
+      t.is(await play(fleet, 'streams', moment, report), REQUESTS)
+      t.deepEqual(listMixed(fleet.all), [])
+    })
+  }
+
+  // Guards against servers that are never used because their starts can't be confirmed.
+  test.serial(`servers that ${report} although their entries show them are used again after a while`, async t => {
+    const engine = open('i-0', 'v1')
+    setReport(engine, report)
+    const fleet = await startMachines(2, [engine])
+    t.teardown(async () => await fleet.stop())
+    await fleet.waitUntil('its runs are whole', async () => {
+      await callDaemon(fleet.daemons[0]!.ports.front, '/quotes/a', { id: 'a' }).catch(() => {})
+      return engine.runs.some(({ outcome }) => outcome === 'whole')
+    })
+    t.is((await callDaemon(fleet.daemons[0]!.ports.front, '/quotes/b', { id: 'b' })).status, 200)
+  })
+}
+
 // Guards against servers that stay unused after a restart.
 test.serial('a server with a new version is used once its entry shows it', async t => {
   const fleet = await start(t)
