An entry without a start doesn't turn off the check at its address

The check is on where an entry at the address states a start, or where the start is known from a check before. An address has one process at a time, so that the start which a report states holds for all entries there: - An entry that shows the same start is right. - An entry that shows another start is left out for 5 s, as before where no entry matched, then a version of its own. - An entry without a start can't confirm its version. It is a version of its own with the stated start (`?NAME@START`) at once, as no entry would follow; a request chosen by its entry before is sent elsewhere. An address where no entry states a start isn't checked, as before.

isCurrent compares versions for unlisted processes as well: a server without a start in its entry that becomes a version of its own has none before and after.

--- a/src/routing/servers/check-process.ts
+++ b/src/routing/servers/check-process.ts
@@ -66,11 +66,11 @@
   if (startedAt === undefined) processes.recordUnstated(address)
   else processes.recordStated(address)
   const listed = processes.listStarts(address)
+  // A list that has changed meanwhile may show the successor of the process that answered.
+  if (startedAt !== undefined && String(listed) === String(before) && listed?.some(start => start !== startedAt) === true) processes.recordUnlisted(address, startedAt)
   if (listed === undefined || isListed(listed, startedAt)) return { type: 'listed', isOpen }
   socket.destroy()
   if (startedAt === undefined) return { type: 'failed', error: new Error('the process at the address did not state its start') }
-  // A list that has changed meanwhile may show the successor of the process that answered.
-  if (String(listed) === String(before)) processes.recordUnlisted(address, startedAt)
   return { type: 'failed', error: new Error('the process at the address is not the listed one') }
 }
 
--- a/src/routing/servers/server-processes.ts
+++ b/src/routing/servers/server-processes.ts
@@ -56,9 +56,14 @@
     this.exited.set(server, { startedAt, until: at + KEEP_OUT })
   }
 
-  /** Records that another process than the listed ones answered at an address, HOST:PORT. It isn't used before its entry had time to follow. */
+  /**
+   * Records the start of the process that answered at an address, HOST:PORT, for the servers there that aren't known to have it: an address has
+   * one process at a time. Where an entry shows another start, the server isn't used before its entry had time to follow.
+   */
   recordUnlisted (address: string, startedAt: number): void {
-    for (const { name, startedAt: listed } of this.listAt(address)) {
+    for (const instance of this.listAt(address)) {
+      const { name, startedAt: listed } = instance
+      if (this.findStart(instance) === startedAt) continue
       if (listed === startedAt) {
         this.unlisted.delete(name)
         continue
@@ -82,7 +87,8 @@
     const now = this.options.clock.now()
     for (const instance of this.listAt(address)) {
       const { name, startedAt: listed } = instance
-      if (this.findStart(instance) === undefined) continue
+      const unlisted = this.findUnlisted(instance)
+      if (unlisted !== undefined && unlisted.startedAt === undefined) continue
       const since = this.unstated.get(name)?.since ?? now
       const until = Math.min(since + KEEP_OUT, now + Math.max(MIN_UNSTATED, now - since))
       this.unstated.set(name, { since, until })
@@ -119,9 +125,10 @@
   }
 
   /** Whether the server's process is still the one that requests go to; always for a removed server whose start wasn't known. */
-  isCurrent ({ name, startedAt }: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
+  isCurrent ({ name, startedAt, version }: Pick<BackendServer, 'name' | 'startedAt' | 'version'>): boolean {
     const instance = this.options.list.find(name)
-    return instance === undefined ? startedAt === undefined : this.findStart(instance) === startedAt
+    if (instance === undefined) return startedAt === undefined
+    return this.findStart(instance) === startedAt && (this.findUnlisted(instance) === undefined || this.findVersion(name) === version)
   }
 
   /** Lists the servers at an address, HOST:PORT. */
@@ -130,13 +137,13 @@
   }
 
   /**
-   * Lists the starts of the processes of the servers at an address, HOST:PORT; of a process that states none, undefined. Undefined if not all
-   * entries there show one, so that there is nothing to compare.
+   * Lists the starts of the processes of the servers at an address, HOST:PORT; undefined for one whose start isn't known. Undefined if no
+   * entry there shows one, so that there is nothing to compare.
    */
   listStarts (address: string): ReadonlyArray<number | undefined> | undefined {
     const instances = this.listAt(address)
-    const isComparable = instances.length > 0 && instances.every(({ startedAt }) => startedAt !== undefined)
-    return isComparable ? instances.map(instance => this.findStart(instance)) : undefined
+    const starts = instances.map(instance => this.findStart(instance))
+    return instances.some(({ startedAt }, i) => (startedAt ?? starts[i]) !== undefined) ? starts : undefined
   }
 
   private findUnlisted ({ name, startedAt }: Instance): UnlistedProcess | undefined {
--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -193,7 +193,7 @@
   }
 
   /** Whether the server's process is still the one that requests go to. */
-  isCurrent (server: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
+  isCurrent (server: Pick<BackendServer, 'name' | 'startedAt' | 'version'>): boolean {
     return this.processes.isCurrent(server)
   }
 
--- a/test/routing/unstated-starts.test.ts
+++ b/test/routing/unstated-starts.test.ts
@@ -34,8 +34,8 @@
   'is no report': (_req, res) => { res.end('busy') }
 }
 
-/** A server whose entry shows the version v1 and the start `LISTED`. */
-async function start (t: ExecutionContext, report: RequestListener) {
+/** A server whose entry shows the version v1 and the start `LISTED`, and an entry `other` of version v2 at its address where `other` is given. */
+async function start (t: ExecutionContext, report: RequestListener, other?: Pick<Instance, 'startedAt'>) {
   const state = { report, runs: 0 }
   const server = createServer((req, res) => {
     if (req.url === serverDialect.report!.path) return state.report(req, res)
@@ -46,7 +46,7 @@
   const clock = new VirtualClock()
   const list = new InstanceList({} as ObjectStore, clock)
   const entry: Instance = { name: 's', pool: 'p', host: '127.0.0.1', port, failureDomain: '', region: '', state: 'live', version: 'v1', startedAt: LISTED }
-  list.replace([entry])
+  list.replace([entry, ...other === undefined ? [] : [{ ...entry, name: 'other', version: 'v2', startedAt: undefined, ...other } as Instance]])
   const processes = new ServerProcesses({ list, clock, log: { write: () => {} } })
   const open = (): Agent => new Agent({ connect: checkProcess(buildConnector({}), { report: serverDialect.report!, processes }), keepAliveTimeout: KEEP_ALIVE, connections: 1 })
   const agents = [open()]
@@ -77,7 +77,7 @@
     await clock.advance(1)
     await send()
     t.is(processes.findVersion('s'), '?s@unstated')
-    t.false(processes.isCurrent({ name: 's', startedAt: LISTED }))
+    t.false(processes.isCurrent({ name: 's', startedAt: LISTED, version: 'v1' }))
     t.true(await send())
   })
 
@@ -148,3 +148,33 @@
   t.false(await send())
   t.is(processes.findVersion('s'), 'v2')
 })
+
+interface SharedRow { readonly other: Pick<Instance, 'startedAt'>, readonly report: RequestListener, readonly runs: boolean, readonly versions: readonly string[], readonly out: readonly string[], readonly later: readonly string[] }
+
+const shared: Readonly<Record<string, SharedRow>> = {
+  'an entry without a start, the listed process': { other: {}, report: stated(LISTED), runs: true, versions: ['v1', `?other@${LISTED}`], out: [], later: ['v1', `?other@${LISTED}`] },
+  'an entry without a start, another process': { other: {}, report: stated(NEXT), runs: false, versions: [`?s@${NEXT}`, `?other@${NEXT}`], out: ['s'], later: [`?s@${NEXT}`, `?other@${NEXT}`] },
+  'an entry without a start, a process that states none': { other: {}, report: answer(503), runs: false, versions: ['v1', 'v2'], out: ['s', 'other'], later: ['?s@unstated', '?other@unstated'] },
+  'an entry with another start, the listed process': { other: { startedAt: NEXT }, report: stated(LISTED), runs: true, versions: ['v1', `?other@${LISTED}`], out: ['other'], later: ['v1', `?other@${LISTED}`] },
+  'an entry with the same start, the listed process': { other: { startedAt: LISTED }, report: stated(LISTED), runs: true, versions: ['v1', 'v2'], out: [], later: ['v1', 'v2'] }
+}
+
+for (const [name, { other, report, runs, versions, out, later }] of Object.entries(shared)) {
+  // Guards against an entry without a start that turns the check off for all entries at its address, and against its own version being believed.
+  test(`at an address with ${name}: no request goes there by an entry that the process doesn't confirm`, async t => {
+    const { state, clock, list, processes, send } = await start(t, report, other)
+    const names = list.all.map(({ name }) => name)
+    const listVersions = (): ReadonlyArray<string | undefined> => names.map(name => processes.findVersion(name))
+    t.is(await send(), runs)
+    t.is(state.runs, runs ? 1 : 0)
+    t.deepEqual(listVersions(), versions)
+    t.deepEqual(list.all.filter(instance => processes.hasExited(instance)).map(({ name }) => name), out)
+    const isStale = processes.findVersion('other') !== 'v2'
+    t.is(processes.isCurrent({ name: 'other', startedAt: undefined, ...other, version: 'v2' }), !isStale)
+    await clock.advance(UNUSED_FOR)
+    t.true(await send({ isNew: true }))
+    t.deepEqual(listVersions(), later)
+    t.is(processes.isCurrent({ name: 'other', startedAt: undefined, ...other, version: 'v2' }), later[1] === 'v2')
+    t.deepEqual(list.all.filter(instance => processes.hasExited(instance)), [])
+  })
+}
