--- a/src/routing/servers/servers.ts
+++ b/src/routing/servers/servers.ts
@@ -198,7 +198,7 @@
   }
 
   /** Whether the server takes new requests, and its process is still the one that requests go to. */
-  isOpen (server: Pick<BackendServer, 'name' | 'startedAt'>): boolean {
+  isOpen (server: Pick<BackendServer, 'name' | 'startedAt' | 'version'>): boolean {
     const instance = this.list.find(server.name)
     return instance !== undefined && !this.isLeaving(instance) && this.processes.isCurrent(server)
   }
--- a/stand-ins/machines/event-engine.ts
+++ b/stand-ins/machines/event-engine.ts
@@ -75,6 +75,8 @@
   closesReports = false
   /** Number of requests for its report. */
   reports = 0
+  /** Status of the answers to requests for its report. */
+  reportStatus = 200
   /** Factor by which the time between two events is longer. */
   slowdown = 1
   /** Returns whether a run with these parts of a prompt crashes the engine as it begins its answer. */
@@ -152,7 +154,7 @@
   private async sendReport (res: ServerResponse): Promise<void> {
     this.reports++
     if (this.reportDelay > 0) await new Promise(resolve => setTimeout(resolve, this.reportDelay))
-    sendJson(res, 200, { num_running: this.running, ...this.reportsStart && { born: this.startedAt } }, this.closesReports ? { connection: 'close' } : {})
+    sendJson(res, this.reportStatus, { num_running: this.running, ...this.reportsStart && { born: this.startedAt } }, this.closesReports ? { connection: 'close' } : {})
   }
 
   private refuseFirst (request: string, res: ServerResponse): void {
