Accepted jobs belong to the route that accepted them

The route of a job was looked for anew by the path of its submission in each configuration. The stored header now names the accepting route and the version of its configuration; tokens count against that route, and a repeated submission is confirmed where its path selects another route by now.

--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -204,7 +204,8 @@
     const call = this.dialect.readJobCall(req)
     if (call !== undefined && this.ending.isTooLate({ deadline: Infinity })) return this.refusals.refuseLate(refused)
     if (call !== undefined) return await this.answerJobCall(call, refused, exchange)
-    const route = findRoute(routes, head.host, head.path)
+    const repeated = req.method === 'POST' ? this.jobs.findRepeatedRoute(head) : undefined
+    const route = repeated ?? findRoute(routes, head.host, head.path)
     if (route === undefined) return this.refusals.refuseUnrouted(refused, { host: head.host, path: head.path, configuration: version })
     const caller = await this.checkKey(req, route)
     if (caller.err) return this.refuseKey(caller.val, refused)
--- a/src/jobs/job-header.ts
+++ b/src/jobs/job-header.ts
@@ -1,8 +1,14 @@
+import type { JobRoute } from './job-route.js'
+
 /** The stored description of a job, without its items and results. */
 export interface JobHeader {
   readonly host: string
-  /** The path that the job was submitted to; selects the route whenever an item is run. */
+  /** The path that the job was submitted to. */
   readonly path: string
+  /** The route that accepted it; absent in jobs of former releases, whose path selects it. */
+  readonly route?: JobRoute
+  /** Version of the configuration that had the route. */
+  readonly configuration?: number
   /** The caller whose key the submission had; undefined where none is needed. */
   readonly caller?: string
   /** Time of acceptance, wall-clock ms. */
--- a/src/jobs/job-owner.ts
+++ b/src/jobs/job-owner.ts
@@ -141,7 +141,7 @@
   }
 
   /** Accepts a job. `Ok` means that it is stored durably, `conflict` that it was accepted before, `no memory` that nothing was tried. */
-  async accept (id: string, job: Pick<JobHeader, 'host' | 'path' | 'caller'>, items: readonly JobItem[]): Promise<Result<void, AcceptError>> {
+  async accept (id: string, job: Pick<JobHeader, 'host' | 'path' | 'route' | 'configuration' | 'caller'>, items: readonly JobItem[]): Promise<Result<void, AcceptError>> {
     if (!this.memory.take(id, items)) return Err({ type: 'no memory' })
     const findReadAt = this.pauses.beginRead()
     const header = { ...job, submittedAt: this.clock.date(), total: items.length, tokens: items.reduce((sum, { tokens }) => sum + tokens, 0), owner: this.settings.instance, run: this.members.run }
@@ -267,8 +267,8 @@
 
   /** Builds the entry that this daemon publishes for a job that it owns. */
   buildKnownJob (job: OwnedJob): KnownJob {
-    const { id, header: { host, path, caller, submittedAt } } = job
-    return { id, host, path, ...caller !== undefined && { caller }, submittedAt, owner: this.settings.instance, run: this.members.run, tokensLeft: job.ended ? 0 : job.tokensLeft, stored: true, closed: job.ended || job.isDone }
+    const { id, header: { host, path, route, caller, submittedAt } } = job
+    return { id, host, path, ...route !== undefined && { route }, ...caller !== undefined && { caller }, submittedAt, owner: this.settings.instance, run: this.members.run, tokensLeft: job.ended ? 0 : job.tokensLeft, stored: true, closed: job.ended || job.isDone }
   }
 
   /** Builds the entry for a job that this daemon no longer owns, for others to adopt. */
--- a/src/jobs/job-request-handler.ts
+++ b/src/jobs/job-request-handler.ts
@@ -18,10 +18,12 @@
 import type { StoreError } from '../store/store-error.js'
 import type { AcceptError } from './accept-error.js'
 import { JobRegistry } from './registry/job-registry.js'
+import { findJobRoute } from './find-job-route.js'
 import { findItemFault } from './find-item-fault.js'
 import { hasMoreValues } from './has-more-values.js'
 import type { JobCall } from './job-call.js'
 import type { JobItem } from './job-item.js'
+import type { JobRoute } from './job-route.js'
 import { JobOwner } from './job-owner.js'
 import { JobReader } from './job-reader.js'
 import { JobRecords } from './job-records.js'
@@ -65,7 +67,7 @@
 @scoped(Lifecycle.ContainerScoped)
 export class JobRequestHandler {
   /** Jobs that are being accepted, and confirmed ones until the registry has them, by id; their tokens count against the limit of the route. */
-  private readonly accepting = new Map<string, Pick<KnownJob, 'host' | 'path' | 'caller'> & { readonly tokens: number }>()
+  private readonly accepting = new Map<string, Pick<KnownJob, 'host' | 'path' | 'route' | 'caller'> & { readonly tokens: number }>()
 
   constructor (
     @inject(tokens.entryDialect) private readonly dialect: EntryDialect,
@@ -98,10 +100,11 @@
       if (stored.err) return this.refuse(id, res, 'not run', stored.val.type)
       if (!stored.val) return this.refuseOverLimit(id, size, res)
     }
-    this.accepting.set(id, { host: route.host, path, caller, tokens: size })
+    const routed = { host: route.host, path, route: this.identify(route) }
+    this.accepting.set(id, { ...routed, caller, tokens: size })
     // From here on, the items count among those of all jobs.
     memory.shrink(ITEMS_SIZE * body.length)
-    const accepted = await this.owner.accept(id, { host: route.host, path, ...caller !== undefined && { caller } }, items)
+    const accepted = await this.owner.accept(id, { ...routed, configuration: this.configuration.value.version, ...caller !== undefined && { caller } }, items)
     if (accepted.ok || accepted.val.type !== 'conflict') this.accepting.delete(id)
     this.metrics.observe('job_accept_ms', this.clock.now() - arrived)
     if (accepted.ok) return this.confirm(id, res, 'accepted', items)
@@ -122,6 +125,12 @@
     }
   }
 
+  /** Returns the route of an accepted job that its caller submits again, at a path that may select another route by now. */
+  findRepeatedRoute ({ id, host, path }: Pick<KnownJob, 'id' | 'host' | 'path'>): Route | undefined {
+    const known = this.registry.get(id)
+    return known?.host === host && known.path === path ? findJobRoute(this.configuration.value.routes ?? {}, known) : undefined
+  }
+
   /** Whether the job is known and was submitted without a key. */
   isPublic (job: string): boolean {
     const known = this.registry.get(job)
@@ -180,11 +189,18 @@
     sendRoutedRefusal(res, { cause: 'platform', ran, retryAfter: this.random.spread(STORE_RETRY, 0.5), detail: 'the store does not answer' })
   }
 
+  private identify (route: Route): JobRoute {
+    const [name] = Object.entries(this.configuration.value.routes ?? {}).find(([, other]) => other === route) ?? []
+    return { pathPrefix: route.pathPrefix, ...name !== undefined && { name } }
+  }
+
   /** Whether the route's limit admits the job besides all others. */
-  private fits ({ id, route: { host, pathPrefix, jobs }, caller, size }: Pick<Submission, 'id' | 'route' | 'caller'> & { readonly size: number }): boolean {
-    const limit = jobs?.maxWaitingTokens ?? 0
+  private fits ({ id, route, caller, size }: Pick<Submission, 'id' | 'route' | 'caller'> & { readonly size: number }): boolean {
+    const limit = route.jobs?.maxWaitingTokens ?? 0
     if (limit === 0) return true
-    const isOn = (job: Pick<KnownJob, 'host' | 'path' | 'caller'>): boolean => job.host === host && job.path.startsWith(pathPrefix) && job.caller === caller
+    const { name = '' } = this.identify(route)
+    const routes = { [name]: route }
+    const isOn = (job: Pick<KnownJob, 'host' | 'path' | 'route' | 'caller'>): boolean => job.caller === caller && findJobRoute(routes, job) === route
     const unpublished = [...this.accepting].filter(([other, job]) => other !== id && this.registry.get(other) === undefined && isOn(job))
     const accepting = unpublished.reduce((sum, [, job]) => sum + job.tokens, 0)
     return this.registry.countWaitingTokens(isOn) + accepting + size <= limit
--- a/src/jobs/registry/known-job.ts
+++ b/src/jobs/registry/known-job.ts
@@ -1,8 +1,12 @@
+import type { JobRoute } from '../job-route.js'
+
 /** The published state of a job: enough to find its owner and to count the waiting tokens of its route. */
 export interface KnownJob {
   readonly id: string
   readonly host: string
   readonly path: string
+  /** The route that accepted it, if known. */
+  readonly route?: JobRoute
   /** The caller that submitted it; undefined where requests need no key. */
   readonly caller?: string
   /** Wall-clock ms. */
--- a/src/jobs/registry/merge-registry-entries.ts
+++ b/src/jobs/registry/merge-registry-entries.ts
@@ -8,8 +8,10 @@
   if (a.submittedAt !== b.submittedAt) return a.submittedAt > b.submittedAt ? a : b
   const newer = isNewer(a, b) ? a : b
   const removedAt = Math.min(a.removedAt ?? Infinity, b.removedAt ?? Infinity)
+  const route = newer.route ?? a.route ?? b.route
   return {
     ...newer,
+    ...route !== undefined && { route },
     stored: a.stored || b.stored,
     closed: a.closed || b.closed,
     removedAt: removedAt === Infinity ? undefined : removedAt
--- a/src/jobs/route-finder.ts
+++ b/src/jobs/route-finder.ts
@@ -1,7 +1,7 @@
 import type { Configuration } from '../config/configuration.js'
-import { findRoute } from '../config/find-route.js'
 import type { Route } from '../config/route.js'
 import type { Clock } from '../kernel/clock.js'
+import { findJobRoute } from './find-job-route.js'
 import type { OwnedJob } from './owned-job.js'
 
 interface RouteFinderOptions {
@@ -9,20 +9,19 @@
   readonly getConfiguration: () => Configuration
 }
 
-/** Finds the routes of jobs in the current configuration and records since when a job has had none. */
+/** Finds the routes that jobs belong to in the current configuration, and records since when a job has had none. */
 export class RouteFinder {
   private readonly missedAt = new WeakMap<OwnedJob, number>()
 
   constructor (private readonly options: RouteFinderOptions) {}
 
-  /** Returns the route of a job; undefined where the configuration has none that takes jobs. */
+  /** Returns the route of a job; undefined where the configuration no longer has it. */
   find (job: OwnedJob): Route | undefined {
     const { clock, getConfiguration } = this.options
     const { version, routes = {} } = getConfiguration()
-    const found = findRoute(routes, job.header.host, job.header.path)
-    const route = found?.jobs === undefined ? undefined : found
-    // Before the first configuration has loaded a missing route means nothing.
-    if (route !== undefined || version === 0) this.missedAt.delete(job)
+    const route = findJobRoute(routes, job.header)
+    // A configuration older than the one that accepted the job may not have the route yet.
+    if (route !== undefined || version < Math.max(1, job.header.configuration ?? 0)) this.missedAt.delete(job)
     else if (!this.missedAt.has(job)) this.missedAt.set(job, clock.now())
     return route
   }
