Lists end where the store says so

A page with fewer objects than were asked for counted as the last one, in nine readers. A page now says after which name the list goes on; a page that isn't the last and leads no further is an error.

--- a/src/admission/account/read-all.ts
+++ b/src/admission/account/read-all.ts
@@ -1,4 +1,5 @@
-import { Err, Ok, type Result } from 'ts-results'
+import { Ok, type Result } from 'ts-results'
+import { listPages } from '../../store/list-pages.js'
 import type { ObjectStore } from '../../store/object-store.js'
 import type { StoreError } from '../../store/store-error.js'
 import type { StoredObject } from '../../store/stored-object.js'
@@ -7,12 +8,11 @@
 const PAGE = 20
 
 /** Reads all objects of a kind whose names begin with `prefix`, page by page. */
-export async function readAll<T> (store: ObjectStore, kind: string, prefix = ''): Promise<Result<readonly StoredObject<T>[], StoreError>> {
-  const all: StoredObject<T>[] = []
-  for (;;) {
-    const page = await store.list<T>(kind, { prefix, after: all.at(-1)?.name ?? '', limit: PAGE })
-    if (page.err) return Err(page.val)
+export async function readAll<T> (store: ObjectStore, kind: string, prefix = ''): Promise<Result<ReadonlyArray<StoredObject<T>>, StoreError>> {
+  const all: Array<StoredObject<T>> = []
+  for await (const page of listPages<T>(store, kind, { prefix, page: PAGE })) {
+    if (page.err) return page
     all.push(...page.val)
-    if (page.val.length < PAGE) return Ok(all)
   }
+  return Ok(all)
 }
--- a/src/batch/caller-index.ts
+++ b/src/batch/caller-index.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { tokens } from '../kernel/tokens.js'
+import { listUpTo } from '../store/list-up-to.js'
 import type { ObjectStore } from '../store/object-store.js'
 import type { StoreError } from '../store/store-error.js'
 import { createObject } from './create-object.js'
@@ -34,7 +35,7 @@
    * more than `limit`.
    */
   async list (type: 'file' | 'job', caller: string, { after, limit }: { readonly after?: Owned, readonly limit: number }): Promise<Result<readonly string[], StoreError>> {
-    const found = await this.store.list<{ id: string }>(`caller-${type}`, { prefix: `${caller}~`, after: after && formatName(after), limit: limit + 1 })
+    const found = await listUpTo<{ id: string }>(this.store, `caller-${type}`, { prefix: `${caller}~`, after: after && formatName(after), limit: limit + 1 })
     return found.map(entries => entries.map(({ value }) => value.id))
   }
 }
--- a/src/batch/cancelled-index.ts
+++ b/src/batch/cancelled-index.ts
@@ -2,6 +2,7 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import type { Clock } from '../kernel/clock.js'
 import { tokens } from '../kernel/tokens.js'
+import { listUpTo } from '../store/list-up-to.js'
 import type { ObjectStore } from '../store/object-store.js'
 import type { StoreError } from '../store/store-error.js'
 import { createObject } from './create-object.js'
@@ -31,12 +32,12 @@
   /** Returns ids of recently cancelled jobs. If the page is `full`, the latest ones may be missing. */
   async list (): Promise<Result<{ readonly jobs: ReadonlySet<string>, readonly full: boolean }, StoreError>> {
     const found = await this.store.list<{ job: string }>('cancelled', { after: formatTime(this.clock.date() - LOOKBACK), limit: PAGE })
-    return found.map(entries => ({ jobs: new Set(entries.map(({ value }) => value.job)), full: entries.length === PAGE }))
+    return found.map(({ objects, next }) => ({ jobs: new Set(objects.map(({ value }) => value.job)), full: next !== undefined }))
   }
 
   /** Removes entries older than `RETENTION`, at most one page at a time. */
   async clean (): Promise<void> {
-    const found = (await this.store.list('cancelled', { limit: PAGE })).unwrapOr([])
+    const found = (await listUpTo(this.store, 'cancelled', { prefix: '', limit: PAGE })).unwrapOr([])
     const end = formatTime(this.clock.date() - RETENTION)
     for (const { name, version } of found) if (name < end) await this.store.delete('cancelled', name, version)
   }
--- a/src/batch/chunks/claim-recovery.ts
+++ b/src/batch/chunks/claim-recovery.ts
@@ -1,14 +1,12 @@
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { tokens } from '../../kernel/tokens.js'
 import { Timeline } from '../../observe/timeline/timeline.js'
+import { listPages } from '../../store/list-pages.js'
 import type { ObjectStore } from '../../store/object-store.js'
 import type { Chunk } from './chunk.js'
 import type { Holding } from './holding.js'
 import { isHolder } from './is-holder.js'
 
-/** Maximum number of holders in a listing; others are listed once these are recovered. */
-const MAX_HOLDERS = 500
-
 /** Frees the chunks of a dead daemon, which its `holding` object lists. */
 @scoped(Lifecycle.ContainerScoped)
 export class ClaimRecovery {
@@ -19,8 +17,9 @@
 
   /** Returns the instances that have a `holding` object, whether they still run or not. */
   async listHolders (): Promise<readonly string[]> {
-    const found = await this.store.list('holding', { limit: MAX_HOLDERS })
-    return found.map(objects => objects.map(({ name }) => name)).unwrapOr([])
+    const holders: string[] = []
+    for await (const page of listPages(this.store, 'holding')) holders.push(...page.unwrapOr([]).map(({ name }) => name))
+    return holders
   }
 
   /**
--- a/src/batch/files/expiry-cleaner.ts
+++ b/src/batch/files/expiry-cleaner.ts
@@ -7,6 +7,8 @@
 import { tokens } from '../../kernel/tokens.js'
 import { Timeline } from '../../observe/timeline/timeline.js'
 import { Members } from '../../peers/members.js'
+import { listPages } from '../../store/list-pages.js'
+import { listUpTo } from '../../store/list-up-to.js'
 import type { ObjectStore } from '../../store/object-store.js'
 import { CallerIndex } from '../caller-index.js'
 import { CancelledIndex } from '../cancelled-index.js'
@@ -96,7 +98,7 @@
 
   /** Removes a file that no job refers to any more. Until then results take the ids of their items from it. */
   private async checkFile (id: string): Promise<'removed' | 'kept' | 'failed'> {
-    const users = await this.store.list('file-job', { prefix: `${id}~`, limit: 1 })
+    const users = await listUpTo(this.store, 'file-job', { prefix: `${id}~`, limit: 1 })
     if (users.err) return 'failed'
     if (users.val.length > 0) return 'kept'
     const file = await this.files.read(id)
@@ -114,13 +116,14 @@
   }
 
   private async removeAll (kind: string, prefix: string): Promise<boolean> {
-    const found = await this.store.list(kind, { prefix, limit: PAGE })
-    if (found.err) return false
-    for (const { name, version } of found.val) {
-      const deleted = await this.store.delete(kind, name, version)
-      if (deleted.err && deleted.val.type !== 'missing' && deleted.val.type !== 'conflict') return false
+    for await (const found of listPages(this.store, kind, { prefix, page: PAGE })) {
+      if (found.err) return false
+      for (const { name, version } of found.val) {
+        const deleted = await this.store.delete(kind, name, version)
+        if (deleted.err && deleted.val.type !== 'missing' && deleted.val.type !== 'conflict') return false
+      }
     }
-    return found.val.length < PAGE || await this.removeAll(kind, prefix)
+    return true
   }
 
   private async remove (kind: string, name: string): Promise<boolean> {
--- a/src/batch/files/expiry-index.ts
+++ b/src/batch/files/expiry-index.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { tokens } from '../../kernel/tokens.js'
+import { listUpTo } from '../../store/list-up-to.js'
 import type { ObjectStore } from '../../store/object-store.js'
 import type { StoreError } from '../../store/store-error.js'
 import { createObject } from '../create-object.js'
@@ -25,7 +26,7 @@
 
   /** Returns a page of the checks that are due by the day of `date`. */
   async list (date: number): Promise<Result<ReadonlyArray<Expiry & { readonly name: string }>, StoreError>> {
-    const found = await this.store.list<Expiry>('expiry', { limit: PAGE })
+    const found = await listUpTo<Expiry>(this.store, 'expiry', { prefix: '', limit: PAGE })
     return found.map(entries => entries.filter(({ name }) => name.slice(0, DAY_LENGTH) <= formatDay(date)).map(({ name, value }) => ({ name, ...value })))
   }
 
--- a/src/batch/work-index.ts
+++ b/src/batch/work-index.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results'
 import { inject, Lifecycle, scoped } from 'tsyringe'
 import { tokens } from '../kernel/tokens.js'
+import { listUpTo } from '../store/list-up-to.js'
 import type { ObjectStore } from '../store/object-store.js'
 import type { StoreError } from '../store/store-error.js'
 import { createObject } from './create-object.js'
@@ -29,7 +30,7 @@
   }
 
   async list (service: string): Promise<Result<readonly WorkEntry[], StoreError>> {
-    const found = await this.store.list<WorkEntry>('work', { prefix: `${service}~`, limit: PAGE })
+    const found = await listUpTo<WorkEntry>(this.store, 'work', { prefix: `${service}~`, limit: PAGE })
     return found.map(entries => entries.map(({ value }) => value))
   }
 
--- a/src/entry/keyed-index.ts
+++ b/src/entry/keyed-index.ts
@@ -7,6 +7,7 @@
 import type { Settings } from '../kernel/settings.js'
 import { tokens } from '../kernel/tokens.js'
 import { Members } from '../peers/members.js'
+import { listUpTo } from '../store/list-up-to.js'
 import type { ObjectStore } from '../store/object-store.js'
 import type { KeyedClaim } from './keyed-claim.js'
 
@@ -71,7 +72,7 @@
   async removeOld (): Promise<void> {
     if (this.removing || rankOwners(KIND, this.members.owners())[0] !== this.settings.instance) return
     this.removing = true
-    const listed = await this.store.list<DayNames>(KIND, { limit: LIST_LIMIT })
+    const listed = await listUpTo<DayNames>(this.store, KIND, { prefix: '', limit: LIST_LIMIT })
     const oldestKept = this.formatDay(1)
     for (const { name, version, value } of listed.unwrapOr([])) {
       if (name >= oldestKept) break
--- a/src/ownership/load/load-slots.ts
+++ b/src/ownership/load/load-slots.ts
@@ -1,3 +1,4 @@
+import { listPages } from '../../store/list-pages.js'
 import type { ObjectStore } from '../../store/object-store.js'
 import type { StoreError } from '../../store/store-error.js'
 import type { StoredObject } from '../../store/stored-object.js'
@@ -113,9 +114,11 @@
   }
 
   private async list (): Promise<readonly SlotObject[] | undefined> {
-    const found = await this.options.store.list<Slot>(KIND)
-    if (found.err) return undefined
-    const known = new Map(found.val.map(slot => [slot.name, slot]))
+    const known = new Map<string, SlotObject>()
+    for await (const page of listPages<Slot>(this.options.store, KIND)) {
+      if (page.err) return undefined
+      for (const slot of page.val) known.set(slot.name, slot)
+    }
     return Array.from({ length: this.options.count }, (_, i) => known.get(String(i)) ?? { name: String(i), version: 0, value: FREE })
   }
 }
--- a/src/store/list-pages.ts
+++ b/src/store/list-pages.ts
@@ -1,4 +1,4 @@
-import type { Result } from 'ts-results'
+import { Err, type Result } from 'ts-results'
 import type { CallPriority } from './call-priority.js'
 import type { ObjectStore } from './object-store.js'
 import type { StoreError } from './store-error.js'
@@ -6,12 +6,26 @@
 
 const PAGE_SIZE = 100 // objects
 
-/** Yields all objects of a kind in pages, and ends after an error. Objects written meanwhile may be missed. */
-export async function * listPages<T> (store: ObjectStore, kind: string, { prefix = '', page = PAGE_SIZE, priority = 'background' }: { readonly prefix?: string, readonly page?: number, readonly priority?: CallPriority } = {}): AsyncGenerator<Result<ReadonlyArray<StoredObject<T>>, StoreError>> {
-  for (let after = ''; ;) {
-    const objects = await store.list<T>(kind, { prefix, after, limit: page, priority })
-    yield objects
-    if (objects.err || objects.val.length < page) return
-    after = objects.val.at(-1)!.name
+interface ListOptions {
+  readonly prefix?: string
+  readonly after?: string
+  readonly page?: number
+  readonly priority?: CallPriority
+}
+
+/**
+ * Yields all objects of a kind in pages until the store says that no more follow, and ends after an error. Objects written meanwhile may be
+ * missed.
+ *
+ * @example
+ * for await (const page of listPages<Instance>(store, 'daemons')) if (page.ok) add(page.val)
+ */
+export async function * listPages<T> (store: ObjectStore, kind: string, { prefix = '', after = '', page: limit = PAGE_SIZE, priority = 'background' }: ListOptions = {}): AsyncGenerator<Result<ReadonlyArray<StoredObject<T>>, StoreError>> {
+  for (let from = after; ;) {
+    const page = await store.list<T>(kind, { prefix, after: from, limit, priority })
+    yield page.map(({ objects }) => objects)
+    if (page.err || page.val.next === undefined) return
+    if (page.val.next === from) return yield Err({ type: 'unavailable', reason: 'the store repeats a page of a list' })
+    from = page.val.next
   }
 }
--- a/src/store/plain-dialect.ts
+++ b/src/store/plain-dialect.ts
@@ -5,7 +5,11 @@
 
 /** The default format of the object API: one HTTP exchange per call. */
 export const plainDialect: StoreDialect = {
-  send: async (call, exchange) => await exchange(buildHttpCall(call))
+  async send (call, exchange) {
+    const answer = await exchange(buildHttpCall(call))
+    if (call.type !== 'list' || answer.type !== 'answered' || !Array.isArray(answer.body?.objects)) return answer
+    return { ...answer, body: { objects: answer.body.objects, ...typeof answer.body.more === 'boolean' && { isLast: !answer.body.more } } }
+  }
 }
 
 function buildHttpCall (call: ApiCall): HttpCall {
--- a/src/store/platform-client.ts
+++ b/src/store/platform-client.ts
@@ -11,7 +11,9 @@
 import type { CallPriority } from './call-priority.js'
 import { CallGate } from './call-gate.js'
 import type { Instance } from './instance.js'
+import type { ObjectPage } from './object-page.js'
 import type { ObjectStore } from './object-store.js'
+import { readObjectPage } from './read-object-page.js'
 import { readStoreError } from './read-store-error.js'
 import type { StoreError } from './store-error.js'
 import type { StoredObject } from './stored-object.js'
@@ -116,8 +118,8 @@
     return Err({ type: 'unknown', reason: 'no reply came, or the object has been written since' })
   }
 
-  async list<T> (kind: string, { prefix = '', after = '', limit = 500, priority = 'background' }: Parameters<ObjectStore['list']>[1] = {}): Promise<Result<readonly StoredObject<T>[], StoreError>> {
-    return (await this.read<{ objects: StoredObject<T>[] }>({ type: 'list', kind, prefix, after, limit }, priority)).map(({ objects }) => objects)
+  async list<T> (kind: string, { prefix = '', after = '', limit = 500, priority = 'background' }: Parameters<ObjectStore['list']>[1] = {}): Promise<Result<ObjectPage<T>, StoreError>> {
+    return (await this.read<Parameters<typeof readObjectPage<T>>[0]>({ type: 'list', kind, prefix, after, limit }, priority)).andThen(readObjectPage)
   }
 
   /** Waits for changes; to resume after a failure, call it again with the last revision. */
--- a/stand-ins/machines/object-api.ts
+++ b/stand-ins/machines/object-api.ts
@@ -7,6 +7,7 @@
 
 const MAX_BODY = 2_000_000 // bytes
 const PAGE = 500 // objects
+const PAGE_BYTES = 1_048_576
 const PATH = /^\/api\/objects\/([^/]+)(?:\/([^/]+))?(\/status)?$/
 
 /** Faults of the store; an absent field is no fault. */
@@ -21,6 +22,9 @@
   lateWrites?: () => number | undefined
   /** Whether watches are never answered, those that are pending when it begins included; other calls are. */
   mutesWatches?: boolean
+  /** Most objects of a page of a list, and whether one page more, without objects, follows the first. */
+  pageLength?: number
+  hasEmptyPage?: boolean
   /** Delay of each answer, ms. */
   delay?: number
   /** Watches from an earlier revision are answered 410, as their history is gone. */
@@ -105,8 +109,10 @@
       return sendJson(res, object === undefined ? 404 : 200, object === undefined ? {} : showObject(object))
     }
     if (query.has('watch')) return await this.watch(kind, Number(query.get('watch')), Number(query.get('wait_ms')), res, findDown)
-    const items = this.objects.list(kind, '', query.get('after') ?? '', PAGE + 1)
-    sendJson(res, 200, { items: items.slice(0, PAGE).map(showObject), more_pages: items.length > PAGE, current_rev: this.objects.revision })
+    const { pageLength = PAGE, hasEmptyPage = false } = this.faults
+    const items = this.objects.list(kind, '', query.get('after') ?? '', pageLength + 1)
+    const page = hasEmptyPage && query.has('after') ? [] : cutPage(items.slice(0, pageLength))
+    sendJson(res, 200, { items: page.map(showObject), more_pages: items.length > page.length, current_rev: this.objects.revision })
   }
 
   private async watch (kind: string, revision: number, wait: number, res: ServerResponse, findDown: () => ObjectApiFaults['down']): Promise<void> {
@@ -152,3 +158,13 @@
 function showObject ({ name, version, value }: StoredObject): unknown {
   return { metadata: { name, revision: version, created: 1, finalizers: [], deleting: false }, spec: value, status: null }
 }
+
+/** Cuts a page at its longest size; it has at least one object. */
+function cutPage (objects: readonly StoredObject[]): readonly StoredObject[] {
+  let bytes = 0
+  const end = objects.findIndex((object, i) => {
+    bytes += Buffer.byteLength(JSON.stringify(showObject(object))) + 1
+    return i > 0 && bytes > PAGE_BYTES
+  })
+  return end < 0 ? objects : objects.slice(0, end)
+}
--- a/stand-ins/platform/memory-store.ts
+++ b/stand-ins/platform/memory-store.ts
@@ -2,6 +2,8 @@
 import type { Instance } from '../../src/store/instance.js'
 import type { ObjectStore } from '../../src/store/object-store.js'
 import type { StoreError } from '../../src/store/store-error.js'
+import type { ObjectPage } from '../../src/store/object-page.js'
+import { readObjectPage } from '../../src/store/read-object-page.js'
 import type { StoredObject } from '../../src/store/stored-object.js'
 import type { WatchBatch } from '../../src/store/watch-batch.js'
 import { ObjectTable } from './object-table.js'
@@ -68,10 +70,10 @@
     })
   }
 
-  async list<T> (kind: string, { prefix = '', after = '', limit = 500 } = {}): Promise<Result<readonly StoredObject<T>[], StoreError>> {
+  async list<T> (kind: string, { prefix = '', after = '', limit = 500 } = {}): Promise<Result<ObjectPage<T>, StoreError>> {
     return await this.call({ call: 'list', kind, name: prefix }, old => {
-      const objects = old ? this.objects.listAt(kind, prefix, after, limit, this.generation - 1) : this.objects.list(kind, prefix, after, limit)
-      return Ok(copy(objects) as StoredObject<T>[])
+      const objects = old ? this.objects.listAt(kind, prefix, after, limit + 1, this.generation - 1) : this.objects.list(kind, prefix, after, limit + 1)
+      return readObjectPage({ objects: copy(objects.slice(0, limit)) as StoredObject<T>[], isLast: objects.length <= limit })
     })
   }
 
--- a/stand-ins/platform/platform.ts
+++ b/stand-ins/platform/platform.ts
@@ -140,9 +140,9 @@
     const age = this.plan.chooseReadAge()
     const { kind = '' } = req.params
     const objects = age === 0
-      ? this.objects.list(kind, prefix, after, Number(limit))
-      : this.objects.listAt(kind, prefix, after, Number(limit), Date.now() - age)
-    sendJson(res, 200, { objects })
+      ? this.objects.list(kind, prefix, after, Number(limit) + 1)
+      : this.objects.listAt(kind, prefix, after, Number(limit) + 1, Date.now() - age)
+    sendJson(res, 200, { objects: objects.slice(0, Number(limit)), more: objects.length > Number(limit) })
   }
 
   private watchObjects (req: Request, res: Response): void {
--- a/test/batch/helpers/faulty-store.ts
+++ b/test/batch/helpers/faulty-store.ts
@@ -1,5 +1,6 @@
 import { Err, type Result } from 'ts-results'
 import { MemoryStore } from '../../../stand-ins/platform/memory-store.js'
+import type { ObjectPage } from '../../../src/store/object-page.js'
 import type { ObjectStore } from '../../../src/store/object-store.js'
 import type { StoreError } from '../../../src/store/store-error.js'
 import type { StoredObject } from '../../../src/store/stored-object.js'
@@ -43,7 +44,7 @@
     return await this.pass(async () => await this.shared.delete(kind, name, version))
   }
 
-  async list<T> (kind: string, options = {}): Promise<Result<readonly StoredObject<T>[], StoreError>> {
+  async list<T> (kind: string, options = {}): Promise<Result<ObjectPage<T>, StoreError>> {
     return await this.pass(async () => await this.shared.list<T>(kind, options))
   }
 
--- a/test/helpers/troubled-store.ts
+++ b/test/helpers/troubled-store.ts
@@ -1,3 +1,4 @@
+import type { StoredObject } from '../../src/store/stored-object.js'
 import type { Clock } from '../../src/kernel/clock.js'
 import type { ApiAnswer } from '../../src/store/api-answer.js'
 import type { ApiCall } from '../../src/store/api-call.js'
@@ -121,7 +122,7 @@
         return typeof written === 'number' ? { type: 'answered', status: 409, body: { version: written } } : { type: 'answered', status: 200, body: written }
       }
       case 'delete': return { type: 'answered', status: objects.remove(call.kind, call.name, call.version) ? 200 : 409, body: { version: 0 } }
-      case 'list': return { type: 'answered', status: 200, body: { objects: objects.list(call.kind, call.prefix, call.after, Math.min(call.limit, PAGE)) } }
+      case 'list': return { type: 'answered', status: 200, body: showPage(objects.list(call.kind, call.prefix, call.after, Math.min(call.limit, PAGE) + 1), Math.min(call.limit, PAGE)) }
       case 'watch': return { type: 'answered', status: 200, body: { revision: objects.revision, changed: objects.list(call.kind, '', '', Infinity), deleted: [], whole: true } }
       case 'put status': case 'instances': return { type: 'answered', status: 200, body: { instances: [...this.instances] } }
     }
@@ -151,3 +152,7 @@
 async function never (): Promise<never> {
   return await new Promise<never>(() => {})
 }
+
+function showPage (objects: readonly StoredObject[], limit: number): unknown {
+  return { objects: objects.slice(0, limit), isLast: objects.length <= limit }
+}
--- a/test/routing/durable-origins.test.ts
+++ b/test/routing/durable-origins.test.ts
@@ -35,7 +35,7 @@
         const written = this.objects.write(kind, name, value, version)
         return typeof written === 'number' ? Err({ type: 'conflict', version: written }) : Ok(written)
       }),
-      list: async (kind: string) => await call(() => Ok(this.objects.list(kind, '', '', 100)))
+      list: async (kind: string) => await call(() => Ok({ objects: this.objects.list(kind, '', '', 100) }))
     }
     return store as unknown as ObjectStore
   }
--- a/test/routing/expected-origins.test.ts
+++ b/test/routing/expected-origins.test.ts
@@ -57,7 +57,7 @@
         const written = this.losesWrites ? undefined : this.objects.write(kind, object, value, version)
         return written === undefined ? Err({ type: 'unavailable', reason: 'away' }) : typeof written === 'number' ? Err({ type: 'conflict', version: written }) : Ok(written)
       },
-      list: async (kind: string) => Ok(this.objects.list(kind, '', '', 100))
+      list: async (kind: string) => Ok({ objects: this.objects.list(kind, '', '', 100) })
     }
     const parts = [
       { all: servers, subscribe: () => () => {}, findVersion: (server: string) => server },
--- a/test/routing/stream-origins.test.ts
+++ b/test/routing/stream-origins.test.ts
@@ -13,7 +13,7 @@
 function open (objects: ObjectTable): StreamOrigins {
   const parts = [
     { all: [], subscribe: () => () => {} }, { readServersAge: () => 0 }, { value: {} }, { all: () => [] }, { send: () => {} }, new Metrics(),
-    { list: async (kind: string) => Ok(objects.list(kind, '', '', 100)) }, { write: () => {} }, { instance: 'a' }, new VirtualClock()
+    { list: async (kind: string) => Ok({ objects: objects.list(kind, '', '', 100) }) }, { write: () => {} }, { instance: 'a' }, new VirtualClock()
   ]
   return new StreamOrigins(...parts as unknown as Parameters)
 }
