Streams that the store can't record begin at the default version

A stream without a record counted as one of the default version though its record was missing. New streams now begin at the default while the store can't be written, and the first event of others waits for its record; a default without servers is withdrawn; dropped records, long ids and records of where a stream was only expected to begin no longer decide.

--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -214,15 +214,21 @@
       const freshCount = events.val.filter(isProgress).length
       if (freshCount > 0) {
         pace.record(freshCount)
+        if (!await this.origin.record(this.service, open.server.version, this.request.deadline)) return this.leaveUnrecorded(open)
         this.lastEventId = run.last
         this.progressAt = this.tools.clock.now()
-        await this.origin.record(this.service, open.server.version)
       }
       if (!this.begun) this.begin(open)
       await this.sink.write(Buffer.concat(events.val.map(event => event.bytes)), this.abort.signal)
     }
   }
 
+  /** Gives up a stream of which nothing was relayed: its caller couldn't resume it there after the end of all daemons. */
+  private leaveUnrecorded (open: OpenExchange): SendFailure {
+    open.end('abandoned')
+    return { why: 'cut', sent: true, detail: 'the store can\'t record where the stream begins' }
+  }
+
   private begin ({ exchange: { status, headers } }: OpenExchange): void {
     this.begun = true
     this.tools.metrics.observe('first_event_ms', this.tools.clock.now() - this.request.arrived)
--- a/src/routing/origins/plan-default-version.ts
+++ b/src/routing/origins/plan-default-version.ts
@@ -2,6 +2,8 @@
 interface PoolView {
   /** The version of streams without a record; undefined if none is set. */
   readonly current: string | undefined
+  /** Whether streams of the pool may have no record and have begun at any version. */
+  readonly isWithdrawn?: boolean
   /** Versions of servers whose streams may still be resumed. */
   readonly recent: readonly string[]
   /** Whether `recent` covers all of the time for which a stream may be resumed. */
@@ -15,7 +17,7 @@
  * @example
  * planDefaultVersion({ current: 'v1', recent: ['v2'], isWholeTimeKnown: true }) // 'v2'
  */
-export function planDefaultVersion ({ current, recent, isWholeTimeKnown }: PoolView): string | undefined {
+export function planDefaultVersion ({ current, isWithdrawn = false, recent, isWholeTimeKnown }: PoolView): string | undefined {
   const [only] = recent
-  return recent.length === 1 && only !== current && (current === undefined || isWholeTimeKnown) ? only : undefined
+  return recent.length === 1 && only !== current && ((current === undefined && !isWithdrawn) || isWholeTimeKnown) ? only : undefined
 }
--- a/src/routing/origins/request-origin.ts
+++ b/src/routing/origins/request-origin.ts
@@ -1,7 +1,9 @@
+import type { Clock } from '../../kernel/clock.js'
 import type { LogSink } from '../../observe/log-sink.js'
 import type { ServerLoads } from '../../placement/server-loads.js'
 import type { RoutedRequest } from '../routed-request.js'
 import type { Servers } from '../servers/servers.js'
+import type { Beginning } from './beginning.js'
 import type { StreamOrigin } from './stream-origin.js'
 import type { StreamOrigins } from './stream-origins.js'
 
@@ -10,6 +12,7 @@
 
 interface RequestOriginTools {
   readonly log: LogSink
+  readonly clock: Pick<Clock, 'now'>
   readonly loads: ServerLoads
   readonly servers: Servers
   readonly origins: StreamOrigins
@@ -22,9 +25,10 @@
 
   constructor (private readonly request: RoutedRequest, private readonly tools: RequestOriginTools) {}
 
-  /** The only version that may run the request; undefined for any. */
-  get version (): string | undefined {
-    return this.origin?.version
+  /** Returns the only version that may run the request; undefined for any. */
+  findVersion (pool: string): string | undefined {
+    const beginning = this.findBeginning(pool)
+    return this.origin?.version ?? (beginning.type === 'default' ? beginning.version : undefined)
   }
 
   /** Finds where a stream began that the caller resumes. Returns the service to send it to, or why it can't go on. */
@@ -41,22 +45,37 @@
   /** Begins to record where the stream begins if the server that gets it answers. */
   beginRecord (pool: string, version: string): void {
     const { request: { id, route }, tools: { origins } } = this
-    if (route.resumable && this.origin === undefined) origins.beginRecord(id, { pool, version })
+    if (route.resumable && this.origin === undefined) origins.beginRecord(id, { pool, version }, this.span)
   }
 
-  /** Records where the stream began; its first event must not be relayed before this resolves. */
-  async record (pool: string, version: string): Promise<void> {
-    const { request: { id, route, resumes }, tools: { origins } } = this
-    if (this.isRecorded || !route.resumable) return
+  /**
+   * Records where the stream began; its first event must not be relayed before this resolves. Returns false if it must not be relayed at all:
+   * the store couldn't show it until `deadline`, monotonic ms.
+   */
+  async record (pool: string, version: string, deadline: number): Promise<boolean> {
+    const { request: { id, route, resumes }, tools: { origins, loads, clock } } = this
+    if (this.isRecorded || !route.resumable) return true
+    const isNew = this.origin === undefined
+    const origin = this.origin ?? { pool, version }
+    const begins = { left: Math.max(0, deadline - clock.now()), mayBeginAt: (other: string) => loads.listOfVersion(pool, other).length > 0 }
+    const recorded = await origins.record({ id: resumes ?? id, origin, span: this.span, ...isNew && { begins } })
+    if (recorded === 'unrecorded') return false
     this.isRecorded = true
-    this.origin ??= { pool, version }
-    await origins.record({ id: resumes ?? id, origin: this.origin, span: this.span })
+    this.origin = origin
+    return true
   }
 
-  /** Returns why no server can run the request, if so: none has its version. */
-  findLack (): string | undefined {
+  /** Returns why no server can run the request, if so: none has its version, or none is known to need no record. */
+  findLack (pool: string): string | undefined {
     const { origin, tools: { loads } } = this
-    return origin === undefined || loads.listOfVersion(origin.pool, origin.version).length > 0 ? undefined : `no server has version ${origin.version}`
+    if (origin === undefined) return this.findBeginning(pool).type === 'unknown' ? 'the store has not been read, and can\'t record where the stream begins' : undefined
+    return loads.listOfVersion(origin.pool, origin.version).length > 0 ? undefined : `no server has version ${origin.version}`
+  }
+
+  /** Whether a new stream may begin at the server, though the store fails. */
+  mayBeginAt (pool: string, server: string): boolean {
+    const beginning = this.findBeginning(pool)
+    return beginning.type !== 'default' || this.tools.servers.find(server)?.version === beginning.version
   }
 
   /** Returns why the server may not run the request, if so: its version is another one, though it was granted. */
@@ -65,6 +84,13 @@
     return origin === undefined || servers.find(server)?.version === origin.version ? undefined : `${server} hasn't version ${origin.version}`
   }
 
+  private findBeginning (pool: string): Beginning {
+    const { request: { route }, tools: { origins, loads } } = this
+    if (!route.resumable || this.origin !== undefined) return { type: 'any' }
+    const beginning = origins.findBeginning(pool, this.span)
+    return beginning.type === 'default' && loads.listOfVersion(pool, beginning.version).length === 0 ? { type: 'any' } : beginning
+  }
+
   private get span (): number {
     return this.request.route.timeout || DEFAULT_SPAN
   }
--- /dev/null
+++ b/src/routing/origins/shorten-id.ts
@@ -0,0 +1,9 @@
+import { createHash } from 'node:crypto'
+
+/** Longest id of a stream under which its origin is kept, characters. */
+const MAX_ID = 256
+
+/** Returns the id under which the origin of a stream is kept: callers choose ids of any length, and thousands are kept. */
+export function shortenId (id: string): string {
+  return id.length <= MAX_ID ? id : createHash('sha256').update(id).digest('hex')
+}
--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -17,12 +17,15 @@
 import type { PeerMessage } from '../../peers/peer-message.js'
 import { InstanceList } from '../../store/instance-list.js'
 import type { ObjectStore } from '../../store/object-store.js'
+import type { Beginning } from './beginning.js'
 import { DurableOrigins } from './durable-origins.js'
 import { findStoredOrigin } from './find-stored-origin.js'
 import type { FoundOrigin } from './found-origin.js'
 import { listResumablePools } from './list-resumable-pools.js'
 import { OriginRecords } from './origin-records.js'
+import { mustWithdrawDefault } from './must-withdraw-default.js'
 import { planDefaultVersion } from './plan-default-version.js'
+import { shortenId } from './shorten-id.js'
 import type { StreamOrigin } from './stream-origin.js'
 import { VersionHistory } from './version-history.js'
 
@@ -43,6 +46,8 @@
 const CHECK_PERIOD = 1_000
 /** Period of reads while a pool's default is missing or none of its servers' versions, ms: the message that it has changed may be lost. */
 const READ_PERIOD = 10_000
+/** How long a pool must have had no server of its default version before that is withdrawn, ms: a list may lack servers for a while after an outage. */
+const WITHDRAW_AFTER = 3_000
 
 interface Question { readonly id: string, readonly pool: string }
 /** Only a record of the stream counts: what another daemon sees of the servers may be as old as this one's view. */
@@ -56,6 +61,8 @@
   readonly origin: StreamOrigin
   /** Longest time of one attempt, ms. */
   readonly span: number
+  /** Of a stream that begins: how long its first event may wait, ms, and whether it could have begun at a server of a version. Absent for one that goes on. */
+  readonly begins?: { readonly left: number, readonly mayBeginAt: (version: string) => boolean }
 }
 
 /**
@@ -112,20 +119,45 @@
     this.cancel()
   }
 
+  /** Finds where a new stream of a pool may begin so that it can be resumed after the end of all daemons. */
+  findBeginning (pool: string, span: number): Beginning {
+    if (!this.durable.isInDoubt) return { type: 'any' }
+    const { defaults } = this.durable
+    if (defaults === undefined) return this.listRecent(pool, span).length > 1 ? { type: 'unknown' } : { type: 'any' }
+    const version = defaults.defaults.get(pool)
+    return version === undefined ? { type: 'any' } : { type: 'default', version }
+  }
+
+  /** Whether the store would show another version without a record: the default, while it has servers, or one that isn't known here. */
+  private hasOther ({ pool, version }: StreamOrigin, span: number, mayBeginAt: (version: string) => boolean): boolean {
+    const { defaults } = this.durable
+    if (defaults === undefined) return this.listRecent(pool, span).length > 1 && mayBeginAt(version)
+    const other = defaults.defaults.get(pool)
+    return other !== undefined && mayBeginAt(other)
+  }
+
   /** Begins to record where a stream is expected to begin. */
-  beginRecord (id: string, origin: StreamOrigin): void {
-    this.durable.beginRecord(id, origin)
+  beginRecord (id: string, origin: StreamOrigin, span: number): void {
+    this.durable.beginRecord(shortenId(id), origin, span)
   }
 
-  /** Records the origin of a stream; its first event must not be relayed before this resolves. Tells other daemons unless its version seems to be the only one. */
-  async record ({ id, origin, span }: StreamStart): Promise<void> {
+  /**
+   * Records the origin of a stream; its first event must not be relayed before this resolves, and not at all if the outcome is `unrecorded`: after
+   * the end of all daemons it could go on at another version. Tells other daemons unless its version seems to be the only one.
+   */
+  async record ({ id: stream, origin, span, begins }: StreamStart): Promise<'recorded' | 'unrecorded'> {
+    const id = shortenId(stream)
     this.records.put(id, origin, this.now + span + RESUMPTION_TIME)
     if (!this.isOnlyVersion(origin, span)) this.tell(id, origin, span + RESUMPTION_TIME)
-    await this.durable.record(id, origin)
+    this.durable.beginRecord(id, origin, span)
+    const mustBeShown = begins !== undefined && (this.durable.isOverride(id) || this.hasOther(origin, span, begins.mayBeginAt))
+    const isShown = await this.durable.record(id, origin, { span, ...mustBeShown && { wait: begins.left } })
+    return isShown || !mustBeShown ? 'recorded' : 'unrecorded'
   }
 
   /** Finds the origin of a stream that a caller resumes. */
-  async find ({ id, pool }: ResumedStream): Promise<FoundOrigin> {
+  async find ({ id: stream, pool }: ResumedStream): Promise<FoundOrigin> {
+    const id = stream === undefined ? undefined : shortenId(stream)
     const own = id === undefined ? undefined : this.records.find(id)
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
     const reading = this.durable.read()
@@ -141,7 +173,7 @@
 
   /** Whether all that this daemon has seen of the pool's servers, for one attempt's time at least, is of this version, the pool's default. */
   private isOnlyVersion ({ pool, version }: StreamOrigin, span: number): boolean {
-    return this.durable.defaults?.get(pool) === version && this.age >= span && !this.isListOld && this.listRecent(pool, span).every(other => other === version)
+    return this.durable.defaults?.defaults.get(pool) === version && this.age >= span && !this.isListOld && this.listRecent(pool, span).every(other => other === version)
   }
 
   /** Lists the versions that the pool's servers have or had while a stream of theirs may still be resumed. */
@@ -158,30 +190,35 @@
     return this.fleet.readServersAge() > MAX_LIST_AGE
   }
 
-  /** Sets or changes the defaults of pools with one version; the daemon that ranks first for a pool does so. */
+  /** Sets or changes the defaults of pools with one version, and withdraws those without servers; the daemon that ranks first for a pool does so. */
   private async checkDefaults (): Promise<void> {
     for (const [pool, span] of listResumablePools(this.configuration.value)) {
-      const current = this.durable.defaults?.get(pool)
-      const recent = this.listRecent(pool, span)
-      if (this.isListOld || (current !== undefined && recent.includes(current))) continue
-      if (this.now >= this.readAt + READ_PERIOD) {
+      const listed = this.history.list(pool, this.now, WITHDRAW_AFTER)
+      const current = this.durable.defaults?.defaults.get(pool)
+      if (this.isListOld || (current !== undefined && listed.includes(current))) continue
+      if (this.durable.defaults === undefined || this.now >= this.readAt + READ_PERIOD) {
         this.readAt = this.now
         await this.durable.read()
       }
-      const planned = planDefaultVersion({ current: this.durable.defaults?.get(pool), recent, isWholeTimeKnown: this.age >= span + RESUMPTION_TIME })
-      if (planned !== undefined && this.durable.defaults !== undefined && this.isFirst(pool)) await this.setDefault(pool, planned)
+      if (this.durable.defaults !== undefined && this.isFirst(pool)) await this.stepDefault(pool, { listed, recent: this.listRecent(pool, span), isWholeTimeKnown: this.age >= span + RESUMPTION_TIME })
     }
   }
 
+  private async stepDefault (pool: string, { listed, recent, isWholeTimeKnown }: { readonly listed: readonly string[], readonly recent: readonly string[], readonly isWholeTimeKnown: boolean }): Promise<void> {
+    const view = { current: this.durable.defaults?.defaults.get(pool), isWithdrawn: this.durable.defaults?.withdrawn.has(pool) === true }
+    const planned = planDefaultVersion({ ...view, recent, isWholeTimeKnown })
+    if (planned !== undefined || mustWithdrawDefault({ ...view, listed })) await this.changeDefault(pool, planned)
+  }
+
   private isFirst (pool: string): boolean {
     const { instance } = this.settings
     return rankOwners(pool, [instance, ...listOthers(this.members.all(), instance)])[0] === instance
   }
 
-  private async setDefault (pool: string, version: string): Promise<void> {
+  private async changeDefault (pool: string, version: string | undefined): Promise<void> {
     const { log, members, settings, links } = this
     await this.durable.putDefault(pool, version)
-    log.write('info', 'routing', 'changed the default version of streams', { pool, planned: version, stored: this.durable.defaults?.get(pool) })
+    log.write('info', 'routing', 'changed the default version of streams', { pool, planned: version, stored: this.durable.defaults?.defaults.get(pool) })
     for (const name of listOthers(members.all(), settings.instance)) links.send(name, { type: DEFAULT_CHANGED })
   }
 
--- a/src/routing/slot-search.ts
+++ b/src/routing/slot-search.ts
@@ -60,8 +60,8 @@
     const { gate, origin, signal } = this.options
     const blamed = await gate.wait()
     if (blamed !== undefined) return blamed
-    const slot = await (state.progressAt === undefined ? this.ask(state, signal, server => this.startAt(server)) : this.askForTurn(state, signal, server => this.startAt(server)))
-    const isFinal = slot === undefined || 'server' in slot || state.progressAt === undefined || slot.cause === 'quarantined' || signal.aborted || origin.findLack() !== undefined
+    const slot = await (state.progressAt === undefined ? this.ask(state, signal, server => this.startAt(state.service, server)) : this.askForTurn(state, signal, server => this.startAt(state.service, server)))
+    const isFinal = slot === undefined || 'server' in slot || state.progressAt === undefined || slot.cause === 'quarantined' || signal.aborted || origin.findLack(state.service) !== undefined
     if (!isFinal) await this.pause()
     return isFinal ? slot : undefined
   }
@@ -79,7 +79,7 @@
       const excluded = clock.now() < since + SAME_SERVER_SILENCE ? server : undefined
       const slot = await this.askForTurn({ ...state, tried: [...state.tried, server], excluded }, signal, granted => {
         if (signal.aborted || granted === excluded) return undefined
-        this.moved = this.startElsewhere(granted, abandon)
+        this.moved = this.startElsewhere(state.service, granted, abandon)
         return this.moved
       })
       if (slot !== undefined && 'server' in slot) return
@@ -130,7 +130,7 @@
 
   private async ask ({ service, tried, progressAt, mayRetry, excluded }: SendState, signal: AbortSignal, start: Start): Promise<StartedSend | Refusal | undefined> {
     const { request, tools, origin } = this.options
-    const lack = origin.findLack()
+    const lack = origin.findLack(service)
     if (lack !== undefined) return this.options.refuse('no server', lack)
     if (signal.aborted) return givenUpRefusal
     return await new Promise(resolve => {
@@ -138,7 +138,7 @@
         pool: service,
         ...buildPlacementTerms(request),
         isCounted: tried.length > 0,
-        version: origin.version,
+        version: origin.findVersion(service),
         avoided: tried,
         excluded,
         returning: request.asked < request.arrived || tried.length > 0,
@@ -162,20 +162,21 @@
     return { asked: now, beginBy: Math.max(progressAt + (route.silence ?? 0), now + GO_ON_WITHIN), returning: false }
   }
 
-  private startAt (server: string): StartedSend | Refusal | undefined {
+  private startAt (service: string, server: string): StartedSend | Refusal | undefined {
     const { gate, origin, refuse, refuseLate, open } = this.options
     const late = refuseLate()
     if (late !== undefined) return late
     const blamed = gate.check()
     if (blamed !== undefined) return blamed === 'wait' ? undefined : blamed
+    if (!origin.mayBeginAt(service, server)) return undefined
     const mismatch = origin.findMismatch(server)
     return mismatch === undefined ? { server, opened: open(server) } : refuse('no server', mismatch)
   }
 
   /** Gives the silent server up right before the request goes to another one: two are never at work on it. */
-  private startElsewhere (server: string, abandon: () => void): StartedSend | undefined {
+  private startElsewhere (service: string, server: string, abandon: () => void): StartedSend | undefined {
     const { gate, origin, open } = this.options
-    if (gate.check() !== undefined || origin.findMismatch(server) !== undefined) return undefined
+    if (gate.check() !== undefined || !origin.mayBeginAt(service, server) || origin.findMismatch(server) !== undefined) return undefined
     abandon()
     return { server, opened: open(server) }
   }
--- a/test/helpers/route-bench.ts
+++ b/test/helpers/route-bench.ts
@@ -46,7 +46,7 @@
     container.registerInstance(tokens.serverDialect, serverDialect)
     container.registerInstance(ServerLoads, { outcomes: { record: () => {} }, intervals: { record: () => {} }, markFull: () => {}, listOfVersion: options.listOfVersion ?? (() => options.ports) } as unknown as ServerLoads)
     container.registerInstance(PlacementQueue, { request: options.place ?? ((asked: PlacementRequest) => asked.start(this.choose(asked))), recordHoldTime: () => {} } as unknown as PlacementQueue)
-    container.registerInstance(StreamOrigins, { find: async () => ({ type: 'unknown' }), record: () => {}, beginRecord: () => {} } as unknown as StreamOrigins)
+    container.registerInstance(StreamOrigins, { find: async () => ({ type: 'unknown' }), record: async () => 'recorded', beginRecord: () => {}, findBeginning: () => ({ type: 'any' }) } as unknown as StreamOrigins)
     const forwarder = container.resolve(Forwarder)
     this.server = createServer((req, res) => { void this.forward(forwarder, req, res) })
   }
--- a/test/routing/begun-stream-waits.test.ts
+++ b/test/routing/begun-stream-waits.test.ts
@@ -42,7 +42,7 @@
     request: { id: 'r', route, priority: 0, method: 'POST', path: '/', headers: {}, arrived, asked: arrived, deadline: arrived + 10_000, signal: new AbortController().signal },
     tools: { clock, random, queue: { request: (asked: PlacementRequest) => queue.request(asked) } },
     refuseLate: () => undefined,
-    origin: { version: undefined, findLack: () => undefined, findMismatch: () => undefined },
+    origin: { findVersion: () => undefined, mayBeginAt: () => true, findLack: () => undefined, findMismatch: () => undefined },
     gate: { wait: async () => undefined, check: () => undefined },
     signal: new AbortController().signal,
     refuse: () => { throw new Error('a stream that has begun was refused') },
--- a/test/routing/collected-turns.test.ts
+++ b/test/routing/collected-turns.test.ts
@@ -25,7 +25,7 @@
     const options = {
       request: { id: 'a', route: {}, arrived: 0, asked: 0 },
       tools: { clock: new SystemClock(), random: { spread: (mean: number) => mean }, log: { write: () => {} }, loads: { outcomes: { record: () => {} } }, queue: { request } },
-      origin: { findLack: () => undefined },
+      origin: { findLack: () => undefined, findVersion: () => undefined },
       signal: end.signal
     }
     const search = new SlotSearch(options as unknown as ConstructorParameters<typeof SlotSearch>[0])
--- a/test/routing/default-version.test.ts
+++ b/test/routing/default-version.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { mustWithdrawDefault } from '../../src/routing/origins/must-withdraw-default.js'
 import { planDefaultVersion } from '../../src/routing/origins/plan-default-version.js'
 
 // Guards against a default at which streams of another version would go on, since they have no record.
@@ -10,6 +11,8 @@
   { name: 'the same while its streams may be resumed', view: { current: 'v1', recent: ['v2'], isWholeTimeKnown: false }, planned: undefined },
   { name: 'the same while two others serve', view: { current: 'v1', recent: ['v2', 'v3'], isWholeTimeKnown: true }, planned: undefined },
   { name: 'the next one once none of its streams can be resumed', view: { current: 'v1', recent: ['v2'], isWholeTimeKnown: true }, planned: 'v2' },
+  { name: 'none while streams without a record may be resumed', view: { current: undefined, isWithdrawn: true, recent: ['v2'], isWholeTimeKnown: false }, planned: undefined },
+  { name: 'the only one once they no longer can', view: { current: undefined, isWithdrawn: true, recent: ['v2'], isWholeTimeKnown: true }, planned: 'v2' },
   { name: 'the same while it is alone', view: { current: 'v1', recent: ['v1'], isWholeTimeKnown: true }, planned: undefined }
 ]
 
@@ -18,3 +21,16 @@
     t.is(planDefaultVersion(view), planned)
   })
 }
+
+// Guards against streams that begin elsewhere, have no record, and go on at the default version once its servers are back.
+const withdrawals = [
+  { name: 'kept while it has servers', view: { current: 'v1', isWithdrawn: false, listed: ['v1', 'v2'] }, withdrawn: false },
+  { name: 'kept while there are no servers', view: { current: 'v1', isWithdrawn: false, listed: [] }, withdrawn: false },
+  { name: 'withdrawn while only others have servers', view: { current: 'v1', isWithdrawn: false, listed: ['v2'] }, withdrawn: true },
+  { name: 'withdrawn where several versions serve before one is set', view: { current: undefined, isWithdrawn: false, listed: ['v1', 'v2'] }, withdrawn: true },
+  { name: 'not withdrawn twice', view: { current: undefined, isWithdrawn: true, listed: ['v1', 'v2'] }, withdrawn: false }
+]
+
+for (const { name, view, withdrawn } of withdrawals) {
+  test(`a default version of streams is ${name}`, t => { t.is(mustWithdrawDefault(view), withdrawn) })
+}
--- a/test/routing/durable-origins.test.ts
+++ b/test/routing/durable-origins.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { Err, Ok } from 'ts-results'
 import { DurableOrigins } from '../../src/routing/origins/durable-origins.js'
+import { findStoredOrigin } from '../../src/routing/origins/find-stored-origin.js'
 import type { ObjectStore } from '../../src/store/object-store.js'
 import { ObjectTable } from '../../stand-ins/platform/object-table.js'
 import { VirtualClock } from '../helpers/virtual-clock.js'
@@ -50,7 +51,7 @@
 }
 
 /** Returns how long a record is waited for, ms. */
-async function measure (store: Store, recorded: Promise<void>): Promise<number> {
+async function measure (store: Store, recorded: Promise<unknown>): Promise<number> {
   const began = store.clock.now()
   let time = Infinity
   void recorded.then(() => { time = store.clock.now() - began })
@@ -139,3 +140,64 @@
   t.deepEqual([...defaults], [['q', 'v1']])
   t.deepEqual([...records], [['b', { pool: 'p', version: 'v' }]])
 })
+
+test('a stream whose record may be wrong isn\'t shown by the store until the right one is there', async t => {
+  const store = new Store(new VirtualClock())
+  const origins = open(store)
+  void origins.putDefault('p', 'v1')
+  await store.clock.advance(100)
+  origins.beginRecord('s', NEW)
+  await store.clock.advance(100)
+  store.isAway = true
+  const recorded = origins.record('s', OLD, { wait: 3_000 })
+  t.true(origins.isOverride('s'))
+  await store.clock.advance(2_000)
+  store.isAway = false
+  await store.clock.advance(2_000)
+  t.true(await recorded)
+  t.false(origins.isOverride('s'))
+  t.deepEqual([...(await read(store, open(store, 'b')))!.records], [['s', OLD]])
+})
+
+test('writes that fail or take long put the next records in doubt, for a while', async t => {
+  const store = new Store(new VirtualClock())
+  const origins = open(store)
+  t.false(origins.isInDoubt)
+  store.isAway = true
+  void origins.record('s', NEW)
+  await store.clock.advance(50)
+  t.true(origins.isInDoubt)
+  store.isAway = false
+  await store.clock.advance(1_000)
+  t.false(origins.isInDoubt)
+})
+
+// Guards against streams that go on at the default version because there are too many records to keep theirs.
+for (const [name, count, length] of [['many', 4_200, 10], ['few, with long ids,', 1_300, 250]] as const) {
+  test(`a pool of which ${name} records were dropped has no default until none of their streams can be resumed`, async t => {
+    const store = new Store(new VirtualClock())
+    const origins = open(store)
+    void origins.putDefault('p', 'v1')
+    for (let n = 0; n < count; n++) void origins.record(String(n).padStart(length, '0'), NEW)
+    await store.clock.advance(1_000)
+    const stored = await read(store, open(store, 'b'))
+    t.true(stored!.records.size < count)
+    t.is(findStoredOrigin(stored, { id: '0'.padStart(length, '0'), pool: 'p' }), undefined)
+    t.like(findStoredOrigin(stored, { id: String(count - 1).padStart(length, '0'), pool: 'p' }), { origin: NEW })
+    await store.clock.advance(KEEP + 1_000)
+    void origins.record('next', NEW)
+    await store.clock.advance(1_000)
+    t.like(findStoredOrigin(await read(store, open(store, 'b')), { id: '0'.padStart(length, '0'), pool: 'p' }), { origin: OLD })
+  })
+}
+
+test('a default is withdrawn and set again', async t => {
+  const store = new Store(new VirtualClock())
+  const origins = open(store)
+  for (const [version, expected] of [['v1', { defaults: new Map([['p', 'v1']]), withdrawn: new Set() }], [undefined, { defaults: new Map(), withdrawn: new Set(['p']) }], ['v2', { defaults: new Map([['p', 'v2']]), withdrawn: new Set() }]] as const) {
+    void origins.putDefault('p', version)
+    await store.clock.advance(100)
+    const { defaults, withdrawn } = (await read(store, open(store, 'b')))!
+    t.deepEqual({ defaults, withdrawn }, expected as never)
+  }
+})
--- a/test/routing/expected-origins.test.ts
+++ b/test/routing/expected-origins.test.ts
@@ -75,7 +75,7 @@
   const fleet = new Fleet()
   const [a, b] = [await fleet.start('a'), await fleet.start('b')]
   await fleet.start('c')
-  a.beginRecord('s', EXPECTED)
+  a.beginRecord('s', EXPECTED, SPAN)
   await fleet.clock.advance(100)
   await fleet.find(b)
   fleet.mutes.add('b')
@@ -88,7 +88,7 @@
   const fleet = new Fleet()
   const a = await fleet.start('a')
   await fleet.start('c')
-  a.beginRecord('s', EXPECTED)
+  a.beginRecord('s', EXPECTED, SPAN)
   await fleet.clock.advance(100)
   fleet.losesWrites = true
   void a.record({ id: 's', origin: BEGUN, span: SPAN })
