Sizes count all that is stored and sent

A job of many items with long headers or paths was answered 502 each time: sizes of its objects counted bodies and 600 bytes an item, so that the store refused objects over its limit. A body that isn't base64 could take six times its length. An exchange of 120 registry entries with paths of 12,000 characters was 1,451,067 bytes long and ended the link between two daemons.

Sizes are now those of the JSON; an item that no object holds is refused with 400, and messages of the registry are cut by their size.

--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -5,6 +5,7 @@
 import { listPages } from '../store/list-pages.js'
 import type { StoreError } from '../store/store-error.js'
 import type { WatchBatch } from '../store/watch-batch.js'
+import { countJsonBytes } from './count-json-bytes.js'
 import type { ItemProgress } from './item-progress.js'
 import type { JobHeader } from './job-header.js'
 import type { JobItem } from './job-item.js'
@@ -22,10 +23,8 @@
 const PROGRESS = 'job-progress'
 /** Ends the name of the recorded owners, after the job's id. */
 const OWNER_SUFFIX = '.owner'
-/** Maximum bytes of items or results in one object. Objects hold up to a megabyte; JSON escapes can lengthen a text by a quarter and more. */
+/** Maximum bytes of the items in one object, and of a piece of a body; one item may have as many as `findItemFault` allows besides. Objects hold up to a megabyte. */
 const OBJECT_BYTES = 600_000
-/** Approximate bytes of an item besides its body. */
-const ITEM_OVERHEAD = 600
 /** Attempts to replace the recorded owners while other daemons take the same job over. */
 const RECORD_ATTEMPTS = 3
 /** How long a read of new ends waits for one, ms: the minimum that the store accepts. */
@@ -65,7 +64,7 @@
    * `unknown`: an earlier or later attempt may store the missing items, and the job would then run.
    */
   async create (id: string, header: Omit<JobHeader, 'parts'>, items: readonly JobItem[]): Promise<Result<void, StoreError>> {
-    const parts = splitBySize(splitBodies(items, OBJECT_BYTES), countStoredBytes, OBJECT_BYTES)
+    const parts = splitBySize(splitBodies(items, OBJECT_BYTES), countJsonBytes, OBJECT_BYTES)
     const [written, ...stored] = await Promise.all([
       this.createOnce(HEADERS, id, { ...header, parts: parts.length } satisfies JobHeader),
       ...parts.map(async (part, i) => await this.createOnce(ITEMS, `${id}.${i}`, part))
@@ -213,11 +212,6 @@
   }
 }
 
-/** Returns the approximate bytes of an item, or of a piece of its body, in an object. */
-function countStoredBytes (item: StoredItem): number {
-  return ('id' in item ? item.body.length : item.continued.length) + ITEM_OVERHEAD
-}
-
 /** Whether the object may exist after a write that was to create it. */
 function mayBeStored (written: Result<void, StoreError>): boolean {
   return written.ok || written.val.type === 'conflict' || written.val.type === 'unknown'
--- a/src/jobs/registry/job-registry-sync.ts
+++ b/src/jobs/registry/job-registry-sync.ts
@@ -11,6 +11,8 @@
 import { peerHandlerPoint } from '../../peers/peer-handler-point.js'
 import { PeerLinks } from '../../peers/peer-links.js'
 import type { PeerMessage } from '../../peers/peer-message.js'
+import { countJsonBytes } from '../count-json-bytes.js'
+import { splitBySize } from '../split-by-size.js'
 import { JobRegistry } from './job-registry.js'
 import { readRegistryEntry } from './read-registry-entry.js'
 import type { RegistryEntry } from './registry-entry.js'
@@ -21,8 +23,9 @@
 /** Time between two comparisons, ms. In a large fleet most of them open a link. */
 const PERIOD = 500
 const LARGE_FLEET_PERIOD = 2_000
-/** Maximum number of entries in one message; the next comparison shows the rest. */
+/** Maximum number of entries in one message, and of their bytes; the next comparison shows the rest. A longer message ends the link. */
 const MAX_ENTRIES = 200
+const MAX_BYTES = 400_000
 
 /**
  * Compares this daemon's job registry with that of a random other daemon periodically, and exchanges the entries that differ. Registries
@@ -96,7 +99,8 @@
   }
 
   private sendEntries (to: string, jobs: readonly RegistryEntry[], wanted: readonly number[]): void {
-    if (jobs.length + wanted.length > 0) this.links.send(to, { type: ENTRIES_MESSAGE, jobs: jobs.slice(0, MAX_ENTRIES), wanted })
+    const [first = []] = splitBySize(jobs.slice(0, MAX_ENTRIES), countJsonBytes, MAX_BYTES)
+    if (first.length + wanted.length > 0) this.links.send(to, { type: ENTRIES_MESSAGE, jobs: first, wanted })
   }
 }
 
--- a/test/jobs/job-registry-sync.test.ts
+++ b/test/jobs/job-registry-sync.test.ts
@@ -172,3 +172,19 @@
   t.log({ ms: time.now() - from, bytes: countBytes() - before })
   t.true(registries.every(registry => registry.get('new') !== undefined))
 })
+
+// Guards against a message with many long paths, which ends the link to the daemon that gets it each time.
+test('entries with long paths are exchanged in messages that a link takes', async t => {
+  const fleet = new JobFleet()
+  const sizes: number[] = []
+  fleet.loses = (_from, _to, message) => {
+    sizes.push(shortCodec.encode(message as never).length)
+    return message.type === 'job'
+  }
+  await fleet.start()
+  const owner = fleet.daemons.get(names[0]!)!
+  for (let n = 0; n < 120; n++) owner.registry.addIfAbsent({ id: `j${n}`, host: 'h', path: `/${'p'.repeat(12_000)}/${n}`, submittedAt: n, owner: names[0]!, run: 1, tokensLeft: 1, stored: true, closed: false })
+  await fleet.time.advance(SETTLED)
+  t.true(Math.max(...sizes) < 1_000_000, String(Math.max(...sizes)))
+  t.deepEqual([...fleet.daemons.values()].map(({ registry }) => registry.list().length), names.map(() => 120))
+})
--- a/test/jobs/large-items.test.ts
+++ b/test/jobs/large-items.test.ts
@@ -37,3 +37,16 @@
   t.true(Math.max(...sizes) <= VALUE_BYTES, String(sizes))
   t.deepEqual((await records.readItems('j', header)).unwrap(), items)
 })
+
+// Guards against a job inside the limits that the store refuses each time, because of headers or paths that no size counted.
+test('items with long headers and paths are split over objects that the store holds', async t => {
+  const fleet = new JobFleet()
+  await fleet.start()
+  const records = new JobRecords(fleet.store)
+  const items = Array.from({ length: 200 }, (_, n) => ({ ...createItem(String(n % 10), 2_000), path: `/jobs/${'p'.repeat(4_000)}`, headers: { 'X-Model': '"'.repeat(8_000) } }))
+  t.true((await records.create('j', { host: 'h', path: '/jobs/', submittedAt: 0, total: items.length, tokens: items.length, owner: 'edge-0', run: 0 }, items)).ok)
+  const header = (await records.readHeader('j')).unwrap()
+  const sizes = await Promise.all(Array.from({ length: header.parts }, async (_, i) => JSON.stringify((await fleet.store.get('job-items', `j.${i}`)).unwrap().value).length))
+  t.true(Math.max(...sizes) <= VALUE_BYTES, String(sizes))
+  t.deepEqual((await records.readItems('j', header)).unwrap(), items)
+})
--- a/test/jobs/unsendable-items.test.ts
+++ b/test/jobs/unsendable-items.test.ts
@@ -41,7 +41,9 @@
   'an id beyond Latin-1': { id: '模' },
   'a path without a slash': { path: 'p/1' },
   'a path with a space': { path: '/p/1 2' },
-  'a path beyond Latin-1': { path: '/p/模' }
+  'a path beyond Latin-1': { path: '/p/模' },
+  'a body that the store would hold at six times its length': { body: '\u0001'.repeat(10) },
+  'headers that no object of the store holds': { headers: Object.fromEntries(Array.from({ length: 400 }, (_, i) => [`x-${i}`, 'v'.repeat(1_000)])) }
 }
 
 for (const [name, change] of Object.entries(unsendable)) {
