Answers with statuses beyond HTTP are failures

Callers of requests that may not be repeated got answers of status 600 or 999 from servers in trouble. Status 000 and an answer that is reset during an upload, as reported from other systems, didn't reach them here.

--- a/src/http/ask-on-connection.ts
+++ b/src/http/ask-on-connection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { Err, Ok, type Result } from 'ts-results'
 import { BurstLimit } from '../kernel/burst-limit.js'
+import { isFinalStatus } from './is-final-status.js'
 import { RequestBody } from './request-body.js'
 import { splitReads } from './split-reads.js'
 
@@ -44,6 +45,7 @@
       const timer = setTimeout(() => sent.destroy(new Error(`no answer on a new connection within ${timeout} ms`)), timeout)
       sent.once('response', answer => {
         hasAnswer = true
+        if (!isFinalStatus(answer.statusCode!)) return sent.destroy(new Error(`the first answer on a connection has status ${answer.statusCode}`))
         const onPiece = (): void => { if (parts.isPassed()) sent.destroy(new Error('the parts of the first answer on a connection have no end')) }
         const reading = new RequestBody(answer, { getLimit: () => maxBody, onPiece }).whole
         const settle = (): void => {
--- a/src/http/limit-answer.ts
+++ b/src/http/limit-answer.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici'
+import { isFinalStatus } from './is-final-status.js'
 import { BurstLimit } from '../kernel/burst-limit.js'
 
 /** Most interim heads, and most small parts of a body, that an answer may have in a second. */
@@ -9,7 +10,7 @@
 const FIRST_FINAL_STATUS = 200
 
 /**
- * Returns a handler that aborts an answer of ever more interim heads or tiny chunks. Each costs a call, so that a faulty server that
+ * Returns a handler that aborts an answer whose status no answer can have, and one of ever more interim heads or tiny chunks. Each costs a call, so that a faulty server that
  * sends them as fast as they are read would take all processor time.
  */
 export function limitAnswer (handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
@@ -19,6 +20,7 @@
   let parts: BurstLimit | undefined
   handler.onResponseStart = (controller, status, ...rest) => {
     if (status < FIRST_FINAL_STATUS && (heads ??= new BurstLimit(INTERIM_HEADS)).isPassed()) return controller.abort(new Error('its interim heads have no end'))
+    if (status >= FIRST_FINAL_STATUS && !isFinalStatus(status)) return controller.abort(new Error(`no answer has status ${status}`))
     start?.(controller, status, ...rest)
   }
   handler.onResponseData = (controller, part) => {
