Odd entries of other writers no longer end daemons

A report from another system: an odd entry among those of the servers ended the machines that read it. Here deeply nested names and revisions, and entries without an object or metadata, ended each daemon that read the list.

--- a/src/store/http-transport.ts
+++ b/src/store/http-transport.ts
@@ -52,6 +52,9 @@
     if (abort?.aborted === true) onAbort()
     try {
       return await this.dialect.send(call, async httpCall => await this.exchange(httpCall, { dispatcher, signal: end.signal }))
+    } catch (error) {
+      // Thrown for an answer that isn't in the platform's format; no caller expects an error of a read.
+      return { type: 'no answer', reason: `the answer can't be decoded: ${(error as Error).message}` }
     } finally {
       clearTimeout(timer)
       abort?.removeEventListener('abort', onAbort)
