--- a/src/entry/routed-entry.ts
+++ b/src/entry/routed-entry.ts
@@ -236,7 +236,8 @@
       arrived: whole,
       asked: whole - this.estimateElapsed(route, head.timeLeft),
       deadline,
-      signal: disconnected.signal
+      signal: disconnected.signal,
+      memory
     }, service, new ResponseSink(res, bytes => memory.keepAnswer(bytes)))
   }
 
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -20,6 +20,8 @@
 const DEADLINE = 600_000
 /** How long an answer may go on without a new event, or without its end, ms, though bytes arrive. */
 const PROGRESS_TIMEOUT = 30_000
+/** Longest body of an answer that is no stream, bytes: only its status counts, and whether it is whole. */
+const MAX_ERROR_BYTES = 65_536
 const UNPROCESSABLE = 422
 const SERVER_ERROR = 500
 const FIRST_REDIRECTION = 300
@@ -109,7 +111,7 @@
     if (status < FIRST_REDIRECTION && open.exchange.isStream()) return await this.readEvents(open)
     state.answeredBy = (state.answeredBy ?? new Set()).add(this.server)
     const end = clock.now() + PROGRESS_TIMEOUT
-    const body = await readToEnd(open.exchange, () => Math.min(EVENT_TIMEOUT, Math.max(0, end - clock.now())))
+    const body = await readToEnd(open.exchange, { getTimeout: () => Math.min(EVENT_TIMEOUT, Math.max(0, end - clock.now())), maxBytes: MAX_ERROR_BYTES })
     open.end(body.ok ? 'answered' : 'abandoned')
     if (claim.type === 'not run' && body.ok) return { type: 'refused' }
     if (status === UNPROCESSABLE) return { type: 'impossible' }
--- a/src/ownership/batch/batch-run.ts
+++ b/src/ownership/batch/batch-run.ts
@@ -124,7 +124,7 @@
   }
 
   private async readUnstreamed (open: OpenExchange): Promise<BatchOutcome> {
-    const whole = await readToEnd(open.exchange, () => FIRST_TOKEN_TIMEOUT)
+    const whole = await readToEnd(open.exchange, { getTimeout: () => FIRST_TOKEN_TIMEOUT })
     if (whole.err) return await this.fail(open, whole.val)
     const { status } = open.exchange
     const body = parse(whole.val.toString())
--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -47,6 +47,8 @@
   private begun = false
   private lastEventId: number | undefined
   private progressAt: number | undefined
+  /** Whether the last body was given up for want of memory. */
+  private lacksMemory = false
   /** Of the last send, where an answer to it has begun. */
   private head: AnswerHead | undefined
   private readonly origin: RequestOrigin
@@ -166,7 +168,7 @@
   private async handleNotRun (open: OpenExchange): Promise<SendFailure | undefined> {
     const { status } = open.exchange
     const body = await this.readAll(open)
-    if (body === undefined) return await this.fail(open, { why: 'cut', sent: true, detail: 'its refusal broke off' })
+    if (body === undefined) return await this.failBody(open, 'its refusal broke off')
     open.end('answered')
     if (!this.begun && status < SERVER_ERROR && !REFUSED_HERE.includes(status)) {
       this.sink.answer(status, open.exchange.headers, body)
@@ -186,7 +188,7 @@
   private async relayWhole (open: OpenExchange): Promise<SendFailure | undefined> {
     const { status, headers } = open.exchange
     const body = await this.readAll(open)
-    if (body === undefined) return await this.fail(open, { why: 'cut', sent: true, detail: 'the answer broke off' })
+    if (body === undefined) return await this.failBody(open, 'the answer broke off')
     open.end(status >= SERVER_ERROR ? 'error' : 'answered')
     if (status >= SERVER_ERROR && this.mayRetry()) return { why: 'cut', sent: true, detail: `status ${status}` }
     // The caller already has a status and part of a stream, so that another status can't be relayed.
@@ -197,10 +199,28 @@
   }
 
   private async readAll (open: OpenExchange): Promise<Buffer | undefined> {
-    const body = await readToEnd(open.exchange, () => this.getTimeout(READ_TIMEOUT))
+    const { memory } = this.request
+    let held = 0
+    this.lacksMemory = false
+    const grow = (bytes: number): boolean => {
+      this.lacksMemory = memory?.grow(bytes) === false
+      if (this.lacksMemory) return false
+      held += bytes
+      return true
+    }
+    const body = await readToEnd(open.exchange, { getTimeout: () => this.getTimeout(READ_TIMEOUT), grow })
+    // The answer to the caller is counted when it is written.
+    memory?.shrink(held)
     return body.ok ? body.val : undefined
   }
 
+  /** Fails a send whose answer has no whole body here; the server isn't at fault where this daemon lacks memory for it. */
+  private async failBody (open: OpenExchange, detail: string): Promise<SendFailure> {
+    if (!this.lacksMemory) return await this.fail(open, { why: 'cut', sent: true, detail })
+    open.end('abandoned')
+    return { why: 'cut', sent: true, detail: 'there is no memory for its answer' }
+  }
+
   private async relayEvents (open: OpenExchange): Promise<SendFailure | undefined> {
     const run = new EventRun(this.lastEventId, () => this.tools.clock.now())
     const pace = new StreamPace(this.tools.clock, (count, time) => this.tools.loads.intervals.record(open.server.name, count, time))
--- a/src/routing/routed-request.ts
+++ b/src/routing/routed-request.ts
@@ -29,4 +29,6 @@
   readonly asked: number
   /** Aborted when the caller leaves. */
   readonly signal: AbortSignal
+  /** Memory for an answer that is read whole before it is passed on. */
+  readonly memory?: { readonly grow: (bytes: number) => boolean, readonly shrink: (bytes: number) => void }
 }
--- a/test/routing/early-refusals.test.ts
+++ b/test/routing/early-refusals.test.ts
@@ -30,7 +30,7 @@
   const agent = createAgent()
   const exchange = new Exchange({ clock: new SystemClock(), agent: agent.compose(markSent), origin: `http://127.0.0.1:${server.port}`, path: '/', method: 'POST', headers: {}, body: Buffer.from(BODY), getHoldTime: () => HOLD_TIME })
   await exchange.open(TIMEOUT)
-  await readToEnd(exchange, () => TIMEOUT)
+  await readToEnd(exchange, { getTimeout: () => TIMEOUT })
   const { socket } = requests[0]!
   if (!socket.closed) await new Promise(resolve => socket.once('close', resolve))
   await agent.destroy()
