--- a/src/routing/forwarding.ts
+++ b/src/routing/forwarding.ts
@@ -3,6 +3,7 @@
 import { StreamPace } from '../placement/pace/stream-pace.js'
 import type { AnswerHead } from './exchanges/answer-head.js'
 import type { AnswerSink } from './exchanges/answer-sink.js'
+import { AnswerBodies } from './answer-bodies.js'
 import { listParts } from './blame/list-parts.js'
 import { PartGate } from './blame/part-gate.js'
 import { EventRun } from './streams/event-run.js'
@@ -13,7 +14,6 @@
 import { judgeAnswer } from './exchanges/judge-answer.js'
 import type { OpenExchange } from './exchanges/open-exchange.js'
 import { planResend } from './plan-resend.js'
-import { readToEnd } from './exchanges/read-to-end.js'
 import type { OpenedExchange } from './exchanges/opened-exchange.js'
 import { RequestOrigin } from './origins/request-origin.js'
 import type { RoutedRequest } from './routed-request.js'
@@ -47,19 +47,19 @@
   private begun = false
   private lastEventId: number | undefined
   private progressAt: number | undefined
-  /** Whether the last body was given up for want of memory. */
-  private lacksMemory = false
   /** Of the last send, where an answer to it has begun. */
   private head: AnswerHead | undefined
   private readonly origin: RequestOrigin
   private readonly slots: SlotSearch
   private readonly ending: RequestEnding
+  private readonly bodies: AnswerBodies
 
   constructor (private readonly request: RoutedRequest, private service: string, private readonly sink: AnswerSink, private readonly tools: ForwardingTools) {
     this.origin = new RequestOrigin(request, tools)
     this.parts = listParts(tools.dialect, request.headers)
     this.fingerprint = hashRequest({ caller: request.route.host, service, path: request.path, body: request.body })
     const gate = new PartGate({ ...tools, parts: this.parts, fingerprint: this.fingerprint, signal: this.abort.signal, refuse: detail => this.refuse('quarantined', detail) })
+    this.bodies = new AnswerBodies({ memory: request.memory, getTimeout: () => this.getTimeout(READ_TIMEOUT) })
     this.ending = new RequestEnding({ request, tools, mayRefuse: () => this.runs === 0 && !this.begun, getRan: () => this.ran, abort: () => this.abort.abort() })
     this.slots = new SlotSearch({ request, tools, origin: this.origin, gate, signal: this.abort.signal, refuse: (cause, detail) => this.refuse(cause, detail), refuseLate: () => this.ending.refuseLate(), open: async server => await this.open(server) })
   }
@@ -167,8 +167,8 @@
   /** Relays a server's refusal if it concerns the request itself; otherwise returns a failure, so that another server is tried. */
   private async handleNotRun (open: OpenExchange): Promise<SendFailure | undefined> {
     const { status } = open.exchange
-    const body = await this.readAll(open)
-    if (body === undefined) return await this.failBody(open, 'its refusal broke off')
+    const body = await this.bodies.read(open)
+    if (body === undefined) return this.bodies.fail(open, 'its refusal broke off')
     open.end('answered')
     if (!this.begun && status < SERVER_ERROR && !REFUSED_HERE.includes(status)) {
       this.sink.answer(status, open.exchange.headers, body)
@@ -180,15 +180,15 @@
 
   /** Treats an answer that promises more than its server said as a failed run. */
   private async handleUnproved (open: OpenExchange, detail: string): Promise<SendFailure> {
-    await this.readAll(open)
+    await this.bodies.read(open)
     open.end('error')
     return { why: 'cut', sent: true, detail }
   }
 
   private async relayWhole (open: OpenExchange): Promise<SendFailure | undefined> {
     const { status, headers } = open.exchange
-    const body = await this.readAll(open)
-    if (body === undefined) return await this.failBody(open, 'the answer broke off')
+    const body = await this.bodies.read(open)
+    if (body === undefined) return this.bodies.fail(open, 'the answer broke off')
     open.end(status >= SERVER_ERROR ? 'error' : 'answered')
     if (status >= SERVER_ERROR && this.mayRetry()) return { why: 'cut', sent: true, detail: `status ${status}` }
     // The caller already has a status and part of a stream, so that another status can't be relayed.
@@ -198,29 +198,6 @@
     return undefined
   }
 
-  private async readAll (open: OpenExchange): Promise<Buffer | undefined> {
-    const { memory } = this.request
-    let held = 0
-    this.lacksMemory = false
-    const grow = (bytes: number): boolean => {
-      this.lacksMemory = memory?.grow(bytes) === false
-      if (this.lacksMemory) return false
-      held += bytes
-      return true
-    }
-    const body = await readToEnd(open.exchange, { getTimeout: () => this.getTimeout(READ_TIMEOUT), grow })
-    // The answer to the caller is counted when it is written.
-    memory?.shrink(held)
-    return body.ok ? body.val : undefined
-  }
-
-  /** Fails a send whose answer has no whole body here; the server isn't at fault where this daemon lacks memory for it. */
-  private async failBody (open: OpenExchange, detail: string): Promise<SendFailure> {
-    if (!this.lacksMemory) return await this.fail(open, { why: 'cut', sent: true, detail })
-    open.end('abandoned')
-    return { why: 'cut', sent: true, detail: 'there is no memory for its answer' }
-  }
-
   private async relayEvents (open: OpenExchange): Promise<SendFailure | undefined> {
     const run = new EventRun(this.lastEventId, () => this.tools.clock.now())
     const pace = new StreamPace(this.tools.clock, (count, time) => this.tools.loads.intervals.record(open.server.name, count, time))
@@ -234,7 +211,10 @@
       const freshCount = events.val.filter(isProgress).length
       if (freshCount > 0) {
         pace.record(freshCount)
-        if (!await this.origin.record(this.service, open.server.version, this.request.deadline)) return this.leaveUnrecorded(open)
+        if (!await this.origin.record(this.service, open.server.version, this.request.deadline)) {
+          open.end('abandoned')
+          return { why: 'cut', sent: true, detail: 'the store can\'t record where the stream begins' }
+        }
         this.lastEventId = run.last
         this.progressAt = this.tools.clock.now()
       }
@@ -243,12 +223,6 @@
     }
   }
 
-  /** Gives up a stream of which nothing was relayed: its caller couldn't resume it there after the end of all daemons. */
-  private leaveUnrecorded (open: OpenExchange): SendFailure {
-    open.end('abandoned')
-    return { why: 'cut', sent: true, detail: 'the store can\'t record where the stream begins' }
-  }
-
   private begin ({ exchange: { status, headers } }: OpenExchange): void {
     this.begun = true
     this.tools.metrics.observe('first_event_ms', this.tools.clock.now() - this.request.arrived)
--- a/src/routing/origins/shorten-id.ts
+++ b/src/routing/origins/hash-long-id.ts
@@ -4,6 +4,6 @@
 const MAX_ID = 256
 
 /** Returns the id under which the origin of a stream is kept: callers choose ids of any length, and thousands are kept. */
-export function shortenId (id: string): string {
+export function hashLongId (id: string): string {
   return id.length <= MAX_ID ? id : createHash('sha256').update(id).digest('hex')
 }
--- a/src/routing/origins/must-withdraw-default.ts
+++ b/src/routing/origins/is-withdrawal-due.ts
@@ -13,9 +13,9 @@
  * once it is back.
  *
  * @example
- * mustWithdrawDefault({ current: 'v1', isWithdrawn: false, listed: ['v2'] }) // true
+ * isWithdrawalDue({ current: 'v1', isWithdrawn: false, listed: ['v2'] }) // true
  */
-export function mustWithdrawDefault ({ current, isWithdrawn, listed }: PoolView): boolean {
+export function isWithdrawalDue ({ current, isWithdrawn, listed }: PoolView): boolean {
   if (current !== undefined) return listed.length > 0 && !listed.includes(current)
   return !isWithdrawn && listed.length > 1
 }
--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -23,9 +23,9 @@
 import type { FoundOrigin } from './found-origin.js'
 import { listResumablePools } from './list-resumable-pools.js'
 import { OriginRecords } from './origin-records.js'
-import { mustWithdrawDefault } from './must-withdraw-default.js'
+import { isWithdrawalDue } from './is-withdrawal-due.js'
 import { planDefaultVersion } from './plan-default-version.js'
-import { shortenId } from './shorten-id.js'
+import { hashLongId } from './hash-long-id.js'
 import type { StreamOrigin } from './stream-origin.js'
 import { VersionHistory } from './version-history.js'
 
@@ -138,7 +138,7 @@
 
   /** Begins to record where a stream is expected to begin. */
   beginRecord (id: string, origin: StreamOrigin, span: number): void {
-    this.durable.beginRecord(shortenId(id), origin, span)
+    this.durable.beginRecord(hashLongId(id), origin, span)
   }
 
   /**
@@ -146,7 +146,7 @@
    * the end of all daemons it could go on at another version. Tells other daemons unless its version seems to be the only one.
    */
   async record ({ id: stream, origin, span, begins }: StreamStart): Promise<'recorded' | 'unrecorded'> {
-    const id = shortenId(stream)
+    const id = hashLongId(stream)
     this.records.put(id, origin, this.now + span + RESUMPTION_TIME)
     if (!this.isOnlyVersion(origin, span)) this.tell(id, origin, span + RESUMPTION_TIME)
     this.durable.beginRecord(id, origin, span)
@@ -157,7 +157,7 @@
 
   /** Finds the origin of a stream that a caller resumes. */
   async find ({ id: stream, pool }: ResumedStream): Promise<FoundOrigin> {
-    const id = stream === undefined ? undefined : shortenId(stream)
+    const id = stream === undefined ? undefined : hashLongId(stream)
     const own = id === undefined ? undefined : this.records.find(id)
     if (own !== undefined) return { type: 'known', origin: own, by: 'own record' }
     const reading = this.durable.read()
@@ -207,7 +207,7 @@
   private async stepDefault (pool: string, { listed, recent, isWholeTimeKnown }: { readonly listed: readonly string[], readonly recent: readonly string[], readonly isWholeTimeKnown: boolean }): Promise<void> {
     const view = { current: this.durable.defaults?.defaults.get(pool), isWithdrawn: this.durable.defaults?.withdrawn.has(pool) === true }
     const planned = planDefaultVersion({ ...view, recent, isWholeTimeKnown })
-    if (planned !== undefined || mustWithdrawDefault({ ...view, listed })) await this.changeDefault(pool, planned)
+    if (planned !== undefined || isWithdrawalDue({ ...view, listed })) await this.changeDefault(pool, planned)
   }
 
   private isFirst (pool: string): boolean {
--- a/stand-ins/machines/object-api.ts
+++ b/stand-ins/machines/object-api.ts
@@ -111,7 +111,7 @@
     if (query.has('watch')) return await this.watch(kind, Number(query.get('watch')), Number(query.get('wait_ms')), res, findDown)
     const { pageLength = PAGE, hasEmptyPage = false } = this.faults
     const items = this.objects.list(kind, '', query.get('after') ?? '', pageLength + 1)
-    const page = hasEmptyPage && query.has('after') ? [] : cutPage(items.slice(0, pageLength))
+    const page = hasEmptyPage && query.has('after') ? [] : limitPage(items.slice(0, pageLength))
     sendJson(res, 200, { items: page.map(showObject), more_pages: items.length > page.length, current_rev: this.objects.revision })
   }
 
@@ -160,7 +160,7 @@
 }
 
 /** Cuts a page at its longest size; it has at least one object. */
-function cutPage (objects: readonly StoredObject[]): readonly StoredObject[] {
+function limitPage (objects: readonly StoredObject[]): readonly StoredObject[] {
   let bytes = 0
   const end = objects.findIndex((object, i) => {
     bytes += Buffer.byteLength(JSON.stringify(showObject(object))) + 1
--- a/test/routing/default-version.test.ts
+++ b/test/routing/default-version.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { mustWithdrawDefault } from '../../src/routing/origins/must-withdraw-default.js'
+import { isWithdrawalDue } from '../../src/routing/origins/is-withdrawal-due.js'
 import { planDefaultVersion } from '../../src/routing/origins/plan-default-version.js'
 
 // Guards against a default at which streams of another version would go on, since they have no record.
@@ -32,5 +32,5 @@
 ]
 
 for (const { name, view, withdrawn } of withdrawals) {
-  test(`a default version of streams is ${name}`, t => { t.is(mustWithdrawDefault(view), withdrawn) })
+  test(`a default version of streams is ${name}`, t => { t.is(isWithdrawalDue(view), withdrawn) })
 }
