The default version is withdrawn in large fleets while several versions serve

Over 20 daemons nothing follows from a missing record now while several versions serve, and first events wait as before. Small fleets keep their behaviour.

--- a/src/routing/origins/durable-origins.ts
+++ b/src/routing/origins/durable-origins.ts
@@ -81,6 +81,11 @@
     return now < this.failedAt + DOUBT_TIME || now > this.writingSince + RECORD_TIMEOUT
   }
 
+  /** Whether this instance may write often enough for first events to wait for their records. */
+  get isRecordedInTime (): boolean {
+    return this.writePeriod <= RECORD_TIMEOUT
+  }
+
   /** Begins to record where a stream is expected to begin, so that `record` needn't wait as long. */
   beginRecord (id: string, origin: StreamOrigin, span = 0): void {
     const former = this.own.get(id)
@@ -122,6 +127,11 @@
     await this.read()
   }
 
+  /** Time between two writes of this instance, ms. */
+  private get writePeriod (): number {
+    return 1_000 * this.options.countDaemons() / FLEET_WRITES
+  }
+
   private isDefault ({ pool, version }: StreamOrigin): boolean {
     return this.defaults?.defaults.get(pool) === version
   }
@@ -140,8 +150,8 @@
   }
 
   private async write (): Promise<Result<void, StoreError>> {
-    const { clock, countDaemons } = this.options
-    const wait = this.writtenAt + 1_000 * countDaemons() / FLEET_WRITES - clock.now()
+    const { clock } = this.options
+    const wait = this.writtenAt + this.writePeriod - clock.now()
     if (wait > 0) await pauseFor(clock, wait)
     this.writtenAt = this.writingSince = clock.now()
     this.dropOld()
--- a/src/routing/origins/stream-origins.ts
+++ b/src/routing/origins/stream-origins.ts
@@ -195,7 +195,9 @@
     for (const [pool, span] of listResumablePools(this.configuration.value)) {
       const listed = this.history.list(pool, this.now, WITHDRAW_AFTER)
       const current = this.durable.defaults?.defaults.get(pool)
-      if (this.isListOld || (current !== undefined && listed.includes(current))) continue
+      const { isRecordedInTime } = this.durable
+      const isKept = current !== undefined && !isWithdrawalDue({ current, isWithdrawn: false, listed, isRecordedInTime }) && listed.includes(current)
+      if (this.isListOld || isKept) continue
       if (this.durable.defaults === undefined || this.now >= this.readAt + READ_PERIOD) {
         this.readAt = this.now
         await this.durable.read()
@@ -207,7 +209,7 @@
   private async stepDefault (pool: string, { listed, recent, isWholeTimeKnown }: { readonly listed: readonly string[], readonly recent: readonly string[], readonly isWholeTimeKnown: boolean }): Promise<void> {
     const view = { current: this.durable.defaults?.defaults.get(pool), isWithdrawn: this.durable.defaults?.withdrawn.has(pool) === true }
     const planned = planDefaultVersion({ ...view, recent, isWholeTimeKnown })
-    if (planned !== undefined || isWithdrawalDue({ ...view, listed })) await this.changeDefault(pool, planned)
+    if (planned !== undefined || isWithdrawalDue({ ...view, listed, isRecordedInTime: this.durable.isRecordedInTime })) await this.changeDefault(pool, planned)
   }
 
   private isFirst (pool: string): boolean {
--- a/test/routing/default-version.test.ts
+++ b/test/routing/default-version.test.ts
@@ -24,11 +24,13 @@
 
 // Guards against streams that begin elsewhere, have no record, and go on at the default version once its servers are back.
 const withdrawals = [
-  { name: 'kept while it has servers', view: { current: 'v1', isWithdrawn: false, listed: ['v1', 'v2'] }, withdrawn: false },
-  { name: 'kept while there are no servers', view: { current: 'v1', isWithdrawn: false, listed: [] }, withdrawn: false },
-  { name: 'withdrawn while only others have servers', view: { current: 'v1', isWithdrawn: false, listed: ['v2'] }, withdrawn: true },
-  { name: 'withdrawn where several versions serve before one is set', view: { current: undefined, isWithdrawn: false, listed: ['v1', 'v2'] }, withdrawn: true },
-  { name: 'not withdrawn twice', view: { current: undefined, isWithdrawn: true, listed: ['v1', 'v2'] }, withdrawn: false }
+  { name: 'kept while it has servers', view: { current: 'v1', isWithdrawn: false, listed: ['v1', 'v2'], isRecordedInTime: true }, withdrawn: false },
+  { name: 'kept while there are no servers', view: { current: 'v1', isWithdrawn: false, listed: [], isRecordedInTime: true }, withdrawn: false },
+  { name: 'withdrawn while only others have servers', view: { current: 'v1', isWithdrawn: false, listed: ['v2'], isRecordedInTime: true }, withdrawn: true },
+  { name: 'withdrawn where several versions serve before one is set', view: { current: undefined, isWithdrawn: false, listed: ['v1', 'v2'], isRecordedInTime: true }, withdrawn: true },
+  { name: 'not withdrawn twice', view: { current: undefined, isWithdrawn: true, listed: ['v1', 'v2'], isRecordedInTime: true }, withdrawn: false },
+  { name: 'kept in a large fleet while it is the only version', view: { current: 'v1', isWithdrawn: false, listed: ['v1'], isRecordedInTime: false }, withdrawn: false },
+  { name: 'withdrawn in a large fleet while others serve too', view: { current: 'v1', isWithdrawn: false, listed: ['v1', 'v2'], isRecordedInTime: false }, withdrawn: true }
 ]
 
 for (const { name, view, withdrawn } of withdrawals) {
--- a/test/routing/durable-origins.test.ts
+++ b/test/routing/durable-origins.test.ts
@@ -201,3 +201,10 @@
     t.deepEqual({ defaults, withdrawn }, expected as never)
   }
 })
+
+// Guards against first events that wait seconds for their records, since a large fleet shares the writes.
+test('records are in time in fleets of up to twenty daemons', t => {
+  const store = new Store(new VirtualClock())
+  const check = (daemons: number): boolean => new DurableOrigins({ store: store.connect(), clock: store.clock, instance: 'a', keep: KEEP, countDaemons: () => daemons }).isRecordedInTime
+  t.deepEqual([3, 20, 21, 57, 380].map(check), [true, true, false, false, false])
+})
